--- a/cmd/e2e/lab_test.go
+++ b/cmd/e2e/lab_test.go
@@ -21,7 +21,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/fleet"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/standin"
 )
 
@@ -228,7 +228,7 @@
 // ledger reads the bills once the wanted number is there.
 func (l *lab) ledger(atLeast int) *fleet.Ledger {
 	l.t.Helper()
-	client, closeClient := platform.NewClient(l.platform, nil)
+	client, closeClient := remote.NewClient(l.platform, nil)
 	defer closeClient()
 	var ledger *fleet.Ledger
 	require.Eventually(l.t, func() bool {
--- a/cmd/willowctl/declare.go
+++ b/cmd/willowctl/declare.go
@@ -18,7 +18,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/fleet"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 )
 
 const (
@@ -174,7 +174,7 @@
 }
 
 // publishChange publishes a change unless it is empty.
-func (t *tool) publishChange(ctx context.Context, p *publisher, client *platform.Client, change config.Change, state *config.State) error {
+func (t *tool) publishChange(ctx context.Context, p *publisher, client *remote.Client, change config.Change, state *config.State) error {
 	lines := changeLines(change, state)
 	if len(lines) == 0 {
 		return t.print(published{Offset: state.Offset, Accepted: true}, func(w io.Writer) {
@@ -186,7 +186,7 @@
 }
 
 // publish appends a record, finds out what came of it, and waits until it is in force.
-func (t *tool) publish(ctx context.Context, p *publisher, client *platform.Client, id willowwick.ChangeID, record config.Record, lines []string) error {
+func (t *tool) publish(ctx context.Context, p *publisher, client *remote.Client, id willowwick.ChangeID, record config.Record, lines []string) error {
 	if p.reason == "" {
 		return exitWith(exitInvalid, "say why with -reason; it goes into the audit trail")
 	}
@@ -221,7 +221,7 @@
 //
 // An append whose answer is lost is looked for by the record's id; a repeated
 // append carries the same id, and the fold counts it once.
-func appendAndFind(ctx context.Context, client *platform.Client, id willowwick.ChangeID, record config.Record) (config.AuditEntry, error) {
+func appendAndFind(ctx context.Context, client *remote.Client, id willowwick.ChangeID, record config.Record) (config.AuditEntry, error) {
 	data, err := record.Encode()
 	if err != nil {
 		return config.AuditEntry{}, err
@@ -244,12 +244,12 @@
 	return config.AuditEntry{}, errors.Wrapf(appendErr, "change %s was not found on the log", id)
 }
 
-func newPlatform(base string) (*platform.Client, func()) {
-	return platform.NewClient(base, nil)
+func newPlatform(base string) (*remote.Client, func()) {
+	return remote.NewClient(base, nil)
 }
 
 // openState returns a client of the platform with the state at the log's end.
-func openState(ctx context.Context, base string) (*platform.Client, *config.State, func(), error) {
+func openState(ctx context.Context, base string) (*remote.Client, *config.State, func(), error) {
 	client, closeClient := newPlatform(base)
 	state, err := readState(ctx, client)
 	if err != nil {
--- a/cmd/willowctl/demo.go
+++ b/cmd/willowctl/demo.go
@@ -17,7 +17,7 @@
 	"github.com/willowwick/willowwick/examples"
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/lab"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 	"github.com/willowwick/willowwick/standin"
 )
@@ -185,7 +185,7 @@
 
 // waitBills reads the ledger until every answer is on it, or for as long as that should take.
 func waitBills(ctx context.Context, f *lab.Fleet, answered int) (*fleet.Ledger, error) {
-	client, closeClient := platform.NewClient(f.PlatformURL(), nil)
+	client, closeClient := remote.NewClient(f.PlatformURL(), nil)
 	defer closeClient()
 	limit := time.Now().Add(demoBillsWait)
 	for {
--- a/cmd/willowctl/show.go
+++ b/cmd/willowctl/show.go
@@ -16,7 +16,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/fleet"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 )
 
@@ -34,7 +34,7 @@
 }
 
 // boxStatuses asks every listed box.
-func boxStatuses(ctx context.Context, client *platform.Client) ([]boxStatus, error) {
+func boxStatuses(ctx context.Context, client *remote.Client) ([]boxStatus, error) {
 	listing, _, err := client.List(ctx, "")
 	if err != nil {
 		return nil, err
@@ -77,7 +77,7 @@
 }
 
 // waitInForce waits until every listed box reports the offset, and names those that do not.
-func waitInForce(ctx context.Context, client *platform.Client, offset willowwick.Offset, wait time.Duration) []string {
+func waitInForce(ctx context.Context, client *remote.Client, offset willowwick.Offset, wait time.Duration) []string {
 	limit := time.Now().Add(wait)
 	for {
 		var missing []string
--- a/cmd/willowwickd/main.go
+++ b/cmd/willowwickd/main.go
@@ -15,7 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 )
 
@@ -97,9 +97,9 @@
 		return nil, nil, err
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	platformClient, closePlatform := platform.NewClient(o.platform, dialer.DialContext)
-	engines, closeEngines := platform.NewEngineClient(dialer.DialContext)
-	services, closeServices := platform.NewServiceClient(dialer.DialContext)
+	platformClient, closePlatform := remote.NewClient(o.platform, dialer.DialContext)
+	engines, closeEngines := remote.NewEngineClient(dialer.DialContext)
+	services, closeServices := remote.NewServiceClient(dialer.DialContext)
 	daemon, closeDaemon := serve.New(o.settings(newBoot(), callerTLS, peerTLS), serve.Outside{
 		Log: platformClient, Live: platformClient, Rater: platformClient, Engine: engines, Services: services,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
--- a/lab/bench_test.go
+++ b/lab/bench_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/examples"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 )
 
@@ -30,19 +30,19 @@
 	require.NoError(b, f.Apply(examples.Declarations))
 	require.NoError(b, f.WaitReady(readyTime))
 	client := f.Client("caller")
-	body, err := json.Marshal(platform.ChatRequest{
+	body, err := json.Marshal(remote.ChatRequest{
 		Model: "run-large-1", Messages: []willowwick.Message{{Role: "user", Content: "bench"}}, MaxTokens: 400, Stream: true,
 	})
 	require.NoError(b, err)
 	b.Run("direct", func(b *testing.B) {
 		for b.Loop() {
-			drain(b, client, "http://"+f.RunnerAddress(0)+platform.PathCompletions, body, "")
+			drain(b, client, "http://"+f.RunnerAddress(0)+remote.PathCompletions, body, "")
 		}
 	})
 	body = bytes.Replace(body, []byte("run-large-1"), []byte("run-large"), 1)
 	b.Run("through a daemon", func(b *testing.B) {
 		for b.Loop() {
-			drain(b, client, "http://"+f.Boxes[0].Callers+platform.PathCompletions, body, coimbra)
+			drain(b, client, "http://"+f.Boxes[0].Callers+remote.PathCompletions, body, coimbra)
 		}
 	})
 }
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 	"github.com/willowwick/willowwick/standin"
 )
@@ -111,7 +111,7 @@
 }
 
 func newChat(ctx context.Context, address string, chat Chat) (*http.Request, error) {
-	body, err := json.Marshal(platform.ChatRequest{
+	body, err := json.Marshal(remote.ChatRequest{
 		Model: willowwick.VersionID(chat.Model), Messages: []willowwick.Message{{Role: "user", Content: chat.Prompt}},
 		MaxTokens: willowwick.Tokens(chat.MaxTokens), Stream: chat.Stream,
 	})
@@ -214,7 +214,7 @@
 			}
 			return nil
 		}
-		var chunk platform.ChatChunk
+		var chunk remote.ChatChunk
 		if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
 			return err
 		}
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/config"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 	"github.com/willowwick/willowwick/standin"
 )
@@ -176,9 +176,9 @@
 	settings.Boot = willowwick.BootID(fmt.Sprintf("%s.%d", b.ID, b.starts))
 	settings.PeerAddress, settings.Key = listeners[1].Addr().String(), []byte(fleetKey)
 	dial := network.Dial(string(b.ID))
-	client, closeClient := platform.NewClient(b.fleet.platformURL, dial)
-	engines, closeEngines := platform.NewEngineClient(dial)
-	services, closeServices := platform.NewServiceClient(dial)
+	client, closeClient := remote.NewClient(b.fleet.platformURL, dial)
+	engines, closeEngines := remote.NewEngineClient(dial)
+	services, closeServices := remote.NewServiceClient(dial)
 	daemon, closeDaemon := serve.New(settings, serve.Outside{
 		Log: client, Live: client, Rater: client, Engine: engines, Services: services,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
--- a/lab/network.go
+++ b/lab/network.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 )
 
 type (
@@ -17,7 +17,7 @@
 		// Listen opens a listener for a host, such as "box1".
 		Listen(host string) (net.Listener, error)
 		// Dial returns the dial function of a host.
-		Dial(host string) platform.DialFunc
+		Dial(host string) remote.DialFunc
 	}
 
 	// Loopback is the machine's own loopback network.
@@ -62,7 +62,7 @@
 }
 
 // Dial implements Network.
-func (Loopback) Dial(string) platform.DialFunc {
+func (Loopback) Dial(string) remote.DialFunc {
 	return (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 }
 
@@ -115,7 +115,7 @@
 }
 
 // Dial implements Network.
-func (m *Memory) Dial(host string) platform.DialFunc {
+func (m *Memory) Dial(host string) remote.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := m.connect(ctx, host, address)
 		if err != nil {
--- a/platform/engine.go
+++ b/remote/engine.go
@@ -1,4 +1,4 @@
-package platform
+package remote
 
 import (
 	"bytes"
--- a/serve/body.go
+++ b/serve/body.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 )
 
 const (
@@ -35,7 +35,7 @@
 		Created int64                `json:"created"`
 		Model   string               `json:"model"`
 		Choices []wholeChoice        `json:"choices"`
-		Usage   platform.ChatUsage   `json:"usage"`
+		Usage   remote.ChatUsage     `json:"usage"`
 	}
 
 	wholeChoice struct {
@@ -105,10 +105,10 @@
 	return message.WriteTo(w)
 }
 
-func (b *eventBody) event(chunk willowwick.Chunk, first bool) platform.ChatChunk {
-	event := platform.ChatChunk{
+func (b *eventBody) event(chunk willowwick.Chunk, first bool) remote.ChatChunk {
+	event := remote.ChatChunk{
 		ID: b.answer.Request, Object: objectChunk, Created: b.created, Model: b.model,
-		Choices: []platform.ChatChoice{{Delta: platform.ChatDelta{Content: chunk.Text}}},
+		Choices: []remote.ChatChoice{{Delta: remote.ChatDelta{Content: chunk.Text}}},
 	}
 	if first {
 		event.Choices[0].Delta.Role = roleAssistant
@@ -121,8 +121,8 @@
 }
 
 // usage is what the request was billed for, over all stages.
-func (a *Answer) usage() *platform.ChatUsage {
-	return &platform.ChatUsage{Usage: a.run.usage, Total: a.run.usage.Prompt + a.run.usage.Output}
+func (a *Answer) usage() *remote.ChatUsage {
+	return &remote.ChatUsage{Usage: a.run.usage, Total: a.run.usage.Prompt + a.run.usage.Output}
 }
 
 // collectBody takes the whole answer before anything goes to the caller.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/tmaxmax/go-sse"
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 )
 
 const (
@@ -77,9 +77,9 @@
 		versions: versions, places: make(chan struct{}, slots),
 		served: map[willowwick.VersionID][]time.Time{}, mux: http.NewServeMux(),
 	}
-	e.mux.HandleFunc("POST "+platform.PathCompletions, e.handleChat)
-	e.mux.HandleFunc("GET "+platform.PathLoad, e.handleLoad)
-	e.mux.HandleFunc("POST "+platform.PathOrders, e.handleOrder)
+	e.mux.HandleFunc("POST "+remote.PathCompletions, e.handleChat)
+	e.mux.HandleFunc("GET "+remote.PathLoad, e.handleLoad)
+	e.mux.HandleFunc("POST "+remote.PathOrders, e.handleOrder)
 	e.mux.HandleFunc("PUT "+pathFaults, handlePut(func(f EngineFaults) { e.SetFaults(func(old *EngineFaults) { *old = f }) }))
 	return e
 }
@@ -148,7 +148,7 @@
 
 type chatRun struct {
 	request  willowwick.RequestID
-	call     platform.ChatRequest
+	call     remote.ChatRequest
 	slow     time.Duration
 	chunks   []string
 	prompt   string
@@ -157,12 +157,12 @@
 }
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
-	run := chatRun{request: willowwick.RequestID(r.Header.Get(platform.HeaderRequestID)), slow: 1}
+	run := chatRun{request: willowwick.RequestID(r.Header.Get(remote.HeaderRequestID)), slow: 1}
 	if err := json.NewDecoder(r.Body).Decode(&run.call); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if resume := r.Header.Get(platform.HeaderResumeAt); resume != "" {
+	if resume := r.Header.Get(remote.HeaderResumeAt); resume != "" {
 		at, err := strconv.Atoi(resume)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -186,7 +186,7 @@
 	defer e.mu.Unlock()
 	e.writeLoad(w.Header())
 	if e.faults.Leaving && !e.faults.Quietly {
-		w.Header().Set(platform.HeaderLeaving, "true")
+		w.Header().Set(remote.HeaderLeaving, "true")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return false
 	}
@@ -296,10 +296,10 @@
 
 func (e *Engine) send(w http.ResponseWriter, run chatRun, i int) {
 	position := i
-	chunk := platform.ChatChunk{
+	chunk := remote.ChatChunk{
 		ID: run.request, Object: "chat.completion.chunk", Created: time.Now().Unix(),
 		Model: string(run.call.Model), Position: &position,
-		Choices: []platform.ChatChoice{{Delta: platform.ChatDelta{Content: run.chunks[i]}}},
+		Choices: []remote.ChatChoice{{Delta: remote.ChatDelta{Content: run.chunks[i]}}},
 	}
 	if run.faults.Cross > 0 && i > run.resumeAt {
 		chunk.ID = "somebody-else"
@@ -312,7 +312,7 @@
 			Prompt: willowwick.EstimateTokens(run.prompt),
 			Output: willowwick.Tokens(tokensAChunk * len(run.chunks)),
 		}
-		chunk.Usage = &platform.ChatUsage{Usage: usage, Total: usage.Prompt + usage.Output}
+		chunk.Usage = &remote.ChatUsage{Usage: usage, Total: usage.Prompt + usage.Output}
 	}
 	data, err := json.Marshal(chunk)
 	if err != nil {
@@ -337,9 +337,9 @@
 // writeLoad sets the load headers; the numbers are those of the last report.
 func (e *Engine) writeLoad(header http.Header) {
 	load := e.report()
-	header.Set(platform.HeaderRunning, strconv.Itoa(load.Running))
-	header.Set(platform.HeaderWaiting, strconv.Itoa(load.Waiting))
-	header.Set(platform.HeaderSlots, strconv.Itoa(load.Slots))
+	header.Set(remote.HeaderRunning, strconv.Itoa(load.Running))
+	header.Set(remote.HeaderWaiting, strconv.Itoa(load.Waiting))
+	header.Set(remote.HeaderSlots, strconv.Itoa(load.Slots))
 }
 
 // report renews the load report when it has lagged enough.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 )
 
 const (
@@ -67,10 +67,10 @@
 		endpoints: map[willowwick.EndpointID]willowwick.Endpoint{},
 		mux:       http.NewServeMux(),
 	}
-	p.mux.HandleFunc("POST "+platform.PathLog+"{stream}", p.handleAppend)
-	p.mux.HandleFunc("GET "+platform.PathLog+"{stream}", p.handleRead)
-	p.mux.HandleFunc("GET "+platform.PathLive, p.handleList)
-	p.mux.HandleFunc("POST "+platform.PathRate, p.handleRate)
+	p.mux.HandleFunc("POST "+remote.PathLog+"{stream}", p.handleAppend)
+	p.mux.HandleFunc("GET "+remote.PathLog+"{stream}", p.handleRead)
+	p.mux.HandleFunc("GET "+remote.PathLive, p.handleList)
+	p.mux.HandleFunc("POST "+remote.PathRate, p.handleRate)
 	p.mux.HandleFunc("PUT "+pathFaults, p.handleFaults)
 	p.mux.HandleFunc("PUT "+pathBoxes, handlePut(p.SetBox))
 	p.mux.HandleFunc("PUT "+pathPoints, handlePut(p.SetEndpoint))
--- a/standin/service.go
+++ b/standin/service.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/remote"
 )
 
 const (
@@ -36,7 +36,7 @@
 // NewService returns an instance of a plain service.
 func NewService(id willowwick.EndpointID) *Service {
 	s := &Service{ID: id, effects: map[string]int{}, mux: http.NewServeMux()}
-	s.mux.HandleFunc("GET "+platform.PathLoad, s.handleLoad)
+	s.mux.HandleFunc("GET "+remote.PathLoad, s.handleLoad)
 	s.mux.HandleFunc("PUT "+pathFaults, handlePut(func(f ServiceFaults) { s.SetFaults(func(old *ServiceFaults) { *old = f }) }))
 	s.mux.HandleFunc("/", s.handleCall)
 	return s
@@ -75,7 +75,7 @@
 	faults := s.faults
 	if faults.Leaving {
 		s.mu.Unlock()
-		w.Header().Set(platform.HeaderLeaving, "true")
+		w.Header().Set(remote.HeaderLeaving, "true")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
