--- a/cmd/willowwickd/main.go
+++ b/cmd/willowwickd/main.go
@@ -45,7 +45,11 @@
 		return
 	}
 	slog.SetDefault(options.logger())
-	if err := run(options); err != nil {
+	start := run
+	if options.nodeFile != "" {
+		start = runNode
+	}
+	if err := start(options); err != nil {
 		slog.Error("daemon failed", "error", err)
 		os.Exit(exitFailed)
 	}
--- a/cmd/willowwickd/options.go
+++ b/cmd/willowwickd/options.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/url"
@@ -22,6 +23,9 @@
 	minKeyLength = 16
 	formatText   = "text"
 	formatJSON   = "json"
+	// defaultConfidence is where the price of a larger model's run meets what its answers are worth (docs/design/0005).
+	defaultConfidence = 50
+	highestConfidence = 100
 )
 
 // options are the settings as flags and environment variables give them.
@@ -39,6 +43,8 @@
 	slowFirst, slowBetween, stall   time.Duration
 	logLevel, logFormat             string
 	checkOnly                       bool
+	nodeFile                        string
+	confidence                      int
 }
 
 func (o *options) register(flags *flag.FlagSet) {
@@ -64,6 +70,8 @@
 	flags.DurationVar(&o.stall, "stall", serve.DefaultStall, "a stream silent for this long is resumed elsewhere")
 	flags.StringVar(&o.logLevel, "log-level", "info", "debug, info, warn or error")
 	flags.StringVar(&o.logFormat, "log-format", formatText, "text or json")
+	flags.StringVar(&o.nodeFile, "node-file", "", "settings file of the users' platform; serves opaque requests there")
+	flags.IntVar(&o.confidence, "confidence", defaultConfidence, "a small model's answer below this is given up for the largest model's, 0 to 100")
 	flags.BoolVar(&o.checkOnly, "check", false, "check the settings and exit")
 }
 
@@ -78,10 +86,16 @@
 			report("-%s (or %s) must be set, for example %s", name, envName(name), example)
 		}
 	}
-	required("box", o.box, "box-a1")
-	required("hall", o.hall, "hall-a")
-	required("peer-address", o.peerAddress, "10.0.0.5:8081")
-	required("platform", o.platform, "http://10.0.0.1:9000")
+	if o.nodeFile == "" {
+		// The platform's settings file says these.
+		required("box", o.box, "box-a1")
+		required("hall", o.hall, "hall-a")
+		required("peer-address", o.peerAddress, "10.0.0.5:8081")
+		required("platform", o.platform, "http://10.0.0.1:9000")
+	}
+	if o.confidence < 0 || o.confidence > highestConfidence {
+		report("-confidence must be from 0 to %d, is %d", highestConfidence, o.confidence)
+	}
 	for name, address := range map[string]string{
 		"listen": o.listen, "peer-listen": o.peerListen, "admin-listen": o.adminListen, "peer-address": o.peerAddress,
 	} {
@@ -124,12 +138,16 @@
 }
 
 func (o *options) logger() *slog.Logger {
+	return o.loggerTo(os.Stderr)
+}
+
+func (o *options) loggerTo(out io.Writer) *slog.Logger {
 	level, _ := o.level()
 	handlerOptions := &slog.HandlerOptions{Level: level}
 	if o.logFormat == formatJSON {
-		return slog.New(slog.NewJSONHandler(os.Stderr, handlerOptions))
+		return slog.New(slog.NewJSONHandler(out, handlerOptions))
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, handlerOptions))
+	return slog.New(slog.NewTextHandler(out, handlerOptions))
 }
 
 // tlsConfigs loads the certificates that are set.
--- /dev/null
+++ b/control.go
@@ -0,0 +1,53 @@
+package willowwick
+
+import (
+	"context"
+	"time"
+)
+
+type (
+	// Declarations is what a read of the operator's declarations brought.
+	Declarations struct {
+		Table  *RoutingTable // the newest one, or nil if there was none in what was read
+		Orders []ReleaseOrder
+		Next   Offset // where the next read goes on; 0 reads everything anew
+	}
+
+	// EndpointChanges is what a read of the list of endpoints brought.
+	EndpointChanges struct {
+		Whole   bool // Present is the whole list; what is not in it is gone
+		Present []Endpoint
+		Gone    []EndpointID
+		Next    Offset
+	}
+
+	// ReleaseStatuses are all states of roll-outs, and where their topic ends.
+	ReleaseStatuses struct {
+		Statuses []ReleaseStatus
+		End      Offset
+	}
+
+	// Membership is a box's part in the group of boxes.
+	Membership struct {
+		Generation uint64 // rises with each change of the group
+		Leads      bool   // this box looks after the roll-outs
+	}
+
+	// Control is the platform's store as the exchange needs it.
+	Control interface {
+		// Declarations reads what was declared since an offset and waits for it up to the given time.
+		Declarations(ctx context.Context, from Offset, wait time.Duration) (Declarations, error)
+		// Endpoints reads the changes of the list of endpoints since an offset, at once.
+		Endpoints(ctx context.Context, from Offset) (EndpointChanges, error)
+		// Statuses reads all states of roll-outs.
+		Statuses(ctx context.Context) (ReleaseStatuses, error)
+		// SetStatus writes a state if the topic still ends at the offset; otherwise it returns ErrConflict.
+		SetStatus(ctx context.Context, status ReleaseStatus, end Offset) error
+		// Join makes the box a member of the group, or keeps it one, and tells its part.
+		Join(ctx context.Context, member string, generation uint64) (Membership, error)
+		// Members lists the members of the group.
+		Members(ctx context.Context) ([]string, error)
+		// Leave takes the box out of the group.
+		Leave(ctx context.Context, member string) error
+	}
+)
--- a/errors.go
+++ b/errors.go
@@ -12,6 +12,8 @@
 	ErrBusy = errors.New("endpoint is full")
 	// ErrBroken: an answer came with a gap, a wrong id or no end.
 	ErrBroken = errors.New("answer is broken")
+	// ErrConflict: the topic no longer ends where the writer thought.
+	ErrConflict = errors.New("someone else wrote first")
 	// ErrFenced: the endpoint has seen an order with a higher fence.
 	ErrFenced = errors.New("order is fenced off")
 )
--- /dev/null
+++ b/exchange/call.go
@@ -0,0 +1,322 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/wire"
+)
+
+const (
+	// anyModel is the model of a caller that leaves the choice to the cascade.
+	anyModel = "*"
+	// maxSends bounds how often one request is sent, also where no endpoint ran it.
+	maxSends = 8
+	// queueShare is the part of the goal that a request may wait for a place: later, a refusal serves its caller better.
+	queueShare = 0.25
+	// comeBack is when a caller should return after a refusal: most places are free again by then.
+	comeBack = 300 * time.Millisecond
+	// comeBackLater is when a caller should return to a box that knows no configuration or endpoint yet.
+	comeBackLater = time.Second
+	// defaultTimeout holds for routes that declare none.
+	defaultTimeout = 30 * time.Second
+	// streamCost and plainCost are the weights of a request in its client account's turn, if it names no tokens.
+	plainCost = willowwick.Tokens(100)
+)
+
+type (
+	// call is one request of a caller on its way.
+	call struct {
+		router  *Router
+		ctx     context.Context
+		out     *reply
+		head    willowwick.ExchangeHead
+		message wire.Message
+		table   *table
+		route   *willowwick.Route
+		account *willowwick.RoutedAccount
+		service willowwick.ServiceID
+
+		arrived  time.Time
+		deadline time.Time
+		model    int // index in the route's models, or noModel
+		prefix   uint64
+		choice   releaseChoice
+
+		sends   int // times it was sent, whatever came of it
+		runs    int // endpoints that may have run it
+		exclude map[willowwick.EndpointID]bool
+		resumed string // last event that went out
+		failure *failedAnswer
+	}
+
+	// failedAnswer is a whole answer of an endpoint with a status of 500 or more.
+	failedAnswer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+)
+
+const noModel = -1
+
+// begin checks a request and reads its body; a refusal is written by the caller.
+func (x *Router) begin(out *reply, r *http.Request, arrived time.Time) (*call, *willowwick.Refusal) {
+	head, err := x.codec.DecodeRequest(r.Header, arrived)
+	out.id = head.ID
+	if err != nil {
+		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "header", "%v", err)
+	}
+	t := x.table.Load()
+	if t == nil {
+		return nil, willowwick.NotRun(willowwick.CodeStale, arrived.Add(comeBackLater), "no configuration is known yet")
+	}
+	target, path := requestTarget(r)
+	declared := t.route(r.Host, path)
+	if declared == nil {
+		return nil, x.unknown(arrived, willowwick.Invalid(willowwick.CodeUnknownService, "path", "no route of %q leads to %q", r.Host, path))
+	}
+	c := &call{
+		router: x, out: out, head: head, table: t, route: declared, arrived: arrived, model: noModel,
+		message: wire.Message{Method: r.Method, Target: target, Host: r.Host, Header: r.Header},
+		exclude: map[willowwick.EndpointID]bool{}, resumed: head.ResumeAfter,
+	}
+	if !declared.Anonymous && len(t.Accounts) > 0 {
+		if c.account = t.accounts[head.Key]; c.account == nil {
+			return nil, x.unknown(arrived, willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key"))
+		}
+	}
+	if head.ID == "" {
+		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "id", "the request has no id")
+	}
+	if refusal := c.readBody(r); refusal != nil {
+		return nil, refusal
+	}
+	c.plan()
+	return c, nil
+}
+
+// unknown softens a refusal of what the configuration does not hold while a newer one may be on its way.
+func (x *Router) unknown(now time.Time, refusal *willowwick.Refusal) *willowwick.Refusal {
+	if x.sync.isStale(now) {
+		return willowwick.NotRun(willowwick.CodeStale, now.Add(comeBackLater), "%s, but the configuration may be old", refusal.Message)
+	}
+	return refusal
+}
+
+// requestTarget returns the request line's target and its path, both as the caller wrote them.
+func requestTarget(r *http.Request) (target, path string) {
+	target = r.RequestURI
+	if r.URL.IsAbs() {
+		target = r.URL.RequestURI()
+	}
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target, target[:i]
+		}
+	}
+	return target, target
+}
+
+func (c *call) readBody(r *http.Request) *willowwick.Refusal {
+	if r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
+		c.message.HasLen = r.Header.Get("Content-Length") != ""
+		return nil
+	}
+	limit := c.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return willowwick.Invalid(willowwick.CodeTooLarge, "body", "the body has %d bytes; %d are allowed", r.ContentLength, limit)
+	}
+	body, err := readAll(io.LimitReader(r.Body, limit+1), r.ContentLength)
+	if err != nil {
+		return willowwick.NotRun(willowwick.CodeBadRequest, time.Time{}, "the body broke off: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return willowwick.Invalid(willowwick.CodeTooLarge, "body", "more than the %d bytes that are allowed", limit)
+	}
+	c.message.Body, c.message.HasLen = body, true
+	return nil
+}
+
+func readAll(r io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+// plan decides what holds for the whole request: its time, service, first model and release.
+func (c *call) plan() {
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	c.deadline = c.arrived.Add(timeout)
+	if !c.head.Deadline.IsZero() && c.head.Deadline.Before(c.deadline) {
+		c.deadline = c.head.Deadline
+	}
+	c.service = c.table.service(c.route, string(c.head.ID))
+	if c.head.Model == anyModel && len(c.route.Models) > 0 {
+		c.model = 0
+	}
+	if shared := len(c.head.Prompt) - 2; shared >= 0 && c.route.Affinity {
+		c.prefix = xxhash.Sum64String(c.head.Prompt[shared].ID)
+	}
+	c.choice = c.router.releases.choose(c.service, c.sessionText(), c.arrived)
+	wire.StripHop(c.message.Header)
+	delete(c.message.Header, "Content-Length")
+	delete(c.message.Header, "Expect")
+	c.router.budget(c.service).Request(c.arrived)
+}
+
+// sessionText names what should stay on one release: the session, or the request if it has none.
+func (c *call) sessionText() string {
+	if c.head.Session != "" {
+		return string(c.head.Session)
+	}
+	return string(c.head.ID)
+}
+
+// run sends the request until it is answered or given up.
+func (c *call) run() {
+	for {
+		ticket, refusal := c.enter()
+		if refusal != nil {
+			c.giveUp(refusal)
+			return
+		}
+		c.sends++
+		result := c.attempt(ticket)
+		if result.kind == answered || result.kind == callerLeft {
+			return
+		}
+		if !c.mayGoOn(result) {
+			c.giveUp(result.refusal(c))
+			return
+		}
+	}
+}
+
+// enter takes a place at an endpoint.
+func (c *call) enter() (*gate.Ticket, *willowwick.Refusal) {
+	now := time.Now()
+	until := c.deadline
+	if c.sends == 0 {
+		until = earliest(until, now.Add(scale(c.route.Goal, queueShare)))
+	}
+	return c.router.gate.Enter(c.ctx, gate.Wish{
+		Work: string(c.service), Account: c.accountName(), Weight: 1, Cost: c.cost(), Deadline: until,
+		Acquire: func(now time.Time) (*route.Place, bool) {
+			place, known := c.router.pool.AcquireAllowed(now, c.service, c.prefix, c.exclude, c.choice.allows)
+			if place == nil && !known && c.choice.release != "" {
+				return c.router.pool.AcquireAllowed(now, c.service, c.prefix, c.exclude, c.choice.otherwise)
+			}
+			return place, known
+		},
+	})
+}
+
+func (c *call) accountName() willowwick.AccountID {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+func (c *call) cost() willowwick.Tokens {
+	return max(c.head.PromptTokens/promptPerOutput+c.head.MaxTokens, plainCost)
+}
+
+// mayGoOn decides whether the request is sent again after a send that brought no answer.
+func (c *call) mayGoOn(result sendResult) bool {
+	now := time.Now()
+	if c.ctx.Err() != nil || c.sends >= maxSends || !now.Before(c.deadline) {
+		return false
+	}
+	switch result.kind {
+	case notSent:
+		return true
+	case escalated:
+		return true // the budget was asked before the answer was dropped
+	case notRun:
+		return c.router.takeRepeat(c, route.RepeatFailover, now)
+	default:
+		return c.mayRunAgain() && c.router.takeRepeat(c, route.RepeatFailover, now)
+	}
+}
+
+// mayRunAgain reports whether one more endpoint may run the request.
+func (c *call) mayRunAgain() bool {
+	if c.out.begun && !c.route.Resumable {
+		return false
+	}
+	return c.route.Repeatable && c.runs < c.route.MaxRuns
+}
+
+// giveUp ends a request that no endpoint has answered.
+func (c *call) giveUp(refusal *willowwick.Refusal) {
+	if c.ctx.Err() != nil && !c.timeIsUp() {
+		c.router.metrics.outcome("caller_left")
+		c.logEnd("caller left", 0)
+		return
+	}
+	switch {
+	case c.out.begun:
+		c.router.metrics.outcome("cut")
+		c.logEnd("answer cut off", 0, "cause", refusal.Message)
+		c.out.abort()
+	case c.failure != nil:
+		c.router.metrics.outcome("endpoint_failed")
+		c.logEnd("endpoint's failure passed on", c.failure.status)
+		c.out.passFailure(c.failure)
+	default:
+		if c.runs > 0 && refusal.Kind == willowwick.KindNotRun {
+			refusal = willowwick.OutcomeUnknown(refusal.Code, "an endpoint may have run it; %s", refusal.Message)
+		}
+		c.router.refuse(c.out, refusal)
+		c.logEnd("refused", statusOf(refusal), "cause", refusal.Message, "code", refusal.Code)
+	}
+}
+
+func (c *call) timeIsUp() bool {
+	return errors.Is(c.ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(c.deadline)
+}
+
+// logEnd writes the line that ends a request's story.
+func (c *call) logEnd(what string, status int, more ...any) {
+	attributes := append([]any{
+		"request", c.head.ID, "route", c.route.Name, "service", c.service, "status", status,
+		"sends", c.sends, "runs", c.runs, "ms", time.Since(c.arrived).Milliseconds(), "config", c.table.Version,
+	}, more...)
+	slog.Info(what, attributes...)
+}
+
+func retryAfter(at, now time.Time) string {
+	seconds := max(at.Sub(now).Seconds(), 0.05)
+	return strconv.FormatFloat(seconds, 'f', 2, 64)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func scale(d time.Duration, by float64) time.Duration {
+	return time.Duration(float64(d) * by)
+}
--- /dev/null
+++ b/exchange/metrics.go
@@ -0,0 +1,50 @@
+package exchange
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/willowwick/willowwick"
+)
+
+// routerMetrics are the counters of one router.
+type routerMetrics struct {
+	set    *metrics.Set
+	denied *metrics.Counter
+}
+
+func newRouterMetrics(x *Router) *routerMetrics {
+	set := metrics.NewSet()
+	m := &routerMetrics{set: set, denied: set.NewCounter("willowwick_repeats_denied_total")}
+	set.NewGauge("willowwick_requests_in_flight", func() float64 { return float64(x.inFlight.Load()) })
+	set.NewGauge("willowwick_requests_waiting", func() float64 { return float64(x.gate.WaitingNow()) })
+	set.NewGauge("willowwick_config_version", func() float64 { return float64(x.configVersion()) })
+	set.NewGauge("willowwick_connections_dialed", func() float64 { return float64(x.conns.Stats().Dialed) })
+	set.NewGauge("willowwick_connections_reused", func() float64 { return float64(x.conns.Stats().Reused) })
+	set.NewGauge("willowwick_connections_stale", func() float64 { return float64(x.conns.Stats().Stale) })
+	set.NewGauge("willowwick_surplus_answers", func() float64 { return float64(x.conns.Stats().Surplus) })
+	set.NewGauge("willowwick_boxes", func() float64 { return float64(x.peers.boxes()) })
+	return m
+}
+
+func (m *routerMetrics) outcome(name string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_requests_ended_total{how=%q}", name)).Inc()
+}
+
+func (m *routerMetrics) send(kind sendKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_sends_total{outcome=%q}", kindNames[kind])).Inc()
+}
+
+func (m *routerMetrics) delivered(route *willowwick.Route, took time.Duration) {
+	m.outcome("answered")
+	m.set.GetOrCreateHistogram(fmt.Sprintf("willowwick_answer_seconds{route=%q}", route.Name)).Update(took.Seconds())
+}
+
+func (m *routerMetrics) refused(refusal *willowwick.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_refusals_total{kind=%q,code=%q}", refusal.Kind, refusal.Code)).Inc()
+}
+
+func (m *routerMetrics) repeatDenied() {
+	m.denied.Inc()
+}
--- /dev/null
+++ b/exchange/router.go
@@ -0,0 +1,211 @@
+package exchange
+
+import (
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/wire"
+)
+
+const (
+	// startLimit is how many own requests an endpoint gets before it is known: the slots of a large runner.
+	startLimit = 64
+	// loadFresh is how long a load report counts: a runner's requests last about a second.
+	loadFresh = 1500 * time.Millisecond
+	// lowestPriority is the last rank that endpoints know.
+	lowestPriority = 9
+	// defaultBodyBytes bounds bodies where the configuration does not.
+	defaultBodyBytes = 4 << 20
+)
+
+type (
+	// Settings are what an exchange is told at its start.
+	Settings struct {
+		Box        willowwick.BoxID
+		Hall       willowwick.HallID
+		Boot       willowwick.BootID
+		Peers      string // host:port under which other boxes reach this one
+		Key        []byte // shared by all boxes
+		Seeds      []string
+		Seed       uint64
+		Confidence int // a small model's answer below this is given up for the largest model's
+		Repeats    route.RepeatLimits
+		Releases   ReleaseSettings
+		Grace      time.Duration // setting: from the signal to stop until the process is killed
+		Drain      time.Duration // setting: an endpoint that leaves gets nothing later than this
+	}
+
+	// Router answers opaque requests.
+	Router struct {
+		settings Settings
+		codec    willowwick.HeaderCodec
+		table    atomic.Pointer[table]
+		pool     *route.Pool
+		gate     *gate.Gate
+		conns    *wire.Pool
+		releases *releases
+		sync     *syncer
+		peers    *peers
+		metrics  *routerMetrics
+		inFlight atomic.Int64
+		stopping atomic.Bool
+
+		mu      sync.Mutex
+		budgets map[willowwick.ServiceID]*route.RepeatBudget
+	}
+)
+
+// newRouter returns a router without configuration, and a function that closes its connections.
+func newRouter(settings Settings, codec willowwick.HeaderCodec) (*Router, func()) {
+	conns, closeConns := wire.NewPool(wire.Settings{DialLimit: dialLimit, Silence: sendSilence})
+	x := &Router{
+		settings: settings, codec: codec, conns: conns, gate: gate.New(),
+		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
+			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true,
+		}),
+		releases: newReleases(settings.Releases),
+		budgets:  map[willowwick.ServiceID]*route.RepeatBudget{},
+	}
+	x.metrics = newRouterMetrics(x)
+	return x, closeConns
+}
+
+// ServeHTTP implements http.Handler.
+func (x *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	x.inFlight.Add(1)
+	defer x.inFlight.Add(-1)
+	if x.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	out := &reply{writer: w, controller: http.NewResponseController(w), codec: x.codec}
+	c, refusal := x.begin(out, r, arrived)
+	if refusal != nil {
+		x.refuse(out, refusal)
+		slog.Info("refused at the door", "request", out.id, "host", r.Host, "target", r.RequestURI,
+			"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion())
+		return
+	}
+	ctx, cancel := contextUntil(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.run()
+}
+
+func (x *Router) configVersion() uint64 {
+	if t := x.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// refuse answers a request that gets no endpoint's answer.
+func (x *Router) refuse(out *reply, refusal *willowwick.Refusal) {
+	x.metrics.refused(refusal)
+	header := out.writer.Header()
+	x.codec.EncodeOwn(header, out.id)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if refusal.Kind == willowwick.KindNotRun {
+		at := refusal.RetryAt
+		if at.IsZero() {
+			at = time.Now().Add(comeBack)
+		}
+		header.Set("Retry-After", retryAfter(at, time.Now()))
+	}
+	out.begun = true
+	out.writer.WriteHeader(statusOf(refusal))
+	out.write([]byte(refusal.Message + "\n"))
+}
+
+// statusOf is the status that a refusal goes out with; only those of requests that have not run promise so.
+func statusOf(refusal *willowwick.Refusal) int {
+	switch refusal.Kind {
+	case willowwick.KindNotRun:
+		return http.StatusServiceUnavailable
+	case willowwick.KindInvalid:
+		return invalidStatus(refusal.Code)
+	default:
+		if refusal.Code == willowwick.CodeDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+}
+
+func invalidStatus(code willowwick.RefusalCode) int {
+	switch code {
+	case willowwick.CodeBadKey:
+		return http.StatusUnauthorized
+	case willowwick.CodeUnknownService:
+		return http.StatusNotFound
+	case willowwick.CodeTooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+func (x *Router) budget(service willowwick.ServiceID) *route.RepeatBudget {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	b := x.budgets[service]
+	if b == nil {
+		b = route.NewRepeatBudget(x.settings.Repeats)
+		x.budgets[service] = b
+	}
+	return b
+}
+
+// takeRepeat draws on the budget of repeats.
+func (x *Router) takeRepeat(c *call, kind route.RepeatKind, now time.Time) bool {
+	taken := x.budget(c.service).Take(now, kind, x.peers.boxes())
+	if !taken {
+		x.metrics.repeatDenied()
+		slog.Info("repeat not allowed by the budget", "request", c.head.ID, "service", c.service, "kind", int(kind))
+	}
+	return taken
+}
+
+// hasRepeat reports whether the budget would allow a failover.
+func (x *Router) hasRepeat(c *call, now time.Time) bool {
+	return x.budget(c.service).Allows(now, route.RepeatFailover, x.peers.boxes())
+}
+
+// hasOther reports whether another endpoint of the service than the given one may be tried.
+func (x *Router) hasOther(c *call, not willowwick.EndpointID) bool {
+	return x.pool.HasOpen(time.Now(), c.service, func(endpoint willowwick.Endpoint) bool {
+		return endpoint.ID != not && !c.exclude[endpoint.ID] && c.choice.allows(endpoint)
+	})
+}
+
+// setTable puts a configuration in force unless a newer one already is.
+func (x *Router) setTable(declared *willowwick.RoutingTable, source string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if current := x.table.Load(); current != nil && current.Version >= declared.Version {
+		return
+	}
+	x.table.Store(newTable(declared))
+	slog.Info("configuration in force", "version", declared.Version, "routes", len(declared.Routes),
+		"accounts", len(declared.Accounts), "source", source)
+}
+
+// ready reports whether the entry should send callers here, and if not, why.
+func (x *Router) ready() (ok bool, why string) {
+	switch {
+	case x.stopping.Load():
+		return false, "stopping"
+	case x.table.Load() == nil:
+		return false, "no configuration yet"
+	case !x.sync.hasEndpoints():
+		return false, "no endpoints known yet"
+	default:
+		return true, "ready"
+	}
+}
--- /dev/null
+++ b/exchange/send.go
@@ -0,0 +1,284 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/wire"
+)
+
+const (
+	// answered: the caller has the whole answer.
+	answered sendKind = iota
+	// callerLeft: the caller went away, or the time was up for a begun answer.
+	callerLeft
+	// notSent: nothing reached the endpoint.
+	notSent
+	// notRun: the endpoint said that it did not run the request.
+	notRun
+	// silent: nothing came back for so long that another endpoint is the better bet.
+	silent
+	// broken: the connection or the answer broke; the endpoint may have run the request.
+	broken
+	// failed: the endpoint answered with a failure of its own.
+	failed
+	// escalated: the answer of a small model was dropped for a larger one's.
+	escalated
+)
+
+const (
+	// silentShare is the part of the goal after which a silent endpoint is left for another.
+	silentShare = 0.6
+	// stallShare is the part of the longest pause after which a stream is taken up elsewhere.
+	stallShare = 0.75
+	// maxWhole is the largest answer that is read whole before its head goes out.
+	maxWhole = 256 << 10
+	// promptPerOutput is how many tokens of a prompt cost an endpoint as much as one of the answer.
+	promptPerOutput = 4
+	// slowFactor is by how much an answer must be slower than usual on its route to count as slow.
+	slowFactor = 3.0
+)
+
+type (
+	sendKind int
+
+	// sendResult is what came of one send.
+	sendResult struct {
+		kind sendKind
+		err  error
+	}
+
+	// send is one send of a request to one endpoint.
+	send struct {
+		*call
+		ticket   *gate.Ticket
+		conn     *wire.Conn
+		answer   *wire.Answer
+		head     willowwick.AnswerHead
+		sentAt   time.Time
+		model    willowwick.ModelID
+		outcome  route.Outcome
+		finished bool
+	}
+)
+
+var kindNames = map[sendKind]string{
+	answered: "answered", callerLeft: "caller left", notSent: "not sent", notRun: "not run",
+	silent: "silent", broken: "broken", failed: "failed", escalated: "escalated",
+}
+
+// refusal is what the caller is told if the request is given up after this send.
+func (r sendResult) refusal(c *call) *willowwick.Refusal {
+	now := time.Now()
+	cause := kindNames[r.kind]
+	if r.err != nil {
+		cause += ": " + r.err.Error()
+	}
+	switch {
+	case c.runs == 0:
+		return willowwick.NotRun(willowwick.CodeOverloaded, now.Add(comeBack), "no endpoint took the request (%s)", cause)
+	case c.timeIsUp():
+		return willowwick.Failed(willowwick.CodeDeadline, "the time was up (%s)", cause)
+	default:
+		return willowwick.Failed(willowwick.CodeEndpoint, "no endpoint answered (%s)", cause)
+	}
+}
+
+// attempt sends the request to the place's endpoint and passes the answer on.
+func (c *call) attempt(ticket *gate.Ticket) sendResult {
+	s := &send{call: c, ticket: ticket, outcome: route.OutcomeCancelled}
+	if c.model != noModel {
+		s.model = c.route.Models[c.model]
+	}
+	result := s.do()
+	if c.ctx.Err() != nil && result.kind != answered {
+		// What broke was the end of the request's time, not the endpoint.
+		s.outcome = route.OutcomeCancelled
+		if s.answer == nil && c.timeIsUp() && s.conn != nil && !c.route.Stream {
+			s.outcome = route.OutcomeFailed
+		}
+	}
+	ticket.Done(s.outcome)
+	if result.kind != answered {
+		c.exclude[ticket.Endpoint.ID] = true
+		c.logSend(s, result)
+	}
+	c.router.metrics.send(result.kind)
+	return result
+}
+
+func (c *call) logSend(s *send, result sendResult) {
+	cause := ""
+	if result.err != nil {
+		cause = result.err.Error()
+	}
+	slog.Info("send ended", "request", c.head.ID, "outcome", kindNames[result.kind], "cause", cause,
+		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
+		"confidence", s.head.Confidence, "running", s.head.Load.Running, "waiting", s.head.Load.Waiting,
+		"ms", time.Since(s.sentAt).Milliseconds(), "age_ms", time.Since(c.arrived).Milliseconds())
+}
+
+func (s *send) do() sendResult {
+	s.sentAt = time.Now()
+	conn, err := s.router.conns.Open(s.ctx, s.ticket.Endpoint.Address)
+	if err != nil {
+		s.outcome = route.OutcomeFailed
+		return sendResult{notSent, err}
+	}
+	s.conn = conn
+	// The end of the request, by time or by its caller, ends the endpoint's work too.
+	stop := context.AfterFunc(s.ctx, conn.Close)
+	defer stop()
+	defer s.finish()
+	message := s.message
+	message.Header = s.encodeHeader()
+	if err := conn.Send(&message); err != nil {
+		// The endpoint may have answered early and closed; what it said is still to be read.
+		slog.Debug("send broke off", "request", s.call.head.ID, "error", err)
+	}
+	s.runs++
+	if err := s.receive(); err != nil {
+		return s.unanswered(err)
+	}
+	return s.judge()
+}
+
+func (s *send) encodeHeader() http.Header {
+	header := s.message.Header.Clone()
+	head := willowwick.SendHead{
+		Account: s.accountName(), Expect: s.ticket.Endpoint.ID, Model: s.model, Deadline: s.deadline,
+		Priority: willowwick.NoPriority,
+	}
+	if s.out.begun {
+		head.ResumeAfter = s.resumed
+	}
+	if s.route.Stream {
+		head.Priority = min(urgency(s.route, s.account), lowestPriority)
+	}
+	s.router.codec.EncodeRequest(header, head, time.Now())
+	return header
+}
+
+// receive reads the head of the answer; a silent endpoint is left if another may be tried.
+func (s *send) receive() error {
+	silentAt := s.deadline
+	if s.route.Repeatable {
+		silentAt = earliest(silentAt, s.sentAt.Add(scale(s.route.Goal, silentShare)))
+	}
+	for {
+		answer, err := s.conn.Receive(s.message.Method, silentAt, s.deadline, s.belongs)
+		if errors.Is(err, wire.ErrSilent) && silentAt.Before(s.deadline) {
+			if s.mayRunAgain() && s.router.hasRepeat(s.call, time.Now()) && s.router.hasOther(s.call, s.ticket.Endpoint.ID) {
+				return err
+			}
+			silentAt = s.deadline
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		s.answer = answer
+		s.head = s.router.codec.DecodeAnswer(answer.Header, time.Now())
+		if s.head.HasLoad {
+			s.head.Load.Endpoint = s.ticket.Endpoint.ID
+			s.router.pool.Report(s.head.Load)
+		}
+		return nil
+	}
+}
+
+func (s *send) belongs(header http.Header) bool {
+	id := s.router.codec.DecodeAnswer(header, s.sentAt).Request
+	return id == "" || id == s.call.head.ID
+}
+
+func (s *send) unanswered(err error) sendResult {
+	s.outcome = route.OutcomeFailed
+	if errors.Is(err, wire.ErrSilent) {
+		return sendResult{silent, err}
+	}
+	return sendResult{broken, err}
+}
+
+// judge decides by the head of the answer what becomes of it.
+func (s *send) judge() sendResult {
+	status := s.answer.Status
+	switch {
+	case s.head.NotRun || status == http.StatusMisdirectedRequest:
+		return s.wasNotRun()
+	case status >= http.StatusInternalServerError:
+		return s.hasFailed()
+	case s.shouldEscalate():
+		s.outcome = route.OutcomeGood
+		s.call.model = len(s.route.Models) - 1
+		return sendResult{kind: escalated}
+	case s.out.begun && status != http.StatusOK:
+		s.outcome = route.OutcomeFailed
+		return sendResult{broken, errors.Errorf("status %d in place of the rest of the stream", status)}
+	case s.route.Stream && status == http.StatusOK:
+		return s.passStream()
+	default:
+		return s.passWhole()
+	}
+}
+
+func (s *send) wasNotRun() sendResult {
+	s.runs--
+	s.outcome = route.OutcomeBusy
+	if s.answer.Status == http.StatusMisdirectedRequest {
+		s.router.pool.MarkLeaving(s.ticket.Endpoint.ID)
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(s.answer, maxWhole)); err != nil {
+		slog.Debug("rest of a refusal could not be read", "request", s.call.head.ID, "error", err)
+	}
+	return sendResult{notRun, errors.Errorf("status %d", s.answer.Status)}
+}
+
+// hasFailed keeps the endpoint's failure, to be passed on if nothing better comes.
+func (s *send) hasFailed() sendResult {
+	s.outcome = route.OutcomeError
+	body, err := io.ReadAll(io.LimitReader(s.answer, maxWhole))
+	s.observe(true)
+	if err != nil {
+		return sendResult{broken, errors.Wrap(err, "failure of the endpoint")}
+	}
+	s.failure = &failedAnswer{status: s.answer.Status, header: s.answer.Header, body: body}
+	return sendResult{failed, errors.Errorf("status %d", s.answer.Status)}
+}
+
+// shouldEscalate decides whether the next larger model is asked instead.
+func (s *send) shouldEscalate() bool {
+	c := s.call
+	if c.model == noModel || c.model == len(c.route.Models)-1 || s.answer.Status != http.StatusOK || c.out.begun {
+		return false
+	}
+	if s.head.Confidence == willowwick.NoConfidence || s.head.Confidence >= s.router.settings.Confidence {
+		return false
+	}
+	now := time.Now()
+	return c.runs < c.route.MaxRuns && now.Before(c.deadline) && s.router.takeRepeat(c, route.RepeatEscalation, now)
+}
+
+// observe counts the answer as evidence on the endpoint's release.
+func (s *send) observe(isError bool) {
+	s.router.releases.observe(observation{
+		service: s.service, release: s.ticket.Endpoint.Release, route: s.route.Name, model: s.model,
+		took: time.Since(s.sentAt), isError: isError,
+	})
+}
+
+// finish gives the connection back, or closes it where the answer was not read to its end.
+func (s *send) finish() {
+	if s.answer == nil {
+		s.conn.Close()
+		return
+	}
+	s.answer.Done()
+}
--- /dev/null
+++ b/exchange/sync.go
@@ -0,0 +1,389 @@
+package exchange
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// declarationsWait is how long the store may hold a read of the declarations: a call lasts until something changes.
+	declarationsWait = 20 * time.Second
+	// endpointsShare is the part of the time to leave an endpoint after which the list is read again: twice within it.
+	endpointsShare = 0.4
+	// retryFirst and retryMost bound the pauses between reads that fail.
+	retryFirst = 150 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+	// staleAfter is how long after the last answer of the store what it holds may have changed unseen.
+	staleAfter = 2 * time.Second
+	// returnGrace is how long endpoints whose entries lapsed while the store was away are still used after its
+	// return: they are back within about two seconds if they live.
+	returnGrace = 2200 * time.Millisecond
+	// joinEvery is how often the box renews its place in the group: thrice within the time to live.
+	joinEvery = time.Second
+	// membersEvery is how often the group is listed where its generation has not changed.
+	membersEvery = 10 * time.Second
+	// leadEvery is how often the box that leads looks for states to write.
+	leadEvery = 300 * time.Millisecond
+)
+
+// syncer keeps what the store holds: declarations, endpoints, the group and states of roll-outs.
+type syncer struct {
+	router  *Router
+	control willowwick.Control
+
+	mu          sync.Mutex
+	listed      map[willowwick.EndpointID]willowwick.Endpoint
+	next        willowwick.Offset // of the list of endpoints
+	known       bool              // the list was read
+	answeredAt  time.Time
+	failedAt    time.Time // last read that failed
+	unreachable bool
+	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
+	wake        context.CancelFunc                  // of the read that the store holds
+
+	generation uint64
+	leads      bool
+}
+
+func newSyncer(x *Router, control willowwick.Control) *syncer {
+	return &syncer{
+		router: x, control: control,
+		listed: map[willowwick.EndpointID]willowwick.Endpoint{},
+		lapsed: map[willowwick.EndpointID]time.Time{},
+	}
+}
+
+// isStale reports whether the store has not answered for some time.
+func (s *syncer) isStale(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.answeredAt) > staleAfter
+}
+
+func (s *syncer) hasEndpoints() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+func (s *syncer) endpointsAt() willowwick.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
+}
+
+// endpoints returns the list for a box that has read less of it.
+func (s *syncer) endpoints(at willowwick.Offset) ([]willowwick.Endpoint, willowwick.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.known || s.next <= at {
+		return nil, 0
+	}
+	list := make([]willowwick.Endpoint, 0, len(s.listed))
+	for _, endpoint := range s.listed {
+		list = append(list, endpoint)
+	}
+	return list, s.next
+}
+
+// takeFromPeer takes a newer list from a box that reaches the store.
+func (s *syncer) takeFromPeer(list []willowwick.Endpoint, next willowwick.Offset, now time.Time) {
+	s.mu.Lock()
+	if next <= s.next {
+		s.mu.Unlock()
+		return
+	}
+	s.apply(willowwick.EndpointChanges{Whole: true, Present: list, Next: next}, now)
+	s.mu.Unlock()
+	s.publish()
+}
+
+// noteAnswer notes that the store answers; noteFailure that it does not.
+func (s *syncer) noteAnswer(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answeredAt = now
+	if s.unreachable {
+		s.unreachable = false
+		slog.Info("store is reached again", "away_ms", now.Sub(s.failedAt).Milliseconds())
+	}
+}
+
+func (s *syncer) noteFailure(now time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedAt = now
+	if !s.unreachable {
+		s.unreachable = true
+		slog.Info("store is not reached", "error", err, "answered_ms_ago", now.Sub(s.answeredAt).Milliseconds())
+	}
+	// A read that the store holds may hang on a connection that is dead.
+	if s.wake != nil {
+		s.wake()
+	}
+}
+
+// followDeclarations keeps the configuration and the orders until the context ends.
+func (s *syncer) followDeclarations(ctx context.Context) {
+	var next willowwick.Offset
+	pause := retryFirst
+	for ctx.Err() == nil {
+		held, cancel := context.WithCancel(ctx)
+		s.setWake(cancel)
+		declared, err := s.control.Declarations(held, next, declarationsWait)
+		woken := held.Err() != nil
+		s.setWake(nil)
+		cancel()
+		if err != nil {
+			if !woken {
+				s.noteFailure(time.Now(), err)
+			}
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryFirst
+		next = declared.Next
+		s.noteAnswer(time.Now())
+		s.declare(ctx, declared)
+	}
+}
+
+func (s *syncer) setWake(wake context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake = wake
+}
+
+func (s *syncer) declare(ctx context.Context, declared willowwick.Declarations) {
+	if declared.Table != nil {
+		s.router.setTable(declared.Table, "store")
+	}
+	if len(declared.Orders) == 0 {
+		return
+	}
+	for _, order := range declared.Orders {
+		s.router.releases.begin(order, 0, time.Now())
+	}
+	// The orders may be old: what became of them stands in the store.
+	if _, err := s.readStatuses(ctx); err != nil {
+		slog.Info("states of roll-outs could not be read", "error", err)
+	}
+}
+
+func (s *syncer) readStatuses(ctx context.Context) (willowwick.ReleaseStatuses, error) {
+	statuses, err := s.control.Statuses(ctx)
+	if err != nil {
+		return statuses, err
+	}
+	for _, status := range statuses.Statuses {
+		s.router.releases.settle(status, true, "store")
+	}
+	return statuses, nil
+}
+
+// followEndpoints keeps the list of endpoints until the context ends.
+func (s *syncer) followEndpoints(ctx context.Context) {
+	every := scale(s.router.settings.Drain, endpointsShare)
+	pause := retryFirst
+	for ctx.Err() == nil {
+		changes, err := s.control.Endpoints(ctx, s.endpointsAt())
+		now := time.Now()
+		if err != nil {
+			s.noteFailure(now, err)
+			sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
+			continue
+		}
+		pause = retryFirst
+		s.noteAnswer(now)
+		s.mu.Lock()
+		s.apply(changes, now)
+		s.mu.Unlock()
+		s.publish()
+		sleep(ctx, every)
+	}
+}
+
+// apply takes changes of the list; the caller holds the lock.
+func (s *syncer) apply(changes willowwick.EndpointChanges, now time.Time) {
+	present := map[willowwick.EndpointID]bool{}
+	for _, endpoint := range changes.Present {
+		present[endpoint.ID] = true
+		old, known := s.listed[endpoint.ID]
+		// Leaving is for good: a later entry that says otherwise was written before.
+		endpoint.Leaving = endpoint.Leaving || old.Leaving
+		if !known || old.Leaving != endpoint.Leaving {
+			slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
+				"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", changes.Next)
+		}
+		s.listed[endpoint.ID] = endpoint
+		delete(s.lapsed, endpoint.ID)
+	}
+	if changes.Whole {
+		for id := range s.listed {
+			if !present[id] {
+				s.endpointGone(id, now)
+			}
+		}
+	}
+	for _, id := range changes.Gone {
+		s.endpointGone(id, now)
+	}
+	for id, until := range s.lapsed {
+		if now.After(until) {
+			s.drop(id, now)
+		}
+	}
+	s.next, s.known = changes.Next, true
+}
+
+// endpointGone drops an endpoint, or gives it time to come back if its entry may have lapsed with the store away.
+func (s *syncer) endpointGone(id willowwick.EndpointID, now time.Time) {
+	if _, known := s.listed[id]; !known {
+		return
+	}
+	if _, waits := s.lapsed[id]; waits {
+		return
+	}
+	if !s.failedAt.IsZero() && now.Sub(s.failedAt) < returnGrace {
+		s.lapsed[id] = s.failedAt.Add(returnGrace)
+		return
+	}
+	s.drop(id, now)
+}
+
+func (s *syncer) drop(id willowwick.EndpointID, now time.Time) {
+	slog.Info("endpoint gone", "endpoint", id, "release", s.listed[id].Release, "store_failed_ms_ago", now.Sub(s.failedAt).Milliseconds())
+	s.router.conns.Drop(s.listed[id].Address)
+	delete(s.listed, id)
+	delete(s.lapsed, id)
+}
+
+// publish gives the list to the pool.
+func (s *syncer) publish() {
+	s.mu.Lock()
+	list := make([]willowwick.Endpoint, 0, len(s.listed))
+	for _, endpoint := range s.listed {
+		list = append(list, endpoint)
+	}
+	s.mu.Unlock()
+	s.router.pool.Update(list)
+}
+
+// keepMembership keeps this box in the group and learns of the others until the context ends.
+func (s *syncer) keepMembership(ctx context.Context) {
+	member := s.router.settings.Peers
+	var listedAt time.Time
+	for ctx.Err() == nil {
+		membership, err := s.control.Join(ctx, member, s.generation)
+		now := time.Now()
+		if err != nil {
+			s.setLead(false, "the group does not answer")
+			sleep(ctx, joinEvery)
+			continue
+		}
+		changed := membership.Generation != s.generation
+		s.generation = membership.Generation
+		s.setLead(membership.Leads, "the group says so")
+		if changed || now.Sub(listedAt) > membersEvery {
+			s.listMembers(ctx, now)
+			listedAt = now
+		}
+		sleep(ctx, joinEvery)
+	}
+}
+
+func (s *syncer) listMembers(ctx context.Context, now time.Time) {
+	members, err := s.control.Members(ctx)
+	if err != nil {
+		slog.Info("group could not be listed", "error", err)
+		return
+	}
+	for _, member := range members {
+		s.router.peers.list(member, now)
+	}
+}
+
+func (s *syncer) setLead(leads bool, why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if leads != s.leads {
+		slog.Info("lead of roll-outs changed", "leads", leads, "why", why, "generation", s.generation)
+	}
+	s.leads = leads
+}
+
+func (s *syncer) isLeading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leads
+}
+
+// lead judges roll-outs on every box, and writes their states on the box that leads.
+func (s *syncer) lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		s.router.releases.judge(s.router.peers.evidence(), now)
+		if s.isLeading() {
+			for _, due := range s.router.releases.due(now) {
+				s.writeDue(ctx, due, now)
+			}
+		}
+		s.router.conns.Sweep(now)
+		sleep(ctx, leadEvery)
+	}
+}
+
+// writeDue writes a state unless the store already holds a final one; a box that led before finds that here.
+func (s *syncer) writeDue(ctx context.Context, due dueStatus, now time.Time) {
+	if !due.lastCall && !s.hasMoved(due.ReleaseStatus, now) {
+		return
+	}
+	statuses, err := s.readStatuses(ctx)
+	if err != nil {
+		slog.Info("states of roll-outs could not be read", "error", err)
+		return
+	}
+	for _, status := range statuses.Statuses {
+		if status.Service == due.Service && status.Target == due.Target && status.State != willowwick.ReleaseRunning {
+			return
+		}
+	}
+	err = s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End)
+	slog.Info("state of a roll-out written", "service", due.Service, "release", due.Target, "state", due.State,
+		"after", statuses.End, "error", err)
+	if errors.Is(err, willowwick.ErrConflict) || err != nil {
+		return
+	}
+	s.router.releases.settle(due.ReleaseStatus, true, "written here")
+}
+
+// hasMoved reports whether no box in touch sends to the old release or has requests under way there.
+func (s *syncer) hasMoved(status willowwick.ReleaseStatus, now time.Time) bool {
+	if s.router.oldInFlight(status) > 0 {
+		return false
+	}
+	for _, digest := range s.router.peers.fresh(now) {
+		for _, row := range digest.Progress {
+			if row.Status.Service == status.Service && row.Status.Target == status.Target && (!row.Moved || row.OldInFlight > 0) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/exchange/table.go
@@ -0,0 +1,89 @@
+package exchange
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/willowwick/willowwick"
+)
+
+type (
+	// table is a configuration with its indexes; it is never changed.
+	table struct {
+		*willowwick.RoutingTable
+		hosts    map[string][]*willowwick.Route // longest prefix first
+		accounts map[string]*willowwick.RoutedAccount
+		services map[willowwick.ServiceID]*willowwick.RoutedService
+	}
+)
+
+func newTable(declared *willowwick.RoutingTable) *table {
+	t := &table{
+		RoutingTable: declared,
+		hosts:        map[string][]*willowwick.Route{},
+		accounts:     map[string]*willowwick.RoutedAccount{},
+		services:     map[willowwick.ServiceID]*willowwick.RoutedService{},
+	}
+	for i := range declared.Routes {
+		route := &declared.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.hosts[host] = append(t.hosts[host], route)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range declared.Accounts {
+		account := &declared.Accounts[i]
+		for _, key := range account.Keys {
+			t.accounts[key] = account
+		}
+	}
+	for i := range declared.Services {
+		t.services[declared.Services[i].Name] = &declared.Services[i]
+	}
+	return t
+}
+
+// route finds the route with the longest prefix of the path, or returns nil.
+func (t *table) route(host, path string) *willowwick.Route {
+	host = strings.ToLower(host)
+	routes, known := t.hosts[host]
+	if !known {
+		name, _, _ := strings.Cut(host, ":")
+		routes = t.hosts[name]
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// service chooses among the services of the route by their weights; equal texts get equal services.
+func (t *table) service(route *willowwick.Route, text string) willowwick.ServiceID {
+	total := 0
+	for _, share := range route.Split {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return route.Split[0].Service
+	}
+	at := int(xxhash.Sum64String(text) % uint64(total))
+	for _, share := range route.Split {
+		if at < share.Weight {
+			return share.Service
+		}
+		at -= share.Weight
+	}
+	return route.Split[len(route.Split)-1].Service
+}
+
+// urgency is the rank of a request; the client account's comes before the route's.
+func urgency(route *willowwick.Route, account *willowwick.RoutedAccount) int {
+	if account != nil && account.Priority != willowwick.NoPriority {
+		return account.Priority
+	}
+	return route.Priority
+}
--- a/serve/gate.go
+++ b/gate/gate.go
@@ -1,4 +1,4 @@
-package serve
+package gate
 
 import (
 	"context"
@@ -10,54 +10,56 @@
 )
 
 const (
-	gateTick        = 20 * time.Millisecond
-	overloadRetry   = time.Second
+	gateTick = 20 * time.Millisecond
+	// OverloadRetry is when a request refused for lack of places should come back at the earliest.
+	OverloadRetry   = time.Second
 	noEndpointRetry = 2 * time.Second
 )
 
 type (
-	// gate lets requests to endpoints in fair turns, one queue for each kind of work.
-	gate struct {
+	// Gate lets requests to endpoints in fair turns, one queue for each kind of work.
+	Gate struct {
 		mu     sync.Mutex
 		queues map[string]*route.Queue
 		taken  map[string]int
 	}
 
-	// admission is one request's wish for a place.
-	admission struct {
-		work     string // the version or service
-		account  willowwick.AccountID
-		weight   int
-		cost     willowwick.Tokens
-		deadline time.Time
-		// acquire takes a place if there is one; known is false if nothing serves the work.
-		acquire func(now time.Time) (place *route.Place, known bool)
+	// Wish is one request's wish for a place.
+	Wish struct {
+		Work     string // the version or service
+		Account  willowwick.AccountID
+		Weight   int
+		Cost     willowwick.Tokens
+		Deadline time.Time
+		// Acquire takes a place if there is one; known is false if nothing serves the work.
+		Acquire func(now time.Time) (place *route.Place, known bool)
 	}
 
 	waiting struct {
-		admission
+		Wish
 		place  *route.Place
 		result chan *willowwick.Refusal
 	}
 
-	// ticket is a place with what is needed to give it back.
-	ticket struct {
+	// Ticket is a place with what is needed to give it back.
+	Ticket struct {
 		*route.Place
-		gate  *gate
+		gate  *Gate
 		work  string
 		cost  willowwick.Tokens
 		taken time.Time
 	}
 )
 
-func newGate() *gate {
-	return &gate{queues: map[string]*route.Queue{}, taken: map[string]int{}}
+// New returns a gate that nothing waits at.
+func New() *Gate {
+	return &Gate{queues: map[string]*route.Queue{}, taken: map[string]int{}}
 }
 
-// enter returns a place, at once or after the request's turn has come.
+// Enter returns a place, at once or after the request's turn has come.
 //
 // A request that cannot make its deadline is refused at once.
-func (g *gate) enter(ctx context.Context, a admission) (*ticket, *willowwick.Refusal) {
+func (g *Gate) Enter(ctx context.Context, a Wish) (*Ticket, *willowwick.Refusal) {
 	w, placed, refusal := g.join(a)
 	if refusal != nil {
 		return nil, refusal
@@ -72,30 +74,30 @@
 			return nil, g.leave(w)
 		}
 	}
-	return &ticket{Place: w.place, gate: g, work: a.work, cost: a.cost, taken: time.Now()}, nil
+	return &Ticket{Place: w.place, gate: g, work: a.Work, cost: a.Cost, taken: time.Now()}, nil
 }
 
 // join takes a place if there is one, and otherwise a turn in the queue.
-func (g *gate) join(a admission) (w *waiting, placed bool, refusal *willowwick.Refusal) {
+func (g *Gate) join(a Wish) (w *waiting, placed bool, refusal *willowwick.Refusal) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queue(a.work)
-	w = &waiting{admission: a, result: make(chan *willowwick.Refusal, 1)}
+	q := g.queue(a.Work)
+	w = &waiting{Wish: a, result: make(chan *willowwick.Refusal, 1)}
 	if q.Len() == 0 {
-		place, known := a.acquire(now)
+		place, known := a.Acquire(now)
 		if !known {
-			return nil, false, willowwick.NotRun(willowwick.CodeNoEndpoint, now.Add(noEndpointRetry), "no endpoint serves %q", a.work)
+			return nil, false, willowwick.NotRun(willowwick.CodeNoEndpoint, now.Add(noEndpointRetry), "no endpoint serves %q", a.Work)
 		}
 		if place != nil {
 			g.took(w, place)
 			return w, true, nil
 		}
 	}
-	retryAt, ok := q.Push(now, &route.Waiter{Account: a.account, Weight: a.weight, Cost: a.cost, Deadline: a.deadline, Value: w})
+	retryAt, ok := q.Push(now, &route.Waiter{Account: a.Account, Weight: a.Weight, Cost: a.Cost, Deadline: a.Deadline, Value: w})
 	if !ok {
-		if retryAt.Before(now.Add(overloadRetry)) {
-			retryAt = now.Add(overloadRetry)
+		if retryAt.Before(now.Add(OverloadRetry)) {
+			retryAt = now.Add(OverloadRetry)
 		}
 		return nil, false, willowwick.NotRun(willowwick.CodeOverloaded, retryAt, "the turn of this request would come after its deadline")
 	}
@@ -103,20 +105,20 @@
 }
 
 // leave takes back a wish whose caller is gone.
-func (g *gate) leave(w *waiting) *willowwick.Refusal {
+func (g *Gate) leave(w *waiting) *willowwick.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queue(w.work)
+	q := g.queue(w.Work)
 	if w.place != nil {
 		w.place.Release(time.Now(), route.OutcomeCancelled)
-		g.gave(w.work)
+		g.gave(w.Work)
 	} else {
-		q.RemoveValue(w.account, w)
+		q.RemoveValue(w.Account, w)
 	}
 	return willowwick.NotRun(willowwick.CodeDeadline, time.Time{}, "the caller went away, or the deadline passed, before a place was free")
 }
 
-func (g *gate) queue(work string) *route.Queue {
+func (g *Gate) queue(work string) *route.Queue {
 	q := g.queues[work]
 	if q == nil {
 		q = route.NewQueue()
@@ -125,19 +127,19 @@
 	return q
 }
 
-func (g *gate) took(w *waiting, place *route.Place) {
+func (g *Gate) took(w *waiting, place *route.Place) {
 	w.place = place
-	g.taken[w.work]++
-	g.queue(w.work).SetPlaces(g.taken[w.work])
+	g.taken[w.Work]++
+	g.queue(w.Work).SetPlaces(g.taken[w.Work])
 }
 
-func (g *gate) gave(work string) {
+func (g *Gate) gave(work string) {
 	g.taken[work]--
 	g.queue(work).SetPlaces(g.taken[work])
 }
 
 // dispatch gives free places to the requests whose turn it is.
-func (g *gate) dispatch(work string, now time.Time) {
+func (g *Gate) dispatch(work string, now time.Time) {
 	q := g.queue(work)
 	for {
 		head := q.Head()
@@ -148,7 +150,7 @@
 		if !ok {
 			return
 		}
-		place, known := w.acquire(now)
+		place, known := w.Acquire(now)
 		if place == nil && known {
 			return
 		}
@@ -163,13 +165,13 @@
 }
 
 // tick refuses what has run out of time and looks for free places.
-func (g *gate) tick(now time.Time) {
+func (g *Gate) tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for work, q := range g.queues {
 		for _, expired := range q.Expired(now) {
 			if w, ok := expired.Value.(*waiting); ok {
-				w.result <- willowwick.NotRun(willowwick.CodeDeadline, now.Add(overloadRetry), "the deadline passed before a place was free")
+				w.result <- willowwick.NotRun(willowwick.CodeDeadline, now.Add(OverloadRetry), "the deadline passed before a place was free")
 			}
 		}
 		if q.Len() > 0 {
@@ -178,8 +180,8 @@
 	}
 }
 
-// run keeps the queues moving until the context ends.
-func (g *gate) run(ctx context.Context) {
+// Run keeps the queues moving until the context ends.
+func (g *Gate) Run(ctx context.Context) {
 	ticker := time.NewTicker(gateTick)
 	defer ticker.Stop()
 	for {
@@ -192,8 +194,8 @@
 	}
 }
 
-// waitingNow counts the requests in all queues.
-func (g *gate) waitingNow() int {
+// WaitingNow counts the requests in all queues.
+func (g *Gate) WaitingNow() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	total := 0
@@ -203,8 +205,8 @@
 	return total
 }
 
-// done gives the place back and lets the next request have it.
-func (t *ticket) done(outcome route.Outcome) {
+// Done gives the place back and lets the next request have it.
+func (t *Ticket) Done(outcome route.Outcome) {
 	now := time.Now()
 	t.Release(now, outcome)
 	t.gate.mu.Lock()
--- a/platform.go
+++ b/platform.go
@@ -30,6 +30,8 @@
 	Service       ServiceID    `json:"service,omitempty"`
 	Leaving       bool         `json:"leaving,omitempty"`
 	ChecksFencing bool         `json:"checks_fencing,omitempty"`
+	Release       ReleaseID    `json:"release,omitempty"` // of its software
+	Slots         int          `json:"slots,omitempty"`   // requests that it works on at once
 }
 
 // Listing is one state of the platform's list; it lags behind the truth.
--- /dev/null
+++ b/route/hall.go
@@ -0,0 +1,90 @@
+package route
+
+import (
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// otherHallLoad is the load, as a share of the slots, that a request rather joins than leave its hall:
+	// bytes between halls cost more than the wait behind half of a runner's slots.
+	otherHallLoad = 0.5
+	// ownerBonus is what the owner of a prompt's shared part may be more loaded than the others.
+	ownerBonus = 0.25
+	// failingWeight turns the share of failed calls into load.
+	failingWeight = 3.0
+)
+
+// HallFirst takes the least loaded endpoint of its own hall, the owner of the prompt's shared part before the
+// others; other halls come in when their endpoints are less loaded by more than the way there is worth.
+type HallFirst struct {
+	Hall   willowwick.HallID
+	random *lockedRandom
+}
+
+// NewHallFirst returns a picker for a box in a hall; the seed breaks ties.
+func NewHallFirst(hall willowwick.HallID, seed uint64) *HallFirst {
+	return &HallFirst{Hall: hall, random: newLockedRandom(seed)}
+}
+
+// Pick implements willowwick.Picker.
+func (p *HallFirst) Pick(_ time.Time, set willowwick.CandidateSet, prefix uint64) int {
+	n := set.Len()
+	if n == 0 {
+		return noneOpen
+	}
+	owner := p.owner(set, prefix)
+	best, bestScore := noneOpen, 0.0
+	start := p.random.intN(n)
+	for i := range n {
+		index := (start + i) % n
+		candidate := set.At(index)
+		if !candidate.Open {
+			continue
+		}
+		score := p.score(candidate)
+		if index == owner {
+			score -= ownerBonus
+		}
+		if best == noneOpen || score < bestScore {
+			best, bestScore = index, score
+		}
+	}
+	return best
+}
+
+func (p *HallFirst) score(c willowwick.Candidate) float64 {
+	score := loadOf(c) + failingWeight*c.Failing
+	if c.Hall != p.Hall {
+		score += otherHallLoad
+	}
+	return score
+}
+
+// owner is the own hall's endpoint with the highest rendezvous weight for the prefix.
+func (p *HallFirst) owner(set willowwick.CandidateSet, prefix uint64) int {
+	if prefix == 0 {
+		return noneOpen
+	}
+	owner, highest := noneOpen, uint64(0)
+	for i := range set.Len() {
+		candidate := set.At(i)
+		if candidate.Hall != p.Hall || !candidate.Open {
+			continue
+		}
+		if weight := mix(candidate.Hash ^ prefix); weight >= highest {
+			owner, highest = i, weight
+		}
+	}
+	return owner
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sort"
 	"strconv"
 	"sync"
@@ -18,6 +19,10 @@
 	limitDecrease  = 0.7
 	slowStartLimit = 64
 	loadFresh      = 10 * time.Second
+	// failingHalf is the time in which half of the failing share is forgotten without calls.
+	failingHalf = 3 * time.Second
+	// failingFade is how much of the failing share one call replaces: the last ten or so count.
+	failingFade = 0.1
 )
 
 type (
@@ -28,9 +33,19 @@
 	Pool struct {
 		mu        sync.Mutex
 		picker    willowwick.Picker
+		options   PoolOptions
 		endpoints map[willowwick.EndpointID]*member
 		rows      map[row]*candidateRow
 		inFlight  int
+		busy      map[*member]bool // endpoints with places taken, those gone from the list among them
+	}
+
+	// PoolOptions set how much a pool gives to endpoints; zero values take the defaults.
+	PoolOptions struct {
+		StartLimit float64       // own requests at an endpoint before it is known
+		LoadFresh  time.Duration // setting: how long a load report counts
+		// TrustLast gives work to endpoints under suspicion where there are no others; the caller bounds its tries.
+		TrustLast bool
 	}
 
 	// Place is one request's place at an endpoint.
@@ -52,6 +67,9 @@
 		suspectUntil time.Time
 		leaving      bool
 		limit        float64
+		hash         uint64
+		failing      float64
+		failingAt    time.Time
 	}
 
 	// row names the endpoints that can take the same work.
@@ -62,10 +80,13 @@
 
 	// candidateRow implements willowwick.CandidateSet at a moment.
 	candidateRow struct {
-		members []*member
-		ring    []ringPoint
-		now     time.Time
-		exclude map[willowwick.EndpointID]bool
+		members  []*member
+		ring     []ringPoint
+		now      time.Time
+		exclude  map[willowwick.EndpointID]bool
+		allow    func(willowwick.Endpoint) bool
+		options  PoolOptions
+		trusting bool // endpoints under suspicion count as open
 	}
 
 	ringPoint struct {
@@ -80,12 +101,27 @@
 	OutcomeSlow
 	OutcomeBusy
 	OutcomeFailed
+	OutcomeError // a whole answer that tells of a failure
 	OutcomeCancelled
 )
 
 // NewPool returns an empty pool that chooses by the picker.
 func NewPool(picker willowwick.Picker) *Pool {
-	return &Pool{picker: picker, endpoints: map[willowwick.EndpointID]*member{}, rows: map[row]*candidateRow{}}
+	return NewPoolWith(picker, PoolOptions{})
+}
+
+// NewPoolWith returns an empty pool with options.
+func NewPoolWith(picker willowwick.Picker, options PoolOptions) *Pool {
+	if options.StartLimit == 0 {
+		options.StartLimit = startLimit
+	}
+	if options.LoadFresh == 0 {
+		options.LoadFresh = loadFresh
+	}
+	return &Pool{
+		picker: picker, options: options,
+		endpoints: map[willowwick.EndpointID]*member{}, rows: map[row]*candidateRow{}, busy: map[*member]bool{},
+	}
 }
 
 // Update takes the platform's list; endpoints that are gone get no new work.
@@ -96,7 +132,7 @@
 	for _, endpoint := range listing {
 		m := p.endpoints[endpoint.ID]
 		if m == nil || m.endpoint.Address != endpoint.Address {
-			m = &member{limit: startLimit}
+			m = &member{limit: p.options.StartLimit, hash: xxhash.Sum64String(string(endpoint.ID))}
 		}
 		m.endpoint = endpoint
 		// Once leaving, an endpoint stays so under its address: the list may lag behind other signals.
@@ -131,7 +167,7 @@
 func (p *Pool) addTo(name row, m *member) {
 	r := p.rows[name]
 	if r == nil {
-		r = &candidateRow{}
+		r = &candidateRow{options: p.options}
 		p.rows[name] = r
 	}
 	for point := range ringPoints {
@@ -210,37 +246,84 @@
 // AcquireVersion takes a place at a runner that serves the version; known tells
 // whether any runner serves it at all.
 func (p *Pool) AcquireVersion(now time.Time, version willowwick.VersionID, prefix uint64, exclude map[willowwick.EndpointID]bool) (place *Place, known bool) {
-	return p.acquire(now, row{version: version}, prefix, exclude)
+	return p.acquire(now, row{version: version}, prefix, exclude, nil)
 }
 
 // AcquireService takes a place at an instance of a plain service.
 func (p *Pool) AcquireService(now time.Time, service willowwick.ServiceID, exclude map[willowwick.EndpointID]bool) (place *Place, known bool) {
-	return p.acquire(now, row{service: service}, 0, exclude)
+	return p.acquire(now, row{service: service}, 0, exclude, nil)
 }
 
-func (p *Pool) acquire(now time.Time, name row, prefix uint64, exclude map[willowwick.EndpointID]bool) (*Place, bool) {
+// AcquireAllowed takes a place at one of the service's endpoints that are allowed; known
+// tells whether there is any such endpoint.
+func (p *Pool) AcquireAllowed(
+	now time.Time, service willowwick.ServiceID, prefix uint64,
+	exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
+) (place *Place, known bool) {
+	return p.acquire(now, row{service: service}, prefix, exclude, allow)
+}
+
+func (p *Pool) acquire(
+	now time.Time, name row, prefix uint64,
+	exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
+) (*Place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.rows[name]
 	if r == nil {
 		return nil, false
 	}
-	r.now, r.exclude = now, exclude
+	r.now, r.exclude, r.allow = now, exclude, allow
 	if len(exclude) > 0 && r.allExcluded() {
 		// Every endpoint failed this request once; a second try beats none.
 		r.exclude = nil
 	}
 	index := p.picker.Pick(now, r, prefix)
+	if index == noneOpen && p.options.TrustLast {
+		r.trusting = true
+		index = p.picker.Pick(now, r, prefix)
+		r.trusting = false
+	}
 	if index == noneOpen {
 		return nil, r.anyServing()
 	}
 	m := r.members[index]
 	m.inFlight++
 	m.recent++
+	p.busy[m] = true
 	p.inFlight++
 	return &Place{Endpoint: m.endpoint, pool: p, member: m, taken: now}, true
 }
 
+// HasOpen reports whether one of the service's endpoints that are allowed may be given work.
+func (p *Pool) HasOpen(now time.Time, service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[row{service: service}]
+	if r == nil {
+		return false
+	}
+	for _, m := range r.members {
+		if allow(m.endpoint) && m.open(now, p.options, false) {
+			return true
+		}
+	}
+	return false
+}
+
+// InFlightWhere counts the places taken at those of the service's endpoints that are counted.
+func (p *Pool) InFlightWhere(service willowwick.ServiceID, counts func(willowwick.Endpoint) bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for m := range p.busy {
+		if m.endpoint.Service == service && counts(m.endpoint) {
+			n += m.inFlight
+		}
+	}
+	return n
+}
+
 // Release gives the place back with how the call ended; a second release changes nothing.
 func (p *Place) Release(now time.Time, outcome Outcome) {
 	p.pool.mu.Lock()
@@ -250,7 +333,9 @@
 	}
 	p.released = true
 	p.pool.inFlight--
-	p.member.inFlight--
+	if p.member.inFlight--; p.member.inFlight == 0 {
+		delete(p.pool.busy, p.member)
+	}
 	// What came and went since the report takes no slot any more.
 	if p.member.recent > 0 && !p.taken.Before(p.member.load.At) {
 		p.member.recent--
@@ -263,6 +348,7 @@
 	switch outcome {
 	case OutcomeGood:
 		m.failures = 0
+		m.noteFailing(now, 0)
 		if m.limit < slowStartLimit {
 			m.limit += 1 / m.limit
 		}
@@ -271,20 +357,45 @@
 	case OutcomeFailed:
 		m.limit = max(1, m.limit*limitDecrease)
 		m.failures++
+		m.noteFailing(now, 1)
 		if m.failures >= suspectAfter {
 			m.suspectUntil = now.Add(suspectFor)
 		}
+	case OutcomeError:
+		m.noteFailing(now, 1)
 	}
 }
 
-func (m *member) open(now time.Time) bool {
-	if m.leaving || now.Before(m.suspectUntil) {
+func (m *member) noteFailing(now time.Time, value float64) {
+	m.failing = m.failingShare(now)
+	m.failing += failingFade * (value - m.failing)
+	m.failingAt = now
+}
+
+// failingShare fades with time, so that an endpoint that is avoided is tried again.
+func (m *member) failingShare(now time.Time) float64 {
+	if m.failing == 0 {
+		return 0
+	}
+	return m.failing * math.Exp2(-now.Sub(m.failingAt).Seconds()/failingHalf.Seconds())
+}
+
+// knownLoad is the last report, or only the slots once the report is too old to count.
+func (m *member) knownLoad(now time.Time, options PoolOptions) willowwick.EndpointLoad {
+	if now.Sub(m.load.At) < options.LoadFresh {
+		return m.load
+	}
+	return willowwick.EndpointLoad{Endpoint: m.endpoint.ID, Slots: max(m.load.Slots, m.endpoint.Slots)}
+}
+
+func (m *member) open(now time.Time, options PoolOptions, trusting bool) bool {
+	if m.leaving || !trusting && now.Before(m.suspectUntil) {
 		return false
 	}
-	fresh := m.load.Slots > 0 && now.Sub(m.load.At) < loadFresh
+	fresh := m.load.Slots > 0 && now.Sub(m.load.At) < options.LoadFresh
 	if fresh {
 		// The report counts everybody's requests; what was sent since is known only of oneself.
-		return m.load.Running+m.load.Waiting+m.recent < m.load.Slots+int(m.limit) && float64(m.inFlight) < max(m.limit, startLimit)
+		return m.load.Running+m.load.Waiting+m.recent < m.load.Slots+int(m.limit) && float64(m.inFlight) < max(m.limit, options.StartLimit)
 	}
 	return float64(m.inFlight) < m.limit
 }
@@ -300,13 +411,19 @@
 	return willowwick.Candidate{
 		Endpoint: m.endpoint.ID,
 		Hall:     m.endpoint.Hall,
-		Load:     m.load,
+		Load:     m.knownLoad(r.now, r.options),
 		InFlight: m.inFlight,
 		Recent:   m.recent,
-		Open:     !r.exclude[m.endpoint.ID] && m.open(r.now),
+		Open:     !r.exclude[m.endpoint.ID] && r.allows(m) && m.open(r.now, r.options, r.trusting),
+		Hash:     m.hash,
+		Failing:  m.failingShare(r.now),
 	}
 }
 
+func (r *candidateRow) allows(m *member) bool {
+	return r.allow == nil || r.allow(m.endpoint)
+}
+
 // Owner implements willowwick.CandidateSet by consistent hashing.
 func (r *candidateRow) Owner(prefix uint64) int {
 	at := sort.Search(len(r.ring), func(i int) bool { return r.ring[i].hash >= prefix })
@@ -319,7 +436,7 @@
 // allExcluded reports whether no endpoint that stays is left to try.
 func (r *candidateRow) allExcluded() bool {
 	for _, m := range r.members {
-		if !m.leaving && !r.exclude[m.endpoint.ID] {
+		if !m.leaving && r.allows(m) && !r.exclude[m.endpoint.ID] {
 			return false
 		}
 	}
@@ -328,7 +445,7 @@
 
 func (r *candidateRow) anyServing() bool {
 	for _, m := range r.members {
-		if !m.leaving {
+		if !m.leaving && r.allows(m) {
 			return true
 		}
 	}
--- a/routing.go
+++ b/routing.go
@@ -8,9 +8,11 @@
 		Endpoint EndpointID
 		Hall     HallID
 		Load     EndpointLoad
-		InFlight int  // own requests at the endpoint now
-		Recent   int  // own requests sent since the load was reported
-		Open     bool // may be given work
+		InFlight int     // own requests at the endpoint now
+		Recent   int     // own requests sent since the load was reported
+		Open     bool    // may be given work
+		Hash     uint64  // of the endpoint's name, for rendezvous hashing
+		Failing  float64 // share of recent calls that failed, newer ones counting more
 	}
 
 	// CandidateSet is the row of endpoints that serve one version.
--- a/serve/api.go
+++ b/serve/api.go
@@ -11,6 +11,7 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/config"
+	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/gen/chat"
 	chatserver "github.com/willowwick/willowwick/gen/http/chat/server"
 	modelsserver "github.com/willowwick/willowwick/gen/http/models/server"
@@ -81,7 +82,7 @@
 		select {
 		case d.places <- struct{}{}:
 		default:
-			writeRefusal(w, d.refuse(willowwick.NotRun(willowwick.CodeOverloaded, time.Now().Add(overloadRetry),
+			writeRefusal(w, d.refuse(willowwick.NotRun(willowwick.CodeOverloaded, time.Now().Add(gate.OverloadRetry),
 				"this box serves %d requests already", d.settings.MaxRequests)), "")
 			return
 		}
--- a/serve/call.go
+++ b/serve/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/rollout"
 	"github.com/willowwick/willowwick/route"
 )
@@ -37,7 +38,7 @@
 	ctx      context.Context
 	version  willowwick.VersionID
 	exclude  map[willowwick.EndpointID]bool
-	ticket   *ticket
+	ticket   *gate.Ticket
 	stream   willowwick.ChunkStream
 	release  func()
 	cancel   context.CancelFunc
@@ -103,21 +104,21 @@
 	if c.position > 0 {
 		return willowwick.Failed(willowwick.CodeNoVersion, "version %q was withdrawn while its answer was being resumed", c.version)
 	}
-	return willowwick.NotRun(willowwick.CodeNoVersion, time.Now().Add(overloadRetry), "version %q is not to be used any more", c.version)
+	return willowwick.NotRun(willowwick.CodeNoVersion, time.Now().Add(gate.OverloadRetry), "version %q is not to be used any more", c.version)
 }
 
-func (c *call) enter() (*ticket, *willowwick.Refusal) {
+func (c *call) enter() (*gate.Ticket, *willowwick.Refusal) {
 	r := c.run
-	return r.daemon.gate.enter(c.ctx, admission{
-		work: string(c.version), account: r.request.Account, weight: r.account.FairWeight(),
-		cost: r.request.EstimatedTokens(), deadline: r.request.Deadline,
-		acquire: func(now time.Time) (*route.Place, bool) {
+	return r.daemon.gate.Enter(c.ctx, gate.Wish{
+		Work: string(c.version), Account: r.request.Account, Weight: r.account.FairWeight(),
+		Cost: r.request.EstimatedTokens(), Deadline: r.request.Deadline,
+		Acquire: func(now time.Time) (*route.Place, bool) {
 			return r.daemon.pool.AcquireVersion(now, c.version, r.prefix, c.exclude)
 		},
 	})
 }
 
-func (c *call) openAt(entered *ticket) error {
+func (c *call) openAt(entered *gate.Ticket) error {
 	r := c.run
 	// A version may have been withdrawn while the request waited for its turn.
 	if !r.daemon.node.Follower.Revision().Usable(r.request.Account, c.version) {
@@ -145,12 +146,12 @@
 }
 
 // failed decides what follows an attempt that did not begin: nil means another try.
-func (c *call) failed(entered *ticket, err error) *willowwick.Refusal {
+func (c *call) failed(entered *gate.Ticket, err error) *willowwick.Refusal {
 	r := c.run
 	endpoint := entered.Endpoint.ID
 	r.trace.add("endpoint", "%s: %v", endpoint, err)
 	if err == errNotAllowed {
-		entered.done(route.OutcomeCancelled)
+		entered.Done(route.OutcomeCancelled)
 		return nil
 	}
 	c.exclude[endpoint] = true
@@ -159,20 +160,20 @@
 	switch {
 	case errors.Is(err, willowwick.ErrLeaving):
 		r.daemon.pool.MarkLeaving(endpoint)
-		entered.done(route.OutcomeCancelled)
+		entered.Done(route.OutcomeCancelled)
 	case errors.Is(err, willowwick.ErrNotSent):
-		entered.done(route.OutcomeFailed)
+		entered.Done(route.OutcomeFailed)
 	case errors.Is(err, willowwick.ErrBusy):
 		budgeted = true
-		entered.done(route.OutcomeBusy)
+		entered.Done(route.OutcomeBusy)
 	case c.ctx.Err() != nil:
-		entered.done(route.OutcomeCancelled)
+		entered.Done(route.OutcomeCancelled)
 		r.sent = true
 		return c.timedOut()
 	default:
 		budgeted = true
 		r.sent = true
-		entered.done(route.OutcomeFailed)
+		entered.Done(route.OutcomeFailed)
 		r.daemon.watch.add(c.version, rollout.Evidence{Requests: 1, Errors: 1})
 	}
 	if c.attempts < maxAttempts && (!budgeted || r.daemon.retries.Take()) {
@@ -182,7 +183,7 @@
 	if r.sent {
 		return willowwick.Failed(willowwick.CodeEndpoint, "no endpoint gave a whole answer of version %q", c.version)
 	}
-	return willowwick.NotRun(willowwick.CodeNoEndpoint, time.Now().Add(overloadRetry), "no endpoint took the request")
+	return willowwick.NotRun(willowwick.CodeNoEndpoint, time.Now().Add(gate.OverloadRetry), "no endpoint took the request")
 }
 
 func (c *call) timedOut() *willowwick.Refusal {
@@ -272,7 +273,7 @@
 	c.exclude[c.ticket.Endpoint.ID] = outcome == route.OutcomeFailed
 	c.cancel()
 	c.release()
-	c.ticket.done(outcome)
+	c.ticket.Done(outcome)
 	c.ticket = nil
 }
 
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/fleet"
+	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/rollout"
 	"github.com/willowwick/willowwick/route"
 )
@@ -37,7 +38,7 @@
 		outside  Outside
 		node     *fleet.Node
 		pool     *route.Pool
-		gate     *gate
+		gate     *gate.Gate
 		learner  *route.Learner
 		limiter  *route.AccountLimiter
 		retries  *route.RetryBudget
@@ -77,7 +78,7 @@
 	d := &Daemon{
 		settings: settings, outside: outside,
 		pool: route.NewPool(route.NewPowerOfTwo(settings.Hall, true, seed)),
-		gate: newGate(), learner: route.NewLearner(), limiter: route.NewAccountLimiter(),
+		gate: gate.New(), learner: route.NewLearner(), limiter: route.NewAccountLimiter(),
 		retries: route.NewRetryBudget(), traces: newTraces(), rater: newRaterHealth(),
 		places: make(chan struct{}, settings.MaxRequests), ordered: map[orderKey]bool{},
 	}
@@ -107,7 +108,7 @@
 	d.callers = d.newServer(d.callerHandler())
 	d.callers.TLSConfig = d.settings.CallerTLS
 	d.admin = d.newServer(d.adminHandler())
-	d.workers.Go(func() { d.gate.run(ctx) })
+	d.workers.Go(func() { d.gate.Run(ctx) })
 	d.workers.Go(func() { d.pollLoads(ctx) })
 	d.workers.Go(func() { d.watchVersions(ctx) })
 	d.workers.Go(func() { d.serveCallers() })
--- a/serve/services.go
+++ b/serve/services.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/config"
+	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/route"
 	goahttp "goa.design/goa/v3/http"
 )
@@ -174,7 +175,7 @@
 // tried again only while nothing of it was sent.
 func (s *serviceRun) send(ctx context.Context) (*serviceReply, *willowwick.Refusal) {
 	for attempt := 1; ; attempt++ {
-		entered, refusal := s.daemon.gate.enter(ctx, s.admission())
+		entered, refusal := s.daemon.gate.Enter(ctx, s.admission())
 		if refusal != nil {
 			return nil, s.afterSending(refusal)
 		}
@@ -182,7 +183,7 @@
 		s.trace.add("sent", "to endpoint %s", entered.Endpoint.ID)
 		reply, err := s.try(ctx)
 		if err == nil {
-			entered.done(route.OutcomeGood)
+			entered.Done(route.OutcomeGood)
 			s.daemon.retries.Succeeded()
 			return reply, nil
 		}
@@ -193,11 +194,11 @@
 	}
 }
 
-func (s *serviceRun) admission() admission {
-	return admission{
-		work: servicePrefix + string(s.service), account: s.request.Account, weight: s.account.FairWeight(),
-		cost: serviceCost, deadline: s.request.Deadline,
-		acquire: func(now time.Time) (*route.Place, bool) {
+func (s *serviceRun) admission() gate.Wish {
+	return gate.Wish{
+		Work: servicePrefix + string(s.service), Account: s.request.Account, Weight: s.account.FairWeight(),
+		Cost: serviceCost, Deadline: s.request.Deadline,
+		Acquire: func(now time.Time) (*route.Place, bool) {
 			return s.daemon.pool.AcquireService(now, s.service, s.exclude)
 		},
 	}
@@ -228,7 +229,7 @@
 }
 
 // failed decides what follows a failed attempt: nil means another try.
-func (s *serviceRun) failed(ctx context.Context, entered *ticket, err error, attempt int) *willowwick.Refusal {
+func (s *serviceRun) failed(ctx context.Context, entered *gate.Ticket, err error, attempt int) *willowwick.Refusal {
 	s.trace.add("endpoint", "%s: %v", entered.Endpoint.ID, err)
 	s.exclude[entered.Endpoint.ID] = true
 	notSent := errors.Is(err, willowwick.ErrNotSent)
@@ -236,7 +237,7 @@
 		s.daemon.pool.MarkLeaving(entered.Endpoint.ID)
 		notSent = true
 	}
-	entered.done(route.OutcomeFailed)
+	entered.Done(route.OutcomeFailed)
 	s.sent = s.sent || !notSent
 	switch {
 	case !notSent && !s.repeatable:
@@ -248,6 +249,6 @@
 	case s.sent:
 		return willowwick.Failed(willowwick.CodeEndpoint, "no instance answered")
 	default:
-		return willowwick.NotRun(willowwick.CodeNoEndpoint, time.Now().Add(overloadRetry), "no instance took the call")
+		return willowwick.NotRun(willowwick.CodeNoEndpoint, time.Now().Add(gate.OverloadRetry), "no instance took the call")
 	}
 }
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,217 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// inlineBody is the largest body that is written before the answer is read: it fits any window.
+	inlineBody = 2 << 10
+	// maxSurplus bounds how many answers of earlier requests are skipped, and maxSurplusBytes their size.
+	maxSurplus      = 4
+	maxSurplusBytes = 1 << 20
+)
+
+type (
+	// Message is a request as it goes to an endpoint.
+	Message struct {
+		Method string
+		Target string // as on the request line
+		Host   string
+		Header http.Header
+		Body   []byte
+		HasLen bool // the caller sent a body, be it empty
+	}
+
+	// Answer is the head of an endpoint's answer and the way to its body.
+	Answer struct {
+		Status   int
+		Header   http.Header
+		Length   int64 // of the body; -1 if it is not known beforehand
+		body     io.ReadCloser
+		conn     *Conn
+		deadline time.Time
+		ended    bool
+		closing  bool
+	}
+)
+
+var (
+	// ErrSilent says that nothing came of an answer before the given time.
+	ErrSilent = errors.New("endpoint is silent")
+
+	hopHeaders = []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	}
+	buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
+
+// StripHop takes out the headers that concern one connection only.
+func StripHop(header http.Header) {
+	for _, line := range header["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				header.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+}
+
+// Send writes the request; an error leaves open how much of it the endpoint has read.
+//
+// A long body is written beside the reading of the answer, since the endpoint may answer before it has read all.
+func (c *Conn) Send(m *Message) error {
+	buffer, _ := buffers.Get().(*bytes.Buffer)
+	buffer.Reset()
+	m.appendTo(buffer)
+	if len(m.Body) <= inlineBody {
+		_, err := c.conn.Write(buffer.Bytes())
+		buffers.Put(buffer)
+		c.writing = nil
+		return errors.Wrap(err, "send")
+	}
+	written := make(chan error, 1)
+	c.writing = written
+	go func() {
+		_, err := c.conn.Write(buffer.Bytes())
+		buffers.Put(buffer)
+		written <- err
+	}()
+	return nil
+}
+
+func (m *Message) appendTo(buffer *bytes.Buffer) {
+	buffer.WriteString(m.Method)
+	buffer.WriteByte(' ')
+	buffer.WriteString(m.Target)
+	buffer.WriteString(" HTTP/1.1\r\nHost: ")
+	buffer.WriteString(m.Host)
+	buffer.WriteString("\r\n")
+	for name, values := range m.Header {
+		for _, value := range values {
+			buffer.WriteString(name)
+			buffer.WriteString(": ")
+			buffer.WriteString(value)
+			buffer.WriteString("\r\n")
+		}
+	}
+	if len(m.Body) > 0 || m.HasLen {
+		buffer.WriteString("Content-Length: ")
+		buffer.WriteString(strconv.Itoa(len(m.Body)))
+		buffer.WriteString("\r\n")
+	}
+	buffer.WriteString("\r\n")
+	buffer.Write(m.Body)
+}
+
+// wasWritten reports whether the whole request has gone out.
+func (c *Conn) wasWritten() bool {
+	if c.writing == nil {
+		return true
+	}
+	select {
+	case err := <-c.writing:
+		c.writing = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// Receive reads the head of the answer that belongs to the request, skipping answers of earlier ones.
+//
+// It returns ErrSilent if no byte has come by the given time; it may then be called again.
+func (c *Conn) Receive(method string, silentAt, deadline time.Time, belongs func(http.Header) bool) (*Answer, error) {
+	for range maxSurplus {
+		answer, err := c.receiveOne(method, silentAt, deadline)
+		if err != nil {
+			return nil, err
+		}
+		if answer.Status < http.StatusOK {
+			continue
+		}
+		if belongs(answer.Header) {
+			return answer, nil
+		}
+		c.pool.count(func(s *Stats) { s.Surplus++ })
+		if _, err := io.Copy(io.Discard, io.LimitReader(answer.body, maxSurplusBytes)); err != nil {
+			return nil, errors.Wrap(willowwick.ErrBroken, "answer of another request: "+err.Error())
+		}
+	}
+	return nil, errors.Wrap(willowwick.ErrBroken, "too many answers of other requests")
+}
+
+func (c *Conn) receiveOne(method string, silentAt, deadline time.Time) (*Answer, error) {
+	if err := c.conn.SetReadDeadline(silentAt); err != nil {
+		return nil, errors.Wrap(willowwick.ErrBroken, err.Error())
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		if isTimeout(err) {
+			return nil, ErrSilent
+		}
+		return nil, errors.Wrap(willowwick.ErrBroken, "no answer: "+err.Error())
+	}
+	if err := c.conn.SetReadDeadline(deadline); err != nil {
+		return nil, errors.Wrap(willowwick.ErrBroken, err.Error())
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, errors.Wrap(willowwick.ErrBroken, "head of the answer: "+err.Error())
+	}
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		body: response.Body, conn: c, closing: response.Close, deadline: deadline,
+	}, nil
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// Read implements io.Reader over the body; io.EOF says that the answer is whole.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	if err == io.EOF {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Await waits for bytes of the body; ErrSilent says that none came by the given time.
+func (a *Answer) Await(until time.Time) error {
+	if a.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	if err := a.conn.conn.SetReadDeadline(until); err != nil {
+		return errors.Wrap(willowwick.ErrBroken, err.Error())
+	}
+	_, err := a.conn.reader.Peek(1)
+	if isTimeout(err) {
+		return ErrSilent
+	}
+	// Any other error, the end of the connection among them, is the body's to tell.
+	return errors.Wrap(a.conn.conn.SetReadDeadline(a.deadline), "read deadline")
+}
+
+// Done gives the connection back after a whole answer, and closes it otherwise.
+func (a *Answer) Done() {
+	if !a.ended || a.closing {
+		a.conn.Close()
+		return
+	}
+	a.conn.Release(a.Header.Get("Keep-Alive"))
+}
--- /dev/null
+++ b/wire/pool.go
@@ -0,0 +1,254 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBuffer holds a head and some events; larger answers take more reads.
+	readBuffer = 4 << 10
+	// quietIdle is how long a connection is kept if the endpoint does not say how long it keeps it.
+	quietIdle = 500 * time.Millisecond
+	// idleMargin is given up of the time that the endpoint names, for the way there.
+	idleMargin = 400 * time.Millisecond
+	// maxIdle bounds the idle connections to one endpoint: twice the usual requests of a box at one.
+	maxIdle = 32
+	// probeIdle, probeGap and probeCount find a silent machine within two seconds.
+	probeIdle  = time.Second
+	probeGap   = 500 * time.Millisecond
+	probeCount = 2
+)
+
+type (
+	// Settings bound what connections may take.
+	Settings struct {
+		DialLimit time.Duration // setting: how long a connection may take to come up
+		Silence   time.Duration // setting: how long sent bytes may stay unacknowledged
+	}
+
+	// Stats count what the pool did.
+	Stats struct {
+		Dialed  uint64
+		Reused  uint64
+		Stale   uint64 // kept connections that turned out to be closed or to hold surplus bytes
+		Surplus uint64 // answers of earlier requests that were skipped
+	}
+
+	// Pool keeps connections to endpoints.
+	Pool struct {
+		settings Settings
+		dialer   net.Dialer
+
+		mu     sync.Mutex
+		idle   map[string][]*Conn
+		closed bool
+		stats  Stats
+	}
+
+	// Conn is one connection; it carries one request at a time.
+	Conn struct {
+		pool    *Pool
+		conn    net.Conn
+		raw     syscall.RawConn
+		reader  *bufio.Reader
+		address string
+		until   time.Time // when the endpoint may close it while idle
+		writing chan error
+		dirty   bool // may not carry another request
+	}
+)
+
+// NewPool returns an empty pool and a function that closes its connections.
+func NewPool(settings Settings) (*Pool, func()) {
+	p := &Pool{settings: settings, idle: map[string][]*Conn{}}
+	p.dialer = net.Dialer{
+		Timeout: settings.DialLimit,
+		Control: p.setSocket,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeGap, Count: probeCount,
+		},
+	}
+	return p, p.close
+}
+
+// setSocket bounds how long sent bytes may stay unacknowledged before the connection fails.
+func (p *Pool) setSocket(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.settings.Silence.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Open returns a connection to the address, a kept one if there is one in good state.
+//
+// An error wraps willowwick.ErrNotSent.
+func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			break
+		}
+		if c.isQuiet(time.Now()) {
+			p.count(func(s *Stats) { s.Reused++ })
+			return c, nil
+		}
+		p.count(func(s *Stats) { s.Stale++ })
+		_ = c.conn.Close()
+	}
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(willowwick.ErrNotSent, err.Error())
+	}
+	p.count(func(s *Stats) { s.Dialed++ })
+	c := &Conn{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if c.raw, err = tcp.SyscallConn(); err != nil {
+			_ = conn.Close()
+			return nil, errors.Wrap(willowwick.ErrNotSent, err.Error())
+		}
+	}
+	return c, nil
+}
+
+func (p *Pool) count(change func(*Stats)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.stats)
+}
+
+// Stats returns the counts so far.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats
+}
+
+// takeIdle takes the connection that was used last: it is the least likely to be closed.
+func (p *Pool) takeIdle(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.idle[address]
+	if len(row) == 0 {
+		return nil
+	}
+	c := row[len(row)-1]
+	p.idle[address] = row[:len(row)-1]
+	return c
+}
+
+// Drop closes the idle connections to an address whose endpoint is gone.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	row := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range row {
+		_ = c.conn.Close()
+	}
+}
+
+// Sweep closes the idle connections that their endpoints are about to close.
+func (p *Pool) Sweep(now time.Time) {
+	var old []*Conn
+	p.mu.Lock()
+	for address, row := range p.idle {
+		kept := row[:0]
+		for _, c := range row {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			old = append(old, c)
+		}
+		if p.idle[address] = kept; len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.conn.Close()
+	}
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = map[string][]*Conn{}
+	p.mu.Unlock()
+	for _, row := range idle {
+		for _, c := range row {
+			_ = c.conn.Close()
+		}
+	}
+}
+
+// isQuiet reports whether the connection is open and holds no bytes that nobody asked for.
+func (c *Conn) isQuiet(now time.Time) bool {
+	if !now.Before(c.until) || c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Release gives the connection back after a whole answer, or closes it if it may not be used again.
+func (c *Conn) Release(keepAlive string) {
+	c.until = time.Now().Add(idleTime(keepAlive))
+	if err := c.conn.SetDeadline(time.Time{}); err != nil || c.dirty || c.reader.Buffered() > 0 || !c.wasWritten() {
+		c.Close()
+		return
+	}
+	c.pool.mu.Lock()
+	row := c.pool.idle[c.address]
+	if c.pool.closed || len(row) >= maxIdle {
+		c.pool.mu.Unlock()
+		c.Close()
+		return
+	}
+	c.pool.idle[c.address] = append(row, c)
+	c.pool.mu.Unlock()
+}
+
+// Close ends the connection, and with it whatever the endpoint still does for the request.
+func (c *Conn) Close() {
+	_ = c.conn.Close()
+}
+
+// idleTime reads the value of Keep-Alive; without one the endpoint may close the connection soon.
+func idleTime(keepAlive string) time.Duration {
+	for _, item := range strings.Split(keepAlive, ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(item), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return quietIdle
+}
