Planned stop closes resting connections once the entry has turned away; runners are chosen by pending work

Now resting connections close 2.5 s after the signal, with nothing of theirs read. Tests of the exchange and of its connections.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -93,6 +93,6 @@
 		Seeds: settings.Seeds, Seed: binary.BigEndian.Uint64(seed[:]), Confidence: o.confidence,
 		Repeats:  route.RepeatLimits{Ratio: bounds.RepeatRatio, Slack: bounds.RepeatSlack, Window: bounds.RepeatWindow},
 		Releases: exchange.ReleaseSettings{Session: bounds.Session},
-		Grace:    bounds.Grace, Drain: bounds.Drain,
+		Grace:    bounds.Grace, Drain: bounds.Drain, TurnAway: exchange.DefaultTurnAway,
 	}
 }
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -27,10 +27,8 @@
 	idleLimit = 120 * time.Second
 	// leaveEarly is how long before the end of the grace the process ends by itself.
 	leaveEarly = 600 * time.Millisecond
-	// turnAway is how long the entry takes to see that a box is not ready, and callers to finish what they began.
-	turnAway = 2500 * time.Millisecond
-	// quietPoll is how often a stopping box looks whether requests are under way.
-	quietPoll = 20 * time.Millisecond
+	// DefaultTurnAway is how long the entry takes to see that a box is not ready, and callers to finish what they began.
+	DefaultTurnAway = 2500 * time.Millisecond
 	// leaveLimit is how long leaving the group may take.
 	leaveLimit = 300 * time.Millisecond
 )
@@ -142,10 +140,8 @@
 	x.stopping.Store(true)
 	d.leaveGroup()
 	limit := began.Add(x.settings.Grace - leaveEarly)
-	sleepUntil(earliest(began.Add(turnAway), limit))
-	for time.Now().Before(limit) && x.inFlight.Load() > 0 {
-		time.Sleep(quietPoll)
-	}
+	sleepUntil(earliest(began.Add(x.settings.TurnAway), limit))
+	// Callers that rest on open connections find them closed, with nothing of theirs read; what is under way goes on.
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if err := d.servers[0].Shutdown(ctx); err != nil {
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,320 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+func TestRequestArrivesUnchangedAndAnswerReturnsUnchanged(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Own", "kept")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "done")
+	})
+	s := newSite(t, r.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/once/a%2Fb//c?q=1", "id-1", "body of the request", "T-Account", "forged")
+	assert.Equal(t, http.StatusCreated, reply.status)
+	assert.Equal(t, "done", reply.body)
+	assert.Equal(t, "kept", reply.header.Get("X-Own"))
+	assert.Equal(t, "r1", reply.header.Get("T-Seal"))
+	require.Len(t, r.requests(), 1)
+	seen := r.requests()[0]
+	assert.Equal(t, "/once/a%2Fb//c?q=1", seen.RequestURI)
+	assert.Equal(t, testHost, seen.Host)
+	assert.Equal(t, "body of the request", r.body[0])
+	assert.Equal(t, string(testAccount), seen.Header.Get("T-Account"))
+	assert.Empty(t, seen.Header.Get("T-Key"))
+	assert.Equal(t, "r1", seen.Header.Get("T-Expect"))
+}
+
+func TestUnknownRouteAndKeyAreRefused(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	s := newSite(t, r.endpoint("v1"))
+	assert.Equal(t, http.StatusNotFound, s.do(t, http.MethodGet, "/other/", "id-1", "").status)
+	assert.Equal(t, http.StatusUnauthorized, s.do(t, http.MethodGet, "/once/", "id-2", "", "T-Key", "unknown").status)
+	assert.Empty(t, r.requests())
+}
+
+func TestBoxWithoutConfigurationSaysWhenToComeBack(t *testing.T) {
+	s := startSite(t, &testControl{down: true}, testSettings())
+	reply := s.do(t, http.MethodGet, "/once/", "id-1", "")
+	assert.Equal(t, http.StatusServiceUnavailable, reply.status)
+	assert.NotEmpty(t, reply.header.Get("Retry-After"))
+}
+
+func TestUnrepeatableRequestIsNotRunAgain(t *testing.T) {
+	broken := func(w http.ResponseWriter, _ *http.Request) { hangUp(w) }
+	a, b := newRunner(t, "r1", broken), newRunner(t, "r2", broken)
+	s := newSite(t, a.endpoint("v1"), b.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/once/", "id-1", "x")
+	assert.Equal(t, http.StatusBadGateway, reply.status)
+	assert.Equal(t, 1, len(a.requests())+len(b.requests()))
+}
+
+func TestRequestThatWasNotRunGoesElsewhere(t *testing.T) {
+	full := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	free := newRunner(t, "r2", answerText("ok"))
+	s := newSite(t, full.endpoint("v1"), free.endpoint("v1"))
+	for range 6 {
+		reply := s.do(t, http.MethodPost, "/once/", "id", "x")
+		require.Equal(t, http.StatusOK, reply.status)
+	}
+}
+
+func TestRefusalOfAllEndpointsPromisesThatNothingRan(t *testing.T) {
+	full := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	s := newSite(t, full.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/once/", "id", "x")
+	assert.Equal(t, http.StatusServiceUnavailable, reply.status)
+	assert.NotEmpty(t, reply.header.Get("Retry-After"))
+	assert.Empty(t, reply.header.Get("T-Seal"))
+}
+
+func TestEndpointsOwn503IsNoPromise(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	s := newSite(t, r.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/once/", "id", "x")
+	assert.Equal(t, http.StatusBadGateway, reply.status)
+	assert.Empty(t, reply.header.Get("T-Seal"), "the signature goes with the endpoint's own status only")
+}
+
+func TestRepeatableRequestIsRunAgainAfterAFailure(t *testing.T) {
+	bad := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	good := newRunner(t, "r2", answerText("ok"))
+	s := newSite(t, bad.endpoint("v1"), good.endpoint("v1"))
+	for range 6 {
+		require.Equal(t, http.StatusOK, s.do(t, http.MethodGet, "/again/", "id", "").status)
+	}
+	assert.NotEmpty(t, good.requests())
+}
+
+func TestFailureOfAllEndpointsIsPassedOnWhole(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "why")
+	})
+	s := newSite(t, r.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/once/", "id", "x")
+	assert.Equal(t, http.StatusInternalServerError, reply.status)
+	assert.Equal(t, "why", reply.body)
+	assert.Equal(t, "r1", reply.header.Get("T-Seal"))
+}
+
+func TestRequestIsAnsweredAtItsRoutesTimeout(t *testing.T) {
+	left := make(chan struct{})
+	r := newRunner(t, "r1", func(_ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		close(left)
+	})
+	s := newSite(t, r.endpoint("v1"))
+	began := time.Now()
+	reply := s.do(t, http.MethodPost, "/once/", "id", "x", "T-Left", "60000")
+	assert.Equal(t, http.StatusGatewayTimeout, reply.status)
+	assert.InDelta(t, 2, time.Since(began).Seconds(), 0.4)
+	select {
+	case <-left:
+	case <-time.After(patience):
+		t.Fatal("the endpoint was not left")
+	}
+}
+
+func TestEndpointIsLeftWhenTheCallerLeaves(t *testing.T) {
+	left := make(chan struct{})
+	r := newRunner(t, "r1", func(_ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		close(left)
+	})
+	s := newSite(t, r.endpoint("v1"))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := s.client.Do(s.request(t, http.MethodPost, "/stream/", "id", "x").WithContext(ctx))
+	require.Error(t, err)
+	select {
+	case <-left:
+	case <-time.After(time.Second):
+		t.Fatal("the endpoint was not left")
+	}
+}
+
+func TestStreamIsPassedOnWhole(t *testing.T) {
+	for _, last := range []int{0, 1, 40} {
+		r := newRunner(t, "r1", func(w http.ResponseWriter, request *http.Request) { streamEvents(w, request, last) })
+		s := newSite(t, r.endpoint("v1"))
+		reply := s.do(t, http.MethodPost, "/stream/", "id", "x")
+		assert.NoError(t, reply.err)
+		assert.Equal(t, events(last), reply.body)
+	}
+}
+
+// Events that come in one piece with the end of the stream were once taken for the start of another event.
+func TestEventsThatComeWithTheEndOfTheStreamArePassedOn(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		text := events(3)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, text)
+	})
+	s := newSite(t, r.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/stream/", "id", "x")
+	assert.NoError(t, reply.err)
+	assert.Equal(t, events(3), reply.body)
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	const last = 30
+	breaking := func(w http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("T-Resume") != "" {
+			streamEvents(w, request, last)
+			return
+		}
+		streamEvents(w, request, 10)
+		_, _ = io.WriteString(w, "id: 11\nda")
+		_ = http.NewResponseController(w).Flush()
+		hangUp(w)
+	}
+	a, b := newRunner(t, "r1", breaking), newRunner(t, "r2", breaking)
+	s := newSite(t, a.endpoint("v1"), b.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/stream/", "id", "x")
+	assert.NoError(t, reply.err)
+	assert.Equal(t, events(last), reply.body)
+	assert.Equal(t, 2, len(a.requests())+len(b.requests()))
+}
+
+func TestStreamThatCannotGoOnDoesNotLookWhole(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, request *http.Request) {
+		streamEvents(w, request, 5)
+		hangUp(w)
+	})
+	s := newSite(t, r.endpoint("v1"))
+	s.control.change(func() {
+		route := streamRoute()
+		route.Resumable, route.Repeatable = false, false
+		s.control.table = testTable(2, route)
+	})
+	require.Eventually(t, func() bool { return s.daemon.router.configVersion() == 2 }, patience, time.Millisecond)
+	reply := s.do(t, http.MethodPost, "/stream/", "id", "x")
+	assert.Error(t, reply.err)
+	assert.Equal(t, events(5), reply.body)
+}
+
+func TestAnswerOfLowConfidenceIsGivenUpForTheLargeModel(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("T-Confidence", map[string]string{"small": "20", "large": "90"}[request.Header.Get("T-Model")])
+		_, _ = io.WriteString(w, "id: 1\ndata: "+request.Header.Get("T-Model")+"\n\n")
+	})
+	s := newSite(t, r.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/stream/", "id", "x", "T-Model", "*")
+	assert.Equal(t, "id: 1\ndata: large\n\n", reply.body)
+	assert.Len(t, r.requests(), 2)
+}
+
+func TestModelThatTheCallerNamesStays(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("T-Confidence", "20")
+		_, _ = io.WriteString(w, "id: 1\ndata: "+request.Header.Get("T-Model")+"\n\n")
+	})
+	s := newSite(t, r.endpoint("v1"))
+	assert.Equal(t, "id: 1\ndata: small\n\n", s.do(t, http.MethodPost, "/stream/", "id", "x", "T-Model", "small").body)
+}
+
+func TestSilentEndpointIsLeftForAnother(t *testing.T) {
+	mute := newRunner(t, "r1", func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+	good := newRunner(t, "r2", answerText("ok"))
+	s := newSite(t, mute.endpoint("v1"), good.endpoint("v1"))
+	for range 4 {
+		began := time.Now()
+		require.Equal(t, http.StatusOK, s.do(t, http.MethodGet, "/again/", "id", "").status)
+		assert.Less(t, time.Since(began), time.Second)
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	s := newSite(t, r.endpoint("v1"))
+	s.daemon.router.setTable(testTable(5, onceRoute()), "test")
+	s.daemon.router.setTable(testTable(4, onceRoute(), againRoute()), "test")
+	assert.Equal(t, uint64(5), s.daemon.router.configVersion())
+	assert.Equal(t, http.StatusNotFound, s.do(t, http.MethodGet, "/again/", "id", "").status)
+}
+
+func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	a, b := newRunner(t, "r1", answerText("a")), newRunner(t, "r2", answerText("b"))
+	s := newSite(t, a.endpoint("v1"), b.endpoint("v1"))
+	s.control.change(func() {
+		leaving := a.endpoint("v1")
+		leaving.Leaving = true
+		s.control.endpoints[a.id] = leaving
+	})
+	time.Sleep(testSettings().Drain)
+	before := len(a.requests())
+	for range 10 {
+		require.Equal(t, "b", s.do(t, http.MethodPost, "/once/", "id", "x").body)
+	}
+	assert.Len(t, a.requests(), before)
+}
+
+func TestEntriesThatLapseWithTheStoreAwayAreUsedUntilTheyMayBeBack(t *testing.T) {
+	r := newRunner(t, "r1", answerText("a"))
+	s := newSite(t, r.endpoint("v1"))
+	s.control.change(func() { s.control.down = true })
+	require.Eventually(t, func() bool { return s.daemon.router.sync.isUnreachable() }, patience, time.Millisecond)
+	s.control.change(func() {
+		s.control.down = false
+		s.control.endpoints = map[willowwick.EndpointID]willowwick.Endpoint{}
+	})
+	require.Eventually(t, func() bool { return !s.daemon.router.sync.isUnreachable() }, patience, time.Millisecond)
+	assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "id", "x").status)
+	time.Sleep(returnGrace + 2*testSettings().Drain)
+	assert.Equal(t, http.StatusServiceUnavailable, s.do(t, http.MethodPost, "/once/", "id", "x").status)
+}
+
+// A box once took requests until the end of the grace and cut them there.
+func TestPlannedStopTakesNothingThatItCannotFinish(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, request *http.Request) {
+		time.Sleep(800 * time.Millisecond)
+		streamEvents(w, request, 3)
+	})
+	s := newSite(t, r.endpoint("v1"))
+	require.Equal(t, events(3), s.do(t, http.MethodPost, "/stream/", "warm", "x").body)
+	drained := make(chan time.Time)
+	began := time.Now()
+	go func() {
+		s.daemon.Drain()
+		drained <- time.Now()
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ok, _ := s.daemon.router.ready()
+	assert.False(t, ok)
+	// What comes soon after the signal is served whole, and its connection ends with it.
+	reply := s.do(t, http.MethodPost, "/stream/", "late", "x")
+	assert.Equal(t, events(3), reply.body)
+	assert.NoError(t, reply.err)
+	// What comes later finds the connection closed.
+	time.Sleep(testSettings().TurnAway)
+	_, err := s.client.Do(s.request(t, http.MethodPost, "/stream/", "too late", "x"))
+	assert.Error(t, err)
+	ended := <-drained
+	assert.Less(t, ended.Sub(began), testSettings().Grace-leaveEarly)
+	assert.Len(t, r.requests(), 2)
+}
+
+func TestLongBodyThatIsRefusedEarlyIsNotRunTwice(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	s := newSite(t, r.endpoint("v1"))
+	body := strings.Repeat("long ", 100_000)
+	require.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "id", body).status)
+	assert.Equal(t, body, r.body[0])
+}
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -253,6 +253,13 @@
 	return slow
 }
 
+// usual is how long the head of an answer usually takes on the route; 0 if that is not known yet.
+func (r *releases) usual(route willowwick.RouteID, model willowwick.ModelID) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.typical[typicalKey{route: route, model: model}] * float64(time.Second))
+}
+
 // evidence returns what this box has counted.
 func (r *releases) evidence() map[evidenceKey]rollout.Evidence {
 	r.mu.Lock()
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -38,6 +38,7 @@
 		Repeats    route.RepeatLimits
 		Releases   ReleaseSettings
 		Grace      time.Duration // setting: from the signal to stop until the process is killed
+		TurnAway   time.Duration // setting: how long a stopping box waits for the entry to send callers elsewhere
 		Drain      time.Duration // setting: an endpoint that leaves gets nothing later than this
 	}
 
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -34,10 +34,16 @@
 )
 
 const (
-	// silentShare is the part of the goal after which a silent endpoint is left for another.
-	silentShare = 0.6
-	// stallShare is the part of the longest pause after which a stream is taken up elsewhere.
-	stallShare = 0.75
+	// silentShare is the part of the goal after which a silent endpoint is left for another: an answer from there
+	// is still in time. Runners that read long prompts are silent for longer, so streams wait for more of it.
+	silentShare       = 0.6
+	silentShareStream = 0.8
+	// stallShare is the multiple of the longest pause after which a stream is taken up elsewhere: a shorter
+	// silence is a runner that reads somebody's long prompt, and reading this one anew takes as long.
+	stallShare = 1.5
+	// slotWork is the time of a runner that counts as one of its slots: what a running request adds to the
+	// wait of the next one.
+	slotWork = 40 * time.Millisecond
 	// maxWhole is the largest answer that is read whole before its head goes out.
 	maxWhole = 256 << 10
 	// promptPerOutput is how many tokens of a prompt cost an endpoint as much as one of the answer.
@@ -144,9 +150,13 @@
 		slog.Debug("send broke off", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
+	if s.route.Stream {
+		s.ticket.Expect(float64(s.router.releases.usual(s.route.Name, s.model)) / float64(slotWork))
+	}
 	if err := s.receive(); err != nil {
 		return s.unanswered(err)
 	}
+	s.ticket.Begun()
 	return s.judge()
 }
 
@@ -170,7 +180,11 @@
 func (s *send) receive() error {
 	silentAt := s.deadline
 	if s.route.Repeatable {
-		silentAt = earliest(silentAt, s.sentAt.Add(scale(s.route.Goal, silentShare)))
+		share := silentShare
+		if s.route.Stream {
+			share = silentShareStream
+		}
+		silentAt = earliest(silentAt, s.sentAt.Add(scale(s.route.Goal, share)))
 	}
 	for {
 		answer, err := s.conn.Receive(s.message.Method, silentAt, s.deadline, s.belongs)
--- /dev/null
+++ b/exchange/site_test.go
@@ -0,0 +1,380 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/route"
+)
+
+const (
+	testHost    = "site.example"
+	testKey     = "key-of-ada"
+	testAccount = willowwick.AccountID("ada")
+	patience    = 5 * time.Second
+)
+
+// testCodec implements willowwick.HeaderCodec with names of its own.
+type testCodec struct{}
+
+func (testCodec) DecodeRequest(header http.Header, arrived time.Time) (willowwick.ExchangeHead, error) {
+	head := willowwick.ExchangeHead{
+		ID: willowwick.RequestID(header.Get("T-Id")), Key: header.Get("T-Key"), Session: willowwick.SessionID(header.Get("T-Session")),
+		Model: willowwick.ModelID(header.Get("T-Model")), ResumeAfter: header.Get("T-Resume"),
+	}
+	if text := header.Get("T-Left"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return head, errors.New("T-Left")
+		}
+		head.Deadline = arrived.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return head, nil
+}
+
+func (testCodec) EncodeRequest(header http.Header, send willowwick.SendHead, now time.Time) {
+	for _, name := range []string{"T-Key", "T-Account", "T-Expect"} {
+		header.Del(name)
+	}
+	header.Set("T-Account", string(send.Account))
+	header.Set("T-Expect", string(send.Expect))
+	header.Set("T-Left", strconv.FormatInt(send.Deadline.Sub(now).Milliseconds(), 10))
+	if send.Model != "" {
+		header.Set("T-Model", string(send.Model))
+	}
+	if send.ResumeAfter != "" {
+		header.Set("T-Resume", send.ResumeAfter)
+	}
+}
+
+func (testCodec) DecodeAnswer(header http.Header, at time.Time) willowwick.AnswerHead {
+	head := willowwick.AnswerHead{
+		Request: willowwick.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
+		Confidence: willowwick.NoConfidence,
+	}
+	if text := header.Get("T-Confidence"); text != "" {
+		head.Confidence, _ = strconv.Atoi(text)
+	}
+	if text := header.Get("T-Running"); text != "" {
+		running, _ := strconv.Atoi(text)
+		head.Load, head.HasLoad = willowwick.EndpointLoad{Running: running, Slots: 8, At: at}, true
+	}
+	return head
+}
+
+func (testCodec) EncodeOwn(header http.Header, id willowwick.RequestID) {
+	header.Set("T-Id", string(id))
+}
+
+func (testCodec) TakeSeal(header http.Header) {
+	header.Del("T-Seal")
+}
+
+// testControl implements willowwick.Control in memory.
+type testControl struct {
+	mu        sync.Mutex
+	down      bool
+	table     *willowwick.RoutingTable
+	orders    []willowwick.ReleaseOrder
+	changes   willowwick.Offset // of declarations
+	endpoints map[willowwick.EndpointID]willowwick.Endpoint
+	listed    willowwick.Offset
+	statuses  []willowwick.ReleaseStatus
+	written   []willowwick.ReleaseStatus
+	members   []string
+	leader    string
+}
+
+var errDown = errors.New("store is down")
+
+func (c *testControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
+	until := time.Now().Add(wait)
+	for {
+		c.mu.Lock()
+		declared := willowwick.Declarations{Table: c.table, Orders: c.orders, Next: c.changes}
+		down := c.down
+		c.mu.Unlock()
+		switch {
+		case down:
+			return willowwick.Declarations{}, errDown
+		case declared.Next > from || time.Now().After(until):
+			return declared, nil
+		}
+		select {
+		case <-ctx.Done():
+			return willowwick.Declarations{}, ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (c *testControl) Endpoints(context.Context, willowwick.Offset) (willowwick.EndpointChanges, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return willowwick.EndpointChanges{}, errDown
+	}
+	changes := willowwick.EndpointChanges{Whole: true, Next: c.listed}
+	for _, endpoint := range c.endpoints {
+		changes.Present = append(changes.Present, endpoint)
+	}
+	return changes, nil
+}
+
+func (c *testControl) Statuses(context.Context) (willowwick.ReleaseStatuses, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return willowwick.ReleaseStatuses{}, errDown
+	}
+	return willowwick.ReleaseStatuses{Statuses: append([]willowwick.ReleaseStatus(nil), c.statuses...), End: willowwick.Offset(len(c.written))}, nil
+}
+
+func (c *testControl) SetStatus(_ context.Context, status willowwick.ReleaseStatus, end willowwick.Offset) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return errDown
+	}
+	if end != willowwick.Offset(len(c.written)) {
+		return willowwick.ErrConflict
+	}
+	c.written = append(c.written, status)
+	c.statuses = []willowwick.ReleaseStatus{status}
+	return nil
+}
+
+func (c *testControl) Join(_ context.Context, member string, _ uint64) (willowwick.Membership, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return willowwick.Membership{}, errDown
+	}
+	for _, known := range c.members {
+		if known == member {
+			return willowwick.Membership{Generation: uint64(len(c.members)), Leads: c.leader == member}, nil
+		}
+	}
+	c.members = append(c.members, member)
+	if c.leader == "" {
+		c.leader = member
+	}
+	return willowwick.Membership{Generation: uint64(len(c.members)), Leads: c.leader == member}, nil
+}
+
+func (c *testControl) Members(context.Context) ([]string, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.members...), nil
+}
+
+func (c *testControl) Leave(context.Context, string) error {
+	return nil
+}
+
+func (c *testControl) change(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+	c.changes++
+	c.listed++
+}
+
+// runner is an endpoint whose handler a test sets.
+type runner struct {
+	*httptest.Server
+	id   willowwick.EndpointID
+	mu   sync.Mutex
+	seen []*http.Request
+	body []string
+}
+
+func newRunner(t *testing.T, id string, handler http.HandlerFunc) *runner {
+	r := &runner{id: willowwick.EndpointID(id)}
+	r.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		r.mu.Lock()
+		r.seen = append(r.seen, request)
+		r.body = append(r.body, string(body))
+		r.mu.Unlock()
+		w.Header().Set("T-Id", request.Header.Get("T-Id"))
+		w.Header().Set("T-Seal", id)
+		handler(w, request)
+	}))
+	t.Cleanup(r.CloseClientConnections)
+	return r
+}
+
+func (r *runner) requests() []*http.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*http.Request(nil), r.seen...)
+}
+
+func (r *runner) endpoint(release string) willowwick.Endpoint {
+	return willowwick.Endpoint{
+		ID: r.id, Hall: "hall-a", Address: strings.TrimPrefix(r.URL, "http://"), Service: "work",
+		Release: willowwick.ReleaseID(release), Slots: 8,
+	}
+}
+
+// site is a daemon with its control and endpoints.
+type site struct {
+	control *testControl
+	daemon  *Daemon
+	url     string
+	client  *http.Client
+	stop    func()
+}
+
+func testTable(version uint64, routes ...willowwick.Route) *willowwick.RoutingTable {
+	return &willowwick.RoutingTable{
+		Version: version, Routes: routes,
+		Services: []willowwick.RoutedService{{Name: "work"}},
+		Accounts: []willowwick.RoutedAccount{{Name: testAccount, Keys: []string{testKey}, Priority: willowwick.NoPriority}},
+	}
+}
+
+func onceRoute() willowwick.Route {
+	return willowwick.Route{
+		Name: "once", Host: testHost, Prefix: "/once/", MaxRuns: 1, Timeout: 2 * time.Second, Goal: 300 * time.Millisecond,
+		Split: []willowwick.ServiceShare{{Service: "work", Weight: 1}},
+	}
+}
+
+func againRoute() willowwick.Route {
+	r := onceRoute()
+	r.Name, r.Prefix, r.Repeatable, r.MaxRuns = "again", "/again/", true, 2
+	return r
+}
+
+func streamRoute() willowwick.Route {
+	r := onceRoute()
+	r.Name, r.Prefix, r.Stream, r.Resumable, r.Repeatable, r.MaxRuns = "stream", "/stream/", true, true, true, 3
+	r.Goal, r.GapGoal = time.Second, 200*time.Millisecond
+	r.Models = []willowwick.ModelID{"small", "large"}
+	return r
+}
+
+func testSettings() Settings {
+	return Settings{
+		Box: "box-1", Hall: "hall-a", Boot: "boot-1", Key: []byte("0123456789abcdef"), Confidence: 50,
+		Repeats:  route.RepeatLimits{Ratio: 0.9, Slack: 50, Window: 10 * time.Second},
+		Releases: ReleaseSettings{Session: 5 * time.Second},
+		Grace:    3 * time.Second, TurnAway: 300 * time.Millisecond, Drain: 250 * time.Millisecond,
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return listener
+}
+
+// newSite starts a daemon with the three usual routes in front of the endpoints.
+func newSite(t *testing.T, endpoints ...willowwick.Endpoint) *site {
+	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
+	control.change(func() {
+		control.table = testTable(1, onceRoute(), againRoute(), streamRoute())
+		for _, endpoint := range endpoints {
+			control.endpoints[endpoint.ID] = endpoint
+		}
+	})
+	return startSite(t, control, testSettings())
+}
+
+func startSite(t *testing.T, control *testControl, settings Settings) *site {
+	callers, ready, peers, figures := listen(t), listen(t), listen(t), listen(t)
+	settings.Peers = peers.Addr().String()
+	daemon, closeDaemon := New(settings, Outside{
+		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures,
+	})
+	stop := daemon.Start()
+	s := &site{control: control, daemon: daemon, url: "http://" + callers.Addr().String(), client: &http.Client{Transport: &http.Transport{}}, stop: stop}
+	t.Cleanup(func() {
+		s.client.CloseIdleConnections()
+		stop()
+		closeDaemon()
+	})
+	require.Eventually(t, func() bool {
+		ok, _ := daemon.router.ready()
+		return ok || control.table == nil
+	}, patience, 5*time.Millisecond)
+	return s
+}
+
+// reply of a site, read to its end.
+type siteReply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (s *site) request(t *testing.T, method, path, id, body string, more ...string) *http.Request {
+	request, err := http.NewRequest(method, s.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Host = testHost
+	request.Header.Set("T-Id", id)
+	request.Header.Set("T-Key", testKey)
+	request.Header.Set("T-Left", "3000")
+	for i := 0; i+1 < len(more); i += 2 {
+		request.Header.Set(more[i], more[i+1])
+	}
+	return request
+}
+
+func (s *site) do(t *testing.T, method, path, id, body string, more ...string) siteReply {
+	response, err := s.client.Do(s.request(t, method, path, id, body, more...))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return siteReply{response.StatusCode, response.Header, string(data), err}
+}
+
+func answerText(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) }
+}
+
+// event is the text of one event of a stream.
+func event(id int) string {
+	return fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id)
+}
+
+// streamEvents sends events up to the last one, from after the one that the request names.
+func streamEvents(w http.ResponseWriter, r *http.Request, last int) {
+	from, _ := strconv.Atoi(r.Header.Get("T-Resume"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := from + 1; id <= last; id++ {
+		_, _ = io.WriteString(w, event(id))
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func events(last int) string {
+	text := ""
+	for id := 1; id <= last; id++ {
+		text += event(id)
+	}
+	return text
+}
+
+// hangUp closes the connection of a request without more bytes.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -387,3 +387,9 @@
 	case <-timer.C:
 	}
 }
+
+func (s *syncer) isUnreachable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreachable
+}
--- a/route/hall.go
+++ b/route/hall.go
@@ -11,7 +11,7 @@
 	// bytes between halls cost more than the wait behind half of a runner's slots.
 	otherHallLoad = 0.5
 	// ownerBonus is what the owner of a prompt's shared part may be more loaded than the others.
-	ownerBonus = 0.25
+	ownerBonus = 0.1
 	// failingWeight turns the share of failed calls into load.
 	failingWeight = 3.0
 )
@@ -55,7 +55,8 @@
 }
 
 func (p *HallFirst) score(c willowwick.Candidate) float64 {
-	score := loadOf(c) + failingWeight*c.Failing
+	slots := max(c.Load.Slots, 1)
+	score := loadOf(c) + c.Pending/float64(slots) + failingWeight*c.Failing
 	if c.Hall != p.Hall {
 		score += otherHallLoad
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -54,6 +54,7 @@
 		pool     *Pool
 		member   *member
 		taken    time.Time
+		weight   float64 // part of the endpoint's pending work
 		released bool
 	}
 
@@ -70,6 +71,7 @@
 		hash         uint64
 		failing      float64
 		failingAt    time.Time
+		pending      float64 // slots' worth of work that was sent and not begun yet
 	}
 
 	// row names the endpoints that can take the same work.
@@ -324,6 +326,26 @@
 	return n
 }
 
+// Expect notes that the endpoint has work worth so many slots to do before the request begins to run.
+func (p *Place) Expect(slots float64) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	p.weight = slots
+	p.member.pending += slots
+}
+
+// Begun notes that the request runs, and so counts as one slot.
+func (p *Place) Begun() {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	p.begun()
+}
+
+func (p *Place) begun() {
+	p.member.pending = max(0, p.member.pending-p.weight)
+	p.weight = 0
+}
+
 // Release gives the place back with how the call ended; a second release changes nothing.
 func (p *Place) Release(now time.Time, outcome Outcome) {
 	p.pool.mu.Lock()
@@ -332,6 +354,7 @@
 		return
 	}
 	p.released = true
+	p.begun()
 	p.pool.inFlight--
 	if p.member.inFlight--; p.member.inFlight == 0 {
 		delete(p.pool.busy, p.member)
@@ -416,6 +439,7 @@
 		Recent:   m.recent,
 		Open:     !r.exclude[m.endpoint.ID] && r.allows(m) && m.open(r.now, r.options, r.trusting),
 		Hash:     m.hash,
+		Pending:  m.pending,
 		Failing:  m.failingShare(r.now),
 	}
 }
--- a/routing.go
+++ b/routing.go
@@ -11,6 +11,7 @@
 		InFlight int     // own requests at the endpoint now
 		Recent   int     // own requests sent since the load was reported
 		Open     bool    // may be given work
+		Pending  float64 // slots' worth of own work that was sent and not begun yet
 		Hash     uint64  // of the endpoint's name, for rendezvous hashing
 		Failing  float64 // share of recent calls that failed, newer ones counting more
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -39,6 +39,7 @@
 		Length   int64 // of the body; -1 if it is not known beforehand
 		body     io.ReadCloser
 		conn     *Conn
+		read     int64 // bytes of the body so far
 		deadline time.Time
 		ended    bool
 		closing  bool
@@ -185,6 +186,7 @@
 // Read implements io.Reader over the body; io.EOF says that the answer is whole.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	a.read += int64(n)
 	if err == io.EOF {
 		a.ended = true
 	}
@@ -193,7 +195,7 @@
 
 // Await waits for bytes of the body; ErrSilent says that none came by the given time.
 func (a *Answer) Await(until time.Time) error {
-	if a.conn.reader.Buffered() > 0 {
+	if a.conn.reader.Buffered() > 0 || a.Length >= 0 && a.read >= a.Length {
 		return nil
 	}
 	if err := a.conn.conn.SetReadDeadline(until); err != nil {
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,247 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const second = time.Second
+
+// peerConn is the endpoint's side of a connection.
+type peerConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// newPeer listens and hands the connections that come to the test.
+func newPeer(t *testing.T) (address string, conns chan *peerConn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	conns = make(chan *peerConn, 8)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conns <- &peerConn{conn, bufio.NewReader(conn)}
+		}
+	}()
+	return listener.Addr().String(), conns
+}
+
+func (p *peerConn) readRequest(t *testing.T) string {
+	request, err := http.ReadRequest(p.reader)
+	require.NoError(t, err)
+	body, err := io.ReadAll(request.Body)
+	require.NoError(t, err)
+	return request.Header.Get("Id") + " " + string(body)
+}
+
+func (p *peerConn) write(t *testing.T, text string) {
+	_, err := io.WriteString(p.Conn, text)
+	require.NoError(t, err)
+}
+
+func newTestPool(t *testing.T) *Pool {
+	pool, closePool := NewPool(Settings{DialLimit: second, Silence: second})
+	t.Cleanup(closePool)
+	return pool
+}
+
+func message(id, body string) *Message {
+	return &Message{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body), HasLen: true}
+}
+
+func belongsTo(id string) func(http.Header) bool {
+	return func(header http.Header) bool { return header.Get("Id") == id }
+}
+
+func receive(t *testing.T, c *Conn, id string) (*Answer, string, error) {
+	answer, err := c.Receive(http.MethodPost, time.Now().Add(second), time.Now().Add(second), belongsTo(id))
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(answer)
+	return answer, string(body), err
+}
+
+func open(t *testing.T, pool *Pool, address string) *Conn {
+	c, err := pool.Open(context.Background(), address)
+	require.NoError(t, err)
+	return c
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	address, conns := newPeer(t)
+	pool := newTestPool(t)
+	var peer *peerConn
+	for i := range 3 {
+		c := open(t, pool, address)
+		require.NoError(t, c.Send(message("a", "x")))
+		if i == 0 {
+			peer = <-conns
+		}
+		assert.Equal(t, "a x", peer.readRequest(t))
+		peer.write(t, whole("a", "ok"))
+		answer, body, err := receive(t, c, "a")
+		require.NoError(t, err)
+		assert.Equal(t, "ok", body)
+		answer.Done()
+	}
+	assert.Equal(t, uint64(1), pool.Stats().Dialed)
+	assert.Equal(t, uint64(2), pool.Stats().Reused)
+}
+
+func TestSurplusAnswerOfAnEarlierRequestIsSkipped(t *testing.T) {
+	address, conns := newPeer(t)
+	pool := newTestPool(t)
+	c := open(t, pool, address)
+	require.NoError(t, c.Send(message("b", "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	peer.write(t, whole("a", "old")+whole("b", "new"))
+	_, body, err := receive(t, c, "b")
+	require.NoError(t, err)
+	assert.Equal(t, "new", body)
+	assert.Equal(t, uint64(1), pool.Stats().Surplus)
+}
+
+func TestConnectionWithSurplusBytesIsNotUsedAgain(t *testing.T) {
+	address, conns := newPeer(t)
+	pool := newTestPool(t)
+	c := open(t, pool, address)
+	require.NoError(t, c.Send(message("a", "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	peer.write(t, whole("a", "ok")+"more")
+	answer, _, err := receive(t, c, "a")
+	require.NoError(t, err)
+	answer.Done()
+	open(t, pool, address)
+	assert.Equal(t, uint64(2), pool.Stats().Dialed)
+}
+
+func TestConnectionThatWasClosedOrSpokeWhileIdleIsNotUsedAgain(t *testing.T) {
+	for _, spoil := range []func(*peerConn){
+		func(p *peerConn) { _ = p.Close() },
+		func(p *peerConn) { _, _ = io.WriteString(p, whole("a", "again")) },
+	} {
+		address, conns := newPeer(t)
+		pool := newTestPool(t)
+		c := open(t, pool, address)
+		require.NoError(t, c.Send(message("a", "x")))
+		peer := <-conns
+		peer.readRequest(t)
+		peer.write(t, whole("a", "ok"))
+		answer, _, err := receive(t, c, "a")
+		require.NoError(t, err)
+		answer.Done()
+		spoil(peer)
+		time.Sleep(20 * time.Millisecond)
+		open(t, pool, address)
+		assert.Equal(t, uint64(2), pool.Stats().Dialed)
+	}
+}
+
+func TestAnswerBeforeTheBodyIsReadEndsTheConnection(t *testing.T) {
+	address, conns := newPeer(t)
+	pool := newTestPool(t)
+	c := open(t, pool, address)
+	require.NoError(t, c.Send(message("a", strings.Repeat("x", 8<<20))))
+	peer := <-conns
+	peer.write(t, whole("a", "no"))
+	answer, body, err := receive(t, c, "a")
+	require.NoError(t, err)
+	assert.Equal(t, "no", body)
+	answer.Done()
+	open(t, pool, address)
+	assert.Equal(t, uint64(2), pool.Stats().Dialed)
+}
+
+func TestBytesThatAreNoAnswerAreABreak(t *testing.T) {
+	address, conns := newPeer(t)
+	c := open(t, newTestPool(t), address)
+	require.NoError(t, c.Send(message("a", "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	peer.write(t, "garbage\r\n\r\n")
+	_, _, err := receive(t, c, "a")
+	assert.ErrorIs(t, err, willowwick.ErrBroken)
+}
+
+func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
+	address, conns := newPeer(t)
+	pool := newTestPool(t)
+	c := open(t, pool, address)
+	require.NoError(t, c.Send(message("a", "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	peer.write(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
+	require.NoError(t, peer.Close())
+	_, body, err := receive(t, c, "a")
+	require.NoError(t, err)
+	assert.Equal(t, "all of it", body)
+}
+
+func TestResetWithinAnUnframedAnswerIsNoEnd(t *testing.T) {
+	address, conns := newPeer(t)
+	c := open(t, newTestPool(t), address)
+	require.NoError(t, c.Send(message("a", "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	peer.write(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
+	time.Sleep(20 * time.Millisecond)
+	tcp, ok := peer.Conn.(*net.TCPConn)
+	require.True(t, ok)
+	require.NoError(t, tcp.SetLinger(0))
+	require.NoError(t, tcp.Close())
+	_, _, err := receive(t, c, "a")
+	assert.Error(t, err)
+}
+
+func TestSilenceIsToldAndTheAnswerStillComes(t *testing.T) {
+	address, conns := newPeer(t)
+	c := open(t, newTestPool(t), address)
+	require.NoError(t, c.Send(message("a", "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	_, err := c.Receive(http.MethodPost, time.Now().Add(30*time.Millisecond), time.Now().Add(second), belongsTo("a"))
+	require.ErrorIs(t, err, ErrSilent)
+	peer.write(t, whole("a", "ok"))
+	_, body, err := receive(t, c, "a")
+	require.NoError(t, err)
+	assert.Equal(t, "ok", body)
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	_, err := newTestPool(t).Open(context.Background(), "127.0.0.1:1")
+	assert.ErrorIs(t, err, willowwick.ErrNotSent)
+}
+
+func TestHopHeadersAreTakenOut(t *testing.T) {
+	header := http.Header{"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Keep-Alive": {"timeout=1"}, "Upgrade": {"h2c"}, "Kept": {"1"}}
+	StripHop(header)
+	assert.Equal(t, http.Header{"Kept": {"1"}}, header)
+}
+
+func TestIdleTimeIsTheEndpoints(t *testing.T) {
+	assert.Equal(t, 5*second-idleMargin, idleTime("timeout=5, max=100"))
+	assert.Equal(t, quietIdle, idleTime(""))
+	assert.Equal(t, quietIdle, idleTime("timeout=x"))
+}
