Releases that were rolled back stay out of use in later roll-outs; orders have places

Bans are kept beside the roll-outs and pass between boxes. Seen on the way: a box that lags behind could bring an older order back; orders now carry their place among the declarations. Tests fail without either.

--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -39,6 +39,7 @@
 		Known        []string // addresses of boxes
 		Evidence     []EvidenceRow
 		Progress     []ProgressRow
+		Banned       []releaseKey
 		Asks         bool // wants endpoints, since it does not reach the store
 		EndpointsAt  willowwick.Offset
 	}
@@ -174,6 +175,7 @@
 	for _, address := range digest.Known {
 		p.nameOnce(address, now)
 	}
+	p.router.releases.takeBans(digest.Banned)
 	for _, row := range digest.Progress {
 		p.router.releases.begin(row.Order, time.Duration(row.AgeMs)*time.Millisecond, now)
 		p.router.releases.settle(row.Status, false, "peer "+string(digest.Box))
@@ -234,7 +236,7 @@
 func (p *peers) digest(now time.Time) Digest {
 	x := p.router
 	digest := Digest{
-		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
+		Banned: x.releases.bans(), Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
 		TableVersion: x.configVersion(), Asks: x.sync.isStale(now), EndpointsAt: x.sync.endpointsAt(),
 	}
 	for key, counts := range x.releases.evidence() {
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +49,12 @@
 		Route   willowwick.RouteID
 	}
 
+	// releaseKey names a release of a service.
+	releaseKey struct {
+		Service willowwick.ServiceID
+		Release willowwick.ReleaseID
+	}
+
 	// typicalKey names answers that usually take alike.
 	typicalKey struct {
 		route willowwick.RouteID
@@ -69,6 +77,7 @@
 
 		mu       sync.Mutex
 		moves    map[willowwick.ServiceID]*move
+		banned   map[releaseKey]bool // releases that were rolled back, or given up for a later order
 		own      map[evidenceKey]rollout.Evidence
 		typical  map[typicalKey]float64 // seconds
 		sessions map[string]sessionSeen
@@ -94,7 +103,7 @@
 	releaseChoice struct {
 		release   willowwick.ReleaseID // the target of a roll-out; empty if there is none
 		useTarget bool
-		strict    bool // never the others
+		banned    []willowwick.ReleaseID
 	}
 )
 
@@ -102,6 +111,7 @@
 	return &releases{
 		settings: settings,
 		moves:    map[willowwick.ServiceID]*move{},
+		banned:   map[releaseKey]bool{},
 		own:      map[evidenceKey]rollout.Evidence{},
 		typical:  map[typicalKey]float64{},
 		sessions: map[string]sessionSeen{},
@@ -110,12 +120,12 @@
 
 // allows reports whether the endpoint has the release that was chosen.
 func (c releaseChoice) allows(endpoint willowwick.Endpoint) bool {
-	return c.release == "" || (endpoint.Release == c.release) == c.useTarget
+	return c.otherwise(endpoint) && (c.release == "" || (endpoint.Release == c.release) == c.useTarget)
 }
 
 // otherwise allows what is used if no endpoint has the chosen release.
-func (c releaseChoice) otherwise(willowwick.Endpoint) bool {
-	return !c.strict
+func (c releaseChoice) otherwise(endpoint willowwick.Endpoint) bool {
+	return !slices.Contains(c.banned, endpoint.Release)
 }
 
 // begin takes an order; age is how long ago it was given, as far as is known.
@@ -123,12 +133,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.moves[order.Service]
-	if m != nil && m.order.Target == order.Target {
-		if began := now.Add(-age); began.Before(m.began) {
+	if m != nil && m.order.At >= order.At {
+		if began := now.Add(-age); m.order.At == order.At && began.Before(m.began) {
 			m.began = began
 		}
 		return
 	}
+	if m != nil && m.state == willowwick.ReleaseRunning {
+		// Its sessions go back to what the others use; only one release is tried at a time.
+		r.ban(order.Service, m.order.Target)
+	}
+	delete(r.banned, releaseKey{order.Service, order.Target})
 	r.moves[order.Service] = &move{
 		order: order, began: now.Add(-age), state: willowwick.ReleaseRunning,
 		monitors: map[willowwick.RouteID]*rollout.Monitor{}, seen: map[evidenceKey]rollout.Evidence{},
@@ -153,6 +168,7 @@
 	// What the store holds goes before what this box believes.
 	if written || m.state == willowwick.ReleaseRunning {
 		m.state, m.written = status.State, written
+		r.noteBan(m)
 	}
 	if news {
 		slog.Info("roll-out ended", "service", status.Service, "release", status.Target, "state", m.state, "source", source)
@@ -160,6 +176,37 @@
 	return news
 }
 
+// noteBan keeps a release that was rolled back out of use, whatever is ordered after it.
+func (r *releases) noteBan(m *move) {
+	if m.state == willowwick.ReleaseRolledBack {
+		r.ban(m.order.Service, m.order.Target)
+	} else {
+		delete(r.banned, releaseKey{m.order.Service, m.order.Target})
+	}
+}
+
+func (r *releases) ban(service willowwick.ServiceID, release willowwick.ReleaseID) {
+	r.banned[releaseKey{service, release}] = true
+}
+
+// bans lists the releases that are out of use.
+func (r *releases) bans() []releaseKey {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.banned))
+}
+
+// takeBans takes what another box keeps out of use, unless this box has a roll-out to it.
+func (r *releases) takeBans(bans []releaseKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range bans {
+		if m := r.moves[key.Service]; m == nil || m.order.Target != key.Release {
+			r.banned[key] = true
+		}
+	}
+}
+
 // choose decides whether a request goes to the target of a roll-out.
 func (r *releases) choose(service willowwick.ServiceID, session string, now time.Time) releaseChoice {
 	r.mu.Lock()
@@ -169,6 +216,11 @@
 	if m != nil {
 		choice = r.chooseIn(m, session, now)
 	}
+	for banned := range r.banned {
+		if banned.Service == service {
+			choice.banned = append(choice.banned, banned.Release)
+		}
+	}
 	key := string(service) + "/" + session
 	r.sessions[key] = sessionSeen{target: choice.useTarget, until: now.Add(r.settings.Session)}
 	return choice
@@ -178,7 +230,6 @@
 	choice := releaseChoice{release: m.order.Target}
 	switch m.state {
 	case willowwick.ReleaseRolledBack:
-		choice.strict = true
 		return choice
 	case willowwick.ReleaseCompleted:
 		choice.useTarget = true
@@ -283,6 +334,7 @@
 		}
 		if cause, isBad := m.judge(service, fleet); isBad {
 			m.state = willowwick.ReleaseRolledBack
+			r.noteBan(m)
 			bad = append(bad, willowwick.ReleaseStatus{Service: service, Target: m.order.Target, State: m.state})
 			slog.Info("release is bad", "service", service, "release", m.order.Target, "cause", cause,
 				"answers", m.requests, "age_ms", now.Sub(m.began).Milliseconds())
--- /dev/null
+++ b/exchange/release_test.go
@@ -0,0 +1,170 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/rollout"
+)
+
+const testPeriod = 20 * time.Second
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func orderOf(release string, at willowwick.Offset) willowwick.ReleaseOrder {
+	return willowwick.ReleaseOrder{Service: "work", Target: willowwick.ReleaseID(release), Period: testPeriod, At: at}
+}
+
+func at(part float64) time.Time {
+	return testStart.Add(time.Duration(part * float64(testPeriod)))
+}
+
+func newTestReleases() *releases {
+	return newReleases(ReleaseSettings{Session: 5 * time.Second})
+}
+
+func on(release string) willowwick.Endpoint {
+	return willowwick.Endpoint{Service: "work", Release: willowwick.ReleaseID(release)}
+}
+
+// shareOf is the part of new sessions that goes to the target of a roll-out.
+func shareOf(r *releases, now time.Time, name string) float64 {
+	const sessions = 2000
+	n := 0
+	for i := range sessions {
+		if r.choose("work", fmt.Sprint(name, i), now).useTarget {
+			n++
+		}
+	}
+	return float64(n) / sessions
+}
+
+// fleetEvidence counts answers of the target and of the others on one route.
+func fleetEvidence(target, others rollout.Evidence) map[evidenceKey]rollout.Evidence {
+	return map[evidenceKey]rollout.Evidence{
+		{"work", "v2", "r"}: target,
+		{"work", "v1", "r"}: others,
+	}
+}
+
+func TestNewReleaseGetsFewSessionsFirstAndAllAtTheEnd(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	assert.InDelta(t, canaryShare, shareOf(r, at(0.1), "a"), 0.02)
+	r.judge(fleetEvidence(rollout.Evidence{Requests: 100}, rollout.Evidence{Requests: 1000}), at(0.2))
+	assert.InDelta(t, canaryShare, shareOf(r, at(0.45), "b"), 0.02)
+	assert.Greater(t, shareOf(r, at(0.6), "c"), 0.25)
+	assert.InDelta(t, 1, shareOf(r, at(0.75), "d"), 0)
+}
+
+func TestReleaseWithoutEvidenceWaitsAsACanary(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	assert.InDelta(t, canaryShare, shareOf(r, at(0.8), "a"), 0.02)
+}
+
+func TestSessionsStayInTheFirstHalfAndDoNotGoBackAfterIt(t *testing.T) {
+	r := newTestReleases()
+	early := at(0).Add(-time.Second)
+	for i := range 500 {
+		require.False(t, r.choose("work", fmt.Sprint(i), early).useTarget)
+	}
+	r.begin(orderOf("v2", 1), 0, testStart)
+	r.judge(fleetEvidence(rollout.Evidence{Requests: 100}, rollout.Evidence{Requests: 1000}), at(0.1))
+	for step := 0.02; step < canaryEnd; step += 0.02 {
+		for i := range 500 {
+			require.False(t, r.choose("work", fmt.Sprint(i), at(step)).useTarget, "a session moved in the first half")
+		}
+	}
+	moved := map[int]bool{}
+	for step := canaryEnd; step < 1; step += 0.02 {
+		for i := range 500 {
+			useTarget := r.choose("work", fmt.Sprint(i), at(step)).useTarget
+			require.False(t, moved[i] && !useTarget, "a session went back")
+			moved[i] = useTarget
+		}
+	}
+}
+
+func TestBadReleaseIsFoundAndLeft(t *testing.T) {
+	for name, bad := range map[string]rollout.Evidence{
+		"errors": {Requests: 24, Errors: 10},
+		"slow":   {Requests: 40, Slow: 30},
+	} {
+		r := newTestReleases()
+		r.begin(orderOf("v2", 1), 0, testStart)
+		good := rollout.Evidence{Requests: 400, Errors: 4, Slow: 8}
+		r.judge(fleetEvidence(rollout.Evidence{}, good), at(0.01))
+		found := r.judge(fleetEvidence(bad, good.Add(good)), at(0.1))
+		require.Len(t, found, 1, name)
+		assert.Equal(t, willowwick.ReleaseRolledBack, found[0].State)
+		assert.InDelta(t, 0, shareOf(r, at(0.2), "a"), 0)
+		assert.False(t, r.choose("work", "s", at(0.2)).allows(on("v2")))
+		assert.False(t, r.choose("work", "s", at(0.2)).otherwise(on("v2")), "not even where there is no other")
+	}
+}
+
+func TestGoodReleaseIsNotTakenForBad(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	var target, others rollout.Evidence
+	for step := range 100 {
+		target = target.Add(rollout.Evidence{Requests: 8, Errors: uint64(step % 2), Slow: uint64(step % 3 / 2)})
+		others = others.Add(rollout.Evidence{Requests: 80, Errors: 5, Slow: 3})
+		require.Empty(t, r.judge(fleetEvidence(target, others), at(0.01*float64(step))))
+	}
+}
+
+// The runners of a release that was rolled back once got work again when the next roll-out began.
+func TestReleaseThatWasRolledBackStaysOutOfUseInTheNextRollOut(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseRolledBack}, true, "test")
+	r.begin(orderOf("v3", 2), 0, at(0.2))
+	for i := range 200 {
+		choice := r.choose("work", fmt.Sprint(i), at(0.3))
+		require.False(t, choice.allows(on("v2")))
+		require.False(t, choice.otherwise(on("v2")))
+	}
+	fresh := newTestReleases()
+	fresh.begin(orderOf("v3", 2), 0, at(0.3))
+	fresh.takeBans(r.bans())
+	assert.False(t, fresh.choose("work", "s", at(0.3)).allows(on("v2")), "a box that starts later hears of it")
+}
+
+func TestReleaseOfAnOrderThatWasReplacedIsGivenUp(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	r.begin(orderOf("v3", 2), 0, at(0.2))
+	assert.False(t, r.choose("work", "s", at(0.3)).allows(on("v2")))
+}
+
+// A box that lags behind once brought an older order back.
+func TestOlderOrderDoesNotComeBack(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v3", 2), 0, testStart)
+	r.begin(orderOf("v2", 1), time.Second, at(0.1))
+	assert.Equal(t, willowwick.ReleaseID("v3"), r.choose("work", "s", at(0.1)).release)
+}
+
+func TestAgeOfAnOrderIsThatOfTheBoxThatHeardItFirst(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, at(0.6))
+	r.begin(orderOf("v2", 1), time.Duration(0.6*float64(testPeriod)), at(0.6))
+	r.judge(fleetEvidence(rollout.Evidence{Requests: 100}, rollout.Evidence{Requests: 100}), at(0.6))
+	assert.Greater(t, shareOf(r, at(0.75), "a"), 0.99)
+}
+
+func TestStateInTheStoreGoesBeforeOwnBelief(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseRolledBack}, false, "peer")
+	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseCompleted}, true, "store")
+	choice := r.choose("work", "s", at(0.5))
+	assert.True(t, choice.useTarget)
+	assert.True(t, choice.allows(on("v2")))
+}
