Stand-ins for the platform's store and runners, real daemons tested against them; a found fault of a release is written

Found by the new test of processes: the box that leads marked the state that it had written before (running) as the written one, so a release that this very box found bad was never written as rolled back.

--- a/exchange/release.go
+++ b/exchange/release.go
@@ -333,7 +333,7 @@
 			continue
 		}
 		if cause, isBad := m.judge(service, fleet); isBad {
-			m.state = willowwick.ReleaseRolledBack
+			m.state, m.written = willowwick.ReleaseRolledBack, false
 			r.noteBan(m)
 			bad = append(bad, willowwick.ReleaseStatus{Service: service, Target: m.order.Target, State: m.state})
 			slog.Info("release is bad", "service", service, "release", m.order.Target, "cause", cause,
--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -168,3 +168,17 @@
 	assert.True(t, choice.useTarget)
 	assert.True(t, choice.allows(on("v2")))
 }
+
+// The box that leads once took the state that it had written before for the one that it found itself.
+func TestBoxThatFindsAReleaseBadWritesIt(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseRunning}, true, "written here")
+	require.Empty(t, r.due(at(0.1)))
+	good := rollout.Evidence{Requests: 400}
+	r.judge(fleetEvidence(rollout.Evidence{}, good), at(0.1))
+	require.Len(t, r.judge(fleetEvidence(rollout.Evidence{Requests: 20, Errors: 10}, good.Add(good)), at(0.2)), 1)
+	due := r.due(at(0.2))
+	require.Len(t, due, 1)
+	assert.Equal(t, willowwick.ReleaseRolledBack, due[0].State)
+}
--- /dev/null
+++ b/standin/batch.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// batchHeartbeat is how often a runner renews its entry.
+const batchHeartbeat = 200 * time.Millisecond
+
+type (
+	// BatchSettings describe a runner of the users' platform.
+	BatchSettings struct {
+		ID         string
+		Service    string
+		Hall       string
+		Address    string // host:port
+		Release    string
+		Slots      int
+		Events     int           // of each stream
+		EventPause time.Duration // setting
+	}
+
+	// BatchFaults are the troubles of a runner.
+	BatchFaults struct {
+		FailEvery  int // one in so many answers is a 500
+		BreakAfter int // streams break off after so many events
+		Full       bool
+	}
+
+	// BatchRunner stands in for a runner of the users' platform; it keeps its entry in a store.
+	BatchRunner struct {
+		settings BatchSettings
+		store    *Store
+		mu       sync.Mutex
+		faults   BatchFaults
+		leaving  bool
+		beats    int
+		running  int
+		answers  int
+		ran      map[string]int // how often each request has run
+		stop     chan struct{}
+	}
+
+	batchEntry struct {
+		Service string `json:"service"`
+		Address string `json:"address"`
+		Zone    string `json:"zone"`
+		Version string `json:"version"`
+		Slots   int    `json:"slots"`
+		State   string `json:"state"`
+		Beat    int    `json:"sequence"`
+	}
+)
+
+// NewBatchRunner returns a runner that keeps its entry, and a function that ends it without a word.
+func NewBatchRunner(settings BatchSettings, store *Store) (*BatchRunner, func()) {
+	b := &BatchRunner{settings: settings, store: store, ran: map[string]int{}, stop: make(chan struct{})}
+	go b.heartbeat()
+	return b, sync.OnceFunc(func() { close(b.stop) })
+}
+
+func (b *BatchRunner) heartbeat() {
+	ticker := time.NewTicker(batchHeartbeat)
+	defer ticker.Stop()
+	for {
+		b.beat()
+		select {
+		case <-b.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *BatchRunner) beat() {
+	b.mu.Lock()
+	b.beats++
+	state := "ready"
+	if b.leaving {
+		state = "draining"
+	}
+	entry := batchEntry{b.settings.Service, b.settings.Address, b.settings.Hall, b.settings.Release, b.settings.Slots, state, b.beats}
+	b.mu.Unlock()
+	// An entry that cannot be encoded would be a fault of this file; the store itself takes all.
+	_ = b.store.Put("keyed.servers", b.settings.ID, entry)
+}
+
+// Leave says that the runner is leaving.
+func (b *BatchRunner) Leave() {
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	b.beat()
+}
+
+// SetFaults changes the runner's troubles.
+func (b *BatchRunner) SetFaults(faults BatchFaults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = faults
+}
+
+// Ran tells how often each request has run here.
+func (b *BatchRunner) Ran() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ran := make(map[string]int, len(b.ran))
+	for id, n := range b.ran {
+		ran[id] = n
+	}
+	return ran
+}
+
+// ServeHTTP implements http.Handler.
+func (b *BatchRunner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.settings.ID {
+		w.Header().Set("Instance-Id", b.settings.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	number, faults, taken := b.begin(id)
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", number, b.settings.Slots))
+	if !taken {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer b.end()
+	w.Header().Set("Response-Seal", b.settings.ID+"."+id)
+	if faults.FailEvery > 0 && number%faults.FailEvery == 0 {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if r.Header.Get("Accept") == "text/event-stream" {
+		b.stream(w, r, faults)
+		return
+	}
+	_, _ = io.WriteString(w, "answer of "+id)
+}
+
+func (b *BatchRunner) begin(id string) (number int, faults BatchFaults, taken bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.faults.Full || b.running >= b.settings.Slots {
+		return b.running, b.faults, false
+	}
+	b.running++
+	b.answers++
+	b.ran[id]++
+	return b.answers, b.faults, true
+}
+
+func (b *BatchRunner) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+}
+
+// BatchEvent is the text of one event of a stream.
+func BatchEvent(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", number, id, number)
+}
+
+func (b *BatchRunner) stream(w http.ResponseWriter, r *http.Request, faults BatchFaults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Confidence", confidenceOf(r.Header.Get("Model")))
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for number := from + 1; number <= b.settings.Events; number++ {
+		if faults.BreakAfter > 0 && from == 0 && number > faults.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, BatchEvent(r.Header.Get("Attempt-Id"), number)); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		time.Sleep(b.settings.EventPause)
+	}
+}
+
+// confidenceOf lets small models doubt their answers.
+func confidenceOf(model string) string {
+	if strings.HasPrefix(model, "small") {
+		return "10"
+	}
+	return "95"
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,337 @@
+package standin
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// maxStoreCall bounds what one call may append.
+	maxStoreCall = 2 << 20
+	// storePoll is how often a read that waits looks again.
+	storePoll = 5 * time.Millisecond
+	// lengthBytes is the length in front of each record on the wire.
+	lengthBytes = 4
+)
+
+type (
+	// StoreFaults are the troubles of the users' platform's store.
+	StoreFaults struct {
+		Down       bool
+		LoseAnswer int // writes that take effect and are not answered
+	}
+
+	// Store stands in for the users' platform's store: topics of records and groups of members.
+	Store struct {
+		mu     sync.Mutex
+		faults StoreFaults
+		topics map[string]*storeTopic
+		groups map[string]*storeGroup
+		calls  map[string]int
+		mux    *http.ServeMux
+	}
+
+	storeTopic struct {
+		first   uint64
+		records [][]byte
+		newest  map[string]storeRecord
+	}
+
+	storeRecord struct {
+		value  []byte
+		offset uint64
+	}
+
+	storeGroup struct {
+		generation uint64
+		members    map[string]time.Time // until when each is a member
+		topic      string
+	}
+
+	storeJoin struct {
+		Group  string   `json:"group"`
+		Member string   `json:"member"`
+		Topics []string `json:"topics"`
+		TTLMs  int64    `json:"ttl-ms"`
+	}
+
+	storeItem struct {
+		Key    string `json:"key-file"`
+		Value  string `json:"value"`
+		Offset uint64 `json:"offset"`
+	}
+)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	s := &Store{topics: map[string]*storeTopic{}, groups: map[string]*storeGroup{}, calls: map[string]int{}, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /log-append", s.appendRecords)
+	s.mux.HandleFunc("GET /log-read", s.read)
+	s.mux.HandleFunc("GET /log-newest", s.readNewest)
+	s.mux.HandleFunc("POST /log-join", s.join)
+	s.mux.HandleFunc("POST /log-leave", s.leave)
+	s.mux.HandleFunc("GET /log-owners", s.owners)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	down := s.faults.Down
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// SetFaults changes the store's troubles.
+func (s *Store) SetFaults(faults StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Calls is how often a call was made.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes the value of a key as the operator or an endpoint does; no value drops the key.
+func (s *Store) Put(topic, key string, value any) error {
+	var data []byte
+	if value != nil {
+		var err error
+		if data, err = json.Marshal(value); err != nil {
+			return err
+		}
+	}
+	record := append([]byte{byte(len(key))}, key...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic(topic).append(append(record, data...))
+	return nil
+}
+
+// Get returns the newest value of a key.
+func (s *Store) Get(topic, key string) (value []byte, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record, found := s.topic(topic).newest[key]
+	return record.value, found
+}
+
+// Forget drops the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	t.first += uint64(len(t.records))
+	t.records = nil
+}
+
+func (s *Store) topic(name string) *storeTopic {
+	t := s.topics[name]
+	if t == nil {
+		t = &storeTopic{newest: map[string]storeRecord{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (t *storeTopic) end() uint64 {
+	return t.first + uint64(len(t.records))
+}
+
+func (t *storeTopic) append(record []byte) {
+	keyEnd := 1 + int(record[0])
+	key, value := string(record[1:keyEnd]), record[keyEnd:]
+	if len(value) == 0 {
+		delete(t.newest, key)
+	} else {
+		t.newest[key] = storeRecord{value: value, offset: t.end()}
+	}
+	t.records = append(t.records, record)
+}
+
+func (s *Store) appendRecords(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxStoreCall))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	if wanted := r.URL.Query().Get("store-revision"); wanted != "" && wanted != strconv.FormatUint(t.end(), 10) {
+		end := t.end()
+		s.mu.Unlock()
+		writeStatus(w, http.StatusPreconditionFailed, map[string]uint64{"end": end})
+		return
+	}
+	offset := t.end()
+	for len(body) > lengthBytes {
+		size := int(binary.BigEndian.Uint32(body))
+		t.append(body[lengthBytes : lengthBytes+size])
+		body = body[lengthBytes+size:]
+	}
+	end := t.end()
+	lose := s.faults.LoseAnswer > 0
+	if lose {
+		s.faults.LoseAnswer--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeStatus(w, http.StatusOK, map[string]uint64{"offset": offset, "end": end})
+}
+
+func writeStatus(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller sees a broken answer; a stand-in has nobody else to tell.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(query.Get("wait-ms"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(query.Get("topic"))
+		first, end, down := t.first, t.end(), s.faults.Down
+		var records [][]byte
+		if from >= first && from <= end {
+			records = t.records[from-first:]
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			panic(http.ErrAbortHandler)
+		case from < first:
+			writeStatus(w, http.StatusGone, map[string]uint64{"first": first})
+			return
+		case len(records) > 0 || time.Now().After(until) || r.Context().Err() != nil:
+			writeRecords(w, end, first, records)
+			return
+		}
+		time.Sleep(storePoll)
+	}
+}
+
+func writeRecords(w http.ResponseWriter, end, first uint64, records [][]byte) {
+	data := binary.BigEndian.AppendUint64(nil, end)
+	data = binary.BigEndian.AppendUint64(data, first)
+	for _, record := range records {
+		data = binary.BigEndian.AppendUint32(data, uint32(len(record)))
+		data = append(data, record...)
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *Store) readNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	items := []storeItem{}
+	for key, record := range t.newest {
+		items = append(items, storeItem{key, base64.StdEncoding.EncodeToString(record.value), record.offset})
+	}
+	end := t.end()
+	s.mu.Unlock()
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	writeStatus(w, http.StatusOK, struct {
+		Items []storeItem `json:"items"`
+		More  bool        `json:"has-more"`
+		End   uint64      `json:"end"`
+	}{items, false, end})
+}
+
+func (s *Store) join(w http.ResponseWriter, r *http.Request) {
+	var call storeJoin
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil || len(call.Topics) == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	g := s.groups[call.Group]
+	if g == nil {
+		g = &storeGroup{members: map[string]time.Time{}, topic: call.Topics[0]}
+		s.groups[call.Group] = g
+	}
+	if _, known := g.members[call.Member]; !known {
+		g.generation++
+	}
+	g.members[call.Member] = time.Now().Add(time.Duration(call.TTLMs) * time.Millisecond)
+	g.expire()
+	var parts [][]any
+	if g.leader() == call.Member {
+		parts = append(parts, []any{g.topic, 0, 0})
+	}
+	generation := g.generation
+	s.mu.Unlock()
+	writeStatus(w, http.StatusOK, map[string]any{"generation": generation, "ttl-ms": call.TTLMs, "parts": parts})
+}
+
+func (g *storeGroup) expire() {
+	for member, until := range g.members {
+		if time.Now().After(until) {
+			delete(g.members, member)
+			g.generation++
+		}
+	}
+}
+
+// leader is the member that holds the only part.
+func (g *storeGroup) leader() string {
+	leader := ""
+	for member := range g.members {
+		if leader == "" || member < leader {
+			leader = member
+		}
+	}
+	return leader
+}
+
+func (s *Store) leave(w http.ResponseWriter, r *http.Request) {
+	var call storeJoin
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	if g := s.groups[call.Group]; g != nil {
+		delete(g.members, call.Member)
+		g.generation++
+	}
+	s.mu.Unlock()
+	writeStatus(w, http.StatusOK, struct{}{})
+}
+
+func (s *Store) owners(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	var rows [][]any
+	if g := s.groups[r.URL.Query().Get("group")]; g != nil {
+		for member := range g.members {
+			rows = append(rows, []any{g.topic, 0, member, 0})
+		}
+	}
+	s.mu.Unlock()
+	writeStatus(w, http.StatusOK, map[string]any{"parts": rows})
+}
