--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -90,7 +90,7 @@
 	bounds := settings.Bounds
 	return exchange.Settings{
 		Box: settings.Box, Hall: settings.Hall, Boot: newBoot(), Peers: settings.Peers, Key: []byte(o.key),
-		Seeds: settings.Seeds, Seed: binary.BigEndian.Uint64(seed[:]), Confidence: o.confidence,
+		Seeds: settings.Seeds, Seed: binary.BigEndian.Uint64(seed[:]), Confidence: o.confidence, LateConfidence: o.lateConfidence,
 		Repeats:  route.RepeatLimits{Ratio: bounds.RepeatRatio, Slack: bounds.RepeatSlack, Window: bounds.RepeatWindow},
 		Releases: exchange.ReleaseSettings{Session: bounds.Session},
 		Grace:    bounds.Grace, Drain: bounds.Drain, TurnAway: exchange.DefaultTurnAway,
--- a/cmd/willowwickd/options.go
+++ b/cmd/willowwickd/options.go
@@ -26,6 +26,8 @@
 	// defaultConfidence is where the price of a larger model's run meets what its answers are worth (docs/design/0005).
 	defaultConfidence = 50
 	highestConfidence = 100
+	// defaultLateConfidence is where an answer that comes late is worth no more than a doubtful one in time.
+	defaultLateConfidence = 15
 )
 
 // options are the settings as flags and environment variables give them.
@@ -44,7 +46,7 @@
 	logLevel, logFormat             string
 	checkOnly                       bool
 	nodeFile                        string
-	confidence                      int
+	confidence, lateConfidence      int
 }
 
 func (o *options) register(flags *flag.FlagSet) {
@@ -72,6 +74,7 @@
 	flags.StringVar(&o.logFormat, "log-format", formatText, "text or json")
 	flags.StringVar(&o.nodeFile, "node-file", "", "settings file of the users' platform; serves opaque requests there")
 	flags.IntVar(&o.confidence, "confidence", defaultConfidence, "a small model's answer below this is given up for the largest model's, 0 to 100")
+	flags.IntVar(&o.lateConfidence, "late-confidence", defaultLateConfidence, "the same where the largest model's answer would come after the route's goal")
 	flags.BoolVar(&o.checkOnly, "check", false, "check the settings and exit")
 }
 
@@ -93,8 +96,10 @@
 		required("peer-address", o.peerAddress, "10.0.0.5:8081")
 		required("platform", o.platform, "http://10.0.0.1:9000")
 	}
-	if o.confidence < 0 || o.confidence > highestConfidence {
-		report("-confidence must be from 0 to %d, is %d", highestConfidence, o.confidence)
+	for name, value := range map[string]int{"confidence": o.confidence, "late-confidence": o.lateConfidence} {
+		if value < 0 || value > highestConfidence {
+			report("-%s must be from 0 to %d, is %d", name, highestConfidence, value)
+		}
 	}
 	for name, address := range map[string]string{
 		"listen": o.listen, "peer-listen": o.peerListen, "admin-listen": o.adminListen, "peer-address": o.peerAddress,
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -25,6 +25,8 @@
 	queueShare = 0.25
 	// comeBack is when a caller should return after a refusal: most places are free again by then.
 	comeBack = 300 * time.Millisecond
+	// comeBackElsewhere is when a caller should return after a refusal by a box that stops: at once, to another.
+	comeBackElsewhere = 50 * time.Millisecond
 	// comeBackLater is when a caller should return to a box that knows no configuration or endpoint yet.
 	comeBackLater = time.Second
 	// defaultTimeout holds for routes that declare none.
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -29,6 +29,10 @@
 	leaveEarly = 600 * time.Millisecond
 	// DefaultTurnAway is how long the entry takes to see that a box is not ready, and callers to finish what they began.
 	DefaultTurnAway = 2500 * time.Millisecond
+	// quietPoll is how often a stopping box looks whether requests are under way.
+	quietPoll = 20 * time.Millisecond
+	// callerServer is the place of the server for callers among the servers.
+	callerServer = 0
 	// leaveLimit is how long leaving the group may take.
 	leaveLimit = 300 * time.Millisecond
 )
@@ -140,12 +144,17 @@
 	x.stopping.Store(true)
 	d.leaveGroup()
 	limit := began.Add(x.settings.Grace - leaveEarly)
+	x.stopAt.Store(limit.UnixNano())
 	sleepUntil(earliest(began.Add(x.settings.TurnAway), limit))
-	// Callers that rest on open connections find them closed, with nothing of theirs read; what is under way goes on.
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	if err := d.servers[0].Shutdown(ctx); err != nil {
-		slog.Info("requests were still under way at the end", "in_flight", x.inFlight.Load(), "error", err)
+	x.refusing.Store(true)
+	// Callers that rest on open connections find them closed, with nothing of theirs read. The listener stays: the
+	// entry uses boxes that are not ready where it has too few others.
+	d.servers[callerServer].SetKeepAlivesEnabled(false)
+	for time.Now().Before(limit) && x.inFlight.Load() > 0 {
+		time.Sleep(quietPoll)
+	}
+	if left := x.inFlight.Load(); left > 0 {
+		slog.Info("requests were still under way at the end", "in_flight", left)
 	}
 	slog.Info("planned stop ended", "ms", time.Since(began).Milliseconds())
 }
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -130,6 +130,7 @@
 		buffer = grow(buffer)
 		n, err := s.answer.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		s.ticket.Heard(time.Now())
 		whole := bytes.LastIndex(buffer, eventEnd) + len(eventEnd)
 		if whole >= len(eventEnd) {
 			if !s.passEvents(buffer[:whole]) {
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -26,7 +26,7 @@
 	plainlyBad      = 12
 	plainlyBadShare = 0.3
 	// typicalFade is how much of the usual time of an answer one answer replaces.
-	typicalFade = 0.05
+	typicalFade = 0.1
 	// hashParts is the resolution of shares of sessions.
 	hashParts = 10000
 )
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -18,6 +18,9 @@
 	startLimit = 64
 	// loadFresh is how long a load report counts: a runner's requests last about a second.
 	loadFresh = 1500 * time.Millisecond
+	// quietAfter is how long an endpoint with requests may say nothing before others are preferred: several times
+	// a plain service's usual work, and what a runner takes to read a long prompt.
+	quietAfter = 350 * time.Millisecond
 	// lowestPriority is the last rank that endpoints know.
 	lowestPriority = 9
 	// defaultBodyBytes bounds bodies where the configuration does not.
@@ -35,11 +38,13 @@
 		Seeds      []string
 		Seed       uint64
 		Confidence int // a small model's answer below this is given up for the largest model's
-		Repeats    route.RepeatLimits
-		Releases   ReleaseSettings
-		Grace      time.Duration // setting: from the signal to stop until the process is killed
-		TurnAway   time.Duration // setting: how long a stopping box waits for the entry to send callers elsewhere
-		Drain      time.Duration // setting: an endpoint that leaves gets nothing later than this
+		// LateConfidence takes the place of Confidence where the largest model's answer would come after the goal.
+		LateConfidence int
+		Repeats        route.RepeatLimits
+		Releases       ReleaseSettings
+		Grace          time.Duration // setting: from the signal to stop until the process is killed
+		TurnAway       time.Duration // setting: how long a stopping box waits for the entry to send callers elsewhere
+		Drain          time.Duration // setting: an endpoint that leaves gets nothing later than this
 	}
 
 	// Router answers opaque requests.
@@ -56,6 +61,8 @@
 		metrics  *routerMetrics
 		inFlight atomic.Int64
 		stopping atomic.Bool
+		refusing atomic.Bool  // only requests that are sure to end before stopAt are taken
+		stopAt   atomic.Int64 // nanoseconds since 1970
 
 		mu      sync.Mutex
 		budgets map[willowwick.ServiceID]*route.RepeatBudget
@@ -68,7 +75,7 @@
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
-			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true,
+			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter,
 		}),
 		releases: newReleases(settings.Releases),
 		budgets:  map[willowwick.ServiceID]*route.RepeatBudget{},
@@ -93,6 +100,11 @@
 			"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion())
 		return
 	}
+	if x.refusing.Load() && c.deadline.UnixNano() > x.stopAt.Load() {
+		x.refuse(out, willowwick.NotRun(willowwick.CodeStopping, arrived.Add(comeBackElsewhere), "this box is stopping"))
+		c.logEnd("refused", http.StatusServiceUnavailable, "cause", "this box is stopping")
+		return
+	}
 	ctx, cancel := contextUntil(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -38,6 +38,12 @@
 	// is still in time. Runners that read long prompts are silent for longer, so streams wait for more of it.
 	silentShare       = 0.6
 	silentShareStream = 0.8
+	// muteShare is the multiple of the goal after which a request is sent elsewhere even though its endpoint goes on
+	// with others: the endpoint has lost it. Before that, one that works is only busy, and others would be too.
+	muteShare = 2.0
+	// easyShare is the part of the goal that must be left after the expected answer for the full threshold: answers
+	// vary about twofold around what is usual.
+	easyShare = 0.5
 	// stallShare is the multiple of the longest pause after which a stream is taken up elsewhere: a shorter
 	// silence is a runner that reads somebody's long prompt, and reading this one anew takes as long.
 	stallShare = 1.5
@@ -156,7 +162,7 @@
 	if err := s.receive(); err != nil {
 		return s.unanswered(err)
 	}
-	s.ticket.Begun()
+	s.ticket.Begun(time.Now())
 	return s.judge()
 }
 
@@ -178,21 +184,14 @@
 
 // receive reads the head of the answer; a silent endpoint is left if another may be tried.
 func (s *send) receive() error {
-	silentAt := s.deadline
-	if s.route.Repeatable {
-		share := silentShare
-		if s.route.Stream {
-			share = silentShareStream
-		}
-		silentAt = earliest(silentAt, s.sentAt.Add(scale(s.route.Goal, share)))
-	}
+	silentAt := s.silentAt()
 	for {
 		answer, err := s.conn.Receive(s.message.Method, silentAt, s.deadline, s.belongs)
 		if errors.Is(err, wire.ErrSilent) && silentAt.Before(s.deadline) {
-			if s.mayRunAgain() && s.router.hasRepeat(s.call, time.Now()) && s.router.hasOther(s.call, s.ticket.Endpoint.ID) {
+			if s.isLost(time.Now()) {
 				return err
 			}
-			silentAt = s.deadline
+			silentAt = earliest(s.deadline, silentAt.Add(quietAfter))
 			continue
 		}
 		if err != nil {
@@ -208,6 +207,29 @@
 	}
 }
 
+// silentAt is when it is first asked whether the endpoint should be left.
+func (s *send) silentAt() time.Time {
+	if !s.route.Repeatable {
+		return s.deadline
+	}
+	share := silentShare
+	if s.route.Stream {
+		share = silentShareStream
+	}
+	return earliest(s.deadline, s.sentAt.Add(scale(s.route.Goal, share)))
+}
+
+// isLost decides whether a silent endpoint is left for another.
+func (s *send) isLost(now time.Time) bool {
+	if !s.mayRunAgain() || !s.router.hasRepeat(s.call, now) || !s.router.hasOther(s.call, s.ticket.Endpoint.ID) {
+		return false
+	}
+	if !s.route.Stream || now.Sub(s.sentAt) > scale(s.route.Goal, muteShare) {
+		return true
+	}
+	return s.ticket.IsQuiet(now)
+}
+
 func (s *send) belongs(header http.Header) bool {
 	id := s.router.codec.DecodeAnswer(header, s.sentAt).Request
 	return id == "" || id == s.call.head.ID
@@ -273,13 +295,27 @@
 	if c.model == noModel || c.model == len(c.route.Models)-1 || s.answer.Status != http.StatusOK || c.out.begun {
 		return false
 	}
-	if s.head.Confidence == willowwick.NoConfidence || s.head.Confidence >= s.router.settings.Confidence {
+	if s.head.Confidence == willowwick.NoConfidence {
 		return false
 	}
 	now := time.Now()
+	if s.head.Confidence >= s.confidenceNeeded(now) {
+		return false
+	}
 	return c.runs < c.route.MaxRuns && now.Before(c.deadline) && s.router.takeRepeat(c, route.RepeatEscalation, now)
 }
 
+// confidenceNeeded falls from one setting to the other as the large model's answer is expected later: one that
+// comes after the goal is worth less than a doubtful one in time.
+func (s *send) confidenceNeeded(now time.Time) int {
+	settings := s.router.settings
+	largest := s.route.Models[len(s.route.Models)-1]
+	expected := now.Sub(s.arrived) + s.router.releases.usual(s.route.Name, largest)
+	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
+	ease := min(max(left/easyShare, 0), 1)
+	return settings.LateConfidence + int(ease*float64(settings.Confidence-settings.LateConfidence))
+}
+
 // observe counts the answer as evidence on the endpoint's release.
 func (s *send) observe(isError bool) {
 	s.router.releases.observe(observation{
--- a/route/hall.go
+++ b/route/hall.go
@@ -7,11 +7,14 @@
 )
 
 const (
-	// otherHallLoad is the load, as a share of the slots, that a request rather joins than leave its hall:
-	// bytes between halls cost more than the wait behind half of a runner's slots.
+	// otherHallLoad is the load that a request rather joins than leave its hall: bytes between halls cost more
+	// than the wait behind half of what an endpoint does well at once.
 	otherHallLoad = 0.5
+	// busySlots is how many requests at once an endpoint does well, however many slots it has: a batch makes each
+	// token slower, and long prompts hold up all of them.
+	busySlots = 16
 	// ownerBonus is what the owner of a prompt's shared part may be more loaded than the others.
-	ownerBonus = 0.1
+	ownerBonus = 0.15
 	// failingWeight turns the share of failed calls into load.
 	failingWeight = 3.0
 )
@@ -54,9 +57,10 @@
 	return best
 }
 
+// score is how much work stands before a new request, in shares of what an endpoint does well at once.
 func (p *HallFirst) score(c willowwick.Candidate) float64 {
-	slots := max(c.Load.Slots, 1)
-	score := loadOf(c) + c.Pending/float64(slots) + failingWeight*c.Failing
+	taken := max(float64(c.Load.Running+c.Load.Waiting+c.Recent), float64(c.InFlight)) + c.Pending
+	score := taken/float64(min(max(c.Load.Slots, 1), busySlots)) + failingWeight*c.Failing
 	if c.Hall != p.Hall {
 		score += otherHallLoad
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -14,6 +14,7 @@
 const (
 	ringPoints     = 16
 	suspectFor     = 2 * time.Second
+	suspectMost    = 16 * time.Second
 	suspectAfter   = 3 // failures in a row
 	startLimit     = 4
 	limitDecrease  = 0.7
@@ -46,6 +47,8 @@
 		LoadFresh  time.Duration // setting: how long a load report counts
 		// TrustLast gives work to endpoints under suspicion where there are no others; the caller bounds its tries.
 		TrustLast bool
+		// QuietAfter is how long an endpoint with work may say nothing before others are preferred; 0 never.
+		QuietAfter time.Duration // setting
 	}
 
 	// Place is one request's place at an endpoint.
@@ -71,7 +74,9 @@
 		hash         uint64
 		failing      float64
 		failingAt    time.Time
-		pending      float64 // slots' worth of work that was sent and not begun yet
+		heardAt      time.Time // last sign of life, or when it was given work after having none
+		trial        bool      // the suspicion has run out, and one request is to show whether it was right
+		pending      float64   // slots' worth of work that was sent and not begun yet
 	}
 
 	// row names the endpoints that can take the same work.
@@ -245,6 +250,14 @@
 	return p.inFlight
 }
 
+// isDoubtful reports whether the endpoint owes an answer for long, or is on trial after a suspicion.
+func (m *member) isDoubtful(now time.Time, options PoolOptions) bool {
+	if m.inFlight == 0 {
+		return false
+	}
+	return m.trial || now.Sub(m.heardAt) > options.QuietAfter
+}
+
 // AcquireVersion takes a place at a runner that serves the version; known tells
 // whether any runner serves it at all.
 func (p *Pool) AcquireVersion(now time.Time, version willowwick.VersionID, prefix uint64, exclude map[willowwick.EndpointID]bool) (place *Place, known bool) {
@@ -290,6 +303,9 @@
 		return nil, r.anyServing()
 	}
 	m := r.members[index]
+	if m.inFlight == 0 {
+		m.heardAt = now
+	}
 	m.inFlight++
 	m.recent++
 	p.busy[m] = true
@@ -335,17 +351,32 @@
 }
 
 // Begun notes that the request runs, and so counts as one slot.
-func (p *Place) Begun() {
+func (p *Place) Begun(now time.Time) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
+	p.member.heardAt = now
 	p.begun()
 }
 
+// Heard notes a sign of life of the endpoint.
+func (p *Place) Heard(now time.Time) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	p.member.heardAt = now
+}
+
 func (p *Place) begun() {
 	p.member.pending = max(0, p.member.pending-p.weight)
 	p.weight = 0
 }
 
+// IsQuiet reports whether the endpoint owes an answer and has said nothing for long.
+func (p *Place) IsQuiet(now time.Time) bool {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return now.Sub(p.member.heardAt) > p.pool.options.QuietAfter
+}
+
 // Release gives the place back with how the call ended; a second release changes nothing.
 func (p *Place) Release(now time.Time, outcome Outcome) {
 	p.pool.mu.Lock()
@@ -370,7 +401,7 @@
 func (m *member) learn(now time.Time, outcome Outcome) {
 	switch outcome {
 	case OutcomeGood:
-		m.failures = 0
+		m.failures, m.trial = 0, false
 		m.noteFailing(now, 0)
 		if m.limit < slowStartLimit {
 			m.limit += 1 / m.limit
@@ -381,14 +412,20 @@
 		m.limit = max(1, m.limit*limitDecrease)
 		m.failures++
 		m.noteFailing(now, 1)
-		if m.failures >= suspectAfter {
-			m.suspectUntil = now.Add(suspectFor)
+		if m.failures >= suspectAfter && !now.Before(m.suspectUntil) {
+			m.suspectUntil = now.Add(m.suspicion())
+			m.trial = true
 		}
 	case OutcomeError:
 		m.noteFailing(now, 1)
 	}
 }
 
+// suspicion doubles with each failure in a row beyond the first that were needed.
+func (m *member) suspicion() time.Duration {
+	return min(suspectMost, suspectFor<<min(m.failures-suspectAfter, 8))
+}
+
 func (m *member) noteFailing(now time.Time, value float64) {
 	m.failing = m.failingShare(now)
 	m.failing += failingFade * (value - m.failing)
@@ -415,6 +452,9 @@
 	if m.leaving || !trusting && now.Before(m.suspectUntil) {
 		return false
 	}
+	if !trusting && options.QuietAfter > 0 && m.isDoubtful(now, options) {
+		return false
+	}
 	fresh := m.load.Slots > 0 && now.Sub(m.load.At) < options.LoadFresh
 	if fresh {
 		// The report counts everybody's requests; what was sent since is known only of oneself.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -168,3 +168,61 @@
 		place.Release(noon, OutcomeGood)
 	}
 }
+
+// A runner that had gone without a word once got request after request, since it looked idle.
+func TestSilentEndpointIsAvoidedBeforeItsRequestsFail(t *testing.T) {
+	now := time.Unix(0, 0)
+	pool := NewPoolWith(NewHallFirst("h", 1), PoolOptions{StartLimit: 64, TrustLast: true, QuietAfter: 300 * time.Millisecond})
+	pool.Update([]willowwick.Endpoint{{ID: "dead", Service: "s", Hall: "h"}, {ID: "live", Service: "s", Hall: "h"}})
+	var dead, live []*Place
+	for len(dead) == 0 || len(live) == 0 {
+		place, _ := pool.AcquireService(now, "s", nil)
+		if place.Endpoint.ID == "dead" {
+			dead = append(dead, place)
+		} else {
+			live = append(live, place)
+		}
+	}
+	now = now.Add(400 * time.Millisecond)
+	live[0].Heard(now)
+	for range 20 {
+		place, _ := pool.AcquireService(now, "s", nil)
+		require.Equal(t, willowwick.EndpointID("live"), place.Endpoint.ID)
+	}
+	for _, place := range dead {
+		place.Release(now, OutcomeFailed)
+	}
+}
+
+func TestEndpointUnderSuspicionIsTriedByOneRequestAndLonger(t *testing.T) {
+	now := time.Unix(0, 0)
+	pool := NewPoolWith(NewHallFirst("h", 1), PoolOptions{StartLimit: 64, QuietAfter: 300 * time.Millisecond})
+	pool.Update([]willowwick.Endpoint{{ID: "e", Service: "s", Hall: "h"}})
+	fail := func() {
+		place, _ := pool.AcquireService(now, "s", nil)
+		require.NotNil(t, place)
+		place.Release(now, OutcomeFailed)
+	}
+	for range suspectAfter {
+		fail()
+	}
+	place, known := pool.AcquireService(now, "s", nil)
+	require.Nil(t, place)
+	require.True(t, known)
+	now = now.Add(suspectFor)
+	trial, _ := pool.AcquireService(now, "s", nil)
+	require.NotNil(t, trial)
+	second, _ := pool.AcquireService(now, "s", nil)
+	require.Nil(t, second, "one request tries the endpoint")
+	trial.Release(now, OutcomeFailed)
+	place, _ = pool.AcquireService(now.Add(suspectFor), "s", nil)
+	require.Nil(t, place, "the suspicion lasts longer each time")
+	now = now.Add(2 * suspectFor)
+	trial, _ = pool.AcquireService(now, "s", nil)
+	require.NotNil(t, trial)
+	trial.Release(now, OutcomeGood)
+	for range 3 {
+		place, _ = pool.AcquireService(now, "s", nil)
+		require.NotNil(t, place)
+	}
+}
