--- a/exchange/send.go
+++ b/exchange/send.go
@@ -41,6 +41,9 @@
 	// muteShare is the multiple of the goal after which a request is sent elsewhere even though its endpoint goes on
 	// with others: the endpoint has lost it. Before that, one that works is only busy, and others would be too.
 	muteShare = 2.0
+	// crowdedRunner is the number of requests at a runner from which on large models are asked less, not at all
+	// at twice as many: runs wait for each other's tokens there (bitola scale-1: 12 on a calm stretch, 30 when late).
+	crowdedRunner = 16.0
 	// easyShare is the part of the goal that must be left after the expected answer for the full threshold: answers
 	// vary about twofold around what is usual.
 	easyShare = 0.5
@@ -305,14 +308,16 @@
 	return c.runs < c.route.MaxRuns && now.Before(c.deadline) && s.router.takeRepeat(c, route.RepeatEscalation, now)
 }
 
-// confidenceNeeded falls from one setting to the other as the large model's answer is expected later: one that
-// comes after the goal is worth less than a doubtful one in time.
+// confidenceNeeded falls from one setting to the other as the large model's answer is expected later, and as the
+// runners get crowded: an answer that comes after the goal is worth less than a doubtful one in time, and a run of
+// the large model makes many others late.
 func (s *send) confidenceNeeded(now time.Time) int {
 	settings := s.router.settings
 	largest := s.route.Models[len(s.route.Models)-1]
 	expected := now.Sub(s.arrived) + s.router.releases.usual(s.route.Name, largest)
 	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
-	ease := min(max(left/easyShare, 0), 1)
+	crowd := s.router.pool.Crowd(now, s.service, s.choice.allows)
+	ease := min(max(min(left/easyShare, 2-crowd/crowdedRunner), 0), 1)
 	return settings.LateConfidence + int(ease*float64(settings.Confidence-settings.LateConfidence))
 }
 
