Crowded runners get fewer runs of the large model

The threshold of confidence now falls as runners hold more than 10 requests, besides falling with the time left.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -42,8 +42,8 @@
 	// with others: the endpoint has lost it. Before that, one that works is only busy, and others would be too.
 	muteShare = 2.0
 	// crowdedRunner is the number of requests at a runner from which on large models are asked less, not at all
-	// at twice as many: runs wait for each other's tokens there (bitola scale-1: 12 on a calm stretch, 30 when late).
-	crowdedRunner = 16.0
+	// at twice as many: runs wait for each other's tokens there (docs/design/0005 has the trials).
+	crowdedRunner = 10.0
 	// easyShare is the part of the goal that must be left after the expected answer for the full threshold: answers
 	// vary about twofold around what is usual.
 	easyShare = 0.5
