--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -153,8 +153,11 @@
 	for time.Now().Before(limit) && x.inFlight.Load() > 0 {
 		time.Sleep(quietPoll)
 	}
-	if left := x.inFlight.Load(); left > 0 {
-		slog.Info("requests were still under way at the end", "in_flight", left)
+	// A request may have been read since the last look: the server knows, and waits for it.
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	if err := d.servers[callerServer].Shutdown(ctx); err != nil {
+		slog.Info("requests were still under way at the end", "in_flight", x.inFlight.Load(), "error", err)
 	}
 	slog.Info("planned stop ended", "ms", time.Since(began).Milliseconds())
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -323,3 +323,24 @@
 	require.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "id", body).status)
 	assert.Equal(t, body, r.body[0])
 }
+
+// A request that was read just as the box found itself idle was once cut.
+func TestPlannedStopWaitsForARequestThatCameLast(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(30 * time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	for offset := -6; offset <= 6; offset++ {
+		s := newSite(t, r.endpoint("v1"))
+		go s.daemon.Drain()
+		time.Sleep(testSettings().TurnAway + time.Duration(offset)*time.Millisecond)
+		response, err := s.client.Do(s.request(t, http.MethodPost, "/once/", "id", "x", "T-Left", "1000"))
+		if err != nil {
+			continue // the connection was refused or closed with nothing read
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(body))
+	}
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -29,6 +29,8 @@
 	broken
 	// failed: the endpoint answered with a failure of its own.
 	failed
+	// abandoned: the request's time was up, or its caller left.
+	abandoned
 	// escalated: the answer of a small model was dropped for a larger one's.
 	escalated
 )
@@ -86,7 +88,7 @@
 
 var kindNames = map[sendKind]string{
 	answered: "answered", callerLeft: "caller left", notSent: "not sent", notRun: "not run",
-	silent: "silent", broken: "broken", failed: "failed", escalated: "escalated",
+	silent: "silent", broken: "broken", failed: "failed", abandoned: "abandoned", escalated: "escalated",
 }
 
 // refusal is what the caller is told if the request is given up after this send.
@@ -115,6 +117,7 @@
 	result := s.do()
 	if c.ctx.Err() != nil && result.kind != answered {
 		// What broke was the end of the request's time, not the endpoint.
+		result = sendResult{abandoned, c.ctx.Err()}
 		s.outcome = route.OutcomeCancelled
 		if s.answer == nil && c.timeIsUp() && s.conn != nil && !c.route.Stream {
 			s.outcome = route.OutcomeFailed
