A stopping box knows of requests from their first byte on

Cause, by the request's log: the server took a connection for idle while its request was being read, closed it (SetKeepAlivesEnabled, Shutdown), and the request's own context ended at once.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,8 +32,8 @@
 	DefaultTurnAway = 2500 * time.Millisecond
 	// quietPoll is how often a stopping box looks whether requests are under way.
 	quietPoll = 20 * time.Millisecond
-	// callerServer is the place of the server for callers among the servers.
-	callerServer = 0
+	// quietLooks is how many looks in a row must find nothing: bytes of a request may be on their way meanwhile.
+	quietLooks = 3
 	// leaveLimit is how long leaving the group may take.
 	leaveLimit = 300 * time.Millisecond
 )
@@ -54,6 +55,7 @@
 	Daemon struct {
 		router  *Router
 		outside Outside
+		callers *callerListener
 		servers []*http.Server
 		workers fleet.Workers
 		cancel  context.CancelFunc
@@ -66,7 +68,7 @@
 	x.sync = newSyncer(x, outside.Control)
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
-	return &Daemon{router: x, outside: outside}, func() {
+	return &Daemon{router: x, outside: outside, callers: &callerListener{Listener: outside.Callers}}, func() {
 		closePeers()
 		closeRouter()
 	}
@@ -77,7 +79,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	x := d.router
-	d.serve(d.outside.Callers, x)
+	d.serve(d.callers, x)
 	d.serve(d.outside.Ready, http.HandlerFunc(d.answerReady))
 	d.serve(d.outside.Metrics, http.HandlerFunc(d.answerMetrics))
 	d.workers.Go(func() {
@@ -110,9 +112,12 @@
 		Handler: handler, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
+	if listener == d.callers {
+		server.ConnState = d.callers.noteState
+	}
 	d.servers = append(d.servers, server)
 	d.workers.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			slog.Error("server ended", "error", err)
 		}
 	})
@@ -147,21 +152,29 @@
 	x.stopAt.Store(limit.UnixNano())
 	sleepUntil(earliest(began.Add(x.settings.TurnAway), limit))
 	x.refusing.Store(true)
-	// Callers that rest on open connections find them closed, with nothing of theirs read. The listener stays: the
-	// entry uses boxes that are not ready where it has too few others.
-	d.servers[callerServer].SetKeepAlivesEnabled(false)
-	for time.Now().Before(limit) && x.inFlight.Load() > 0 {
-		time.Sleep(quietPoll)
+	// The listener stays: the entry uses boxes that are not ready where it has too few others. Connections at rest
+	// stay too: a request may be on its way on them.
+	awaitQuiet(&d.callers.busy, limit)
+	if err := d.callers.Close(); err != nil {
+		slog.Debug("listener for callers did not close", "error", err)
 	}
-	// A request may have been read since the last look: the server knows, and waits for it.
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	if err := d.servers[callerServer].Shutdown(ctx); err != nil {
-		slog.Info("requests were still under way at the end", "in_flight", x.inFlight.Load(), "error", err)
+	awaitQuiet(&d.callers.busy, limit)
+	if left := d.callers.busy.Load(); left > 0 {
+		slog.Info("requests were still under way at the end", "requests", left)
 	}
 	slog.Info("planned stop ended", "ms", time.Since(began).Milliseconds())
 }
 
+// awaitQuiet waits until no caller's connection has had a request on it for some looks, or for the limit.
+func awaitQuiet(busy *atomic.Int64, limit time.Time) {
+	for quiet := 0; quiet < quietLooks && time.Now().Before(limit); quiet++ {
+		if busy.Load() > 0 {
+			quiet = 0
+		}
+		time.Sleep(quietPoll)
+	}
+}
+
 func (d *Daemon) leaveGroup() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -298,19 +298,21 @@
 	time.Sleep(50 * time.Millisecond)
 	ok, _ := s.daemon.router.ready()
 	assert.False(t, ok)
-	// What comes soon after the signal is served whole, and its connection ends with it.
-	reply := s.do(t, http.MethodPost, "/stream/", "late", "x")
-	assert.Equal(t, events(3), reply.body)
-	assert.NoError(t, reply.err)
+	// What comes soon after the signal is served whole.
+	soon := make(chan siteReply)
+	go func() { soon <- s.do(t, http.MethodPost, "/stream/", "late", "x") }()
 	// What comes later and may not end in time is sent elsewhere, with nothing run.
 	time.Sleep(testSettings().TurnAway)
 	blocking := make(chan siteReply)
 	go func() { blocking <- s.do(t, http.MethodPost, "/once/", "short", "x", "T-Left", "1000") }()
 	time.Sleep(50 * time.Millisecond)
-	reply = s.do(t, http.MethodPost, "/stream/", "too late", "x", "T-Left", "20000")
+	reply := s.do(t, http.MethodPost, "/stream/", "too late", "x", "T-Left", "20000")
 	assert.Equal(t, http.StatusServiceUnavailable, reply.status)
 	assert.NotEmpty(t, reply.header.Get("Retry-After"))
 	assert.Equal(t, http.StatusOK, (<-blocking).status, "what ends before the stop is served")
+	reply = <-soon
+	assert.Equal(t, events(3), reply.body)
+	assert.NoError(t, reply.err)
 	ended := <-drained
 	assert.Less(t, ended.Sub(began), testSettings().Grace-leaveEarly)
 	assert.Len(t, r.requests(), 3)
