One box of each hall reads the store and swaps digests for the others

The box with the lowest address of a hall that reaches the store reads for it; the others swap with it, and read themselves once it is silent for 1.3 s or its news are older than 0.7 of the time that an endpoint may be sent to.

--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,14 +16,17 @@
 )
 
 const (
-	// swapEvery is how often digests go round: evidence on a bad release is everywhere within a second.
+	// swapEvery is how often digests go round: evidence on a bad release is everywhere within two seconds.
 	swapEvery = 500 * time.Millisecond
 	// swapLimit is how long a peer may take; a peer in another hall answers in some milliseconds.
 	swapLimit = 400 * time.Millisecond
-	// peerFresh is how long a digest counts as the state of a live box.
-	peerFresh = 2500 * time.Millisecond
-	// peerKept is how long a silent box is still counted and tried.
+	// peerFresh is how long a digest counts as the state of a live box: two missed swaps and some.
+	peerFresh = 1300 * time.Millisecond
+	// peerKept is how long a silent box is still counted, named to others and tried.
 	peerKept = 30 * time.Second
+	// retryPeer and retryPeerMost bound the pauses between calls of a box that does not answer.
+	retryPeer     = time.Second
+	retryPeerMost = 8 * time.Second
 	// rpcName and rpcSwap name the method on the wire.
 	rpcName = "Exchange"
 	rpcSwap = rpcName + ".Swap"
@@ -31,20 +35,42 @@
 type (
 	// Digest is what a box tells the others.
 	Digest struct {
-		Box          willowwick.BoxID
-		Boot         willowwick.BootID
-		Hall         willowwick.HallID
-		Address      string
-		TableVersion uint64
-		Known        []string // addresses of boxes
-		Evidence     []EvidenceRow
-		Progress     []ProgressRow
-		Banned       []releaseKey
-		Asks         bool // wants endpoints, since it does not reach the store
-		EndpointsAt  willowwick.Offset
-	}
-
-	// EvidenceRow is what a box counted of one kind of answer since its start.
+		Box           willowwick.BoxID
+		Boot          willowwick.BootID
+		Hall          willowwick.HallID
+		Address       string
+		TableVersion  uint64
+		ReadAgeMs     int64 // since the store last answered the box itself
+		StoreAgeMs    int64 // since what it knows of the store was read there, by whichever box
+		EndpointsFrom willowwick.Offset
+		KnownCount    int
+		Own           Report
+		Halls         []HallReport // what its hall's reader knows of all halls
+		Progress      []ProgressRow
+		Banned        []releaseKey
+	}
+
+	// KnownBox is the address of a box.
+	KnownBox struct {
+		Address string
+		Hall    willowwick.HallID
+	}
+
+	// Report is what one or more boxes have seen since their start.
+	Report struct {
+		Boxes    int
+		Evidence []EvidenceRow
+		Moves    []MoveRow
+	}
+
+	// HallReport is the sum of the reports of a hall's boxes.
+	HallReport struct {
+		Hall   willowwick.HallID
+		AgeMs  int64
+		Report Report
+	}
+
+	// EvidenceRow counts one kind of answer.
 	EvidenceRow struct {
 		Service willowwick.ServiceID
 		Release willowwick.ReleaseID
@@ -52,21 +78,19 @@
 		Counts  rollout.Evidence
 	}
 
-	// ProgressRow is how far a box has come with a roll-out.
-	ProgressRow struct {
-		Status      willowwick.ReleaseStatus
-		Order       willowwick.ReleaseOrder
-		AgeMs       int64 // since the order
-		Moved       bool  // all new requests go to the target
-		OldInFlight int   // requests under way at other releases
+	// MoveRow is how far boxes have moved to a roll-out's target.
+	MoveRow struct {
+		Service     willowwick.ServiceID
+		Target      willowwick.ReleaseID
+		Moved       bool // all new requests go there
+		OldInFlight int  // requests under way at other releases
 	}
 
-	// SwapReply is a peer's digest with what the caller lacks.
-	SwapReply struct {
-		Digest    Digest
-		Table     *willowwick.RoutingTable
-		Endpoints []willowwick.Endpoint
-		Next      willowwick.Offset
+	// ProgressRow is a roll-out as a box believes it to be.
+	ProgressRow struct {
+		Status willowwick.ReleaseStatus
+		Order  willowwick.ReleaseOrder
+		AgeMs  int64 // since the order
 	}
 
 	// SwapCall is a digest with what the peer lacks, as far as is known.
@@ -75,22 +99,43 @@
 		Table  *willowwick.RoutingTable
 	}
 
+	// SwapReply is a peer's digest with what the caller lacks.
+	SwapReply struct {
+		Digest    Digest
+		Table     *willowwick.RoutingTable
+		Endpoints *EndpointList
+		Known     []KnownBox
+	}
+
 	// peers keeps in touch with the other boxes.
+	//
+	// In each hall the box with the lowest address reads the store and swaps digests with the readers of the other
+	// halls; the other boxes swap with their reader, and read the store themselves once it is silent or cut off.
 	peers struct {
 		router    *Router
 		transport *fleet.Transport
 
 		mu    sync.Mutex
 		known map[string]*peer // by address
+		halls map[willowwick.HallID]heardReport
 	}
 
 	peer struct {
+		hall    willowwick.HallID
 		digest  Digest
 		heard   time.Time
 		listed  time.Time // when the group or another box last named it
+		tryAt   time.Time // not called before, after failures
+		pause   time.Duration
 		failing bool
 	}
 
+	// heardReport is a hall's report with the time from which it is.
+	heardReport struct {
+		report Report
+		at     time.Time
+	}
+
 	// rpcServer is the part of peers that other boxes call.
 	rpcServer struct {
 		peers *peers
@@ -102,9 +147,9 @@
 	transport, closeTransport := fleet.NewTransport(x.settings.Key, func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}, nil)
-	p := &peers{router: x, transport: transport, known: map[string]*peer{}}
+	p := &peers{router: x, transport: transport, known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{}}
 	for _, address := range x.settings.Seeds {
-		p.list(address, time.Now())
+		p.list(KnownBox{Address: address}, time.Now())
 	}
 	return p, closeTransport
 }
@@ -129,8 +174,9 @@
 	}
 	reply.Digest = p.digest(now)
 	reply.Table = p.tableFor(call.Digest.TableVersion)
-	if call.Digest.Asks {
-		reply.Endpoints, reply.Next = p.router.sync.endpoints(call.Digest.EndpointsAt)
+	reply.Endpoints = p.router.sync.listFor(call.Digest.EndpointsFrom, now)
+	if reply.Digest.KnownCount != call.Digest.KnownCount {
+		reply.Known = p.knownBoxes(now)
 	}
 	return nil
 }
@@ -143,38 +189,57 @@
 	return nil
 }
 
-// list notes the address of a box that somebody named.
-func (p *peers) list(address string, now time.Time) {
+// list notes a box that the settings, the group or the box itself named.
+func (p *peers) list(box KnownBox, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if address == p.router.settings.Peers || address == "" {
+	if box.Address == p.router.settings.Peers || box.Address == "" {
 		return
 	}
-	known := p.known[address]
+	known := p.known[box.Address]
 	if known == nil {
 		known = &peer{}
-		p.known[address] = known
+		p.known[box.Address] = known
+	}
+	if box.Hall != "" {
+		known.hall = box.Hall
 	}
 	known.listed = now
 }
 
+// hearsay notes boxes that another box knows; it keeps no silent box alive.
+func (p *peers) hearsay(boxes []KnownBox, now time.Time) {
+	for _, box := range boxes {
+		p.mu.Lock()
+		known := p.known[box.Address]
+		fresh := known == nil || known.hall == ""
+		p.mu.Unlock()
+		if fresh {
+			p.list(box, now)
+		}
+	}
+}
+
 // heard takes a digest that came from its box itself.
 func (p *peers) heard(digest Digest, now time.Time) {
-	p.list(digest.Address, now)
+	p.list(KnownBox{digest.Address, digest.Hall}, now)
 	p.mu.Lock()
 	known := p.known[digest.Address]
 	if known == nil {
 		p.mu.Unlock()
 		return
 	}
-	if now.Sub(known.heard) > peerFresh {
+	if now.Sub(known.heard) > peerKept {
 		slog.Info("box is reached", "peer", digest.Box, "hall", digest.Hall, "address", digest.Address)
 	}
-	known.digest, known.heard, known.failing = digest, now, false
-	p.mu.Unlock()
-	for _, address := range digest.Known {
-		p.nameOnce(address, now)
+	known.digest, known.heard, known.failing, known.pause = digest, now, false, 0
+	for _, hall := range digest.Halls {
+		at := now.Add(-time.Duration(hall.AgeMs) * time.Millisecond)
+		if hall.Hall != p.router.settings.Hall && at.After(p.halls[hall.Hall].at) {
+			p.halls[hall.Hall] = heardReport{hall.Report, at}
+		}
 	}
+	p.mu.Unlock()
 	p.router.releases.takeBans(digest.Banned)
 	for _, row := range digest.Progress {
 		p.router.releases.begin(row.Order, time.Duration(row.AgeMs)*time.Millisecond, now)
@@ -182,82 +247,171 @@
 	}
 }
 
-// nameOnce notes an address unless it is known; hearsay keeps no silent box alive.
-func (p *peers) nameOnce(address string, now time.Time) {
+// reader is the digest of the box that reads the store for this one, and false if this box reads it itself.
+func (p *peers) reader(now time.Time) (Digest, bool) {
+	self := p.router.settings
+	reads := p.router.sync.readAge(now) <= scale(self.Drain, reliedShare)
 	p.mu.Lock()
-	known := p.known[address] != nil
-	p.mu.Unlock()
-	if !known {
-		p.list(address, now)
+	defer p.mu.Unlock()
+	address := p.readerOf(self.Hall, now)
+	if address == "" || reads && self.Peers < address {
+		return Digest{}, false
 	}
+	return p.known[address].digest, true
+}
+
+// readerOf is the lowest address of a hall's boxes that are in touch and reach the store; the caller holds the lock.
+func (p *peers) readerOf(hall willowwick.HallID, now time.Time) string {
+	lowest := ""
+	for address, known := range p.known {
+		if known.hall != hall || now.Sub(known.heard) > peerFresh || p.isCutOff(known, now) {
+			continue
+		}
+		if lowest == "" || address < lowest {
+			lowest = address
+		}
+	}
+	return lowest
+}
+
+// isCutOff reports whether a box has not read the store for too long to rely on it.
+func (p *peers) isCutOff(known *peer, now time.Time) bool {
+	age := time.Duration(known.digest.ReadAgeMs)*time.Millisecond + now.Sub(known.heard)
+	return age > scale(p.router.settings.Drain, reliedShare)
 }
 
 // boxes is the number of boxes that share the fleet's bounds, this one included.
 func (p *peers) boxes() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 1
-	for _, known := range p.known {
-		if !known.heard.IsZero() {
-			n++
-		}
-	}
-	return n
+	return len(p.known) + 1
 }
 
-// fresh returns the digests of the boxes that are in touch.
-func (p *peers) fresh(now time.Time) []Digest {
+// fleetReport sums what all halls have reported.
+func (p *peers) fleetReport(now time.Time) Report {
+	total := p.hallReport(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []Digest
-	for _, known := range p.known {
-		if now.Sub(known.heard) <= peerFresh {
-			list = append(list, known.digest)
-		}
+	for _, hall := range p.halls {
+		total = total.add(hall.report, now.Sub(hall.at) <= 2*peerFresh)
 	}
-	return list
+	return total
 }
 
-// evidence sums what all known boxes have counted.
-func (p *peers) evidence() map[evidenceKey]rollout.Evidence {
-	total := p.router.releases.evidence()
+// hallReport sums the reports of this box and of those of its hall that swap with it; on a box that does not read the
+// store it is its reader's sum, which holds this box's own.
+func (p *peers) hallReport(now time.Time) Report {
+	if reader, found := p.reader(now); found {
+		for _, hall := range reader.Halls {
+			if hall.Hall == p.router.settings.Hall {
+				return hall.Report
+			}
+		}
+	}
+	total := p.ownReport()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, known := range p.known {
-		for _, row := range known.digest.Evidence {
-			key := evidenceKey{Service: row.Service, Release: row.Release, Route: row.Route}
-			total[key] = total[key].Add(row.Counts)
+		if known.hall == p.router.settings.Hall {
+			total = total.add(known.digest.Own, now.Sub(known.heard) <= peerFresh)
 		}
 	}
 	return total
 }
 
+func (p *peers) ownReport() Report {
+	x := p.router
+	report := Report{Boxes: 1}
+	for key, counts := range x.releases.evidence() {
+		report.Evidence = append(report.Evidence, EvidenceRow{key.Service, key.Release, key.Route, counts})
+	}
+	for _, own := range x.releases.progresses(time.Now()) {
+		report.Moves = append(report.Moves, MoveRow{
+			Service: own.Status.Service, Target: own.Status.Target, Moved: own.Moved, OldInFlight: x.oldInFlight(own.Status),
+		})
+	}
+	return report
+}
+
+// add sums two reports; what a box counted stays true when it is gone, what it does now does not.
+func (r Report) add(other Report, isLive bool) Report {
+	sum := Report{Boxes: r.Boxes, Evidence: slices.Clone(r.Evidence), Moves: slices.Clone(r.Moves)}
+	for _, row := range other.Evidence {
+		at := slices.IndexFunc(sum.Evidence, func(e EvidenceRow) bool { return e.key() == row.key() })
+		if at < 0 {
+			sum.Evidence = append(sum.Evidence, row)
+			continue
+		}
+		sum.Evidence[at].Counts = sum.Evidence[at].Counts.Add(row.Counts)
+	}
+	if !isLive {
+		return sum
+	}
+	sum.Boxes += other.Boxes
+	for _, row := range other.Moves {
+		at := slices.IndexFunc(sum.Moves, func(m MoveRow) bool { return m.Service == row.Service && m.Target == row.Target })
+		if at < 0 {
+			sum.Moves = append(sum.Moves, row)
+			continue
+		}
+		sum.Moves[at].Moved = sum.Moves[at].Moved && row.Moved
+		sum.Moves[at].OldInFlight += row.OldInFlight
+	}
+	return sum
+}
+
+func (e EvidenceRow) key() evidenceKey {
+	return evidenceKey{Service: e.Service, Release: e.Release, Route: e.Route}
+}
+
+// evidence is the fleet's, by what was counted.
+func (r Report) evidence() map[evidenceKey]rollout.Evidence {
+	total := make(map[evidenceKey]rollout.Evidence, len(r.Evidence))
+	for _, row := range r.Evidence {
+		total[row.key()] = row.Counts
+	}
+	return total
+}
+
 // digest is this box's own.
 func (p *peers) digest(now time.Time) Digest {
 	x := p.router
 	digest := Digest{
-		Banned: x.releases.bans(), Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		TableVersion: x.configVersion(), Asks: x.sync.isStale(now), EndpointsAt: x.sync.endpointsAt(),
-	}
-	for key, counts := range x.releases.evidence() {
-		digest.Evidence = append(digest.Evidence, EvidenceRow{
-			Service: key.Service, Release: key.Release, Route: key.Route, Counts: counts,
-		})
+		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
+		TableVersion: x.configVersion(), StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(), EndpointsFrom: x.sync.listedFrom(),
+		Own: p.ownReport(), Banned: x.releases.bans(),
 	}
 	for _, own := range x.releases.progresses(now) {
-		digest.Progress = append(digest.Progress, ProgressRow{
-			Status: own.Status, Order: own.Order, AgeMs: own.AgeMs, Moved: own.Moved,
-			OldInFlight: x.oldInFlight(own.Status),
-		})
+		digest.Progress = append(digest.Progress, ProgressRow{Status: own.Status, Order: own.Order, AgeMs: own.AgeMs})
+	}
+	if _, found := p.reader(now); !found {
+		digest.Halls = p.hallReports(now)
+	}
+	digest.KnownCount = len(p.knownBoxes(now))
+	return digest
+}
+
+func (p *peers) hallReports(now time.Time) []HallReport {
+	list := []HallReport{{Hall: p.router.settings.Hall, Report: p.hallReport(now)}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, hall := range p.halls {
+		list = append(list, HallReport{Hall: name, AgeMs: now.Sub(hall.at).Milliseconds(), Report: hall.report})
 	}
+	return list
+}
+
+// knownBoxes lists the boxes that were heard of from themselves, this one included.
+func (p *peers) knownBoxes(now time.Time) []KnownBox {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	list := []KnownBox{{p.router.settings.Peers, p.router.settings.Hall}}
 	for address, known := range p.known {
-		if now.Sub(known.heard) <= peerFresh {
-			digest.Known = append(digest.Known, address)
+		if known.hall != "" && (now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept) {
+			list = append(list, KnownBox{address, known.hall})
 		}
 	}
-	return digest
+	return list
 }
 
 // oldInFlight counts the requests under way at other releases than a roll-out's target.
@@ -267,12 +421,16 @@
 	})
 }
 
-// run swaps digests with all boxes until the context ends.
+// run swaps digests until the context ends.
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(swapEvery)
 	defer ticker.Stop()
 	for {
-		p.swapAll(ctx)
+		var swaps sync.WaitGroup
+		for _, address := range p.targets(time.Now()) {
+			swaps.Go(func() { p.swap(ctx, address) })
+		}
+		swaps.Wait()
 		select {
 		case <-ctx.Done():
 			return
@@ -282,39 +440,61 @@
 	}
 }
 
-func (p *peers) swapAll(ctx context.Context) {
-	var swaps sync.WaitGroup
-	for _, address := range p.addresses() {
-		swaps.Go(func() { p.swap(ctx, address) })
-	}
-	swaps.Wait()
-}
-
-// addresses are the boxes that this one calls: of each pair the one with the lower address, unless the other is silent.
-func (p *peers) addresses() []string {
-	now := time.Now()
+// targets are the boxes to swap with now: the hall's reader, on a reader those of the other halls, and silent boxes
+// that might be readers, now and then.
+func (p *peers) targets(now time.Time) []string {
+	reader, isFed := p.reader(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []string
+	var targets []string
+	if isFed {
+		targets = append(targets, reader.Address)
+	}
+	readers := map[willowwick.HallID]string{}
+	for _, hall := range p.hallsKnown() {
+		readers[hall] = p.readerOf(hall, now)
+		if !isFed && hall != p.router.settings.Hall && readers[hall] != "" {
+			targets = append(targets, readers[hall])
+		}
+	}
 	for address, known := range p.known {
-		if p.router.settings.Peers < address || now.Sub(known.heard) > 2*swapEvery {
-			list = append(list, address)
+		if isFed && known.hall != "" && known.hall != p.router.settings.Hall {
+			continue
+		}
+		if p.mayRead(address, known, readers[known.hall], now) {
+			targets = append(targets, address)
 		}
 	}
-	return list
+	slices.Sort(targets)
+	return slices.Compact(targets)
+}
+
+// hallsKnown lists the halls of the known boxes; the caller holds the lock.
+func (p *peers) hallsKnown() []willowwick.HallID {
+	var halls []willowwick.HallID
+	for _, known := range p.known {
+		if known.hall != "" && !slices.Contains(halls, known.hall) {
+			halls = append(halls, known.hall)
+		}
+	}
+	return halls
+}
+
+// mayRead reports whether a box that was not heard of lately should be tried: its hall has no reader, or it would come
+// before that one.
+func (p *peers) mayRead(address string, known *peer, reader string, now time.Time) bool {
+	if now.Before(known.tryAt) || now.Sub(known.heard) <= peerFresh {
+		return false
+	}
+	return known.hall == "" || reader == "" || address < reader
 }
 
 func (p *peers) swap(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, swapLimit)
 	defer cancel()
 	call := SwapCall{Digest: p.digest(time.Now())}
-	p.mu.Lock()
-	if known := p.known[address]; known != nil && !known.heard.IsZero() {
-		version := known.digest.TableVersion
-		p.mu.Unlock()
+	if version, heard := p.versionOf(address); heard {
 		call.Table = p.tableFor(version)
-	} else {
-		p.mu.Unlock()
 	}
 	var reply SwapReply
 	if err := p.transport.Call(ctx, address, rpcSwap, &call, &reply); err != nil {
@@ -323,20 +503,35 @@
 	}
 	now := time.Now()
 	p.heard(reply.Digest, now)
+	p.hearsay(reply.Known, now)
 	if reply.Table != nil {
 		p.router.setTable(reply.Table, "peer "+string(reply.Digest.Box))
 	}
-	if reply.Next > 0 {
-		p.router.sync.takeFromPeer(reply.Endpoints, reply.Next, now)
+	p.router.sync.takeFromPeer(reply, now)
+}
+
+// versionOf is the version of the configuration that a box last told of.
+func (p *peers) versionOf(address string) (version uint64, heard bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	if known == nil || known.heard.IsZero() {
+		return 0, false
 	}
+	return known.digest.TableVersion, true
 }
 
-// failed logs the first failure of a row.
+// failed notes that a box does not answer, and logs the first failure of a row.
 func (p *peers) failed(address string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[address]
-	if known == nil || known.failing {
+	if known == nil {
+		return
+	}
+	known.pause = min(max(2*known.pause, retryPeer), retryPeerMost)
+	known.tryAt = time.Now().Add(known.pause)
+	if known.failing {
 		return
 	}
 	known.failing = true
--- /dev/null
+++ b/exchange/peers_test.go
@@ -0,0 +1,132 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/rollout"
+)
+
+// feedDrain leaves time for some swaps within the time that an endpoint may be sent to.
+const feedDrain = 2 * time.Second
+
+// newHall starts boxes of one hall that know each other by their seeds.
+func newHall(t *testing.T, boxes int, endpoints ...willowwick.Endpoint) (*testControl, []*site) {
+	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
+	control.change(func() {
+		control.table = testTable(1, onceRoute(), streamRoute())
+		for _, endpoint := range endpoints {
+			control.endpoints[endpoint.ID] = endpoint
+		}
+	})
+	var sites []*site
+	for i := range boxes {
+		settings := testSettings()
+		settings.Box = willowwick.BoxID(fmt.Sprint("box-", i))
+		settings.Drain = feedDrain
+		if i > 0 {
+			settings.Seeds = []string{sites[0].daemon.router.settings.Peers}
+		}
+		sites = append(sites, startSite(t, control, settings))
+	}
+	return control, sites
+}
+
+func readers(sites []*site) []*site {
+	var found []*site
+	for _, s := range sites {
+		if _, isFed := s.daemon.router.peers.reader(time.Now()); !isFed {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+func awaitReaders(t *testing.T, sites []*site, count int) []*site {
+	require.Eventually(t, func() bool { return len(readers(sites)) == count }, patience, 10*time.Millisecond)
+	return readers(sites)
+}
+
+func TestOneBoxOfAHallReadsTheStoreForTheOthers(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control, sites := newHall(t, 4, r.endpoint("v1"))
+	awaitReaders(t, sites, 1)
+	time.Sleep(peerFresh)
+	control.mu.Lock()
+	before := control.reads
+	control.mu.Unlock()
+	time.Sleep(feedDrain)
+	control.mu.Lock()
+	during := control.reads - before
+	control.mu.Unlock()
+	assert.LessOrEqual(t, during, 5, "reads of one box in the time of two and a half")
+	leaving := newRunner(t, "r2", answerText("ok"))
+	control.change(func() {
+		control.endpoints["r2"] = leaving.endpoint("v1")
+		control.table = testTable(2, onceRoute())
+	})
+	for _, s := range sites {
+		require.Eventually(t, func() bool {
+			_, found := s.daemon.router.sync.entry("r2")
+			return found && s.daemon.router.configVersion() == 2
+		}, feedDrain, 5*time.Millisecond, "box %s", s.daemon.router.settings.Box)
+	}
+}
+
+func TestBoxesReadForThemselvesOnceTheirReaderIsGone(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control, sites := newHall(t, 3, r.endpoint("v1"))
+	reader := awaitReaders(t, sites, 1)[0]
+	time.Sleep(peerFresh)
+	reader.stop()
+	reader.closeDaemon()
+	control.change(func() {
+		endpoint := r.endpoint("v1")
+		endpoint.Leaving = true
+		control.endpoints["r1"] = endpoint
+	})
+	for _, s := range sites {
+		if s == reader {
+			continue
+		}
+		require.Eventually(t, func() bool {
+			endpoint, _ := s.daemon.router.sync.entry("r1")
+			return endpoint.Leaving
+		}, feedDrain, 5*time.Millisecond)
+	}
+}
+
+func TestReportsOfBoxesAddUp(t *testing.T) {
+	row := func(requests uint64) EvidenceRow {
+		return EvidenceRow{"work", "v2", "r", rollout.Evidence{Requests: requests}}
+	}
+	a := Report{Boxes: 1, Evidence: []EvidenceRow{row(3)}, Moves: []MoveRow{{"work", "v2", true, 0}}}
+	b := Report{Boxes: 2, Evidence: []EvidenceRow{row(4)}, Moves: []MoveRow{{"work", "v2", false, 5}}}
+	assert.Equal(t, Report{Boxes: 3, Evidence: []EvidenceRow{row(7)}, Moves: []MoveRow{{"work", "v2", false, 5}}}, a.add(b, true))
+	gone := a.add(b, false)
+	assert.Equal(t, uint64(7), gone.Evidence[0].Counts.Requests, "what a box has counted stays")
+	assert.True(t, gone.Moves[0].Moved, "what it does no longer counts")
+	assert.Equal(t, uint64(3), a.Evidence[0].Counts.Requests, "the summands stay as they are")
+}
+
+func TestEvidenceOfAllBoxesFindsABadRelease(t *testing.T) {
+	good := newRunner(t, "r1", answerText("ok"))
+	bad := newRunner(t, "r2", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	control, sites := newHall(t, 2, good.endpoint("v1"), bad.endpoint("v2"))
+	awaitReaders(t, sites, 1)
+	control.change(func() { control.orders = []willowwick.ReleaseOrder{orderOf("v2", 1)} })
+	written := func() bool {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		return len(control.written) > 0 && control.written[len(control.written)-1].State == willowwick.ReleaseRolledBack
+	}
+	for i := 0; i < 3000 && !written(); i++ {
+		sites[i%2].do(t, http.MethodPost, "/once/", fmt.Sprint("id-", i), "x")
+	}
+	require.True(t, written())
+}
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -95,6 +95,7 @@
 	written   []willowwick.ReleaseStatus
 	members   []string
 	leader    string
+	reads     int // of the list of endpoints
 }
 
 var errDown = errors.New("store is down")
@@ -126,6 +127,7 @@
 	if c.down {
 		return willowwick.EndpointChanges{}, errDown
 	}
+	c.reads++
 	changes := willowwick.EndpointChanges{Whole: true, Next: c.listed}
 	for _, endpoint := range c.endpoints {
 		changes.Present = append(changes.Present, endpoint)
@@ -237,6 +239,8 @@
 	url     string
 	client  *http.Client
 	stop    func()
+	// closeDaemon ends its connections too.
+	closeDaemon func()
 }
 
 func testTable(version uint64, routes ...willowwick.Route) *willowwick.RoutingTable {
@@ -302,7 +306,7 @@
 		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures,
 	})
 	stop := daemon.Start()
-	s := &site{control: control, daemon: daemon, url: "http://" + callers.Addr().String(), client: &http.Client{Transport: &http.Transport{}}, stop: stop}
+	s := &site{control: control, daemon: daemon, url: "http://" + callers.Addr().String(), client: &http.Client{Transport: &http.Transport{}}, stop: stop, closeDaemon: closeDaemon}
 	t.Cleanup(func() {
 		s.client.CloseIdleConnections()
 		stop()
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -15,6 +15,10 @@
 	declarationsWait = 20 * time.Second
 	// endpointsShare is the part of the time to leave an endpoint after which the list is read again: twice within it.
 	endpointsShare = 0.4
+	// reliedShare is the part of it after which a box no longer relies on what another box reads for it.
+	reliedShare = 0.7
+	// feedPoll is how often a box looks whether it has to read for itself.
+	feedPoll = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pauses between reads that fail.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
@@ -40,12 +44,16 @@
 	listed      map[willowwick.EndpointID]willowwick.Endpoint
 	next        willowwick.Offset // of the list of endpoints
 	known       bool              // the list was read
-	answeredAt  time.Time
-	failedAt    time.Time // last read that failed
+	answeredAt  time.Time         // last answer of the store to this box
+	asOf        time.Time         // from when what is known of the store is, read here or by another box
+	changedAt   willowwick.Offset // where the list last changed in more than heartbeats
+	changed     bool              // it changed since, at an offset that is not known yet
+	failedAt    time.Time         // last read that failed
 	unreachable bool
 	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
 	wake        context.CancelFunc                  // of the read that the store holds
 
+	fedBy      string // address of the box that reads the store for this one; empty if it does so itself
 	generation uint64
 	leads      bool
 }
@@ -58,11 +66,18 @@
 	}
 }
 
-// isStale reports whether the store has not answered for some time.
+// isStale reports whether what the store holds may have changed unseen.
 func (s *syncer) isStale(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.answeredAt) > staleAfter
+	return now.Sub(s.asOf) > staleAfter
+}
+
+// readAge is how long ago the store last answered this box itself.
+func (s *syncer) readAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.answeredAt)
 }
 
 func (s *syncer) hasEndpoints() bool {
@@ -71,36 +86,64 @@
 	return s.known
 }
 
+// storeAge is how old what this box knows of the store is.
+func (s *syncer) storeAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.asOf)
+}
+
+// listedFrom is where the list that this box has last changed.
+func (s *syncer) listedFrom() willowwick.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changedAt
+}
+
 func (s *syncer) endpointsAt() willowwick.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.next
 }
 
-// endpoints returns the list for a box that has read less of it.
-func (s *syncer) endpoints(at willowwick.Offset) ([]willowwick.Endpoint, willowwick.Offset) {
+// EndpointList is the list of endpoints as one box passes it to another.
+type EndpointList struct {
+	Endpoints []willowwick.Endpoint
+	Next      willowwick.Offset
+	From      willowwick.Offset // where it last changed
+}
+
+// listFor returns the list for a box that has an older one.
+func (s *syncer) listFor(from willowwick.Offset, _ time.Time) *EndpointList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.known || s.next <= at {
-		return nil, 0
+	if !s.known || s.changedAt <= from {
+		return nil
 	}
-	list := make([]willowwick.Endpoint, 0, len(s.listed))
+	list := &EndpointList{Next: s.next, From: s.changedAt}
 	for _, endpoint := range s.listed {
-		list = append(list, endpoint)
+		list.Endpoints = append(list.Endpoints, endpoint)
 	}
-	return list, s.next
+	return list
 }
 
-// takeFromPeer takes a newer list from a box that reaches the store.
-func (s *syncer) takeFromPeer(list []willowwick.Endpoint, next willowwick.Offset, now time.Time) {
+// takeFromPeer takes what another box has read of the store.
+func (s *syncer) takeFromPeer(reply SwapReply, now time.Time) {
 	s.mu.Lock()
-	if next <= s.next {
-		s.mu.Unlock()
-		return
+	list := reply.Endpoints
+	isNews := list != nil && list.From > s.changedAt
+	if isNews {
+		s.apply(willowwick.EndpointChanges{Whole: true, Present: list.Endpoints, Next: max(s.next, list.Next)}, now)
+		s.changedAt, s.changed = list.From, false
+	}
+	asOf := now.Add(-time.Duration(reply.Digest.StoreAgeMs) * time.Millisecond)
+	if s.known && reply.Digest.EndpointsFrom <= s.changedAt && asOf.After(s.asOf) {
+		s.asOf = asOf
 	}
-	s.apply(willowwick.EndpointChanges{Whole: true, Present: list, Next: next}, now)
 	s.mu.Unlock()
-	s.publish()
+	if isNews {
+		s.publish()
+	}
 }
 
 // noteAnswer notes that the store answers; noteFailure that it does not.
@@ -108,6 +151,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = now
+	s.asOf = now
 	if s.unreachable {
 		s.unreachable = false
 		slog.Info("store is reached again", "away_ms", now.Sub(s.failedAt).Milliseconds())
@@ -133,6 +177,10 @@
 	var next willowwick.Offset
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if s.isFed(time.Now()) {
+			sleep(ctx, feedPoll)
+			continue
+		}
 		held, cancel := context.WithCancel(ctx)
 		s.setWake(cancel)
 		declared, err := s.control.Declarations(held, next, declarationsWait)
@@ -154,6 +202,28 @@
 	}
 }
 
+// isFed reports whether another box of the hall reads the store for this one.
+func (s *syncer) isFed(now time.Time) bool {
+	reader, found := s.router.peers.reader(now)
+	found = found && s.router.table.Load() != nil && s.hasEndpoints()
+	s.noteReader(reader, found, now)
+	return found
+}
+
+// noteReader logs a change of who reads the store for this box.
+func (s *syncer) noteReader(reader Digest, found bool, now time.Time) {
+	address := ""
+	if found {
+		address = reader.Address
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if address != s.fedBy {
+		slog.Info("reader of the store changed", "from", s.fedBy, "to", address, "known_ms_ago", now.Sub(s.asOf).Milliseconds())
+		s.fedBy = address
+	}
+}
+
 func (s *syncer) setWake(wake context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -189,9 +259,12 @@
 
 // followEndpoints keeps the list of endpoints until the context ends.
 func (s *syncer) followEndpoints(ctx context.Context) {
-	every := scale(s.router.settings.Drain, endpointsShare)
 	pause := retryFirst
 	for ctx.Err() == nil {
+		if !s.mustRead(time.Now()) {
+			sleep(ctx, feedPoll)
+			continue
+		}
 		changes, err := s.control.Endpoints(ctx, s.endpointsAt())
 		now := time.Now()
 		if err != nil {
@@ -206,10 +279,18 @@
 		s.apply(changes, now)
 		s.mu.Unlock()
 		s.publish()
-		sleep(ctx, every)
 	}
 }
 
+// mustRead reports whether this box has to read the list of endpoints now.
+func (s *syncer) mustRead(now time.Time) bool {
+	share := endpointsShare
+	if s.isFed(now) {
+		share = reliedShare
+	}
+	return s.storeAge(now) > scale(s.router.settings.Drain, share)
+}
+
 // apply takes changes of the list; the caller holds the lock.
 func (s *syncer) apply(changes willowwick.EndpointChanges, now time.Time) {
 	present := map[willowwick.EndpointID]bool{}
@@ -218,6 +299,9 @@
 		old, known := s.listed[endpoint.ID]
 		// Leaving is for good: a later entry that says otherwise was written before.
 		endpoint.Leaving = endpoint.Leaving || old.Leaving
+		if !known || !sameEntry(old, endpoint) {
+			s.changed = true
+		}
 		if !known || old.Leaving != endpoint.Leaving {
 			slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
 				"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", changes.Next)
@@ -241,6 +325,15 @@
 		}
 	}
 	s.next, s.known = changes.Next, true
+	if s.changed && s.next > s.changedAt {
+		// Offsets compare between boxes: who has read up to here has all changes up to here.
+		s.changedAt, s.changed = s.next, false
+	}
+}
+
+// sameEntry reports whether two entries of an endpoint say the same.
+func sameEntry(a, b willowwick.Endpoint) bool {
+	return a.Address == b.Address && a.Service == b.Service && a.Release == b.Release && a.Leaving == b.Leaving
 }
 
 // endpointGone drops an endpoint, or gives it time to come back if its entry may have lapsed with the store away.
@@ -263,6 +356,7 @@
 	s.router.conns.Drop(s.listed[id].Address)
 	delete(s.listed, id)
 	delete(s.lapsed, id)
+	s.changed = true
 }
 
 // publish gives the list to the pool.
@@ -281,6 +375,11 @@
 	member := s.router.settings.Peers
 	var listedAt time.Time
 	for ctx.Err() == nil {
+		if _, found := s.router.peers.reader(time.Now()); found {
+			s.setLead(false, "another box of the hall reads the store")
+			sleep(ctx, joinEvery)
+			continue
+		}
 		membership, err := s.control.Join(ctx, member, s.generation)
 		now := time.Now()
 		if err != nil {
@@ -306,7 +405,7 @@
 		return
 	}
 	for _, member := range members {
-		s.router.peers.list(member, now)
+		s.router.peers.list(KnownBox{Address: member}, now)
 	}
 }
 
@@ -329,7 +428,7 @@
 func (s *syncer) lead(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
-		s.router.releases.judge(s.router.peers.evidence(), now)
+		s.router.releases.judge(s.router.peers.fleetReport(now).evidence(), now)
 		if s.isLeading() {
 			for _, due := range s.router.releases.due(now) {
 				s.writeDue(ctx, due, now)
@@ -369,11 +468,9 @@
 	if s.router.oldInFlight(status) > 0 {
 		return false
 	}
-	for _, digest := range s.router.peers.fresh(now) {
-		for _, row := range digest.Progress {
-			if row.Status.Service == status.Service && row.Status.Target == status.Target && (!row.Moved || row.OldInFlight > 0) {
-				return false
-			}
+	for _, row := range s.router.peers.fleetReport(now).Moves {
+		if row.Service == status.Service && row.Target == status.Target {
+			return row.Moved && row.OldInFlight == 0
 		}
 	}
 	return true
@@ -393,3 +490,11 @@
 	defer s.mu.Unlock()
 	return s.unreachable
 }
+
+// entry returns an endpoint as it is listed.
+func (s *syncer) entry(id willowwick.EndpointID) (willowwick.Endpoint, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	endpoint, found := s.listed[id]
+	return endpoint, found
+}
