Large fleets try a new release with a smaller share of sessions

The share now halves with each doubling of the boxes beyond 8, which brings the same number of answers as evidence.

--- a/exchange/release.go
+++ b/exchange/release.go
@@ -16,6 +16,9 @@
 	// canaryShare is the part of the sessions that try a new release in the first half of its period: under the
 	// operator's bound on exposure, and enough for some answers a second.
 	canaryShare = 0.07
+	// canaryBoxes is the size of a fleet for which that share is meant: in one of twice the boxes half of it brings
+	// the same evidence, and half as many sessions in progress are taken for new ones by a box that has not seen them.
+	canaryBoxes = 8
 	// canaryEnd, and the shares after it, are parts of the period; sessions may change release after its half.
 	canaryEnd = 0.5
 	// lastCall is the part of the period at which a good release is completed, come what may.
@@ -77,6 +80,7 @@
 
 		mu       sync.Mutex
 		moves    map[willowwick.ServiceID]*move
+		canary   float64             // share of the sessions that try a new release first
 		banned   map[releaseKey]bool // releases that were rolled back, or given up for a later order
 		own      map[evidenceKey]rollout.Evidence
 		typical  map[typicalKey]float64 // seconds
@@ -110,6 +114,7 @@
 func newReleases(settings ReleaseSettings) *releases {
 	return &releases{
 		settings: settings,
+		canary:   canaryShare,
 		moves:    map[willowwick.ServiceID]*move{},
 		banned:   map[releaseKey]bool{},
 		own:      map[evidenceKey]rollout.Evidence{},
@@ -235,7 +240,7 @@
 		choice.useTarget = true
 		return choice
 	}
-	share := m.share(now)
+	share := m.share(now, r.canary)
 	hashed := float64(xxhash.Sum64String(session)%hashParts) < share*hashParts
 	seen, known := r.sessions[string(m.order.Service)+"/"+session]
 	known = known && now.Before(seen.until)
@@ -256,17 +261,29 @@
 }
 
 // share is the part of the sessions that the target gets.
-func (m *move) share(now time.Time) float64 {
+func (m *move) share(now time.Time, canary float64) float64 {
 	part := m.part(now)
 	if m.requests < enoughEvidence && part < lastCall {
-		return canaryShare
+		return canary
 	}
 	for _, step := range rampSteps {
 		if part >= step.from {
 			return step.share
 		}
 	}
-	return canaryShare
+	return canary
+}
+
+// setBoxes fits the share of sessions that try a new release to the size of the fleet.
+//
+// It goes by halves: boxes that count a few more or less than others still choose alike.
+func (r *releases) setBoxes(boxes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.canary = canaryShare
+	for ; boxes >= 2*canaryBoxes; boxes /= 2 {
+		r.canary /= 2
+	}
 }
 
 // observe counts one answer.
@@ -405,7 +422,7 @@
 	for service, m := range r.moves {
 		list = append(list, progress{
 			Status: willowwick.ReleaseStatus{Service: service, Target: m.order.Target, State: m.state},
-			Order:  m.order, AgeMs: now.Sub(m.began).Milliseconds(), Moved: m.share(now) >= 1,
+			Order:  m.order, AgeMs: now.Sub(m.began).Milliseconds(), Moved: m.share(now, r.canary) >= 1,
 		})
 	}
 	return list
@@ -425,7 +442,7 @@
 	for service, m := range r.moves {
 		status := willowwick.ReleaseStatus{Service: service, Target: m.order.Target, State: m.state}
 		switch {
-		case m.state == willowwick.ReleaseRunning && m.share(now) >= 1:
+		case m.state == willowwick.ReleaseRunning && m.share(now, r.canary) >= 1:
 			status.State = willowwick.ReleaseCompleted
 			list = append(list, dueStatus{status, m.part(now) >= lastCall})
 		case !m.written:
--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -182,3 +182,14 @@
 	require.Len(t, due, 1)
 	assert.Equal(t, willowwick.ReleaseRolledBack, due[0].State)
 }
+
+func TestLargeFleetTriesANewReleaseWithASmallerShare(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	for boxes, share := range map[int]float64{6: canaryShare, 15: canaryShare, 61: canaryShare / 4, 91: canaryShare / 8, 390: canaryShare / 32} {
+		r.setBoxes(boxes)
+		assert.InDelta(t, share, r.canary, 1e-9, "%d boxes", boxes)
+	}
+	r.setBoxes(61)
+	assert.InDelta(t, canaryShare/4, shareOf(r, at(0.1), "a"), 0.01)
+}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -428,6 +428,7 @@
 func (s *syncer) lead(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
+		s.router.releases.setBoxes(s.router.peers.boxes())
 		s.router.releases.judge(s.router.peers.fleetReport(now).evidence(), now)
 		if s.isLeading() {
 			for _, due := range s.router.releases.due(now) {
