A box that stops reading the store leaves its group at once

Cause, by the test's log: the box that led had joined first, then left the reading to another box and let its membership run out; until then nobody wrote states. It now leaves the group.

--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -125,7 +125,8 @@
 		defer control.mu.Unlock()
 		return len(control.written) > 0 && control.written[len(control.written)-1].State == willowwick.ReleaseRolledBack
 	}
-	for i := 0; i < 3000 && !written(); i++ {
+	deadline := time.Now().Add(patience)
+	for i := 0; time.Now().Before(deadline) && !written(); i++ {
 		sites[i%2].do(t, http.MethodPost, "/once/", fmt.Sprint("id-", i), "x")
 	}
 	require.True(t, written())
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -166,6 +167,9 @@
 	}
 	for _, known := range c.members {
 		if known == member {
+			if c.leader == "" {
+				c.leader = member
+			}
 			return willowwick.Membership{Generation: uint64(len(c.members)), Leads: c.leader == member}, nil
 		}
 	}
@@ -182,7 +186,13 @@
 	return append([]string(nil), c.members...), nil
 }
 
-func (c *testControl) Leave(context.Context, string) error {
+func (c *testControl) Leave(_ context.Context, member string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = slices.DeleteFunc(c.members, func(other string) bool { return other == member })
+	if c.leader == member {
+		c.leader = ""
+	}
 	return nil
 }
 
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -55,6 +55,7 @@
 
 	fedBy      string // address of the box that reads the store for this one; empty if it does so itself
 	generation uint64
+	joined     bool // this box is in the group, as far as it knows
 	leads      bool
 }
 
@@ -376,7 +377,7 @@
 	var listedAt time.Time
 	for ctx.Err() == nil {
 		if _, found := s.router.peers.reader(time.Now()); found {
-			s.setLead(false, "another box of the hall reads the store")
+			s.leaveGroup(ctx, member)
 			sleep(ctx, joinEvery)
 			continue
 		}
@@ -387,6 +388,7 @@
 			sleep(ctx, joinEvery)
 			continue
 		}
+		s.joined = true
 		changed := membership.Generation != s.generation
 		s.generation = membership.Generation
 		s.setLead(membership.Leads, "the group says so")
@@ -398,6 +400,18 @@
 	}
 }
 
+// leaveGroup hands this box's part of the group on at once, since another box of the hall keeps in touch with the store.
+func (s *syncer) leaveGroup(ctx context.Context, member string) {
+	if !s.joined {
+		return
+	}
+	s.setLead(false, "another box of the hall reads the store")
+	if err := s.control.Leave(ctx, member); err != nil {
+		slog.Info("group was not left; the store drops this box by its silence", "error", err)
+	}
+	s.joined = false
+}
+
 func (s *syncer) listMembers(ctx context.Context, now time.Time) {
 	members, err := s.control.Members(ctx)
 	if err != nil {
