--- /dev/null
+++ b/route/repeats_test.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var testLimits = RepeatLimits{Ratio: 0.5, Slack: 40, Window: 10 * time.Second}
+
+func TestRepeatsOfAllBoxesStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		boxes := rapid.IntRange(1, 9).Draw(t, "boxes")
+		budgets := make([]*RepeatBudget, boxes)
+		for i := range budgets {
+			budgets[i] = NewRepeatBudget(testLimits)
+		}
+		now := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			budget := budgets[rapid.IntRange(0, boxes-1).Draw(t, "box")]
+			if rapid.Bool().Draw(t, "isRequest") {
+				budget.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			kind := RepeatKind(rapid.IntRange(0, 1).Draw(t, "kind"))
+			allowed := budget.Allows(now, kind, boxes)
+			if taken := budget.Take(now, kind, boxes); taken != allowed {
+				t.Fatalf("Take says %v after Allows said %v", taken, allowed)
+			}
+			if allowed {
+				repeats = append(repeats, now)
+			}
+			most := testLimits.Ratio*float64(since(requests, now)) + float64(testLimits.Slack)
+			if n := since(repeats, now); float64(n) > most {
+				t.Fatalf("%d repeats in the window; %f are allowed", n, most)
+			}
+		}
+	})
+}
+
+// since counts what lies in the window before now, less the part of it that a box may not count any more.
+func since(times []time.Time, now time.Time) int {
+	n := 0
+	for _, at := range times {
+		if now.Sub(at) < testLimits.Window {
+			n++
+		}
+	}
+	return n
+}
+
+func TestEscalationsLeaveRoomForFailover(t *testing.T) {
+	budget := NewRepeatBudget(testLimits)
+	now := time.Unix(1000, 0)
+	for budget.Take(now, RepeatEscalation, 1) {
+	}
+	assert.True(t, budget.Take(now, RepeatFailover, 1))
+}
+
+func TestRepeatsOfAnEarlierWindowAreForgotten(t *testing.T) {
+	budget := NewRepeatBudget(testLimits)
+	now := time.Unix(1000, 0)
+	for budget.Take(now, RepeatFailover, 1) {
+	}
+	assert.True(t, budget.Take(now.Add(testLimits.Window+testLimits.Window/windowParts), RepeatFailover, 1))
+}
