--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -26,8 +26,9 @@
 	headerBytes = 64 << 10
 	// idleLimit is how long a caller's connection may rest: above what operators declare.
 	idleLimit = 120 * time.Second
-	// leaveEarly is how long before the end of the grace the process ends by itself.
-	leaveEarly = 600 * time.Millisecond
+	// leaveEarly is how long before the end of the grace the process ends by itself; boxes with a fifth of a core take
+	// most of it for the last steps.
+	leaveEarly = time.Second
 	// DefaultTurnAway is how long the entry takes to see that a box is not ready, and callers to finish what they began.
 	DefaultTurnAway = 2500 * time.Millisecond
 	// quietPoll is how often a stopping box looks whether requests are under way.
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -260,6 +260,18 @@
 	return p.known[address].digest, true
 }
 
+// isBehind reports whether a box of the hall with a lower address is in touch, whether it reads the store or not.
+func (p *peers) isBehind(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, known := range p.known {
+		if known.hall == p.router.settings.Hall && now.Sub(known.heard) <= peerFresh && address < p.router.settings.Peers {
+			return true
+		}
+	}
+	return false
+}
+
 // readerOf is the lowest address of a hall's boxes that are in touch and reach the store; the caller holds the lock.
 func (p *peers) readerOf(hall willowwick.HallID, now time.Time) string {
 	lowest := ""
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -22,6 +22,9 @@
 	// retryFirst and retryMost bound the pauses between reads that fail.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
+	// retryBehind takes its place on boxes that hear from one of their hall with a lower address: that one finds the
+	// store back first, and reads for them.
+	retryBehind = 2 * time.Second
 	// staleAfter is how long after the last answer of the store what it holds may have changed unseen.
 	staleAfter = 2 * time.Second
 	// returnGrace is how long endpoints whose entries lapsed while the store was away are still used after its
@@ -193,7 +196,7 @@
 				s.noteFailure(time.Now(), err)
 			}
 			sleep(ctx, pause)
-			pause = min(2*pause, retryMost)
+			pause = s.longer(pause)
 			continue
 		}
 		pause = retryFirst
@@ -203,6 +206,14 @@
 	}
 }
 
+// longer is the next pause after a read that failed.
+func (s *syncer) longer(pause time.Duration) time.Duration {
+	if s.router.peers.isBehind(time.Now()) {
+		return min(2*pause, retryBehind)
+	}
+	return min(2*pause, retryMost)
+}
+
 // isFed reports whether another box of the hall reads the store for this one.
 func (s *syncer) isFed(now time.Time) bool {
 	reader, found := s.router.peers.reader(now)
@@ -271,7 +282,7 @@
 		if err != nil {
 			s.noteFailure(now, err)
 			sleep(ctx, pause)
-			pause = min(2*pause, retryMost)
+			pause = s.longer(pause)
 			continue
 		}
 		pause = retryFirst
