--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -346,3 +346,21 @@
 		require.Equal(t, "ok", string(body))
 	}
 }
+
+// Requests that came in the first milliseconds of a box were once refused, with a second to wait.
+func TestRequestOfTheFirstMomentIsServed(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
+	s := startSite(t, control, testSettings())
+	time.AfterFunc(warmLimit/3, func() {
+		control.change(func() {
+			control.table = testTable(1, onceRoute())
+			control.endpoints[r.id] = r.endpoint("v1")
+		})
+		s.daemon.router.setTable(control.table, "test")
+		s.daemon.router.sync.takeFromPeer(SwapReply{Endpoints: &EndpointList{
+			Endpoints: []willowwick.Endpoint{r.endpoint("v1")}, Next: 9, From: 9,
+		}}, time.Now())
+	})
+	assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "id", "x").status)
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -18,6 +19,8 @@
 	startLimit = 64
 	// loadFresh is how long a load report counts: a runner's requests last about a second.
 	loadFresh = 1500 * time.Millisecond
+	// warmLimit is how long a request waits for a box that has just started: a quarter of the shortest goal seen.
+	warmLimit = 75 * time.Millisecond
 	// quietAfter is how long an endpoint with requests may say nothing before others are preferred: several times
 	// a plain service's usual work, and what a runner takes to read a long prompt.
 	quietAfter = 350 * time.Millisecond
@@ -60,6 +63,8 @@
 		peers    *peers
 		metrics  *routerMetrics
 		inFlight atomic.Int64
+		warm     chan struct{} // closed once configuration and endpoints are known
+		warmOnce sync.Once
 		stopping atomic.Bool
 		refusing atomic.Bool  // only requests that are sure to end before stopAt are taken
 		stopAt   atomic.Int64 // nanoseconds since 1970
@@ -73,7 +78,7 @@
 func newRouter(settings Settings, codec willowwick.HeaderCodec) (*Router, func()) {
 	conns, closeConns := wire.NewPool(wire.Settings{DialLimit: dialLimit, Silence: sendSilence})
 	x := &Router{
-		settings: settings, codec: codec, conns: conns, gate: gate.New(),
+		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter,
 		}),
@@ -93,6 +98,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	out := &reply{writer: w, controller: http.NewResponseController(w), codec: x.codec}
+	x.awaitWarm(r.Context())
 	c, refusal := x.begin(out, r, arrived)
 	if refusal != nil {
 		x.refuse(out, refusal)
@@ -205,10 +211,34 @@
 		return
 	}
 	x.table.Store(newTable(declared))
+	x.noteWarm()
 	slog.Info("configuration in force", "version", declared.Version, "routes", len(declared.Routes),
 		"accounts", len(declared.Accounts), "source", source)
 }
 
+// noteWarm lets requests in that came before the first configuration and list of endpoints.
+func (x *Router) noteWarm() {
+	if x.table.Load() != nil && x.sync.hasEndpoints() {
+		x.warmOnce.Do(func() { close(x.warm) })
+	}
+}
+
+// awaitWarm holds a request of the first moments until it can be served: the store answers in some milliseconds.
+func (x *Router) awaitWarm(ctx context.Context) {
+	select {
+	case <-x.warm:
+		return
+	default:
+	}
+	timer := time.NewTimer(warmLimit)
+	defer timer.Stop()
+	select {
+	case <-x.warm:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // ready reports whether the entry should send callers here, and if not, why.
 func (x *Router) ready() (ok bool, why string) {
 	switch {
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -380,6 +380,7 @@
 	}
 	s.mu.Unlock()
 	s.router.pool.Update(list)
+	s.router.noteWarm()
 }
 
 // keepMembership keeps this box in the group and learns of the others until the context ends.
