--- a/exchange/router.go
+++ b/exchange/router.go
@@ -21,6 +21,9 @@
 	loadFresh = 1500 * time.Millisecond
 	// warmLimit is how long a request waits for a box that has just started: a quarter of the shortest goal seen.
 	warmLimit = 75 * time.Millisecond
+	// queueAtEndpoint is how many requests an endpoint may hold beyond its slots, as a share of them: enough that no
+	// slot rests, few enough that client accounts take turns here and not behind each other there.
+	queueAtEndpoint = 1.0
 	// quietAfter is how long an endpoint with requests may say nothing before others are preferred: several times
 	// a plain service's usual work, and what a runner takes to read a long prompt.
 	quietAfter = 350 * time.Millisecond
@@ -80,7 +83,7 @@
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
-			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter,
+			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter, QueueShare: queueAtEndpoint,
 		}),
 		releases: newReleases(settings.Releases),
 		budgets:  map[willowwick.ServiceID]*route.RepeatBudget{},
--- a/route/pool.go
+++ b/route/pool.go
@@ -47,6 +47,9 @@
 		LoadFresh  time.Duration // setting: how long a load report counts
 		// TrustLast gives work to endpoints under suspicion where there are no others; the caller bounds its tries.
 		TrustLast bool
+		// QueueShare bounds what an endpoint holds beyond its slots, as a share of them; what is more waits for its
+		// fair turn here. 0 leaves it to the limit that adapts.
+		QueueShare float64
 		// QuietAfter is how long an endpoint with work may say nothing before others are preferred; 0 never.
 		QuietAfter time.Duration // setting
 	}
@@ -250,6 +253,14 @@
 	return p.inFlight
 }
 
+// extra is how many requests beyond its slots the endpoint may hold.
+func (m *member) extra(options PoolOptions) int {
+	if options.QueueShare == 0 {
+		return int(m.limit)
+	}
+	return int(min(m.limit, options.QueueShare*float64(m.load.Slots)))
+}
+
 // isDoubtful reports whether the endpoint owes an answer for long, or is on trial after a suspicion.
 func (m *member) isDoubtful(now time.Time, options PoolOptions) bool {
 	if m.inFlight == 0 {
@@ -482,7 +493,7 @@
 	fresh := m.load.Slots > 0 && now.Sub(m.load.At) < options.LoadFresh
 	if fresh {
 		// The report counts everybody's requests; what was sent since is known only of oneself.
-		return m.load.Running+m.load.Waiting+m.recent < m.load.Slots+int(m.limit) && float64(m.inFlight) < max(m.limit, options.StartLimit)
+		return m.load.Running+m.load.Waiting+m.recent < m.load.Slots+m.extra(options) && float64(m.inFlight) < max(m.limit, options.StartLimit)
 	}
 	return float64(m.inFlight) < m.limit
 }
