--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -13,10 +13,10 @@
 const (
 	// declarationsWait is how long the store may hold a read of the declarations: a call lasts until something changes.
 	declarationsWait = 20 * time.Second
-	// endpointsShare is the part of the time to leave an endpoint after which the list is read again: twice within it.
-	endpointsShare = 0.4
+	// endpointsShare is the part of the time to leave an endpoint after which the list is read again: what a reader finds is with its hall within half of it, swaps included.
+	endpointsShare = 0.3
 	// reliedShare is the part of it after which a box no longer relies on what another box reads for it.
-	reliedShare = 0.7
+	reliedShare = 0.6
 	// feedPoll is how often a box looks whether it has to read for itself.
 	feedPoll = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pauses between reads that fail.
