--- a/exchange/call.go
+++ b/exchange/call.go
@@ -178,7 +178,7 @@
 	if shared := len(c.head.Prompt) - 2; shared >= 0 && c.route.Affinity {
 		c.prefix = xxhash.Sum64String(c.head.Prompt[shared].ID)
 	}
-	c.choice = c.router.releases.choose(c.service, c.sessionText(), c.arrived)
+	c.choice = c.router.releases.choose(c.service, c.sessionText(), c.arrived, c.deadline)
 	wire.StripHop(c.message.Header)
 	delete(c.message.Header, "Content-Length")
 	delete(c.message.Header, "Expect")
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -213,7 +213,10 @@
 }
 
 // choose decides whether a request goes to the target of a roll-out.
-func (r *releases) choose(service willowwick.ServiceID, session string, now time.Time) releaseChoice {
+//
+// The choice is remembered until a request of the session can no longer follow this one, which ends at its deadline at
+// the latest.
+func (r *releases) choose(service willowwick.ServiceID, session string, now, deadline time.Time) releaseChoice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.moves[service]
@@ -227,7 +230,7 @@
 		}
 	}
 	key := string(service) + "/" + session
-	r.sessions[key] = sessionSeen{target: choice.useTarget, until: now.Add(r.settings.Session)}
+	r.sessions[key] = sessionSeen{target: choice.useTarget, until: deadline.Add(r.settings.Session)}
 	return choice
 }
 
--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -31,12 +31,17 @@
 	return willowwick.Endpoint{Service: "work", Release: willowwick.ReleaseID(release)}
 }
 
+// chooseNow chooses for a request that ends at once.
+func chooseNow(r *releases, session string, now time.Time) releaseChoice {
+	return r.choose("work", session, now, now)
+}
+
 // shareOf is the part of new sessions that goes to the target of a roll-out.
 func shareOf(r *releases, now time.Time, name string) float64 {
 	const sessions = 2000
 	n := 0
 	for i := range sessions {
-		if r.choose("work", fmt.Sprint(name, i), now).useTarget {
+		if chooseNow(r, fmt.Sprint(name, i), now).useTarget {
 			n++
 		}
 	}
@@ -71,19 +76,19 @@
 	r := newTestReleases()
 	early := at(0).Add(-time.Second)
 	for i := range 500 {
-		require.False(t, r.choose("work", fmt.Sprint(i), early).useTarget)
+		require.False(t, chooseNow(r, fmt.Sprint(i), early).useTarget)
 	}
 	r.begin(orderOf("v2", 1), 0, testStart)
 	r.judge(fleetEvidence(rollout.Evidence{Requests: 100}, rollout.Evidence{Requests: 1000}), at(0.1))
 	for step := 0.02; step < canaryEnd; step += 0.02 {
 		for i := range 500 {
-			require.False(t, r.choose("work", fmt.Sprint(i), at(step)).useTarget, "a session moved in the first half")
+			require.False(t, chooseNow(r, fmt.Sprint(i), at(step)).useTarget, "a session moved in the first half")
 		}
 	}
 	moved := map[int]bool{}
 	for step := canaryEnd; step < 1; step += 0.02 {
 		for i := range 500 {
-			useTarget := r.choose("work", fmt.Sprint(i), at(step)).useTarget
+			useTarget := chooseNow(r, fmt.Sprint(i), at(step)).useTarget
 			require.False(t, moved[i] && !useTarget, "a session went back")
 			moved[i] = useTarget
 		}
@@ -103,8 +108,8 @@
 		require.Len(t, found, 1, name)
 		assert.Equal(t, willowwick.ReleaseRolledBack, found[0].State)
 		assert.InDelta(t, 0, shareOf(r, at(0.2), "a"), 0)
-		assert.False(t, r.choose("work", "s", at(0.2)).allows(on("v2")))
-		assert.False(t, r.choose("work", "s", at(0.2)).otherwise(on("v2")), "not even where there is no other")
+		assert.False(t, chooseNow(r, "s", at(0.2)).allows(on("v2")))
+		assert.False(t, chooseNow(r, "s", at(0.2)).otherwise(on("v2")), "not even where there is no other")
 	}
 }
 
@@ -126,21 +131,21 @@
 	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseRolledBack}, true, "test")
 	r.begin(orderOf("v3", 2), 0, at(0.2))
 	for i := range 200 {
-		choice := r.choose("work", fmt.Sprint(i), at(0.3))
+		choice := chooseNow(r, fmt.Sprint(i), at(0.3))
 		require.False(t, choice.allows(on("v2")))
 		require.False(t, choice.otherwise(on("v2")))
 	}
 	fresh := newTestReleases()
 	fresh.begin(orderOf("v3", 2), 0, at(0.3))
 	fresh.takeBans(r.bans())
-	assert.False(t, fresh.choose("work", "s", at(0.3)).allows(on("v2")), "a box that starts later hears of it")
+	assert.False(t, chooseNow(fresh, "s", at(0.3)).allows(on("v2")), "a box that starts later hears of it")
 }
 
 func TestReleaseOfAnOrderThatWasReplacedIsGivenUp(t *testing.T) {
 	r := newTestReleases()
 	r.begin(orderOf("v2", 1), 0, testStart)
 	r.begin(orderOf("v3", 2), 0, at(0.2))
-	assert.False(t, r.choose("work", "s", at(0.3)).allows(on("v2")))
+	assert.False(t, chooseNow(r, "s", at(0.3)).allows(on("v2")))
 }
 
 // A box that lags behind once brought an older order back.
@@ -148,7 +153,7 @@
 	r := newTestReleases()
 	r.begin(orderOf("v3", 2), 0, testStart)
 	r.begin(orderOf("v2", 1), time.Second, at(0.1))
-	assert.Equal(t, willowwick.ReleaseID("v3"), r.choose("work", "s", at(0.1)).release)
+	assert.Equal(t, willowwick.ReleaseID("v3"), chooseNow(r, "s", at(0.1)).release)
 }
 
 func TestAgeOfAnOrderIsThatOfTheBoxThatHeardItFirst(t *testing.T) {
@@ -164,7 +169,7 @@
 	r.begin(orderOf("v2", 1), 0, testStart)
 	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseRolledBack}, false, "peer")
 	r.settle(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseCompleted}, true, "store")
-	choice := r.choose("work", "s", at(0.5))
+	choice := chooseNow(r, "s", at(0.5))
 	assert.True(t, choice.useTarget)
 	assert.True(t, choice.allows(on("v2")))
 }
@@ -193,3 +198,19 @@
 	r.setBoxes(61)
 	assert.InDelta(t, canaryShare/4, shareOf(r, at(0.1), "a"), 0.01)
 }
+
+// A session was once forgotten while its request ran for longer than sessions are remembered, and moved in the first half.
+func TestSessionIsRememberedFromTheEndOfItsRequest(t *testing.T) {
+	r := newTestReleases()
+	began := at(0).Add(-time.Second)
+	for i := range 500 {
+		require.False(t, r.choose("work", fmt.Sprint(i), began, began.Add(20*time.Second)).useTarget)
+	}
+	r.begin(orderOf("v2", 1), 0, testStart)
+	soon := began.Add(10 * time.Second)
+	require.True(t, soon.Before(at(canaryEnd)))
+	r.judge(fleetEvidence(rollout.Evidence{}, rollout.Evidence{}), soon)
+	for i := range 500 {
+		require.False(t, r.choose("work", fmt.Sprint(i), soon, soon).useTarget)
+	}
+}
