--- a/exchange/call.go
+++ b/exchange/call.go
@@ -301,7 +301,7 @@
 // logEnd writes the line that ends a request's story.
 func (c *call) logEnd(what string, status int, more ...any) {
 	attributes := append([]any{
-		"request", c.head.ID, "route", c.route.Name, "service", c.service, "status", status,
+		"request", c.head.ID, "session", c.head.Session, "route", c.route.Name, "service", c.service, "status", status,
 		"sends", c.sends, "runs", c.runs, "ms", time.Since(c.arrived).Milliseconds(), "config", c.table.Version,
 	}, more...)
 	slog.Info(what, attributes...)
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -15,7 +15,7 @@
 const (
 	// canaryShare is the part of the sessions that try a new release in the first half of its period: under the
 	// operator's bound on exposure, and enough for some answers a second.
-	canaryShare = 0.07
+	canaryShare = 0.04
 	// canaryBoxes is the size of a fleet for which that share is meant: in one of twice the boxes half of it brings
 	// the same evidence, and half as many sessions in progress are taken for new ones by a box that has not seen them.
 	canaryBoxes = 8
@@ -77,6 +77,8 @@
 	// releases decides which release answers, and judges new ones.
 	releases struct {
 		settings ReleaseSettings
+		// isThere reports whether a service has an endpoint of a release that stays.
+		isThere func(willowwick.ServiceID, willowwick.ReleaseID) bool
 
 		mu       sync.Mutex
 		moves    map[willowwick.ServiceID]*move
@@ -111,9 +113,10 @@
 	}
 )
 
-func newReleases(settings ReleaseSettings) *releases {
+func newReleases(settings ReleaseSettings, isThere func(willowwick.ServiceID, willowwick.ReleaseID) bool) *releases {
 	return &releases{
 		settings: settings,
+		isThere:  isThere,
 		canary:   canaryShare,
 		moves:    map[willowwick.ServiceID]*move{},
 		banned:   map[releaseKey]bool{},
@@ -253,7 +256,8 @@
 	case known && m.part(now) < canaryEnd:
 		choice.useTarget = false
 	default:
-		choice.useTarget = hashed
+		// A session that would be sent to a release without endpoints runs on the others, and is to stay there.
+		choice.useTarget = hashed && r.isThere(m.order.Service, m.order.Target)
 	}
 	return choice
 }
--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -24,7 +24,7 @@
 }
 
 func newTestReleases() *releases {
-	return newReleases(ReleaseSettings{Session: 5 * time.Second})
+	return newReleases(ReleaseSettings{Session: 5 * time.Second}, func(willowwick.ServiceID, willowwick.ReleaseID) bool { return true })
 }
 
 func on(release string) willowwick.Endpoint {
@@ -214,3 +214,14 @@
 		require.False(t, r.choose("work", fmt.Sprint(i), soon, soon).useTarget)
 	}
 }
+
+// Sessions that were meant for a release whose runners had not come yet once moved to it with their second request.
+func TestSessionOfAReleaseThatIsNotThereYetStaysWhereItRan(t *testing.T) {
+	isThere := false
+	r := newReleases(ReleaseSettings{Session: 5 * time.Second}, func(willowwick.ServiceID, willowwick.ReleaseID) bool { return isThere })
+	r.begin(orderOf("v2", 1), 0, testStart)
+	require.Zero(t, shareOf(r, at(0.01), "a"))
+	isThere = true
+	require.Zero(t, shareOf(r, at(0.1), "a"), "the same sessions")
+	require.NotZero(t, shareOf(r, at(0.1), "b"))
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -85,9 +85,9 @@
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter, QueueShare: queueAtEndpoint,
 		}),
-		releases: newReleases(settings.Releases),
-		budgets:  map[willowwick.ServiceID]*route.RepeatBudget{},
+		budgets: map[willowwick.ServiceID]*route.RepeatBudget{},
 	}
+	x.releases = newReleases(settings.Releases, x.hasRelease)
 	x.metrics = newRouterMetrics(x)
 	return x, closeConns
 }
@@ -206,6 +206,11 @@
 	})
 }
 
+// hasRelease reports whether a service has an endpoint of a release that stays.
+func (x *Router) hasRelease(service willowwick.ServiceID, release willowwick.ReleaseID) bool {
+	return x.pool.HasStaying(service, func(endpoint willowwick.Endpoint) bool { return endpoint.Release == release })
+}
+
 // setTable puts a configuration in force unless a newer one already is.
 func (x *Router) setTable(declared *willowwick.RoutingTable, source string) {
 	x.mu.Lock()
--- a/route/pool.go
+++ b/route/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -340,6 +341,14 @@
 	return false
 }
 
+// HasStaying reports whether one of the service's endpoints that are allowed is not leaving.
+func (p *Pool) HasStaying(service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[row{service: service}]
+	return r != nil && slices.ContainsFunc(r.members, func(m *member) bool { return !m.leaving && allow(m.endpoint) })
+}
+
 // Crowd is the mean number of requests at those of the service's endpoints that are allowed, by their newest
 // reports; own requests count where there is none.
 func (p *Pool) Crowd(now time.Time, service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) float64 {
