exchange: reports, lead and list of endpoints in files of their own

No change of behaviour: peers.go keeps membership and swapping, report.go has what boxes report of requests, lead.go the group and the states of roll-outs, listing.go the list of endpoints; sync.go keeps following declarations.

--- /dev/null
+++ b/exchange/lead.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// joinEvery is how often the box renews its place in the group: thrice within the time to live.
+	joinEvery = time.Second
+	// membersEvery is how often the group is listed where its generation has not changed.
+	membersEvery = 10 * time.Second
+	// leadEvery is how often the box that leads looks for states to write.
+	leadEvery = 300 * time.Millisecond
+)
+
+// keepMembership keeps this box in the group and learns of the others until the context ends.
+func (s *syncer) keepMembership(ctx context.Context) {
+	member := s.router.settings.Peers
+	var listedAt time.Time
+	for ctx.Err() == nil {
+		if _, found := s.router.peers.reader(time.Now()); found {
+			s.leaveGroup(ctx, member)
+			sleep(ctx, joinEvery)
+			continue
+		}
+		membership, err := s.control.Join(ctx, member, s.generation)
+		now := time.Now()
+		if err != nil {
+			s.setLead(false, "the group does not answer")
+			sleep(ctx, joinEvery)
+			continue
+		}
+		s.joined = true
+		changed := membership.Generation != s.generation
+		s.generation = membership.Generation
+		s.setLead(membership.Leads, "the group says so")
+		if changed || now.Sub(listedAt) > membersEvery {
+			s.listMembers(ctx, now)
+			listedAt = now
+		}
+		sleep(ctx, joinEvery)
+	}
+}
+
+// leaveGroup hands this box's part of the group on at once, since another box of the hall keeps in touch with the store.
+func (s *syncer) leaveGroup(ctx context.Context, member string) {
+	if !s.joined {
+		return
+	}
+	s.setLead(false, "another box of the hall reads the store")
+	if err := s.control.Leave(ctx, member); err != nil {
+		slog.Info("group was not left; the store drops this box by its silence", "error", err)
+	}
+	s.joined = false
+}
+
+func (s *syncer) listMembers(ctx context.Context, now time.Time) {
+	members, err := s.control.Members(ctx)
+	if err != nil {
+		slog.Info("group could not be listed", "error", err)
+		return
+	}
+	for _, member := range members {
+		s.router.peers.list(KnownBox{Address: member}, now)
+	}
+}
+
+func (s *syncer) setLead(leads bool, why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if leads != s.leads {
+		slog.Info("lead of roll-outs changed", "leads", leads, "why", why, "generation", s.generation)
+	}
+	s.leads = leads
+}
+
+func (s *syncer) isLeading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leads
+}
+
+// lead judges roll-outs on every box, and writes their states on the box that leads.
+func (s *syncer) lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		s.router.releases.setBoxes(s.router.peers.boxes())
+		s.router.releases.judge(s.router.peers.fleetReport(now).evidence(), now)
+		if s.isLeading() {
+			for _, due := range s.router.releases.due(now) {
+				s.writeDue(ctx, due, now)
+			}
+		}
+		s.router.conns.Sweep(now)
+		sleep(ctx, leadEvery)
+	}
+}
+
+func (s *syncer) readStatuses(ctx context.Context) (willowwick.ReleaseStatuses, error) {
+	statuses, err := s.control.Statuses(ctx)
+	if err != nil {
+		return statuses, err
+	}
+	for _, status := range statuses.Statuses {
+		s.router.releases.settle(status, true, "store")
+	}
+	return statuses, nil
+}
+
+// writeDue writes a state unless the store already holds a final one; a box that led before finds that here.
+func (s *syncer) writeDue(ctx context.Context, due dueStatus, now time.Time) {
+	if !due.lastCall && !s.hasMoved(due.ReleaseStatus, now) {
+		return
+	}
+	statuses, err := s.readStatuses(ctx)
+	if err != nil {
+		slog.Info("states of roll-outs could not be read", "error", err)
+		return
+	}
+	for _, status := range statuses.Statuses {
+		if status.Service == due.Service && status.Target == due.Target && status.State != willowwick.ReleaseRunning {
+			return
+		}
+	}
+	err = s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End)
+	slog.Info("state of a roll-out written", "service", due.Service, "release", due.Target, "state", due.State,
+		"after", statuses.End, "error", err)
+	if errors.Is(err, willowwick.ErrConflict) || err != nil {
+		return
+	}
+	s.router.releases.settle(due.ReleaseStatus, true, "written here")
+}
+
+// hasMoved reports whether no box in touch sends to the old release or has requests under way there.
+func (s *syncer) hasMoved(status willowwick.ReleaseStatus, now time.Time) bool {
+	if s.router.oldInFlight(status) > 0 {
+		return false
+	}
+	for _, row := range s.router.peers.fleetReport(now).Moves {
+		if row.Service == status.Service && row.Target == status.Target {
+			return row.Moved && row.OldInFlight == 0
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/exchange/report.go
@@ -0,0 +1,150 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/rollout"
+)
+
+type (
+	// Report is what one or more boxes have seen since their start.
+	Report struct {
+		Boxes    int
+		Evidence []EvidenceRow
+		Moves    []MoveRow
+	}
+
+	// HallReport is the sum of the reports of a hall's boxes.
+	HallReport struct {
+		Hall   willowwick.HallID
+		AgeMs  int64
+		Report Report
+	}
+
+	// EvidenceRow counts one kind of answer.
+	EvidenceRow struct {
+		Service willowwick.ServiceID
+		Release willowwick.ReleaseID
+		Route   willowwick.RouteID
+		Counts  rollout.Evidence
+	}
+
+	// MoveRow is how far boxes have moved to a roll-out's target.
+	MoveRow struct {
+		Service     willowwick.ServiceID
+		Target      willowwick.ReleaseID
+		Moved       bool // all new requests go there
+		OldInFlight int  // requests under way at other releases
+	}
+
+	// heardReport is a hall's report with the time from which it is.
+	heardReport struct {
+		report Report
+		at     time.Time
+	}
+)
+
+// fleetReport sums what all halls have reported.
+func (p *peers) fleetReport(now time.Time) Report {
+	total := p.hallReport(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, hall := range p.halls {
+		total = total.add(hall.report, now.Sub(hall.at) <= 2*peerFresh)
+	}
+	return total
+}
+
+// hallReport sums the reports of this box and of those of its hall that swap with it; on a box that does not read the
+// store it is its reader's sum, which holds this box's own.
+func (p *peers) hallReport(now time.Time) Report {
+	if reader, found := p.reader(now); found {
+		for _, hall := range reader.Halls {
+			if hall.Hall == p.router.settings.Hall {
+				return hall.Report
+			}
+		}
+	}
+	total := p.ownReport()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.known {
+		if known.hall == p.router.settings.Hall {
+			total = total.add(known.digest.Own, now.Sub(known.heard) <= peerFresh)
+		}
+	}
+	return total
+}
+
+func (p *peers) ownReport() Report {
+	x := p.router
+	report := Report{Boxes: 1}
+	for key, counts := range x.releases.evidence() {
+		report.Evidence = append(report.Evidence, EvidenceRow{key.Service, key.Release, key.Route, counts})
+	}
+	for _, own := range x.releases.progresses(time.Now()) {
+		report.Moves = append(report.Moves, MoveRow{
+			Service: own.Status.Service, Target: own.Status.Target, Moved: own.Moved, OldInFlight: x.oldInFlight(own.Status),
+		})
+	}
+	return report
+}
+
+func (p *peers) hallReports(now time.Time) []HallReport {
+	list := []HallReport{{Hall: p.router.settings.Hall, Report: p.hallReport(now)}}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, hall := range p.halls {
+		list = append(list, HallReport{Hall: name, AgeMs: now.Sub(hall.at).Milliseconds(), Report: hall.report})
+	}
+	return list
+}
+
+// add sums two reports; what a box counted stays true when it is gone, what it does now does not.
+func (r Report) add(other Report, isLive bool) Report {
+	sum := Report{Boxes: r.Boxes, Evidence: slices.Clone(r.Evidence), Moves: slices.Clone(r.Moves)}
+	for _, row := range other.Evidence {
+		at := slices.IndexFunc(sum.Evidence, func(e EvidenceRow) bool { return e.key() == row.key() })
+		if at < 0 {
+			sum.Evidence = append(sum.Evidence, row)
+			continue
+		}
+		sum.Evidence[at].Counts = sum.Evidence[at].Counts.Add(row.Counts)
+	}
+	if !isLive {
+		return sum
+	}
+	sum.Boxes += other.Boxes
+	for _, row := range other.Moves {
+		at := slices.IndexFunc(sum.Moves, func(m MoveRow) bool { return m.Service == row.Service && m.Target == row.Target })
+		if at < 0 {
+			sum.Moves = append(sum.Moves, row)
+			continue
+		}
+		sum.Moves[at].Moved = sum.Moves[at].Moved && row.Moved
+		sum.Moves[at].OldInFlight += row.OldInFlight
+	}
+	return sum
+}
+
+// evidence is the fleet's, by what was counted.
+func (r Report) evidence() map[evidenceKey]rollout.Evidence {
+	total := make(map[evidenceKey]rollout.Evidence, len(r.Evidence))
+	for _, row := range r.Evidence {
+		total[row.key()] = row.Counts
+	}
+	return total
+}
+
+func (e EvidenceRow) key() evidenceKey {
+	return evidenceKey{Service: e.Service, Release: e.Release, Route: e.Route}
+}
+
+// oldInFlight counts the requests under way at other releases than a roll-out's target.
+func (x *Router) oldInFlight(status willowwick.ReleaseStatus) int {
+	return x.pool.InFlightWhere(status.Service, func(endpoint willowwick.Endpoint) bool {
+		return endpoint.Release != status.Target
+	})
+}
