--- /dev/null
+++ b/fleet/gossip.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/config"
+)
+
+// pullLimit is the number of entries of the log that one call brings at the most.
+const pullLimit = 500
+
+// gossip renews the own digest when due and exchanges digests with one box of
+// the hall and one of another hall.
+func (n *Node) gossip(ctx context.Context) {
+	n.renewDigest(time.Now())
+	same, other := n.partners()
+	if same != nil {
+		n.exchange(ctx, *same)
+	}
+	if other != nil {
+		n.exchange(ctx, *other)
+	}
+	n.checkBuddy()
+}
+
+func (n *Node) renewDigest(now time.Time) {
+	hallSize := 0
+	for _, box := range n.Table.Live(now) {
+		if box.Hall == n.Self.Hall {
+			hallSize++
+		}
+	}
+	n.mu.Lock()
+	if now.Before(n.nextOwn) {
+		n.mu.Unlock()
+		return
+	}
+	n.nextOwn = now.Add(DigestInterval(hallSize) - tick/2)
+	n.digests++
+	number, draining := n.digests, n.draining
+	n.mu.Unlock()
+	d := Digest{
+		Box: n.Self.Box, Boot: n.Self.Boot, Version: newDigestVersion(n.Self.Started, number),
+		Hall: n.Self.Hall, Peer: n.Self.Peer, Offset: n.Follower.Revision().Offset,
+		ConfirmMs: n.confirmAge(now), Draining: draining,
+	}
+	n.Fill(&d)
+	n.Table.Merge(now, []Digest{d}, nil)
+}
+
+func (n *Node) confirmAge(now time.Time) int64 {
+	confirmed := n.Follower.Confirmed()
+	if confirmed.IsZero() {
+		return -1
+	}
+	return now.Sub(confirmed).Milliseconds()
+}
+
+// partners picks one other box of the hall and one of another hall at random.
+func (n *Node) partners() (same, other *willowwick.Box) {
+	listing, _ := n.Listing()
+	var sameHall, otherHalls []willowwick.Box
+	for _, box := range listing.Boxes {
+		switch {
+		case box.ID == n.Self.Box:
+		case box.Hall == n.Self.Hall:
+			sameHall = append(sameHall, box)
+		default:
+			otherHalls = append(otherHalls, box)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(sameHall) > 0 {
+		same = &sameHall[n.random.IntN(len(sameHall))]
+	}
+	if len(otherHalls) > 0 {
+		other = &otherHalls[n.random.IntN(len(otherHalls))]
+	}
+	return same, other
+}
+
+func (n *Node) exchange(ctx context.Context, with willowwick.Box) {
+	now := time.Now()
+	args := ExchangeArgs{Peer: n.Self.Peer, Hall: n.Self.Hall, Offset: n.Follower.Revision().Offset}
+	marks, hallMarks := n.Table.Marks()
+	args.HallMarks = hallMarks
+	if with.Hall == n.Self.Hall {
+		args.Marks = marks
+	} else {
+		args.Halls = []HallDigest{n.Table.HallDigest(now)}
+		args.HallMarks = append(args.HallMarks, HallMark{Hall: n.Self.Hall, Stamp: hallStamp(now)})
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply ExchangeReply
+	if err := n.Transport.Call(callCtx, with.Peer, rpcName+".Exchange", args, &reply); err != nil {
+		return
+	}
+	n.merge(time.Now(), reply.Digests, reply.Halls)
+	n.heardOffset(callCtx, with.Peer, reply.Offset, reply.ConfirmMs)
+	if len(reply.Want) > 0 {
+		_ = n.Transport.Call(callCtx, with.Peer, rpcName+".Push", PushArgs{Digests: n.Table.Select(reply.Want)}, &Nothing{})
+	}
+}
+
+func (n *Node) merge(now time.Time, digests []Digest, halls []HallDigest) {
+	taken := n.Table.Merge(now, digests, halls)
+	if len(taken) > 0 || len(halls) > 0 {
+		n.OnDigests(taken, halls)
+	}
+}
+
+// heardOffset pulls what a peer has beyond the own offset, or confirms the own.
+func (n *Node) heardOffset(ctx context.Context, peer string, offset willowwick.Offset, confirmMs int64) {
+	if offset > n.Follower.Revision().Offset {
+		n.pull(ctx, peer)
+	}
+	if confirmMs >= 0 {
+		n.Follower.Confirm(offset, time.Now().Add(-time.Duration(confirmMs)*time.Millisecond))
+	}
+}
+
+func (n *Node) pull(ctx context.Context, peer string) {
+	var reply PullReply
+	args := PullArgs{After: n.Follower.Revision().Offset, Limit: pullLimit}
+	if err := n.Transport.Call(ctx, peer, rpcName+".Pull", args, &reply); err != nil {
+		return
+	}
+	if len(reply.State) > 0 {
+		state, err := config.DecodeState(reply.State)
+		if err == nil {
+			n.Follower.Install(state)
+		}
+		return
+	}
+	if err := n.Follower.Ingest(reply.Entries); err != nil {
+		slog.Warn("entries of a peer could not be folded", "peer", peer, "error", err)
+	}
+}
