--- /dev/null
+++ b/exchange/evidence.go
@@ -0,0 +1,181 @@
+package exchange
+
+import (
+	"log/slog"
+	"maps"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/rollout"
+)
+
+const (
+	// plainlyBad and plainlyBadShare withdraw a release where there is nothing to compare it with.
+	plainlyBad      = 12
+	plainlyBadShare = 0.3
+	// slowFactor is by how much an answer must be slower than usual on its route to count as slow.
+	slowFactor = 3.0
+	// typicalFade is how much of the usual time of an answer one answer replaces.
+	typicalFade = 0.1
+)
+
+type (
+	// evidenceKey names what one kind of answer is counted under.
+	evidenceKey struct {
+		Service willowwick.ServiceID
+		Release willowwick.ReleaseID
+		Route   willowwick.RouteID
+	}
+
+	// typicalKey names answers that usually take alike.
+	typicalKey struct {
+		route willowwick.RouteID
+		model willowwick.ModelID
+	}
+
+	// observation is one answer as evidence.
+	observation struct {
+		service willowwick.ServiceID
+		release willowwick.ReleaseID
+		route   willowwick.RouteID
+		model   willowwick.ModelID
+		took    time.Duration // to the head
+		isError bool
+	}
+
+	// routeNews is what was counted on a route since the last look, on a roll-out's target and on other releases.
+	routeNews struct {
+		target rollout.Evidence
+		others rollout.Evidence
+	}
+)
+
+// observe counts one answer.
+func (r *releases) observe(o observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.moves[o.service]
+	isTarget := m != nil && m.order.Target == o.release
+	key := evidenceKey{Service: o.service, Release: o.release, Route: o.route}
+	counts := r.own[key]
+	counts.Requests++
+	if o.isError {
+		counts.Errors++
+	} else if r.isSlow(o, isTarget) {
+		counts.Slow++
+	}
+	r.own[key] = counts
+}
+
+// isSlow compares an answer with the usual ones of its route and model; those of a new release set no measure.
+func (r *releases) isSlow(o observation, isTarget bool) bool {
+	key := typicalKey{route: o.route, model: o.model}
+	typical, known := r.typical[key]
+	took := o.took.Seconds()
+	if !known {
+		if !isTarget {
+			r.typical[key] = took
+		}
+		return false
+	}
+	slow := took > slowFactor*typical
+	if !isTarget {
+		r.typical[key] = typical + typicalFade*(min(took, slowFactor*typical)-typical)
+	}
+	return slow
+}
+
+// usual is how long the head of an answer usually takes on the route; 0 if that is not known yet.
+func (r *releases) usual(route willowwick.RouteID, model willowwick.ModelID) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.typical[typicalKey{route: route, model: model}] * float64(time.Second))
+}
+
+// evidence returns what this box has counted.
+func (r *releases) evidence() map[evidenceKey]rollout.Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.own)
+}
+
+// judge looks at the evidence of all boxes and returns the services whose roll-out turned out bad.
+func (r *releases) judge(fleet map[evidenceKey]rollout.Evidence, now time.Time) []willowwick.ReleaseStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(now)
+	var bad []willowwick.ReleaseStatus
+	for service, m := range r.moves {
+		if m.state != willowwick.ReleaseRunning {
+			continue
+		}
+		if cause, isBad := m.judge(service, fleet); isBad {
+			m.state, m.written = willowwick.ReleaseRolledBack, false
+			r.noteBan(m)
+			bad = append(bad, willowwick.ReleaseStatus{Service: service, Target: m.order.Target, State: m.state})
+			slog.Info("release is bad", "service", service, "release", m.order.Target, "cause", cause,
+				"answers", m.requests, "age_ms", now.Sub(m.began).Milliseconds())
+		}
+	}
+	return bad
+}
+
+// judge adds what is new in the evidence to the monitors of the routes.
+func (m *move) judge(service willowwick.ServiceID, fleet map[evidenceKey]rollout.Evidence) (cause string, isBad bool) {
+	routes, others := m.news(service, fleet)
+	target := m.targetEvidence(service, fleet)
+	m.requests = target.Requests
+	for name, counts := range routes {
+		if finding := m.monitor(name).Observe(counts.target, counts.others, others); finding.Bad {
+			return string(name) + ": " + finding.Signal.String(), true
+		}
+	}
+	if target.Errors >= plainlyBad && float64(target.Errors) > plainlyBadShare*float64(target.Requests) {
+		return "most answers are errors", true
+	}
+	return "", false
+}
+
+// news sorts what is new in the evidence by route, and sums that on other releases over all routes.
+func (m *move) news(
+	service willowwick.ServiceID, fleet map[evidenceKey]rollout.Evidence,
+) (routes map[willowwick.RouteID]routeNews, others rollout.Evidence) {
+	routes = map[willowwick.RouteID]routeNews{}
+	for key, total := range fleet {
+		if key.Service != service {
+			continue
+		}
+		news := total.Since(m.seen[key])
+		m.seen[key] = total
+		counts := routes[key.Route]
+		if key.Release == m.order.Target {
+			counts.target = counts.target.Add(news)
+		} else {
+			counts.others = counts.others.Add(news)
+			others = others.Add(news)
+		}
+		routes[key.Route] = counts
+	}
+	return routes, others
+}
+
+// targetEvidence sums all that is known of the target, over all routes.
+func (m *move) targetEvidence(service willowwick.ServiceID, fleet map[evidenceKey]rollout.Evidence) rollout.Evidence {
+	var sum rollout.Evidence
+	for key, total := range fleet {
+		if key.Service == service && key.Release == m.order.Target {
+			sum = sum.Add(total)
+		}
+	}
+	return sum
+}
+
+// monitor returns the monitor of a route.
+func (m *move) monitor(name willowwick.RouteID) *rollout.Monitor {
+	monitor := m.monitors[name]
+	if monitor == nil {
+		monitor = rollout.NewMonitor(willowwick.VersionID(m.order.Target))
+		m.monitors[name] = monitor
+	}
+	return monitor
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -59,8 +59,6 @@
 	maxWhole = 256 << 10
 	// promptPerOutput is how many tokens of a prompt cost an endpoint as much as one of the answer.
 	promptPerOutput = 4
-	// slowFactor is by how much an answer must be slower than usual on its route to count as slow.
-	slowFactor = 3.0
 )
 
 type (
