--- a/lab/caller.go
+++ b/lab/caller.go
@@ -83,6 +83,25 @@
 	if err != nil {
 		return Reply{Outcome: OutcomeNotTaken, Detail: err.Error()}
 	}
+	read := func(reply *Reply, body io.Reader) error {
+		if chat.Stream {
+			return reply.readStream(body, begun)
+		}
+		err := reply.readWhole(body)
+		reply.FirstToken = time.Since(begun)
+		return err
+	}
+	return send(client, request, begun, read, func(text string) bool {
+		return standin.IsWhole(chat.Prompt+"\n", text, willowwick.Tokens(chat.MaxTokens))
+	})
+}
+
+// send makes a call and sorts what came of it; read takes the body of an answer, isOwn tells whether its text is the
+// whole answer to this call.
+func send(
+	client *http.Client, request *http.Request, begun time.Time,
+	read func(reply *Reply, body io.Reader) error, isOwn func(text string) bool,
+) Reply {
 	response, err := client.Do(request)
 	if err != nil {
 		return notAnswered(err)
@@ -92,17 +111,12 @@
 	if response.StatusCode != http.StatusOK {
 		return refused(reply, response)
 	}
-	if chat.Stream {
-		err = reply.readStream(response.Body, begun)
-	} else {
-		err = reply.readWhole(response.Body)
-		reply.FirstToken = time.Since(begun)
-	}
+	err = read(&reply, response.Body)
 	reply.Took = time.Since(begun)
 	switch {
 	case err != nil:
 		reply.Outcome, reply.Detail = OutcomeLost, err.Error()
-	case !standin.IsWhole(chat.Prompt+"\n", reply.Text, willowwick.Tokens(chat.MaxTokens)):
+	case !isOwn(reply.Text):
 		reply.Outcome, reply.Detail = OutcomeCrossed, reply.Text
 	default:
 		reply.Outcome = OutcomeWhole
@@ -150,24 +164,9 @@
 		return Reply{Outcome: OutcomeNotTaken, Detail: err.Error()}
 	}
 	setHeaders(request, key, map[string]string{serve.HeaderIdempotency: idempotency, "X-Entry": entry})
-	response, err := client.Do(request)
-	if err != nil {
-		return notAnswered(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	reply := replyFrom(response)
-	if response.StatusCode != http.StatusOK {
-		return refused(reply, response)
-	}
-	text, err := io.ReadAll(response.Body)
-	reply.Text, reply.Took, reply.Outcome = string(text), time.Since(begun), OutcomeWhole
-	switch {
-	case err != nil:
-		reply.Outcome, reply.Detail = OutcomeLost, err.Error()
-	case method != http.MethodGet && !strings.Contains(reply.Text, entry):
-		reply.Outcome, reply.Detail = OutcomeCrossed, reply.Text
-	}
-	return reply
+	return send(client, request, begun, (*Reply).readText, func(text string) bool {
+		return method == http.MethodGet || strings.Contains(text, entry)
+	})
 }
 
 func replyFrom(response *http.Response) Reply {
@@ -238,3 +237,9 @@
 	r.Text = answer.Choices[0].Message.Content
 	return nil
 }
+
+func (r *Reply) readText(body io.Reader) error {
+	text, err := io.ReadAll(body)
+	r.Text = string(text)
+	return err
+}
