--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -62,10 +62,8 @@
 func BenchmarkClaim(b *testing.B) {
 	for _, boxes := range []int{7, 96, 390} {
 		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
-			roster := benchRoster(boxes)
-			r := NewRegistry(roster.Members[0].Boot)
 			now := time.Now()
-			r.Adopt(now, roster, config.Roster{})
+			roster, r := benchRegistry(now, boxes)
 			b.ReportAllocs()
 			for n := 0; b.Loop(); n++ {
 				key := fmt.Sprint("claim/account/service/key", n)
@@ -88,14 +86,20 @@
 	return roster
 }
 
+// benchRegistry is the registry of one of so many boxes.
+func benchRegistry(now time.Time, boxes int) (config.Roster, *Registry) {
+	roster := benchRoster(boxes)
+	r := NewRegistry(roster.Members[0].Boot)
+	r.Adopt(now, roster, config.Roster{})
+	return roster, r
+}
+
 // BenchmarkExport sorts 1,000 entries out over a new roster, which each box does once for each.
 func BenchmarkExport(b *testing.B) {
 	for _, boxes := range []int{7, 96, 390} {
 		b.Run(fmt.Sprintf("boxes=%d", boxes), func(b *testing.B) {
-			roster := benchRoster(boxes)
-			r := NewRegistry(roster.Members[0].Boot)
 			now := time.Now()
-			r.Adopt(now, roster, config.Roster{})
+			roster, r := benchRegistry(now, boxes)
 			for n := range 1000 {
 				key := fmt.Sprint("claim/account/service/key", n)
 				r.Put(now, PutArgs{Epoch: 1, Entry: RegistryEntry{Key: key, Value: "r", Deadline: now.Add(time.Minute)}})
