--- a/wire/pool.go
+++ b/wire/pool.go
@@ -108,7 +108,7 @@
 			return c, nil
 		}
 		p.count(func(s *Stats) { s.Stale++ })
-		_ = c.conn.Close()
+		c.Close()
 	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -157,9 +157,7 @@
 	row := p.idle[address]
 	delete(p.idle, address)
 	p.mu.Unlock()
-	for _, c := range row {
-		_ = c.conn.Close()
-	}
+	closeAll(row)
 }
 
 // Sweep closes the idle connections that their endpoints are about to close.
@@ -180,9 +178,7 @@
 		}
 	}
 	p.mu.Unlock()
-	for _, c := range old {
-		_ = c.conn.Close()
-	}
+	closeAll(old)
 }
 
 func (p *Pool) close() {
@@ -192,9 +188,13 @@
 	p.idle = map[string][]*Conn{}
 	p.mu.Unlock()
 	for _, row := range idle {
-		for _, c := range row {
-			_ = c.conn.Close()
-		}
+		closeAll(row)
+	}
+}
+
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		c.Close()
 	}
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -68,7 +68,7 @@
 	return func(header http.Header) bool { return header.Get("Id") == id }
 }
 
-func receive(t *testing.T, c *Conn, id string) (*Answer, string, error) {
+func receive(c *Conn, id string) (*Answer, string, error) {
 	answer, err := c.Receive(http.MethodPost, time.Now().Add(second), time.Now().Add(second), belongsTo(id))
 	if err != nil {
 		return nil, "", err
@@ -83,6 +83,15 @@
 	return c
 }
 
+// sendOne sends a request on a new connection and returns both ends of it once the endpoint has read the request.
+func sendOne(t *testing.T, pool *Pool, address string, conns chan *peerConn, id string) (*Conn, *peerConn) {
+	c := open(t, pool, address)
+	require.NoError(t, c.Send(message(id, "x")))
+	peer := <-conns
+	peer.readRequest(t)
+	return c, peer
+}
+
 func whole(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
@@ -99,7 +108,7 @@
 		}
 		assert.Equal(t, "a x", peer.readRequest(t))
 		peer.write(t, whole("a", "ok"))
-		answer, body, err := receive(t, c, "a")
+		answer, body, err := receive(c, "a")
 		require.NoError(t, err)
 		assert.Equal(t, "ok", body)
 		answer.Done()
@@ -111,12 +120,9 @@
 func TestSurplusAnswerOfAnEarlierRequestIsSkipped(t *testing.T) {
 	address, conns := newPeer(t)
 	pool := newTestPool(t)
-	c := open(t, pool, address)
-	require.NoError(t, c.Send(message("b", "x")))
-	peer := <-conns
-	peer.readRequest(t)
+	c, peer := sendOne(t, pool, address, conns, "b")
 	peer.write(t, whole("a", "old")+whole("b", "new"))
-	_, body, err := receive(t, c, "b")
+	_, body, err := receive(c, "b")
 	require.NoError(t, err)
 	assert.Equal(t, "new", body)
 	assert.Equal(t, uint64(1), pool.Stats().Surplus)
@@ -125,12 +131,9 @@
 func TestConnectionWithSurplusBytesIsNotUsedAgain(t *testing.T) {
 	address, conns := newPeer(t)
 	pool := newTestPool(t)
-	c := open(t, pool, address)
-	require.NoError(t, c.Send(message("a", "x")))
-	peer := <-conns
-	peer.readRequest(t)
+	c, peer := sendOne(t, pool, address, conns, "a")
 	peer.write(t, whole("a", "ok")+"more")
-	answer, _, err := receive(t, c, "a")
+	answer, _, err := receive(c, "a")
 	require.NoError(t, err)
 	answer.Done()
 	open(t, pool, address)
@@ -144,12 +147,9 @@
 	} {
 		address, conns := newPeer(t)
 		pool := newTestPool(t)
-		c := open(t, pool, address)
-		require.NoError(t, c.Send(message("a", "x")))
-		peer := <-conns
-		peer.readRequest(t)
+		c, peer := sendOne(t, pool, address, conns, "a")
 		peer.write(t, whole("a", "ok"))
-		answer, _, err := receive(t, c, "a")
+		answer, _, err := receive(c, "a")
 		require.NoError(t, err)
 		answer.Done()
 		spoil(peer)
@@ -166,7 +166,7 @@
 	require.NoError(t, c.Send(message("a", strings.Repeat("x", 8<<20))))
 	peer := <-conns
 	peer.write(t, whole("a", "no"))
-	answer, body, err := receive(t, c, "a")
+	answer, body, err := receive(c, "a")
 	require.NoError(t, err)
 	assert.Equal(t, "no", body)
 	answer.Done()
@@ -176,55 +176,43 @@
 
 func TestBytesThatAreNoAnswerAreABreak(t *testing.T) {
 	address, conns := newPeer(t)
-	c := open(t, newTestPool(t), address)
-	require.NoError(t, c.Send(message("a", "x")))
-	peer := <-conns
-	peer.readRequest(t)
+	c, peer := sendOne(t, newTestPool(t), address, conns, "a")
 	peer.write(t, "garbage\r\n\r\n")
-	_, _, err := receive(t, c, "a")
+	_, _, err := receive(c, "a")
 	assert.ErrorIs(t, err, willowwick.ErrBroken)
 }
 
 func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
 	address, conns := newPeer(t)
 	pool := newTestPool(t)
-	c := open(t, pool, address)
-	require.NoError(t, c.Send(message("a", "x")))
-	peer := <-conns
-	peer.readRequest(t)
+	c, peer := sendOne(t, pool, address, conns, "a")
 	peer.write(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
 	require.NoError(t, peer.Close())
-	_, body, err := receive(t, c, "a")
+	_, body, err := receive(c, "a")
 	require.NoError(t, err)
 	assert.Equal(t, "all of it", body)
 }
 
 func TestResetWithinAnUnframedAnswerIsNoEnd(t *testing.T) {
 	address, conns := newPeer(t)
-	c := open(t, newTestPool(t), address)
-	require.NoError(t, c.Send(message("a", "x")))
-	peer := <-conns
-	peer.readRequest(t)
+	c, peer := sendOne(t, newTestPool(t), address, conns, "a")
 	peer.write(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
 	time.Sleep(20 * time.Millisecond)
 	tcp, ok := peer.Conn.(*net.TCPConn)
 	require.True(t, ok)
 	require.NoError(t, tcp.SetLinger(0))
 	require.NoError(t, tcp.Close())
-	_, _, err := receive(t, c, "a")
+	_, _, err := receive(c, "a")
 	assert.Error(t, err)
 }
 
 func TestSilenceIsToldAndTheAnswerStillComes(t *testing.T) {
 	address, conns := newPeer(t)
-	c := open(t, newTestPool(t), address)
-	require.NoError(t, c.Send(message("a", "x")))
-	peer := <-conns
-	peer.readRequest(t)
+	c, peer := sendOne(t, newTestPool(t), address, conns, "a")
 	_, err := c.Receive(http.MethodPost, time.Now().Add(30*time.Millisecond), time.Now().Add(second), belongsTo("a"))
 	require.ErrorIs(t, err, ErrSilent)
 	peer.write(t, whole("a", "ok"))
-	_, body, err := receive(t, c, "a")
+	_, body, err := receive(c, "a")
 	require.NoError(t, err)
 	assert.Equal(t, "ok", body)
 }
