--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -222,11 +222,7 @@
 }
 
 func (s *send) streamBroke(err error) sendResult {
-	s.outcome = route.OutcomeFailed
-	if errors.Is(err, wire.ErrSilent) {
-		return sendResult{silent, errors.Wrap(err, "stream")}
-	}
-	return sendResult{broken, errors.Wrap(err, "stream")}
+	return s.unanswered(errors.Wrap(err, "stream"))
 }
 
 func (s *send) callerGone() sendResult {
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -58,9 +58,7 @@
 
 // isStale reports whether what the store holds may have changed unseen.
 func (s *syncer) isStale(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.asOf) > staleAfter
+	return s.storeAge(now) > staleAfter
 }
 
 // readAge is how long ago the store last answered this box itself.
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -110,11 +111,7 @@
 func (b *BatchRunner) Ran() map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ran := make(map[string]int, len(b.ran))
-	for id, n := range b.ran {
-		ran[id] = n
-	}
-	return ran
+	return maps.Clone(b.ran)
 }
 
 // ServeHTTP implements http.Handler.
--- a/standin/service.go
+++ b/standin/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -58,11 +59,7 @@
 func (s *Service) Effects() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	copied := make(map[string]int, len(s.effects))
-	for entry, count := range s.effects {
-		copied[entry] = count
-	}
-	return copied
+	return maps.Clone(s.effects)
 }
 
 func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
