--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -225,3 +225,22 @@
 	require.Zero(t, shareOf(r, at(0.1), "a"), "the same sessions")
 	require.NotZero(t, shareOf(r, at(0.1), "b"))
 }
+
+// A session that another box of the hall took up was once taken for a new one, and moved in the first half.
+func TestSessionThatAnotherBoxHasOnTheOthersIsNotMoved(t *testing.T) {
+	one, other := newTestReleases(), newTestReleases()
+	early := at(0).Add(-time.Second)
+	for i := range 2000 {
+		require.False(t, one.choose("work", fmt.Sprint("a", i), early, at(0.3)).useTarget)
+	}
+	for _, r := range []*releases{one, other} {
+		r.begin(orderOf("v2", 1), 0, testStart)
+	}
+	require.Zero(t, shareOf(other, at(0.05), "b"), "no session moves before boxes have told each other")
+	kept := one.kept(at(0.1))
+	assert.InDelta(t, 2000*canaryShare, len(kept), 40, "only those that would move are named")
+	assert.NotZero(t, shareOf(other, at(0.15), "c"))
+	other.setKeptElsewhere(kept)
+	assert.Zero(t, shareOf(other, at(0.2), "a"))
+	assert.Empty(t, one.kept(at(canaryEnd)), "sessions may move from the half on")
+}
