A late heartbeat brings no endpoint back

One that is gone is used again only after a second heartbeat, and a removal is told even if an entry follows in the same read. Tests of both fail without.

--- a/control.go
+++ b/control.go
@@ -17,7 +17,7 @@
 	EndpointChanges struct {
 		Whole   bool // Present is the whole list; what is not in it is gone
 		Present []Endpoint
-		Gone    []EndpointID
+		Gone    []EndpointID // they went before Present was written, also where they stand there again
 		Next    Offset
 	}
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -357,3 +357,29 @@
 	time.AfterFunc(warmLimit/3, func() { s.daemon.router.setTable(testTable(1, onceRoute()), "test") })
 	assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "id", "x").status)
 }
+
+// The last heartbeat of an endpoint that had gone once brought it back into use.
+func TestHeartbeatThatComesLateBringsNoEndpointBack(t *testing.T) {
+	x, closeRouter := newRouter(testSettings(), testCodec{})
+	defer closeRouter()
+	s := newSyncer(x, nil)
+	x.sync = s
+	now := time.Now()
+	beat := func(n uint64) []willowwick.Endpoint {
+		return []willowwick.Endpoint{{ID: "e", Service: "work", Beat: n}}
+	}
+	isListed := func() bool {
+		_, found := s.entry("e")
+		return found
+	}
+	s.apply(willowwick.EndpointChanges{Present: beat(5), Next: 1}, now)
+	require.True(t, isListed())
+	s.apply(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"e"}, Present: beat(6), Next: 3}, now)
+	require.False(t, isListed(), "gone, and one heartbeat that was on its way")
+	s.apply(willowwick.EndpointChanges{Present: beat(6), Next: 4}, now)
+	require.False(t, isListed(), "the same one again")
+	s.apply(willowwick.EndpointChanges{Whole: true, Present: beat(6), Next: 4}, now)
+	require.False(t, isListed(), "in the whole list too")
+	s.apply(willowwick.EndpointChanges{Present: beat(7), Next: 5}, now)
+	require.True(t, isListed(), "it goes on: it lives")
+}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -99,6 +99,10 @@
 	list := reply.Endpoints
 	isNews := list != nil && list.From > s.changedAt
 	if isNews {
+		// What the other box lists it has judged itself.
+		for _, endpoint := range list.Endpoints {
+			delete(s.gone, endpoint.ID)
+		}
 		s.apply(willowwick.EndpointChanges{Whole: true, Present: list.Endpoints, Next: max(s.next, list.Next)}, now)
 		s.changedAt, s.changed = list.From, false
 	}
@@ -114,21 +118,15 @@
 
 // apply takes changes of the list; the caller holds the lock.
 func (s *syncer) apply(changes willowwick.EndpointChanges, now time.Time) {
+	for _, id := range changes.Gone {
+		s.endpointGone(id, now)
+	}
 	present := map[willowwick.EndpointID]bool{}
 	for _, endpoint := range changes.Present {
-		present[endpoint.ID] = true
-		old, known := s.listed[endpoint.ID]
-		// Leaving is for good: a later entry that says otherwise was written before.
-		endpoint.Leaving = endpoint.Leaving || old.Leaving
-		if !known || !sameEntry(old, endpoint) {
-			s.changed = true
+		if s.isBack(endpoint) {
+			present[endpoint.ID] = true
+			s.list(endpoint, changes.Next)
 		}
-		if !known || old.Leaving != endpoint.Leaving {
-			slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
-				"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", changes.Next)
-		}
-		s.listed[endpoint.ID] = endpoint
-		delete(s.lapsed, endpoint.ID)
 	}
 	if changes.Whole {
 		for id := range s.listed {
@@ -137,9 +135,6 @@
 			}
 		}
 	}
-	for _, id := range changes.Gone {
-		s.endpointGone(id, now)
-	}
 	for id, until := range s.lapsed {
 		if now.After(until) {
 			s.drop(id, now)
@@ -152,6 +147,40 @@
 	}
 }
 
+// list takes the entry of an endpoint; the caller holds the lock.
+func (s *syncer) list(endpoint willowwick.Endpoint, at willowwick.Offset) {
+	old, known := s.listed[endpoint.ID]
+	// Leaving is for good: a later entry that says otherwise was written before.
+	endpoint.Leaving = endpoint.Leaving || old.Leaving
+	if !known || !sameEntry(old, endpoint) {
+		s.changed = true
+	}
+	if !known || old.Leaving != endpoint.Leaving {
+		slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
+			"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", at)
+	}
+	s.listed[endpoint.ID] = endpoint
+	delete(s.lapsed, endpoint.ID)
+}
+
+// isBack reports whether the entry of an endpoint counts. One that is gone may still have a heartbeat on its way, which
+// brings its entry back; only a second one after it shows that the endpoint lives. The caller holds the lock.
+func (s *syncer) isBack(endpoint willowwick.Endpoint) bool {
+	last, isGone := s.gone[endpoint.ID]
+	switch {
+	case !isGone:
+		return true
+	case endpoint.Beat <= last.beat:
+		return false
+	case !last.again:
+		s.gone[endpoint.ID] = goneEntry{beat: endpoint.Beat, again: true}
+		return false
+	default:
+		delete(s.gone, endpoint.ID)
+		return true
+	}
+}
+
 // sameEntry reports whether two entries of an endpoint say the same.
 func sameEntry(a, b willowwick.Endpoint) bool {
 	return a.Address == b.Address && a.Service == b.Service && a.Release == b.Release && a.Leaving == b.Leaving
@@ -175,6 +204,7 @@
 func (s *syncer) drop(id willowwick.EndpointID, now time.Time) {
 	slog.Info("endpoint gone", "endpoint", id, "release", s.listed[id].Release, "store_failed_ms_ago", now.Sub(s.failedAt).Milliseconds())
 	s.router.conns.Drop(s.listed[id].Address)
+	s.gone[id] = goneEntry{beat: s.listed[id].Beat}
 	delete(s.listed, id)
 	delete(s.lapsed, id)
 	s.changed = true
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -40,7 +40,8 @@
 	failedAt    time.Time         // last read that failed
 	unreachable bool
 	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
-	wake        context.CancelFunc                  // of the read that the store holds
+	gone        map[willowwick.EndpointID]goneEntry
+	wake        context.CancelFunc // of the read that the store holds
 
 	fedBy      string // address of the box that reads the store for this one; empty if it does so itself
 	generation uint64
@@ -48,11 +49,18 @@
 	leads      bool
 }
 
+// goneEntry is what is remembered of an endpoint that is gone.
+type goneEntry struct {
+	beat  uint64 // the last heartbeat seen
+	again bool   // one has come since
+}
+
 func newSyncer(x *Router, control willowwick.Control) *syncer {
 	return &syncer{
 		router: x, control: control,
 		listed: map[willowwick.EndpointID]willowwick.Endpoint{},
 		lapsed: map[willowwick.EndpointID]time.Time{},
+		gone:   map[willowwick.EndpointID]goneEntry{},
 	}
 }
 
--- a/platform.go
+++ b/platform.go
@@ -32,6 +32,7 @@
 	ChecksFencing bool         `json:"checks_fencing,omitempty"`
 	Release       ReleaseID    `json:"release,omitempty"` // of its software
 	Slots         int          `json:"slots,omitempty"`   // requests that it works on at once
+	Beat          uint64       `json:"beat,omitempty"`    // heartbeats so far
 }
 
 // Listing is one state of the platform's list; it lags behind the truth.
