Only a box that was blind takes removals for lapses, and it tells nobody of them

Cause, by the log: a box that the store refused (429) while others reached it kept a removed runner as if its entry had lapsed, and its list, newer by another change, brought the runner back on the other boxes. Lapses are now considered only after neither a read nor another box has told of the store for a while, and lapsed entries are in no list for others.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -271,6 +271,8 @@
 	s := newSite(t, r.endpoint("v1"))
 	s.control.change(func() { s.control.down = true })
 	require.Eventually(t, func() bool { return s.daemon.router.sync.isUnreachable() }, patience, time.Millisecond)
+	// Entries lapse only while the store is away for longer than heartbeats take.
+	time.Sleep(2 * testSettings().Drain)
 	s.control.change(func() {
 		s.control.down = false
 		s.control.endpoints = map[willowwick.EndpointID]willowwick.Endpoint{}
@@ -383,3 +385,27 @@
 	s.apply(willowwick.EndpointChanges{Present: beat(7), Next: 5}, now)
 	require.True(t, isListed(), "it goes on: it lives")
 }
+
+// A box that the store refused, while others reached it, once took a removal for a lapsed entry, kept it, and told the
+// others so.
+func TestBoxThatOthersFedTakesRemovalsAtOnceAndTellsNobodyOfLapsedOnes(t *testing.T) {
+	x, closeRouter := newRouter(testSettings(), testCodec{})
+	defer closeRouter()
+	s := newSyncer(x, nil)
+	x.sync = s
+	now := time.Now()
+	present := []willowwick.Endpoint{{ID: "a", Service: "work"}, {ID: "b", Service: "work"}}
+	s.noteAnswer(now)
+	s.apply(willowwick.EndpointChanges{Present: present, Next: 1}, now)
+	s.noteFailure(now, errDown)
+	s.apply(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"a"}, Next: 2}, now)
+	_, found := s.entry("a")
+	require.False(t, found)
+	later := now.Add(2 * testSettings().Drain)
+	s.noteFailure(later, errDown)
+	s.apply(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"b"}, Next: 3}, later)
+	_, found = s.entry("b")
+	require.True(t, found, "it may be back within the time of the grace")
+	s.changedAt = 3
+	require.Empty(t, s.listFor(2, later).Endpoints)
+}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -87,8 +87,11 @@
 		return nil
 	}
 	list := &EndpointList{Next: s.next, From: s.changedAt}
-	for _, endpoint := range s.listed {
-		list.Endpoints = append(list.Endpoints, endpoint)
+	for id, endpoint := range s.listed {
+		// Who was blind too waits by itself; who was not knows better.
+		if _, waits := s.lapsed[id]; !waits {
+			list.Endpoints = append(list.Endpoints, endpoint)
+		}
 	}
 	return list
 }
@@ -194,8 +197,8 @@
 	if _, waits := s.lapsed[id]; waits {
 		return
 	}
-	if !s.failedAt.IsZero() && now.Sub(s.failedAt) < returnGrace {
-		s.lapsed[id] = s.failedAt.Add(returnGrace)
+	if !s.blindAt.IsZero() && now.Sub(s.blindAt) < returnGrace {
+		s.lapsed[id] = s.blindAt.Add(returnGrace)
 		return
 	}
 	s.drop(id, now)
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -38,6 +38,7 @@
 	changedAt   willowwick.Offset // where the list last changed in more than heartbeats
 	changed     bool              // it changed since, at an offset that is not known yet
 	failedAt    time.Time         // last read that failed
+	blindAt     time.Time         // last time that neither a read nor another box told what the store holds
 	unreachable bool
 	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
 	gone        map[willowwick.EndpointID]goneEntry
@@ -99,6 +100,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failedAt = now
+	if now.Sub(s.asOf) > scale(s.router.settings.Drain, reliedShare) {
+		s.blindAt = now
+	}
 	if !s.unreachable {
 		s.unreachable = true
 		slog.Info("store is not reached", "error", err, "answered_ms_ago", now.Sub(s.answeredAt).Milliseconds())
