--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -55,19 +55,18 @@
 	// second box before the answer ends, and appended to the log in batches,
 	// by this box or, should it be gone, by the other.
 	Usage struct {
-		log      willowwick.Log
-		keeper   Keeper
-		boot     willowwick.BootID
-		boxes    func() int
-		mu       sync.Mutex
-		seq      uint64
-		own      map[uint64]*ownRecord
-		order    []uint64
-		held     map[heldKey]heldRecord
-		wake     chan struct{}
-		appendAt time.Time
-		full     bool
-		leaving  bool // a planned stop: nothing may stay here
+		log     willowwick.Log
+		keeper  Keeper
+		boot    willowwick.BootID
+		boxes   func() int
+		mu      sync.Mutex
+		seq     uint64
+		own     map[uint64]*ownRecord
+		order   []uint64
+		held    map[heldKey]heldRecord
+		wake    chan struct{}
+		full    bool
+		leaving bool // a planned stop: nothing may stay here
 
 		unreplicated uint64 // records that were in one memory only when their answer ended
 	}
--- a/lab/traffic.go
+++ b/lab/traffic.go
@@ -44,8 +44,6 @@
 		Versions map[willowwick.VersionID]int
 		Details  map[string]int
 		first    *hdrhistogram.Histogram
-		bad      willowwick.VersionID
-		badAt    time.Time
 	}
 
 	// Traffic is a mix of callers at a rate.
