--- a/wire/pool.go
+++ b/wire/pool.go
@@ -65,7 +65,6 @@
 		address string
 		until   time.Time // when the endpoint may close it while idle
 		writing chan error
-		dirty   bool // may not carry another request
 	}
 )
 
@@ -219,7 +218,7 @@
 // Release gives the connection back after a whole answer, or closes it if it may not be used again.
 func (c *Conn) Release(keepAlive string) {
 	c.until = time.Now().Add(idleTime(keepAlive))
-	if err := c.conn.SetDeadline(time.Time{}); err != nil || c.dirty || c.reader.Buffered() > 0 || !c.wasWritten() {
+	if err := c.conn.SetDeadline(time.Time{}); err != nil || c.reader.Buffered() > 0 || !c.wasWritten() {
 		c.Close()
 		return
 	}
