--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,9 +10,11 @@
 )
 
 const (
+	// gateTick is how often the queues are looked through for expired requests and free places.
 	gateTick = 20 * time.Millisecond
 	// OverloadRetry is when a request refused for lack of places should come back at the earliest.
-	OverloadRetry   = time.Second
+	OverloadRetry = time.Second
+	// noEndpointRetry is when a request that no endpoint serves should come back.
 	noEndpointRetry = 2 * time.Second
 )
 
@@ -35,6 +37,7 @@
 		Acquire func(now time.Time) (place *route.Place, known bool)
 	}
 
+	// waiting is a wish with what came of it.
 	waiting struct {
 		Wish
 		place  *route.Place
@@ -59,8 +62,8 @@
 // Enter returns a place, at once or after the request's turn has come.
 //
 // A request that cannot make its deadline is refused at once.
-func (g *Gate) Enter(ctx context.Context, a Wish) (*Ticket, *willowwick.Refusal) {
-	w, placed, refusal := g.join(a)
+func (g *Gate) Enter(ctx context.Context, wish Wish) (*Ticket, *willowwick.Refusal) {
+	w, placed, refusal := g.join(wish)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -74,27 +77,27 @@
 			return nil, g.leave(w)
 		}
 	}
-	return &Ticket{Place: w.place, gate: g, work: a.Work, cost: a.Cost, taken: time.Now()}, nil
+	return &Ticket{Place: w.place, gate: g, work: wish.Work, cost: wish.Cost, taken: time.Now()}, nil
 }
 
 // join takes a place if there is one, and otherwise a turn in the queue.
-func (g *Gate) join(a Wish) (w *waiting, placed bool, refusal *willowwick.Refusal) {
+func (g *Gate) join(wish Wish) (w *waiting, placed bool, refusal *willowwick.Refusal) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queue(a.Work)
-	w = &waiting{Wish: a, result: make(chan *willowwick.Refusal, 1)}
+	q := g.queue(wish.Work)
+	w = &waiting{Wish: wish, result: make(chan *willowwick.Refusal, 1)}
 	if q.Len() == 0 {
-		place, known := a.Acquire(now)
+		place, known := wish.Acquire(now)
 		if !known {
-			return nil, false, willowwick.NotRun(willowwick.CodeNoEndpoint, now.Add(noEndpointRetry), "no endpoint serves %q", a.Work)
+			return nil, false, willowwick.NotRun(willowwick.CodeNoEndpoint, now.Add(noEndpointRetry), "no endpoint serves %q", wish.Work)
 		}
 		if place != nil {
 			g.took(w, place)
 			return w, true, nil
 		}
 	}
-	retryAt, ok := q.Push(now, &route.Waiter{Account: a.Account, Weight: a.Weight, Cost: a.Cost, Deadline: a.Deadline, Value: w})
+	retryAt, ok := q.Push(now, &route.Waiter{Account: wish.Account, Weight: wish.Weight, Cost: wish.Cost, Deadline: wish.Deadline, Value: w})
 	if !ok {
 		if retryAt.Before(now.Add(OverloadRetry)) {
 			retryAt = now.Add(OverloadRetry)
--- a/route/hall.go
+++ b/route/hall.go
@@ -22,13 +22,13 @@
 // HallFirst takes the least loaded endpoint of its own hall, the owner of the prompt's shared part before the
 // others; other halls come in when their endpoints are less loaded by more than the way there is worth.
 type HallFirst struct {
-	Hall   willowwick.HallID
+	hall   willowwick.HallID
 	random *lockedRandom
 }
 
 // NewHallFirst returns a picker for a box in a hall; the seed breaks ties.
 func NewHallFirst(hall willowwick.HallID, seed uint64) *HallFirst {
-	return &HallFirst{Hall: hall, random: newLockedRandom(seed)}
+	return &HallFirst{hall: hall, random: newLockedRandom(seed)}
 }
 
 // Pick implements willowwick.Picker.
@@ -61,7 +61,7 @@
 func (p *HallFirst) score(c willowwick.Candidate) float64 {
 	taken := max(float64(c.Load.Running+c.Load.Waiting+c.Recent), float64(c.InFlight)) + c.Pending
 	score := taken/float64(min(max(c.Load.Slots, 1), busySlots)) + failingWeight*c.Failing
-	if c.Hall != p.Hall {
+	if c.Hall != p.hall {
 		score += otherHallLoad
 	}
 	return score
@@ -75,7 +75,7 @@
 	owner, highest := noneOpen, uint64(0)
 	for i := range set.Len() {
 		candidate := set.At(i)
-		if candidate.Hall != p.Hall || !candidate.Open {
+		if candidate.Hall != p.hall || !candidate.Open {
 			continue
 		}
 		if weight := mix(candidate.Hash ^ prefix); weight >= highest {
--- a/route/place.go
+++ b/route/place.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	suspectFor     = 2 * time.Second
-	suspectMost    = 16 * time.Second
-	suspectAfter   = 3 // failures in a row
-	limitDecrease  = 0.7
+	// suspectFor is how long an endpoint is first avoided after failures, suspectMost the longest time.
+	suspectFor  = 2 * time.Second
+	suspectMost = 16 * time.Second
+	// suspectAfter is how many failures in a row bring an endpoint under suspicion.
+	suspectAfter = 3
+	// limitDecrease is what is left of the limit on own requests after a slow, busy or failed call.
+	limitDecrease = 0.7
+	// slowStartLimit is the limit on own requests from which good calls no longer raise it.
 	slowStartLimit = 64
 	// failingHalf is the time in which half of the failing share is forgotten without calls.
 	failingHalf = 3 * time.Second
--- a/route/pool.go
+++ b/route/pool.go
@@ -11,9 +11,12 @@
 )
 
 const (
+	// ringPoints is the number of points of an endpoint on the ring of consistent hashing.
 	ringPoints = 16
+	// startLimit is the limit on own requests at an endpoint that is not known yet.
 	startLimit = 4
-	loadFresh  = 10 * time.Second
+	// loadFresh is how long a load report counts.
+	loadFresh = 10 * time.Second
 )
 
 type (
--- a/route/repeats.go
+++ b/route/repeats.go
@@ -41,6 +41,7 @@
 		parts  [windowParts]repeatPart
 	}
 
+	// repeatPart counts one part of the window.
 	repeatPart struct {
 		turn     int64 // which part of time it counts
 		requests int
--- a/routes.go
+++ b/routes.go
@@ -65,12 +65,7 @@
 		Accounts []RoutedAccount
 		Limits   RoutingLimits
 	}
-)
-
-// NoPriority is the priority of a client account that declares none.
-const NoPriority = -1
 
-type (
 	// ReleaseState is how far a roll-out of a release has come.
 	ReleaseState string
 
@@ -90,6 +85,9 @@
 	}
 )
 
+// NoPriority is the priority of a client account that declares none.
+const NoPriority = -1
+
 // States of a roll-out of a release.
 const (
 	ReleaseRunning    ReleaseState = "running"
