--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 )
 
@@ -85,7 +84,7 @@
 	return s.leads
 }
 
-// lead judges roll-outs on every box, and writes their states on the box that leads.
+// lead judges roll-outs on every box, writes their states on the box that leads, and closes idle connections in time.
 func (s *syncer) lead(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -130,7 +129,7 @@
 	err = s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End)
 	slog.Info("state of a roll-out written", "service", due.Service, "release", due.Target, "state", due.State,
 		"after", statuses.End, "error", err)
-	if errors.Is(err, willowwick.ErrConflict) || err != nil {
+	if err != nil {
 		return
 	}
 	s.router.releases.settle(due.ReleaseStatus, true, "written here")
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -79,7 +79,7 @@
 }
 
 // listFor returns the list for a box that has an older one.
-func (s *syncer) listFor(from willowwick.Offset, _ time.Time) *EndpointList {
+func (s *syncer) listFor(from willowwick.Offset) *EndpointList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.known || s.changedAt <= from {
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -89,6 +89,7 @@
 		halls map[willowwick.HallID]heardReport
 	}
 
+	// peer is another box as this one knows it.
 	peer struct {
 		hall    willowwick.HallID
 		digest  Digest
@@ -137,7 +138,7 @@
 	}
 	reply.Digest = p.digest(now)
 	reply.Table = p.tableFor(call.Digest.TableVersion)
-	reply.Endpoints = p.router.sync.listFor(call.Digest.EndpointsFrom, now)
+	reply.Endpoints = p.router.sync.listFor(call.Digest.EndpointsFrom)
 	if reply.Digest.KnownCount != call.Digest.KnownCount {
 		reply.Known = p.knownBoxes(now)
 	}
@@ -170,8 +171,8 @@
 	known.listed = now
 }
 
-// hearsay notes boxes that another box knows; it keeps no silent box alive.
-func (p *peers) hearsay(boxes []KnownBox, now time.Time) {
+// listKnown notes boxes that another box knows; one that is already known does not count as named again.
+func (p *peers) listKnown(boxes []KnownBox, now time.Time) {
 	for _, box := range boxes {
 		p.mu.Lock()
 		known := p.known[box.Address]
@@ -267,7 +268,8 @@
 	x := p.router
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		TableVersion: x.configVersion(), StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(), EndpointsFrom: x.sync.listedFrom(),
+		TableVersion: x.configVersion(), EndpointsFrom: x.sync.listedFrom(),
+		StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(),
 		Own: p.ownReport(), Banned: x.releases.bans(),
 	}
 	for _, own := range x.releases.progresses(now) {
@@ -361,6 +363,7 @@
 	return known.hall == "" || reader == "" || address < reader
 }
 
+// swap tells a box this one's digest and takes what comes back.
 func (p *peers) swap(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, swapLimit)
 	defer cancel()
@@ -375,7 +378,7 @@
 	}
 	now := time.Now()
 	p.heard(reply.Digest, now)
-	p.hearsay(reply.Known, now)
+	p.listKnown(reply.Known, now)
 	if reply.Table != nil {
 		p.router.setTable(reply.Table, "peer "+string(reply.Digest.Box))
 	}
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -78,6 +78,7 @@
 	return total
 }
 
+// ownReport is what this box has seen.
 func (p *peers) ownReport() Report {
 	x := p.router
 	report := Report{Boxes: 1}
@@ -92,6 +93,7 @@
 	return report
 }
 
+// hallReports are the sums of this box's hall and of the others, as far as they are known.
 func (p *peers) hallReports(now time.Time) []HallReport {
 	list := []HallReport{{Hall: p.router.settings.Hall, Report: p.hallReport(now)}}
 	p.mu.Lock()
@@ -129,7 +131,7 @@
 	return sum
 }
 
-// evidence is the fleet's, by what was counted.
+// evidence returns the counts of the report by what was counted.
 func (r Report) evidence() map[evidenceKey]rollout.Evidence {
 	total := make(map[evidenceKey]rollout.Evidence, len(r.Evidence))
 	for _, row := range r.Evidence {
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -17,8 +17,8 @@
 	// retryFirst and retryMost bound the pauses between reads that fail.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
-	// retryBehind takes its place on boxes that hear from one of their hall with a lower address: that one finds the
-	// store back first, and reads for them.
+	// retryBehind takes the place of retryMost on boxes that hear from one of their hall with a lower address: that
+	// one finds the store back first, and reads for them.
 	retryBehind = 2 * time.Second
 	// staleAfter is how long after the last answer of the store what it holds may have changed unseen.
 	staleAfter = 2 * time.Second
@@ -31,21 +31,21 @@
 
 	mu          sync.Mutex
 	listed      map[willowwick.EndpointID]willowwick.Endpoint
-	next        willowwick.Offset // of the list of endpoints
-	known       bool              // the list was read
-	answeredAt  time.Time         // last answer of the store to this box
-	asOf        time.Time         // from when what is known of the store is, read here or by another box
-	changedAt   willowwick.Offset // where the list last changed in more than heartbeats
-	changed     bool              // it changed since, at an offset that is not known yet
-	failedAt    time.Time         // last read that failed
-	unreachable bool
+	next        willowwick.Offset                   // of the list of endpoints
+	known       bool                                // the list was read
+	answeredAt  time.Time                           // last answer of the store to this box
+	asOf        time.Time                           // from when what is known of the store is, read here or by another box
+	changedAt   willowwick.Offset                   // where the list last changed in more than heartbeats
+	changed     bool                                // it changed since, at an offset that is not known yet
+	failedAt    time.Time                           // last read that failed
+	unreachable bool                                // the last read failed
 	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
-	wake        context.CancelFunc                  // of the read that the store holds
+	cancelRead  context.CancelFunc                  // ends the read that the store holds; nil if there is none
 
 	fedBy      string // address of the box that reads the store for this one; empty if it does so itself
-	generation uint64
-	joined     bool // this box is in the group, as far as it knows
-	leads      bool
+	generation uint64 // of the group, as last told
+	joined     bool   // this box is in the group, as far as it knows
+	leads      bool   // this box writes the states of roll-outs
 }
 
 func newSyncer(x *Router, control willowwick.Control) *syncer {
@@ -75,7 +75,7 @@
 	return now.Sub(s.asOf)
 }
 
-// noteAnswer notes that the store answers; noteFailure that it does not.
+// noteAnswer notes that the store answers.
 func (s *syncer) noteAnswer(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +87,7 @@
 	}
 }
 
+// noteFailure notes that the store does not answer, and ends a read that it may still hold.
 func (s *syncer) noteFailure(now time.Time, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,8 +97,8 @@
 		slog.Info("store is not reached", "error", err, "answered_ms_ago", now.Sub(s.answeredAt).Milliseconds())
 	}
 	// A read that the store holds may hang on a connection that is dead.
-	if s.wake != nil {
-		s.wake()
+	if s.cancelRead != nil {
+		s.cancelRead()
 	}
 }
 
@@ -110,14 +111,9 @@
 			sleep(ctx, feedPoll)
 			continue
 		}
-		held, cancel := context.WithCancel(ctx)
-		s.setWake(cancel)
-		declared, err := s.control.Declarations(held, next, declarationsWait)
-		woken := held.Err() != nil
-		s.setWake(nil)
-		cancel()
+		declared, wasCancelled, err := s.readDeclarations(ctx, next)
 		if err != nil {
-			if !woken {
+			if !wasCancelled {
 				s.noteFailure(time.Now(), err)
 			}
 			sleep(ctx, pause)
@@ -131,6 +127,18 @@
 	}
 }
 
+// readDeclarations reads what was declared since an offset; wasCancelled tells that the read was ended from here.
+func (s *syncer) readDeclarations(
+	ctx context.Context, from willowwick.Offset,
+) (declared willowwick.Declarations, wasCancelled bool, err error) {
+	held, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.setCancelRead(cancel)
+	defer s.setCancelRead(nil)
+	declared, err = s.control.Declarations(held, from, declarationsWait)
+	return declared, held.Err() != nil, err
+}
+
 // longer is the next pause after a read that failed.
 func (s *syncer) longer(pause time.Duration) time.Duration {
 	if s.router.peers.isBehind(time.Now()) {
@@ -161,12 +169,13 @@
 	}
 }
 
-func (s *syncer) setWake(wake context.CancelFunc) {
+func (s *syncer) setCancelRead(cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wake = wake
+	s.cancelRead = cancel
 }
 
+// declare takes a configuration and orders of roll-outs.
 func (s *syncer) declare(ctx context.Context, declared willowwick.Declarations) {
 	if declared.Table != nil {
 		s.router.setTable(declared.Table, "store")
@@ -191,17 +200,3 @@
 	case <-timer.C:
 	}
 }
-
-func (s *syncer) isUnreachable() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.unreachable
-}
-
-// entry returns an endpoint as it is listed.
-func (s *syncer) entry(id willowwick.EndpointID) (willowwick.Endpoint, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	endpoint, found := s.listed[id]
-	return endpoint, found
-}
