--- a/cmd/willowctl/explain.go
+++ b/cmd/willowctl/explain.go
@@ -26,7 +26,7 @@
 	fields  map[string]json.RawMessage
 }
 
-// explainCommand tells the story of one request from collected logs.
+// explainCommand prints what collected logs say of one request.
 func (t *tool) explainCommand() *ffcli.Command {
 	return t.command("explain", "REQUEST-ID [LOG ...]", "print what the daemons' JSON logs say of a request, in order", nil,
 		func(_ context.Context, args []string) error {
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -31,8 +31,12 @@
 	comeBackLater = time.Second
 	// defaultTimeout holds for routes that declare none.
 	defaultTimeout = 30 * time.Second
-	// streamCost and plainCost are the weights of a request in its client account's turn, if it names no tokens.
+	// plainCost is the least weight of a request in its client account's turn, and that of one that names no tokens.
 	plainCost = willowwick.Tokens(100)
+	// promptPerOutput is how many tokens of a prompt cost an endpoint as much as one of the answer.
+	promptPerOutput = 4
+	// noModel stands for the model of a request that does not go through the cascade.
+	noModel = -1
 )
 
 type (
@@ -69,8 +73,6 @@
 	}
 )
 
-const noModel = -1
-
 // begin checks a request and reads its body; a refusal is written by the caller.
 func (x *Router) begin(out *reply, r *http.Request, arrived time.Time) (*call, *willowwick.Refusal) {
 	head, err := x.codec.DecodeRequest(r.Header, arrived)
@@ -107,7 +109,7 @@
 	return c, nil
 }
 
-// unknown softens a refusal of what the configuration does not hold while a newer one may be on its way.
+// unknown refuses what the configuration does not hold; while a newer one may be on its way, the caller may come again.
 func (x *Router) unknown(now time.Time, refusal *willowwick.Refusal) *willowwick.Refusal {
 	if x.sync.isStale(now) {
 		return willowwick.NotRun(willowwick.CodeStale, now.Add(comeBackLater), "%s, but the configuration may be old", refusal.Message)
@@ -202,7 +204,7 @@
 			return
 		}
 		c.sends++
-		result := c.attempt(ticket)
+		result := c.sendOnce(ticket)
 		if result.kind == answered || result.kind == callerLeft {
 			return
 		}
@@ -250,10 +252,8 @@
 		return false
 	}
 	switch result.kind {
-	case notSent:
-		return true
-	case escalated:
-		return true // the budget was asked before the answer was dropped
+	case notSent, escalated:
+		return true // for an escalation the budget was asked before the answer was dropped
 	case notRun:
 		return c.router.takeRepeat(c, route.RepeatFailover, now)
 	default:
@@ -298,7 +298,7 @@
 	return errors.Is(c.ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(c.deadline)
 }
 
-// logEnd writes the line that ends a request's story.
+// logEnd writes the last line about a request.
 func (c *call) logEnd(what string, status int, more ...any) {
 	attributes := append([]any{
 		"request", c.head.ID, "route", c.route.Name, "service", c.service, "status", status,
--- a/exchange/callers.go
+++ b/exchange/callers.go
@@ -15,6 +15,7 @@
 		busy atomic.Int64
 	}
 
+	// callerConn is a caller's connection with whether a request is on it.
 	callerConn struct {
 		net.Conn
 		listener *callerListener
--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -17,7 +17,7 @@
 	canaryBoxes = 8
 	// canaryEnd, and the shares after it, are parts of the period; sessions may change release after its half.
 	canaryEnd = 0.5
-	// lastCall is the part of the period at which a good release is completed, come what may.
+	// lastCall is the part of the period at which a good release is completed, even with requests under way on the old one.
 	lastCall = 0.94
 	// enoughEvidence is how many answers must be known of a release before all sessions move to it.
 	enoughEvidence = 30
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -151,7 +151,7 @@
 	d.leaveGroup()
 	limit := began.Add(x.settings.Grace - leaveEarly)
 	x.stopAt.Store(limit.UnixNano())
-	sleepUntil(earliest(began.Add(x.settings.TurnAway), limit))
+	time.Sleep(time.Until(earliest(began.Add(x.settings.TurnAway), limit)))
 	x.refusing.Store(true)
 	// The listener stays: the entry uses boxes that are not ready where it has too few others. Connections at rest
 	// stay too: a request may be on its way on them.
@@ -183,11 +183,3 @@
 		slog.Info("group was not left", "error", err)
 	}
 }
-
-func sleepUntil(at time.Time) {
-	time.Sleep(time.Until(at))
-}
-
-func contextUntil(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(ctx, deadline)
-}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -105,7 +106,7 @@
 		c.logEnd("refused", http.StatusServiceUnavailable, "cause", "this box is stopping")
 		return
 	}
-	ctx, cancel := contextUntil(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
 	c.run()
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -23,7 +23,7 @@
 	notSent
 	// notRun: the endpoint said that it did not run the request.
 	notRun
-	// silent: nothing came back for so long that another endpoint is the better bet.
+	// silent: nothing came back for so long that another endpoint is likely to answer sooner.
 	silent
 	// broken: the connection or the answer broke; the endpoint may have run the request.
 	broken
@@ -57,8 +57,6 @@
 	slotWork = 40 * time.Millisecond
 	// maxWhole is the largest answer that is read whole before its head goes out.
 	maxWhole = 256 << 10
-	// promptPerOutput is how many tokens of a prompt cost an endpoint as much as one of the answer.
-	promptPerOutput = 4
 )
 
 type (
@@ -73,14 +71,13 @@
 	// send is one send of a request to one endpoint.
 	send struct {
 		*call
-		ticket   *gate.Ticket
-		conn     *wire.Conn
-		answer   *wire.Answer
-		head     willowwick.AnswerHead
-		sentAt   time.Time
-		model    willowwick.ModelID
-		outcome  route.Outcome
-		finished bool
+		ticket  *gate.Ticket
+		conn    *wire.Conn   // nil until the endpoint is reached
+		answer  *wire.Answer // nil until its head has come
+		head    willowwick.AnswerHead
+		sentAt  time.Time
+		model   willowwick.ModelID // asked of the endpoint; empty to leave the caller's
+		outcome route.Outcome
 	}
 )
 
@@ -106,8 +103,8 @@
 	}
 }
 
-// attempt sends the request to the place's endpoint and passes the answer on.
-func (c *call) attempt(ticket *gate.Ticket) sendResult {
+// sendOnce sends the request to the place's endpoint and passes the answer on.
+func (c *call) sendOnce(ticket *gate.Ticket) sendResult {
 	s := &send{call: c, ticket: ticket, outcome: route.OutcomeCancelled}
 	if c.model != noModel {
 		s.model = c.route.Models[c.model]
--- a/exchange/table.go
+++ b/exchange/table.go
@@ -8,22 +8,18 @@
 	"github.com/willowwick/willowwick"
 )
 
-type (
-	// table is a configuration with its indexes; it is never changed.
-	table struct {
-		*willowwick.RoutingTable
-		hosts    map[string][]*willowwick.Route // longest prefix first
-		accounts map[string]*willowwick.RoutedAccount
-		services map[willowwick.ServiceID]*willowwick.RoutedService
-	}
-)
+// table is a configuration with its indexes; it is never changed.
+type table struct {
+	*willowwick.RoutingTable
+	hosts    map[string][]*willowwick.Route       // longest prefix first
+	accounts map[string]*willowwick.RoutedAccount // by key
+}
 
 func newTable(declared *willowwick.RoutingTable) *table {
 	t := &table{
 		RoutingTable: declared,
 		hosts:        map[string][]*willowwick.Route{},
 		accounts:     map[string]*willowwick.RoutedAccount{},
-		services:     map[willowwick.ServiceID]*willowwick.RoutedService{},
 	}
 	for i := range declared.Routes {
 		route := &declared.Routes[i]
@@ -39,9 +35,6 @@
 			t.accounts[key] = account
 		}
 	}
-	for i := range declared.Services {
-		t.services[declared.Services[i].Name] = &declared.Services[i]
-	}
 	return t
 }
 
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -59,7 +59,7 @@
 	}
 )
 
-// NewBatchRunner returns a runner that keeps its entry, and a function that ends it without a word.
+// NewBatchRunner returns a runner that keeps its entry, and a function that ends it without taking the entry out.
 func NewBatchRunner(settings BatchSettings, store *Store) (*BatchRunner, func()) {
 	b := &BatchRunner{settings: settings, store: store, ran: map[string]int{}, stop: make(chan struct{})}
 	go b.heartbeat()
