--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -34,10 +34,7 @@
 	logs, flushLogs := exchange.NewLogQueue(os.Stdout)
 	defer flushLogs()
 	slog.SetDefault(o.loggerTo(logs).With("box", settings.Box))
-	runtime.GOMAXPROCS(1) // the platform gives one core, and a part of it
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB*bytesPerMB)))
-	}
+	boundResources(settings)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	set := metrics.NewSet()
@@ -57,14 +54,27 @@
 	defer stop()
 	slog.Info("daemon started", "hall", settings.Hall, "callers", settings.Callers, "peers", settings.Peers,
 		"metrics", settings.Metrics, "store", settings.Store, "confidence", o.confidence)
+	awaitStop(signals, o.nodeFile)
+	daemon.Drain()
+	return nil
+}
+
+// boundResources keeps the process within what the platform gives it.
+func boundResources(settings platform.Settings) {
+	runtime.GOMAXPROCS(1) // the platform gives one core, and a part of it
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB*bytesPerMB)))
+	}
+}
+
+// awaitStop returns at the first signal that asks for a stop.
+func awaitStop(signals <-chan os.Signal, path string) {
 	for received := range signals {
 		if received != syscall.SIGHUP {
-			break
+			return
 		}
-		reload(o.nodeFile)
+		reload(path)
 	}
-	daemon.Drain()
-	return nil
 }
 
 // reload reads the settings file again; addresses and bounds of a running process stay.
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -114,40 +114,42 @@
 	assert.Equal(t, "r1", reply.header.Get("T-Seal"))
 }
 
-func TestRequestIsAnsweredAtItsRoutesTimeout(t *testing.T) {
+// newSilentRunner returns a runner that never answers, and a channel that is closed once its request has ended.
+func newSilentRunner(t *testing.T) (*runner, chan struct{}) {
 	left := make(chan struct{})
-	r := newRunner(t, "r1", func(_ http.ResponseWriter, request *http.Request) {
+	return newRunner(t, "r1", func(_ http.ResponseWriter, request *http.Request) {
 		<-request.Context().Done()
 		close(left)
-	})
+	}), left
+}
+
+func requireClosed(t *testing.T, channel <-chan struct{}, within time.Duration, message string) {
+	t.Helper()
+	select {
+	case <-channel:
+	case <-time.After(within):
+		t.Fatal(message)
+	}
+}
+
+func TestRequestIsAnsweredAtItsRoutesTimeout(t *testing.T) {
+	r, left := newSilentRunner(t)
 	s := newSite(t, r.endpoint("v1"))
 	began := time.Now()
 	reply := s.do(t, http.MethodPost, "/once/", "id", "x", "T-Left", "60000")
 	assert.Equal(t, http.StatusGatewayTimeout, reply.status)
 	assert.InDelta(t, 2, time.Since(began).Seconds(), 0.4)
-	select {
-	case <-left:
-	case <-time.After(patience):
-		t.Fatal("the endpoint was not left")
-	}
+	requireClosed(t, left, patience, "the endpoint was not left")
 }
 
 func TestEndpointIsLeftWhenTheCallerLeaves(t *testing.T) {
-	left := make(chan struct{})
-	r := newRunner(t, "r1", func(_ http.ResponseWriter, request *http.Request) {
-		<-request.Context().Done()
-		close(left)
-	})
+	r, left := newSilentRunner(t)
 	s := newSite(t, r.endpoint("v1"))
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_, err := s.client.Do(s.request(t, http.MethodPost, "/stream/", "id", "x").WithContext(ctx))
 	require.Error(t, err)
-	select {
-	case <-left:
-	case <-time.After(time.Second):
-		t.Fatal("the endpoint was not left")
-	}
+	requireClosed(t, left, time.Second, "the endpoint was not left")
 }
 
 func TestStreamIsPassedOnWhole(t *testing.T) {
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -116,18 +116,7 @@
 	present := map[willowwick.EndpointID]bool{}
 	for _, endpoint := range changes.Present {
 		present[endpoint.ID] = true
-		old, known := s.listed[endpoint.ID]
-		// Leaving is for good: a later entry that says otherwise was written before.
-		endpoint.Leaving = endpoint.Leaving || old.Leaving
-		if !known || !sameEntry(old, endpoint) {
-			s.changed = true
-		}
-		if !known || old.Leaving != endpoint.Leaving {
-			slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
-				"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", changes.Next)
-		}
-		s.listed[endpoint.ID] = endpoint
-		delete(s.lapsed, endpoint.ID)
+		s.endpointPresent(endpoint, changes.Next)
 	}
 	if changes.Whole {
 		for id := range s.listed {
@@ -151,6 +140,22 @@
 	}
 }
 
+// endpointPresent takes the entry of an endpoint; the caller holds the lock.
+func (s *syncer) endpointPresent(endpoint willowwick.Endpoint, offset willowwick.Offset) {
+	old, known := s.listed[endpoint.ID]
+	// Leaving is for good: a later entry that says otherwise was written before.
+	endpoint.Leaving = endpoint.Leaving || old.Leaving
+	if !known || !sameEntry(old, endpoint) {
+		s.changed = true
+	}
+	if !known || old.Leaving != endpoint.Leaving {
+		slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
+			"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", offset)
+	}
+	s.listed[endpoint.ID] = endpoint
+	delete(s.lapsed, endpoint.ID)
+}
+
 // sameEntry reports whether two entries of an endpoint say the same.
 func sameEntry(a, b willowwick.Endpoint) bool {
 	return a.Address == b.Address && a.Service == b.Service && a.Release == b.Release && a.Leaving == b.Leaving
