--- a/exchange/router.go
+++ b/exchange/router.go
@@ -105,7 +105,7 @@
 	c, refusal := x.begin(out, r, arrived)
 	if refusal != nil {
 		x.refuse(out, refusal)
-		slog.Info("refused at the door", "request", out.id, "host", r.Host, "target", r.RequestURI,
+		slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", r.RequestURI,
 			"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion())
 		return
 	}
