--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -398,6 +398,7 @@
 	now := time.Now()
 	present := []willowwick.Endpoint{{ID: "a", Service: "work"}, {ID: "b", Service: "work"}}
 	s.noteAnswer(now)
+	s.asOf = now
 	s.apply(willowwick.EndpointChanges{Present: present, Next: 1}, now)
 	s.noteFailure(now, errDown)
 	s.apply(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"a"}, Next: 2}, now)
@@ -411,3 +412,32 @@
 	s.changedAt = 3
 	require.Empty(t, s.listFor(2).Endpoints)
 }
+
+// While configurations came one after the other, the list of endpoints once was not read: each answer of the store
+// counted as news of it.
+func TestEndpointsAreReadDuringAStormOfConfigurations(t *testing.T) {
+	a, b := newRunner(t, "r1", answerText("a")), newRunner(t, "r2", answerText("b"))
+	s := newSite(t, a.endpoint("v1"), b.endpoint("v1"))
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for version := uint64(2); ; version++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				s.control.change(func() { s.control.table = testTable(version, onceRoute()) })
+			}
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	s.control.change(func() {
+		leaving := a.endpoint("v1")
+		leaving.Leaving = true
+		s.control.endpoints[a.id] = leaving
+	})
+	require.Eventually(t, func() bool {
+		endpoint, _ := s.daemon.router.sync.entry(a.id)
+		return endpoint.Leaving
+	}, testSettings().Drain, 5*time.Millisecond)
+}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -45,6 +45,7 @@
 		pause = retryFirst
 		s.noteAnswer(now)
 		s.mu.Lock()
+		s.asOf = now
 		s.apply(changes, now)
 		s.mu.Unlock()
 		s.publish()
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -89,7 +89,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = now
-	s.asOf = now
 	if s.unreachable {
 		s.unreachable = false
 		slog.Info("store is reached again", "away_ms", now.Sub(s.failedAt).Milliseconds())
