--- a/cmd/e2e/site_test.go
+++ b/cmd/e2e/site_test.go
@@ -51,21 +51,22 @@
 	output                            *lockedBuffer
 }
 
+// lockedBuffer hides the buffer's other methods: a copy into it would go past the lock.
 type lockedBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu     sync.Mutex
+	buffer bytes.Buffer
 }
 
 func (b *lockedBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
+	return b.buffer.Write(p)
 }
 
 func (b *lockedBuffer) text() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.String()
+	return b.buffer.String()
 }
 
 func newTestSite(t *testing.T, boxes int) *testSite {
