--- a/standin/batch.go
+++ b/standin/batch.go
@@ -126,8 +126,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	number, faults, taken := b.begin(id)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", number, b.settings.Slots))
+	number, running, faults, taken := b.begin(id)
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, b.settings.Slots))
 	if !taken {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -146,16 +146,17 @@
 	_, _ = io.WriteString(w, "answer of "+id)
 }
 
-func (b *BatchRunner) begin(id string) (number int, faults BatchFaults, taken bool) {
+// begin takes a slot; number is the request's among all that ran here.
+func (b *BatchRunner) begin(id string) (number, running int, faults BatchFaults, taken bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.faults.Full || b.running >= b.settings.Slots {
-		return b.running, b.faults, false
+		return b.answers, b.running, b.faults, false
 	}
 	b.running++
 	b.answers++
 	b.ran[id]++
-	return b.answers, b.faults, true
+	return b.answers, b.running, b.faults, true
 }
 
 func (b *BatchRunner) end() {
