--- a/route/limits.go
+++ b/route/limits.go
@@ -13,6 +13,9 @@
 	retryReserve = 10
 	demandFade   = 0.3
 	shortestWait = time.Millisecond
+	// demandSettle is how long demand must have lasted before it claims a part of the limit: by then all boxes know
+	// of it, since digests of halls are renewed every 5 s and reach the last box some ticks of a second later.
+	demandSettle = 8 * time.Second
 )
 
 type (
@@ -41,18 +44,27 @@
 	//
 	// Each box takes a share of the limit. Boxes whose digests are fresh divide
 	// by demand what the others leave; one that is cut off is taken to use the
-	// equal share, which is also what it gives itself. So the shares never add
-	// up to more than the limit.
+	// equal share, which is also what it gives itself. A box claims by the least
+	// demand that it had of late, which the others know of, and leaves them what
+	// they last told. So the shares never add up to more than the limit.
 	AccountLimiter struct {
 		mu       sync.Mutex
 		buckets  map[willowwick.AccountID]*accountBuckets
 		asked    map[willowwick.AccountID]float64
 		demand   Demand
+		history  []measuredDemand // of the last while, the oldest first
+		settled  Demand           // the least of the history
 		measured time.Time
 		shares   map[willowwick.AccountID]float64
 		equal    float64
 	}
 
+	// measuredDemand is the demand as it was measured at a time.
+	measuredDemand struct {
+		at     time.Time
+		demand Demand
+	}
+
 	accountBuckets struct {
 		tokens   Bucket
 		requests Bucket
@@ -110,6 +122,7 @@
 		buckets: map[willowwick.AccountID]*accountBuckets{},
 		asked:   map[willowwick.AccountID]float64{},
 		demand:  Demand{},
+		settled: Demand{},
 		shares:  map[willowwick.AccountID]float64{},
 		equal:   1,
 	}
@@ -169,7 +182,9 @@
 		}
 	}
 	for account, before := range l.demand {
-		rate := before + demandFade*(l.asked[account]/seconds-before)
+		// Demand that rises is told at once: until the others know of it, it claims nothing.
+		measured := l.asked[account] / seconds
+		rate := max(measured, before+demandFade*(measured-before))
 		if rate < 1 && l.asked[account] == 0 {
 			delete(l.demand, account)
 			continue
@@ -178,9 +193,29 @@
 	}
 	clear(l.asked)
 	l.measured = now
+	l.settle(now)
 	return l.copyDemand()
 }
 
+// settle keeps the least demand of the last while, which starts with the newest measure that is as old.
+func (l *AccountLimiter) settle(now time.Time) {
+	l.history = append(l.history, measuredDemand{at: now, demand: l.copyDemand()})
+	for len(l.history) > 1 && now.Sub(l.history[1].at) >= demandSettle {
+		l.history = l.history[1:]
+	}
+	clear(l.settled)
+	if now.Sub(l.history[0].at) < demandSettle {
+		return
+	}
+	for account := range l.demand {
+		least := l.demand[account]
+		for _, past := range l.history {
+			least = min(least, past.demand[account])
+		}
+		l.settled[account] = least
+	}
+}
+
 func (l *AccountLimiter) copyDemand() Demand {
 	copied := make(Demand, len(l.demand))
 	for account, rate := range l.demand {
@@ -207,7 +242,8 @@
 		}
 	}
 	pot := fresh / boxes
-	for account, own := range l.demand {
+	for account := range l.demand {
+		own := l.settled[account]
 		total := own
 		for _, peer := range peers {
 			if peer.Fresh {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -25,7 +25,7 @@
 		total := 0.0
 		for i := range boxes {
 			limiter := NewAccountLimiter()
-			limiter.demand["a"] = demand[i]
+			limiter.demand["a"], limiter.settled["a"] = demand[i], demand[i]
 			var peers []Peer
 			connected := boxes == 1
 			for j := range boxes {
@@ -51,6 +51,49 @@
 	})
 }
 
+// TestSharesNeverExceedTheLimitWhileDemandChanges: the boxes hear of each other's demand some seconds late.
+func TestSharesNeverExceedTheLimitWhileDemandChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const boxes, ticks = 3, 60
+		limiters := make([]*AccountLimiter, boxes)
+		delay := make([]int, boxes) // seconds until the others hear of a box's demand
+		told := make([][]Demand, boxes)
+		for i := range boxes {
+			limiters[i] = NewAccountLimiter()
+			delay[i] = rapid.IntRange(0, 7).Draw(rt, "delay")
+		}
+		asked := make([]int, boxes)
+		for tick := range ticks {
+			now := noon.Add(time.Duration(tick) * time.Second)
+			for i, limiter := range limiters {
+				if rapid.IntRange(0, 5).Draw(rt, "turn") == 0 {
+					asked[i] = rapid.SampledFrom([]int{0, 10, 1000}).Draw(rt, "asked")
+				}
+				if asked[i] > 0 {
+					limiter.asked["a"] += float64(asked[i])
+				}
+				told[i] = append(told[i], limiter.Measure(now))
+			}
+			total := 0.0
+			for i, limiter := range limiters {
+				var peers []Peer
+				for j := range boxes {
+					if j != i {
+						peers = append(peers, Peer{Fresh: true, Demand: told[j][max(0, tick-delay[j])]})
+					}
+				}
+				limiter.Divide(peers, true)
+				share, known := limiter.shares["a"]
+				if !known {
+					share = limiter.equal
+				}
+				total += share
+			}
+			require.LessOrEqual(rt, total, 1.000001, "second %d", tick)
+		}
+	})
+}
+
 // TestQueueIsFair: under a flood, an account's share of the work follows its weight.
 func TestQueueIsFair(t *testing.T) {
 	q := NewQueue()
