--- a/cmd/e2e/lab_test.go
+++ b/cmd/e2e/lab_test.go
@@ -22,6 +22,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/remote"
+	"github.com/willowwick/willowwick/serve"
 	"github.com/willowwick/willowwick/standin"
 )
 
@@ -140,10 +141,25 @@
 	l.ctl(0, "apply", "-platform", l.platform, "-reason", "first", "../../examples")
 	for _, d := range l.daemons {
 		l.waitFor("http://" + d.admin + "/readyz")
+		l.waitForEndpoints(d)
 	}
 	return l
 }
 
+// waitForEndpoints waits until a daemon has read of all endpoints; one that is ready may know only some.
+func (l *lab) waitForEndpoints(d *daemonProcess) {
+	l.t.Helper()
+	require.Eventually(l.t, func() bool {
+		response, err := http.Get("http://" + d.admin + serve.PathStatus)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		var status serve.Status
+		return json.NewDecoder(response.Body).Decode(&status) == nil && len(status.Endpoints) == len(l.endpoints)
+	}, startWithin, pollPause, "endpoints of %s", d.name)
+}
+
 func (l *lab) startDaemon(d *daemonProcess) {
 	d.cmd = l.start("willowwickd", d.log,
 		"-box", d.name, "-hall", d.hall, "-listen", d.callers, "-peer-listen", d.peer, "-peer-address", d.peer,
--- a/serve/admin.go
+++ b/serve/admin.go
@@ -21,27 +21,28 @@
 type (
 	// Status is what a daemon says of itself.
 	Status struct {
-		Box          willowwick.BoxID    `json:"box"`
-		Boot         willowwick.BootID   `json:"boot"`
-		Hall         willowwick.HallID   `json:"hall"`
-		Ready        bool                `json:"ready"`
-		Why          string              `json:"why"`
-		Offset       willowwick.Offset   `json:"offset"`
-		Confirmed    bool                `json:"confirmed"`
-		ConfirmedAt  time.Time           `json:"confirmedAt"`
-		Epoch        willowwick.Epoch    `json:"epoch"`
-		LeaseHolder  willowwick.BoxID    `json:"leaseHolder"`
-		HoldsLease   bool                `json:"holdsLease"`
-		Live         []fleet.LiveBox     `json:"live"`
-		InFlight     int64               `json:"inFlight"`
-		UsageOwn     int                 `json:"usageOwn"`
-		UsageHeld    int                 `json:"usageHeld"`
-		Rollouts     []RolloutStatus     `json:"rollouts"`
-		Withdrawn    []WithdrawnStatus   `json:"withdrawn"`
-		Audit        []config.AuditEntry `json:"audit,omitempty"`
-		StateHash    uint64              `json:"stateHash"`
-		PeerSent     uint64              `json:"peerSentBytes"`
-		PeerReceived uint64              `json:"peerReceivedBytes"`
+		Box          willowwick.BoxID        `json:"box"`
+		Boot         willowwick.BootID       `json:"boot"`
+		Hall         willowwick.HallID       `json:"hall"`
+		Ready        bool                    `json:"ready"`
+		Why          string                  `json:"why"`
+		Offset       willowwick.Offset       `json:"offset"`
+		Confirmed    bool                    `json:"confirmed"`
+		ConfirmedAt  time.Time               `json:"confirmedAt"`
+		Epoch        willowwick.Epoch        `json:"epoch"`
+		LeaseHolder  willowwick.BoxID        `json:"leaseHolder"`
+		HoldsLease   bool                    `json:"holdsLease"`
+		Live         []fleet.LiveBox         `json:"live"`
+		InFlight     int64                   `json:"inFlight"`
+		Endpoints    []willowwick.EndpointID `json:"endpoints"` // as the platform last listed them
+		UsageOwn     int                     `json:"usageOwn"`
+		UsageHeld    int                     `json:"usageHeld"`
+		Rollouts     []RolloutStatus         `json:"rollouts"`
+		Withdrawn    []WithdrawnStatus       `json:"withdrawn"`
+		Audit        []config.AuditEntry     `json:"audit,omitempty"`
+		StateHash    uint64                  `json:"stateHash"`
+		PeerSent     uint64                  `json:"peerSentBytes"`
+		PeerReceived uint64                  `json:"peerReceivedBytes"`
 	}
 
 	// RolloutStatus is how far a roll-out has come.
@@ -103,6 +104,9 @@
 		InFlight: d.inFlight.Load(), UsageOwn: own, UsageHeld: held, StateHash: hash,
 		PeerSent: d.node.Transport.Sent.Load(), PeerReceived: d.node.Transport.Received.Load(),
 	}
+	for _, endpoint := range d.pool.Endpoints() {
+		status.Endpoints = append(status.Endpoints, endpoint.ID)
+	}
 	for _, active := range r.Rollouts() {
 		status.Rollouts = append(status.Rollouts, RolloutStatus{
 			ID: active.ID, Model: active.Model, From: active.From, To: active.To,
