--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -41,7 +41,7 @@
 		Hall          willowwick.HallID
 		Address       string
 		TableVersion  uint64
-		ReadAgeMs     int64 // since the store last answered the box itself
+		ReadAgeMs     int64 // since it last showed that the box can read the store
 		StoreAgeMs    int64 // since what it knows of the store was read there, by whichever box
 		EndpointsFrom willowwick.Offset
 		KnownCount    int
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -150,3 +150,20 @@
 		return len(readers(sites)) == len(sites) && hubs == 1 && targets == len(sites)-1
 	}, patience, 10*time.Millisecond)
 }
+
+// A reader that hears from another hall in time does not read the store itself, and once lost its hall by that.
+func TestReaderThatIsFedByAnotherHallStaysReader(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	_, sites := newHall(t, 1, r.endpoint("v1"))
+	x := sites[0].daemon.router
+	require.Eventually(t, x.sync.hasEndpoints, patience, 10*time.Millisecond)
+	isCutOff := func(unreachable bool) bool {
+		now := time.Now()
+		x.sync.mu.Lock()
+		x.sync.answeredAt, x.sync.asOf, x.sync.unreachable = now.Add(-2*feedDrain), now.Add(-feedDrain/10), unreachable
+		x.sync.mu.Unlock()
+		return x.peers.isCutOff(&peer{digest: x.peers.digest(now), heard: now}, now)
+	}
+	assert.False(t, isCutOff(false), "it could read, and did not have to")
+	assert.True(t, isCutOff(true), "its last read failed")
+}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -70,11 +70,16 @@
 	return s.storeAge(now) > staleAfter
 }
 
-// readAge is how long ago the store last answered this box itself.
+// readAge is how long ago it showed that this box can read the store; as long as no read has failed, what other boxes
+// read for it counts too, since it did not have to read then.
 func (s *syncer) readAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.answeredAt)
+	age := now.Sub(s.answeredAt)
+	if s.unreachable {
+		return age
+	}
+	return min(age, now.Sub(s.asOf))
 }
 
 // storeAge is how old what this box knows of the store is.
