--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -15,13 +16,25 @@
 	membersEvery = 10 * time.Second
 	// leadEvery is how often the box that leads looks for states to write.
 	leadEvery = 300 * time.Millisecond
+	// joinAfter is how long a box that has just started looks for another of its hall that keeps in touch with the store
+	// before it joins the group.
+	joinAfter = 800 * time.Millisecond
+	// memberSeparator stands between the address and the hall in a member's name.
+	memberSeparator = "@"
 )
 
 // keepMembership keeps this box in the group and learns of the others until the context ends.
 func (s *syncer) keepMembership(ctx context.Context) {
-	member := s.router.settings.Peers
+	member := memberName(KnownBox{s.router.settings.Peers, s.router.settings.Hall})
 	var listedAt time.Time
+	sleep(ctx, joinAfter)
 	for ctx.Err() == nil {
+		if s.mayRest(time.Now()) {
+			// A call would be lost; the group has dropped this box by then, or does so now.
+			s.setLead(false, "the store is not reached")
+			sleep(ctx, joinEvery)
+			continue
+		}
 		if _, found := s.router.peers.reader(time.Now()); found {
 			s.leaveGroup(ctx, member)
 			sleep(ctx, joinEvery)
@@ -65,10 +78,21 @@
 		return
 	}
 	for _, member := range members {
-		s.router.peers.list(KnownBox{Address: member}, now)
+		s.router.peers.list(boxOfMember(member), now)
 	}
 }
 
+// memberName tells the others of the group where the box is reached and in which hall it stands.
+func memberName(box KnownBox) string {
+	return box.Address + memberSeparator + string(box.Hall)
+}
+
+// boxOfMember is the box that a member's name tells of.
+func boxOfMember(member string) KnownBox {
+	address, hall, _ := strings.Cut(member, memberSeparator)
+	return KnownBox{Address: address, Hall: willowwick.HallID(hall)}
+}
+
 func (s *syncer) setLead(leads bool, why string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			s.noteFailure(now, err)
 			sleep(ctx, pause)
-			pause = s.longer(pause)
+			pause = s.longer(pause, now)
 			continue
 		}
 		pause = retryFirst
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/rpc"
-	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +18,16 @@
 	swapEvery = 500 * time.Millisecond
 	// swapShare bounds it by the time to leave an endpoint: less than the difference of reliedShare and endpointsShare.
 	swapShare = 0.25
-	// swapLimit is how long a peer may take; a peer in another hall answers in some milliseconds.
-	swapLimit = 400 * time.Millisecond
+	// swapLimit is how long a peer may take; one in another hall answers in some milliseconds, but a box with a fifth of
+	// a core takes longer when all of its hall have just started. A call that is given up costs a new connection.
+	swapLimit = 1200 * time.Millisecond
+	// lookFor is how long a box that has just started looks often for the hub of its hall, and lookEvery how often.
+	lookFor   = 2 * time.Second
+	lookEvery = 100 * time.Millisecond
+	// countAfter is how long a box takes its fleet to have youngFleet boxes at least: it has not heard of all yet, and they
+	// share the slack of repeats.
+	countAfter = 5 * time.Second
+	youngFleet = 50
 	// peerFresh is how long a digest counts as the state of a live box: two missed swaps and some.
 	peerFresh = 1300 * time.Millisecond
 	// peerKept is how long a silent box is still counted, named to others and tried.
@@ -85,6 +92,7 @@
 	peers struct {
 		router    *Router
 		transport *fleet.Transport
+		began     time.Time
 
 		mu    sync.Mutex
 		known map[string]*peer // by address
@@ -100,6 +108,8 @@
 		tryAt   time.Time // not called before, after failures
 		pause   time.Duration
 		failing bool
+		// swapping tells that a call to it is under way.
+		swapping bool
 	}
 
 	// rpcServer is the part of peers that other boxes call.
@@ -113,7 +123,7 @@
 	transport, closeTransport := fleet.NewTransport(x.settings.Key, func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}, nil)
-	p := &peers{router: x, transport: transport, known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{}}
+	p := &peers{router: x, transport: transport, began: time.Now(), known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{}}
 	for _, address := range x.settings.Seeds {
 		p.list(KnownBox{Address: address}, time.Now())
 	}
@@ -213,51 +223,6 @@
 	}
 }
 
-// reader is the digest of the box that reads the store for this one, and false if this box reads it itself.
-func (p *peers) reader(now time.Time) (Digest, bool) {
-	self := p.router.settings
-	reads := p.router.sync.readAge(now) <= scale(self.Drain, reliedShare)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	address := p.readerOf(self.Hall, now)
-	if address == "" || reads && self.Peers < address {
-		return Digest{}, false
-	}
-	return p.known[address].digest, true
-}
-
-// isBehind reports whether a box of the hall with a lower address is in touch, whether it reads the store or not.
-func (p *peers) isBehind(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, known := range p.known {
-		if known.hall == p.router.settings.Hall && now.Sub(known.heard) <= peerFresh && address < p.router.settings.Peers {
-			return true
-		}
-	}
-	return false
-}
-
-// readerOf is the lowest address of a hall's boxes that are in touch and reach the store; the caller holds the lock.
-func (p *peers) readerOf(hall willowwick.HallID, now time.Time) string {
-	lowest := ""
-	for address, known := range p.known {
-		if known.hall != hall || now.Sub(known.heard) > peerFresh || p.isCutOff(known, now) {
-			continue
-		}
-		if lowest == "" || address < lowest {
-			lowest = address
-		}
-	}
-	return lowest
-}
-
-// isCutOff reports whether a box has not read the store for too long to rely on it.
-func (p *peers) isCutOff(known *peer, now time.Time) bool {
-	age := time.Duration(known.digest.ReadAgeMs)*time.Millisecond + now.Sub(known.heard)
-	return age > scale(p.router.settings.Drain, reliedShare)
-}
-
 // boxes is the number of boxes that share the fleet's bounds, this one included.
 func (p *peers) boxes() int {
 	p.mu.Lock()
@@ -265,6 +230,14 @@
 	return len(p.known) + 1
 }
 
+// sharers is the number of boxes that the fleet's slack of repeats is divided by.
+func (p *peers) sharers(now time.Time) int {
+	if now.Sub(p.began) < countAfter {
+		return max(p.boxes(), youngFleet)
+	}
+	return p.boxes()
+}
+
 // digest is this box's own.
 func (p *peers) digest(now time.Time) Digest {
 	x := p.router
@@ -302,120 +275,51 @@
 	return min(swapEvery, scale(p.router.settings.Drain, swapShare))
 }
 
-// run swaps digests until the context ends.
+// run swaps digests until the context ends; a box that does not answer keeps none of the others waiting.
 func (p *peers) run(ctx context.Context) {
-	ticker := time.NewTicker(p.swapPeriod())
-	defer ticker.Stop()
-	for {
-		var swaps sync.WaitGroup
-		for _, address := range p.targets(time.Now()) {
-			swaps.Go(func() { p.swap(ctx, address) })
+	for ctx.Err() == nil {
+		now := time.Now()
+		for _, address := range p.targets(now) {
+			if p.beginSwap(address) {
+				go p.swap(ctx, address)
+			}
 		}
-		swaps.Wait()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		p.forget(time.Now())
+		p.forget(now)
+		sleep(ctx, p.pause(now))
 	}
 }
 
-// hub is the box of its hall that this one swaps with: the reader, or while no box reaches the store the lowest address
-// in touch, so that an absent store does not set all boxes to swapping with all; false if that is this box itself.
-func (p *peers) hub(now time.Time) (Digest, bool) {
-	if reader, found := p.reader(now); found {
-		return reader, true
+// pause is the time until the next round: short on a box that has just started and looks for the hub of its hall.
+func (p *peers) pause(now time.Time) time.Duration {
+	if _, hasHub := p.hub(now); !hasHub && now.Sub(p.began) < lookFor {
+		return lookEvery
 	}
-	self := p.router.settings
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.readerOf(self.Hall, now) != "" {
-		// This box reads the store and comes before the others that do.
-		return Digest{}, false
-	}
-	lowest := p.lowestInTouch(self.Hall, now)
-	if lowest == "" || self.Peers < lowest {
-		return Digest{}, false
-	}
-	return p.known[lowest].digest, true
+	return p.swapPeriod()
 }
 
-// hubOf is the hub of another hall; the caller holds the lock.
-func (p *peers) hubOf(hall willowwick.HallID, now time.Time) string {
-	if reader := p.readerOf(hall, now); reader != "" {
-		return reader
-	}
-	return p.lowestInTouch(hall, now)
-}
-
-// lowestInTouch is the lowest address of a hall's boxes that were heard of lately; the caller holds the lock.
-func (p *peers) lowestInTouch(hall willowwick.HallID, now time.Time) string {
-	lowest := ""
-	for address, known := range p.known {
-		if known.hall == hall && now.Sub(known.heard) <= peerFresh && (lowest == "" || address < lowest) {
-			lowest = address
-		}
-	}
-	return lowest
-}
-
-// targets are the boxes to swap with now: the hall's hub, on a hub those of the other halls, and silent boxes that
-// would come before them, now and then.
-func (p *peers) targets(now time.Time) []string {
-	hub, hasHub := p.hub(now)
+// beginSwap reports whether a swap with the box may begin: the one before must be over.
+func (p *peers) beginSwap(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var targets []string
-	hubs := map[willowwick.HallID]string{}
-	for _, hall := range p.hallsKnown() {
-		switch {
-		case hall != p.router.settings.Hall:
-			hubs[hall] = p.hubOf(hall, now)
-		case hasHub:
-			hubs[hall] = hub.Address
-		default:
-			hubs[hall] = p.router.settings.Peers
-		}
-		isWanted := hall == p.router.settings.Hall || !hasHub
-		if isWanted && hubs[hall] != "" && hubs[hall] != p.router.settings.Peers {
-			targets = append(targets, hubs[hall])
-		}
-	}
-	for address, known := range p.known {
-		if hasHub && known.hall != "" && known.hall != p.router.settings.Hall {
-			continue
-		}
-		if p.mayLead(address, known, hubs[known.hall], now) {
-			targets = append(targets, address)
-		}
-	}
-	slices.Sort(targets)
-	return slices.Compact(targets)
-}
-
-// hallsKnown lists the halls of the known boxes; the caller holds the lock.
-func (p *peers) hallsKnown() []willowwick.HallID {
-	var halls []willowwick.HallID
-	for _, known := range p.known {
-		if known.hall != "" && !slices.Contains(halls, known.hall) {
-			halls = append(halls, known.hall)
-		}
+	known := p.known[address]
+	if known == nil || known.swapping {
+		return false
 	}
-	return halls
+	known.swapping = true
+	return true
 }
 
-// mayLead reports whether a box that was not heard of lately should be tried: its hall has no hub, or it would come
-// before that one.
-func (p *peers) mayLead(address string, known *peer, hub string, now time.Time) bool {
-	if now.Before(known.tryAt) || now.Sub(known.heard) <= peerFresh {
-		return false
+func (p *peers) endSwap(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.known[address]; known != nil {
+		known.swapping = false
 	}
-	return known.hall == "" || hub == "" || address < hub
 }
 
 // swap tells a box this one's digest and takes what comes back.
 func (p *peers) swap(ctx context.Context, address string) {
+	defer p.endSwap(address)
 	ctx, cancel := context.WithTimeout(ctx, swapLimit)
 	defer cancel()
 	call := SwapCall{Digest: p.digest(time.Now())}
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -167,3 +167,51 @@
 	assert.False(t, isCutOff(false), "it could read, and did not have to")
 	assert.True(t, isCutOff(true), "its last read failed")
 }
+
+// With all boxes of a fleet started at once, each once tried all of the others in the same round.
+func TestABoxTriesOnlyAFewSilentBoxesAtOnce(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	_, sites := newHall(t, 1, r.endpoint("v1"))
+	p := sites[0].daemon.router.peers
+	now := time.Now()
+	for i := range 60 {
+		hall := []willowwick.HallID{"hall-a", "hall-b", "hall-c", ""}[i%4]
+		p.list(KnownBox{Address: fmt.Sprintf("10.0.0.%d:1", i), Hall: hall}, now)
+	}
+	assert.LessOrEqual(t, len(p.targets(now)), 4*triedAtOnce, "two of each hall and two of no known hall")
+}
+
+func TestMembersTellTheirHall(t *testing.T) {
+	box := KnownBox{Address: "10.0.0.1:8188", Hall: "hall-a"}
+	assert.Equal(t, box, boxOfMember(memberName(box)))
+	assert.Equal(t, KnownBox{Address: "10.0.0.1:8188"}, boxOfMember("10.0.0.1:8188"))
+}
+
+// Boxes once asked an absent store again and again, each for itself; joins and declarations can wait for its return.
+func TestBoxesOfAHallTakeTurnsWhileTheStoreIsAway(t *testing.T) {
+	const boxes = 8
+	r := newRunner(t, "r1", answerText("ok"))
+	control, sites := newHall(t, boxes, r.endpoint("v1"))
+	awaitReaders(t, sites, 1)
+	control.change(func() { control.down = true })
+	require.Eventually(t, func() bool {
+		for _, s := range sites {
+			if !s.daemon.router.sync.isUnreachable() {
+				return false
+			}
+		}
+		return true
+	}, patience, 10*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	before := control.calls.Load()
+	const watched = 3 * time.Second
+	time.Sleep(watched)
+	// The first box asks with its usual pauses, on two topics and for the group; the others share one pause.
+	first := float64(watched)*2/float64(retryMost) + float64(watched)/float64(joinEvery)
+	others := float64(watched) / float64(probeEvery)
+	assert.LessOrEqual(t, float64(control.calls.Load()-before), first+others+boxes)
+	control.change(func() { control.down = false })
+	for _, s := range sites {
+		require.Eventually(t, func() bool { return !s.daemon.router.sync.isStale(time.Now()) }, patience, 10*time.Millisecond)
+	}
+}
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,11 +98,13 @@
 	members   []string
 	leader    string
 	reads     int // of the list of endpoints
+	calls     atomic.Int64
 }
 
 var errDown = errors.New("store is down")
 
 func (c *testControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
+	c.calls.Add(1)
 	until := time.Now().Add(wait)
 	for {
 		c.mu.Lock()
@@ -123,6 +126,7 @@
 }
 
 func (c *testControl) Endpoints(context.Context, willowwick.Offset) (willowwick.EndpointChanges, error) {
+	c.calls.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
@@ -137,6 +141,7 @@
 }
 
 func (c *testControl) Statuses(context.Context) (willowwick.ReleaseStatuses, error) {
+	c.calls.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
@@ -160,6 +165,7 @@
 }
 
 func (c *testControl) Join(_ context.Context, member string, _ uint64) (willowwick.Membership, error) {
+	c.calls.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down {
@@ -181,6 +187,7 @@
 }
 
 func (c *testControl) Members(context.Context) ([]string, error) {
+	c.calls.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]string(nil), c.members...), nil
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -17,9 +17,10 @@
 	// retryFirst and retryMost bound the pauses between reads that fail.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
-	// retryBehind takes the place of retryMost on boxes that hear from one of their hall with a lower address: that
-	// one finds the store back first, and reads for them.
-	retryBehind = 2 * time.Second
+	// probeEvery is how often the boxes of a hall together look whether an absent store is back, but for the first of
+	// them; retryBehind bounds how long one of them waits for its turn.
+	probeEvery  = 250 * time.Millisecond
+	retryBehind = 6 * time.Second
 	// staleAfter is how long after the last answer of the store what it holds may have changed unseen.
 	staleAfter = 2 * time.Second
 )
@@ -123,7 +124,7 @@
 	var next willowwick.Offset
 	pause := retryFirst
 	for ctx.Err() == nil {
-		if s.isFed(time.Now()) {
+		if now := time.Now(); s.isFed(now) || s.mayRest(now) {
 			sleep(ctx, feedPoll)
 			continue
 		}
@@ -133,7 +134,7 @@
 				s.noteFailure(time.Now(), err)
 			}
 			sleep(ctx, pause)
-			pause = s.longer(pause)
+			pause = s.longer(pause, time.Now())
 			continue
 		}
 		pause = retryFirst
@@ -155,12 +156,24 @@
 	return declared, held.Err() != nil, err
 }
 
-// longer is the next pause after a read that failed.
-func (s *syncer) longer(pause time.Duration) time.Duration {
-	if s.router.peers.isBehind(time.Now()) {
-		return min(2*pause, retryBehind)
+// longer is the next pause after a read that failed. Boxes that are in touch with others of their hall take turns: the
+// first of them that finds the store back reads for all.
+func (s *syncer) longer(pause time.Duration, now time.Time) time.Duration {
+	next := min(2*pause, retryMost)
+	if !s.router.peers.isBehind(now) {
+		return next
 	}
-	return min(2*pause, retryMost)
+	shared := time.Duration(s.router.peers.hallSize()) * probeEvery
+	return min(max(next, shared), retryBehind)
+}
+
+// mayRest reports whether calls other than the reads that look for the store's return can wait for that: the last read
+// failed, and another box of the hall looks for it too.
+func (s *syncer) mayRest(now time.Time) bool {
+	s.mu.Lock()
+	away := s.unreachable
+	s.mu.Unlock()
+	return away && s.router.peers.isBehind(now)
 }
 
 // isFed reports whether another box of the hall reads the store for this one.
