--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -179,7 +179,7 @@
 func (d *Daemon) leaveGroup() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveLimit)
 	defer cancel()
-	if err := d.outside.Control.Leave(ctx, memberName(KnownBox{d.router.settings.Peers, d.router.settings.Hall})); err != nil {
+	if err := d.outside.Control.Leave(ctx, memberName(d.router.peers.self())); err != nil {
 		slog.Info("group was not left", "error", err)
 	}
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -363,6 +363,18 @@
 }
 
 // The last heartbeat of an endpoint that had gone once brought it back into use.
+// With many routes declared, the configuration takes some tenths of a second to arrive; callers that have time are served.
+func TestRequestWithMuchTimeWaitsLongerForABoxThatStarts(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{"r1": r.endpoint("v1")}}
+	s := startSite(t, control, testSettings())
+	time.AfterFunc(4*warmLimit, func() {
+		control.change(func() { control.table = testTable(1, onceRoute()) })
+	})
+	got := s.do(t, http.MethodPost, "/once/", "id-1", "x", "T-Left", "20000")
+	assert.Equal(t, http.StatusOK, got.status)
+}
+
 func TestHeartbeatThatComesLateBringsNoEndpointBack(t *testing.T) {
 	x, closeRouter := newRouter(testSettings(), testCodec{})
 	defer closeRouter()
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -11,29 +11,52 @@
 // once, more would take the processor from the requests of callers.
 const triedAtOnce = 2
 
+// precedes reports whether a box comes before another as the hub of its hall: the one with the wider link, since a hub
+// passes on what is large to all the others, and of equal ones the one with the lower address.
+func (b KnownBox) precedes(other KnownBox) bool {
+	if b.LinkMbps != other.LinkMbps {
+		return b.LinkMbps > other.LinkMbps
+	}
+	return b.Address < other.Address
+}
+
+// self is this box as the others know it.
+func (p *peers) self() KnownBox {
+	settings := p.router.settings
+	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps}
+}
+
+// first is the box that precedes the others of those for which use is true; the caller holds the lock.
+func (p *peers) first(hall willowwick.HallID, use func(known *peer) bool) (KnownBox, bool) {
+	var first KnownBox
+	found := false
+	for _, known := range p.known {
+		if known.box.Hall == hall && use(known) && (!found || known.box.precedes(first)) {
+			first, found = known.box, true
+		}
+	}
+	return first, found
+}
+
 // reader is the digest of the box that reads the store for this one, and false if this box reads it itself.
 func (p *peers) reader(now time.Time) (Digest, bool) {
-	self := p.router.settings
-	reads := p.router.sync.readAge(now) <= scale(self.Drain, reliedShare)
+	settings := p.router.settings
+	reads := p.router.sync.readAge(now) <= scale(settings.Drain, reliedShare)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	address := p.readerOf(self.Hall, now)
-	if address == "" || reads && self.Peers < address {
+	reader, found := p.readerOf(settings.Hall, now)
+	if !found || reads && p.self().precedes(reader) {
 		return Digest{}, false
 	}
-	return p.known[address].digest, true
+	return p.known[reader.Address].digest, true
 }
 
-// isBehind reports whether a box of the hall with a lower address is in touch, whether it reads the store or not.
+// isBehind reports whether a box of the hall that comes before this one is in touch, whether it reads the store or not.
 func (p *peers) isBehind(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, known := range p.known {
-		if known.hall == p.router.settings.Hall && now.Sub(known.heard) <= peerFresh && address < p.router.settings.Peers {
-			return true
-		}
-	}
-	return false
+	first, found := p.firstInTouch(p.router.settings.Hall, now)
+	return found && first.precedes(p.self())
 }
 
 // hallSize is the number of the hall's boxes as far as they are known, this one included; most are known from the hub.
@@ -42,25 +65,26 @@
 	defer p.mu.Unlock()
 	size := 1
 	for _, known := range p.known {
-		if known.hall == p.router.settings.Hall {
+		if known.box.Hall == p.router.settings.Hall {
 			size++
 		}
 	}
 	return size
 }
 
-// readerOf is the lowest address of a hall's boxes that are in touch and reach the store; the caller holds the lock.
-func (p *peers) readerOf(hall willowwick.HallID, now time.Time) string {
-	lowest := ""
-	for address, known := range p.known {
-		if known.hall != hall || now.Sub(known.heard) > peerFresh || p.isCutOff(known, now) {
-			continue
-		}
-		if lowest == "" || address < lowest {
-			lowest = address
-		}
-	}
-	return lowest
+// readerOf is the first of a hall's boxes that are in touch and reach the store; the caller holds the lock.
+func (p *peers) readerOf(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
+	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) && !p.isCutOff(known, now) })
+}
+
+// firstInTouch is the first of a hall's boxes that were heard of lately; the caller holds the lock.
+func (p *peers) firstInTouch(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
+	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) })
+}
+
+// isInTouch reports whether the box's digest counts as its state.
+func (known *peer) isInTouch(now time.Time) bool {
+	return now.Sub(known.heard) <= peerFresh
 }
 
 // isCutOff reports whether a box has not read the store for too long to rely on it.
@@ -69,43 +93,32 @@
 	return age > scale(p.router.settings.Drain, reliedShare)
 }
 
-// hub is the box of its hall that this one swaps with: the reader, or while no box reaches the store the lowest address
+// hub is the box of its hall that this one swaps with: the reader, or while no box reaches the store the first that is
 // in touch, so that an absent store does not set all boxes to swapping with all; false if that is this box itself.
 func (p *peers) hub(now time.Time) (Digest, bool) {
 	if reader, found := p.reader(now); found {
 		return reader, true
 	}
-	self := p.router.settings
+	hall := p.router.settings.Hall
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.readerOf(self.Hall, now) != "" {
+	if _, found := p.readerOf(hall, now); found {
 		// This box reads the store and comes before the others that do.
 		return Digest{}, false
 	}
-	lowest := p.lowestInTouch(self.Hall, now)
-	if lowest == "" || self.Peers < lowest {
+	first, found := p.firstInTouch(hall, now)
+	if !found || p.self().precedes(first) {
 		return Digest{}, false
 	}
-	return p.known[lowest].digest, true
+	return p.known[first.Address].digest, true
 }
 
 // hubOf is the hub of another hall; the caller holds the lock.
-func (p *peers) hubOf(hall willowwick.HallID, now time.Time) string {
-	if reader := p.readerOf(hall, now); reader != "" {
-		return reader
-	}
-	return p.lowestInTouch(hall, now)
-}
-
-// lowestInTouch is the lowest address of a hall's boxes that were heard of lately; the caller holds the lock.
-func (p *peers) lowestInTouch(hall willowwick.HallID, now time.Time) string {
-	lowest := ""
-	for address, known := range p.known {
-		if known.hall == hall && now.Sub(known.heard) <= peerFresh && (lowest == "" || address < lowest) {
-			lowest = address
-		}
+func (p *peers) hubOf(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
+	if reader, found := p.readerOf(hall, now); found {
+		return reader, true
 	}
-	return lowest
+	return p.firstInTouch(hall, now)
 }
 
 // targets are the boxes to swap with now: the hall's hub, on a hub those of the other halls, and some silent boxes that
@@ -114,48 +127,61 @@
 	hub, hasHub := p.hub(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	self := p.router.settings
-	targets := p.candidates("", "", now)
+	self := p.self()
+	targets := addresses(p.candidates("", KnownBox{}, now))
 	for _, hall := range p.hallsKnown() {
 		if hasHub && hall != self.Hall {
 			continue
 		}
-		before := self.Peers
+		before := self
 		switch {
 		case hall != self.Hall:
-			before = p.hubOf(hall, now)
+			before, _ = p.hubOf(hall, now)
 		case hasHub:
-			before = hub.Address
+			before = hub.box()
 		}
-		if before != "" && before != self.Peers {
-			targets = append(targets, before)
+		if before.Address != "" && before.Address != self.Address {
+			targets = append(targets, before.Address)
 		}
-		targets = append(targets, p.candidates(hall, before, now)...)
+		targets = append(targets, addresses(p.candidates(hall, before, now))...)
 	}
 	slices.Sort(targets)
 	return slices.Compact(targets)
 }
 
-// candidates are the first few boxes of a hall that were not heard of lately and would come before its hub; the hall is
-// empty for boxes whose hall is not known. The caller holds the lock.
-func (p *peers) candidates(hall willowwick.HallID, hub string, now time.Time) []string {
-	var silent []string
-	for address, known := range p.known {
-		isSilent := now.Sub(known.heard) > peerFresh && !now.Before(known.tryAt)
-		if known.hall == hall && isSilent && (hub == "" || address < hub) {
-			silent = append(silent, address)
+// candidates are the first few boxes of a hall that were not heard of lately and would come before its hub, if it has
+// one; the hall is empty for boxes whose hall is not known. The caller holds the lock.
+func (p *peers) candidates(hall willowwick.HallID, hub KnownBox, now time.Time) []KnownBox {
+	var silent []KnownBox
+	for _, known := range p.known {
+		isSilent := !known.isInTouch(now) && !now.Before(known.tryAt)
+		if known.box.Hall == hall && isSilent && (hub.Address == "" || known.box.precedes(hub)) {
+			silent = append(silent, known.box)
 		}
 	}
-	slices.Sort(silent)
+	slices.SortFunc(silent, func(a, b KnownBox) int {
+		if a.precedes(b) {
+			return -1
+		}
+		return 1
+	})
 	return silent[:min(len(silent), triedAtOnce)]
 }
 
+func addresses(boxes []KnownBox) []string {
+	list := make([]string, 0, len(boxes))
+	for _, box := range boxes {
+		list = append(list, box.Address)
+	}
+	return list
+}
+
 // hallsKnown lists the halls of the known boxes; the caller holds the lock.
 func (p *peers) hallsKnown() []willowwick.HallID {
 	var halls []willowwick.HallID
 	for _, known := range p.known {
-		if known.hall != "" && !slices.Contains(halls, known.hall) {
-			halls = append(halls, known.hall)
+		if hall := known.box.Hall; hall != "" && !slices.Contains(halls, hall) {
+			halls = append(halls, hall)
 		}
 	}
 	return halls
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,13 +20,13 @@
 	// joinAfter is how long a box that has just started looks for another of its hall that keeps in touch with the store
 	// before it joins the group.
 	joinAfter = 800 * time.Millisecond
-	// memberSeparator stands between the address and the hall in a member's name.
+	// memberSeparator stands between the parts of a member's name.
 	memberSeparator = "@"
 )
 
 // keepMembership keeps this box in the group and learns of the others until the context ends.
 func (s *syncer) keepMembership(ctx context.Context) {
-	member := memberName(KnownBox{s.router.settings.Peers, s.router.settings.Hall})
+	member := memberName(s.router.peers.self())
 	var listedAt time.Time
 	sleep(ctx, joinAfter)
 	for ctx.Err() == nil {
@@ -82,15 +83,20 @@
 	}
 }
 
-// memberName tells the others of the group where the box is reached and in which hall it stands.
+// memberName tells the others of the group where the box is reached, in which hall, and how wide its link is.
 func memberName(box KnownBox) string {
-	return box.Address + memberSeparator + string(box.Hall)
+	return strings.Join([]string{box.Address, string(box.Hall), strconv.Itoa(box.LinkMbps)}, memberSeparator)
 }
 
-// boxOfMember is the box that a member's name tells of.
+// boxOfMember is the box that a member's name tells of; what a name does not tell is learnt once the box is heard of.
 func boxOfMember(member string) KnownBox {
-	address, hall, _ := strings.Cut(member, memberSeparator)
-	return KnownBox{Address: address, Hall: willowwick.HallID(hall)}
+	address, rest, _ := strings.Cut(member, memberSeparator)
+	hall, link, _ := strings.Cut(rest, memberSeparator)
+	box := KnownBox{Address: address, Hall: willowwick.HallID(hall)}
+	if mbps, err := strconv.Atoi(link); err == nil {
+		box.LinkMbps = mbps
+	}
+	return box
 }
 
 func (s *syncer) setLead(leads bool, why string) {
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -47,6 +47,7 @@
 		Boot          willowwick.BootID
 		Hall          willowwick.HallID
 		Address       string
+		LinkMbps      int
 		TableVersion  uint64
 		ReadAgeMs     int64 // since it last showed that the box can read the store
 		StoreAgeMs    int64 // since what it knows of the store was read there, by whichever box
@@ -58,10 +59,11 @@
 		Banned        []releaseKey
 	}
 
-	// KnownBox is the address of a box.
+	// KnownBox is where a box is reached, and what its place among the others goes by.
 	KnownBox struct {
-		Address string
-		Hall    willowwick.HallID
+		Address  string
+		Hall     willowwick.HallID
+		LinkMbps int // 0 if it is not known
 	}
 
 	// ProgressRow is a roll-out as a box believes it to be.
@@ -101,7 +103,7 @@
 
 	// peer is another box as this one knows it.
 	peer struct {
-		hall    willowwick.HallID
+		box     KnownBox
 		digest  Digest
 		heard   time.Time
 		listed  time.Time // when the group or another box last named it
@@ -157,6 +159,11 @@
 	return nil
 }
 
+// box is the box that the digest tells of.
+func (d *Digest) box() KnownBox {
+	return KnownBox{Address: d.Address, Hall: d.Hall, LinkMbps: d.LinkMbps}
+}
+
 // tableFor returns the configuration for a box that has an older one.
 func (p *peers) tableFor(version uint64) *willowwick.RoutingTable {
 	if t := p.router.table.Load(); t != nil && t.Version > version {
@@ -177,8 +184,8 @@
 		known = &peer{}
 		p.known[box.Address] = known
 	}
-	if box.Hall != "" {
-		known.hall = box.Hall
+	if box.Hall != "" || known.box.Address == "" {
+		known.box = box
 	}
 	known.listed = now
 }
@@ -188,7 +195,7 @@
 	for _, box := range boxes {
 		p.mu.Lock()
 		known := p.known[box.Address]
-		fresh := known == nil || known.hall == ""
+		fresh := known == nil || known.box.Hall == ""
 		p.mu.Unlock()
 		if fresh {
 			p.list(box, now)
@@ -198,7 +205,7 @@
 
 // heard takes a digest that came from its box itself.
 func (p *peers) heard(digest Digest, now time.Time) {
-	p.list(KnownBox{digest.Address, digest.Hall}, now)
+	p.list(digest.box(), now)
 	p.mu.Lock()
 	known := p.known[digest.Address]
 	if known == nil {
@@ -244,7 +251,7 @@
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
 		TableVersion: x.configVersion(), EndpointsFrom: x.sync.listedFrom(),
-		StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(),
+		LinkMbps: x.settings.LinkMbps, StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(),
 		Own: p.ownReport(), Banned: x.releases.bans(),
 	}
 	for _, own := range x.releases.progresses(now) {
@@ -261,10 +268,10 @@
 func (p *peers) knownBoxes(now time.Time) []KnownBox {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := []KnownBox{{p.router.settings.Peers, p.router.settings.Hall}}
-	for address, known := range p.known {
-		if known.hall != "" && (now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept) {
-			list = append(list, KnownBox{address, known.hall})
+	list := []KnownBox{p.self()}
+	for _, known := range p.known {
+		if known.box.Hall != "" && (now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept) {
+			list = append(list, known.box)
 		}
 	}
 	return list
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -182,11 +182,34 @@
 }
 
 func TestMembersTellTheirHall(t *testing.T) {
-	box := KnownBox{Address: "10.0.0.1:8188", Hall: "hall-a"}
+	box := KnownBox{Address: "10.0.0.1:8188", Hall: "hall-a", LinkMbps: 200}
 	assert.Equal(t, box, boxOfMember(memberName(box)))
 	assert.Equal(t, KnownBox{Address: "10.0.0.1:8188"}, boxOfMember("10.0.0.1:8188"))
 }
 
+// A hub passes what is large on to all boxes of its hall, so the widest link does it.
+func TestTheWidestLinkOfAHallIsItsHub(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control, sites := newHall(t, 2, r.endpoint("v1"))
+	settings := testSettings()
+	settings.Box, settings.Drain, settings.LinkMbps = "box-wide", feedDrain, 200
+	settings.Seeds = []string{sites[0].daemon.router.settings.Peers}
+	wide := startSite(t, control, settings)
+	sites = append(sites, wide)
+	require.Eventually(t, func() bool {
+		found := readers(sites)
+		return len(found) == 1 && found[0] == wide
+	}, patience, 10*time.Millisecond)
+}
+
+// A box that is fed has no use for a read that the store holds; each such read costs a call whenever something changes.
+func TestOnlyReadersHoldReadsOfDeclarations(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control, sites := newHall(t, 4, r.endpoint("v1"))
+	awaitReaders(t, sites, 1)
+	require.Eventually(t, func() bool { return control.held.Load() == 1 }, patience, 10*time.Millisecond)
+}
+
 // Boxes once asked an absent store again and again, each for itself; joins and declarations can wait for its return.
 func TestBoxesOfAHallTakeTurnsWhileTheStoreIsAway(t *testing.T) {
 	const boxes = 8
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -72,7 +72,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, known := range p.known {
-		if known.hall == p.router.settings.Hall {
+		if known.box.Hall == p.router.settings.Hall {
 			total = total.add(known.digest.Own, now.Sub(known.heard) <= peerFresh)
 		}
 	}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -19,8 +19,10 @@
 	startLimit = 64
 	// loadFresh is how long a load report counts: a runner's requests last about a second.
 	loadFresh = 1500 * time.Millisecond
-	// warmLimit is how long a request waits for a box that has just started: a quarter of the shortest goal seen.
+	// warmLimit is the least time that a request waits for a box that has just started, and warmShare the part of its
+	// deadline: both are a quarter of what callers of such deadlines set as their goal.
 	warmLimit = 75 * time.Millisecond
+	warmShare = 1.0 / 40
 	// queueAtEndpoint is how many requests an endpoint may hold beyond its slots, as a share of them: enough that no
 	// slot rests, few enough that client accounts take turns here and not behind each other there.
 	queueAtEndpoint = 1.0
@@ -40,6 +42,7 @@
 		Hall       willowwick.HallID
 		Boot       willowwick.BootID
 		Peers      string // host:port under which other boxes reach this one
+		LinkMbps   int    // width of the box's link; 0 if it is not known
 		Key        []byte // shared by all boxes
 		Seeds      []string
 		Seed       uint64
@@ -101,7 +104,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	out := &reply{writer: w, controller: http.NewResponseController(w), codec: x.codec}
-	x.awaitWarm(r.Context())
+	x.awaitWarm(r)
 	c, refusal := x.begin(out, r, arrived)
 	if refusal != nil {
 		x.refuse(out, refusal)
@@ -232,18 +235,24 @@
 }
 
 // awaitWarm holds a request of the first moments until it can be served: the store answers in some milliseconds.
-func (x *Router) awaitWarm(ctx context.Context) {
+func (x *Router) awaitWarm(r *http.Request) {
 	select {
 	case <-x.warm:
 		return
 	default:
 	}
-	timer := time.NewTimer(warmLimit)
+	limit := warmLimit
+	now := time.Now()
+	// A header that is wrong is told to the caller once the request is begun.
+	if head, err := x.codec.DecodeRequest(r.Header, now); err == nil && !head.Deadline.IsZero() {
+		limit = max(limit, scale(head.Deadline.Sub(now), warmShare))
+	}
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-x.warm:
 	case <-timer.C:
-	case <-ctx.Done():
+	case <-r.Context().Done():
 	}
 }
 
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -99,12 +99,15 @@
 	leader    string
 	reads     int // of the list of endpoints
 	calls     atomic.Int64
+	held      atomic.Int64 // reads of declarations that wait
 }
 
 var errDown = errors.New("store is down")
 
 func (c *testControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
 	c.calls.Add(1)
+	c.held.Add(1)
+	defer c.held.Add(-1)
 	until := time.Now().Add(wait)
 	for {
 		c.mu.Lock()
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -129,10 +129,12 @@
 			continue
 		}
 		declared, wasCancelled, err := s.readDeclarations(ctx, next)
+		if wasCancelled {
+			sleep(ctx, feedPoll)
+			continue
+		}
 		if err != nil {
-			if !wasCancelled {
-				s.noteFailure(time.Now(), err)
-			}
+			s.noteFailure(time.Now(), err)
 			sleep(ctx, pause)
 			pause = s.longer(pause, time.Now())
 			continue
@@ -196,6 +198,10 @@
 		slog.Info("reader of the store changed", "from", s.fedBy, "to", address, "known_ms_ago", now.Sub(s.asOf).Milliseconds())
 		s.fedBy = address
 	}
+	if found && s.cancelRead != nil {
+		// The box that reads for this one tells of changes; a read that the store holds here would bring them twice.
+		s.cancelRead()
+	}
 }
 
 func (s *syncer) setCancelRead(cancel context.CancelFunc) {
