--- a/exchange/call.go
+++ b/exchange/call.go
@@ -180,7 +180,6 @@
 	if shared := len(c.head.Prompt) - 2; shared >= 0 && c.route.Affinity {
 		c.prefix = xxhash.Sum64String(c.head.Prompt[shared].ID)
 	}
-	c.choice = c.router.releases.choose(c.service, c.sessionText(), c.arrived, c.deadline)
 	wire.StripHop(c.message.Header)
 	delete(c.message.Header, "Content-Length")
 	delete(c.message.Header, "Expect")
@@ -218,6 +217,8 @@
 // enter takes a place at an endpoint.
 func (c *call) enter() (*gate.Ticket, *willowwick.Refusal) {
 	now := time.Now()
+	// Roll-outs may have begun or ended since the send before.
+	c.choice = c.router.releases.choose(c.service, c.sessionText(), now, c.deadline)
 	until := c.deadline
 	if c.sends == 0 {
 		until = earliest(until, now.Add(scale(c.route.Goal, queueShare)))
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/gate"
 )
 
 func TestRequestArrivesUnchangedAndAnswerReturnsUnchanged(t *testing.T) {
@@ -351,6 +352,60 @@
 	}
 }
 
+// A request that was under way when a roll-out was ordered once went on at the new release.
+func TestRequestThatIsSentAgainKeepsToItsRelease(t *testing.T) {
+	ordered := make(chan struct{})
+	runs := 0
+	old := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		if runs++; runs == 1 {
+			<-ordered
+			hangUp(w)
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	s := newSite(t, old.endpoint("v1"))
+	fresh := newRunner(t, "r2", answerText("new"))
+	time.AfterFunc(100*time.Millisecond, func() {
+		s.control.change(func() {
+			s.control.endpoints["r2"] = fresh.endpoint("v2")
+			s.control.orders = []willowwick.ReleaseOrder{orderOf("v2", 1)}
+		})
+		time.Sleep(300 * time.Millisecond)
+		close(ordered)
+	})
+	got := s.do(t, http.MethodPost, "/again/", "id-1", "x")
+	assert.Equal(t, "ok", got.body)
+	assert.Empty(t, fresh.requests())
+}
+
+// A stream whose endpoint paused was once taken up elsewhere with the last run that it had, and cut when that failed.
+func TestStreamIsNotLeftForItsLastRunWhileItsEndpointLives(t *testing.T) {
+	for name, quiet := range map[string]bool{"lives": false, "quiet": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, newRunner(t, "r1", answerText("a")).endpoint("v1"), newRunner(t, "r2", answerText("b")).endpoint("v1"))
+			x := s.daemon.router
+			route := streamRoute()
+			route.MaxRuns = 3
+			place, _ := x.pool.AcquireAllowed(time.Now(), "work", 0, nil, func(willowwick.Endpoint) bool { return true })
+			require.NotNil(t, place)
+			for range 20 {
+				x.budget("work").Request(time.Now())
+			}
+			sending := &send{ticket: &gate.Ticket{Place: place}, call: &call{
+				router: x, route: &route, service: "work", runs: 2, out: &reply{begun: true},
+			}}
+			now := time.Now()
+			if quiet {
+				now = now.Add(2 * quietAfter)
+			}
+			assert.Equal(t, quiet, sending.mayLeaveStream(now))
+			sending.runs = 1
+			assert.True(t, sending.mayLeaveStream(now), "another run stays in reserve")
+		})
+	}
+}
+
 // Requests that came in the first milliseconds of a box were once refused, with a second to wait.
 func TestRequestOfTheFirstMomentIsServed(t *testing.T) {
 	r := newRunner(t, "r1", answerText("ok"))
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -168,13 +168,22 @@
 		if !errors.Is(err, wire.ErrSilent) || !stallAt.Before(s.deadline) {
 			return err
 		}
-		if s.mayRunAgain() && s.router.hasRepeat(s.call, time.Now()) && s.router.hasOther(s.call, s.ticket.Endpoint.ID) {
+		if s.mayLeaveStream(time.Now()) {
 			return err
 		}
 		stallAt = s.deadline
 	}
 }
 
+// mayLeaveStream decides whether a stream that pauses for long is taken up elsewhere. An endpoint that goes on with
+// others may still finish it, so there it takes one more run in reserve: the next endpoint may fail.
+func (s *send) mayLeaveStream(now time.Time) bool {
+	if !s.mayRunAgain() || !s.router.hasRepeat(s.call, now) || !s.router.hasOther(s.call, s.ticket.Endpoint.ID) {
+		return false
+	}
+	return s.runs+1 < s.route.MaxRuns || s.ticket.IsQuiet(now)
+}
+
 // passEvents sends whole events, the head before the first of them.
 func (s *send) passEvents(events []byte) bool {
 	if !s.out.begun {
