--- a/cmd/e2e/site_test.go
+++ b/cmd/e2e/site_test.go
@@ -83,7 +83,7 @@
 		s.addRunner(t, fmt.Sprintf("app-%d", i), "app", "v1")
 	}
 	for i := range boxes {
-		s.boxes = append(s.boxes, s.newBox(t, i))
+		s.boxes = append(s.boxes, newSiteBox(t, i, s.address))
 	}
 	for _, box := range s.boxes {
 		box.start(t)
@@ -100,10 +100,7 @@
 
 func (s *testSite) addRunner(t *testing.T, id, service, release string) {
 	server := httptest.NewUnstartedServer(nil)
-	runner, stop := standin.NewBatchRunner(standin.BatchSettings{
-		ID: id, Service: service, Hall: "hall-a", Address: server.Listener.Addr().String(), Release: release,
-		Slots: 16, Events: siteEvents, EventPause: 5 * time.Millisecond,
-	}, s.store)
+	runner, stop := standin.NewBatchRunner(runnerSettings(id, service, release, server.Listener.Addr().String()), s.store)
 	server.Config.Handler = runner
 	server.Start()
 	t.Cleanup(func() {
@@ -114,7 +111,16 @@
 	s.runners[id] = runner
 }
 
-func (s *testSite) newBox(t *testing.T, i int) *siteBox {
+// runnerSettings are those of a runner that answers streams in some 60 ms.
+func runnerSettings(id, service, release, address string) standin.BatchSettings {
+	return standin.BatchSettings{
+		ID: id, Service: service, Hall: "hall-a", Address: address, Release: release,
+		Slots: 16, Events: siteEvents, EventPause: 5 * time.Millisecond,
+	}
+}
+
+// newSiteBox writes the settings of a box; fields that come later take the place of its usual ones.
+func newSiteBox(t *testing.T, i int, store string, fields ...string) *siteBox {
 	first := freeAddress(t)
 	_, port, err := net.SplitHostPort(first)
 	require.NoError(t, err)
@@ -125,10 +131,11 @@
 	lines := []string{
 		"node-name=" + box.name, "zone=hall-a", "ip=127.0.0.1", "zones.hall-a=region", "port-range=" + port + "," + port,
 		"listen.front-http=" + box.callers, "listen.ready=" + box.ready, "listen.control=" + box.peers,
-		"platform.address=" + s.address, "limits.memory-mb=200", "heartbeat-ms=200", "platform.ttl-min-ms=1000",
+		"platform.address=" + store, "limits.memory-mb=200", "heartbeat-ms=200", "platform.ttl-min-ms=1000",
 		"bounds.drain-ms=600", "bounds.grace-s=6", "bounds.budget-ratio=0.9", "bounds.budget-slack=50", "bounds.budget-window-s=10",
 		"some.new-field=passed over",
 	}
+	lines = append(lines, fields...)
 	require.NoError(t, os.WriteFile(box.file, []byte(strings.Join(lines, "\n")), 0o600))
 	return box
 }
--- /dev/null
+++ b/cmd/e2e/soak_checks_test.go
@@ -0,0 +1,184 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/willowwick/willowwick/standin"
+)
+
+const (
+	// lateAnswer is how much later than a caller's deadline, or its route's limit, an answer may come.
+	lateAnswer = 800 * time.Millisecond
+	// mostFindings bounds what one soak reports.
+	mostFindings = 12
+)
+
+type (
+	// ran is a run of a request with the endpoint that ran it.
+	ran struct {
+		standin.BatchRun
+		at *soakRunner
+	}
+
+	// judge checks what callers and endpoints saw against what willowwick promises.
+	judge struct {
+		site     *soakSite
+		agenda   *agenda
+		runs     map[string][]ran
+		findings []string
+	}
+)
+
+// judgeAll returns what broke a promise.
+func judgeAll(site *soakSite, agenda *agenda, asks []*asked) []string {
+	j := &judge{site: site, agenda: agenda, runs: map[string][]ran{}}
+	for _, runner := range site.allRunners() {
+		for _, run := range runner.Runs() {
+			j.runs[run.Request] = append(j.runs[run.Request], ran{run, runner})
+		}
+	}
+	known := map[string]bool{}
+	slices.SortFunc(asks, func(a, b *asked) int { return a.from.Compare(b.from) })
+	for _, a := range asks {
+		known[a.id] = true
+		j.checkAnswer(a)
+		j.checkRuns(a)
+		j.checkTime(a)
+		j.checkCut(a)
+		j.checkVersion(a)
+		j.checkLeaving(a)
+	}
+	for id := range j.runs {
+		if !known[id] {
+			j.report("a run of %s, which nobody asked for", id)
+		}
+	}
+	j.checkNeverBack(asks)
+	j.checkRollOut()
+	return j.findings
+}
+
+func (j *judge) report(format string, args ...any) {
+	if len(j.findings) < mostFindings {
+		j.findings = append(j.findings, fmt.Sprintf(format, args...))
+	}
+}
+
+func (j *judge) tell(a *asked, what string) {
+	j.report("%.3f s: %s (%s at box-%d, %v): %s; status %d, error %v, %d runs", a.from.Sub(j.site.started).Seconds(), a.id, a.kind,
+		a.box, a.to.Sub(a.from).Round(time.Millisecond), what, a.status, a.err, len(j.runs[a.id]))
+}
+
+// checkAnswer: a success is whole and the caller's own, a broken one does not look whole.
+func (j *judge) checkAnswer(a *asked) {
+	switch {
+	case a.status == http.StatusOK && !a.cut && !a.whole:
+		j.tell(a, "a success with another body")
+	case a.cut && a.err != nil && strings.HasPrefix(a.err.Error(), "what came of a cut answer"):
+		j.tell(a, "a cut answer holds what is not its own")
+	case a.status == http.StatusServiceUnavailable && !a.retryAt:
+		j.tell(a, "a refusal does not say when to return")
+	}
+}
+
+// checkRuns: what may run once does, a refusal is true, and endpoints get what the caller sent with the right account.
+func (j *judge) checkRuns(a *asked) {
+	runs := j.runs[a.id]
+	once := a.kind == kindOnce || a.kind == kindForged
+	if once && len(runs) > 1 {
+		j.tell(a, "ran more than once")
+	}
+	if once && a.status == http.StatusServiceUnavailable && len(runs) > 0 {
+		j.tell(a, "was refused as not run, but ran")
+	}
+	for _, run := range runs {
+		if run.Account != "lab" || run.Body != "body of "+a.id {
+			j.tell(a, fmt.Sprintf("reached an endpoint as account %q with body %q", run.Account, run.Body))
+		}
+	}
+}
+
+// checkTime: a box that is in touch answers at the deadline.
+func (j *judge) checkTime(a *asked) {
+	limit := a.limit
+	if a.version > 0 {
+		limit = min(limit, 1500*time.Millisecond) // the route's own
+	}
+	if !a.left && a.to.Sub(a.from) > limit+lateAnswer && j.site.boxes[a.box].inTouch(a.from, a.to) {
+		j.tell(a, fmt.Sprint("was held beyond its limit of ", limit))
+	}
+}
+
+// checkCut: a request that reached an endpoint is answered, also by a box that is told to stop.
+func (j *judge) checkCut(a *asked) {
+	noAnswer := a.err != nil && a.status == 0 && !a.refused && !a.left
+	if !noAnswer || len(j.runs[a.id]) == 0 || a.to.Sub(a.from) >= a.limit {
+		return
+	}
+	if j.site.boxes[a.box].undisturbed(a.from, a.to) {
+		j.tell(a, "ran, and the connection closed without an answer")
+	}
+}
+
+// checkVersion: a configuration is in force some seconds after it was written, and what it took away is gone.
+func (j *judge) checkVersion(a *asked) {
+	if a.version == 0 || !j.site.boxes[a.box].inTouch(a.from, a.to) || !j.agenda.isQuiet(&j.agenda.storeDown, a.from, a.to) {
+		return
+	}
+	written := j.site.writtenAt(a.version)
+	if a.key == siteKey && a.status == http.StatusNotFound && a.from.After(written.Add(soakApply)) {
+		j.tell(a, fmt.Sprintf("version %d was written %v before", a.version, a.from.Sub(written)))
+	}
+	if a.key == siteKey || a.status != http.StatusOK || a.version >= j.site.newestVersion() {
+		return
+	}
+	if removed := j.site.writtenAt(a.version + 1); a.from.After(removed.Add(soakRevoke)) {
+		j.tell(a, fmt.Sprintf("its key was taken away %v before", a.from.Sub(removed)))
+	}
+}
+
+// checkNeverBack: within one life of a daemon, what a newer configuration brought stays.
+func (j *judge) checkNeverBack(asks []*asked) {
+	type life struct{ box, number int }
+	newest := map[life]*asked{}
+	ended := slices.Clone(asks)
+	slices.SortFunc(ended, func(a, b *asked) int { return a.to.Compare(b.to) })
+	for _, a := range ended {
+		key := life{a.box, a.life}
+		if a.version == 0 || a.key != siteKey || a.life == 0 || j.site.boxes[a.box].lifeNumber() != a.life {
+			continue
+		}
+		seen := newest[key]
+		if a.status == http.StatusNotFound && seen != nil && seen.version >= a.version && a.from.After(seen.to) {
+			j.tell(a, fmt.Sprintf("the box had version %d before", seen.version))
+		}
+		if a.status == http.StatusOK && (seen == nil || a.version > seen.version) {
+			newest[key] = a
+		}
+	}
+}
+
+// checkLeaving: an endpoint that said it leaves gets nothing new some seconds later.
+func (j *judge) checkLeaving(a *asked) {
+	for _, run := range j.runs[a.id] {
+		left := run.at.left()
+		if left.IsZero() || run.At.Before(left.Add(soakDrain)) || a.from.Before(left) {
+			continue
+		}
+		if j.site.boxes[a.box].inTouch(left, run.At) && j.agenda.isQuiet(&j.agenda.storeDown, left, run.At) {
+			j.tell(a, fmt.Sprintf("reached %s %v after that said it leaves", run.at.id, run.At.Sub(left)))
+		}
+	}
+}
+
+// checkRollOut: a release whose answers are all failures is not completed.
+func (j *judge) checkRollOut() {
+	value, found := j.site.store.Get("keyed.status", "rollout/llm")
+	if found && j.agenda.bad != "" && strings.Contains(string(value), "completed") {
+		j.report("the bad release %s was completed: %s", j.agenda.bad, value)
+	}
+}
--- /dev/null
+++ b/cmd/e2e/soak_faults_test.go
@@ -0,0 +1,261 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/willowwick/willowwick/standin"
+)
+
+type (
+	// event is a fault, or planned work, of a soak.
+	event struct {
+		at   time.Duration // from the start of traffic
+		name string
+		run  func()
+	}
+
+	// agenda is what happens in a soak; the seed fixes it.
+	agenda struct {
+		site   *soakSite
+		random *rand.Rand
+		length time.Duration
+		events []event
+
+		mu        sync.Mutex
+		storeDown []span
+		endpoints []span // while endpoints misbehave
+		bad       string // release of the last roll-out, and whether it is bad
+	}
+)
+
+// newAgenda draws the events of a soak; they come in series and overlap.
+func newAgenda(site *soakSite, seed uint64, length time.Duration) *agenda {
+	a := &agenda{site: site, random: rand.New(rand.NewPCG(seed, seed)), length: length}
+	kinds := []func(time.Duration){
+		a.terminate, a.kill, a.freeze, a.hangUp, a.harmStoreLink, a.harmEndpointLink, a.storeAway, a.storeForgets,
+		a.storeLosesAnswers, a.endpointFails, a.endpointLeaves, a.endpointCrashes, a.reconfigure, a.reconfigureOften,
+	}
+	for at := 300 * time.Millisecond; at < length; at += time.Duration(100+a.random.IntN(900)) * time.Millisecond {
+		kinds[a.random.IntN(len(kinds))](at)
+	}
+	if a.random.IntN(2) == 0 {
+		a.rollOut(time.Duration(a.random.Int64N(int64(length / 2))))
+	}
+	slices.SortStableFunc(a.events, func(x, y event) int { return int(x.at - y.at) })
+	return a
+}
+
+func (a *agenda) add(at time.Duration, name string, run func()) {
+	a.events = append(a.events, event{at, name, run})
+}
+
+// play runs the events at their times and returns when all are over.
+func (a *agenda) play(began time.Time) {
+	var running sync.WaitGroup
+	for _, e := range a.events {
+		time.Sleep(time.Until(began.Add(e.at)))
+		running.Go(e.run)
+	}
+	running.Wait()
+}
+
+func (a *agenda) box() *soakBox { return a.site.boxes[a.random.IntN(len(a.site.boxes))] }
+
+func (a *agenda) lasting() time.Duration {
+	return time.Duration(200+a.random.IntN(2500)) * time.Millisecond
+}
+
+// lastsIn notes a span of trouble in a list until the returned function is called.
+func (a *agenda) lastsIn(spans *[]span) func() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at := len(*spans)
+	*spans = append(*spans, span{from: time.Now()})
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		(*spans)[at].to = time.Now()
+	}
+}
+
+// isQuiet reports whether nothing of a list happened from some time before a moment to its end.
+func (a *agenda) isQuiet(spans *[]span, from, to time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !overlaps(*spans, from.Add(-soakContact), to)
+}
+
+func (a *agenda) terminate(at time.Duration) {
+	box, hurry := a.box(), a.random.IntN(4) == 0
+	a.add(at, "SIGTERM "+box.name, func() {
+		defer box.stop()()
+		life := box.lifeNumber()
+		box.send(syscall.SIGTERM)
+		if hurry {
+			time.Sleep(100 * time.Millisecond)
+			box.send(syscall.SIGTERM)
+		}
+		for limit := time.Now().Add(soakGrace); box.lifeNumber() == life && time.Now().Before(limit); {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if box.lifeNumber() == life {
+			box.send(syscall.SIGKILL)
+		}
+		box.awaitServing()
+	})
+}
+
+func (a *agenda) kill(at time.Duration) {
+	box := a.box()
+	a.add(at, "SIGKILL "+box.name, func() {
+		defer box.trouble()()
+		box.send(syscall.SIGKILL)
+		time.Sleep(2 * restartPause)
+		box.awaitServing()
+	})
+}
+
+func (a *agenda) freeze(at time.Duration) {
+	box, lasting := a.box(), a.lasting()
+	a.add(at, fmt.Sprint("SIGSTOP ", box.name, " ", lasting), func() {
+		defer box.trouble()()
+		box.send(syscall.SIGSTOP)
+		time.Sleep(lasting)
+		box.send(syscall.SIGCONT)
+	})
+}
+
+func (a *agenda) hangUp(at time.Duration) {
+	box := a.box()
+	a.add(at, "SIGHUP "+box.name, func() { box.send(syscall.SIGHUP) })
+}
+
+func (a *agenda) harm(l *link) (name string, run func()) {
+	state, lasting := linkState(1+a.random.IntN(5)), a.lasting()
+	return fmt.Sprint(linkNames[state], " ", lasting), func() {
+		l.set(state)
+		time.Sleep(lasting)
+		l.set(linkClear)
+	}
+}
+
+func (a *agenda) harmStoreLink(at time.Duration) {
+	box := a.box()
+	name, run := a.harm(box.storeLink)
+	a.add(at, "store link of "+box.name+" "+name, func() {
+		defer box.trouble()()
+		run()
+	})
+}
+
+func (a *agenda) runner() *soakRunner {
+	runners := a.site.allRunners()
+	return runners[a.random.IntN(len(runners))]
+}
+
+func (a *agenda) harmEndpointLink(at time.Duration) {
+	runner := a.runner()
+	name, run := a.harm(runner.link)
+	a.add(at, "link of "+runner.id+" "+name, func() {
+		defer a.lastsIn(&a.endpoints)()
+		run()
+	})
+}
+
+func (a *agenda) storeAway(at time.Duration) {
+	lasting := a.lasting()
+	a.add(at, fmt.Sprint("store away ", lasting), func() {
+		defer a.lastsIn(&a.storeDown)()
+		a.site.store.SetFaults(standin.StoreFaults{Down: true})
+		time.Sleep(lasting)
+		a.site.store.SetFaults(standin.StoreFaults{})
+	})
+}
+
+func (a *agenda) storeForgets(at time.Duration) {
+	a.add(at, "store forgets its history", func() {
+		defer a.lastsIn(&a.storeDown)()
+		a.site.store.Forget("keyed.op")
+		a.site.store.Forget("keyed.servers")
+	})
+}
+
+func (a *agenda) storeLosesAnswers(at time.Duration) {
+	a.add(at, "store loses answers", func() {
+		defer a.lastsIn(&a.storeDown)()
+		a.site.store.SetFaults(standin.StoreFaults{LoseAnswer: 2})
+	})
+}
+
+func (a *agenda) endpointFails(at time.Duration) {
+	runner, lasting := a.runner(), a.lasting()
+	faults := []standin.BatchFaults{{FailEvery: 2}, {BreakAfter: 3}, {Full: true}}[a.random.IntN(3)]
+	a.add(at, fmt.Sprintf("%s fails %+v %v", runner.id, faults, lasting), func() {
+		defer a.lastsIn(&a.endpoints)()
+		runner.SetFaults(faults)
+		time.Sleep(lasting)
+		runner.SetFaults(standin.BatchFaults{})
+	})
+}
+
+// replaced starts an endpoint in a runner's place, so that its service stays.
+func (a *agenda) replaced(at time.Duration, how string, end func(*soakRunner)) {
+	number := len(a.events)
+	service := []string{"llm", "app"}[a.random.IntN(2)]
+	a.add(at, "an endpoint of "+service+" "+how, func() {
+		a.site.addRunner(fmt.Sprintf("%s-n%d", service, number), service, "v1")
+		runners := a.site.allRunners()
+		at := slices.IndexFunc(runners, func(r *soakRunner) bool {
+			return r.service == service && r.release == "v1" && r.takeEnd()
+		})
+		defer a.lastsIn(&a.endpoints)()
+		end(runners[at]) // the new one is there at least
+	})
+}
+
+func (a *agenda) endpointLeaves(at time.Duration) {
+	a.replaced(at, "leaves", func(r *soakRunner) { r.leave(a.site.store) })
+}
+
+func (a *agenda) endpointCrashes(at time.Duration) {
+	a.replaced(at, "crashes", func(r *soakRunner) { r.crash(a.site.store) })
+}
+
+func (a *agenda) reconfigure(at time.Duration) {
+	a.add(at, "configuration", a.site.configure)
+}
+
+func (a *agenda) reconfigureOften(at time.Duration) {
+	for i := range 4 {
+		a.add(at+time.Duration(i)*150*time.Millisecond, "configuration of a row", a.site.configure)
+	}
+}
+
+// rollOut orders a release whose endpoints work, or answer with failures only.
+func (a *agenda) rollOut(at time.Duration) {
+	isBad := a.random.IntN(2) == 0
+	a.add(at, fmt.Sprint("roll-out, bad: ", isBad), func() {
+		for i := range 2 {
+			runner := a.site.addRunner(fmt.Sprint("llm-new-", i), "llm", "v2")
+			if isBad {
+				runner.SetFaults(standin.BatchFaults{FailEvery: 1})
+			}
+		}
+		if isBad {
+			defer a.lastsIn(&a.endpoints)()
+			a.mu.Lock()
+			a.bad = "v2"
+			a.mu.Unlock()
+		}
+		order := map[string]any{"service": "llm", "target-version": "v2", "period-s": a.length.Seconds()}
+		if err := a.site.store.Put("keyed.op", "rollout/llm", order); err != nil {
+			a.site.t.Error(err)
+		}
+		time.Sleep(a.length / 2)
+	})
+}
--- /dev/null
+++ b/cmd/e2e/soak_site_test.go
@@ -0,0 +1,225 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick/standin"
+)
+
+const (
+	// soakDrain, soakGrace and soakApply are bounds that the boxes are told, or that checks go by.
+	soakDrain  = 2 * time.Second
+	soakGrace  = 8 * time.Second
+	soakApply  = 2 * time.Second
+	soakRevoke = 5 * time.Second
+	// soakContact is how long a box must have been free of trouble to be held to bounds of time.
+	soakContact = 3 * time.Second
+	// restartPause is how long the platform takes to start a process again.
+	restartPause = 200 * time.Millisecond
+)
+
+type (
+	// soakSite is a site whose boxes and endpoints are reached through links.
+	soakSite struct {
+		t       *testing.T
+		store   *standin.Store
+		boxes   []*soakBox
+		started time.Time
+
+		mu       sync.Mutex
+		runners  []*soakRunner
+		versions []time.Time // when each configuration was written; the first is version 1
+	}
+
+	// soakBox is a daemon that is started again whenever it ends.
+	soakBox struct {
+		*siteBox
+		storeLink *link
+		halt      atomic.Bool
+		ended     chan struct{}
+
+		mu       sync.Mutex
+		process  *processLife
+		troubles []span // unplanned
+		stops    []span // planned
+	}
+
+	// processLife is one life of a daemon.
+	processLife struct {
+		number int
+		signal func(signal) error
+	}
+
+	// span is a time during which something lasted.
+	span struct{ from, to time.Time }
+
+	// soakRunner is an endpoint behind a link.
+	soakRunner struct {
+		*standin.BatchRunner
+		id, service, release string
+		link                 *link
+		end                  func()
+
+		mu     sync.Mutex
+		isGone bool      // it leaves, or has crashed
+		leftAt time.Time // when it said that it leaves; zero if it has not
+	}
+)
+
+func newSoakSite(t *testing.T, boxes, runners int) *soakSite {
+	s := &soakSite{t: t, store: standin.NewStore(), started: time.Now()}
+	address := serveStandin(t, s.store)
+	s.configure()
+	for i := range runners {
+		s.addRunner(fmt.Sprint("llm-", i), "llm", "v1")
+		s.addRunner(fmt.Sprint("app-", i), "app", "v1")
+	}
+	seeds := ""
+	for i := range boxes {
+		storeLink := newLink(t, address)
+		box := &soakBox{storeLink: storeLink, ended: make(chan struct{})}
+		box.siteBox = newSiteBox(t, i, storeLink.address,
+			fmt.Sprintf("bounds.drain-ms=%d", soakDrain.Milliseconds()), fmt.Sprintf("bounds.grace-s=%d", int(soakGrace.Seconds())),
+			fmt.Sprintf("zone=hall-%c", 'a'+rune(i%2)), "zones.hall-b=region", "seeds="+seeds)
+		seeds = strings.TrimPrefix(seeds+","+box.peers, ",")
+		s.boxes = append(s.boxes, box)
+	}
+	for _, box := range s.boxes {
+		go box.supervise(t)
+	}
+	t.Cleanup(func() {
+		for _, box := range s.boxes {
+			box.end()
+		}
+	})
+	for _, box := range s.boxes {
+		box.awaitReady(t, http.StatusOK)
+	}
+	return s
+}
+
+// serveStandin serves a stand-in on loopback until the test ends.
+func serveStandin(t *testing.T, handler http.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: startWithin}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func (s *soakSite) addRunner(id, service, release string) *soakRunner {
+	r := &soakRunner{id: id, service: service, release: release}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	r.link = newLink(s.t, listener.Addr().String())
+	runner, stopBeats := standin.NewBatchRunner(runnerSettings(id, service, release, r.link.address), s.store)
+	r.BatchRunner = runner
+	server := &http.Server{Handler: runner, ReadHeaderTimeout: startWithin}
+	go func() { _ = server.Serve(listener) }()
+	r.end = sync.OnceFunc(func() {
+		stopBeats()
+		_ = server.Close()
+	})
+	s.t.Cleanup(r.end)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runners = append(s.runners, r)
+	return r
+}
+
+// allRunners lists the runners that there ever were.
+func (s *soakSite) allRunners() []*soakRunner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*soakRunner(nil), s.runners...)
+}
+
+// takeEnd reports whether the runner may be ended; only one event may do so.
+func (r *soakRunner) takeEnd() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isGone {
+		return false
+	}
+	r.isGone = true
+	return true
+}
+
+// left is when the runner said that it leaves.
+func (r *soakRunner) left() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leftAt
+}
+
+// leave lets a runner say that it leaves, serve on for a while, and end.
+func (r *soakRunner) leave(store *standin.Store) {
+	r.Leave()
+	r.mu.Lock()
+	r.leftAt = time.Now()
+	r.mu.Unlock()
+	time.Sleep(soakDrain + soakDrain/2)
+	r.crash(store)
+}
+
+// crash ends a runner at once; its entry goes some heartbeats later.
+func (r *soakRunner) crash(store *standin.Store) {
+	r.end()
+	time.Sleep(time.Second)
+	_ = store.Put("keyed.servers", r.id, nil)
+}
+
+// configure writes the next configuration. Version n has the routes /at-1/ to /at-n/ and a key of its own.
+func (s *soakSite) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version := len(s.versions) + 1
+	var config map[string]any
+	require.NoError(s.t, json.Unmarshal(fmt.Appendf(nil, siteConfig, version), &config))
+	routes, _ := config["routes"].([]any)
+	for n := 1; n <= version; n++ {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprint("at-", n), "host": siteHost, "path-prefix": fmt.Sprintf("/at-%d/", n), "kind": "idempotent",
+			"timeout-ms": 1500, "goal-ms": 300, "priority": 2, "service": "app", "max-attempts": 3,
+		})
+	}
+	config["routes"] = routes
+	config["tenants"] = []any{map[string]any{"name": "lab", "api-keys": []string{siteKey, versionKey(version)}}}
+	require.NoError(s.t, s.store.Put("keyed.op", "config", config))
+	s.versions = append(s.versions, time.Now())
+}
+
+func versionKey(version int) string { return fmt.Sprint("key-of-version-", version) }
+
+// writtenAt tells when a version of the configuration was written.
+func (s *soakSite) writtenAt(version int) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions[version-1]
+}
+
+func (s *soakSite) newestVersion() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.versions)
+}
+
+// overlaps reports whether one of the spans meets the given time.
+func overlaps(spans []span, from, to time.Time) bool {
+	for _, s := range spans {
+		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/e2e/soak_test.go
@@ -0,0 +1,161 @@
+package e2e
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// soakCalm is how long the boxes have after the last fault until they must serve everything again.
+	soakCalm = 6 * time.Second
+	// calmAsks is how many requests each box then gets.
+	calmAsks = 15
+)
+
+var (
+	soakSeeds  = flag.Int("soak.seeds", 1, "number of seeds to play")
+	soakFirst  = flag.Uint64("soak.first", 1, "first seed; 0 draws one")
+	soakLength = flag.Duration("soak.length", 5*time.Second, "length of the faults of one seed")
+	soakBoxes  = flag.Int("soak.boxes", 3, "number of daemons")
+	soakReport = flag.String("soak.report", "", "file that gets a table of verdicts and what happened in seeds that failed")
+)
+
+// failedSeeds are seeds that failed once, with what they found; they stay as they were played then.
+var failedSeeds = []struct {
+	seed   uint64
+	length time.Duration
+	boxes  int
+	cause  string
+}{}
+
+// verdict is what came of one seed.
+type verdict struct {
+	seed     uint64
+	events   []event
+	asks     int
+	whole    int
+	findings []string
+}
+
+// TestSoak plays random faults against real daemons and checks what callers and endpoints see.
+func TestSoak(t *testing.T) {
+	first := *soakFirst
+	if first == 0 {
+		first = rand.Uint64N(1 << 40)
+	}
+	var verdicts []verdict
+	for i := range *soakSeeds {
+		seed := first + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			v := soak(t, seed, *soakLength, *soakBoxes)
+			verdicts = append(verdicts, v)
+		})
+	}
+	if *soakReport != "" {
+		require.NoError(t, os.WriteFile(*soakReport, []byte(reportOf(verdicts)), 0o600))
+	}
+}
+
+// TestSeedsThatFailedOnce plays them again.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	for _, failed := range failedSeeds {
+		t.Run(fmt.Sprint("seed-", failed.seed), func(t *testing.T) { soak(t, failed.seed, failed.length, failed.boxes) })
+	}
+}
+
+// soak plays one seed.
+func soak(t *testing.T, seed uint64, length time.Duration, boxes int) verdict {
+	site := newSoakSite(t, boxes, 3)
+	plan := newAgenda(site, seed, length)
+	callers := site.startCallers(seed)
+	plan.play(time.Now())
+	time.Sleep(soakCalm)
+	calm, findings := site.checkCalm(seed)
+	asks := append(callers.end(), calm...)
+	v := verdict{seed: seed, events: plan.events, asks: len(asks), findings: append(findings, judgeAll(site, plan, asks)...)}
+	for _, a := range asks {
+		if a.whole {
+			v.whole++
+		}
+	}
+	for _, finding := range v.findings {
+		t.Error(finding)
+	}
+	if t.Failed() {
+		for _, e := range plan.events {
+			t.Logf("%6.3f s %s", e.at.Seconds(), e.name)
+		}
+		site.keepLogs(seed)
+	}
+	t.Logf("seed %d: %d events, %d requests, %d answered whole, %d findings", seed, len(plan.events), v.asks, v.whole, len(v.findings))
+	return v
+}
+
+// checkCalm: after the faults every box serves every kind of request, with the newest configuration.
+func (s *soakSite) checkCalm(seed uint64) (asks []*asked, findings []string) {
+	client, closeClient := newCaller()
+	defer closeClient()
+	random := rand.New(rand.NewPCG(seed, 0))
+	for box := range s.boxes {
+		for n := range calmAsks {
+			a := &asked{id: fmt.Sprintf("calm-%d-%d", box, n), box: box, key: siteKey, limit: 4 * time.Second, kind: kindAgain, version: s.newestVersion()}
+			if n%3 == 0 {
+				a.kind, a.version = kindStream, 0
+			}
+			asks = append(asks, a)
+			s.ask(client, a, random)
+			if a.status != http.StatusOK || !a.whole {
+				findings = append(findings, fmt.Sprintf("%s after the faults: status %d, error %v", a.id, a.status, a.err))
+			}
+		}
+	}
+	return asks, findings
+}
+
+// keepLogs writes the logs of a seed that failed where they outlast the test.
+func (s *soakSite) keepLogs(seed uint64) {
+	folder := filepath.Join(os.TempDir(), fmt.Sprint("willowwick-soak-", seed))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		s.t.Log(err)
+		return
+	}
+	for _, box := range s.boxes {
+		if err := os.WriteFile(filepath.Join(folder, box.name+".log"), []byte(box.output.text()), 0o600); err != nil {
+			s.t.Log(err)
+		}
+	}
+	s.t.Log("logs are in ", folder)
+}
+
+// reportOf is a table of all seeds, and a strip of time with what happened in those that failed.
+func reportOf(verdicts []verdict) string {
+	var text strings.Builder
+	text.WriteString("| seed | events | requests | answered whole | findings |\n|---|---|---|---|---|\n")
+	for _, v := range verdicts {
+		fmt.Fprintf(&text, "| %d | %d | %d | %d | %d |\n", v.seed, len(v.events), v.asks, v.whole, len(v.findings))
+	}
+	for _, v := range verdicts {
+		if len(v.findings) == 0 {
+			continue
+		}
+		fmt.Fprintf(&text, "\nSeed %d:\n\n", v.seed)
+		for _, finding := range v.findings {
+			fmt.Fprintf(&text, "- %s\n", finding)
+		}
+		text.WriteString("\n```\n")
+		for _, e := range v.events {
+			fmt.Fprintf(&text, "%7.3f s %s* %s\n", e.at.Seconds(), strings.Repeat(" ", int(e.at/(100*time.Millisecond))), e.name)
+		}
+		text.WriteString("```\n")
+	}
+	return text.String()
+}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,10 +44,19 @@
 		beats    int
 		running  int
 		answers  int
-		ran      map[string]int // how often each request has run
+		runs     []BatchRun
 		stop     chan struct{}
 	}
 
+	// BatchRun is one run of a request at a runner.
+	BatchRun struct {
+		Request string
+		Account string // that the router named
+		Target  string // of the request line
+		Body    string
+		At      time.Time
+	}
+
 	batchEntry struct {
 		Service string `json:"service"`
 		Address string `json:"address"`
@@ -61,7 +70,7 @@
 
 // NewBatchRunner returns a runner that keeps its entry, and a function that ends it without taking the entry out.
 func NewBatchRunner(settings BatchSettings, store *Store) (*BatchRunner, func()) {
-	b := &BatchRunner{settings: settings, store: store, ran: map[string]int{}, stop: make(chan struct{})}
+	b := &BatchRunner{settings: settings, store: store, stop: make(chan struct{})}
 	go b.heartbeat()
 	return b, sync.OnceFunc(func() { close(b.stop) })
 }
@@ -107,16 +116,26 @@
 	b.faults = faults
 }
 
-// Ran tells how often each request has run here.
-func (b *BatchRunner) Ran() map[string]int {
+// Runs lists the runs so far, the oldest first.
+func (b *BatchRunner) Runs() []BatchRun {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return maps.Clone(b.ran)
+	return slices.Clone(b.runs)
+}
+
+// Ran tells how often each request has run here.
+func (b *BatchRunner) Ran() map[string]int {
+	ran := map[string]int{}
+	for _, run := range b.Runs() {
+		ran[run.Request]++
+	}
+	return ran
 }
 
 // ServeHTTP implements http.Handler.
 func (b *BatchRunner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
@@ -126,7 +145,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	number, running, faults, taken := b.begin(id)
+	number, running, faults, taken := b.begin(BatchRun{
+		Request: id, Account: r.Header.Get("Tenant"), Target: r.RequestURI, Body: string(body), At: time.Now(),
+	})
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, b.settings.Slots))
 	if !taken {
 		w.Header().Set("Not-Executed", "1")
@@ -147,7 +168,7 @@
 }
 
 // begin takes a slot; number is the request's among all that ran here.
-func (b *BatchRunner) begin(id string) (number, running int, faults BatchFaults, taken bool) {
+func (b *BatchRunner) begin(run BatchRun) (number, running int, faults BatchFaults, taken bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.faults.Full || b.running >= b.settings.Slots {
@@ -155,7 +176,7 @@
 	}
 	b.running++
 	b.answers++
-	b.ran[id]++
+	b.runs = append(b.runs, run)
 	return b.answers, b.running, b.faults, true
 }
 
