--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -40,17 +40,21 @@
 
 // reader is the digest of the box that reads the store for this one, and false if this box reads it itself.
 func (p *peers) reader(now time.Time) (Digest, bool) {
-	settings := p.router.settings
-	reads := p.router.sync.readAge(now) <= scale(settings.Drain, reliedShare)
+	reads := p.reads(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reader, found := p.readerOf(settings.Hall, now)
+	reader, found := p.readerOf(p.router.settings.Hall, now)
 	if !found || reads && p.self().precedes(reader) {
 		return Digest{}, false
 	}
 	return p.known[reader.Address].digest, true
 }
 
+// reads reports whether this box reaches the store, as far as it has shown.
+func (p *peers) reads(now time.Time) bool {
+	return p.router.sync.readAge(now) <= scale(p.router.settings.Drain, reliedShare)
+}
+
 // isBehind reports whether a box of the hall that comes before this one is in touch, whether it reads the store or not.
 func (p *peers) isBehind(now time.Time) bool {
 	p.mu.Lock()
@@ -99,14 +103,12 @@
 	if reader, found := p.reader(now); found {
 		return reader, true
 	}
-	hall := p.router.settings.Hall
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, found := p.readerOf(hall, now); found {
-		// This box reads the store and comes before the others that do.
+	if p.reads(now) {
 		return Digest{}, false
 	}
-	first, found := p.firstInTouch(hall, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first, found := p.firstInTouch(p.router.settings.Hall, now)
 	if !found || p.self().precedes(first) {
 		return Digest{}, false
 	}
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -238,3 +238,20 @@
 		require.Eventually(t, func() bool { return !s.daemon.router.sync.isStale(time.Now()) }, patience, 10*time.Millisecond)
 	}
 }
+
+// A box that reads the store once took one before it that does not for its hub, and that one took it: the hall swapped
+// with no other hall any more.
+func TestABoxThatReadsFollowsNoneThatDoesNot(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	_, sites := newHall(t, 1, r.endpoint("v1"))
+	p := sites[0].daemon.router.peers
+	require.Eventually(t, func() bool { return p.reads(time.Now()) }, patience, 10*time.Millisecond)
+	blind := Digest{Address: "10.0.0.1:1", Hall: p.self().Hall, LinkMbps: p.self().LinkMbps + 1, ReadAgeMs: time.Hour.Milliseconds()}
+	p.heard(blind, time.Now())
+	_, hasHub := p.hub(time.Now())
+	assert.False(t, hasHub)
+	blind.ReadAgeMs = 0
+	p.heard(blind, time.Now())
+	_, hasHub = p.hub(time.Now())
+	assert.True(t, hasHub, "one that reads and comes before is followed")
+}
