--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -162,6 +162,10 @@
 		}
 	}
 	slices.SortFunc(silent, func(a, b KnownBox) int {
+		// Those that were not tried for longest come first, so that some that are no use keep none of the others waiting.
+		if order := p.known[a.Address].triedAt.Compare(p.known[b.Address].triedAt); order != 0 {
+			return order
+		}
 		if a.precedes(b) {
 			return -1
 		}
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -17,9 +17,6 @@
 	membersEvery = 10 * time.Second
 	// leadEvery is how often the box that leads looks for states to write.
 	leadEvery = 300 * time.Millisecond
-	// joinAfter is how long a box that has just started looks for another of its hall that keeps in touch with the store
-	// before it joins the group.
-	joinAfter = 800 * time.Millisecond
 	// memberSeparator stands between the parts of a member's name.
 	memberSeparator = "@"
 )
@@ -28,7 +25,7 @@
 func (s *syncer) keepMembership(ctx context.Context) {
 	member := memberName(s.router.peers.self())
 	var listedAt time.Time
-	sleep(ctx, joinAfter)
+	sleep(ctx, lookFor)
 	for ctx.Err() == nil {
 		if s.mayRest(time.Now()) {
 			// A call would be lost; the group has dropped this box by then, or does so now.
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -28,7 +28,7 @@
 
 // followEndpoints keeps the list of endpoints until the context ends.
 func (s *syncer) followEndpoints(ctx context.Context) {
-	pause := retryFirst
+	pause := retryFirst / 2
 	for ctx.Err() == nil {
 		if !s.mustRead(time.Now()) {
 			sleep(ctx, feedPoll)
@@ -38,11 +38,11 @@
 		now := time.Now()
 		if err != nil {
 			s.noteFailure(now, err)
-			sleep(ctx, pause)
 			pause = s.longer(pause, now)
+			sleep(ctx, pause)
 			continue
 		}
-		pause = retryFirst
+		pause = retryFirst / 2
 		s.noteAnswer(now)
 		s.mu.Lock()
 		s.asOf = now
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -22,7 +22,7 @@
 	// a core takes longer when all of its hall have just started. A call that is given up costs a new connection.
 	swapLimit = 1200 * time.Millisecond
 	// lookFor is how long a box that has just started looks often for the hub of its hall, and lookEvery how often.
-	lookFor   = 2 * time.Second
+	lookFor   = 1500 * time.Millisecond
 	lookEvery = 100 * time.Millisecond
 	// countAfter is how long a box takes its fleet to have youngFleet boxes at least: it has not heard of all yet, and they
 	// share the slack of repeats.
@@ -108,6 +108,7 @@
 		heard   time.Time
 		listed  time.Time // when the group or another box last named it
 		tryAt   time.Time // not called before, after failures
+		triedAt time.Time // last call
 		pause   time.Duration
 		failing bool
 		// swapping tells that a call to it is under way.
@@ -287,7 +288,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		for _, address := range p.targets(now) {
-			if p.beginSwap(address) {
+			if p.beginSwap(address, now) {
 				go p.swap(ctx, address)
 			}
 		}
@@ -298,21 +299,26 @@
 
 // pause is the time until the next round: short on a box that has just started and looks for the hub of its hall.
 func (p *peers) pause(now time.Time) time.Duration {
-	if _, hasHub := p.hub(now); !hasHub && now.Sub(p.began) < lookFor {
+	if _, hasHub := p.hub(now); !hasHub && p.isNew(now) {
 		return lookEvery
 	}
 	return p.swapPeriod()
 }
 
+// isNew reports whether the box has just started and may not have found the hub of its hall yet.
+func (p *peers) isNew(now time.Time) bool {
+	return now.Sub(p.began) < lookFor
+}
+
 // beginSwap reports whether a swap with the box may begin: the one before must be over.
-func (p *peers) beginSwap(address string) bool {
+func (p *peers) beginSwap(address string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[address]
 	if known == nil || known.swapping {
 		return false
 	}
-	known.swapping = true
+	known.swapping, known.triedAt = true, now
 	return true
 }
 
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -255,3 +255,26 @@
 	_, hasHub = p.hub(time.Now())
 	assert.True(t, hasHub, "one that reads and comes before is followed")
 }
+
+// Boxes that answered and were no use as a hub once kept a box from trying those after them.
+func TestAllBoxesBeforeOneAreTriedInTurn(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	_, sites := newHall(t, 1, r.endpoint("v1"))
+	p := sites[0].daemon.router.peers
+	const boxes = 12
+	now := time.Now()
+	tried := map[string]bool{}
+	for range boxes / triedAtOnce {
+		for i := range boxes {
+			p.list(KnownBox{Address: fmt.Sprintf("10.0.0.%d:1", i), Hall: "hall-a"}, now)
+		}
+		for _, address := range p.targets(now) {
+			tried[address] = true
+			p.beginSwap(address, now)
+			p.heard(Digest{Address: address, Hall: "hall-a", ReadAgeMs: time.Hour.Milliseconds()}, now)
+			p.endSwap(address)
+		}
+		now = now.Add(2 * peerFresh)
+	}
+	assert.Len(t, tried, boxes)
+}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -122,7 +122,7 @@
 // followDeclarations keeps the configuration and the orders until the context ends.
 func (s *syncer) followDeclarations(ctx context.Context) {
 	var next willowwick.Offset
-	pause := retryFirst
+	pause := retryFirst / 2
 	for ctx.Err() == nil {
 		if now := time.Now(); s.isFed(now) || s.mayRest(now) {
 			sleep(ctx, feedPoll)
@@ -135,14 +135,22 @@
 		}
 		if err != nil {
 			s.noteFailure(time.Now(), err)
-			sleep(ctx, pause)
 			pause = s.longer(pause, time.Now())
+			sleep(ctx, pause)
 			continue
 		}
-		pause = retryFirst
+		pause = retryFirst / 2
 		next = declared.Next
 		s.noteAnswer(time.Now())
 		s.declare(ctx, declared)
+		s.lookForReader(ctx)
+	}
+}
+
+// lookForReader waits in the first moments of a box whether another reads for it, before the store holds a read here.
+func (s *syncer) lookForReader(ctx context.Context) {
+	for now := time.Now(); ctx.Err() == nil && s.router.peers.isNew(now) && s.hasEndpoints() && !s.isFed(now); now = time.Now() {
+		sleep(ctx, feedPoll)
 	}
 }
 
@@ -169,13 +177,10 @@
 	return min(max(next, shared), retryBehind)
 }
 
-// mayRest reports whether calls other than the reads that look for the store's return can wait for that: the last read
-// failed, and another box of the hall looks for it too.
+// mayRest reports whether calls other than the reads of endpoints can wait: this box has not shown of late that it
+// reaches the store, and one before it in its hall looks for it too.
 func (s *syncer) mayRest(now time.Time) bool {
-	s.mu.Lock()
-	away := s.unreachable
-	s.mu.Unlock()
-	return away && s.router.peers.isBehind(now)
+	return s.router.table.Load() != nil && !s.router.peers.reads(now) && s.router.peers.isBehind(now)
 }
 
 // isFed reports whether another box of the hall reads the store for this one.
