--- a/cmd/e2e/soak_checks_test.go
+++ b/cmd/e2e/soak_checks_test.go
@@ -96,8 +96,8 @@
 		j.tell(a, "was refused as not run, but ran")
 	}
 	for _, run := range runs {
-		if run.Account != "lab" || run.Body != "body of "+a.id {
-			j.tell(a, fmt.Sprintf("reached an endpoint as account %q with body %q", run.Account, run.Body))
+		if run.Account != "lab" || run.Body != "body of "+a.id || run.Hold != "" {
+			j.tell(a, fmt.Sprintf("reached an endpoint as account %q with body %q and lease %q", run.Account, run.Body, run.Hold))
 		}
 	}
 }
@@ -113,14 +113,17 @@
 	}
 }
 
-// checkCut: a request that reached an endpoint is answered, also by a box that is told to stop.
+// checkCut: a request that reached an endpoint is answered, also by a box that is told to stop; an answer breaks off
+// only where endpoints are in trouble.
 func (j *judge) checkCut(a *asked) {
-	noAnswer := a.err != nil && a.status == 0 && !a.refused && !a.left
-	if !noAnswer || len(j.runs[a.id]) == 0 || a.to.Sub(a.from) >= a.limit {
-		return
-	}
-	if j.site.boxes[a.box].undisturbed(a.from, a.to) {
+	noAnswer := a.err != nil && a.status == 0 && !a.refused
+	calm := j.agenda.isQuiet(&j.agenda.endpoints, a.from, a.to)
+	switch {
+	case a.left || len(j.runs[a.id]) == 0 || a.to.Sub(a.from) >= a.limit || !j.site.boxes[a.box].undisturbed(a.from, a.to):
+	case noAnswer:
 		j.tell(a, "ran, and the connection closed without an answer")
+	case a.cut && calm:
+		j.tell(a, "its answer broke off")
 	}
 }
 
@@ -169,7 +172,7 @@
 		if left.IsZero() || run.At.Before(left.Add(soakDrain)) || a.from.Before(left) {
 			continue
 		}
-		if j.site.boxes[a.box].inTouch(left, run.At) && j.agenda.isQuiet(&j.agenda.storeDown, left, run.At) {
+		if j.site.boxes[a.box].inTouch(run.At, run.At) && j.agenda.isQuiet(&j.agenda.storeDown, run.At, run.At) {
 			j.tell(a, fmt.Sprintf("reached %s %v after that said it leaves", run.at.id, run.At.Sub(left)))
 		}
 	}
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -168,7 +168,7 @@
 	r.mu.Lock()
 	r.leftAt = time.Now()
 	r.mu.Unlock()
-	time.Sleep(soakDrain + soakDrain/2)
+	time.Sleep(2 * soakDrain)
 	r.crash(store)
 }
 
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -87,6 +87,9 @@
 			v.whole++
 		}
 	}
+	if len(asks) < len(site.boxes)*calmAsks*2 || v.whole == 0 {
+		v.findings = append(v.findings, fmt.Sprintf("only %d requests, %d of them answered whole", len(asks), v.whole))
+	}
 	for _, finding := range v.findings {
 		t.Error(finding)
 	}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/fleet"
+	"github.com/willowwick/willowwick/route"
 )
 
 const (
@@ -24,8 +25,8 @@
 	// lookFor is how long a box that has just started looks often for the hub of its hall, and lookEvery how often.
 	lookFor   = 1500 * time.Millisecond
 	lookEvery = 100 * time.Millisecond
-	// countAfter is how long a box takes its fleet to have youngFleet boxes at least: it has not heard of all yet, and they
-	// share the slack of repeats.
+	// countAfter is how long a box takes its fleet to have youngFleet boxes at least where escalations share the slack of
+	// repeats: it has not heard of all yet.
 	countAfter = 5 * time.Second
 	youngFleet = 50
 	// peerFresh is how long a digest counts as the state of a live box: two missed swaps and some.
@@ -238,9 +239,10 @@
 	return len(p.known) + 1
 }
 
-// sharers is the number of boxes that the fleet's slack of repeats is divided by.
-func (p *peers) sharers(now time.Time) int {
-	if now.Sub(p.began) < countAfter {
+// sharers is the number of boxes that the fleet's slack of repeats is divided by. Escalations are many and can wait
+// until a new box has counted its fleet; failovers are few, and without one a caller's answer is cut.
+func (p *peers) sharers(kind route.RepeatKind, now time.Time) int {
+	if kind == route.RepeatEscalation && now.Sub(p.began) < countAfter {
 		return max(p.boxes(), youngFleet)
 	}
 	return p.boxes()
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -189,7 +189,7 @@
 
 // takeRepeat draws on the budget of repeats.
 func (x *Router) takeRepeat(c *call, kind route.RepeatKind, now time.Time) bool {
-	taken := x.budget(c.service).Take(now, kind, x.peers.sharers(now))
+	taken := x.budget(c.service).Take(now, kind, x.peers.sharers(kind, now))
 	if !taken {
 		x.metrics.repeatDenied()
 		slog.Info("repeat not allowed by the budget", "request", c.head.ID, "service", c.service, "kind", int(kind))
@@ -199,7 +199,7 @@
 
 // hasRepeat reports whether the budget would allow a failover.
 func (x *Router) hasRepeat(c *call, now time.Time) bool {
-	return x.budget(c.service).Allows(now, route.RepeatFailover, x.peers.sharers(now))
+	return x.budget(c.service).Allows(now, route.RepeatFailover, x.peers.sharers(route.RepeatFailover, now))
 }
 
 // hasOther reports whether another endpoint of the service than the given one may be tried.
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -54,6 +54,7 @@
 		Account string // that the router named
 		Target  string // of the request line
 		Body    string
+		Hold    string // a lease that a caller may not name
 		At      time.Time
 	}
 
@@ -146,7 +147,7 @@
 		return
 	}
 	number, running, faults, taken := b.begin(BatchRun{
-		Request: id, Account: r.Header.Get("Tenant"), Target: r.RequestURI, Body: string(body), At: time.Now(),
+		Request: id, Account: r.Header.Get("Tenant"), Target: r.RequestURI, Body: string(body), Hold: r.Header.Get("Hold"), At: time.Now(),
 	})
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, b.settings.Slots))
 	if !taken {
@@ -164,6 +165,7 @@
 		b.stream(w, r, faults)
 		return
 	}
+	time.Sleep(b.settings.EventPause)
 	_, _ = io.WriteString(w, "answer of "+id)
 }
 
