--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// canaryShare is the part of the sessions that try a new release in the first half of its period: under the
-	// operator's bound on exposure, and enough for some answers a second.
-	canaryShare = 0.04
+	// canaryShare is the part of the sessions that try a new release in the first half of its period: enough for some
+	// answers a second. exposureShare is the most that it takes of the operator's bound on exposure: sessions differ in
+	// requests, and what a release got before it showed to be bad counts too.
+	canaryShare   = 0.04
+	exposureShare = 0.3
 	// canaryBoxes is the size of a fleet for which that share is meant: in one of twice the boxes half of it brings
 	// the same evidence, and half as many sessions in progress are taken for new ones by a box that has not seen them.
 	canaryBoxes = 8
@@ -170,13 +172,21 @@
 	return canary
 }
 
+// firstShare is the part of the sessions that try a new release first, in a fleet of a few boxes.
+func (s ReleaseSettings) firstShare() float64 {
+	if s.Exposure <= 0 {
+		return canaryShare
+	}
+	return min(canaryShare, exposureShare*s.Exposure)
+}
+
 // setBoxes fits the share of sessions that try a new release to the size of the fleet.
 //
 // It goes by halves: boxes that count a few more or less than others still choose alike.
 func (r *releases) setBoxes(boxes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.canary = canaryShare
+	r.canary = r.settings.firstShare()
 	for ; boxes >= 2*canaryBoxes; boxes /= 2 {
 		r.canary /= 2
 	}
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -15,6 +15,8 @@
 	// ReleaseSettings bound roll-outs of releases.
 	ReleaseSettings struct {
 		Session time.Duration // setting: requests of a session follow each other within this
+		// Exposure is the share of a service's requests that a bad release may get; 0 if the operator names none.
+		Exposure float64
 	}
 
 	// releaseKey names a release of a service.
@@ -70,7 +72,7 @@
 	return &releases{
 		settings: settings,
 		isThere:  isThere,
-		canary:   canaryShare,
+		canary:   settings.firstShare(),
 		moves:    map[willowwick.ServiceID]*move{},
 		banned:   map[releaseKey]bool{},
 		own:      map[evidenceKey]rollout.Evidence{},
--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -244,3 +244,9 @@
 	assert.Zero(t, shareOf(other, at(0.2), "a"))
 	assert.Empty(t, one.kept(at(canaryEnd)), "sessions may move from the half on")
 }
+
+func TestFirstShareStaysWellUnderTheBoundOnExposure(t *testing.T) {
+	assert.InDelta(t, canaryShare, ReleaseSettings{}.firstShare(), 1e-9)
+	assert.InDelta(t, canaryShare, ReleaseSettings{Exposure: 0.15}.firstShare(), 1e-9)
+	assert.InDelta(t, 0.015, ReleaseSettings{Exposure: 0.05}.firstShare(), 1e-9)
+}
