--- /dev/null
+++ b/exchange/digest.go
@@ -0,0 +1,80 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+type (
+	// Digest is what a box tells the others.
+	Digest struct {
+		Box           willowwick.BoxID
+		Boot          willowwick.BootID
+		Hall          willowwick.HallID
+		Address       string
+		LinkMbps      int
+		TableVersion  uint64
+		ReadAgeMs     int64 // since it last showed that the box can read the store
+		StoreAgeMs    int64 // since what it knows of the store was read there, by whichever box
+		EndpointsFrom willowwick.Offset
+		KnownCount    int
+		Own           Report
+		Halls         []HallReport // what its hall's reader knows of all halls
+		Progress      []ProgressRow
+		Banned        []releaseKey
+	}
+
+	// ProgressRow is a roll-out as a box believes it to be.
+	ProgressRow struct {
+		Status willowwick.ReleaseStatus
+		Order  willowwick.ReleaseOrder
+		AgeMs  int64 // since the order
+	}
+
+	// SwapCall is a digest with what the peer lacks, as far as is known.
+	SwapCall struct {
+		Digest Digest
+		Table  *willowwick.RoutingTable
+	}
+
+	// SwapReply is a peer's digest with what the caller lacks.
+	SwapReply struct {
+		Digest    Digest
+		Table     *willowwick.RoutingTable
+		Endpoints *EndpointList
+		Known     []KnownBox
+	}
+)
+
+// box is the box that the digest tells of.
+func (d *Digest) box() KnownBox {
+	return KnownBox{Address: d.Address, Hall: d.Hall, LinkMbps: d.LinkMbps}
+}
+
+// digest is this box's own.
+func (p *peers) digest(now time.Time) Digest {
+	x := p.router
+	digest := Digest{
+		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
+		TableVersion: x.configVersion(), EndpointsFrom: x.sync.listedFrom(),
+		LinkMbps: x.settings.LinkMbps, StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(),
+		Own: p.ownReport(), Banned: x.releases.bans(),
+	}
+	for _, own := range x.releases.progresses(now) {
+		digest.Progress = append(digest.Progress, ProgressRow{Status: own.Status, Order: own.Order, AgeMs: own.AgeMs})
+	}
+	if _, hasHub := p.hub(now); !hasHub {
+		digest.Halls = p.hallReports(now)
+	}
+	digest.KnownCount = len(p.knownBoxes(now))
+	return digest
+}
+
+// tableFor returns the configuration for a box that has an older one.
+func (p *peers) tableFor(version uint64) *willowwick.RoutingTable {
+	if t := p.router.table.Load(); t != nil && t.Version > version {
+		return t.RoutingTable
+	}
+	return nil
+}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -11,21 +11,6 @@
 // once, more would take the processor from the requests of callers.
 const triedAtOnce = 2
 
-// precedes reports whether a box comes before another as the hub of its hall: the one with the wider link, since a hub
-// passes on what is large to all the others, and of equal ones the one with the lower address.
-func (b KnownBox) precedes(other KnownBox) bool {
-	if b.LinkMbps != other.LinkMbps {
-		return b.LinkMbps > other.LinkMbps
-	}
-	return b.Address < other.Address
-}
-
-// self is this box as the others know it.
-func (p *peers) self() KnownBox {
-	settings := p.router.settings
-	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps}
-}
-
 // first is the box that precedes the others of those for which use is true; the caller holds the lock.
 func (p *peers) first(hall willowwick.HallID, use func(known *peer) bool) (KnownBox, bool) {
 	var first KnownBox
@@ -63,19 +48,6 @@
 	return found && first.precedes(p.self())
 }
 
-// hallSize is the number of the hall's boxes as far as they are known, this one included; most are known from the hub.
-func (p *peers) hallSize() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	size := 1
-	for _, known := range p.known {
-		if known.box.Hall == p.router.settings.Hall {
-			size++
-		}
-	}
-	return size
-}
-
 // readerOf is the first of a hall's boxes that are in touch and reach the store; the caller holds the lock.
 func (p *peers) readerOf(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
 	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) && !p.isCutOff(known, now) })
@@ -86,11 +58,6 @@
 	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) })
 }
 
-// isInTouch reports whether the box's digest counts as its state.
-func (known *peer) isInTouch(now time.Time) bool {
-	return now.Sub(known.heard) <= peerFresh
-}
-
 // isCutOff reports whether a box has not read the store for too long to rely on it.
 func (p *peers) isCutOff(known *peer, now time.Time) bool {
 	age := time.Duration(known.digest.ReadAgeMs)*time.Millisecond + now.Sub(known.heard)
--- /dev/null
+++ b/exchange/known.go
@@ -0,0 +1,171 @@
+package exchange
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// peerFresh is how long a digest counts as the state of a live box: two missed swaps and some.
+	peerFresh = 1300 * time.Millisecond
+	// peerKept is how long a silent box is still counted, named to others and tried.
+	peerKept = 30 * time.Second
+	// retryPeer and retryPeerMost bound the pauses between calls of a box that does not answer.
+	retryPeer     = time.Second
+	retryPeerMost = 8 * time.Second
+)
+
+type (
+	// KnownBox is where a box is reached, and what its place among the others goes by.
+	KnownBox struct {
+		Address  string
+		Hall     willowwick.HallID
+		LinkMbps int // 0 if it is not known
+	}
+
+	// peer is another box as this one knows it.
+	peer struct {
+		box     KnownBox
+		digest  Digest
+		heard   time.Time
+		listed  time.Time // when the group or another box last named it
+		tryAt   time.Time // not called before, after failures
+		triedAt time.Time // last call
+		pause   time.Duration
+		failing bool
+		// swapping tells that a call to it is under way.
+		swapping bool
+	}
+)
+
+// precedes reports whether a box comes before another as the hub of its hall: the one with the wider link, since a hub
+// passes on what is large to all the others, and of equal ones the one with the lower address.
+func (b KnownBox) precedes(other KnownBox) bool {
+	if b.LinkMbps != other.LinkMbps {
+		return b.LinkMbps > other.LinkMbps
+	}
+	return b.Address < other.Address
+}
+
+// isInTouch reports whether the box's digest counts as its state.
+func (known *peer) isInTouch(now time.Time) bool {
+	return now.Sub(known.heard) <= peerFresh
+}
+
+// self is this box as the others know it.
+func (p *peers) self() KnownBox {
+	settings := p.router.settings
+	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps}
+}
+
+// list notes a box that the settings, the group or the box itself named.
+func (p *peers) list(box KnownBox, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if box.Address == p.router.settings.Peers || box.Address == "" {
+		return
+	}
+	known := p.known[box.Address]
+	if known == nil {
+		known = &peer{}
+		p.known[box.Address] = known
+	}
+	if box.Hall != "" || known.box.Address == "" {
+		known.box = box
+	}
+	known.listed = now
+}
+
+// listKnown notes boxes that another box knows; one that is already known does not count as named again.
+func (p *peers) listKnown(boxes []KnownBox, now time.Time) {
+	for _, box := range boxes {
+		p.mu.Lock()
+		known := p.known[box.Address]
+		fresh := known == nil || known.box.Hall == ""
+		p.mu.Unlock()
+		if fresh {
+			p.list(box, now)
+		}
+	}
+}
+
+// heard takes a digest that came from its box itself.
+func (p *peers) heard(digest Digest, now time.Time) {
+	p.list(digest.box(), now)
+	p.mu.Lock()
+	known := p.known[digest.Address]
+	if known == nil {
+		p.mu.Unlock()
+		return
+	}
+	if now.Sub(known.heard) > peerKept {
+		slog.Info("box is reached", "peer", digest.Box, "hall", digest.Hall, "address", digest.Address)
+	}
+	known.digest, known.heard, known.failing, known.pause = digest, now, false, 0
+	for _, hall := range digest.Halls {
+		at := now.Add(-time.Duration(hall.AgeMs) * time.Millisecond)
+		if hall.Hall != p.router.settings.Hall && at.After(p.halls[hall.Hall].at) {
+			p.halls[hall.Hall] = heardReport{hall.Report, at}
+		}
+	}
+	p.mu.Unlock()
+	p.router.releases.takeBans(digest.Banned)
+	for _, row := range digest.Progress {
+		p.router.releases.begin(row.Order, time.Duration(row.AgeMs)*time.Millisecond, now)
+		p.router.releases.settle(row.Status, false, "peer "+string(digest.Box))
+	}
+}
+
+// knownBoxes lists the boxes that were heard of from themselves, this one included.
+func (p *peers) knownBoxes(now time.Time) []KnownBox {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []KnownBox{p.self()}
+	for _, known := range p.known {
+		if known.box.Hall != "" && (now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept) {
+			list = append(list, known.box)
+		}
+	}
+	return list
+}
+
+// versionOf is the version of the configuration that a box last told of.
+func (p *peers) versionOf(address string) (version uint64, heard bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	if known == nil || known.heard.IsZero() {
+		return 0, false
+	}
+	return known.digest.TableVersion, true
+}
+
+// failed notes that a box does not answer, and logs the first failure of a row.
+func (p *peers) failed(address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	if known == nil {
+		return
+	}
+	known.pause = min(max(2*known.pause, retryPeer), retryPeerMost)
+	known.tryAt = time.Now().Add(known.pause)
+	if known.failing {
+		return
+	}
+	known.failing = true
+	slog.Info("box is not reached", "peer", known.digest.Box, "address", address, "error", err)
+}
+
+// forget drops boxes that nobody has heard of or named for long.
+func (p *peers) forget(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, known := range p.known {
+		if now.Sub(known.heard) > peerKept && now.Sub(known.listed) > peerKept {
+			delete(p.known, address)
+		}
+	}
+}
--- /dev/null
+++ b/exchange/swap.go
@@ -0,0 +1,114 @@
+package exchange
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// swapEvery is how often digests go round: evidence on a bad release is everywhere within two seconds.
+	swapEvery = 500 * time.Millisecond
+	// swapShare bounds it by the time to leave an endpoint: less than the difference of reliedShare and endpointsShare.
+	swapShare = 0.25
+	// swapLimit is how long a peer may take; one in another hall answers in some milliseconds, but a box with a fifth of
+	// a core takes longer when all of its hall have just started. A call that is given up costs a new connection.
+	swapLimit = 1200 * time.Millisecond
+	// lookFor is how long a box that has just started looks often for the hub of its hall, and lookEvery how often.
+	lookFor   = 1500 * time.Millisecond
+	lookEvery = 100 * time.Millisecond
+	// rpcName and rpcSwap name the method on the wire.
+	rpcName = "Exchange"
+	rpcSwap = rpcName + ".Swap"
+)
+
+// run swaps digests until the context ends; a box that does not answer keeps none of the others waiting.
+func (p *peers) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		for _, address := range p.targets(now) {
+			if p.beginSwap(address, now) {
+				go p.swap(ctx, address)
+			}
+		}
+		p.forget(now)
+		sleep(ctx, p.pause(now))
+	}
+}
+
+// pause is the time until the next round: short on a box that has just started and looks for the hub of its hall.
+func (p *peers) pause(now time.Time) time.Duration {
+	if _, hasHub := p.hub(now); !hasHub && p.isNew(now) {
+		return lookEvery
+	}
+	return p.swapPeriod()
+}
+
+// isNew reports whether the box has just started and may not have found the hub of its hall yet.
+func (p *peers) isNew(now time.Time) bool {
+	return now.Sub(p.began) < lookFor
+}
+
+// swapPeriod is short enough that what a reader has read is with its hall well before the others stop relying on it.
+func (p *peers) swapPeriod() time.Duration {
+	return min(swapEvery, scale(p.router.settings.Drain, swapShare))
+}
+
+// beginSwap reports whether a swap with the box may begin: the one before must be over.
+func (p *peers) beginSwap(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	if known == nil || known.swapping {
+		return false
+	}
+	known.swapping, known.triedAt = true, now
+	return true
+}
+
+func (p *peers) endSwap(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.known[address]; known != nil {
+		known.swapping = false
+	}
+}
+
+// swap tells a box this one's digest and takes what comes back.
+func (p *peers) swap(ctx context.Context, address string) {
+	defer p.endSwap(address)
+	ctx, cancel := context.WithTimeout(ctx, swapLimit)
+	defer cancel()
+	call := SwapCall{Digest: p.digest(time.Now())}
+	if version, heard := p.versionOf(address); heard {
+		call.Table = p.tableFor(version)
+	}
+	var reply SwapReply
+	if err := p.transport.Call(ctx, address, rpcSwap, &call, &reply); err != nil {
+		p.failed(address, err)
+		return
+	}
+	now := time.Now()
+	p.heard(reply.Digest, now)
+	p.listKnown(reply.Known, now)
+	if reply.Table != nil {
+		p.router.setTable(reply.Table, "peer "+string(reply.Digest.Box))
+	}
+	p.router.sync.takeFromPeer(reply, now)
+}
+
+// Swap answers a box's digest with this box's own.
+func (s *rpcServer) Swap(call *SwapCall, reply *SwapReply) error {
+	now := time.Now()
+	p := s.peers
+	p.heard(call.Digest, now)
+	if call.Table != nil {
+		p.router.setTable(call.Table, "peer "+string(call.Digest.Box))
+	}
+	reply.Digest = p.digest(now)
+	reply.Table = p.tableFor(call.Digest.TableVersion)
+	reply.Endpoints = p.router.sync.listFor(call.Digest.EndpointsFrom)
+	if reply.Digest.KnownCount != call.Digest.KnownCount {
+		reply.Known = p.knownBoxes(now)
+	}
+	return nil
+}
