--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -11,7 +11,7 @@
 // once, more would take the processor from the requests of callers.
 const triedAtOnce = 2
 
-// first is the box that precedes the others of those for which use is true; the caller holds the lock.
+// first is the box of a hall that precedes the others of those that use accepts; the caller holds the lock.
 func (p *peers) first(hall willowwick.HallID, use func(known *peer) bool) (KnownBox, bool) {
 	var first KnownBox
 	found := false
@@ -37,7 +37,7 @@
 
 // reads reports whether this box reaches the store, as far as it has shown.
 func (p *peers) reads(now time.Time) bool {
-	return p.router.sync.readAge(now) <= scale(p.router.settings.Drain, reliedShare)
+	return p.router.sync.readAge(now) <= p.router.reliedLimit()
 }
 
 // isBehind reports whether a box of the hall that comes before this one is in touch, whether it reads the store or not.
@@ -61,7 +61,7 @@
 // isCutOff reports whether a box has not read the store for too long to rely on it.
 func (p *peers) isCutOff(known *peer, now time.Time) bool {
 	age := time.Duration(known.digest.ReadAgeMs)*time.Millisecond + now.Sub(known.heard)
-	return age > scale(p.router.settings.Drain, reliedShare)
+	return age > p.router.reliedLimit()
 }
 
 // hub is the box of its hall that this one swaps with: the reader, or while no box reaches the store the first that is
@@ -98,24 +98,33 @@
 	defer p.mu.Unlock()
 	self := p.self()
 	targets := addresses(p.candidates("", KnownBox{}, now))
+	if hasHub {
+		targets = append(targets, hub.Address)
+		targets = append(targets, addresses(p.candidates(self.Hall, hub.box(), now))...)
+	} else {
+		targets = append(targets, p.hubTargets(now)...)
+	}
+	slices.Sort(targets)
+	return slices.Compact(targets)
+}
+
+// hubTargets are the boxes that a hub swaps with: the hubs of the other halls, and some silent boxes of all halls that
+// would come before the hub of theirs. The caller holds the lock.
+func (p *peers) hubTargets(now time.Time) []string {
+	self := p.self()
+	var targets []string
 	for _, hall := range p.hallsKnown() {
-		if hasHub && hall != self.Hall {
+		if hall == self.Hall {
+			targets = append(targets, addresses(p.candidates(hall, self, now))...)
 			continue
 		}
-		before := self
-		switch {
-		case hall != self.Hall:
-			before, _ = p.hubOf(hall, now)
-		case hasHub:
-			before = hub.box()
+		hub, found := p.hubOf(hall, now)
+		if found {
+			targets = append(targets, hub.Address)
 		}
-		if before.Address != "" && before.Address != self.Address {
-			targets = append(targets, before.Address)
-		}
-		targets = append(targets, addresses(p.candidates(hall, before, now))...)
+		targets = append(targets, addresses(p.candidates(hall, hub, now))...)
 	}
-	slices.Sort(targets)
-	return slices.Compact(targets)
+	return targets
 }
 
 // candidates are the first few boxes of a hall that were not heard of lately and would come before its hub, if it has
@@ -128,19 +137,22 @@
 			silent = append(silent, known.box)
 		}
 	}
-	slices.SortFunc(silent, func(a, b KnownBox) int {
-		// Those that were not tried for longest come first, so that some that are no use keep none of the others waiting.
-		if order := p.known[a.Address].triedAt.Compare(p.known[b.Address].triedAt); order != 0 {
-			return order
-		}
-		if a.precedes(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(silent, p.compareTries)
 	return silent[:min(len(silent), triedAtOnce)]
 }
 
+// compareTries orders boxes by who is to be tried first: the one that was not tried for longer, so that boxes that are
+// no use as a hub keep none of the others waiting. The caller holds the lock.
+func (p *peers) compareTries(a, b KnownBox) int {
+	if order := p.known[a.Address].triedAt.Compare(p.known[b.Address].triedAt); order != 0 {
+		return order
+	}
+	if a.precedes(b) {
+		return -1
+	}
+	return 1
+}
+
 func addresses(boxes []KnownBox) []string {
 	list := make([]string, 0, len(boxes))
 	for _, box := range boxes {
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -29,14 +29,14 @@
 	peer struct {
 		box     KnownBox
 		digest  Digest
-		heard   time.Time
+		heard   time.Time // when its last digest came
 		listed  time.Time // when the group or another box last named it
 		tryAt   time.Time // not called before, after failures
 		triedAt time.Time // last call
 		pause   time.Duration
-		failing bool
-		// swapping tells that a call to it is under way.
-		swapping bool
+		failing bool // the last call failed
+
+		swapping bool // a call to it is under way
 	}
 )
 
@@ -54,6 +54,11 @@
 	return now.Sub(known.heard) <= peerFresh
 }
 
+// isKept reports whether the box was heard of or named of late.
+func (known *peer) isKept(now time.Time) bool {
+	return now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept
+}
+
 // self is this box as the others know it.
 func (p *peers) self() KnownBox {
 	settings := p.router.settings
@@ -104,12 +109,7 @@
 		slog.Info("box is reached", "peer", digest.Box, "hall", digest.Hall, "address", digest.Address)
 	}
 	known.digest, known.heard, known.failing, known.pause = digest, now, false, 0
-	for _, hall := range digest.Halls {
-		at := now.Add(-time.Duration(hall.AgeMs) * time.Millisecond)
-		if hall.Hall != p.router.settings.Hall && at.After(p.halls[hall.Hall].at) {
-			p.halls[hall.Hall] = heardReport{hall.Report, at}
-		}
-	}
+	p.takeHalls(digest.Halls, now)
 	p.mu.Unlock()
 	p.router.releases.takeBans(digest.Banned)
 	for _, row := range digest.Progress {
@@ -118,13 +118,23 @@
 	}
 }
 
-// knownBoxes lists the boxes that were heard of from themselves, this one included.
+// takeHalls keeps the newest report of each other hall; the caller holds the lock.
+func (p *peers) takeHalls(halls []HallReport, now time.Time) {
+	for _, hall := range halls {
+		at := now.Add(-time.Duration(hall.AgeMs) * time.Millisecond)
+		if hall.Hall != p.router.settings.Hall && at.After(p.halls[hall.Hall].at) {
+			p.halls[hall.Hall] = heardReport{hall.Report, at}
+		}
+	}
+}
+
+// knownBoxes lists the boxes whose hall is known, this one included.
 func (p *peers) knownBoxes(now time.Time) []KnownBox {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := []KnownBox{p.self()}
 	for _, known := range p.known {
-		if known.box.Hall != "" && (now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept) {
+		if known.box.Hall != "" && known.isKept(now) {
 			list = append(list, known.box)
 		}
 	}
@@ -164,7 +174,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, known := range p.known {
-		if now.Sub(known.heard) > peerKept && now.Sub(known.listed) > peerKept {
+		if !known.isKept(now) {
 			delete(p.known, address)
 		}
 	}
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -27,36 +27,41 @@
 	var listedAt time.Time
 	sleep(ctx, lookFor)
 	for ctx.Err() == nil {
-		if s.mayRest(time.Now()) {
+		now := time.Now()
+		_, isFed := s.router.peers.reader(now)
+		switch {
+		case s.mayRest(now):
 			// A call would be lost; the group has dropped this box by then, or does so now.
 			s.setLead(false, "the store is not reached")
-			sleep(ctx, joinEvery)
-			continue
-		}
-		if _, found := s.router.peers.reader(time.Now()); found {
+		case isFed:
 			s.leaveGroup(ctx, member)
-			sleep(ctx, joinEvery)
-			continue
-		}
-		membership, err := s.control.Join(ctx, member, s.generation)
-		now := time.Now()
-		if err != nil {
-			s.setLead(false, "the group does not answer")
-			sleep(ctx, joinEvery)
-			continue
-		}
-		s.joined = true
-		changed := membership.Generation != s.generation
-		s.generation = membership.Generation
-		s.setLead(membership.Leads, "the group says so")
-		if changed || now.Sub(listedAt) > membersEvery {
-			s.listMembers(ctx, now)
-			listedAt = now
+		default:
+			listedAt = s.joinGroup(ctx, member, listedAt)
 		}
 		sleep(ctx, joinEvery)
 	}
 }
 
+// joinGroup renews this box's place in the group, lists the members if they changed or were not listed for long, and
+// returns when they were listed last.
+func (s *syncer) joinGroup(ctx context.Context, member string, listedAt time.Time) time.Time {
+	membership, err := s.control.Join(ctx, member, s.generation)
+	now := time.Now()
+	if err != nil {
+		s.setLead(false, "the group does not answer")
+		return listedAt
+	}
+	s.joined = true
+	changed := membership.Generation != s.generation
+	s.generation = membership.Generation
+	s.setLead(membership.Leads, "the group says so")
+	if !changed && now.Sub(listedAt) <= membersEvery {
+		return listedAt
+	}
+	s.listMembers(ctx, now)
+	return now
+}
+
 // leaveGroup hands this box's part of the group on at once, since another box of the hall keeps in touch with the store.
 func (s *syncer) leaveGroup(ctx context.Context, member string) {
 	if !s.joined {
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -28,7 +28,7 @@
 
 // followEndpoints keeps the list of endpoints until the context ends.
 func (s *syncer) followEndpoints(ctx context.Context) {
-	pause := retryFirst / 2
+	var pause time.Duration // before the next try; none after an answer
 	for ctx.Err() == nil {
 		if !s.mustRead(time.Now()) {
 			sleep(ctx, feedPoll)
@@ -42,7 +42,7 @@
 			sleep(ctx, pause)
 			continue
 		}
-		pause = retryFirst / 2
+		pause = 0
 		s.noteAnswer(now)
 		s.mu.Lock()
 		s.asOf = now
@@ -54,11 +54,16 @@
 
 // mustRead reports whether this box has to read the list of endpoints now.
 func (s *syncer) mustRead(now time.Time) bool {
-	share := endpointsShare
+	limit := scale(s.router.settings.Drain, endpointsShare)
 	if s.isFed(now) {
-		share = reliedShare
+		limit = s.router.reliedLimit()
 	}
-	return s.storeAge(now) > scale(s.router.settings.Drain, share)
+	return s.storeAge(now) > limit
+}
+
+// reliedLimit is how old what a box has read may be for others to rely on it.
+func (x *Router) reliedLimit() time.Duration {
+	return scale(x.settings.Drain, reliedShare)
 }
 
 func (s *syncer) hasEndpoints() bool {
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -73,7 +73,7 @@
 	defer p.mu.Unlock()
 	for _, known := range p.known {
 		if known.box.Hall == p.router.settings.Hall {
-			total = total.add(known.digest.Own, now.Sub(known.heard) <= peerFresh)
+			total = total.add(known.digest.Own, known.isInTouch(now))
 		}
 	}
 	return total
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -106,7 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failedAt = now
-	if now.Sub(s.asOf) > scale(s.router.settings.Drain, reliedShare) {
+	if now.Sub(s.asOf) > s.router.reliedLimit() {
 		s.blindAt = now
 	}
 	if !s.unreachable {
@@ -122,7 +122,7 @@
 // followDeclarations keeps the configuration and the orders until the context ends.
 func (s *syncer) followDeclarations(ctx context.Context) {
 	var next willowwick.Offset
-	pause := retryFirst / 2
+	var pause time.Duration // before the next try; none after an answer
 	for ctx.Err() == nil {
 		if now := time.Now(); s.isFed(now) || s.mayRest(now) {
 			sleep(ctx, feedPoll)
@@ -139,7 +139,7 @@
 			sleep(ctx, pause)
 			continue
 		}
-		pause = retryFirst / 2
+		pause = 0
 		next = declared.Next
 		s.noteAnswer(time.Now())
 		s.declare(ctx, declared)
@@ -149,11 +149,16 @@
 
 // lookForReader waits in the first moments of a box whether another reads for it, before the store holds a read here.
 func (s *syncer) lookForReader(ctx context.Context) {
-	for now := time.Now(); ctx.Err() == nil && s.router.peers.isNew(now) && s.hasEndpoints() && !s.isFed(now); now = time.Now() {
+	for ctx.Err() == nil && s.mayFindReader(time.Now()) {
 		sleep(ctx, feedPoll)
 	}
 }
 
+// mayFindReader reports whether this box serves, but has just started and is not fed yet.
+func (s *syncer) mayFindReader(now time.Time) bool {
+	return s.router.peers.isNew(now) && s.hasEndpoints() && !s.isFed(now)
+}
+
 // readDeclarations reads what was declared since an offset; wasCancelled tells that the read was ended from here.
 func (s *syncer) readDeclarations(
 	ctx context.Context, from willowwick.Offset,
@@ -169,7 +174,7 @@
 // longer is the next pause after a read that failed. Boxes that are in touch with others of their hall take turns: the
 // first of them that finds the store back reads for all.
 func (s *syncer) longer(pause time.Duration, now time.Time) time.Duration {
-	next := min(2*pause, retryMost)
+	next := min(max(2*pause, retryFirst), retryMost)
 	if !s.router.peers.isBehind(now) {
 		return next
 	}
@@ -187,23 +192,24 @@
 func (s *syncer) isFed(now time.Time) bool {
 	reader, found := s.router.peers.reader(now)
 	found = found && s.router.table.Load() != nil && s.hasEndpoints()
-	s.noteReader(reader, found, now)
-	return found
-}
-
-// noteReader logs a change of who reads the store for this box.
-func (s *syncer) noteReader(reader Digest, found bool, now time.Time) {
 	address := ""
 	if found {
 		address = reader.Address
 	}
+	s.noteReader(address, now)
+	return found
+}
+
+// noteReader notes which box reads the store for this one, none if the address is empty, and ends a read that the
+// store holds for a box that is fed.
+func (s *syncer) noteReader(address string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if address != s.fedBy {
 		slog.Info("reader of the store changed", "from", s.fedBy, "to", address, "known_ms_ago", now.Sub(s.asOf).Milliseconds())
 		s.fedBy = address
 	}
-	if found && s.cancelRead != nil {
+	if address != "" && s.cancelRead != nil {
 		// The box that reads for this one tells of changes; a read that the store holds here would bring them twice.
 		s.cancelRead()
 	}
