--- a/cmd/e2e/soak_box_test.go
+++ b/cmd/e2e/soak_box_test.go
@@ -8,9 +8,6 @@
 	"time"
 )
 
-// signal is a signal to a process that the soak started.
-type signal = syscall.Signal
-
 // supervise starts the daemon, and starts it again whenever it ends, as the platform does.
 func (b *soakBox) supervise(t *testing.T) {
 	defer close(b.ended)
@@ -22,7 +19,7 @@
 			t.Errorf("%s does not start: %v", b.name, err)
 			return
 		}
-		b.setLife(&processLife{number: number, signal: func(s signal) error { return command.Process.Signal(s) }})
+		b.setLife(&processLife{number: number, process: command.Process})
 		_ = command.Wait()
 		b.setLife(nil)
 		time.Sleep(restartPause)
@@ -32,58 +29,31 @@
 func (b *soakBox) setLife(life *processLife) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.process = life
+	b.life = life
 }
 
 // lifeNumber tells which life of the daemon runs; 0 if none does.
 func (b *soakBox) lifeNumber() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.process == nil {
+	if b.life == nil {
 		return 0
 	}
-	return b.process.number
+	return b.life.number
 }
 
 // send signals the daemon if it runs.
-func (b *soakBox) send(s signal) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.process != nil {
-		_ = b.process.signal(s)
-	}
-}
-
-// trouble notes an unplanned disturbance of the box that lasts until the returned function is called.
-func (b *soakBox) trouble() func() { return b.note(&b.troubles) }
-
-// stop notes a planned one.
-func (b *soakBox) stop() func() { return b.note(&b.stops) }
-
-func (b *soakBox) note(spans *[]span) func() {
+func (b *soakBox) send(signal syscall.Signal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := len(*spans)
-	*spans = append(*spans, span{from: time.Now()})
-	return func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		(*spans)[at].to = time.Now()
+	if b.life != nil {
+		_ = b.life.process.Signal(signal) // it may just have ended
 	}
 }
 
-// inTouch reports whether the box was free of all disturbances from some time before a moment to its end.
+// inTouch reports whether the box had no trouble, unplanned or planned, from some time before a moment to the given end.
 func (b *soakBox) inTouch(from, to time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !overlaps(b.troubles, from.Add(-soakContact), to) && !overlaps(b.stops, from.Add(-soakContact), to)
-}
-
-// undisturbed reports whether nothing unplanned happened to the box around a time.
-func (b *soakBox) undisturbed(from, to time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !overlaps(b.troubles, from.Add(-soakContact), to)
+	return b.troubles.isQuiet(from, to) && b.stops.isQuiet(from, to)
 }
 
 // awaitServing waits until the daemon calls itself ready again, for some seconds at the most.
--- a/cmd/e2e/soak_callers_test.go
+++ b/cmd/e2e/soak_callers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,12 +19,16 @@
 	kindAgain  askKind = "again"  // may be repeated
 	kindForged askKind = "forged" // carries headers that only the router may set
 
+	// callersPerBox and askPause, the mean pause of one caller, make some 300 requests a second at each box at the most.
 	callersPerBox = 5
 	askPause      = 15 * time.Millisecond
 	// slowAnswer is how long after its deadline a caller gives an answer up.
 	slowAnswer = 3 * time.Second
 )
 
+// errForeignPart tells that a cut answer holds what does not belong to its request.
+var errForeignPart = errors.New("what came of a cut answer is not its begin")
+
 type (
 	askKind string
 
@@ -98,6 +104,8 @@
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
 
+// draw chooses a kind of request; most ask for routes that always stand, some for one of the newest configuration, or
+// for an older one with the key that the newest took away.
 func (c *callers) draw(box int, random *rand.Rand) *asked {
 	a := &asked{box: box, key: siteKey, limit: time.Duration(1500+random.IntN(2500)) * time.Millisecond}
 	newest := c.site.newestVersion()
@@ -131,7 +139,7 @@
 	defer func() { a.to = time.Now() }()
 	response, err := client.Do(s.request(ctx, a))
 	if err != nil {
-		a.err, a.refused = err, strings.Contains(err.Error(), "connection refused")
+		a.err, a.refused = err, errors.Is(err, syscall.ECONNREFUSED)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -144,7 +152,7 @@
 	}
 	a.whole = err == nil && string(body) == want
 	if a.status == http.StatusOK && a.cut && !strings.HasPrefix(want, string(body)) {
-		a.err = fmt.Errorf("what came of a cut answer is not its begin: %q", body)
+		a.err = fmt.Errorf("%w: %q", errForeignPart, body)
 	}
 }
 
--- a/cmd/e2e/soak_checks_test.go
+++ b/cmd/e2e/soak_checks_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -78,7 +79,7 @@
 	switch {
 	case a.status == http.StatusOK && !a.cut && !a.whole:
 		j.tell(a, "a success with another body")
-	case a.cut && a.err != nil && strings.HasPrefix(a.err.Error(), "what came of a cut answer"):
+	case errors.Is(a.err, errForeignPart):
 		j.tell(a, "a cut answer holds what is not its own")
 	case a.status == http.StatusServiceUnavailable && !a.retryAt:
 		j.tell(a, "a refusal does not say when to return")
@@ -106,7 +107,7 @@
 func (j *judge) checkTime(a *asked) {
 	limit := a.limit
 	if a.version > 0 {
-		limit = min(limit, 1500*time.Millisecond) // the route's own
+		limit = min(limit, versionTimeout)
 	}
 	if !a.left && a.to.Sub(a.from) > limit+lateAnswer && j.site.boxes[a.box].inTouch(a.from, a.to) {
 		j.tell(a, fmt.Sprint("was held beyond its limit of ", limit))
@@ -116,20 +117,22 @@
 // checkCut: a request that reached an endpoint is answered, also by a box that is told to stop; an answer breaks off
 // only where endpoints are in trouble.
 func (j *judge) checkCut(a *asked) {
-	noAnswer := a.err != nil && a.status == 0 && !a.refused
-	calm := j.agenda.isQuiet(&j.agenda.endpoints, a.from, a.to)
+	isInTime := a.to.Sub(a.from) < a.limit
+	if a.left || len(j.runs[a.id]) == 0 || !isInTime || !j.site.boxes[a.box].troubles.isQuiet(a.from, a.to) {
+		return
+	}
+	hasNoAnswer := a.err != nil && a.status == 0 && !a.refused
 	switch {
-	case a.left || len(j.runs[a.id]) == 0 || a.to.Sub(a.from) >= a.limit || !j.site.boxes[a.box].undisturbed(a.from, a.to):
-	case noAnswer:
+	case hasNoAnswer:
 		j.tell(a, "ran, and the connection closed without an answer")
-	case a.cut && calm:
+	case a.cut && j.agenda.endpoints.isQuiet(a.from, a.to):
 		j.tell(a, "its answer broke off")
 	}
 }
 
 // checkVersion: a configuration is in force some seconds after it was written, and what it took away is gone.
 func (j *judge) checkVersion(a *asked) {
-	if a.version == 0 || !j.site.boxes[a.box].inTouch(a.from, a.to) || !j.agenda.isQuiet(&j.agenda.storeDown, a.from, a.to) {
+	if a.version == 0 || !j.site.boxes[a.box].inTouch(a.from, a.to) || !j.agenda.storeDown.isQuiet(a.from, a.to) {
 		return
 	}
 	written := j.site.writtenAt(a.version)
@@ -172,7 +175,7 @@
 		if left.IsZero() || run.At.Before(left.Add(soakDrain)) || a.from.Before(left) {
 			continue
 		}
-		if j.site.boxes[a.box].inTouch(run.At, run.At) && j.agenda.isQuiet(&j.agenda.storeDown, run.At, run.At) {
+		if j.site.boxes[a.box].inTouch(run.At, run.At) && j.agenda.storeDown.isQuiet(run.At, run.At) {
 			j.tell(a, fmt.Sprintf("reached %s %v after that said it leaves", run.at.id, run.At.Sub(left)))
 		}
 	}
--- a/cmd/e2e/soak_faults_test.go
+++ b/cmd/e2e/soak_faults_test.go
@@ -26,10 +26,11 @@
 		length time.Duration
 		events []event
 
-		mu        sync.Mutex
-		storeDown []span
-		endpoints []span // while endpoints misbehave
-		bad       string // release of the last roll-out, and whether it is bad
+		storeDown spans // the store was away, or failed calls
+		endpoints spans // endpoints or their links failed
+
+		mu  sync.Mutex
+		bad string // release of a roll-out whose answers are all failures; empty if there is none
 	}
 )
 
@@ -70,30 +71,10 @@
 	return time.Duration(200+a.random.IntN(2500)) * time.Millisecond
 }
 
-// lastsIn notes a span of trouble in a list until the returned function is called.
-func (a *agenda) lastsIn(spans *[]span) func() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	at := len(*spans)
-	*spans = append(*spans, span{from: time.Now()})
-	return func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		(*spans)[at].to = time.Now()
-	}
-}
-
-// isQuiet reports whether nothing of a list happened from some time before a moment to its end.
-func (a *agenda) isQuiet(spans *[]span, from, to time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !overlaps(*spans, from.Add(-soakContact), to)
-}
-
 func (a *agenda) terminate(at time.Duration) {
 	box, hurry := a.box(), a.random.IntN(4) == 0
 	a.add(at, "SIGTERM "+box.name, func() {
-		defer box.stop()()
+		defer box.stops.begin()()
 		life := box.lifeNumber()
 		box.send(syscall.SIGTERM)
 		if hurry {
@@ -113,7 +94,7 @@
 func (a *agenda) kill(at time.Duration) {
 	box := a.box()
 	a.add(at, "SIGKILL "+box.name, func() {
-		defer box.trouble()()
+		defer box.troubles.begin()()
 		box.send(syscall.SIGKILL)
 		time.Sleep(2 * restartPause)
 		box.awaitServing()
@@ -123,7 +104,7 @@
 func (a *agenda) freeze(at time.Duration) {
 	box, lasting := a.box(), a.lasting()
 	a.add(at, fmt.Sprint("SIGSTOP ", box.name, " ", lasting), func() {
-		defer box.trouble()()
+		defer box.troubles.begin()()
 		box.send(syscall.SIGSTOP)
 		time.Sleep(lasting)
 		box.send(syscall.SIGCONT)
@@ -135,8 +116,9 @@
 	a.add(at, "SIGHUP "+box.name, func() { box.send(syscall.SIGHUP) })
 }
 
+// harm draws a fault of a link and how long it lasts.
 func (a *agenda) harm(l *link) (name string, run func()) {
-	state, lasting := linkState(1+a.random.IntN(5)), a.lasting()
+	state, lasting := linkFaults[a.random.IntN(len(linkFaults))], a.lasting()
 	return fmt.Sprint(linkNames[state], " ", lasting), func() {
 		l.set(state)
 		time.Sleep(lasting)
@@ -148,7 +130,7 @@
 	box := a.box()
 	name, run := a.harm(box.storeLink)
 	a.add(at, "store link of "+box.name+" "+name, func() {
-		defer box.trouble()()
+		defer box.troubles.begin()()
 		run()
 	})
 }
@@ -162,7 +144,7 @@
 	runner := a.runner()
 	name, run := a.harm(runner.link)
 	a.add(at, "link of "+runner.id+" "+name, func() {
-		defer a.lastsIn(&a.endpoints)()
+		defer a.endpoints.begin()()
 		run()
 	})
 }
@@ -170,7 +152,7 @@
 func (a *agenda) storeAway(at time.Duration) {
 	lasting := a.lasting()
 	a.add(at, fmt.Sprint("store away ", lasting), func() {
-		defer a.lastsIn(&a.storeDown)()
+		defer a.storeDown.begin()()
 		a.site.store.SetFaults(standin.StoreFaults{Down: true})
 		time.Sleep(lasting)
 		a.site.store.SetFaults(standin.StoreFaults{})
@@ -179,7 +161,7 @@
 
 func (a *agenda) storeForgets(at time.Duration) {
 	a.add(at, "store forgets its history", func() {
-		defer a.lastsIn(&a.storeDown)()
+		defer a.storeDown.begin()()
 		a.site.store.Forget("keyed.op")
 		a.site.store.Forget("keyed.servers")
 	})
@@ -187,7 +169,7 @@
 
 func (a *agenda) storeLosesAnswers(at time.Duration) {
 	a.add(at, "store loses answers", func() {
-		defer a.lastsIn(&a.storeDown)()
+		defer a.storeDown.begin()()
 		a.site.store.SetFaults(standin.StoreFaults{LoseAnswer: 2})
 	})
 }
@@ -196,7 +178,7 @@
 	runner, lasting := a.runner(), a.lasting()
 	faults := []standin.BatchFaults{{FailEvery: 2}, {BreakAfter: 3}, {Full: true}}[a.random.IntN(3)]
 	a.add(at, fmt.Sprintf("%s fails %+v %v", runner.id, faults, lasting), func() {
-		defer a.lastsIn(&a.endpoints)()
+		defer a.endpoints.begin()()
 		runner.SetFaults(faults)
 		time.Sleep(lasting)
 		runner.SetFaults(standin.BatchFaults{})
@@ -213,7 +195,7 @@
 		at := slices.IndexFunc(runners, func(r *soakRunner) bool {
 			return r.service == service && r.release == "v1" && r.takeEnd()
 		})
-		defer a.lastsIn(&a.endpoints)()
+		defer a.endpoints.begin()()
 		end(runners[at]) // the new one is there at least
 	})
 }
@@ -247,7 +229,7 @@
 			}
 		}
 		if isBad {
-			defer a.lastsIn(&a.endpoints)()
+			defer a.endpoints.begin()()
 			a.mu.Lock()
 			a.bad = "v2"
 			a.mu.Unlock()
--- a/cmd/e2e/soak_link_test.go
+++ b/cmd/e2e/soak_link_test.go
@@ -45,6 +45,9 @@
 	}
 )
 
+// linkFaults are the states that a soak draws from; its seeds go by their order.
+var linkFaults = []linkState{linkSlow, linkReset, linkSilent, linkDeafServer, linkDeafClient}
+
 var linkNames = map[linkState]string{
 	linkClear: "clear", linkSlow: "slow", linkReset: "reset", linkSilent: "silent",
 	linkDeafServer: "one way, to the client", linkDeafClient: "one way, to the server",
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,11 +18,16 @@
 )
 
 const (
-	// soakDrain, soakGrace and soakApply are bounds that the boxes are told, or that checks go by.
-	soakDrain  = 2 * time.Second
-	soakGrace  = 8 * time.Second
+	// soakDrain is how long boxes may still send to an endpoint that leaves, and soakGrace how long a daemon that is told
+	// to stop has; the boxes are told both.
+	soakDrain = 2 * time.Second
+	soakGrace = 8 * time.Second
+	// soakApply is how long after its write a configuration's routes must be served, and soakRevoke how long a key that
+	// it took away may still be; the checks go by both.
 	soakApply  = 2 * time.Second
 	soakRevoke = 5 * time.Second
+	// versionTimeout is the limit of the routes that configurations add: within the range of the callers' deadlines.
+	versionTimeout = 1500 * time.Millisecond
 	// soakContact is how long a box must have been free of trouble to be held to bounds of time.
 	soakContact = 3 * time.Second
 	// restartPause is how long the platform takes to start a process again.
@@ -47,21 +54,19 @@
 		halt      atomic.Bool
 		ended     chan struct{}
 
-		mu       sync.Mutex
-		process  *processLife
-		troubles []span // unplanned
-		stops    []span // planned
+		troubles spans // unplanned
+		stops    spans // planned
+
+		mu   sync.Mutex
+		life *processLife // nil if no daemon runs
 	}
 
 	// processLife is one life of a daemon.
 	processLife struct {
-		number int
-		signal func(signal) error
+		number  int // the first is 1
+		process *os.Process
 	}
 
-	// span is a time during which something lasted.
-	span struct{ from, to time.Time }
-
 	// soakRunner is an endpoint behind a link.
 	soakRunner struct {
 		*standin.BatchRunner
@@ -83,14 +88,10 @@
 		s.addRunner(fmt.Sprint("llm-", i), "llm", "v1")
 		s.addRunner(fmt.Sprint("app-", i), "app", "v1")
 	}
-	seeds := ""
+	var seeds []string
 	for i := range boxes {
-		storeLink := newLink(t, address)
-		box := &soakBox{storeLink: storeLink, ended: make(chan struct{})}
-		box.siteBox = newSiteBox(t, i, storeLink.address,
-			fmt.Sprintf("bounds.drain-ms=%d", soakDrain.Milliseconds()), fmt.Sprintf("bounds.grace-s=%d", int(soakGrace.Seconds())),
-			fmt.Sprintf("zone=hall-%c", 'a'+rune(i%2)), "zones.hall-b=region", "seeds="+seeds)
-		seeds = strings.TrimPrefix(seeds+","+box.peers, ",")
+		box := newSoakBox(t, i, newLink(t, address), seeds)
+		seeds = append(seeds, box.peers)
 		s.boxes = append(s.boxes, box)
 	}
 	for _, box := range s.boxes {
@@ -107,6 +108,14 @@
 	return s
 }
 
+// newSoakBox writes the settings of a box that knows those before it; even and odd ones are in two halls.
+func newSoakBox(t *testing.T, number int, storeLink *link, seeds []string) *soakBox {
+	settings := newSiteBox(t, number, storeLink.address,
+		fmt.Sprintf("bounds.drain-ms=%d", soakDrain.Milliseconds()), fmt.Sprintf("bounds.grace-s=%d", int(soakGrace.Seconds())),
+		fmt.Sprintf("zone=hall-%c", 'a'+rune(number%2)), "zones.hall-b=region", "seeds="+strings.Join(seeds, ","))
+	return &soakBox{siteBox: settings, storeLink: storeLink, ended: make(chan struct{})}
+}
+
 // serveStandin serves a stand-in on loopback until the test ends.
 func serveStandin(t *testing.T, handler http.Handler) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -141,7 +150,7 @@
 func (s *soakSite) allRunners() []*soakRunner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]*soakRunner(nil), s.runners...)
+	return slices.Clone(s.runners)
 }
 
 // takeEnd reports whether the runner may be ended; only one event may do so.
@@ -190,7 +199,7 @@
 	for n := 1; n <= version; n++ {
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprint("at-", n), "host": siteHost, "path-prefix": fmt.Sprintf("/at-%d/", n), "kind": "idempotent",
-			"timeout-ms": 1500, "goal-ms": 300, "priority": 2, "service": "app", "max-attempts": 3,
+			"timeout-ms": versionTimeout.Milliseconds(), "goal-ms": 300, "priority": 2, "service": "app", "max-attempts": 3,
 		})
 	}
 	config["routes"] = routes
@@ -213,13 +222,3 @@
 	defer s.mu.Unlock()
 	return len(s.versions)
 }
-
-// overlaps reports whether one of the spans meets the given time.
-func overlaps(spans []span, from, to time.Time) bool {
-	for _, s := range spans {
-		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
-			return true
-		}
-	}
-	return false
-}
