--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -19,6 +19,10 @@
 	soakCalm = 6 * time.Second
 	// calmAsks is how many requests each box then gets.
 	calmAsks = 15
+	// calmLimit is the deadline of each: the boxes have nothing else to do then.
+	calmLimit = 4 * time.Second
+	// soakRunners is how many endpoints each service has at first.
+	soakRunners = 3
 )
 
 var (
@@ -74,33 +78,47 @@
 
 // soak plays one seed.
 func soak(t *testing.T, seed uint64, length time.Duration, boxes int) verdict {
-	site := newSoakSite(t, boxes, 3)
+	site := newSoakSite(t, boxes, soakRunners)
 	plan := newAgenda(site, seed, length)
 	callers := site.startCallers(seed)
 	plan.play(time.Now())
 	time.Sleep(soakCalm)
 	calm, findings := site.checkCalm(seed)
 	asks := append(callers.end(), calm...)
-	v := verdict{seed: seed, events: plan.events, asks: len(asks), findings: append(findings, judgeAll(site, plan, asks)...)}
+	v := verdict{seed: seed, events: plan.events, asks: len(asks), whole: countWhole(asks)}
+	v.findings = append(findings, judgeAll(site, plan, asks)...)
+	// A soak that asked next to nothing would find nothing either.
+	if v.asks < len(site.boxes)*calmAsks*2 || v.whole == 0 {
+		v.findings = append(v.findings, fmt.Sprintf("only %d requests, %d of them answered whole", v.asks, v.whole))
+	}
+	v.report(t)
+	if t.Failed() {
+		site.keepLogs(seed)
+	}
+	return v
+}
+
+func countWhole(asks []*asked) int {
+	whole := 0
 	for _, a := range asks {
 		if a.whole {
-			v.whole++
+			whole++
 		}
 	}
-	if len(asks) < len(site.boxes)*calmAsks*2 || v.whole == 0 {
-		v.findings = append(v.findings, fmt.Sprintf("only %d requests, %d of them answered whole", len(asks), v.whole))
-	}
+	return whole
+}
+
+// report fails the test by each finding, and then logs what happened.
+func (v *verdict) report(t *testing.T) {
 	for _, finding := range v.findings {
 		t.Error(finding)
 	}
 	if t.Failed() {
-		for _, e := range plan.events {
+		for _, e := range v.events {
 			t.Logf("%6.3f s %s", e.at.Seconds(), e.name)
 		}
-		site.keepLogs(seed)
 	}
-	t.Logf("seed %d: %d events, %d requests, %d answered whole, %d findings", seed, len(plan.events), v.asks, v.whole, len(v.findings))
-	return v
+	t.Logf("seed %d: %d events, %d requests, %d answered whole, %d findings", v.seed, len(v.events), v.asks, v.whole, len(v.findings))
 }
 
 // checkCalm: after the faults every box serves every kind of request, with the newest configuration.
@@ -110,7 +128,8 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	for box := range s.boxes {
 		for n := range calmAsks {
-			a := &asked{id: fmt.Sprintf("calm-%d-%d", box, n), box: box, key: siteKey, limit: 4 * time.Second, kind: kindAgain, version: s.newestVersion()}
+			a := &asked{id: fmt.Sprintf("calm-%d-%d", box, n), box: box, key: siteKey, limit: calmLimit}
+			a.kind, a.version = kindAgain, s.newestVersion()
 			if n%3 == 0 {
 				a.kind, a.version = kindStream, 0
 			}
@@ -147,18 +166,22 @@
 		fmt.Fprintf(&text, "| %d | %d | %d | %d | %d |\n", v.seed, len(v.events), v.asks, v.whole, len(v.findings))
 	}
 	for _, v := range verdicts {
-		if len(v.findings) == 0 {
-			continue
-		}
-		fmt.Fprintf(&text, "\nSeed %d:\n\n", v.seed)
-		for _, finding := range v.findings {
-			fmt.Fprintf(&text, "- %s\n", finding)
-		}
-		text.WriteString("\n```\n")
-		for _, e := range v.events {
-			fmt.Fprintf(&text, "%7.3f s %s* %s\n", e.at.Seconds(), strings.Repeat(" ", int(e.at/(100*time.Millisecond))), e.name)
+		if len(v.findings) > 0 {
+			v.writeStrip(&text)
 		}
-		text.WriteString("```\n")
 	}
 	return text.String()
 }
+
+// writeStrip writes the findings and, one a line, the events; each stands a column further right for every 100 ms.
+func (v *verdict) writeStrip(text *strings.Builder) {
+	fmt.Fprintf(text, "\nSeed %d:\n\n", v.seed)
+	for _, finding := range v.findings {
+		fmt.Fprintf(text, "- %s\n", finding)
+	}
+	text.WriteString("\n```\n")
+	for _, e := range v.events {
+		fmt.Fprintf(text, "%7.3f s %s* %s\n", e.at.Seconds(), strings.Repeat(" ", int(e.at/(100*time.Millisecond))), e.name)
+	}
+	text.WriteString("```\n")
+}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -43,16 +43,14 @@
 		leaving  bool
 		beats    int
 		running  int
-		answers  int
 		runs     []BatchRun
 		stop     chan struct{}
 	}
 
 	// BatchRun is one run of a request at a runner.
 	BatchRun struct {
-		Request string
+		Request string // the id that the router gave the send
 		Account string // that the router named
-		Target  string // of the request line
 		Body    string
 		Hold    string // a lease that a caller may not name
 		At      time.Time
@@ -146,9 +144,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	number, running, faults, taken := b.begin(BatchRun{
-		Request: id, Account: r.Header.Get("Tenant"), Target: r.RequestURI, Body: string(body), Hold: r.Header.Get("Hold"), At: time.Now(),
-	})
+	number, running, faults, taken := b.begin(batchRun(r, body))
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, b.settings.Slots))
 	if !taken {
 		w.Header().Set("Not-Executed", "1")
@@ -169,17 +165,27 @@
 	_, _ = io.WriteString(w, "answer of "+id)
 }
 
-// begin takes a slot; number is the request's among all that ran here.
+// batchRun is the run that a request asks for.
+func batchRun(r *http.Request, body []byte) BatchRun {
+	return BatchRun{
+		Request: r.Header.Get("Attempt-Id"),
+		Account: r.Header.Get("Tenant"),
+		Body:    string(body),
+		Hold:    r.Header.Get("Hold"),
+		At:      time.Now(),
+	}
+}
+
+// begin takes a slot and notes the run; number is the run's among all here.
 func (b *BatchRunner) begin(run BatchRun) (number, running int, faults BatchFaults, taken bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.faults.Full || b.running >= b.settings.Slots {
-		return b.answers, b.running, b.faults, false
+		return len(b.runs), b.running, b.faults, false
 	}
 	b.running++
-	b.answers++
 	b.runs = append(b.runs, run)
-	return b.answers, b.running, b.faults, true
+	return len(b.runs), b.running, b.faults, true
 }
 
 func (b *BatchRunner) end() {
