--- a/exchange/known.go
+++ b/exchange/known.go
@@ -27,16 +27,14 @@
 
 	// peer is another box as this one knows it.
 	peer struct {
-		box     KnownBox
-		digest  Digest
-		heard   time.Time // when its last digest came
-		listed  time.Time // when the group or another box last named it
-		tryAt   time.Time // not called before, after failures
-		triedAt time.Time // last call
-		pause   time.Duration
-		failing bool // the last call failed
-
-		swapping bool // a call to it is under way
+		box      KnownBox
+		digest   Digest
+		heard    time.Time // when its last digest came
+		listed   time.Time // when it, the group or another box last named it
+		tryAt    time.Time // not called before, after failures
+		triedAt  time.Time // last call
+		failures int       // calls in a row that failed
+		swapping bool      // a call to it is under way
 	}
 )
 
@@ -108,7 +106,7 @@
 	if now.Sub(known.heard) > peerKept {
 		slog.Info("box is reached", "peer", digest.Box, "hall", digest.Hall, "address", digest.Address)
 	}
-	known.digest, known.heard, known.failing, known.pause = digest, now, false, 0
+	known.digest, known.heard, known.failures = digest, now, 0
 	p.takeHalls(digest.Halls, now)
 	p.mu.Unlock()
 	p.router.releases.takeBans(digest.Banned)
@@ -160,13 +158,20 @@
 	if known == nil {
 		return
 	}
-	known.pause = min(max(2*known.pause, retryPeer), retryPeerMost)
-	known.tryAt = time.Now().Add(known.pause)
-	if known.failing {
-		return
+	known.failures++
+	known.tryAt = time.Now().Add(retryPause(known.failures))
+	if known.failures == 1 {
+		slog.Info("box is not reached", "peer", known.digest.Box, "address", address, "error", err)
+	}
+}
+
+// retryPause is the pause before the next call of a box after so many failures in a row; it doubles with each.
+func retryPause(failures int) time.Duration {
+	pause := retryPeer
+	for n := 1; n < failures && pause < retryPeerMost; n++ {
+		pause *= 2
 	}
-	known.failing = true
-	slog.Info("box is not reached", "peer", known.digest.Box, "address", address, "error", err)
+	return min(pause, retryPeerMost)
 }
 
 // forget drops boxes that nobody has heard of or named for long.
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// countAfter is how long a box takes its fleet to have youngFleet boxes at least where escalations share the slack of
-	// repeats: it has not heard of all yet.
+	// countAfter is how long a box that has just started takes its fleet to have at least youngFleet boxes, where
+	// escalations share the slack of repeats: it has not heard of all of them yet.
 	countAfter = 5 * time.Second
 	youngFleet = 50
 )
--- a/route/limits.go
+++ b/route/limits.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -52,8 +53,8 @@
 		buckets  map[willowwick.AccountID]*accountBuckets
 		asked    map[willowwick.AccountID]float64
 		demand   Demand
-		history  []measuredDemand // of the last while, the oldest first
-		settled  Demand           // the least of the history
+		history  []measuredDemand // of the last demandSettle, the oldest first
+		settled  Demand           // the least of the history once it is as long
 		measured time.Time
 		shares   map[willowwick.AccountID]float64
 		equal    float64
@@ -174,7 +175,7 @@
 	}
 	seconds := now.Sub(l.measured).Seconds()
 	if seconds <= 0 {
-		return l.copyDemand()
+		return maps.Clone(l.demand)
 	}
 	for account := range l.asked {
 		if _, known := l.demand[account]; !known {
@@ -194,12 +195,12 @@
 	clear(l.asked)
 	l.measured = now
 	l.settle(now)
-	return l.copyDemand()
+	return maps.Clone(l.demand)
 }
 
-// settle keeps the least demand of the last while, which starts with the newest measure that is as old.
+// settle keeps the least demand since the newest measure that is at least demandSettle old; there is none before.
 func (l *AccountLimiter) settle(now time.Time) {
-	l.history = append(l.history, measuredDemand{at: now, demand: l.copyDemand()})
+	l.history = append(l.history, measuredDemand{at: now, demand: maps.Clone(l.demand)})
 	for len(l.history) > 1 && now.Sub(l.history[1].at) >= demandSettle {
 		l.history = l.history[1:]
 	}
@@ -216,14 +217,6 @@
 	}
 }
 
-func (l *AccountLimiter) copyDemand() Demand {
-	copied := make(Demand, len(l.demand))
-	for account, rate := range l.demand {
-		copied[account] = rate
-	}
-	return copied
-}
-
 // Divide sets this box's shares; peers are all other boxes, and connected says
 // whether this box itself still reaches the others.
 func (l *AccountLimiter) Divide(peers []Peer, connected bool) {
