--- a/cmd/e2e/soak_faults_test.go
+++ b/cmd/e2e/soak_faults_test.go
@@ -71,6 +71,7 @@
 	return time.Duration(200+a.random.IntN(2500)) * time.Millisecond
 }
 
+// terminate tells a daemon to stop, sometimes twice as an operator in a hurry does, and kills it after its grace.
 func (a *agenda) terminate(at time.Duration) {
 	box, hurry := a.box(), a.random.IntN(4) == 0
 	a.add(at, "SIGTERM "+box.name, func() {
@@ -91,6 +92,7 @@
 	})
 }
 
+// kill ends a daemon at once.
 func (a *agenda) kill(at time.Duration) {
 	box := a.box()
 	a.add(at, "SIGKILL "+box.name, func() {
@@ -101,6 +103,7 @@
 	})
 }
 
+// freeze holds a daemon for a while; its connections stay open.
 func (a *agenda) freeze(at time.Duration) {
 	box, lasting := a.box(), a.lasting()
 	a.add(at, fmt.Sprint("SIGSTOP ", box.name, " ", lasting), func() {
@@ -111,6 +114,7 @@
 	})
 }
 
+// hangUp sends a signal that daemons take no notice of.
 func (a *agenda) hangUp(at time.Duration) {
 	box := a.box()
 	a.add(at, "SIGHUP "+box.name, func() { box.send(syscall.SIGHUP) })
@@ -159,6 +163,7 @@
 	})
 }
 
+// storeForgets lets the store drop its history but the newest record of each key, so that boxes must read anew.
 func (a *agenda) storeForgets(at time.Duration) {
 	a.add(at, "store forgets its history", func() {
 		defer a.storeDown.begin()()
@@ -167,6 +172,7 @@
 	})
 }
 
+// storeLosesAnswers lets the next two writes of the store take effect without an answer.
 func (a *agenda) storeLosesAnswers(at time.Duration) {
 	a.add(at, "store loses answers", func() {
 		defer a.storeDown.begin()()
@@ -174,6 +180,7 @@
 	})
 }
 
+// endpointFails lets an endpoint fail answers, break streams off, or refuse as full.
 func (a *agenda) endpointFails(at time.Duration) {
 	runner, lasting := a.runner(), a.lasting()
 	faults := []standin.BatchFaults{{FailEvery: 2}, {BreakAfter: 3}, {Full: true}}[a.random.IntN(3)]
@@ -185,33 +192,31 @@
 	})
 }
 
-// replaced starts an endpoint in a runner's place, so that its service stays.
-func (a *agenda) replaced(at time.Duration, how string, end func(*soakRunner)) {
+// replace starts an endpoint of release v1 and then ends another of its service, so that the service stays.
+func (a *agenda) replace(at time.Duration, how string, end func(*soakRunner)) {
 	number := len(a.events)
 	service := []string{"llm", "app"}[a.random.IntN(2)]
 	a.add(at, "an endpoint of "+service+" "+how, func() {
 		a.site.addRunner(fmt.Sprintf("%s-n%d", service, number), service, "v1")
-		runners := a.site.allRunners()
-		at := slices.IndexFunc(runners, func(r *soakRunner) bool {
-			return r.service == service && r.release == "v1" && r.takeEnd()
-		})
+		old := a.site.takeRunner(service, "v1")
 		defer a.endpoints.begin()()
-		end(runners[at]) // the new one is there at least
+		end(old)
 	})
 }
 
 func (a *agenda) endpointLeaves(at time.Duration) {
-	a.replaced(at, "leaves", func(r *soakRunner) { r.leave(a.site.store) })
+	a.replace(at, "leaves", func(r *soakRunner) { r.leave(a.site.store) })
 }
 
 func (a *agenda) endpointCrashes(at time.Duration) {
-	a.replaced(at, "crashes", func(r *soakRunner) { r.crash(a.site.store) })
+	a.replace(at, "crashes", func(r *soakRunner) { r.crash(a.site.store) })
 }
 
 func (a *agenda) reconfigure(at time.Duration) {
 	a.add(at, "configuration", a.site.configure)
 }
 
+// reconfigureOften writes some configurations in quick succession.
 func (a *agenda) reconfigureOften(at time.Duration) {
 	for i := range 4 {
 		a.add(at+time.Duration(i)*150*time.Millisecond, "configuration of a row", a.site.configure)
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -153,6 +153,15 @@
 	return slices.Clone(s.runners)
 }
 
+// takeRunner returns the oldest runner of a release that no other event ends; the caller has just added one.
+func (s *soakSite) takeRunner(service, release string) *soakRunner {
+	runners := s.allRunners()
+	at := slices.IndexFunc(runners, func(r *soakRunner) bool {
+		return r.service == service && r.release == release && r.takeEnd()
+	})
+	return runners[at]
+}
+
 // takeEnd reports whether the runner may be ended; only one event may do so.
 func (r *soakRunner) takeEnd() bool {
 	r.mu.Lock()
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -15,8 +15,8 @@
 		Address       string
 		LinkMbps      int
 		TableVersion  uint64
-		ReadAgeMs     int64 // since it last showed that the box can read the store
-		StoreAgeMs    int64 // since what it knows of the store was read there, by whichever box
+		ReadAgeMs     int64             // since it last showed that the box can read the store
+		StoreAgeMs    int64             // since what it knows of the store was read there, by whichever box
 		EndpointsFrom willowwick.Offset // where its list of endpoints last changed
 		KnownCount    int               // of the boxes that it knows; where two differ in it, they swap these too
 		Own           Report
@@ -71,6 +71,13 @@
 	return digest
 }
 
+// takeTable takes the configuration that a box sent, if it sent one.
+func (p *peers) takeTable(table *willowwick.RoutingTable, from willowwick.BoxID) {
+	if table != nil {
+		p.router.setTable(table, "peer "+string(from))
+	}
+}
+
 // tableFor returns the configuration for a box that has an older one.
 func (p *peers) tableFor(version uint64) *willowwick.RoutingTable {
 	if t := p.router.table.Load(); t != nil && t.Version > version {
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -90,17 +90,17 @@
 	return p.firstInTouch(hall, now)
 }
 
-// targets are the boxes to swap with now: the hall's hub, on a hub those of the other halls, and some silent boxes that
-// would come before them.
+// targets are the addresses of the boxes to swap with now: the hall's hub, on a hub those of the other halls, and some
+// silent boxes that would come before them.
 func (p *peers) targets(now time.Time) []string {
 	hub, hasHub := p.hub(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self := p.self()
-	targets := addresses(p.candidates("", KnownBox{}, now))
+	targets := p.candidates("", KnownBox{}, now)
 	if hasHub {
 		targets = append(targets, hub.Address)
-		targets = append(targets, addresses(p.candidates(self.Hall, hub.box(), now))...)
+		targets = append(targets, p.candidates(self.Hall, hub.box(), now)...)
 	} else {
 		targets = append(targets, p.hubTargets(now)...)
 	}
@@ -108,28 +108,28 @@
 	return slices.Compact(targets)
 }
 
-// hubTargets are the boxes that a hub swaps with: the hubs of the other halls, and some silent boxes of all halls that
-// would come before the hub of theirs. The caller holds the lock.
+// hubTargets are the addresses of what a hub swaps with: the hubs of the other halls, and some silent boxes of all
+// halls that would come before the hub of theirs. The caller holds the lock.
 func (p *peers) hubTargets(now time.Time) []string {
 	self := p.self()
 	var targets []string
 	for _, hall := range p.hallsKnown() {
 		if hall == self.Hall {
-			targets = append(targets, addresses(p.candidates(hall, self, now))...)
+			targets = append(targets, p.candidates(hall, self, now)...)
 			continue
 		}
 		hub, found := p.hubOf(hall, now)
 		if found {
 			targets = append(targets, hub.Address)
 		}
-		targets = append(targets, addresses(p.candidates(hall, hub, now))...)
+		targets = append(targets, p.candidates(hall, hub, now)...)
 	}
 	return targets
 }
 
-// candidates are the first few boxes of a hall that were not heard of lately and would come before its hub, if it has
-// one; the hall is empty for boxes whose hall is not known. The caller holds the lock.
-func (p *peers) candidates(hall willowwick.HallID, hub KnownBox, now time.Time) []KnownBox {
+// candidates are the addresses of a few boxes of a hall that were not heard of lately and would come before its hub,
+// if it has one; the hall is empty for boxes whose hall is not known. The caller holds the lock.
+func (p *peers) candidates(hall willowwick.HallID, hub KnownBox, now time.Time) []string {
 	var silent []KnownBox
 	for _, known := range p.known {
 		isSilent := !known.isInTouch(now) && !now.Before(known.tryAt)
@@ -138,7 +138,11 @@
 		}
 	}
 	slices.SortFunc(silent, p.compareTries)
-	return silent[:min(len(silent), triedAtOnce)]
+	var list []string
+	for _, box := range silent[:min(len(silent), triedAtOnce)] {
+		list = append(list, box.Address)
+	}
+	return list
 }
 
 // compareTries orders boxes by who is to be tried first: the one that was not tried for longer, so that boxes that are
@@ -153,14 +157,6 @@
 	return 1
 }
 
-func addresses(boxes []KnownBox) []string {
-	list := make([]string, 0, len(boxes))
-	for _, box := range boxes {
-		list = append(list, box.Address)
-	}
-	return list
-}
-
 // hallsKnown lists the halls of the known boxes; the caller holds the lock.
 func (p *peers) hallsKnown() []willowwick.HallID {
 	var halls []willowwick.HallID
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -28,20 +28,18 @@
 
 // followEndpoints keeps the list of endpoints until the context ends.
 func (s *syncer) followEndpoints(ctx context.Context) {
-	var pause time.Duration // before the next try; none after an answer
+	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
 		if !s.mustRead(time.Now()) {
 			sleep(ctx, feedPoll)
 			continue
 		}
 		changes, err := s.control.Endpoints(ctx, s.endpointsAt())
-		now := time.Now()
 		if err != nil {
-			s.noteFailure(now, err)
-			pause = s.longer(pause, now)
-			sleep(ctx, pause)
+			pause = s.backOff(ctx, pause, err)
 			continue
 		}
+		now := time.Now()
 		pause = 0
 		s.noteAnswer(now)
 		s.mu.Lock()
@@ -94,7 +92,7 @@
 	}
 	list := &EndpointList{Next: s.next, From: s.changedAt}
 	for id, endpoint := range s.listed {
-		// Who was blind too waits by itself; who was not knows better.
+		// A box that could not see the store either gives it time by itself; one that could knows whether it is gone.
 		if _, waits := s.lapsed[id]; !waits {
 			list.Endpoints = append(list.Endpoints, endpoint)
 		}
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -90,9 +90,7 @@
 	now := time.Now()
 	p.heard(reply.Digest, now)
 	p.listKnown(reply.Known, now)
-	if reply.Table != nil {
-		p.router.setTable(reply.Table, "peer "+string(reply.Digest.Box))
-	}
+	p.takeTable(reply.Table, reply.Digest.Box)
 	p.router.sync.takeFromPeer(reply, now)
 }
 
@@ -101,9 +99,7 @@
 	now := time.Now()
 	p := s.peers
 	p.heard(call.Digest, now)
-	if call.Table != nil {
-		p.router.setTable(call.Table, "peer "+string(call.Digest.Box))
-	}
+	p.takeTable(call.Table, call.Digest.Box)
 	reply.Digest = p.digest(now)
 	reply.Table = p.tableFor(call.Digest.TableVersion)
 	reply.Endpoints = p.router.sync.listFor(call.Digest.EndpointsFrom)
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -122,7 +122,7 @@
 // followDeclarations keeps the configuration and the orders until the context ends.
 func (s *syncer) followDeclarations(ctx context.Context) {
 	var next willowwick.Offset
-	var pause time.Duration // before the next try; none after an answer
+	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
 		if now := time.Now(); s.isFed(now) || s.mayRest(now) {
 			sleep(ctx, feedPoll)
@@ -134,9 +134,7 @@
 			continue
 		}
 		if err != nil {
-			s.noteFailure(time.Now(), err)
-			pause = s.longer(pause, time.Now())
-			sleep(ctx, pause)
+			pause = s.backOff(ctx, pause, err)
 			continue
 		}
 		pause = 0
@@ -171,6 +169,15 @@
 	return declared, held.Err() != nil, err
 }
 
+// backOff notes a read that failed, waits before the next one, and returns how long it waited.
+func (s *syncer) backOff(ctx context.Context, before time.Duration, err error) time.Duration {
+	now := time.Now()
+	s.noteFailure(now, err)
+	pause := s.longer(before, now)
+	sleep(ctx, pause)
+	return pause
+}
+
 // longer is the next pause after a read that failed. Boxes that are in touch with others of their hall take turns: the
 // first of them that finds the store back reads for all.
 func (s *syncer) longer(pause time.Duration, now time.Time) time.Duration {
