--- a/cmd/e2e/soak_faults_test.go
+++ b/cmd/e2e/soak_faults_test.go
@@ -114,7 +114,7 @@
 	})
 }
 
-// hangUp sends a signal that daemons take no notice of.
+// hangUp tells a daemon to read its settings file again.
 func (a *agenda) hangUp(at time.Duration) {
 	box := a.box()
 	a.add(at, "SIGHUP "+box.name, func() { box.send(syscall.SIGHUP) })
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -25,37 +25,44 @@
 	staleAfter = 2 * time.Second
 )
 
-// syncer keeps what the store holds: declarations, endpoints, the group and states of roll-outs.
-type syncer struct {
-	router  *Router
-	control willowwick.Control
-
-	mu          sync.Mutex
-	listed      map[willowwick.EndpointID]willowwick.Endpoint
-	next        willowwick.Offset                   // of the list of endpoints
-	known       bool                                // the list was read
-	answeredAt  time.Time                           // last answer of the store to this box
-	asOf        time.Time                           // from when what is known of the store is, read here or by another box
-	changedAt   willowwick.Offset                   // where the list last changed in more than heartbeats
-	changed     bool                                // it changed since, at an offset that is not known yet
-	failedAt    time.Time                           // last read that failed
-	blindAt     time.Time                           // last time that neither a read nor another box told what the store holds
-	unreachable bool                                // the last read failed
-	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
-	gone        map[willowwick.EndpointID]goneEntry
-	cancelRead  context.CancelFunc // ends the read that the store holds; nil if there is none
-
-	fedBy      string // address of the box that reads the store for this one; empty if it does so itself
-	generation uint64 // of the group, as last told
-	joined     bool   // this box is in the group, as far as it knows
-	leads      bool   // this box writes the states of roll-outs
-}
-
-// goneEntry is what is remembered of an endpoint that is gone.
-type goneEntry struct {
-	beat  uint64 // the last heartbeat seen
-	again bool   // one has come since
-}
+type (
+	// syncer keeps what the store holds: declarations, endpoints, the group and states of roll-outs.
+	syncer struct {
+		router  *Router
+		control willowwick.Control
+
+		mu sync.Mutex
+
+		// The list of endpoints.
+		listed    map[willowwick.EndpointID]willowwick.Endpoint
+		lapsed    map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
+		gone      map[willowwick.EndpointID]goneEntry
+		known     bool              // the list was read
+		next      willowwick.Offset // from which it is read on
+		changedAt willowwick.Offset // where it last changed in more than heartbeats
+		changed   bool              // it changed since, at an offset that is not known yet
+
+		// Whether the store is reached.
+		answeredAt  time.Time          // last answer of the store to this box
+		asOf        time.Time          // from when what is known of the store is, read here or by another box
+		failedAt    time.Time          // last read that failed
+		blindAt     time.Time          // last time that neither a read nor another box told what the store holds
+		unreachable bool               // the last read failed
+		cancelRead  context.CancelFunc // ends the read that the store holds; nil if there is none
+		fedBy       string             // address of the box that reads the store for this one; empty if it does so itself
+
+		// The group of boxes.
+		generation uint64 // as last told
+		joined     bool   // this box is in the group, as far as it knows
+		leads      bool   // this box writes the states of roll-outs
+	}
+
+	// goneEntry is what is remembered of an endpoint that is gone.
+	goneEntry struct {
+		beat  uint64 // the last heartbeat seen
+		again bool   // one has come since
+	}
+)
 
 func newSyncer(x *Router, control willowwick.Control) *syncer {
 	return &syncer{
