--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -11,22 +11,7 @@
 // once, more would take the processor from the requests of callers.
 const triedAtOnce = 2
 
-// precedes reports whether a box comes before another as the hub of its hall: the one with the wider link, since a hub
-// passes on what is large to all the others, and of equal ones the one with the lower address.
-func (b KnownBox) precedes(other KnownBox) bool {
-	if b.LinkMbps != other.LinkMbps {
-		return b.LinkMbps > other.LinkMbps
-	}
-	return b.Address < other.Address
-}
-
-// self is this box as the others know it.
-func (p *peers) self() KnownBox {
-	settings := p.router.settings
-	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps}
-}
-
-// first is the box that precedes the others of those for which use is true; the caller holds the lock.
+// first is the box of a hall that precedes the others of those that use accepts; the caller holds the lock.
 func (p *peers) first(hall willowwick.HallID, use func(known *peer) bool) (KnownBox, bool) {
 	var first KnownBox
 	found := false
@@ -52,7 +37,7 @@
 
 // reads reports whether this box reaches the store, as far as it has shown.
 func (p *peers) reads(now time.Time) bool {
-	return p.router.sync.readAge(now) <= scale(p.router.settings.Drain, reliedShare)
+	return p.router.sync.readAge(now) <= p.router.reliedLimit()
 }
 
 // isBehind reports whether a box of the hall that comes before this one is in touch, whether it reads the store or not.
@@ -63,19 +48,6 @@
 	return found && first.precedes(p.self())
 }
 
-// hallSize is the number of the hall's boxes as far as they are known, this one included; most are known from the hub.
-func (p *peers) hallSize() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	size := 1
-	for _, known := range p.known {
-		if known.box.Hall == p.router.settings.Hall {
-			size++
-		}
-	}
-	return size
-}
-
 // readerOf is the first of a hall's boxes that are in touch and reach the store; the caller holds the lock.
 func (p *peers) readerOf(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
 	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) && !p.isCutOff(known, now) })
@@ -86,15 +58,10 @@
 	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) })
 }
 
-// isInTouch reports whether the box's digest counts as its state.
-func (known *peer) isInTouch(now time.Time) bool {
-	return now.Sub(known.heard) <= peerFresh
-}
-
 // isCutOff reports whether a box has not read the store for too long to rely on it.
 func (p *peers) isCutOff(known *peer, now time.Time) bool {
 	age := time.Duration(known.digest.ReadAgeMs)*time.Millisecond + now.Sub(known.heard)
-	return age > scale(p.router.settings.Drain, reliedShare)
+	return age > p.router.reliedLimit()
 }
 
 // hub is the box of its hall that this one swaps with: the reader, or while no box reaches the store the first that is
@@ -123,37 +90,46 @@
 	return p.firstInTouch(hall, now)
 }
 
-// targets are the boxes to swap with now: the hall's hub, on a hub those of the other halls, and some silent boxes that
-// would come before them.
+// targets are the addresses of the boxes to swap with now: the hall's hub, on a hub those of the other halls, and some
+// silent boxes that would come before them.
 func (p *peers) targets(now time.Time) []string {
 	hub, hasHub := p.hub(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self := p.self()
-	targets := addresses(p.candidates("", KnownBox{}, now))
+	targets := p.candidates("", KnownBox{}, now)
+	if hasHub {
+		targets = append(targets, hub.Address)
+		targets = append(targets, p.candidates(self.Hall, hub.box(), now)...)
+	} else {
+		targets = append(targets, p.hubTargets(now)...)
+	}
+	slices.Sort(targets)
+	return slices.Compact(targets)
+}
+
+// hubTargets are the addresses of what a hub swaps with: the hubs of the other halls, and some silent boxes of all
+// halls that would come before the hub of theirs. The caller holds the lock.
+func (p *peers) hubTargets(now time.Time) []string {
+	self := p.self()
+	var targets []string
 	for _, hall := range p.hallsKnown() {
-		if hasHub && hall != self.Hall {
+		if hall == self.Hall {
+			targets = append(targets, p.candidates(hall, self, now)...)
 			continue
 		}
-		before := self
-		switch {
-		case hall != self.Hall:
-			before, _ = p.hubOf(hall, now)
-		case hasHub:
-			before = hub.box()
+		hub, found := p.hubOf(hall, now)
+		if found {
+			targets = append(targets, hub.Address)
 		}
-		if before.Address != "" && before.Address != self.Address {
-			targets = append(targets, before.Address)
-		}
-		targets = append(targets, addresses(p.candidates(hall, before, now))...)
+		targets = append(targets, p.candidates(hall, hub, now)...)
 	}
-	slices.Sort(targets)
-	return slices.Compact(targets)
+	return targets
 }
 
-// candidates are the first few boxes of a hall that were not heard of lately and would come before its hub, if it has
-// one; the hall is empty for boxes whose hall is not known. The caller holds the lock.
-func (p *peers) candidates(hall willowwick.HallID, hub KnownBox, now time.Time) []KnownBox {
+// candidates are the addresses of a few boxes of a hall that were not heard of lately and would come before its hub,
+// if it has one; the hall is empty for boxes whose hall is not known. The caller holds the lock.
+func (p *peers) candidates(hall willowwick.HallID, hub KnownBox, now time.Time) []string {
 	var silent []KnownBox
 	for _, known := range p.known {
 		isSilent := !known.isInTouch(now) && !now.Before(known.tryAt)
@@ -161,27 +137,26 @@
 			silent = append(silent, known.box)
 		}
 	}
-	slices.SortFunc(silent, func(a, b KnownBox) int {
-		// Those that were not tried for longest come first, so that some that are no use keep none of the others waiting.
-		if order := p.known[a.Address].triedAt.Compare(p.known[b.Address].triedAt); order != 0 {
-			return order
-		}
-		if a.precedes(b) {
-			return -1
-		}
-		return 1
-	})
-	return silent[:min(len(silent), triedAtOnce)]
-}
-
-func addresses(boxes []KnownBox) []string {
-	list := make([]string, 0, len(boxes))
-	for _, box := range boxes {
+	slices.SortFunc(silent, p.compareTries)
+	var list []string
+	for _, box := range silent[:min(len(silent), triedAtOnce)] {
 		list = append(list, box.Address)
 	}
 	return list
 }
 
+// compareTries orders boxes by who is to be tried first: the one that was not tried for longer, so that boxes that are
+// no use as a hub keep none of the others waiting. The caller holds the lock.
+func (p *peers) compareTries(a, b KnownBox) int {
+	if order := p.known[a.Address].triedAt.Compare(p.known[b.Address].triedAt); order != 0 {
+		return order
+	}
+	if a.precedes(b) {
+		return -1
+	}
+	return 1
+}
+
 // hallsKnown lists the halls of the known boxes; the caller holds the lock.
 func (p *peers) hallsKnown() []willowwick.HallID {
 	var halls []willowwick.HallID
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -28,21 +28,19 @@
 
 // followEndpoints keeps the list of endpoints until the context ends.
 func (s *syncer) followEndpoints(ctx context.Context) {
-	pause := retryFirst / 2
+	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
 		if !s.mustRead(time.Now()) {
 			sleep(ctx, feedPoll)
 			continue
 		}
 		changes, err := s.control.Endpoints(ctx, s.endpointsAt())
-		now := time.Now()
 		if err != nil {
-			s.noteFailure(now, err)
-			pause = s.longer(pause, now)
-			sleep(ctx, pause)
+			pause = s.backOff(ctx, pause, err)
 			continue
 		}
-		pause = retryFirst / 2
+		now := time.Now()
+		pause = 0
 		s.noteAnswer(now)
 		s.mu.Lock()
 		s.asOf = now
@@ -54,11 +52,16 @@
 
 // mustRead reports whether this box has to read the list of endpoints now.
 func (s *syncer) mustRead(now time.Time) bool {
-	share := endpointsShare
+	limit := scale(s.router.settings.Drain, endpointsShare)
 	if s.isFed(now) {
-		share = reliedShare
+		limit = s.router.reliedLimit()
 	}
-	return s.storeAge(now) > scale(s.router.settings.Drain, share)
+	return s.storeAge(now) > limit
+}
+
+// reliedLimit is how old what a box has read may be for others to rely on it.
+func (x *Router) reliedLimit() time.Duration {
+	return scale(x.settings.Drain, reliedShare)
 }
 
 func (s *syncer) hasEndpoints() bool {
@@ -89,7 +92,7 @@
 	}
 	list := &EndpointList{Next: s.next, From: s.changedAt}
 	for id, endpoint := range s.listed {
-		// Who was blind too waits by itself; who was not knows better.
+		// A box that could not see the store either gives it time by itself; one that could knows whether it is gone.
 		if _, waits := s.lapsed[id]; !waits {
 			list.Endpoints = append(list.Endpoints, endpoint)
 		}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -25,37 +25,44 @@
 	staleAfter = 2 * time.Second
 )
 
-// syncer keeps what the store holds: declarations, endpoints, the group and states of roll-outs.
-type syncer struct {
-	router  *Router
-	control willowwick.Control
-
-	mu          sync.Mutex
-	listed      map[willowwick.EndpointID]willowwick.Endpoint
-	next        willowwick.Offset                   // of the list of endpoints
-	known       bool                                // the list was read
-	answeredAt  time.Time                           // last answer of the store to this box
-	asOf        time.Time                           // from when what is known of the store is, read here or by another box
-	changedAt   willowwick.Offset                   // where the list last changed in more than heartbeats
-	changed     bool                                // it changed since, at an offset that is not known yet
-	failedAt    time.Time                           // last read that failed
-	blindAt     time.Time                           // last time that neither a read nor another box told what the store holds
-	unreachable bool                                // the last read failed
-	lapsed      map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
-	gone        map[willowwick.EndpointID]goneEntry
-	cancelRead  context.CancelFunc // ends the read that the store holds; nil if there is none
-
-	fedBy      string // address of the box that reads the store for this one; empty if it does so itself
-	generation uint64 // of the group, as last told
-	joined     bool   // this box is in the group, as far as it knows
-	leads      bool   // this box writes the states of roll-outs
-}
-
-// goneEntry is what is remembered of an endpoint that is gone.
-type goneEntry struct {
-	beat  uint64 // the last heartbeat seen
-	again bool   // one has come since
-}
+type (
+	// syncer keeps what the store holds: declarations, endpoints, the group and states of roll-outs.
+	syncer struct {
+		router  *Router
+		control willowwick.Control
+
+		mu sync.Mutex
+
+		// The list of endpoints.
+		listed    map[willowwick.EndpointID]willowwick.Endpoint
+		lapsed    map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
+		gone      map[willowwick.EndpointID]goneEntry
+		known     bool              // the list was read
+		next      willowwick.Offset // from which it is read on
+		changedAt willowwick.Offset // where it last changed in more than heartbeats
+		changed   bool              // it changed since, at an offset that is not known yet
+
+		// Whether the store is reached.
+		answeredAt  time.Time          // last answer of the store to this box
+		asOf        time.Time          // from when what is known of the store is, read here or by another box
+		failedAt    time.Time          // last read that failed
+		blindAt     time.Time          // last time that neither a read nor another box told what the store holds
+		unreachable bool               // the last read failed
+		cancelRead  context.CancelFunc // ends the read that the store holds; nil if there is none
+		fedBy       string             // address of the box that reads the store for this one; empty if it does so itself
+
+		// The group of boxes.
+		generation uint64 // as last told
+		joined     bool   // this box is in the group, as far as it knows
+		leads      bool   // this box writes the states of roll-outs
+	}
+
+	// goneEntry is what is remembered of an endpoint that is gone.
+	goneEntry struct {
+		beat  uint64 // the last heartbeat seen
+		again bool   // one has come since
+	}
+)
 
 func newSyncer(x *Router, control willowwick.Control) *syncer {
 	return &syncer{
@@ -106,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failedAt = now
-	if now.Sub(s.asOf) > scale(s.router.settings.Drain, reliedShare) {
+	if now.Sub(s.asOf) > s.router.reliedLimit() {
 		s.blindAt = now
 	}
 	if !s.unreachable {
@@ -122,7 +129,7 @@
 // followDeclarations keeps the configuration and the orders until the context ends.
 func (s *syncer) followDeclarations(ctx context.Context) {
 	var next willowwick.Offset
-	pause := retryFirst / 2
+	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
 		if now := time.Now(); s.isFed(now) || s.mayRest(now) {
 			sleep(ctx, feedPoll)
@@ -134,12 +141,10 @@
 			continue
 		}
 		if err != nil {
-			s.noteFailure(time.Now(), err)
-			pause = s.longer(pause, time.Now())
-			sleep(ctx, pause)
+			pause = s.backOff(ctx, pause, err)
 			continue
 		}
-		pause = retryFirst / 2
+		pause = 0
 		next = declared.Next
 		s.noteAnswer(time.Now())
 		s.declare(ctx, declared)
@@ -149,11 +154,16 @@
 
 // lookForReader waits in the first moments of a box whether another reads for it, before the store holds a read here.
 func (s *syncer) lookForReader(ctx context.Context) {
-	for now := time.Now(); ctx.Err() == nil && s.router.peers.isNew(now) && s.hasEndpoints() && !s.isFed(now); now = time.Now() {
+	for ctx.Err() == nil && s.mayFindReader(time.Now()) {
 		sleep(ctx, feedPoll)
 	}
 }
 
+// mayFindReader reports whether this box serves, but has just started and is not fed yet.
+func (s *syncer) mayFindReader(now time.Time) bool {
+	return s.router.peers.isNew(now) && s.hasEndpoints() && !s.isFed(now)
+}
+
 // readDeclarations reads what was declared since an offset; wasCancelled tells that the read was ended from here.
 func (s *syncer) readDeclarations(
 	ctx context.Context, from willowwick.Offset,
@@ -166,10 +176,19 @@
 	return declared, held.Err() != nil, err
 }
 
+// backOff notes a read that failed, waits before the next one, and returns how long it waited.
+func (s *syncer) backOff(ctx context.Context, before time.Duration, err error) time.Duration {
+	now := time.Now()
+	s.noteFailure(now, err)
+	pause := s.longer(before, now)
+	sleep(ctx, pause)
+	return pause
+}
+
 // longer is the next pause after a read that failed. Boxes that are in touch with others of their hall take turns: the
 // first of them that finds the store back reads for all.
 func (s *syncer) longer(pause time.Duration, now time.Time) time.Duration {
-	next := min(2*pause, retryMost)
+	next := min(max(2*pause, retryFirst), retryMost)
 	if !s.router.peers.isBehind(now) {
 		return next
 	}
@@ -187,23 +206,24 @@
 func (s *syncer) isFed(now time.Time) bool {
 	reader, found := s.router.peers.reader(now)
 	found = found && s.router.table.Load() != nil && s.hasEndpoints()
-	s.noteReader(reader, found, now)
-	return found
-}
-
-// noteReader logs a change of who reads the store for this box.
-func (s *syncer) noteReader(reader Digest, found bool, now time.Time) {
 	address := ""
 	if found {
 		address = reader.Address
 	}
+	s.noteReader(address, now)
+	return found
+}
+
+// noteReader notes which box reads the store for this one, none if the address is empty, and ends a read that the
+// store holds for a box that is fed.
+func (s *syncer) noteReader(address string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if address != s.fedBy {
 		slog.Info("reader of the store changed", "from", s.fedBy, "to", address, "known_ms_ago", now.Sub(s.asOf).Milliseconds())
 		s.fedBy = address
 	}
-	if found && s.cancelRead != nil {
+	if address != "" && s.cancelRead != nil {
 		// The box that reads for this one tells of changes; a read that the store holds here would bring them twice.
 		s.cancelRead()
 	}
