--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -80,6 +80,7 @@
 func soak(t *testing.T, seed uint64, length time.Duration, boxes int) verdict {
 	site := newSoakSite(t, boxes, soakRunners)
 	plan := newAgenda(site, seed, length)
+	site.started = time.Now()
 	callers := site.startCallers(seed)
 	plan.play(time.Now())
 	time.Sleep(soakCalm)
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -160,12 +160,12 @@
 			return
 		}
 	}
-	err = s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End)
-	slog.Info("state of a roll-out written", "service", due.Service, "release", due.Target, "state", due.State,
-		"after", statuses.End, "error", err)
-	if err != nil {
+	if err := s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End); err != nil {
+		slog.Info("state of a roll-out could not be written", "service", due.Service, "release", due.Target, "state", due.State,
+			"after", statuses.End, "error", err)
 		return
 	}
+	slog.Info("state of a roll-out written", "service", due.Service, "release", due.Target, "state", due.State, "after", statuses.End)
 	s.router.releases.settle(due.ReleaseStatus, true, "written here")
 }
 
