A release is judged by all routes together, and is not completed unseen

Ruled out: a ban forgotten at the restart of all boxes; the store held 'completed'.

Change: a panel sums the evidence of all routes beside each route's own test; evidence seen before the others' is known is kept; heads of answers that are dropped for a larger model's count too; with fewer than 30 answers a release stays at the first step of the ramp, also after its period.

The test that little evidence means the canary's share until the period ends is replaced: it held the fault. The new one asks for the first step from the half on, and that no time completes the release.

--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -25,7 +25,9 @@
 	canaryEnd = 0.5
 	// lastCall is the part of the period at which a good release is completed, even with requests under way on the old one.
 	lastCall = 0.94
-	// enoughEvidence is how many answers must be known of a release before all sessions move to it.
+	// enoughEvidence is how many answers must be known of a release before all sessions move to it: with a third of them
+	// bad, a release shows it by about ten. A release that has fewer at the end of its period stays on trial: completed
+	// unseen, a bad one is all that is left.
 	enoughEvidence = 30
 	// hashParts is the resolution of shares of sessions.
 	hashParts = 10000
@@ -161,8 +163,8 @@
 // share is the part of the sessions that the target gets.
 func (m *move) share(now time.Time, canary float64) float64 {
 	part := m.part(now)
-	if m.requests < enoughEvidence && part < lastCall {
-		return canary
+	if m.requests < enoughEvidence {
+		part = min(part, canaryEnd) // the first step brings the evidence that the next ones need
 	}
 	for _, step := range rampSteps {
 		if part >= step.from {
--- a/exchange/evidence.go
+++ b/exchange/evidence.go
@@ -42,12 +42,6 @@
 		took    time.Duration // to the head
 		isError bool
 	}
-
-	// routeNews is what was counted on a route since the last look, on a roll-out's target and on other releases.
-	routeNews struct {
-		target rollout.Evidence
-		others rollout.Evidence
-	}
 )
 
 // observe counts one answer.
@@ -120,15 +114,16 @@
 	return bad
 }
 
-// judge adds what is new in the evidence to the monitors of the routes.
+// judge adds what is new in the evidence to the panel of the routes.
 func (m *move) judge(service willowwick.ServiceID, fleet map[evidenceKey]rollout.Evidence) (cause string, isBad bool) {
 	routes, others := m.news(service, fleet)
 	target := m.targetEvidence(service, fleet)
 	m.requests = target.Requests
-	for name, counts := range routes {
-		if finding := m.monitor(name).Observe(counts.target, counts.others, others); finding.Bad {
-			return string(name) + ": " + finding.Signal.String(), true
+	if finding, route := m.panel.Observe(routes, others); finding.Bad {
+		if route == "" {
+			route = "all routes"
 		}
+		return string(route) + ": " + finding.Signal.String(), true
 	}
 	if target.Errors >= plainlyBad && float64(target.Errors) > plainlyBadShare*float64(target.Requests) {
 		return "most answers are errors", true
@@ -139,22 +134,23 @@
 // news sorts what is new in the evidence by route, and sums that on other releases over all routes.
 func (m *move) news(
 	service willowwick.ServiceID, fleet map[evidenceKey]rollout.Evidence,
-) (routes map[willowwick.RouteID]routeNews, others rollout.Evidence) {
-	routes = map[willowwick.RouteID]routeNews{}
+) (routes map[rollout.Kind]rollout.News, others rollout.Evidence) {
+	routes = map[rollout.Kind]rollout.News{}
 	for key, total := range fleet {
 		if key.Service != service {
 			continue
 		}
 		news := total.Since(m.seen[key])
 		m.seen[key] = total
-		counts := routes[key.Route]
+		kind := rollout.Kind(key.Route)
+		counts := routes[kind]
 		if key.Release == m.order.Target {
-			counts.target = counts.target.Add(news)
+			counts.Version = counts.Version.Add(news)
 		} else {
-			counts.others = counts.others.Add(news)
+			counts.Others = counts.Others.Add(news)
 			others = others.Add(news)
 		}
-		routes[key.Route] = counts
+		routes[kind] = counts
 	}
 	return routes, others
 }
@@ -169,13 +165,3 @@
 	}
 	return sum
 }
-
-// monitor returns the monitor of a route.
-func (m *move) monitor(name willowwick.RouteID) *rollout.Monitor {
-	monitor := m.monitors[name]
-	if monitor == nil {
-		monitor = rollout.NewMonitor(willowwick.VersionID(m.order.Target))
-		m.monitors[name] = monitor
-	}
-	return monitor
-}
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -48,7 +48,7 @@
 		began    time.Time
 		state    willowwick.ReleaseState
 		written  bool // the state is in the store
-		monitors map[willowwick.RouteID]*rollout.Monitor
+		panel    *rollout.Panel
 		seen     map[evidenceKey]rollout.Evidence
 		requests uint64 // answers known of the target
 	}
@@ -99,7 +99,7 @@
 	delete(r.banned, releaseKey{order.Service, order.Target})
 	r.moves[order.Service] = &move{
 		order: order, began: now.Add(-age), state: willowwick.ReleaseRunning,
-		monitors: map[willowwick.RouteID]*rollout.Monitor{}, seen: map[evidenceKey]rollout.Evidence{},
+		panel: rollout.NewPanel(willowwick.VersionID(order.Target)), seen: map[evidenceKey]rollout.Evidence{},
 	}
 	slog.Info("roll-out ordered", "service", order.Service, "release", order.Target,
 		"period_ms", order.Period.Milliseconds(), "age_ms", age.Milliseconds())
--- a/exchange/release_test.go
+++ b/exchange/release_test.go
@@ -66,10 +66,42 @@
 	assert.InDelta(t, 1, shareOf(r, at(0.75), "d"), 0)
 }
 
-func TestReleaseWithoutEvidenceWaitsAsACanary(t *testing.T) {
+func TestReleaseWithLittleEvidenceIsTriedByMoreSessionsButNeverByAll(t *testing.T) {
 	r := newTestReleases()
 	r.begin(orderOf("v2", 1), 0, testStart)
-	assert.InDelta(t, canaryShare, shareOf(r, at(0.8), "a"), 0.02)
+	r.judge(fleetEvidence(rollout.Evidence{Requests: enoughEvidence - 1}, rollout.Evidence{Requests: 1000}), at(0.2))
+	assert.InDelta(t, canaryShare, shareOf(r, at(0.45), "a"), 0.02)
+	for _, part := range []float64{0.6, 0.8, lastCall, 1, 2} {
+		name := fmt.Sprint("at ", part, " ")
+		assert.InDelta(t, 0.18, shareOf(r, at(part), name), 0.03, name)
+		assert.Empty(t, r.due(at(part))[1:], name)
+		assert.Equal(t, willowwick.ReleaseRunning, r.due(at(part))[0].State, name)
+	}
+}
+
+// A release of which a third of the answers were errors was once completed: each of three routes had seen two or three.
+func TestReleaseThatIsBadOnAllRoutesIsFoundByTheirSum(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	evidence := map[evidenceKey]rollout.Evidence{}
+	routes := []willowwick.RouteID{"r", "s", "t"}
+	for _, route := range routes {
+		evidence[evidenceKey{"work", "v1", route}] = rollout.Evidence{Requests: 300, Errors: 2}
+	}
+	require.Empty(t, r.judge(evidence, at(0.1)))
+	for _, route := range routes {
+		evidence[evidenceKey{"work", "v2", route}] = rollout.Evidence{Requests: 6, Errors: 3}
+	}
+	require.Len(t, r.judge(evidence, at(0.3)), 1)
+}
+
+// What was seen of a release before there was anything to compare it with was once forgotten.
+func TestEvidenceOnAReleaseCountsAlsoWhenTheOthersAreNotKnownYet(t *testing.T) {
+	r := newTestReleases()
+	r.begin(orderOf("v2", 1), 0, testStart)
+	bad := rollout.Evidence{Requests: 11, Errors: 9}
+	require.Empty(t, r.judge(fleetEvidence(bad, rollout.Evidence{Requests: 10}), at(0.1)))
+	require.Len(t, r.judge(fleetEvidence(bad, rollout.Evidence{Requests: 300}), at(0.2)), 1)
 }
 
 func TestSessionsStayInTheFirstHalfAndDoNotGoBackAfterIt(t *testing.T) {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -254,6 +254,7 @@
 		return s.hasFailed()
 	case s.shouldEscalate():
 		s.outcome = route.OutcomeGood
+		s.observe(false)
 		s.call.model = len(s.route.Models) - 1
 		return sendResult{kind: escalated}
 	case s.out.begun && status != http.StatusOK:
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -85,6 +85,11 @@
 	}
 }
 
+// add returns the sum of two counts.
+func (c Counts) add(other Counts) Counts {
+	return Counts{Total: c.Total + other.Total, Bad: c.Bad + other.Bad}
+}
+
 const (
 	// alarm is the height at which the cumulated log likelihood ratio withdraws a version.
 	alarm = 11.0
@@ -118,15 +123,19 @@
 // turning bad and a sequential test for being good.
 type Monitor struct {
 	version  willowwick.VersionID
-	sums     [signals]float64 // against turning bad; never below zero
-	ratios   [signals]float64 // since the step began
+	sums     ratios // against turning bad; never below zero
+	ratios   ratios // since the step began
 	seen     [signals]bool
 	requests uint64
 	rated    bool // ratings are to be had, so a version is not good without them
 	baseline [signals]baselineRate
-	ambient  baselineRate // slow answers of all other versions of late
+	ambient  baselineRate    // slow answers of all other versions of late
+	held     [signals]Counts // seen of the version before enough was known to compare it with
 }
 
+// ratios are log likelihood ratios of "bad" against "as the baseline", by signal.
+type ratios [signals]float64
+
 type baselineRate struct {
 	total float64
 	bad   float64
@@ -140,28 +149,41 @@
 // BeginStep forgets what was seen on the step before, but not the suspicion.
 func (m *Monitor) BeginStep() {
 	m.requests = 0
-	m.ratios = [signals]float64{}
+	m.ratios = ratios{}
 	m.seen = [signals]bool{}
 }
 
 // Observe adds new evidence on the version and, from the same time, on what it
 // is compared with and on all other versions.
 func (m *Monitor) Observe(version, others, all Evidence) Finding {
+	m.add(version, others, all)
+	return m.finding()
+}
+
+// add weighs new evidence and returns what it adds for each signal.
+func (m *Monitor) add(version, others, all Evidence) ratios {
 	m.requests += version.Requests
 	m.ambient.learn(all.Of(SignalSlow), ambientFade)
+	var steps ratios
 	for signal := range signals {
 		m.learnBaseline(signal, others.Of(signal))
 		counts := version.Of(signal)
 		m.rated = m.rated || (signal == SignalLow && counts.Total > 0)
-		if counts.Total == 0 || m.baseline[signal].total < baselineNeeded {
+		counts = counts.add(m.held[signal])
+		if counts.Total == 0 {
+			continue
+		}
+		if m.baseline[signal].total < baselineNeeded {
+			m.held[signal] = counts
 			continue
 		}
+		m.held[signal] = Counts{}
 		m.seen[signal] = true
-		step := m.ratio(signal, counts)
-		m.sums[signal] = max(0, m.sums[signal]+step)
-		m.ratios[signal] += step
+		steps[signal] = m.ratio(signal, counts)
+		m.sums[signal] = max(0, m.sums[signal]+steps[signal])
+		m.ratios[signal] += steps[signal]
 	}
-	return m.finding()
+	return steps
 }
 
 func (m *Monitor) learnBaseline(signal Signal, counts Counts) {
--- /dev/null
+++ b/rollout/panel_test.go
@@ -0,0 +1,66 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var testKinds = []Kind{"long", "short", "plain"}
+
+// playPanel shows a panel one new answer of each kind and tick, and returns how many it took to find the version bad.
+func playPanel(seed uint64, version rates, ticks int) (answers int, found bool) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	p := NewPanel("new")
+	for range ticks {
+		news := map[Kind]News{}
+		var all Evidence
+		for _, kind := range testKinds {
+			others := sample(random, oldATick, usual, ratedEvery)
+			news[kind] = News{Version: sample(random, 1, version, 1), Others: others}
+			all = all.Add(others)
+		}
+		answers += len(testKinds)
+		if finding, _ := p.Observe(news, all); finding.Bad {
+			return answers, true
+		}
+	}
+	return answers, false
+}
+
+func TestPanelFindsAVersionThatIsBadForAllKindsByFewAnswers(t *testing.T) {
+	bad := usual
+	bad[SignalErrors] = 0.4
+	total := 0
+	for seed := range uint64(trials) {
+		answers, found := playPanel(seed, bad, 100)
+		assert.True(t, found)
+		total += answers
+	}
+	assert.Less(t, total/trials, 30)
+}
+
+func TestPanelSeldomBlamesAGoodVersion(t *testing.T) {
+	blamed := 0
+	for seed := range uint64(trials) {
+		if _, found := playPanel(seed, usual, trialTicks); found {
+			blamed++
+		}
+	}
+	assert.LessOrEqual(t, blamed, trials/50)
+}
+
+// A version may be bad for one kind of request alone; the others must not hide it.
+func TestPanelFindsAVersionThatIsBadForOneKind(t *testing.T) {
+	p := NewPanel("new")
+	good := Evidence{Requests: 300}
+	news := map[Kind]News{}
+	for _, kind := range testKinds {
+		news[kind] = News{Version: Evidence{Requests: 50}, Others: good}
+	}
+	news["short"] = News{Version: Evidence{Requests: 20, Errors: 10}, Others: good}
+	finding, kind := p.Observe(news, good)
+	assert.True(t, finding.Bad)
+	assert.Equal(t, Kind("short"), kind)
+}
