A stopping box takes nothing from a connection that it is about to close

The box looked for 60 ms whether requests were under way, then ended; a request that came between the last look and the end was read and sent on.

Change: connections at rest are closed one by one, each in one step with the check that nothing has been read from it; bytes that cross the close are not taken. Those with a request are waited for as before.

Tests: a read that crosses the close, a connection with a request, an answer under way.

--- /dev/null
+++ b/exchange/callers_test.go
@@ -0,0 +1,101 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// heldConn returns its bytes only once it is told to, as a read does that crosses a close.
+type heldConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	<-c.release
+	return copy(p, "GET / HTTP/1.1\r\n\r\n"), nil
+}
+
+func (c *heldConn) Close() error { return nil }
+
+// oneConn accepts one connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l *oneConn) Accept() (net.Conn, error) { return l.conn, nil }
+
+func acceptHeld(t *testing.T) (*callerListener, *callerConn, chan struct{}) {
+	t.Helper()
+	release := make(chan struct{})
+	l := newCallerListener(&oneConn{conn: &heldConn{release: release}})
+	conn, err := l.Accept()
+	require.NoError(t, err)
+	return l, conn.(*callerConn), release
+}
+
+// A stopping box once took a request from a connection at rest, sent it on, and closed the connection as it ended.
+func TestRequestThatCrossesTheCloseOfItsConnectionIsNotTaken(t *testing.T) {
+	l, conn, release := acceptHeld(t)
+	read := make(chan error, 1)
+	go func() {
+		n, err := conn.Read(make([]byte, 64))
+		assert.Zero(t, n)
+		read <- err
+	}()
+	assert.Zero(t, l.retire(t.Context()))
+	close(release)
+	assert.ErrorIs(t, <-read, net.ErrClosed)
+	assert.Zero(t, l.busy.Load())
+}
+
+func TestConnectionWithARequestIsNotRetired(t *testing.T) {
+	l, conn, release := acceptHeld(t)
+	close(release)
+	n, err := conn.Read(make([]byte, 64))
+	require.NoError(t, err)
+	require.NotZero(t, n)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Equal(t, 1, l.retire(ended), "it is waited for until the end of the time")
+	l.noteState(conn, http.StateIdle)
+	assert.Zero(t, l.retire(t.Context()))
+}
+
+// Each answer that a stopping box has begun reaches its caller; the others see a closed connection and nothing of it ran.
+func TestStopAnswersEachRequestThatItHasTaken(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := newCallerListener(inner)
+	taken := make(chan struct{}, 1)
+	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: l.noteState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		taken <- struct{}{}
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	answer := make(chan string, 1)
+	go func() {
+		got, err := http.Get("http://" + inner.Addr().String())
+		if !assert.NoError(t, err) {
+			answer <- ""
+			return
+		}
+		defer got.Body.Close()
+		body, _ := io.ReadAll(got.Body)
+		answer <- string(body)
+	}()
+	<-taken
+	require.NoError(t, l.Listener.Close())
+	assert.Zero(t, l.retire(t.Context()))
+	assert.Equal(t, "whole", <-answer)
+}
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -69,7 +69,7 @@
 	x.sync = newSyncer(x, outside.Control)
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
-	return &Daemon{router: x, outside: outside, callers: &callerListener{Listener: outside.Callers}}, func() {
+	return &Daemon{router: x, outside: outside, callers: newCallerListener(outside.Callers)}, func() {
 		closePeers()
 		closeRouter()
 	}
@@ -159,8 +159,9 @@
 	if err := d.callers.Close(); err != nil {
 		slog.Debug("listener for callers did not close", "error", err)
 	}
-	awaitQuiet(&d.callers.busy, limit)
-	if left := d.callers.busy.Load(); left > 0 {
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	if left := d.callers.retire(ctx); left > 0 {
 		slog.Info("requests were still under way at the end", "requests", left)
 	}
 	slog.Info("planned stop ended", "ms", time.Since(began).Milliseconds())
