Endpoints are chosen by a forecast of when they have read a prompt

The choice counted requests, and took what was sent and not begun at a route's usual time.

Change: route/forecast.go learns how fast a model reads, keeps what each endpoint was sent to read and which shared parts it has, and says how long it will be reading; the choice adds both to the load. Prompts so go to where they are kept.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/gate"
@@ -55,7 +54,6 @@
 		arrived  time.Time
 		deadline time.Time
 		model    int // index in the route's models, or noModel
-		prefix   uint64
 		choice   releaseChoice
 
 		sends   int // times it was sent, whatever came of it
@@ -177,9 +175,6 @@
 	if c.head.Model == anyModel && len(c.route.Models) > 0 {
 		c.model = 0
 	}
-	if shared := len(c.head.Prompt) - 2; shared >= 0 && c.route.Affinity {
-		c.prefix = xxhash.Sum64String(c.head.Prompt[shared].ID)
-	}
 	wire.StripHop(c.message.Header)
 	delete(c.message.Header, "Content-Length")
 	delete(c.message.Header, "Expect")
@@ -223,18 +218,35 @@
 	if c.sends == 0 {
 		until = earliest(until, now.Add(scale(c.route.Goal, queueShare)))
 	}
+	work := c.work()
 	return c.router.gate.Enter(c.ctx, gate.Wish{
 		Work: string(c.service), Account: c.accountName(), Weight: 1, Cost: c.cost(), Deadline: until,
 		Acquire: func(now time.Time) (*route.Place, bool) {
-			place, known := c.router.pool.AcquireAllowed(now, c.service, c.prefix, c.exclude, c.choice.allows)
+			place, known := c.router.pool.AcquireAllowed(now, c.service, work, c.exclude, c.choice.allows)
 			if place == nil && !known && c.choice.release != "" {
-				return c.router.pool.AcquireAllowed(now, c.service, c.prefix, c.exclude, c.choice.otherwise)
+				return c.router.pool.AcquireAllowed(now, c.service, work, c.exclude, c.choice.otherwise)
 			}
 			return place, known
 		},
 	})
 }
 
+// work is what the request asks of an endpoint's model.
+func (c *call) work() route.Work {
+	if !c.route.Affinity {
+		return route.Work{}
+	}
+	return route.Work{Model: c.askedModel(), Prompt: c.head.Prompt}
+}
+
+// askedModel is the model that is asked now: the cascade's choice, or the caller's.
+func (c *call) askedModel() willowwick.ModelID {
+	if c.model == noModel {
+		return c.head.Model
+	}
+	return c.route.Models[c.model]
+}
+
 func (c *call) accountName() willowwick.AccountID {
 	if c.account == nil {
 		return ""
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/route"
 )
 
 func TestRequestArrivesUnchangedAndAnswerReturnsUnchanged(t *testing.T) {
@@ -394,9 +395,9 @@
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, newRunner(t, "r1", answerText("a")).endpoint("v1"), newRunner(t, "r2", answerText("b")).endpoint("v1"))
 			x := s.daemon.router
+			place, _ := x.pool.AcquireAllowed(time.Now(), "work", route.Work{}, nil, func(willowwick.Endpoint) bool { return true })
 			route := streamRoute()
 			route.MaxRuns = 3
-			place, _ := x.pool.AcquireAllowed(time.Now(), "work", 0, nil, func(willowwick.Endpoint) bool { return true })
 			require.NotNil(t, place)
 			for range 20 {
 				x.budget("work").Request(time.Now())
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -52,9 +52,6 @@
 	// stallShare is the multiple of the longest pause after which a stream is taken up elsewhere: a shorter
 	// silence is a runner that reads somebody's long prompt, and reading this one anew takes as long.
 	stallShare = 1.5
-	// slotWork is the time of a runner that counts as one of its slots: what a running request adds to the
-	// wait of the next one.
-	slotWork = 40 * time.Millisecond
 	// maxWhole is the largest answer that is read whole before its head goes out.
 	maxWhole = 256 << 10
 )
@@ -158,7 +155,7 @@
 	}
 	s.runs++
 	if s.route.Stream {
-		s.ticket.Expect(float64(s.router.releases.usual(s.route.Name, s.model)) / float64(slotWork))
+		s.ticket.Sent(time.Now())
 	}
 	if err := s.receive(); err != nil {
 		return s.unanswered(err)
--- /dev/null
+++ b/route/forecast.go
@@ -0,0 +1,219 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// keptFor is how long an endpoint is taken to keep what it has read of a prompt: runners with room for some twenty
+	// long prompts turn their memory over in about this time.
+	keptFor = 30 * time.Second
+	// keptMost bounds the parts remembered of one endpoint; it is above what one reads within keptFor.
+	keptMost = 4096
+	// speedFade is how much of what is known of a reading speed one reading replaces: the last twenty or so count.
+	speedFade = 0.05
+	// outlier bounds one reading by how many times longer than expected it counts: a slow one may have waited unseen.
+	outlier = 3.0
+)
+
+type (
+	// Work is what a request asks of a model's endpoint before its answer begins: a prompt to read. Plain services have none.
+	Work struct {
+		Model  willowwick.ModelID
+		Prompt []willowwick.PromptPart // in order; the last part is the request's own
+	}
+
+	// keptPart names a part of a prompt as a model has read it; another model reads it anew.
+	keptPart uint32
+
+	// Reading is a prompt that an endpoint was sent, as boxes tell each other.
+	Reading struct {
+		Endpoint uint32        // hash of its name
+		Length   time.Duration // measured length: how long it reads, as forecast
+		Parts    []uint32      // the shared parts that it has then, by hashes of model and part
+	}
+
+	// speedKey names readings that take alike.
+	speedKey struct {
+		service willowwick.ServiceID
+		model   willowwick.ModelID
+	}
+
+	// speed is how fast the endpoints of a service read prompts for a model.
+	speed struct {
+		seconds float64 // of the readings that were seen, older ones faded
+		tokens  float64
+	}
+
+	// reader forecasts when an endpoint has read what it was sent: in the order of sending, one prompt at a time.
+	reader struct {
+		readyAt time.Time // when all of it is read
+		queue   []*Place  // own requests whose answer has not begun, in the order of sending
+		kept    map[keptPart]time.Time
+	}
+)
+
+// partOf names a part of the prompt as the work's model reads it.
+func (w Work) partOf(part willowwick.PromptPart) keptPart {
+	return keptPart(xxhash.Sum64String(string(w.Model) + "/" + part.ID))
+}
+
+// Subject names the last part that the prompt shares with others, and 0 if it shares none.
+func (w Work) Subject() uint64 {
+	if shared := len(w.Prompt) - 2; shared >= 0 {
+		return xxhash.Sum64String(w.Prompt[shared].ID)
+	}
+	return 0
+}
+
+// perToken is the time that reading one token takes, in seconds; 0 if nothing was seen yet.
+func (s *speed) perToken() float64 {
+	if s == nil || s.tokens == 0 {
+		return 0
+	}
+	return s.seconds / s.tokens
+}
+
+// learn takes one reading.
+func (s *speed) learn(took time.Duration, tokens willowwick.Tokens) {
+	seconds := took.Seconds()
+	if known := s.perToken(); known > 0 {
+		seconds = min(seconds, outlier*known*float64(tokens))
+	}
+	s.seconds += seconds - speedFade*s.seconds
+	s.tokens += float64(tokens) - speedFade*s.tokens
+}
+
+// unread is the part of the prompt that the endpoint has not kept: an endpoint uses a kept part if it has all before it.
+func (r *reader) unread(now time.Time, work Work) willowwick.Tokens {
+	var tokens willowwick.Tokens
+	whole := true
+	for _, part := range work.Prompt {
+		if whole {
+			at, kept := r.kept[work.partOf(part)]
+			whole = kept && now.Sub(at) < keptFor
+		}
+		if !whole {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
+
+// shared names the parts of the prompt that others share with the request.
+func (w Work) shared() []uint32 {
+	var parts []uint32
+	for i, part := range w.Prompt {
+		if i < len(w.Prompt)-1 {
+			parts = append(parts, uint32(w.partOf(part)))
+		}
+	}
+	return parts
+}
+
+// keep notes that the endpoint has read parts of prompts.
+func (r *reader) keep(now time.Time, parts []uint32) {
+	if r.kept == nil {
+		r.kept = map[keptPart]time.Time{}
+	}
+	for _, part := range parts {
+		r.kept[keptPart(part)] = now
+	}
+	if len(r.kept) <= keptMost {
+		return
+	}
+	for part, at := range r.kept {
+		if now.Sub(at) >= keptFor {
+			delete(r.kept, part)
+		}
+	}
+}
+
+// ahead is how long the endpoint will be reading what it was sent before.
+func (r *reader) ahead(now time.Time) time.Duration {
+	ahead := max(r.readyAt.Sub(now), 0)
+	if len(r.queue) > 0 {
+		// A reading that should have ended by now has been held up, and is expected to take as long again.
+		ahead += max(now.Sub(r.queue[0].due), 0)
+	}
+	return ahead
+}
+
+// push puts a reading at the end of the queue.
+func (r *reader) push(now time.Time, p *Place, reading time.Duration) {
+	if r.readyAt.Before(now) {
+		r.readyAt = now
+	}
+	r.readyAt = r.readyAt.Add(reading)
+	p.due, p.reading = r.readyAt, reading
+	r.queue = append(r.queue, p)
+}
+
+// extend adds a reading of another box's request.
+func (r *reader) extend(now time.Time, reading time.Duration) {
+	if r.readyAt.Before(now) {
+		r.readyAt = now
+	}
+	r.shift(now, nil, reading)
+}
+
+// begun takes a reading out of the queue whose answer has begun; if it was the first, the others move with it.
+func (r *reader) begun(now time.Time, p *Place) {
+	at := slices.Index(r.queue, p)
+	if at < 0 {
+		return
+	}
+	r.queue = slices.Delete(r.queue, at, at+1)
+	if at == 0 {
+		r.shift(now, r.queue, now.Sub(p.due))
+	}
+}
+
+// drop takes a reading out of the queue that ends without an answer.
+func (r *reader) drop(now time.Time, p *Place) {
+	at := slices.Index(r.queue, p)
+	if at < 0 {
+		return
+	}
+	r.queue = slices.Delete(r.queue, at, at+1)
+	r.shift(now, r.queue[at:], -p.reading)
+}
+
+// shift moves the forecast from some of the readings on.
+func (r *reader) shift(now time.Time, from []*Place, by time.Duration) {
+	for _, p := range from {
+		p.due = p.due.Add(by)
+	}
+	r.readyAt = r.readyAt.Add(by)
+	if r.readyAt.Before(now) {
+		r.readyAt = now
+	}
+}
+
+// reading forecasts how long the endpoint reads for the work, without what it has kept.
+func (p *Pool) reading(now time.Time, m *member, work Work) (time.Duration, willowwick.Tokens) {
+	if len(work.Prompt) == 0 {
+		return 0, 0
+	}
+	tokens := m.reader.unread(now, work)
+	perToken := p.speeds[speedKey{m.endpoint.Service, work.Model}].perToken()
+	return time.Duration(perToken * float64(tokens) * float64(time.Second)), tokens
+}
+
+// learnSpeed takes the reading of a request that found the endpoint with nothing else to read.
+func (p *Pool) learnSpeed(now time.Time, place *Place) {
+	if !place.alone || place.unread == 0 {
+		return
+	}
+	key := speedKey{place.Endpoint.Service, place.work.Model}
+	known := p.speeds[key]
+	if known == nil {
+		known = &speed{}
+		p.speeds[key] = known
+	}
+	known.learn(now.Sub(place.sentAt), place.unread)
+}
--- a/route/hall.go
+++ b/route/hall.go
@@ -10,6 +10,8 @@
 	// otherHallLoad is the load that a request rather joins than leave its hall: bytes between halls cost more
 	// than the wait behind half of what an endpoint does well at once.
 	otherHallLoad = 0.5
+	// slotTime is what one request at an endpoint adds to the wait of the next one, as the batch's tokens get slower.
+	slotTime = 40 * time.Millisecond
 	// busySlots is how many requests at once an endpoint does well, however many slots it has: a batch makes each
 	// token slower, and long prompts hold up all of them.
 	busySlots = 16
@@ -59,7 +61,7 @@
 
 // score is how much work stands before a new request, in shares of what an endpoint does well at once.
 func (p *HallFirst) score(c willowwick.Candidate) float64 {
-	taken := max(float64(c.Load.Running+c.Load.Waiting+c.Recent), float64(c.InFlight)) + c.Pending
+	taken := max(float64(c.Load.Running+c.Load.Waiting+c.Recent), float64(c.InFlight)) + float64(c.Ahead+c.Reading)/float64(slotTime)
 	score := taken/float64(min(max(c.Load.Slots, 1), busySlots)) + failingWeight*c.Failing
 	if c.Hall != p.hall {
 		score += otherHallLoad
--- a/route/hall_test.go
+++ b/route/hall_test.go
@@ -34,8 +34,11 @@
 
 func TestPendingWorkAndFailuresWeigh(t *testing.T) {
 	pending := candidate("here", 0)
-	pending.Pending = 8
+	pending.Ahead = 8 * slotTime
 	assert.Equal(t, 1, pickOf(fixedSet{pending, candidate("here", 5)}, 0))
+	long := candidate("here", 0)
+	long.Reading = 8 * slotTime
+	assert.Equal(t, 1, pickOf(fixedSet{long, candidate("here", 5)}, 0))
 	failing := candidate("here", 0)
 	failing.Failing = 0.4
 	assert.Equal(t, 1, pickOf(fixedSet{failing, candidate("here", 9)}, 0))
--- a/route/place.go
+++ b/route/place.go
@@ -32,9 +32,15 @@
 		Endpoint willowwick.Endpoint
 		pool     *Pool
 		member   *member
+		work     Work
 		taken    time.Time
-		weight   float64 // part of the endpoint's pending work
 		released bool
+
+		sentAt  time.Time         // when the work was sent; zero before
+		unread  willowwick.Tokens // tokens of the prompt that the endpoint has to read, as forecast
+		reading time.Duration     // forecast of how long it reads them
+		due     time.Time         // forecast of when it has
+		alone   bool              // it had nothing else to read then, as far as was known
 	}
 )
 
@@ -48,25 +54,32 @@
 	OutcomeCancelled
 )
 
-// Expect notes that the endpoint has work worth so many slots to do before the request begins to run.
-func (p *Place) Expect(slots float64) {
+// Sent notes that the endpoint has the request's prompt to read, and returns what is to be told to other boxes of it.
+func (p *Place) Sent(now time.Time) (reading Reading, isReading bool) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	p.weight = slots
-	p.member.pending += slots
+	if len(p.work.Prompt) == 0 {
+		return Reading{}, false
+	}
+	reader := &p.member.reader
+	p.sentAt, p.alone = now, len(reader.queue) == 0 && reader.ahead(now) == 0
+	var length time.Duration
+	length, p.unread = p.pool.reading(now, p.member, p.work)
+	reader.push(now, p, length)
+	parts := p.work.shared()
+	reader.keep(now, parts)
+	return Reading{Endpoint: uint32(p.member.hash), Length: length, Parts: parts}, true
 }
 
-// Begun notes that the request runs, and so counts as one slot.
+// Begun notes that the answer has begun: the prompt is read.
 func (p *Place) Begun(now time.Time) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	p.member.heardAt = now
-	p.begun()
-}
-
-func (p *Place) begun() {
-	p.member.pending = max(0, p.member.pending-p.weight)
-	p.weight = 0
+	if !p.sentAt.IsZero() {
+		p.pool.learnSpeed(now, p)
+		p.member.reader.begun(now, p)
+	}
 }
 
 // Heard notes a sign of life of the endpoint.
@@ -91,7 +104,7 @@
 		return
 	}
 	p.released = true
-	p.begun()
+	p.member.reader.drop(now, p)
 	p.pool.inFlight--
 	if p.member.inFlight--; p.member.inFlight == 0 {
 		delete(p.pool.busy, p.member)
--- a/route/pool.go
+++ b/route/pool.go
@@ -27,9 +27,11 @@
 		picker    willowwick.Picker
 		options   PoolOptions
 		endpoints map[willowwick.EndpointID]*member
+		byHash    map[uint32]*member
 		rows      map[row]*candidateRow
 		inFlight  int
 		busy      map[*member]bool // endpoints with places taken, those gone from the list among them
+		speeds    map[speedKey]*speed
 	}
 
 	// PoolOptions set how much a pool gives to endpoints; zero values take the defaults.
@@ -60,7 +62,7 @@
 		failingAt    time.Time
 		heardAt      time.Time // last sign of life, or when it was given work after having none
 		trial        bool      // the suspicion has run out, and one request is to show whether it was right
-		pending      float64   // slots' worth of work that was sent and not begun yet
+		reader       reader
 	}
 
 	// row names the endpoints that can take the same work.
@@ -76,7 +78,8 @@
 		now      time.Time
 		exclude  map[willowwick.EndpointID]bool
 		allow    func(willowwick.Endpoint) bool
-		options  PoolOptions
+		pool     *Pool
+		work     Work
 		trusting bool // endpoints under suspicion count as open
 	}
 
@@ -102,6 +105,7 @@
 	return &Pool{
 		picker: picker, options: options,
 		endpoints: map[willowwick.EndpointID]*member{}, rows: map[row]*candidateRow{}, busy: map[*member]bool{},
+		speeds: map[speedKey]*speed{},
 	}
 }
 
@@ -110,6 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := make(map[willowwick.EndpointID]*member, len(listing))
+	byHash := make(map[uint32]*member, len(listing))
 	for _, endpoint := range listing {
 		m := p.endpoints[endpoint.ID]
 		if m == nil || m.endpoint.Address != endpoint.Address {
@@ -119,8 +124,9 @@
 		// Once leaving, an endpoint stays so under its address: the list may lag behind other signals.
 		m.leaving = m.leaving || endpoint.Leaving
 		known[endpoint.ID] = m
+		byHash[uint32(m.hash)] = m
 	}
-	p.endpoints = known
+	p.endpoints, p.byHash = known, byHash
 	p.rebuild()
 }
 
@@ -148,7 +154,7 @@
 func (p *Pool) addTo(name row, m *member) {
 	r := p.rows[name]
 	if r == nil {
-		r = &candidateRow{options: p.options}
+		r = &candidateRow{pool: p}
 		p.rows[name] = r
 	}
 	for point := range ringPoints {
@@ -171,6 +177,28 @@
 	m.leaving = m.leaving || load.Leaving
 }
 
+// NoteReading takes what another box has sent to an endpoint.
+func (p *Pool) NoteReading(now time.Time, reading Reading) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byHash[reading.Endpoint]
+	if m == nil {
+		return
+	}
+	m.reader.extend(now, reading.Length)
+	m.reader.keep(now, reading.Parts)
+}
+
+// Ahead is how long the endpoint will be reading what it was sent, as forecast; 0 if it is not known.
+func (p *Pool) Ahead(now time.Time, id willowwick.EndpointID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.endpoints[id]; m != nil {
+		return m.reader.ahead(now)
+	}
+	return 0
+}
+
 // LoadOf returns the newest load report of an endpoint.
 func (p *Pool) LoadOf(id willowwick.EndpointID) (willowwick.EndpointLoad, bool) {
 	p.mu.Lock()
@@ -243,25 +271,25 @@
 // AcquireVersion takes a place at a runner that serves the version; known tells
 // whether any runner serves it at all.
 func (p *Pool) AcquireVersion(now time.Time, version willowwick.VersionID, prefix uint64, exclude map[willowwick.EndpointID]bool) (place *Place, known bool) {
-	return p.acquire(now, row{version: version}, prefix, exclude, nil)
+	return p.acquire(now, row{version: version}, Work{}, prefix, exclude, nil)
 }
 
 // AcquireService takes a place at an instance of a plain service.
 func (p *Pool) AcquireService(now time.Time, service willowwick.ServiceID, exclude map[willowwick.EndpointID]bool) (place *Place, known bool) {
-	return p.acquire(now, row{service: service}, 0, exclude, nil)
+	return p.acquire(now, row{service: service}, Work{}, 0, exclude, nil)
 }
 
 // AcquireAllowed takes a place at one of the service's endpoints that are allowed; known
 // tells whether there is any such endpoint.
 func (p *Pool) AcquireAllowed(
-	now time.Time, service willowwick.ServiceID, prefix uint64,
+	now time.Time, service willowwick.ServiceID, work Work,
 	exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
 ) (place *Place, known bool) {
-	return p.acquire(now, row{service: service}, prefix, exclude, allow)
+	return p.acquire(now, row{service: service}, work, work.Subject(), exclude, allow)
 }
 
 func (p *Pool) acquire(
-	now time.Time, name row, prefix uint64,
+	now time.Time, name row, work Work, prefix uint64,
 	exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
 ) (*Place, bool) {
 	p.mu.Lock()
@@ -270,7 +298,7 @@
 	if r == nil {
 		return nil, false
 	}
-	r.now, r.exclude, r.allow = now, exclude, allow
+	r.now, r.work, r.exclude, r.allow = now, work, exclude, allow
 	if len(exclude) > 0 && r.allExcluded() {
 		// Every endpoint failed this request once; a second try beats none.
 		r.exclude = nil
@@ -292,7 +320,7 @@
 	m.recent++
 	p.busy[m] = true
 	p.inFlight++
-	return &Place{Endpoint: m.endpoint, pool: p, member: m, taken: now}, true
+	return &Place{Endpoint: m.endpoint, pool: p, member: m, work: work, taken: now}, true
 }
 
 // HasOpen reports whether one of the service's endpoints that are allowed may be given work.
@@ -387,15 +415,17 @@
 // At implements willowwick.CandidateSet.
 func (r *candidateRow) At(index int) willowwick.Candidate {
 	m := r.members[index]
+	reading, _ := r.pool.reading(r.now, m, r.work)
 	return willowwick.Candidate{
 		Endpoint: m.endpoint.ID,
 		Hall:     m.endpoint.Hall,
-		Load:     m.knownLoad(r.now, r.options),
+		Load:     m.knownLoad(r.now, r.pool.options),
 		InFlight: m.inFlight,
 		Recent:   m.recent,
-		Open:     !r.exclude[m.endpoint.ID] && r.allows(m) && m.open(r.now, r.options, r.trusting),
+		Open:     !r.exclude[m.endpoint.ID] && r.allows(m) && m.open(r.now, r.pool.options, r.trusting),
 		Hash:     m.hash,
-		Pending:  m.pending,
+		Ahead:    m.reader.ahead(r.now),
+		Reading:  reading,
 		Failing:  m.failingShare(r.now),
 	}
 }
--- a/routing.go
+++ b/routing.go
@@ -8,12 +8,13 @@
 		Endpoint EndpointID
 		Hall     HallID
 		Load     EndpointLoad
-		InFlight int     // own requests at the endpoint now
-		Recent   int     // own requests sent since the load was reported
-		Open     bool    // may be given work
-		Pending  float64 // slots' worth of own work that was sent and not begun yet
-		Hash     uint64  // of the endpoint's name, for rendezvous hashing
-		Failing  float64 // share of recent calls that failed, newer ones counting more
+		InFlight int           // own requests at the endpoint now
+		Recent   int           // own requests sent since the load was reported
+		Open     bool          // may be given work
+		Ahead    time.Duration // measured length: until it has read what it was sent before, as forecast
+		Reading  time.Duration // measured length: it would then read for this request, as forecast
+		Hash     uint64        // of the endpoint's name, for rendezvous hashing
+		Failing  float64       // share of recent calls that failed, newer ones counting more
 	}
 
 	// CandidateSet is the row of endpoints that serve one version.
