Boxes tell each other what they send to endpoints

Cause: the forecast of a box counts its own requests alone; with six boxes, the endpoint that looks idle is reading for another one in four of ten requests.

Change: exchange/hints.go sends what a box gives an endpoint to read as a sealed datagram to the boxes of its hall and of the others; a larger hall gets it through one of its boxes, so that one copy crosses between halls.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -45,9 +45,13 @@
 	if err != nil {
 		return err
 	}
+	hints, err := net.ListenPacket("udp", settings.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
 	daemon, closeDaemon := exchange.New(o.exchangeSettings(settings), exchange.Outside{
 		Control: control, Codec: platform.Codec{}, Counters: set,
-		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3],
+		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints,
 	})
 	defer closeDaemon()
 	stop := daemon.Start()
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -48,6 +48,7 @@
 		Ready   net.Listener
 		Peers   net.Listener
 		Metrics net.Listener
+		Hints   net.PacketConn // between boxes, at the address of Peers; nil for none
 		// Counters are shown beside the daemon's own.
 		Counters *metrics.Set
 	}
@@ -69,6 +70,7 @@
 	x.sync = newSyncer(x, outside.Control)
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
+	x.hints = newHints(x, outside.Hints)
 	return &Daemon{router: x, outside: outside, callers: newCallerListener(outside.Callers)}, func() {
 		closePeers()
 		closeRouter()
@@ -88,6 +90,10 @@
 			slog.Error("peers are not served", "error", err)
 		}
 	})
+	if d.outside.Hints != nil {
+		d.workers.Go(x.hints.receive)
+		d.workers.Go(func() { x.hints.send(ctx) })
+	}
 	for _, work := range []func(context.Context){
 		x.gate.Run, x.sync.followDeclarations, x.sync.followEndpoints, x.sync.keepMembership, x.sync.lead, x.peers.run,
 	} {
@@ -106,6 +112,12 @@
 	if err := d.outside.Peers.Close(); err != nil {
 		slog.Debug("listener for peers did not close", "error", err)
 	}
+	if d.outside.Hints == nil {
+		return
+	}
+	if err := d.outside.Hints.Close(); err != nil {
+		slog.Debug("datagrams of boxes did not close", "error", err)
+	}
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
--- /dev/null
+++ b/exchange/hints_test.go
@@ -0,0 +1,127 @@
+package exchange
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/route"
+)
+
+// newHalls starts as many boxes in each hall, which know each other by the first box of each.
+func newHalls(t *testing.T, halls, boxes int, endpoints ...willowwick.Endpoint) []*site {
+	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
+	control.change(func() {
+		control.table = testTable(1, streamRoute())
+		for _, endpoint := range endpoints {
+			control.endpoints[endpoint.ID] = endpoint
+		}
+	})
+	var sites []*site
+	for hall := range halls {
+		for box := range boxes {
+			settings := testSettings()
+			settings.Box = willowwick.BoxID(fmt.Sprint("box-", hall, "-", box))
+			settings.Hall = willowwick.HallID(fmt.Sprint("hall-", hall))
+			settings.Drain = feedDrain
+			if len(sites) > 0 {
+				settings.Seeds = []string{sites[0].daemon.router.settings.Peers}
+			}
+			sites = append(sites, startSite(t, control, settings))
+		}
+	}
+	require.Eventually(t, func() bool {
+		for _, s := range sites {
+			if len(s.daemon.router.peers.knownBoxes(time.Now())) < halls*boxes {
+				return false
+			}
+		}
+		return true
+	}, patience, 10*time.Millisecond)
+	return sites
+}
+
+// aheadAt is how long the box takes the endpoint to be reading.
+func aheadAt(s *site, endpoint willowwick.EndpointID) time.Duration {
+	return s.daemon.router.pool.Ahead(time.Now(), endpoint)
+}
+
+// Boxes that could not know what the others had sent once chose endpoints that were reading for a second and more.
+func TestAllBoxesHearWhatOneSendsToAnEndpoint(t *testing.T) {
+	for _, boxes := range []int{2, directMost + 2} {
+		t.Run(fmt.Sprint(boxes, " boxes a hall"), func(t *testing.T) {
+			r := newRunner(t, "r1", answerText("ok"))
+			sites := newHalls(t, 2, boxes, r.endpoint("v1"))
+			x := sites[0].daemon.router
+			place, _ := x.pool.AcquireAllowed(time.Now(), "work", route.Work{
+				Model: "small", Prompt: []willowwick.PromptPart{{ID: "shared", Tokens: 100}, {ID: "own", Tokens: 10}},
+			}, nil, func(willowwick.Endpoint) bool { return true })
+			require.NotNil(t, place)
+			reading, isReading := place.Sent(time.Now())
+			require.True(t, isReading)
+			reading.Length = time.Minute // its speed is not known yet
+			x.hints.tell(reading)
+			for _, s := range sites[1:] {
+				require.Eventually(t, func() bool { return aheadAt(s, "r1") > time.Second }, patience, 5*time.Millisecond, s.daemon.router.settings.Box)
+			}
+		})
+	}
+}
+
+func newTestHints(key string) *hints {
+	return newHints(&Router{settings: Settings{Key: []byte(key)}}, nil)
+}
+
+func TestHintsOfStrangersAreNotTaken(t *testing.T) {
+	own, stranger := newTestHints("0123456789abcdef"), newTestHints("fedcba9876543210")
+	rows := []hintRow{{Endpoint: 7, Micros: 100}, {Endpoint: 8, Micros: -5, Parts: [hintParts]uint32{1, 2}}}
+	data, err := own.encode(hintPass, rows)
+	require.NoError(t, err)
+	kind, got, err := own.decode(data)
+	require.NoError(t, err)
+	assert.Equal(t, hintPass, kind)
+	assert.Equal(t, rows, got)
+	_, _, err = stranger.decode(data)
+	assert.Error(t, err)
+	for n := range data {
+		_, _, err = own.decode(data[:n])
+		assert.Error(t, err, "%d bytes", n)
+	}
+}
+
+func TestDatagramOfHintsFitsAPacket(t *testing.T) {
+	data, err := newTestHints("k").encode(hintKeep, make([]hintRow, hintRows))
+	require.NoError(t, err)
+	assert.Less(t, len(data), 1200)
+}
+
+func TestTellingNeverWaits(t *testing.T) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	s := newSite(t)
+	h := newHints(s.daemon.router, conn) // nobody sends what waits
+	for range 2 * hintQueue {
+		h.tell(route.Reading{Endpoint: 1})
+	}
+	assert.Len(t, h.queue, hintQueue)
+}
+
+// A box that is gone is listed for half a minute, and would lose what it is to pass on.
+func TestLargerHallIsToldThroughABoxThatLives(t *testing.T) {
+	h := newTestHints("k")
+	var hall []netip.AddrPort
+	for i := range 5 {
+		hall = append(hall, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 1))
+	}
+	h.tellers[hall[3]] = time.Now()
+	h.tellers[hall[1]] = time.Now().Add(-2 * tellerFresh)
+	for range 20 {
+		assert.Equal(t, hall[3], h.relayOf(hall))
+	}
+}
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -139,6 +140,30 @@
 	return list
 }
 
+// audience lists where the other boxes are reached that were heard of or named of late: those of this box's hall, and
+// those of each other hall.
+func (p *peers) audience(now time.Time) (near []netip.AddrPort, far map[willowwick.HallID][]netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	far = map[willowwick.HallID][]netip.AddrPort{}
+	for _, known := range p.known {
+		if known.box.Hall == "" || !known.isKept(now) {
+			continue
+		}
+		address, err := netip.ParseAddrPort(known.box.Address)
+		if err != nil {
+			slog.Debug("address of a box is not numeric", "address", known.box.Address, "error", err)
+			continue
+		}
+		if known.box.Hall == p.router.settings.Hall {
+			near = append(near, address)
+		} else {
+			far[known.box.Hall] = append(far[known.box.Hall], address)
+		}
+	}
+	return near, far
+}
+
 // versionOf is the version of the configuration that a box last told of.
 func (p *peers) versionOf(address string) (version uint64, heard bool) {
 	p.mu.Lock()
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -10,13 +10,20 @@
 
 // routerMetrics are the counters of one router.
 type routerMetrics struct {
-	set    *metrics.Set
-	denied *metrics.Counter
+	set       *metrics.Set
+	denied    *metrics.Counter
+	untold    *metrics.Counter
+	hintsSent *metrics.Counter
 }
 
 func newRouterMetrics(x *Router) *routerMetrics {
 	set := metrics.NewSet()
-	m := &routerMetrics{set: set, denied: set.NewCounter("willowwick_repeats_denied_total")}
+	m := &routerMetrics{
+		set:       set,
+		denied:    set.NewCounter("willowwick_repeats_denied_total"),
+		untold:    set.NewCounter("willowwick_hints_dropped_total"),
+		hintsSent: set.NewCounter("willowwick_hint_datagrams_total"),
+	}
 	set.NewGauge("willowwick_requests_in_flight", func() float64 { return float64(x.inFlight.Load()) })
 	set.NewGauge("willowwick_requests_waiting", func() float64 { return float64(x.gate.WaitingNow()) })
 	set.NewGauge("willowwick_config_version", func() float64 { return float64(x.configVersion()) })
@@ -45,6 +52,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_refusals_total{kind=%q,code=%q}", refusal.Kind, refusal.Code)).Inc()
 }
 
+func (m *routerMetrics) hintDropped() {
+	m.untold.Inc()
+}
+
+func (m *routerMetrics) hintSent() {
+	m.hintsSent.Inc()
+}
+
 func (m *routerMetrics) repeatDenied() {
 	m.denied.Inc()
 }
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -67,6 +67,7 @@
 		releases *releases
 		sync     *syncer
 		peers    *peers
+		hints    *hints
 		metrics  *routerMetrics
 		inFlight atomic.Int64
 		warm     chan struct{} // closed once configuration and endpoints are known
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -155,7 +155,9 @@
 	}
 	s.runs++
 	if s.route.Stream {
-		s.ticket.Sent(time.Now())
+		if reading, isReading := s.ticket.Sent(time.Now()); isReading {
+			s.router.hints.tell(reading)
+		}
 	}
 	if err := s.receive(); err != nil {
 		return s.unanswered(err)
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -322,8 +322,10 @@
 func startSite(t *testing.T, control *testControl, settings Settings) *site {
 	callers, ready, peers, figures := listen(t), listen(t), listen(t), listen(t)
 	settings.Peers = peers.Addr().String()
+	hints, err := net.ListenPacket("udp", settings.Peers)
+	require.NoError(t, err)
 	daemon, closeDaemon := New(settings, Outside{
-		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures,
+		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures, Hints: hints,
 	})
 	stop := daemon.Start()
 	s := &site{control: control, daemon: daemon, url: "http://" + callers.Addr().String(), client: &http.Client{Transport: &http.Transport{}}, stop: stop, closeDaemon: closeDaemon}
