Silent endpoints are left by the forecast, not at shares of the goal

Plain services were left at 0.6 of theirs.

Change: an answer is late once it is later than forecast by more than 49 of 50 answers are (route/lateness.go learns it by service and model, and by route where there is no prompt). A late stream is left if its endpoint says nothing to anybody either, or after three times what it may well take. An endpoint that reads what it was sent is no longer taken for quiet.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -332,6 +332,13 @@
 	return a
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func scale(d time.Duration, by float64) time.Duration {
 	return time.Duration(float64(d) * by)
 }
--- a/exchange/evidence.go
+++ b/exchange/evidence.go
@@ -7,6 +7,7 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/rollout"
+	"github.com/willowwick/willowwick/route"
 )
 
 const (
@@ -68,22 +69,25 @@
 	took := o.took.Seconds()
 	if !known {
 		if !isTarget {
-			r.typical[key] = took
+			r.typical[key], r.lateness[key] = took, &route.Lateness{}
 		}
 		return false
 	}
 	slow := took > slowFactor*typical
 	if !isTarget {
 		r.typical[key] = typical + typicalFade*(min(took, slowFactor*typical)-typical)
+		r.lateness[key].Learn(o.took - time.Duration(typical*float64(time.Second)))
 	}
 	return slow
 }
 
-// usual is how long the head of an answer usually takes on the route; 0 if that is not known yet.
-func (r *releases) usual(route willowwick.RouteID, model willowwick.ModelID) time.Duration {
+// usual is how long the head of an answer usually takes on the route, 0 if that is not known yet, and how much longer it
+// may well take.
+func (r *releases) usual(name willowwick.RouteID, model willowwick.ModelID) (typical, lateness time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.typical[typicalKey{route: route, model: model}] * float64(time.Second))
+	key := typicalKey{route: name, model: model}
+	return time.Duration(r.typical[key] * float64(time.Second)), r.lateness[key].Value()
 }
 
 // evidence returns what this box has counted.
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -9,6 +9,7 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/rollout"
+	"github.com/willowwick/willowwick/route"
 )
 
 type (
@@ -39,6 +40,7 @@
 		banned        map[releaseKey]bool // releases that were rolled back, or given up for a later order
 		own           map[evidenceKey]rollout.Evidence
 		typical       map[typicalKey]float64 // seconds
+		lateness      map[typicalKey]*route.Lateness
 		sessions      map[string]sessionSeen
 	}
 
@@ -77,6 +79,7 @@
 		banned:   map[releaseKey]bool{},
 		own:      map[evidenceKey]rollout.Evidence{},
 		typical:  map[typicalKey]float64{},
+		lateness: map[typicalKey]*route.Lateness{},
 		sessions: map[string]sessionSeen{},
 	}
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -36,13 +36,10 @@
 )
 
 const (
-	// silentShare is the part of the goal after which a silent endpoint is left for another: an answer from there
-	// is still in time. Runners that read long prompts are silent for longer, so streams wait for more of it.
-	silentShare       = 0.6
-	silentShareStream = 0.8
-	// muteShare is the multiple of the goal after which a request is sent elsewhere even though its endpoint goes on
-	// with others: the endpoint has lost it. Before that, one that works is only busy, and others would be too.
-	muteShare = 2.0
+	// muteFactor is by how many times later than an answer may well be a request is sent elsewhere even though its
+	// endpoint goes on with others: the endpoint has lost it. Before that, one that works is only busy, and others would
+	// be too.
+	muteFactor = 3
 	// crowdedRunner is the number of requests at a runner from which on large models are asked less, not at all
 	// at twice as many: runs wait for each other's tokens there (docs/design/0005 has the trials).
 	crowdedRunner = 10.0
@@ -184,14 +181,16 @@
 
 // receive reads the head of the answer; a silent endpoint is left if another may be tried.
 func (s *send) receive() error {
-	silentAt := s.silentAt()
+	silentAt := s.lateAt()
 	for {
 		answer, err := s.conn.Receive(s.message.Method, silentAt, s.deadline, s.belongs)
 		if errors.Is(err, wire.ErrSilent) && silentAt.Before(s.deadline) {
-			if s.isLost(time.Now()) {
+			now := time.Now()
+			if s.isLost(now) {
 				return err
 			}
-			silentAt = earliest(s.deadline, silentAt.Add(quietAfter))
+			// The forecast may have moved meanwhile.
+			silentAt = earliest(s.deadline, latest(s.lateAt(), now.Add(quietAfter)))
 			continue
 		}
 		if err != nil {
@@ -207,16 +206,19 @@
 	}
 }
 
-// silentAt is when it is first asked whether the endpoint should be left.
-func (s *send) silentAt() time.Time {
+// lateAt is when an answer that has not begun is later than all but a few, by the forecast of reading its prompt, or by
+// what is usual on its route where no forecast is.
+func (s *send) lateAt() time.Time {
 	if !s.route.Repeatable {
 		return s.deadline
 	}
-	share := silentShare
-	if s.route.Stream {
-		share = silentShareStream
+	due, lateness, known := s.ticket.Due()
+	if !known {
+		var usual time.Duration
+		usual, lateness = s.router.releases.usual(s.route.Name, s.model)
+		due = s.sentAt.Add(usual)
 	}
-	return earliest(s.deadline, s.sentAt.Add(scale(s.route.Goal, share)))
+	return earliest(s.deadline, due.Add(lateness))
 }
 
 // isLost decides whether a silent endpoint is left for another.
@@ -224,10 +226,11 @@
 	if !s.mayRunAgain() || !s.router.hasRepeat(s.call, now) || !s.router.hasOther(s.call, s.ticket.Endpoint.ID) {
 		return false
 	}
-	if !s.route.Stream || now.Sub(s.sentAt) > scale(s.route.Goal, muteShare) {
-		return true
+	lateAt := s.lateAt()
+	if now.Before(lateAt) {
+		return false
 	}
-	return s.ticket.IsQuiet(now)
+	return !s.route.Stream || s.ticket.IsQuiet(now) || now.Sub(s.sentAt) > muteFactor*(lateAt.Sub(s.sentAt)+quietAfter)
 }
 
 func (s *send) belongs(header http.Header) bool {
@@ -312,7 +315,8 @@
 func (s *send) confidenceNeeded(now time.Time) int {
 	settings := s.router.settings
 	largest := s.route.Models[len(s.route.Models)-1]
-	expected := now.Sub(s.arrived) + s.router.releases.usual(s.route.Name, largest)
+	usual, _ := s.router.releases.usual(s.route.Name, largest)
+	expected := now.Sub(s.arrived) + usual
 	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
 	crowd := s.router.pool.Crowd(now, s.service, s.choice.allows)
 	ease := min(max(min(left/easyShare, 2-crowd/crowdedRunner), 0), 1)
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -209,7 +209,7 @@
 	if !place.alone || place.unread == 0 {
 		return
 	}
-	key := speedKey{place.Endpoint.Service, place.work.Model}
+	key := place.speedKey()
 	known := p.speeds[key]
 	if known == nil {
 		known = &speed{}
@@ -217,3 +217,14 @@
 	}
 	known.learn(now.Sub(place.sentAt), place.unread)
 }
+
+// learnLateness takes how much later than forecast an answer began.
+func (p *Pool) learnLateness(now time.Time, place *Place) {
+	key := place.speedKey()
+	known := p.lateness[key]
+	if known == nil {
+		known = &Lateness{}
+		p.lateness[key] = known
+	}
+	known.Learn(now.Sub(place.due))
+}
--- /dev/null
+++ b/route/lateness_test.go
@@ -0,0 +1,36 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLatenessIsExceededByFewAnswers(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var l Lateness
+	assert.Equal(t, firstLateness, l.Value())
+	draw := func() time.Duration { return time.Duration(random.ExpFloat64() * float64(50*time.Millisecond)) }
+	for range 2000 {
+		l.Learn(draw())
+	}
+	beyond := 0
+	for range 10000 {
+		late := draw()
+		if late > l.Value() {
+			beyond++
+		}
+		l.Learn(late)
+	}
+	assert.InDelta(t, 1-latenessShare, float64(beyond)/10000, 0.01)
+}
+
+func TestLatenessDoesNotFallToNothing(t *testing.T) {
+	var l Lateness
+	for range 5000 {
+		l.Learn(-time.Second)
+	}
+	assert.Equal(t, leastLateness, l.Value())
+}
--- a/route/place.go
+++ b/route/place.go
@@ -78,6 +78,7 @@
 	p.member.heardAt = now
 	if !p.sentAt.IsZero() {
 		p.pool.learnSpeed(now, p)
+		p.pool.learnLateness(now, p)
 		p.member.reader.begun(now, p)
 	}
 }
@@ -89,11 +90,23 @@
 	p.member.heardAt = now
 }
 
-// IsQuiet reports whether the endpoint owes an answer and has said nothing for long.
+// IsQuiet reports whether the endpoint has said nothing for long, and is not reading what it was sent.
 func (p *Place) IsQuiet(now time.Time) bool {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	return now.Sub(p.member.heardAt) > p.pool.options.QuietAfter
+	return p.member.isQuiet(now, p.pool.options)
+}
+
+// Due is when the answer should have begun, as forecast, and how much later it may well begin; ok is false if nothing
+// was forecast.
+func (p *Place) Due() (at time.Time, lateness time.Duration, ok bool) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.due, p.pool.lateness[p.speedKey()].Value(), !p.sentAt.IsZero()
+}
+
+func (p *Place) speedKey() speedKey {
+	return speedKey{p.Endpoint.Service, p.work.Model}
 }
 
 // Release gives the place back with how the call ended; a second release changes nothing.
--- a/route/pool.go
+++ b/route/pool.go
@@ -32,6 +32,7 @@
 		inFlight  int
 		busy      map[*member]bool // endpoints with places taken, those gone from the list among them
 		speeds    map[speedKey]*speed
+		lateness  map[speedKey]*Lateness // of first events against their forecasts
 	}
 
 	// PoolOptions set how much a pool gives to endpoints; zero values take the defaults.
@@ -105,7 +106,7 @@
 	return &Pool{
 		picker: picker, options: options,
 		endpoints: map[willowwick.EndpointID]*member{}, rows: map[row]*candidateRow{}, busy: map[*member]bool{},
-		speeds: map[speedKey]*speed{},
+		speeds: map[speedKey]*speed{}, lateness: map[speedKey]*Lateness{},
 	}
 }
 
@@ -265,7 +266,16 @@
 	if m.inFlight == 0 {
 		return false
 	}
-	return m.trial || now.Sub(m.heardAt) > options.QuietAfter
+	return m.trial || m.isQuiet(now, options)
+}
+
+// isQuiet reports whether the endpoint has said nothing for long, and is not reading what it was sent.
+func (m *member) isQuiet(now time.Time, options PoolOptions) bool {
+	heardAt := m.heardAt
+	if len(m.reader.queue) > 0 && m.reader.queue[0].due.After(heardAt) {
+		heardAt = m.reader.queue[0].due
+	}
+	return now.Sub(heardAt) > options.QuietAfter
 }
 
 // AcquireVersion takes a place at a runner that serves the version; known tells
