Forecasts that were wrong are put right at all boxes, and speeds are learnt at any load

A box corrects it by its own requests alone, and 91 boxes have few each; and speeds, learnt too slow while others' requests were not known, were never learnt again: something was always ahead.

Change: a box tells by how much the first of its answers began sooner or later than forecast, and what it takes back; speeds are learnt from all answers, what was ahead counted as tokens.

--- a/exchange/hints.go
+++ b/exchange/hints.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -64,7 +65,8 @@
 	// hintRow is one reading on the wire; names are cut to half of their hashes.
 	hintRow struct {
 		Endpoint uint32
-		Micros   int32 // of reading; negative if it is not to be read after all
+		Micros   int32 // how long it reads, or by how much later than forecast all of it is read
+		IsShift  bool  // it is the latter
 		Parts    [hintParts]uint32
 	}
 
@@ -83,12 +85,15 @@
 	return &hints{router: x, conn: conn, queue: make(chan hint, hintQueue), tellers: map[netip.AddrPort]time.Time{}}
 }
 
-// tell passes a reading on to the other boxes; it never waits.
-func (h *hints) tell(reading route.Reading) {
-	if h.conn == nil {
+// tell passes a reading on to the other boxes, if there is one; it never waits.
+func (h *hints) tell(reading route.Reading, isReading bool) {
+	if h.conn == nil || !isReading {
 		return
 	}
-	row := hintRow{Endpoint: uint32(reading.Endpoint), Micros: int32(reading.Length.Microseconds())}
+	row := hintRow{
+		Endpoint: reading.Endpoint, IsShift: reading.IsShift,
+		Micros: int32(min(max(reading.Length.Microseconds(), math.MinInt32), math.MaxInt32)),
+	}
 	copy(row.Parts[:], reading.Parts[max(len(reading.Parts)-hintParts, 0):])
 	h.enqueue(hint{row: row})
 }
@@ -210,7 +215,7 @@
 
 func (h *hints) take(kind hintKind, rows []hintRow, now time.Time) {
 	for _, row := range rows {
-		reading := route.Reading{Endpoint: row.Endpoint, Length: time.Duration(row.Micros) * time.Microsecond}
+		reading := route.Reading{Endpoint: row.Endpoint, Length: time.Duration(row.Micros) * time.Microsecond, IsShift: row.IsShift}
 		for _, part := range row.Parts {
 			if part != 0 {
 				reading.Parts = append(reading.Parts, part)
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -112,6 +112,7 @@
 			s.outcome = route.OutcomeFailed
 		}
 	}
+	c.router.hints.tell(ticket.Withdrawn(time.Now()))
 	ticket.Done(s.outcome)
 	if result.kind != answered {
 		c.exclude[ticket.Endpoint.ID] = true
@@ -152,14 +153,12 @@
 	}
 	s.runs++
 	if s.route.Stream {
-		if reading, isReading := s.ticket.Sent(time.Now()); isReading {
-			s.router.hints.tell(reading)
-		}
+		s.router.hints.tell(s.ticket.Sent(time.Now()))
 	}
 	if err := s.receive(); err != nil {
 		return s.unanswered(err)
 	}
-	s.ticket.Begun(time.Now())
+	s.router.hints.tell(s.ticket.Begun(time.Now()))
 	return s.judge()
 }
 
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -30,10 +30,12 @@
 	// keptPart names a part of a prompt as a model has read it; another model reads it anew.
 	keptPart uint32
 
-	// Reading is a prompt that an endpoint was sent, as boxes tell each other.
+	// Reading is what a box finds of an endpoint's reading, as boxes tell each other: a prompt that it was sent, or that
+	// all it was sent is read sooner or later than forecast.
 	Reading struct {
 		Endpoint uint32        // hash of its name
-		Length   time.Duration // measured length: how long it reads, as forecast
+		Length   time.Duration // measured length: how long it reads, or by how much later than forecast
+		IsShift  bool          // it is the latter
 		Parts    []uint32      // the shared parts that it has then, by hashes of model and part
 	}
 
@@ -79,13 +81,13 @@
 }
 
 // learn takes one reading.
-func (s *speed) learn(took time.Duration, tokens willowwick.Tokens) {
+func (s *speed) learn(took time.Duration, tokens float64) {
 	seconds := took.Seconds()
 	if known := s.perToken(); known > 0 {
-		seconds = min(seconds, outlier*known*float64(tokens))
+		seconds = min(seconds, outlier*known*tokens)
 	}
 	s.seconds += seconds - speedFade*s.seconds
-	s.tokens += float64(tokens) - speedFade*s.tokens
+	s.tokens += tokens - speedFade*s.tokens
 }
 
 // unread is the part of the prompt that the endpoint has not kept: an endpoint uses a kept part if it has all before it.
@@ -153,34 +155,42 @@
 	r.queue = append(r.queue, p)
 }
 
-// extend adds a reading of another box's request.
-func (r *reader) extend(now time.Time, reading time.Duration) {
+// note takes what another box has found: a reading that was added, or that all of them are done sooner or later.
+func (r *reader) note(now time.Time, reading Reading) {
 	if r.readyAt.Before(now) {
 		r.readyAt = now
 	}
-	r.shift(now, nil, reading)
+	if reading.IsShift {
+		r.shift(now, r.queue, reading.Length)
+		return
+	}
+	r.shift(now, nil, reading.Length)
 }
 
-// begun takes a reading out of the queue whose answer has begun; if it was the first, the others move with it.
-func (r *reader) begun(now time.Time, p *Place) {
+// begun takes a reading out of the queue whose answer has begun, and returns by how much the others move with it.
+func (r *reader) begun(now time.Time, p *Place) time.Duration {
 	at := slices.Index(r.queue, p)
 	if at < 0 {
-		return
+		return 0
 	}
 	r.queue = slices.Delete(r.queue, at, at+1)
-	if at == 0 {
-		r.shift(now, r.queue, now.Sub(p.due))
+	if at > 0 {
+		return 0
 	}
+	by := now.Sub(p.due)
+	r.shift(now, r.queue, by)
+	return by
 }
 
-// drop takes a reading out of the queue that ends without an answer.
-func (r *reader) drop(now time.Time, p *Place) {
+// drop takes a reading out of the queue that ends without an answer, and returns by how much the others move with it.
+func (r *reader) drop(now time.Time, p *Place) time.Duration {
 	at := slices.Index(r.queue, p)
 	if at < 0 {
-		return
+		return 0
 	}
 	r.queue = slices.Delete(r.queue, at, at+1)
 	r.shift(now, r.queue[at:], -p.reading)
+	return -p.reading
 }
 
 // shift moves the forecast from some of the readings on.
@@ -204,9 +214,12 @@
 	return time.Duration(perToken * float64(tokens) * float64(time.Second)), tokens
 }
 
-// learnSpeed takes the reading of a request that found the endpoint with nothing else to read.
+// learnSpeed takes the reading of a request whose answer has begun.
+//
+// What was ahead of it counts as tokens of its own, by the speed that is known: a speed that is wrong makes all forecasts
+// wrong alike, and readings that found nothing ahead are too few where it is taken for too slow.
 func (p *Pool) learnSpeed(now time.Time, place *Place) {
-	if !place.alone || place.unread == 0 {
+	if place.unread == 0 {
 		return
 	}
 	key := place.speedKey()
@@ -215,7 +228,13 @@
 		known = &speed{}
 		p.speeds[key] = known
 	}
-	known.learn(now.Sub(place.sentAt), place.unread)
+	tokens := float64(place.unread)
+	if perToken := known.perToken(); perToken > 0 {
+		tokens += place.ahead.Seconds() / perToken
+	} else if place.ahead > 0 {
+		return
+	}
+	known.learn(now.Sub(place.sentAt), tokens)
 }
 
 // learnLateness takes how much later than forecast an answer began.
--- a/route/forecast_test.go
+++ b/route/forecast_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,22 +104,60 @@
 	assert.NotPanics(t, func() { other.NoteReading(noon, Reading{Endpoint: 1, Length: time.Second}) })
 }
 
-func TestSpeedIsLearntFromReadingsThatFoundNothingAhead(t *testing.T) {
-	pool := readers(t, "a")
-	pool.speeds = map[speedKey]*speed{}
+// Speeds were once learnt only where nothing was ahead: taken for too slow after a restart, a model always had some.
+func TestSpeedIsLearntWhateverItIsTakenForAndHoweverBusyTheEndpointIs(t *testing.T) {
 	key := speedKey{"s", "m"}
-	now := noon
-	for n := range 60 {
-		place, _ := sendTo(t, pool, now, promptOf(string(rune('A'+n)), "own", 4000))
-		held, _ := sendTo(t, pool, now, promptOf("held", "own", 4000))
-		now = now.Add(time.Second)
-		place.Begun(now)
-		place.Release(now, OutcomeGood)
-		now = now.Add(3 * time.Second)
-		held.Begun(now)
-		held.Release(now, OutcomeGood)
+	const tokens, real = 4000, 100 * time.Microsecond
+	for name, first := range map[string]time.Duration{"unknown": 0, "slow": 10 * real, "fast": real / 10} {
+		pool, now := readers(t, "a"), noon
+		pool.speeds[key] = &speed{seconds: first.Seconds() * 1000, tokens: 1000}
+		if first == 0 {
+			delete(pool.speeds, key)
+		}
+		var queue []*Place
+		for n := range 300 {
+			// Three are always being read, one after the other.
+			for len(queue) < 3 {
+				place, _ := sendTo(t, pool, now, promptOf(fmt.Sprint("part", n, len(queue)), "own", tokens-1000))
+				queue = append(queue, place)
+			}
+			now = now.Add(tokens * real)
+			queue[0].Begun(now)
+			queue[0].Release(now, OutcomeGood)
+			queue = queue[1:]
+		}
+		assert.InEpsilon(t, real.Seconds(), pool.speeds[key].perToken(), 0.1, name)
+		assert.InDelta(t, (2 * tokens * real).Seconds(), pool.Ahead(now, "a").Seconds(), 0.1, name)
+	}
+}
+
+func TestOneReadingThatWasHeldUpSaysLittle(t *testing.T) {
+	pool := readers(t, "a")
+	known := pool.speeds[speedKey{"s", "m"}]
+	for range 100 {
+		known.learn(time.Second, 5000)
 	}
-	assert.InDelta(t, 1.0/5000, pool.speeds[key].perToken(), 1e-6)
-	pool.speeds[key].learn(time.Minute, 5000)
-	assert.Less(t, pool.speeds[key].perToken(), 1.2/5000, "one reading that was held up says little")
+	known.learn(time.Minute, 5000)
+	assert.Less(t, known.perToken(), 1.2/5000)
+}
+
+// With 91 boxes, forecasts once grew and grew: each box heard of the others' readings, and of none that was done sooner.
+func TestForecastThatWasWrongIsPutRightAtAllBoxes(t *testing.T) {
+	one, other := readers(t, "a"), readers(t, "a")
+	place, reading := sendTo(t, one, noon, promptOf("x", "1", 9000))
+	other.NoteReading(noon, reading)
+	held, _ := sendTo(t, other, noon, promptOf("y", "2", 4000))
+	now := noon.Add(200 * time.Millisecond)
+	shift, isShift := place.Begun(now)
+	require.True(t, isShift)
+	assert.Equal(t, -800*time.Millisecond, shift.Length)
+	other.NoteReading(now, shift)
+	assert.Equal(t, now.Add(500*time.Millisecond), held.due)
+	assert.Equal(t, 500*time.Millisecond, other.Ahead(now, "a"))
+	shift, isShift = held.Withdrawn(now)
+	require.True(t, isShift)
+	assert.Equal(t, -500*time.Millisecond, shift.Length)
+	assert.Zero(t, other.Ahead(now, "a"))
+	_, isShift = held.Withdrawn(now)
+	assert.False(t, isShift)
 }
--- a/route/place.go
+++ b/route/place.go
@@ -19,6 +19,8 @@
 	slowStartLimit = 64
 	// failingHalf is the time in which half of the failing share is forgotten without calls.
 	failingHalf = 3 * time.Second
+	// leastShift is the least change of a forecast that other boxes are told of: a short prompt's reading.
+	leastShift = 20 * time.Millisecond
 	// failingFade is how much of the failing share one call replaces: the last ten or so count.
 	failingFade = 0.1
 )
@@ -40,7 +42,7 @@
 		unread  willowwick.Tokens // tokens of the prompt that the endpoint has to read, as forecast
 		reading time.Duration     // forecast of how long it reads them
 		due     time.Time         // forecast of when it has
-		alone   bool              // it had nothing else to read then, as far as was known
+		ahead   time.Duration     // forecast of how long it was still reading then
 	}
 )
 
@@ -62,7 +64,7 @@
 		return Reading{}, false
 	}
 	reader := &p.member.reader
-	p.sentAt, p.alone = now, len(reader.queue) == 0 && reader.ahead(now) == 0
+	p.sentAt, p.ahead = now, reader.ahead(now)
 	var length time.Duration
 	length, p.unread = p.pool.reading(now, p.member, p.work)
 	reader.push(now, p, length)
@@ -71,16 +73,33 @@
 	return Reading{Endpoint: uint32(p.member.hash), Length: length, Parts: parts}, true
 }
 
-// Begun notes that the answer has begun: the prompt is read.
-func (p *Place) Begun(now time.Time) {
+// Begun notes that the answer has begun: the prompt is read. It returns what is to be told to other boxes of it.
+func (p *Place) Begun(now time.Time) (shift Reading, isShift bool) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	p.member.heardAt = now
 	if !p.sentAt.IsZero() {
 		p.pool.learnSpeed(now, p)
 		p.pool.learnLateness(now, p)
-		p.member.reader.begun(now, p)
+		return p.shift(p.member.reader.begun(now, p))
 	}
+	return Reading{}, false
+}
+
+// Withdrawn notes that the request is taken back from the endpoint, if its answer has not begun, and returns what is to be
+// told to other boxes of it.
+func (p *Place) Withdrawn(now time.Time) (shift Reading, isShift bool) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.shift(p.member.reader.drop(now, p))
+}
+
+// shift is what is told of a forecast that has moved by more than others would notice.
+func (p *Place) shift(by time.Duration) (shift Reading, isShift bool) {
+	if by.Abs() < leastShift {
+		return Reading{}, false
+	}
+	return Reading{Endpoint: uint32(p.member.hash), Length: by, IsShift: true}, true
 }
 
 // Heard notes a sign of life of the endpoint.
--- a/route/pool.go
+++ b/route/pool.go
@@ -186,7 +186,7 @@
 	if m == nil {
 		return
 	}
-	m.reader.extend(now, reading.Length)
+	m.reader.note(now, reading)
 	m.reader.keep(now, reading.Parts)
 }
 
