--- a/route/hall.go
+++ b/route/hall.go
@@ -12,6 +12,10 @@
 	otherHallLoad = 0.5
 	// slotTime is what one request at an endpoint adds to the wait of the next one, as the batch's tokens get slower.
 	slotTime = 40 * time.Millisecond
+	// readingWeight is how many times the reading of the request itself counts against what it waits for: a prompt that is
+	// read where it is not kept takes its time from all that come after. At 4, a fleet of 12 runners with 9.4 prompts of
+	// 17,000 tokens a second is worth 0.013 more than at 1, and one of 105 runners 0.07; 2 to 8 differ little.
+	readingWeight = 4
 	// busySlots is how many requests at once an endpoint does well, however many slots it has: a batch makes each
 	// token slower, and long prompts hold up all of them.
 	busySlots = 16
@@ -61,7 +65,8 @@
 
 // score is how much work stands before a new request, in shares of what an endpoint does well at once.
 func (p *HallFirst) score(c willowwick.Candidate) float64 {
-	taken := max(float64(c.Load.Running+c.Load.Waiting+c.Recent), float64(c.InFlight)) + float64(c.Ahead+c.Reading)/float64(slotTime)
+	taken := max(float64(c.Load.Running+c.Load.Waiting+c.Recent), float64(c.InFlight))
+	taken += float64(c.Ahead+readingWeight*c.Reading) / float64(slotTime)
 	score := taken/float64(min(max(c.Load.Slots, 1), busySlots)) + failingWeight*c.Failing
 	if c.Hall != p.hall {
 		score += otherHallLoad
