What became of a release is kept and told, and a completed one is not given up

And sessions on the target of one roll-out counted as sessions on the target of the next.

Change: exchange/verdicts.go keeps how a release's roll-out ended and tells other boxes; a release whose order is replaced is given up two seconds later, unless it is heard to have been completed; a session is remembered with the release it went to.

--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -44,7 +44,7 @@
 
 	// sessionSeen is where a session's newest request went, and until when that counts.
 	sessionSeen struct {
-		target bool
+		target willowwick.ReleaseID // of the roll-out that sent it there; empty if it went to another release
 		until  time.Time
 	}
 
@@ -89,7 +89,7 @@
 		for key, seen := range r.sessions {
 			name, isOfService := strings.CutPrefix(key, string(service)+"/")
 			hash := hashOf(service, name)
-			if isOfService && !seen.target && now.Before(seen.until) && hash.isWithin(r.canary) {
+			if isOfService && seen.target != m.order.Target && now.Before(seen.until) && hash.isWithin(r.canary) {
 				list = append(list, hash)
 			}
 		}
@@ -120,13 +120,13 @@
 	if m != nil {
 		choice = r.chooseIn(m, session, now)
 	}
-	for banned := range r.banned {
-		if banned.Service == service {
-			choice.banned = append(choice.banned, banned.Release)
-		}
-	}
+	choice.banned = r.verdicts.banned(service, now)
 	key := string(service) + "/" + session
-	r.sessions[key] = sessionSeen{target: choice.useTarget, until: deadline.Add(r.settings.Session)}
+	seen := sessionSeen{until: deadline.Add(r.settings.Session)}
+	if choice.useTarget {
+		seen.target = choice.release
+	}
+	r.sessions[key] = seen
 	return choice
 }
 
@@ -144,7 +144,7 @@
 	seen, known := r.sessions[string(m.order.Service)+"/"+session]
 	known = known && now.Before(seen.until)
 	switch {
-	case known && seen.target:
+	case known && seen.target == m.order.Target:
 		choice.useTarget = true
 	case m.part(now) < canaryEnd && (known || r.keptElsewhere[hash] || now.Sub(m.began) < keptSpread):
 		choice.useTarget = false
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -22,7 +22,7 @@
 		Own           Report
 		Halls         []HallReport // what a hub knows of all halls; empty on a box that has a hub
 		Progress      []ProgressRow
-		Banned        []releaseKey
+		Verdicts      []verdictRow
 	}
 
 	// ProgressRow is a roll-out as a box believes it to be.
@@ -59,7 +59,7 @@
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
 		TableVersion: x.configVersion(), EndpointsFrom: x.sync.listedFrom(),
 		LinkMbps: x.settings.LinkMbps, StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(),
-		Own: p.ownReport(), Banned: x.releases.bans(),
+		Own: p.ownReport(), Verdicts: x.releases.ended(now),
 	}
 	for _, own := range x.releases.progresses(now) {
 		digest.Progress = append(digest.Progress, ProgressRow{Status: own.Status, Order: own.Order, AgeMs: own.AgeMs})
--- a/exchange/evidence.go
+++ b/exchange/evidence.go
@@ -109,7 +109,7 @@
 		}
 		if cause, isBad := m.judge(service, fleet); isBad {
 			m.state, m.written = willowwick.ReleaseRolledBack, false
-			r.noteBan(m)
+			r.noteEnd(m)
 			bad = append(bad, willowwick.ReleaseStatus{Service: service, Target: m.order.Target, State: m.state})
 			slog.Info("release is bad", "service", service, "release", m.order.Target, "cause", cause,
 				"answers", m.requests, "age_ms", now.Sub(m.began).Milliseconds())
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -110,7 +110,7 @@
 	known.digest, known.heard, known.failures = digest, now, 0
 	p.takeHalls(digest.Halls, now)
 	p.mu.Unlock()
-	p.router.releases.takeBans(digest.Banned)
+	p.router.releases.hearEnded(digest.Verdicts)
 	for _, row := range digest.Progress {
 		p.router.releases.begin(row.Order, time.Duration(row.AgeMs)*time.Millisecond, now)
 		p.router.releases.settle(row.Status, false, "peer "+string(digest.Box))
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -36,8 +34,8 @@
 		moves map[willowwick.ServiceID]*move
 		// keptElsewhere are sessions that other boxes know on other releases than a roll-out's target.
 		keptElsewhere map[sessionHash]bool
-		canary        float64             // share of the sessions that try a new release first
-		banned        map[releaseKey]bool // releases that were rolled back, or given up for a later order
+		canary        float64 // share of the sessions that try a new release first
+		verdicts      verdicts
 		own           map[evidenceKey]rollout.Evidence
 		typical       map[typicalKey]float64 // seconds
 		lateness      map[typicalKey]*route.Lateness
@@ -76,7 +74,7 @@
 		isThere:  isThere,
 		canary:   settings.firstShare(),
 		moves:    map[willowwick.ServiceID]*move{},
-		banned:   map[releaseKey]bool{},
+		verdicts: verdicts{},
 		own:      map[evidenceKey]rollout.Evidence{},
 		typical:  map[typicalKey]float64{},
 		lateness: map[typicalKey]*route.Lateness{},
@@ -97,9 +95,9 @@
 	}
 	if m != nil && m.state == willowwick.ReleaseRunning {
 		// Its sessions go back to what the others use; only one release is tried at a time.
-		r.ban(order.Service, m.order.Target)
+		r.verdicts.giveUp(releaseKey{order.Service, m.order.Target}, now)
 	}
-	delete(r.banned, releaseKey{order.Service, order.Target})
+	delete(r.verdicts, releaseKey{order.Service, order.Target})
 	r.moves[order.Service] = &move{
 		order: order, began: now.Add(-age), state: willowwick.ReleaseRunning,
 		panel: rollout.NewPanel(willowwick.VersionID(order.Target)), seen: map[evidenceKey]rollout.Evidence{},
@@ -124,40 +122,38 @@
 	// What the store holds goes before what this box believes.
 	if written || m.state == willowwick.ReleaseRunning {
 		m.state, m.written = status.State, written
-		r.noteBan(m)
+		r.noteEnd(m)
 	}
 	if news {
 		slog.Info("roll-out ended", "service", status.Service, "release", status.Target, "state", m.state, "source", source)
 	}
 }
 
-// noteBan keeps a release that was rolled back out of use, whatever is ordered after it.
-func (r *releases) noteBan(m *move) {
-	if m.state == willowwick.ReleaseRolledBack {
-		r.ban(m.order.Service, m.order.Target)
-	} else {
-		delete(r.banned, releaseKey{m.order.Service, m.order.Target})
+// noteEnd keeps how a roll-out ended, whatever is ordered after it.
+func (r *releases) noteEnd(m *move) {
+	key := releaseKey{m.order.Service, m.order.Target}
+	switch m.state {
+	case willowwick.ReleaseRolledBack:
+		r.verdicts.set(key, rolledBack)
+	case willowwick.ReleaseCompleted:
+		r.verdicts.set(key, completed)
 	}
 }
 
-func (r *releases) ban(service willowwick.ServiceID, release willowwick.ReleaseID) {
-	r.banned[releaseKey{service, release}] = true
-}
-
-// bans lists the releases that are out of use.
-func (r *releases) bans() []releaseKey {
+// ended lists what became of releases.
+func (r *releases) ended(now time.Time) []verdictRow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Keys(r.banned))
+	return r.verdicts.rows(now)
 }
 
-// takeBans takes what another box keeps out of use, unless this box has a roll-out to it.
-func (r *releases) takeBans(bans []releaseKey) {
+// hearEnded takes what another box knows of releases, but for those that this box has a roll-out to.
+func (r *releases) hearEnded(rows []verdictRow) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, key := range bans {
-		if m := r.moves[key.Service]; m == nil || m.order.Target != key.Release {
-			r.banned[key] = true
+	for _, row := range rows {
+		if m := r.moves[row.Key.Service]; m == nil || m.order.Target != row.Key.Release {
+			r.verdicts.hear(row)
 		}
 	}
 }
