willowctl losses sorts refused, failed, late and doubtful answers by cause

Logs tell the forecast of a send, a stream's first event and longest pause, the goal, and the stage of the cascade.

--- a/cmd/willowctl/explain.go
+++ b/cmd/willowctl/explain.go
@@ -1,12 +1,11 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"strings"
 
@@ -14,9 +13,6 @@
 	"github.com/pkg/errors"
 )
 
-// maxLogLine bounds a line of a log; longer ones are passed over.
-const maxLogLine = 1 << 20
-
 // logLine is a line of a daemon's log that speaks of the request.
 type logLine struct {
 	Time    string `json:"time"`
@@ -48,49 +44,19 @@
 		})
 }
 
+// collectLines finds the lines about the request, in order of time.
 func collectLines(request string, files []string) ([]logLine, error) {
-	if len(files) == 0 {
-		return linesOf(request, os.Stdin)
-	}
-	var all []logLine
-	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, errors.Wrap(err, "log")
-		}
-		lines, err := linesOf(request, file)
-		_ = file.Close()
-		if err != nil {
-			return nil, errors.Wrapf(err, "log %s", name)
-		}
-		all = append(all, lines...)
-	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].Time < all[j].Time })
-	return all, nil
-}
-
-// linesOf finds the lines about the request; what stands before a line's first brace is a collector's own.
-func linesOf(request string, r io.Reader) ([]logLine, error) {
 	var lines []logLine
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, request) {
-			continue
-		}
+	err := eachLine(files, func(data []byte) error {
 		var line logLine
-		data := []byte(text[start:])
-		if json.Unmarshal(data, &line) != nil || line.Request != request {
-			continue
-		}
-		if err := json.Unmarshal(data, &line.fields); err != nil {
-			return nil, errors.Wrap(err, "line")
+		if !bytes.Contains(data, []byte(request)) || json.Unmarshal(data, &line) != nil || line.Request != request {
+			return nil
 		}
 		lines = append(lines, line)
-	}
-	return lines, errors.Wrap(scanner.Err(), "read")
+		return errors.Wrap(json.Unmarshal(data, &lines[len(lines)-1].fields), "line")
+	})
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
+	return lines, err
 }
 
 // text is the line for people: when, where, what, and the inputs in order of their names.
--- a/cmd/willowctl/main.go
+++ b/cmd/willowctl/main.go
@@ -81,7 +81,7 @@
 		Subcommands: []*ffcli.Command{
 			t.checkCommand(), t.diffCommand(), t.applyCommand(), t.statusCommand(), t.auditCommand(),
 			t.rolloutCommand(), t.withdrawCommand(), t.traceCommand(), t.usageCommand(), t.keyCommand(),
-			t.explainCommand(), t.labCommand(), t.demoCommand(), t.replayCommand(),
+			t.explainCommand(), t.lossesCommand(), t.labCommand(), t.demoCommand(), t.replayCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			return flag.ErrHelp
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -60,9 +60,17 @@
 		runs    int // endpoints that may have run it
 		exclude map[willowwick.EndpointID]bool
 		resumed string // last event that went out
+		pace    pace
 		failure *failedAnswer
 	}
 
+	// pace is how the answer has gone out to the caller so far.
+	pace struct {
+		firstAt time.Time     // its first event; zero before, and for answers that are no stream
+		lastAt  time.Time     // its newest event
+		pause   time.Duration // measured length: the longest between two events
+	}
+
 	// failedAnswer is a whole answer of an endpoint with a status of 500 or more.
 	failedAnswer struct {
 		status int
@@ -311,12 +319,30 @@
 	return errors.Is(c.ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(c.deadline)
 }
 
+// note takes the time of an event that goes out.
+func (p *pace) note(now time.Time) {
+	if p.firstAt.IsZero() {
+		p.firstAt = now
+	} else {
+		p.pause = max(p.pause, now.Sub(p.lastAt))
+	}
+	p.lastAt = now
+}
+
 // logEnd writes the last line about a request.
 func (c *call) logEnd(what string, status int, more ...any) {
 	attributes := append([]any{
 		"request", c.head.ID, "session", c.head.Session, "route", c.route.Name, "service", c.service, "status", status,
 		"sends", c.sends, "runs", c.runs, "ms", time.Since(c.arrived).Milliseconds(), "config", c.table.Version,
+		"goal_ms", c.route.Goal.Milliseconds(),
 	}, more...)
+	if !c.pace.firstAt.IsZero() {
+		attributes = append(attributes, "first_ms", c.pace.firstAt.Sub(c.arrived).Milliseconds(),
+			"pause_ms", c.pace.pause.Milliseconds(), "pause_goal_ms", c.route.GapGoal.Milliseconds())
+	}
+	if c.model != noModel {
+		attributes = append(attributes, "stage", c.model+1, "stages", len(c.route.Models))
+	}
 	slog.Info(what, attributes...)
 }
 
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -190,6 +190,7 @@
 		s.observe(false)
 		s.out.head(s.answer.Status, s.answer.Header, -1)
 	}
+	s.pace.note(time.Now())
 	if id := lastID(events); id != "" {
 		s.resumed = id
 	}
@@ -244,7 +245,9 @@
 func (s *send) delivered() {
 	took := time.Since(s.arrived)
 	s.router.metrics.delivered(s.route, took)
+	ahead, reading := s.ticket.Forecast()
 	s.logEnd("answered", s.answer.Status, "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
 		"model", s.model, "confidence", s.head.Confidence, "account", s.accountName(),
-		"running", s.head.Load.Running, "waiting", s.head.Load.Waiting, "send_ms", s.sentAt.Sub(s.arrived).Milliseconds())
+		"running", s.head.Load.Running, "waiting", s.head.Load.Waiting, "send_ms", s.sentAt.Sub(s.arrived).Milliseconds(),
+		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -127,10 +127,12 @@
 	if result.err != nil {
 		cause = result.err.Error()
 	}
+	ahead, reading := s.ticket.Forecast()
 	slog.Info("send ended", "request", c.head.ID, "outcome", kindNames[result.kind], "cause", cause,
 		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
 		"confidence", s.head.Confidence, "running", s.head.Load.Running, "waiting", s.head.Load.Waiting,
-		"ms", time.Since(s.sentAt).Milliseconds(), "age_ms", time.Since(c.arrived).Milliseconds())
+		"ms", time.Since(s.sentAt).Milliseconds(), "age_ms", time.Since(c.arrived).Milliseconds(),
+		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())
 }
 
 func (s *send) do() sendResult {
--- a/route/place.go
+++ b/route/place.go
@@ -124,6 +124,13 @@
 	return p.due, p.pool.lateness[p.speedKey()].Value(), !p.sentAt.IsZero()
 }
 
+// Forecast is how long the endpoint was still reading when the request was sent, and then read for it, as forecast.
+func (p *Place) Forecast() (ahead, reading time.Duration) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.ahead, p.reading
+}
+
 func (p *Place) speedKey() speedKey {
 	return speedKey{p.Endpoint.Service, p.work.Model}
 }
