Where nothing is known of reading speeds, endpoints are given time; boxes tell each other speeds and silences

Boxes that had just started forecast nothing, left after half a second, and had prompts read by several endpoints; and an endpoint that was left never counted as late, so that the allowance could not grow.

Change: three seconds of patience where no speed is known; digests carry speeds to boxes that know none; a silence counts as a late answer, up to 3 s; other boxes are told of it, and avoid the endpoint for as long as its answer was late.

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/route"
 )
 
 type (
@@ -23,6 +24,7 @@
 		Halls         []HallReport // what a hub knows of all halls; empty on a box that has a hub
 		Progress      []ProgressRow
 		Verdicts      []verdictRow
+		Speeds        []route.SpeedRow
 	}
 
 	// ProgressRow is a roll-out as a box believes it to be.
@@ -59,7 +61,7 @@
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
 		TableVersion: x.configVersion(), EndpointsFrom: x.sync.listedFrom(),
 		LinkMbps: x.settings.LinkMbps, StoreAgeMs: x.sync.storeAge(now).Milliseconds(), ReadAgeMs: x.sync.readAge(now).Milliseconds(),
-		Own: p.ownReport(), Verdicts: x.releases.ended(now),
+		Own: p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
 	}
 	for _, own := range x.releases.progresses(now) {
 		digest.Progress = append(digest.Progress, ProgressRow{Status: own.Status, Order: own.Order, AgeMs: own.AgeMs})
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -111,6 +111,7 @@
 	p.takeHalls(digest.Halls, now)
 	p.mu.Unlock()
 	p.router.releases.hearEnded(digest.Verdicts)
+	p.router.pool.HearSpeeds(digest.Speeds)
 	for _, row := range digest.Progress {
 		p.router.releases.begin(row.Order, time.Duration(row.AgeMs)*time.Millisecond, now)
 		p.router.releases.settle(row.Status, false, "peer "+string(digest.Box))
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -112,7 +112,11 @@
 			s.outcome = route.OutcomeFailed
 		}
 	}
-	c.router.hints.tell(ticket.Withdrawn(time.Now()))
+	if result.kind == silent {
+		c.router.hints.tell(ticket.HeldUp(time.Now()))
+	} else {
+		c.router.hints.tell(ticket.Withdrawn(time.Now()))
+	}
 	ticket.Done(s.outcome)
 	if result.kind != answered {
 		c.exclude[ticket.Endpoint.ID] = true
@@ -216,7 +220,9 @@
 	due, lateness, known := s.ticket.Due()
 	if !known {
 		var usual time.Duration
-		usual, lateness = s.router.releases.usual(s.route.Name, s.model)
+		if usual, lateness = s.router.releases.usual(s.route.Name, s.model); usual == 0 {
+			lateness = route.UnknownPatience
+		}
 		due = s.sentAt.Add(usual)
 	}
 	return earliest(s.deadline, due.Add(lateness))
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -16,6 +16,12 @@
 	keptMost = 4096
 	// speedFade is how much of what is known of a reading speed one reading replaces: the last twenty or so count.
 	speedFade = 0.05
+	// UnknownPatience is how long a request waits for its answer to begin where nothing is known yet of how long that
+	// takes: a large model reads a prompt of 30,000 tokens in it. Boxes that had all just started once left endpoints
+	// after half a second, and had the prompts read by several.
+	UnknownPatience = 3 * time.Second
+	// heardTokens is how many tokens another box's speed counts for: a reading or two of this one weigh as much.
+	heardTokens = 10000
 	// outlier bounds one reading by how many times longer than expected it counts: a slow one may have waited unseen.
 	outlier = 3.0
 )
@@ -45,6 +51,13 @@
 		model   willowwick.ModelID
 	}
 
+	// SpeedRow is how fast the endpoints of a service read prompts for a model, as boxes tell each other.
+	SpeedRow struct {
+		Service  willowwick.ServiceID
+		Model    willowwick.ModelID
+		PerToken time.Duration // measured length
+	}
+
 	// speed is how fast the endpoints of a service read prompts for a model.
 	speed struct {
 		seconds float64 // of the readings that were seen, older ones faded
@@ -145,6 +158,17 @@
 	return ahead
 }
 
+// busyUntil is until when an endpoint may say nothing since it reads the first of what it was sent.
+func (r *reader) busyUntil() time.Time {
+	if len(r.queue) == 0 {
+		return time.Time{}
+	}
+	if first := r.queue[0]; !first.known {
+		return first.sentAt.Add(UnknownPatience)
+	}
+	return r.queue[0].due
+}
+
 // push puts a reading at the end of the queue.
 func (r *reader) push(now time.Time, p *Place, reading time.Duration) {
 	if r.readyAt.Before(now) {
@@ -237,6 +261,29 @@
 	known.learn(now.Sub(place.sentAt), tokens)
 }
 
+// Speeds lists the reading speeds that are known.
+func (p *Pool) Speeds() []SpeedRow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := make([]SpeedRow, 0, len(p.speeds))
+	for key, known := range p.speeds {
+		rows = append(rows, SpeedRow{key.service, key.model, time.Duration(known.perToken() * float64(time.Second))})
+	}
+	return rows
+}
+
+// HearSpeeds takes the speeds that another box knows where this one knows none: one that has just started.
+func (p *Pool) HearSpeeds(rows []SpeedRow) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range rows {
+		key := speedKey{row.Service, row.Model}
+		if p.speeds[key] == nil && row.PerToken > 0 {
+			p.speeds[key] = &speed{seconds: row.PerToken.Seconds() * heardTokens, tokens: heardTokens}
+		}
+	}
+}
+
 // learnLateness takes how much later than forecast an answer began.
 func (p *Pool) learnLateness(now time.Time, place *Place) {
 	key := place.speedKey()
--- a/route/lateness.go
+++ b/route/lateness.go
@@ -10,6 +10,8 @@
 	latenessStep = 0.25
 	// firstLateness is what it is taken for before answers were seen: what a loaded runner's first event varies by.
 	firstLateness = 500 * time.Millisecond
+	// mostLateness is the most that it rises to: dead endpoints make it rise, and are to be left all the same.
+	mostLateness = 3 * time.Second
 	// leastLateness is the least that it falls to: a turn of the scheduler on a box with a part of a core.
 	leastLateness = 20 * time.Millisecond
 )
@@ -23,7 +25,7 @@
 func (l *Lateness) Learn(late time.Duration) {
 	known := l.Value()
 	if late > known {
-		l.beyond = known + time.Duration(latenessStep*float64(known))
+		l.beyond = min(known+time.Duration(latenessStep*float64(known)), mostLateness)
 		return
 	}
 	down := latenessStep * (1 - latenessShare) / latenessShare
--- a/route/place.go
+++ b/route/place.go
@@ -40,6 +40,7 @@
 
 		sentAt  time.Time         // when the work was sent; zero before
 		unread  willowwick.Tokens // tokens of the prompt that the endpoint has to read, as forecast
+		known   bool              // the model's speed was known then, and so the forecast is worth something
 		reading time.Duration     // forecast of how long it reads them
 		due     time.Time         // forecast of when it has
 		ahead   time.Duration     // forecast of how long it was still reading then
@@ -67,6 +68,7 @@
 	p.sentAt, p.ahead = now, reader.ahead(now)
 	var length time.Duration
 	length, p.unread = p.pool.reading(now, p.member, p.work)
+	p.known = length > 0 || p.unread == 0
 	reader.push(now, p, length)
 	parts := p.work.shared()
 	reader.keep(now, parts)
@@ -94,6 +96,19 @@
 	return p.shift(p.member.reader.drop(now, p))
 }
 
+// HeldUp notes that the request is taken back from an endpoint that says nothing, and returns what is to be told to other
+// boxes of it: that its answers come later by as much as this one would have, so that they try others meanwhile.
+func (p *Place) HeldUp(now time.Time) (shift Reading, isShift bool) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	if !p.known {
+		return Reading{}, false
+	}
+	p.pool.learnLateness(now.Add(mostLateness), p)
+	p.member.reader.drop(now, p)
+	return p.shift(max(now.Sub(p.due), 0))
+}
+
 // shift is what is told of a forecast that has moved by more than others would notice.
 func (p *Place) shift(by time.Duration) (shift Reading, isShift bool) {
 	if by.Abs() < leastShift {
@@ -121,7 +136,7 @@
 func (p *Place) Due() (at time.Time, lateness time.Duration, ok bool) {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	return p.due, p.pool.lateness[p.speedKey()].Value(), !p.sentAt.IsZero()
+	return p.due, p.pool.lateness[p.speedKey()].Value(), p.known
 }
 
 // Forecast is how long the endpoint was still reading when the request was sent, and then read for it, as forecast.
--- a/route/pool.go
+++ b/route/pool.go
@@ -272,8 +272,8 @@
 // isQuiet reports whether the endpoint has said nothing for long, and is not reading what it was sent.
 func (m *member) isQuiet(now time.Time, options PoolOptions) bool {
 	heardAt := m.heardAt
-	if len(m.reader.queue) > 0 && m.reader.queue[0].due.After(heardAt) {
-		heardAt = m.reader.queue[0].due
+	if until := m.reader.busyUntil(); until.After(heardAt) {
+		heardAt = until
 	}
 	return now.Sub(heardAt) > options.QuietAfter
 }
