Large models are asked less the longer endpoints will be reading

Change: from a mean backlog of one second on, the confidence below which the large model is asked falls, at two seconds to its lowest.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -43,6 +43,10 @@
 	// crowdedRunner is the number of requests at a runner from which on large models are asked less, not at all
 	// at twice as many: runs wait for each other's tokens there (docs/design/0005 has the trials).
 	crowdedRunner = 10.0
+	// backlogLimit is how long endpoints will be reading, in the mean, from which on large models are asked less, not at
+	// all at twice as long: each of their readings then makes some other answer late. A fleet of 94 runners that lost a
+	// third of them, with prompts for 1.3 times their speed, is worth 0.04 more with it; one that keeps up, the same.
+	backlogLimit = time.Second
 	// easyShare is the part of the goal that must be left after the expected answer for the full threshold: answers
 	// vary about twofold around what is usual.
 	easyShare = 0.5
@@ -220,7 +224,8 @@
 	due, lateness, known := s.ticket.Due()
 	if !known {
 		var usual time.Duration
-		if usual, lateness = s.router.releases.usual(s.route.Name, s.model); usual == 0 {
+		usual, lateness = s.router.releases.usual(s.route.Name, s.model)
+		if usual == 0 && s.route.Stream {
 			lateness = route.UnknownPatience
 		}
 		due = s.sentAt.Add(usual)
@@ -326,7 +331,8 @@
 	expected := now.Sub(s.arrived) + usual
 	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
 	crowd := s.router.pool.Crowd(now, s.service, s.choice.allows)
-	ease := min(max(min(left/easyShare, 2-crowd/crowdedRunner), 0), 1)
+	backlog := s.router.pool.Backlog(now, s.service, s.choice.allows)
+	ease := min(max(min(left/easyShare, 2-crowd/crowdedRunner, 2-float64(backlog)/float64(backlogLimit)), 0), 1)
 	return settings.LateConfidence + int(ease*float64(settings.Confidence-settings.LateConfidence))
 }
 
--- a/exchange/silence_test.go
+++ b/exchange/silence_test.go
@@ -77,3 +77,42 @@
 	assert.Zero(t, typical)
 	assert.Equal(t, (*route.Lateness)(nil).Value(), lateness, "of which nothing is known")
 }
+
+// sendingOn is a send of a stream at the place, of which nothing has come back.
+func sendingOn(x *Router, place *route.Place, stream *willowwick.Route, now time.Time) *send {
+	return &send{
+		ticket: &gate.Ticket{Place: place}, sentAt: now,
+		call: &call{router: x, route: stream, service: "work", out: &reply{}, arrived: now, deadline: now.Add(time.Minute)},
+	}
+}
+
+// Boxes that had all just started once left endpoints that read their first prompts after half a second.
+func TestEndpointIsGivenTimeWhereNothingIsKnownOfReadingSpeeds(t *testing.T) {
+	s := newSite(t, newRunner(t, "r1", answerText("a")).endpoint("v1"), newRunner(t, "r2", answerText("b")).endpoint("v1"))
+	x := s.daemon.router
+	for range 20 {
+		x.budget("work").Request(time.Now())
+	}
+	stream, now := streamRoute(), time.Now()
+	sending := sendingOn(x, sendWork(t, x.pool, now, readingWork(20000)), &stream, now)
+	assert.False(t, sending.isLost(now.Add(2*time.Second)))
+	assert.True(t, sending.isLost(now.Add(route.UnknownPatience+2*quietAfter)))
+}
+
+func TestLargeModelIsAskedLessTheLongerEndpointsWillBeReading(t *testing.T) {
+	s := newSite(t, newRunner(t, "r1", answerText("a")).endpoint("v1"))
+	x := s.daemon.router
+	stream, now := streamRoute(), learnReading(t, s.daemon.router.pool, time.Now())
+	needed := func() int {
+		place := sendWork(t, x.pool, now, readingWork(0))
+		defer place.Release(now, route.OutcomeGood)
+		return sendingOn(x, place, &stream, now).confidenceNeeded(now)
+	}
+	assert.Equal(t, 50, needed())
+	sendWork(t, x.pool, now, readingWork(10000))
+	assert.Equal(t, 50, needed(), "a second of reading is what it does well")
+	sendWork(t, x.pool, now, readingWork(5000))
+	assert.InDelta(t, 25, needed(), 1)
+	sendWork(t, x.pool, now, readingWork(5000))
+	assert.Zero(t, needed())
+}
--- a/route/forecast_test.go
+++ b/route/forecast_test.go
@@ -165,3 +165,31 @@
 	_, isShift = held.Withdrawn(now)
 	assert.False(t, isShift)
 }
+
+func TestBoxThatHasJustStartedTakesTheSpeedsOfOthers(t *testing.T) {
+	known, fresh := readers(t, "a"), readers(t, "a")
+	fresh.speeds = map[speedKey]*speed{}
+	fresh.HearSpeeds([]SpeedRow{{Service: "s", Model: "n"}})
+	fresh.HearSpeeds(known.Speeds())
+	assert.InDelta(t, testReading.Seconds(), fresh.speeds[speedKey{"s", "m"}].perToken(), 1e-9)
+	assert.Len(t, fresh.speeds, 1, "a speed that is not known is no news")
+	known.HearSpeeds([]SpeedRow{{Service: "s", Model: "m", PerToken: time.Second}})
+	assert.InDelta(t, testReading.Seconds(), known.speeds[speedKey{"s", "m"}].perToken(), 1e-9, "its own goes first")
+}
+
+func TestEndpointThatSaysNothingIsAvoidedByOtherBoxes(t *testing.T) {
+	one, other := readers(t, "a", "b"), readers(t, "a", "b")
+	place, reading := sendTo(t, one, noon, promptOf("x", "1", 1000))
+	other.NoteReading(noon, reading)
+	now := noon.Add(time.Second)
+	before := one.lateness[place.speedKey()].Value()
+	shift, isShift := place.HeldUp(now)
+	require.True(t, isShift)
+	other.NoteReading(now, shift)
+	assert.Equal(t, 800*time.Millisecond, other.Ahead(now, place.Endpoint.ID))
+	assert.Greater(t, one.lateness[place.speedKey()].Value(), before, "it counts as a late answer")
+	for range 100 {
+		one.learnLateness(now.Add(time.Hour), place)
+	}
+	assert.Equal(t, mostLateness, one.lateness[place.speedKey()].Value())
+}
