What boxes tell each other is bounded, and parts of a prompt are named once for each choice

At 390 boxes and 5,400 requests a second, all readings would be some 250 KB a second for each box to hear (17 bytes each, sent and shifted, 1.4 sends a request: worked out).

--- a/exchange/hints.go
+++ b/exchange/hints.go
@@ -37,6 +37,14 @@
 	// directMost is the size up to which all boxes of another hall are told directly; of a larger one, one is told, and
 	// tells the others: bytes between halls cost more than those within.
 	directMost = 3
+	// rowsHeard is how many readings a second a box hears of all others together: at 17 bytes each, two thirds of the 30 KB
+	// a second that a box may spend on control. Each box tells its part of them, the long ones first.
+	rowsHeard = 1200
+	// rowsAtOnce is how many seconds' part of them a box may tell at once, and rowsAtOnceLeast the least of it.
+	rowsAtOnce      = 2
+	rowsAtOnceLeast = 16
+	// shortReading is what is told only while half of a box's part is left.
+	shortReading = 100 * time.Millisecond
 	// tellerFresh is how long a box that told of readings counts as alive: boxes that serve tell some each second.
 	tellerFresh = 2 * time.Second
 )
@@ -52,8 +60,10 @@
 		conn   net.PacketConn
 		queue  chan hint
 
-		mu      sync.Mutex
-		tellers map[netip.AddrPort]time.Time // when each box last told of readings
+		mu       sync.Mutex
+		tellers  map[netip.AddrPort]time.Time // when each box last told of readings
+		rowsLeft float64                      // readings that may be told at rowsAt
+		rowsAt   time.Time
 	}
 
 	// hint is a reading that waits to be told.
@@ -67,7 +77,7 @@
 		Endpoint uint32
 		Micros   int32 // how long it reads, or by how much later than forecast all of it is read
 		IsShift  bool  // it is the latter
-		Parts    [hintParts]uint32
+		Parts    [hintParts]route.PartName
 	}
 
 	// hintKind is the first byte of a datagram.
@@ -90,6 +100,10 @@
 	if h.conn == nil || !isReading {
 		return
 	}
+	if !h.mayTell(reading.Length, h.router.peers.boxes(), time.Now()) {
+		h.router.metrics.hintDropped()
+		return
+	}
 	row := hintRow{
 		Endpoint: reading.Endpoint, IsShift: reading.IsShift,
 		Micros: int32(min(max(reading.Length.Microseconds(), math.MinInt32), math.MaxInt32)),
@@ -98,6 +112,24 @@
 	h.enqueue(hint{row: row})
 }
 
+// mayTell takes from this box's part of the readings that all boxes tell.
+func (h *hints) mayTell(length time.Duration, boxes int, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	rate := rowsHeard / float64(max(boxes, 1))
+	most := max(rowsAtOnce*rate, rowsAtOnceLeast)
+	if h.rowsAt.IsZero() {
+		h.rowsLeft = most
+	}
+	h.rowsLeft = min(h.rowsLeft+rate*now.Sub(h.rowsAt).Seconds(), most)
+	h.rowsAt = now
+	if h.rowsLeft < 1 || length.Abs() < shortReading && h.rowsLeft < most/2 {
+		return false
+	}
+	h.rowsLeft--
+	return true
+}
+
 func (h *hints) enqueue(waiting hint) {
 	select {
 	case h.queue <- waiting:
--- a/exchange/hints_test.go
+++ b/exchange/hints_test.go
@@ -79,7 +79,7 @@
 
 func TestHintsOfStrangersAreNotTaken(t *testing.T) {
 	own, stranger := newTestHints("0123456789abcdef"), newTestHints("fedcba9876543210")
-	rows := []hintRow{{Endpoint: 7, Micros: 100}, {Endpoint: 8, Micros: -5, IsShift: true, Parts: [hintParts]uint32{1, 2}}}
+	rows := []hintRow{{Endpoint: 7, Micros: 100}, {Endpoint: 8, Micros: -5, IsShift: true, Parts: [hintParts]route.PartName{1, 2}}}
 	data, err := own.encode(hintPass, rows)
 	require.NoError(t, err)
 	kind, got, err := own.decode(data)
@@ -125,3 +125,30 @@
 		assert.Equal(t, hall[3], h.relayOf(hall))
 	}
 }
+
+// At 390 boxes with 5,400 requests a second, all that is sent would be 250 KB a second for each box to hear.
+func TestReadingsThatAreToldStayWithinTheirBytes(t *testing.T) {
+	const boxes, seconds = 390, 20
+	h, now := newTestHints("k"), time.Now()
+	told := map[bool]int{}
+	offered := map[bool]int{}
+	for n := range 40 * seconds {
+		now = now.Add(time.Second / 40)
+		isLong := n%16 == 0
+		length := 20 * time.Millisecond
+		if isLong {
+			length = time.Second
+		}
+		offered[isLong]++
+		if h.mayTell(length, boxes, now) {
+			told[isLong]++
+		}
+	}
+	heard := float64(told[true]+told[false]) / seconds * boxes
+	assert.LessOrEqual(t, heard, 1.5*rowsHeard)
+	assert.Greater(t, float64(told[true])/float64(offered[true]), 0.9, "long ones are told")
+	few := newTestHints("k")
+	for n := range 100 {
+		assert.True(t, few.mayTell(time.Millisecond, 6, now.Add(time.Duration(n)*10*time.Millisecond)))
+	}
+}
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -90,3 +90,31 @@
 		})
 	}
 }
+
+// BenchmarkPlace is the choice of an endpoint for a long prompt by the forecast, and giving the place back.
+func BenchmarkPlace(b *testing.B) {
+	for _, runners := range []int{18, 140, 670, 2700} {
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			pool := NewPoolWith(NewHallFirst("hall0", 1), PoolOptions{StartLimit: 64, TrustLast: true, QuietAfter: time.Second})
+			var endpoints []willowwick.Endpoint
+			for i := range runners {
+				endpoints = append(endpoints, willowwick.Endpoint{
+					ID: willowwick.EndpointID(fmt.Sprint("runner", i)), Service: "s", Hall: willowwick.HallID(fmt.Sprint("hall", i%6)),
+				})
+			}
+			pool.Update(endpoints)
+			pool.speeds[speedKey{"s", "m"}] = &speed{seconds: 0.1, tokens: 1000}
+			now := noon
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				now = now.Add(time.Millisecond)
+				work := Work{Model: "m", Prompt: []willowwick.PromptPart{{ID: "common", Tokens: 2520}, {ID: fmt.Sprint("subject", n%50), Tokens: 3780}, {ID: "own", Tokens: 2890}}}
+				place, _ := pool.AcquireAllowed(now, "s", work, nil, all)
+				place.Sent(now)
+				place.Begun(now)
+				place.Release(now, OutcomeGood)
+			}
+		})
+	}
+}
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -33,8 +33,8 @@
 		Prompt []willowwick.PromptPart // in order; the last part is the request's own
 	}
 
-	// keptPart names a part of a prompt as a model has read it; another model reads it anew.
-	keptPart uint32
+	// PartName is a hash that names a part of a prompt as a model has read it; another model reads it anew.
+	PartName uint32
 
 	// Reading is what a box finds of an endpoint's reading, as boxes tell each other: a prompt that it was sent, or that
 	// all it was sent is read sooner or later than forecast.
@@ -42,7 +42,14 @@
 		Endpoint uint32        // hash of its name
 		Length   time.Duration // measured length: how long it reads, or by how much later than forecast
 		IsShift  bool          // it is the latter
-		Parts    []uint32      // the shared parts that it has then, by hashes of model and part
+		Parts    []PartName    // the shared parts that it has then
+	}
+
+	// reading is what is the same of a request's prompt at all endpoints of its service.
+	reading struct {
+		prompt   []willowwick.PromptPart
+		names    []PartName
+		perToken float64 // seconds
 	}
 
 	// speedKey names readings that take alike.
@@ -68,13 +75,17 @@
 	reader struct {
 		readyAt time.Time // when all of it is read
 		queue   []*Place  // own requests whose answer has not begun, in the order of sending
-		kept    map[keptPart]time.Time
+		kept    map[PartName]time.Time
 	}
 )
 
-// partOf names a part of the prompt as the work's model reads it.
-func (w Work) partOf(part willowwick.PromptPart) keptPart {
-	return keptPart(xxhash.Sum64String(string(w.Model) + "/" + part.ID))
+// parts names the parts of the prompt as the work's model reads them.
+func (w Work) parts() []PartName {
+	names := make([]PartName, 0, len(w.Prompt))
+	for _, part := range w.Prompt {
+		names = append(names, PartName(xxhash.Sum64String(string(w.Model)+"/"+part.ID)))
+	}
+	return names
 }
 
 // Subject names the last part that the prompt shares with others, and 0 if it shares none.
@@ -104,12 +115,12 @@
 }
 
 // unread is the part of the prompt that the endpoint has not kept: an endpoint uses a kept part if it has all before it.
-func (r *reader) unread(now time.Time, work Work) willowwick.Tokens {
+func (r *reader) unread(now time.Time, prompt []willowwick.PromptPart, names []PartName) willowwick.Tokens {
 	var tokens willowwick.Tokens
 	whole := true
-	for _, part := range work.Prompt {
+	for i, part := range prompt {
 		if whole {
-			at, kept := r.kept[work.partOf(part)]
+			at, kept := r.kept[names[i]]
 			whole = kept && now.Sub(at) < keptFor
 		}
 		if !whole {
@@ -119,24 +130,13 @@
 	return tokens
 }
 
-// shared names the parts of the prompt that others share with the request.
-func (w Work) shared() []uint32 {
-	var parts []uint32
-	for i, part := range w.Prompt {
-		if i < len(w.Prompt)-1 {
-			parts = append(parts, uint32(w.partOf(part)))
-		}
-	}
-	return parts
-}
-
 // keep notes that the endpoint has read parts of prompts.
-func (r *reader) keep(now time.Time, parts []uint32) {
+func (r *reader) keep(now time.Time, parts []PartName) {
 	if r.kept == nil {
-		r.kept = map[keptPart]time.Time{}
+		r.kept = map[PartName]time.Time{}
 	}
 	for _, part := range parts {
-		r.kept[keptPart(part)] = now
+		r.kept[part] = now
 	}
 	if len(r.kept) <= keptMost {
 		return
@@ -228,14 +228,13 @@
 	}
 }
 
-// reading forecasts how long the endpoint reads for the work, without what it has kept.
-func (p *Pool) reading(now time.Time, m *member, work Work) (time.Duration, willowwick.Tokens) {
-	if len(work.Prompt) == 0 {
+// at forecasts how long the endpoint reads for the request, and how many tokens: those that it has not kept.
+func (r *reading) at(now time.Time, m *member) (time.Duration, willowwick.Tokens) {
+	if len(r.prompt) == 0 {
 		return 0, 0
 	}
-	tokens := m.reader.unread(now, work)
-	perToken := p.speeds[speedKey{m.endpoint.Service, work.Model}].perToken()
-	return time.Duration(perToken * float64(tokens) * float64(time.Second)), tokens
+	tokens := m.reader.unread(now, r.prompt, r.names)
+	return time.Duration(r.perToken * float64(tokens) * float64(time.Second)), tokens
 }
 
 // learnSpeed takes the reading of a request whose answer has begun.
--- a/route/forecast_test.go
+++ b/route/forecast_test.go
@@ -42,6 +42,11 @@
 	return place, reading
 }
 
+// unreadAt is how much of the work's prompt the endpoint has to read.
+func unreadAt(pool *Pool, now time.Time, name willowwick.EndpointID, work Work) willowwick.Tokens {
+	return pool.endpoints[name].reader.unread(now, work.Prompt, work.parts())
+}
+
 func aheadOf(pool *Pool, now time.Time, name willowwick.EndpointID) time.Duration {
 	return pool.Ahead(now, name)
 }
@@ -81,8 +86,8 @@
 	}
 	other := promptOf("x", "3", 8000)
 	other.Model = "n"
-	assert.EqualValues(t, 9000, pool.endpoints[holder].reader.unread(now, other), "another model reads it anew")
-	assert.EqualValues(t, 9000, pool.endpoints[holder].reader.unread(now.Add(keptFor), promptOf("x", "4", 8000)))
+	assert.EqualValues(t, 9000, unreadAt(pool, now, holder, other), "another model reads it anew")
+	assert.EqualValues(t, 9000, unreadAt(pool, now.Add(keptFor), holder, promptOf("x", "4", 8000)))
 }
 
 // Reading anew was once weighed by its own time alone; each part of a prompt then ended up at every endpoint.
@@ -104,7 +109,7 @@
 	next, _ := sendTo(t, other, noon, promptOf("y", "2", 8000))
 	assert.NotEqual(t, place.Endpoint.ID, next.Endpoint.ID)
 	later := noon.Add(time.Second)
-	assert.EqualValues(t, 1000, other.endpoints[place.Endpoint.ID].reader.unread(later, promptOf("x", "3", 8000)))
+	assert.EqualValues(t, 1000, unreadAt(other, later, place.Endpoint.ID, promptOf("x", "3", 8000)))
 	assert.NotPanics(t, func() { other.NoteReading(noon, Reading{Endpoint: 1, Length: time.Second}) })
 }
 
--- a/route/hall.go
+++ b/route/hall.go
@@ -43,8 +43,8 @@
 	if n == 0 {
 		return noneOpen
 	}
-	owner := p.owner(set, prefix)
 	best, bestScore := noneOpen, 0.0
+	owner, ownerWeight, ownerScore := noneOpen, uint64(0), 0.0
 	start := p.random.intN(n)
 	for i := range n {
 		index := (start + i) % n
@@ -53,12 +53,16 @@
 			continue
 		}
 		score := p.score(candidate)
-		if index == owner {
-			score -= ownerBonus
-		}
 		if best == noneOpen || score < bestScore {
 			best, bestScore = index, score
 		}
+		// The own hall's endpoint with the highest rendezvous weight for the prefix owns it.
+		if weight := mix(candidate.Hash ^ prefix); prefix != 0 && candidate.Hall == p.hall && weight >= ownerWeight {
+			owner, ownerWeight, ownerScore = index, weight, score
+		}
+	}
+	if owner != noneOpen && ownerScore-ownerBonus < bestScore {
+		return owner
 	}
 	return best
 }
@@ -74,24 +78,6 @@
 	return score
 }
 
-// owner is the own hall's endpoint with the highest rendezvous weight for the prefix.
-func (p *HallFirst) owner(set willowwick.CandidateSet, prefix uint64) int {
-	if prefix == 0 {
-		return noneOpen
-	}
-	owner, highest := noneOpen, uint64(0)
-	for i := range set.Len() {
-		candidate := set.At(i)
-		if candidate.Hall != p.hall || !candidate.Open {
-			continue
-		}
-		if weight := mix(candidate.Hash ^ prefix); weight >= highest {
-			owner, highest = i, weight
-		}
-	}
-	return owner
-}
-
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/route/place.go
+++ b/route/place.go
@@ -35,6 +35,7 @@
 		pool     *Pool
 		member   *member
 		work     Work
+		prompt   reading
 		taken    time.Time
 		released bool
 
@@ -67,10 +68,10 @@
 	reader := &p.member.reader
 	p.sentAt, p.ahead = now, reader.ahead(now)
 	var length time.Duration
-	length, p.unread = p.pool.reading(now, p.member, p.work)
+	length, p.unread = p.prompt.at(now, p.member)
 	p.known = length > 0 || p.unread == 0
 	reader.push(now, p, length)
-	parts := p.work.shared()
+	parts := p.prompt.names[:len(p.prompt.names)-1] // the last one is the request's own
 	reader.keep(now, parts)
 	return Reading{Endpoint: uint32(p.member.hash), Length: length, Parts: parts}, true
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -80,7 +80,7 @@
 		exclude  map[willowwick.EndpointID]bool
 		allow    func(willowwick.Endpoint) bool
 		pool     *Pool
-		work     Work
+		prompt   reading
 		trusting bool // endpoints under suspicion count as open
 	}
 
@@ -308,7 +308,7 @@
 	if r == nil {
 		return nil, false
 	}
-	r.now, r.work, r.exclude, r.allow = now, work, exclude, allow
+	r.now, r.prompt, r.exclude, r.allow = now, p.readingOf(name.service, work), exclude, allow
 	if len(exclude) > 0 && r.allExcluded() {
 		// Every endpoint failed this request once; a second try beats none.
 		r.exclude = nil
@@ -330,7 +330,15 @@
 	m.recent++
 	p.busy[m] = true
 	p.inFlight++
-	return &Place{Endpoint: m.endpoint, pool: p, member: m, work: work, taken: now}, true
+	return &Place{Endpoint: m.endpoint, pool: p, member: m, work: work, prompt: r.prompt, taken: now}, true
+}
+
+// readingOf is what the work's prompt asks of any of the service's endpoints.
+func (p *Pool) readingOf(service willowwick.ServiceID, work Work) reading {
+	if len(work.Prompt) == 0 {
+		return reading{}
+	}
+	return reading{work.Prompt, work.parts(), p.speeds[speedKey{service, work.Model}].perToken()}
 }
 
 // HasOpen reports whether one of the service's endpoints that are allowed may be given work.
@@ -445,7 +453,7 @@
 // At implements willowwick.CandidateSet.
 func (r *candidateRow) At(index int) willowwick.Candidate {
 	m := r.members[index]
-	reading, _ := r.pool.reading(r.now, m, r.work)
+	reading, _ := r.prompt.at(r.now, m)
 	return willowwick.Candidate{
 		Endpoint: m.endpoint.ID,
 		Hall:     m.endpoint.Hall,
