--- a/route/forecast.go
+++ b/route/forecast.go
@@ -88,14 +88,6 @@
 	return names
 }
 
-// Subject names the last part that the prompt shares with others, and 0 if it shares none.
-func (w Work) Subject() uint64 {
-	if shared := len(w.Prompt) - 2; shared >= 0 {
-		return xxhash.Sum64String(w.Prompt[shared].ID)
-	}
-	return 0
-}
-
 // perToken is the time that reading one token takes, in seconds; 0 if nothing was seen yet.
 func (s *speed) perToken() float64 {
 	if s == nil || s.tokens == 0 {
--- a/route/hall.go
+++ b/route/hall.go
@@ -19,14 +19,12 @@
 	// busySlots is how many requests at once an endpoint does well, however many slots it has: a batch makes each
 	// token slower, and long prompts hold up all of them.
 	busySlots = 16
-	// ownerBonus is what the owner of a prompt's shared part may be more loaded than the others.
-	ownerBonus = 0.15
 	// failingWeight turns the share of failed calls into load.
 	failingWeight = 3.0
 )
 
-// HallFirst takes the least loaded endpoint of its own hall, the owner of the prompt's shared part before the
-// others; other halls come in when their endpoints are less loaded by more than the way there is worth.
+// HallFirst takes the least loaded endpoint of its own hall, what it has to read included; other halls come in when their
+// endpoints are less loaded by more than the way there is worth.
 type HallFirst struct {
 	hall   willowwick.HallID
 	random *lockedRandom
@@ -38,13 +36,12 @@
 }
 
 // Pick implements willowwick.Picker.
-func (p *HallFirst) Pick(_ time.Time, set willowwick.CandidateSet, prefix uint64) int {
+func (p *HallFirst) Pick(_ time.Time, set willowwick.CandidateSet, _ uint64) int {
 	n := set.Len()
 	if n == 0 {
 		return noneOpen
 	}
 	best, bestScore := noneOpen, 0.0
-	owner, ownerWeight, ownerScore := noneOpen, uint64(0), 0.0
 	start := p.random.intN(n)
 	for i := range n {
 		index := (start + i) % n
@@ -52,17 +49,9 @@
 		if !candidate.Open {
 			continue
 		}
-		score := p.score(candidate)
-		if best == noneOpen || score < bestScore {
+		if score := p.score(candidate); best == noneOpen || score < bestScore {
 			best, bestScore = index, score
 		}
-		// The own hall's endpoint with the highest rendezvous weight for the prefix owns it.
-		if weight := mix(candidate.Hash ^ prefix); prefix != 0 && candidate.Hall == p.hall && weight >= ownerWeight {
-			owner, ownerWeight, ownerScore = index, weight, score
-		}
-	}
-	if owner != noneOpen && ownerScore-ownerBonus < bestScore {
-		return owner
 	}
 	return best
 }
@@ -77,12 +66,3 @@
 	}
 	return score
 }
-
-// mix spreads the bits of a hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/route/pool.go
+++ b/route/pool.go
@@ -295,7 +295,7 @@
 	now time.Time, service willowwick.ServiceID, work Work,
 	exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
 ) (place *Place, known bool) {
-	return p.acquire(now, row{service: service}, work, work.Subject(), exclude, allow)
+	return p.acquire(now, row{service: service}, work, 0, exclude, allow)
 }
 
 func (p *Pool) acquire(
@@ -461,7 +461,6 @@
 		InFlight: m.inFlight,
 		Recent:   m.recent,
 		Open:     !r.exclude[m.endpoint.ID] && r.allows(m) && m.open(r.now, r.pool.options, r.trusting),
-		Hash:     m.hash,
 		Ahead:    m.reader.ahead(r.now),
 		Reading:  reading,
 		Failing:  m.failingShare(r.now),
--- a/routing.go
+++ b/routing.go
@@ -13,7 +13,6 @@
 		Open     bool          // may be given work
 		Ahead    time.Duration // measured length: until it has read what it was sent before, as forecast
 		Reading  time.Duration // measured length: it would then read for this request, as forecast
-		Hash     uint64        // of the endpoint's name, for rendezvous hashing
 		Failing  float64       // share of recent calls that failed, newer ones counting more
 	}
 
