--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -41,17 +41,21 @@
 			pause = s.backOff(ctx, readEndpoints, pause, err)
 			continue
 		}
-		now := time.Now()
 		pause = 0
-		s.noteAnswer(readEndpoints, now)
-		s.mu.Lock()
-		s.asOf = now
-		s.apply(changes, now)
-		s.mu.Unlock()
-		s.publish()
+		s.takeChanges(changes, time.Now())
 	}
 }
 
+// takeChanges takes what the store answered to a read of the list.
+func (s *syncer) takeChanges(changes willowwick.EndpointChanges, now time.Time) {
+	s.noteAnswer(readEndpoints, now)
+	s.mu.Lock()
+	s.asOf = now
+	s.apply(changes, now)
+	s.mu.Unlock()
+	s.publish()
+}
+
 // mustRead reports whether this box has to read the list of endpoints now.
 func (s *syncer) mustRead(now time.Time) bool {
 	limit := scale(s.router.settings.Drain, endpointsShare)
--- /dev/null
+++ b/exchange/mesh_test.go
@@ -0,0 +1,392 @@
+package exchange
+
+import (
+	"encoding/gob"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// meshStep is how often the boxes of a mesh look whether something is due.
+	meshStep = 50 * time.Millisecond
+	// meshDrain is the time to leave an endpoint on fleets of hundreds of boxes.
+	meshDrain = 4 * time.Second
+	// meshSeeds is the number of boxes that the settings of each name.
+	meshSeeds = 2
+)
+
+type (
+	// mesh is a fleet without network in virtual time: boxes swap by function calls, their hubs read one store.
+	mesh struct {
+		store  *meshStore
+		isAway bool   // the store answers nobody
+		beats  uint64 // heartbeats of endpoints so far
+		boxes  []*meshBox
+		named  map[string]*meshBox
+
+		swapped gobCounter // bytes of all swaps
+		between gobCounter // of those between halls
+	}
+
+	// meshBox is one box of a mesh.
+	meshBox struct {
+		*Router
+		down   bool
+		readAt time.Time  // no read of the store before
+		swapAt time.Time  // no swap before
+		bytes  gobCounter // of its swaps, both ways
+	}
+
+	// meshStore is the list of endpoints at the store.
+	meshStore struct {
+		end     willowwick.Offset
+		entries map[willowwick.EndpointID]meshEntry
+		gone    map[willowwick.EndpointID]willowwick.Offset
+	}
+
+	meshEntry struct {
+		endpoint willowwick.Endpoint
+		at       willowwick.Offset
+	}
+
+	// gobCounter counts the bytes of messages as net/rpc writes them, the descriptions of their types once.
+	gobCounter struct {
+		encoder *gob.Encoder
+		bytes   int
+	}
+)
+
+func (c *gobCounter) Write(data []byte) (int, error) {
+	c.bytes += len(data)
+	return len(data), nil
+}
+
+func (c *gobCounter) add(t *testing.T, message any) {
+	if c.encoder == nil {
+		c.encoder = gob.NewEncoder(c)
+	}
+	require.NoError(t, c.encoder.Encode(message))
+}
+
+func (s *meshStore) put(endpoint willowwick.Endpoint) {
+	s.end++
+	s.entries[endpoint.ID] = meshEntry{endpoint, s.end}
+}
+
+func (s *meshStore) remove(id willowwick.EndpointID) {
+	s.end++
+	delete(s.entries, id)
+	s.gone[id] = s.end
+}
+
+func (s *meshStore) since(from willowwick.Offset) willowwick.EndpointChanges {
+	changes := willowwick.EndpointChanges{Whole: from == 0, Next: s.end}
+	for _, entry := range s.entries {
+		if entry.at > from {
+			changes.Present = append(changes.Present, entry.endpoint)
+		}
+	}
+	for id, at := range s.gone {
+		if at > from {
+			changes.Gone = append(changes.Gone, id)
+		}
+	}
+	return changes
+}
+
+func (s *meshStore) list() []willowwick.Endpoint {
+	list := make([]willowwick.Endpoint, 0, len(s.entries))
+	for _, entry := range s.entries {
+		list = append(list, entry.endpoint)
+	}
+	return list
+}
+
+func meshEndpoint(i, halls int) willowwick.Endpoint {
+	return willowwick.Endpoint{
+		ID: willowwick.EndpointID(fmt.Sprintf("i-%010x", i)), Hall: willowwick.HallID(fmt.Sprint("hall-", i%halls)),
+		Address: fmt.Sprintf("10.9.%d.%d:8000", i/250, i%250), Service: "work", Release: "v1", Slots: 16,
+	}
+}
+
+// newMesh returns boxes that have not swapped yet, spread over halls, before a list of endpoints.
+func newMesh(boxes, halls, endpoints int) *mesh {
+	m := &mesh{
+		store: &meshStore{entries: map[willowwick.EndpointID]meshEntry{}, gone: map[willowwick.EndpointID]willowwick.Offset{}},
+		named: map[string]*meshBox{},
+	}
+	for i := range endpoints {
+		m.store.put(meshEndpoint(i, halls))
+	}
+	for i := range boxes {
+		m.start(i, halls)
+	}
+	return m
+}
+
+// start begins the life of a box, or a new one of a box that was there before.
+func (m *mesh) start(i, halls int) {
+	settings := testSettings()
+	settings.Hall, settings.Drain = willowwick.HallID(fmt.Sprint("hall-", i%halls)), meshDrain
+	settings.Box = willowwick.BoxID(fmt.Sprint("box-", i))
+	settings.Peers = fmt.Sprintf("10.0.%d.%d:8282", i/250, i%250)
+	settings.Seeds = nil
+	for seed := range meshSeeds {
+		settings.Seeds = append(settings.Seeds, fmt.Sprintf("10.0.0.%d:8282", seed))
+	}
+	x, _ := newRouter(settings, testCodec{})
+	x.sync = newSyncer(x, nil)
+	x.peers, _ = newPeers(x)
+	x.hints = newHints(x, nil)
+	x.setTable(testTable(1, onceRoute(), streamRoute()), "test")
+	// Real boxes start a little after each other.
+	began := time.Now().Add(time.Duration(rand.IntN(int(meshDrain / 4))))
+	box := &meshBox{Router: x, readAt: began, swapAt: began}
+	if m.named[settings.Peers] == nil {
+		m.boxes = append(m.boxes, box)
+	} else {
+		m.boxes[i] = box
+	}
+	m.named[settings.Peers] = box
+}
+
+// run lets the boxes swap and read for a length of virtual time.
+func (m *mesh) run(t *testing.T, length time.Duration) {
+	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(meshStep) {
+		for _, box := range m.boxes {
+			if !box.down {
+				m.act(t, box)
+			}
+		}
+	}
+}
+
+// act does what is due on a box.
+func (m *mesh) act(t *testing.T, box *meshBox) {
+	now := time.Now()
+	if box.sync.mustRead(now) && !now.Before(box.readAt) {
+		m.read(box, now)
+	}
+	if now.Before(box.swapAt) {
+		return
+	}
+	for _, address := range box.peers.targets(now) {
+		m.swap(t, box, address, now)
+	}
+	box.peers.forget(now)
+	// Real boxes drift against each other by their own work.
+	box.swapAt = now.Add(box.peers.pause(now)).Add(time.Duration(rand.IntN(int(meshStep))))
+}
+
+func (m *mesh) read(box *meshBox, now time.Time) {
+	box.readAt = now.Add(retryFirst)
+	if m.isAway {
+		box.sync.noteFailure(readEndpoints, now, errDown)
+		box.sync.noteFailure(readDeclared, now, errDown)
+		return
+	}
+	box.sync.noteAnswer(readDeclared, now)
+	box.sync.takeChanges(m.store.since(box.sync.endpointsAt()), now)
+}
+
+func (m *mesh) swap(t *testing.T, box *meshBox, address string, now time.Time) {
+	if !box.peers.beginSwap(address, now) {
+		return
+	}
+	defer box.peers.endSwap(address)
+	other := m.named[address]
+	if other == nil || other.down {
+		box.peers.failed(address, errDown)
+		return
+	}
+	call := box.peers.callTo(address, now)
+	var reply SwapReply
+	require.NoError(t, (&rpcServer{peers: other.peers}).Swap(&call, &reply))
+	box.peers.takeReply(reply, now, now)
+	for _, message := range []any{call, reply} {
+		box.bytes.add(t, message)
+		other.bytes.add(t, message)
+		m.swapped.add(t, message)
+		if box.settings.Hall != other.settings.Hall {
+			m.between.add(t, message)
+		}
+	}
+}
+
+// forget sets all counts of bytes to nothing.
+func (m *mesh) forget() {
+	m.swapped.bytes, m.between.bytes = 0, 0
+	for _, box := range m.boxes {
+		box.bytes.bytes = 0
+	}
+}
+
+// busiest is the most bytes that one box has swapped.
+func (m *mesh) busiest() int {
+	most := 0
+	for _, box := range m.boxes {
+		most = max(most, box.bytes.bytes)
+	}
+	return most
+}
+
+func quietLogs(t *testing.T) {
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	t.Cleanup(func() { slog.SetDefault(before) })
+}
+
+// meshSizes are the fleets that mechanisms of swaps are tried at, from two boxes to hundreds.
+var meshSizes = []struct{ boxes, halls, endpoints int }{{2, 1, 4}, {6, 3, 21}, {61, 5, 100}, {295, 5, 165}}
+
+// A box knows most others from its hub alone. Each entry that nobody had renewed for half a minute was once dropped and
+// named again with all the others in the next swap; on 295 boxes that had started in turn that was nearly each swap, and a
+// hub with nothing to tell swapped 750 KB a second.
+func TestSwapsOfACalmFleetAreSmall(t *testing.T) {
+	const watched = 10 * time.Second
+	const perBox = 1000 // bytes a second, all boxes' swaps counted once: a calm box of 6 or of 295 swaps some 500
+	quietLogs(t)
+	for _, size := range meshSizes {
+		t.Run(fmt.Sprint(size.boxes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(0, size.halls, size.endpoints)
+				for i := range size.boxes {
+					m.start(i, size.halls)
+					if i%max(size.boxes/10, 1) == 0 {
+						m.run(t, time.Second)
+					}
+				}
+				m.run(t, peerKept+peerKept/2)
+				m.forget()
+				m.run(t, watched)
+				assert.Less(t, m.swapped.bytes, perBox*size.boxes*int(watched.Seconds()))
+				for _, box := range m.boxes {
+					assert.Equal(t, size.boxes, box.peers.boxes(), "boxes that %s knows", box.settings.Box)
+				}
+			})
+		})
+	}
+}
+
+// Boxes that are gone are forgotten by all, though each was named by others.
+func TestBoxesThatAreGoneAreForgotten(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		const boxes, halls, gone = 30, 3, 6
+		m := newMesh(boxes, halls, 10)
+		m.run(t, 5*time.Second)
+		for _, box := range m.boxes[boxes-gone:] {
+			box.down = true
+		}
+		m.run(t, peerKept/2)
+		assert.Equal(t, boxes, m.boxes[boxes/2].peers.boxes(), "a box that restarts keeps its place")
+		m.run(t, peerKept)
+		for _, box := range m.boxes[:boxes-gone] {
+			assert.Equal(t, boxes-gone, box.peers.boxes(), "boxes that %s knows", box.settings.Box)
+		}
+	})
+}
+
+// The list of endpoints was once sent whole to each box at each change: 21 MB for ten new endpoints of 165 on 295 boxes.
+func TestNewsOfAnEndpointCostWhatTheySay(t *testing.T) {
+	const changes = 10
+	const perChange = 400 // bytes for each box: a changed entry has some 150
+	quietLogs(t)
+	for _, size := range meshSizes {
+		t.Run(fmt.Sprint(size.boxes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(size.boxes, size.halls, size.endpoints)
+				m.run(t, 5*time.Second)
+				m.forget()
+				m.run(t, changes*time.Second)
+				calm := m.swapped.bytes
+				m.forget()
+				for i := range changes {
+					m.store.put(meshEndpoint(size.endpoints+i, size.halls))
+					m.run(t, time.Second)
+				}
+				assert.Less(t, m.swapped.bytes-calm, perChange*changes*size.boxes)
+				m.run(t, meshDrain)
+				for _, box := range m.boxes {
+					assert.Len(t, box.pool.Endpoints(), size.endpoints+changes, "endpoints that %s knows", box.settings.Box)
+				}
+			})
+		})
+	}
+}
+
+// Whatever happens at the store, a box that hears of it by swaps has what its reader has.
+func TestListsOfEndpointsStayAlike(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, seed))
+			m := newMesh(8, 2, 10)
+			m.run(t, 2*time.Second)
+			for range 60 {
+				m.disturb(random)
+				m.run(t, time.Duration(random.IntN(1000))*time.Millisecond)
+			}
+			// An endpoint that was gone counts again after two heartbeats; every entry that lapsed is back or dropped by then.
+			m.isAway = false
+			for range 4 {
+				m.beatAll()
+				m.run(t, meshDrain/2)
+			}
+			for _, box := range m.boxes {
+				assert.ElementsMatch(t, withoutBeats(m.store.list()), withoutBeats(box.pool.Endpoints()), "endpoints that %s knows, seed %d", box.settings.Box, seed)
+			}
+		})
+	}
+}
+
+// beatAll lets each endpoint write its heartbeat.
+func (m *mesh) beatAll() {
+	for _, endpoint := range m.store.list() {
+		m.beats++
+		endpoint.Beat = m.beats
+		m.store.put(endpoint)
+	}
+}
+
+// withoutBeats leaves out what is not told of endpoints that only go on living.
+func withoutBeats(list []willowwick.Endpoint) []willowwick.Endpoint {
+	for i := range list {
+		list[i].Beat = 0
+	}
+	return list
+}
+
+// disturb changes one thing at the store.
+func (m *mesh) disturb(random *rand.Rand) {
+	const names = 15
+	endpoint := meshEndpoint(random.IntN(names), 2)
+	switch random.IntN(6) {
+	case 0:
+		m.isAway = !m.isAway
+	case 1:
+		m.store.remove(endpoint.ID)
+	case 2:
+		if known, found := m.store.entries[endpoint.ID]; found {
+			known.endpoint.Leaving = true
+			known.endpoint.Beat++
+			m.store.put(known.endpoint)
+		}
+	case 3:
+		m.start(random.IntN(len(m.boxes)), 2)
+	default:
+		m.beats++
+		endpoint.Beat = m.beats
+		endpoint.Leaving = m.store.entries[endpoint.ID].endpoint.Leaving
+		m.store.put(endpoint)
+	}
+}
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -78,17 +78,27 @@
 	defer p.endSwap(address)
 	ctx, cancel := context.WithTimeout(ctx, swapLimit)
 	defer cancel()
-	call := SwapCall{Digest: p.digest(time.Now())}
-	if version, heard := p.versionOf(address); heard {
-		call.Table = p.tableFor(version)
-	}
+	call := p.callTo(address, time.Now())
 	var reply SwapReply
 	sent := time.Now()
 	if err := p.transport.Call(ctx, address, rpcSwap, &call, &reply); err != nil {
 		p.failed(address, err)
 		return
 	}
-	now := time.Now()
+	p.takeReply(reply, sent, time.Now())
+}
+
+// callTo is what this box tells another one.
+func (p *peers) callTo(address string, now time.Time) SwapCall {
+	call := SwapCall{Digest: p.digest(now)}
+	if version, heard := p.versionOf(address); heard {
+		call.Table = p.tableFor(version)
+	}
+	return call
+}
+
+// takeReply takes what a box answered to a call sent at the given time.
+func (p *peers) takeReply(reply SwapReply, sent, now time.Time) {
 	reply.Digest.addAge(now.Sub(sent))
 	p.heard(reply.Digest, now)
 	p.listKnown(reply.Known, now)
