Boxes tell each other what changed: the list of endpoints as changes, known boxes with the time since they were seen

Cause, shown on boxes without network in virtual time: - A box knows most others from its hub alone, and dropped each entry that nobody had renewed for 30 s; its count of boxes then differed from the hub's, which sent all of them. Among boxes that started in turn that was nearly each swap. - Boxes that are gone were named anew by those that had not dropped them yet, and stayed for good. - The list of endpoints was sent whole to each box at each change of one endpoint. - A lapsed endpoint was dropped only as another change came in: on boxes that read nothing themselves it stayed in use after an outage of the store. One that came back at the hub unchanged was not told to boxes that had dropped it. Ruled out: digests themselves (1.3 MB in ten seconds on 295 boxes while no entries run out).

Change: entries of boxes go with the time since they were seen, and are renewed by ages alone where two boxes know the same ones. Lists go as changes since an offset, whole only to boxes that have none or that differ from their reader's by a sum. Lapsed entries are dropped in time by each box, and one that is back counts as a change.

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -22,8 +22,9 @@
 		ReadAgeMs     int64             // since it last showed that the box can read the store
 		StoreAgeMs    int64             // since what it knows of the store was read there, by whichever box
 		EndpointsFrom willowwick.Offset // where its list of endpoints last changed
+		EndpointsRead willowwick.Offset // up to where it knows all changes
+		EndpointsSum  uint64            // over that list; 0 while entries are in doubt
 		Evacuated     EvacuatedHalls
-		KnownCount    int // of the boxes that it knows; where two differ in it, they swap these too
 		Own           Report
 		Halls         []HallReport // what a hub knows of all halls; empty on a box that has a hub
 		Progress      []ProgressRow
@@ -40,8 +41,11 @@
 
 	// SwapCall is a digest with what the peer lacks, as far as is known.
 	SwapCall struct {
-		Digest Digest
-		Table  *willowwick.RoutingTable
+		Digest       Digest
+		Table        *willowwick.RoutingTable
+		KnownSum     uint64 // over the boxes that the caller knows
+		TakesChanges bool   // of the list of endpoints; a box of an earlier release takes whole lists alone
+		WantsList    bool   // whole, since its own differs from what the peer told last
 	}
 
 	// SwapReply is a peer's digest with what the caller lacks.
@@ -49,7 +53,8 @@
 		Digest    Digest
 		Table     *willowwick.RoutingTable
 		Endpoints *EndpointList
-		Known     []KnownBox
+		Known     []KnownRow // all boxes, if the caller knows others
+		HallAges  []HallAge  // if it knows the same ones
 	}
 )
 
@@ -69,18 +74,18 @@
 	x := p.router
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		TableVersion: x.configVersion(), EndpointsFrom: x.sync.listedFrom(),
-		LinkMbps: x.settings.LinkMbps, StoreAgeMs: min(x.sync.storeAge(now), longestAge).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
+		TableVersion: x.configVersion(),
+		LinkMbps:     x.settings.LinkMbps, StoreAgeMs: min(x.sync.storeAge(now), longestAge).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
 		Evacuated: x.evacuations.set(),
 		Own:       p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
 	}
+	digest.EndpointsFrom, digest.EndpointsRead, digest.EndpointsSum = x.sync.listedFrom()
 	for _, own := range x.releases.progresses(now) {
 		digest.Progress = append(digest.Progress, ProgressRow{Status: own.Status, Order: own.Order, AgeMs: own.AgeMs})
 	}
 	if _, hasHub := p.hub(now); !hasHub {
 		digest.Halls = p.hallReports(now)
 	}
-	digest.KnownCount = len(p.knownBoxes(now))
 	return digest
 }
 
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -26,9 +26,24 @@
 		LinkMbps int // 0 if it is not known
 	}
 
+	// KnownRow is a box as one tells another of it.
+	KnownRow struct {
+		Address  string
+		Hall     willowwick.HallID
+		LinkMbps int
+		AgeMs    int64 // since it was heard of or named, by whomever
+	}
+
+	// HallAge is how long ago that box of a hall was heard of or named that was not for longest, as one box knows it.
+	HallAge struct {
+		Hall     willowwick.HallID
+		OldestMs int64
+	}
+
 	// peer is another box as this one knows it.
 	peer struct {
 		box      KnownBox
+		sum      uint64 // of the box, as part of a sum over all boxes
 		digest   Digest
 		heard    time.Time // when its last digest came
 		listed   time.Time // when it, the group or another box last named it
@@ -53,9 +68,14 @@
 	return now.Sub(known.heard) <= peerFresh
 }
 
+// seen is when the box last answered or was named.
+func (known *peer) seen() time.Time {
+	return latest(known.heard, known.listed)
+}
+
 // isKept reports whether the box was heard of or named of late.
 func (known *peer) isKept(now time.Time) bool {
-	return now.Sub(known.heard) <= peerKept || now.Sub(known.listed) <= peerKept
+	return now.Sub(known.seen()) <= peerKept
 }
 
 // self is this box as the others know it.
@@ -64,8 +84,8 @@
 	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps}
 }
 
-// list notes a box that the settings, the group or the box itself named.
-func (p *peers) list(box KnownBox, now time.Time) {
+// list notes a box that the settings, the group or a box named, and when that was known of it.
+func (p *peers) list(box KnownBox, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if box.Address == p.router.settings.Peers || box.Address == "" {
@@ -77,20 +97,17 @@
 		p.known[box.Address] = known
 	}
 	if box.Hall != "" || known.box.Address == "" {
-		known.box = box
+		known.box, known.sum = box, box.sum()
 	}
-	known.listed = now
+	known.listed = latest(known.listed, at)
 }
 
-// listKnown notes boxes that another box knows; one that is already known does not count as named again.
-func (p *peers) listKnown(boxes []KnownBox, now time.Time) {
-	for _, box := range boxes {
-		p.mu.Lock()
-		known := p.known[box.Address]
-		fresh := known == nil || known.box.Hall == ""
-		p.mu.Unlock()
-		if fresh {
-			p.list(box, now)
+// listKnown notes boxes that another box knows, as of when it answered.
+func (p *peers) listKnown(rows []KnownRow, asOf time.Time) {
+	for _, row := range rows {
+		at := asOf.Add(-time.Duration(row.AgeMs) * time.Millisecond)
+		if time.Since(at) <= peerKept {
+			p.list(KnownBox{Address: row.Address, Hall: row.Hall, LinkMbps: row.LinkMbps}, at)
 		}
 	}
 }
@@ -129,19 +146,6 @@
 	}
 }
 
-// knownBoxes lists the boxes whose hall is known, this one included.
-func (p *peers) knownBoxes(now time.Time) []KnownBox {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := []KnownBox{p.self()}
-	for _, known := range p.known {
-		if known.box.Hall != "" && known.isKept(now) {
-			list = append(list, known.box)
-		}
-	}
-	return list
-}
-
 // audience lists where the other boxes are reached that were heard of or named of late: those of this box's hall, and
 // those of each other hall.
 func (p *peers) audience(now time.Time) (near []netip.AddrPort, far map[willowwick.HallID][]netip.AddrPort) {
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/route"
 )
@@ -18,11 +20,16 @@
 	// returnGrace is how long endpoints whose entries lapsed while the store was away are still used after its
 	// return: they are back within about two seconds if they live.
 	returnGrace = 2200 * time.Millisecond
+	// wholeEvery is how often a box asks for a whole list at most: of 3,000 endpoints it has some 450 KB, which a link of 20
+	// Mbit/s passes in 0.2 s.
+	wholeEvery = 5 * time.Second
 )
 
-// EndpointList is the list of endpoints as one box passes it to another.
+// EndpointList is the list of endpoints as one box passes it to another, or what changed in it.
 type EndpointList struct {
 	Endpoints []willowwick.Endpoint
+	Gone      []willowwick.EndpointID // they went before Endpoints were listed; empty where the list is whole
+	Since     willowwick.Offset       // only changes after it are told; 0 if the list is whole
 	Next      willowwick.Offset
 	From      willowwick.Offset // where it last changed
 	Told      time.Time         // by the clock of the box that passes it
@@ -32,7 +39,8 @@
 func (s *syncer) followEndpoints(ctx context.Context) {
 	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
-		if !s.mustRead(time.Now()) {
+		if now := time.Now(); !s.mustRead(now) {
+			s.dropLapsed(now)
 			sleep(ctx, feedPoll)
 			continue
 		}
@@ -52,10 +60,23 @@
 	s.mu.Lock()
 	s.asOf = now
 	s.apply(changes, now)
+	if s.changed && s.next > s.changedAt {
+		// Offsets compare between boxes: who has read up to here has all changes up to here.
+		s.settle(s.next)
+	}
+	if changes.Whole {
+		s.history.restart(s.next)
+	}
 	s.mu.Unlock()
 	s.publish()
 }
 
+// settle says up to where the list's changes so far stand; the caller holds the lock.
+func (s *syncer) settle(at willowwick.Offset) {
+	s.changedAt, s.changed = at, false
+	s.history.settle(at, s.listed)
+}
+
 // mustRead reports whether this box has to read the list of endpoints now.
 func (s *syncer) mustRead(now time.Time) bool {
 	limit := scale(s.router.settings.Drain, endpointsShare)
@@ -85,35 +106,97 @@
 	return s.next
 }
 
-// listedFrom is where the list that this box has last changed.
-func (s *syncer) listedFrom() willowwick.Offset {
+// listedFrom is where the list that this box has last changed, up to where it knows all changes, and a sum over the list, 0 if
+// it has changed since.
+func (s *syncer) listedFrom() (from, read willowwick.Offset, sum uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed {
+		return s.changedAt, s.next, 0
+	}
+	return s.changedAt, s.next, s.listSum()
+}
+
+// listSum is a sum over the list by which two boxes see whether they list the same, 0 while entries have lapsed; the caller
+// holds the lock.
+func (s *syncer) listSum() uint64 {
+	if len(s.lapsed) > 0 {
+		return 0
+	}
+	if s.sum == 0 {
+		for _, endpoint := range s.listed {
+			s.sum += entrySum(endpoint)
+		}
+	}
+	return s.sum
+}
+
+// entrySum is the same for two entries of an endpoint that say the same of where and for what it is used.
+func entrySum(endpoint willowwick.Endpoint) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(endpoint.ID, endpoint.Address, endpoint.Service, endpoint.Release, endpoint.Leaving))
+}
+
+// wantsList reports whether this box asks for a whole list now, since its own differs from another box's that is as new.
+func (s *syncer) wantsList(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changedAt
+	return s.differs && s.fedBy != "" && now.Sub(s.wholeAt) >= wholeEvery
 }
 
-// listFor returns the list for a box that has an older one.
-func (s *syncer) listFor(from willowwick.Offset) *EndpointList {
+// listFor returns the list for a box that has an older one, or asks for it: what changed since, if the box takes that and it
+// is known.
+func (s *syncer) listFor(call *SwapCall) *EndpointList {
+	from := call.Digest.EndpointsFrom
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.known || s.changedAt <= from {
+	wantsWhole := call.WantsList && s.next >= from
+	if !s.known || s.changedAt <= from && !wantsWhole {
 		return nil
 	}
 	list := &EndpointList{Next: s.next, From: s.changedAt, Told: time.Now()}
+	changed, known := s.history.since(from)
+	if known && call.TakesChanges && !wantsWhole {
+		list.Since = from
+		s.addChanges(list, changed)
+		return list
+	}
 	for id, endpoint := range s.listed {
-		// A box that could not see the store either gives it time by itself; one that could knows whether it is gone.
-		if _, waits := s.lapsed[id]; !waits {
+		if s.isPassedOn(id) {
 			list.Endpoints = append(list.Endpoints, endpoint)
 		}
 	}
 	return list
 }
 
+// addChanges adds the endpoints that changed, and those that lapsed, to a list; the caller holds the lock.
+func (s *syncer) addChanges(list *EndpointList, changed []willowwick.EndpointID) {
+	for _, id := range changed {
+		endpoint, isListed := s.listed[id]
+		switch {
+		case !isListed:
+			list.Gone = append(list.Gone, id)
+		case s.isPassedOn(id):
+			list.Endpoints = append(list.Endpoints, endpoint)
+		}
+	}
+	for id := range s.lapsed {
+		list.Gone = append(list.Gone, id)
+	}
+}
+
+// isPassedOn reports whether other boxes are told that an endpoint is listed. One whose entry has lapsed is not: a box that
+// could not see the store either gives it time by itself, and one that could knows whether it is gone. The caller holds the
+// lock.
+func (s *syncer) isPassedOn(id willowwick.EndpointID) bool {
+	_, isLapsed := s.lapsed[id]
+	return !isLapsed
+}
+
 // takeFromPeer takes what another box has read of the store.
 func (s *syncer) takeFromPeer(reply SwapReply, now time.Time) {
 	s.mu.Lock()
 	list := reply.Endpoints
-	isNews := list != nil && list.From > s.changedAt
+	isNews := list != nil && s.isNews(list)
 	if isNews {
 		// What the other box lists it has judged itself.
 		for i, endpoint := range list.Endpoints {
@@ -122,9 +205,16 @@
 				list.Endpoints[i].ColdUntil = now.Add(endpoint.ColdUntil.Sub(list.Told))
 			}
 		}
-		s.apply(willowwick.EndpointChanges{Whole: true, Present: list.Endpoints, Next: max(s.next, list.Next)}, now)
-		s.changedAt, s.changed = list.From, false
+		s.apply(willowwick.EndpointChanges{
+			Whole: list.Since == 0, Present: list.Endpoints, Gone: list.Gone, Next: max(s.next, list.Next),
+		}, now)
+		s.settle(max(s.changedAt, list.From))
+		if list.Since == 0 {
+			s.history.restart(list.From)
+			s.differs, s.wholeAt = false, now
+		}
 	}
+	s.compare(&reply.Digest)
 	asOf := now.Add(-time.Duration(reply.Digest.StoreAgeMs) * time.Millisecond)
 	if s.known && reply.Digest.EndpointsFrom <= s.changedAt && asOf.After(s.asOf) {
 		s.asOf = asOf
@@ -135,9 +225,33 @@
 	}
 }
 
+// isNews reports whether a list of another box is newer than this box's, or is to take its place; the caller holds the lock.
+func (s *syncer) isNews(list *EndpointList) bool {
+	if list.Since == 0 && s.differs && s.fedBy != "" {
+		return list.Next >= s.changedAt
+	}
+	return list.From > s.changedAt && list.Since <= s.changedAt
+}
+
+// compare finds out whether the box that reads the store for this one has read as far and lists other endpoints. Two
+// boxes may judge otherwise of an endpoint that was gone and came back, by how its heartbeats fell into their reads; changes
+// alone never make that good. A box that reads for itself goes by nobody's judgement but its own. The caller holds the lock.
+func (s *syncer) compare(digest *Digest) {
+	sum := s.listSum()
+	if digest.Address != s.fedBy || digest.EndpointsRead < s.changedAt || digest.EndpointsSum == 0 || sum == 0 {
+		return
+	}
+	if differs := digest.EndpointsSum != sum; differs != s.differs {
+		s.differs = differs
+		slog.Info("list of endpoints compared with another box's", "peer", digest.Box, "differs", differs, "offset", s.changedAt)
+	}
+}
+
 // apply takes changes of the list; the caller holds the lock.
 func (s *syncer) apply(changes willowwick.EndpointChanges, now time.Time) {
 	for _, id := range changes.Gone {
+		// Another box may know it although this one does not: it came and went between two reads.
+		s.history.note(id)
 		s.endpointGone(id, now)
 	}
 	present := map[willowwick.EndpointID]bool{}
@@ -154,16 +268,31 @@
 			}
 		}
 	}
+	s.dropOverdue(now)
+	s.next, s.known = changes.Next, true
+}
+
+// dropLapsed drops the endpoints that did not come back in time, also on a box that is told of no changes meanwhile: each of
+// its requests to one of them would be lost.
+func (s *syncer) dropLapsed(now time.Time) {
+	s.mu.Lock()
+	dropped := s.dropOverdue(now)
+	s.mu.Unlock()
+	if dropped {
+		s.publish()
+	}
+}
+
+// dropOverdue drops the endpoints that did not come back in time, and reports whether there were any; the caller holds
+// the lock.
+func (s *syncer) dropOverdue(now time.Time) bool {
+	before := len(s.lapsed)
 	for id, until := range s.lapsed {
 		if now.After(until) {
 			s.drop(id, now)
 		}
 	}
-	s.next, s.known = changes.Next, true
-	if s.changed && s.next > s.changedAt {
-		// Offsets compare between boxes: who has read up to here has all changes up to here.
-		s.changedAt, s.changed = s.next, false
-	}
+	return len(s.lapsed) < before
 }
 
 // list takes the entry of an endpoint; the caller holds the lock.
@@ -171,8 +300,9 @@
 	old, known := s.listed[endpoint.ID]
 	// Leaving is for good: a later entry that says otherwise was written before.
 	endpoint.Leaving = endpoint.Leaving || old.Leaving
-	if !known || !sameEntry(old, endpoint) {
-		s.changed = true
+	// Boxes that were told that it lapsed have dropped it, or will, unless they are told that it is back.
+	if !known || !s.isPassedOn(endpoint.ID) || !sameEntry(old, endpoint) {
+		s.noteChange(endpoint.ID)
 	}
 	if !known || old.Leaving != endpoint.Leaving {
 		slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
@@ -182,6 +312,12 @@
 	delete(s.lapsed, endpoint.ID)
 }
 
+// noteChange notes that the entry of an endpoint changed, came or went; the caller holds the lock.
+func (s *syncer) noteChange(id willowwick.EndpointID) {
+	s.changed, s.sum = true, 0
+	s.history.note(id)
+}
+
 // isBack reports whether the entry of an endpoint counts. One that is gone may still have a heartbeat on its way, which
 // brings its entry back; only a second one after it shows that the endpoint lives. The caller holds the lock.
 func (s *syncer) isBack(endpoint willowwick.Endpoint) bool {
@@ -227,7 +363,7 @@
 	s.gone[id] = goneEntry{beat: s.listed[id].Beat}
 	delete(s.listed, id)
 	delete(s.lapsed, id)
-	s.changed = true
+	s.noteChange(id)
 }
 
 // publish gives the list to the pool.
--- /dev/null
+++ b/exchange/roster.go
@@ -0,0 +1,90 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/willowwick/willowwick"
+)
+
+// Boxes know most others from their hub alone. In each swap the box that calls tells a sum over the boxes that it knows. Where
+// the other knows the same ones, it answers how lately it has seen those of each hall, and the caller takes them for seen as
+// lately; where it does not, it names them all. Each box is told of with the time since it was itself heard of or named,
+// so that one that is gone is forgotten by all at the same time.
+//
+// Counted without network: 295 calm boxes swap 0.16 MB a second in all. Without the ages, entries ran out one by one and each
+// brought all the others with it, 3.7 MB a second.
+
+// sum is the box's part of a sum over boxes.
+func (b KnownBox) sum() uint64 {
+	return xxhash.Sum64String(memberName(b))
+}
+
+// row tells of the box, seen so long ago.
+func (b KnownBox) row(age time.Duration) KnownRow {
+	return KnownRow{Address: b.Address, Hall: b.Hall, LinkMbps: b.LinkMbps, AgeMs: age.Milliseconds()}
+}
+
+// isCounted reports whether a box is among those that boxes tell each other of.
+func (known *peer) isCounted(now time.Time) bool {
+	return known.box.Hall != "" && known.isKept(now)
+}
+
+// knownSum is a sum over the boxes whose hall is known, this one included.
+func (p *peers) knownSum(now time.Time) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sum := p.self().sum()
+	for _, known := range p.known {
+		if known.isCounted(now) {
+			sum += known.sum
+		}
+	}
+	return sum
+}
+
+// knownRows lists the boxes whose hall is known, this one included.
+func (p *peers) knownRows(now time.Time) []KnownRow {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := []KnownRow{p.self().row(0)}
+	for _, known := range p.known {
+		if known.isCounted(now) {
+			rows = append(rows, known.box.row(now.Sub(known.seen())))
+		}
+	}
+	return rows
+}
+
+// hallAges tells how lately the boxes of each hall were seen.
+func (p *peers) hallAges(now time.Time) []HallAge {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	oldest := map[willowwick.HallID]int64{p.self().Hall: 0}
+	for _, known := range p.known {
+		if known.isCounted(now) {
+			oldest[known.box.Hall] = max(oldest[known.box.Hall], now.Sub(known.seen()).Milliseconds())
+		}
+	}
+	ages := make([]HallAge, 0, len(oldest))
+	for hall, ageMs := range oldest {
+		ages = append(ages, HallAge{hall, ageMs})
+	}
+	return ages
+}
+
+// renew takes boxes for as lately seen as by another box that knows the same ones and told their ages as of a time.
+func (p *peers) renew(ages []HallAge, asOf time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := make(map[willowwick.HallID]time.Time, len(ages))
+	for _, age := range ages {
+		seen[age.Hall] = asOf.Add(-time.Duration(age.OldestMs) * time.Millisecond)
+	}
+	for _, known := range p.known {
+		// One that is no longer counted is about to be forgotten: the ages don't tell of it.
+		if known.isCounted(asOf) {
+			known.listed = latest(known.listed, seen[known.box.Hall])
+		}
+	}
+}
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -90,7 +90,9 @@
 
 // callTo is what this box tells another one.
 func (p *peers) callTo(address string, now time.Time) SwapCall {
-	call := SwapCall{Digest: p.digest(now)}
+	call := SwapCall{
+		Digest: p.digest(now), KnownSum: p.knownSum(now), TakesChanges: true, WantsList: p.router.sync.wantsList(now),
+	}
 	if version, heard := p.versionOf(address); heard {
 		call.Table = p.tableFor(version)
 	}
@@ -101,7 +103,8 @@
 func (p *peers) takeReply(reply SwapReply, sent, now time.Time) {
 	reply.Digest.addAge(now.Sub(sent))
 	p.heard(reply.Digest, now)
-	p.listKnown(reply.Known, now)
+	p.listKnown(reply.Known, sent)
+	p.renew(reply.HallAges, sent)
 	p.takeTable(reply.Table, reply.Digest.Box)
 	p.router.sync.takeFromPeer(reply, now)
 }
@@ -114,9 +117,11 @@
 	p.takeTable(call.Table, call.Digest.Box)
 	reply.Digest = p.digest(now)
 	reply.Table = p.tableFor(call.Digest.TableVersion)
-	reply.Endpoints = p.router.sync.listFor(call.Digest.EndpointsFrom)
-	if reply.Digest.KnownCount != call.Digest.KnownCount {
-		reply.Known = p.knownBoxes(now)
+	reply.Endpoints = p.router.sync.listFor(call)
+	if call.KnownSum == p.knownSum(now) {
+		reply.HallAges = p.hallAges(now)
+	} else {
+		reply.Known = p.knownRows(now)
 	}
 	return nil
 }
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -64,6 +64,10 @@
 		next      willowwick.Offset // from which it is read on
 		changedAt willowwick.Offset // where it last changed in more than heartbeats
 		changed   bool              // it changed since, at an offset that is not known yet
+		history   *listHistory      // of what changed where
+		sum       uint64            // over the list; 0 if it is not known
+		differs   bool              // another box that knows as many changes lists other endpoints
+		wholeAt   time.Time         // when a whole list last came from another box
 
 		// Whether the store is reached.
 		answeredAt [readKinds]time.Time // last answer of the store to this box
@@ -93,7 +97,7 @@
 		router: x, control: control,
 		listed: map[willowwick.EndpointID]willowwick.Endpoint{},
 		lapsed: map[willowwick.EndpointID]time.Time{},
-		gone:   map[willowwick.EndpointID]goneEntry{},
+		gone:   map[willowwick.EndpointID]goneEntry{}, history: newListHistory(),
 	}
 }
 
