A box takes whole lists in place of its own from its reader alone, also where its own is empty

Cause: the sum over an empty list was the sign for a sum that is not known, so that a box that had given up its last endpoint never saw that its reader lists others. The other box that a whole list may come from was any that answered; now it is the one that it is compared with.

--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -20,6 +20,8 @@
 	// returnGrace is how long endpoints whose entries lapsed while the store was away are still used after its
 	// return: they are back within about two seconds if they live.
 	returnGrace = 2200 * time.Millisecond
+	// emptySum is the sum over a list without endpoints; 0 says that the sum is not known.
+	emptySum = 1
 	// wholeEvery is how often a box asks for a whole list at most: of 3,000 endpoints it has some 450 KB, which a link of 20
 	// Mbit/s passes in 0.2 s.
 	wholeEvery = 5 * time.Second
@@ -124,6 +126,7 @@
 		return 0
 	}
 	if s.sum == 0 {
+		s.sum = emptySum
 		for _, endpoint := range s.listed {
 			s.sum += entrySum(endpoint)
 		}
@@ -133,14 +136,15 @@
 
 // entrySum is the same for two entries of an endpoint that say the same of where and for what it is used.
 func entrySum(endpoint willowwick.Endpoint) uint64 {
-	return xxhash.Sum64String(fmt.Sprint(endpoint.ID, endpoint.Address, endpoint.Service, endpoint.Release, endpoint.Leaving))
+	return xxhash.Sum64String(fmt.Sprintf("%s %s %s %s %t", endpoint.ID, endpoint.Address, endpoint.Service, endpoint.Release, endpoint.Leaving))
 }
 
-// wantsList reports whether this box asks for a whole list now, since its own differs from another box's that is as new.
-func (s *syncer) wantsList(now time.Time) bool {
+// wantsList reports whether this box asks another one for its whole list now: it reads the store for this one and lists other
+// endpoints.
+func (s *syncer) wantsList(address string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.differs && s.fedBy != "" && now.Sub(s.wholeAt) >= wholeEvery
+	return s.differs && s.fedBy == address && now.Sub(s.wholeAt) >= wholeEvery
 }
 
 // listFor returns the list for a box that has an older one, or asks for it: what changed since, if the box takes that and it
@@ -196,7 +200,7 @@
 func (s *syncer) takeFromPeer(reply SwapReply, now time.Time) {
 	s.mu.Lock()
 	list := reply.Endpoints
-	isNews := list != nil && s.isNews(list)
+	isNews := list != nil && s.isNews(list, reply.Digest.Address)
 	if isNews {
 		// What the other box lists it has judged itself.
 		for i, endpoint := range list.Endpoints {
@@ -226,8 +230,8 @@
 }
 
 // isNews reports whether a list of another box is newer than this box's, or is to take its place; the caller holds the lock.
-func (s *syncer) isNews(list *EndpointList) bool {
-	if list.Since == 0 && s.differs && s.fedBy != "" {
+func (s *syncer) isNews(list *EndpointList, from string) bool {
+	if list.Since == 0 && s.differs && s.fedBy == from {
 		return list.Next >= s.changedAt
 	}
 	return list.From > s.changedAt && list.Since <= s.changedAt
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -281,3 +281,26 @@
 	}
 	assert.Len(t, tried, boxes)
 }
+
+// A box that reads nothing itself once looked at its lapsed entries only as another change came in; and an endpoint that it
+// alone had given up stayed unknown to it until the endpoint changed.
+func TestABoxThatIsFedGivesUpALapsedEndpointAndHearsThatItIsThere(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	_, sites := newHall(t, 2, r.endpoint("v1"))
+	reader := awaitReaders(t, sites, 1)[0]
+	fed := sites[0]
+	if fed == reader {
+		fed = sites[1]
+	}
+	s := fed.daemon.router.sync
+	isListed := func() bool {
+		_, found := s.entry("r1")
+		return found
+	}
+	require.Eventually(t, isListed, patience, time.Millisecond)
+	s.mu.Lock()
+	s.lapsed["r1"] = time.Now()
+	s.mu.Unlock()
+	require.Eventually(t, func() bool { return !isListed() }, patience, time.Millisecond)
+	require.Eventually(t, isListed, wholeEvery+patience, time.Millisecond, "its reader lists it")
+}
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -91,7 +91,7 @@
 // callTo is what this box tells another one.
 func (p *peers) callTo(address string, now time.Time) SwapCall {
 	call := SwapCall{
-		Digest: p.digest(now), KnownSum: p.knownSum(now), TakesChanges: true, WantsList: p.router.sync.wantsList(now),
+		Digest: p.digest(now), KnownSum: p.knownSum(now), TakesChanges: true, WantsList: p.router.sync.wantsList(address, now),
 	}
 	if version, heard := p.versionOf(address); heard {
 		call.Table = p.tableFor(version)
