--- a/remote/silence_test.go
+++ b/remote/silence_test.go
@@ -1,4 +1,4 @@
-package remote
+package remote_test
 
 import (
 	"context"
@@ -8,13 +8,14 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/remote"
+	"github.com/willowwick/willowwick/standin"
 )
 
 const (
@@ -25,77 +26,11 @@
 	wellLimit       = 2 * time.Second
 )
 
-type (
-	// silencer dials, and can make what it has dialed so far silent.
-	silencer struct {
-		mu    sync.Mutex
-		conns []*silencedConn
-	}
-
-	// silencedConn, once silent, takes what is written and brings nothing, until it is closed.
-	silencedConn struct {
-		net.Conn
-		silent atomic.Bool
-		closed chan struct{}
-		once   sync.Once
-	}
-
-	// crowd is a server whose requests wait for each other, so that each needs a connection of its own.
-	crowd struct {
-		mu      sync.Mutex
-		waiting int
-		gate    chan struct{}
-	}
-)
-
-func (s *silencer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	silenced := &silencedConn{Conn: conn, closed: make(chan struct{})}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns = append(s.conns, silenced)
-	return silenced, nil
-}
-
-func (s *silencer) silence() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, conn := range s.conns {
-		conn.silent.Store(true)
-	}
-}
-
-func (s *silencer) dialed() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
-
-// Read implements io.Reader.
-func (c *silencedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if c.silent.Load() {
-		<-c.closed
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c *silencedConn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-// Close implements io.Closer.
-func (c *silencedConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
+// crowd is a server whose requests wait for each other, so that each needs a connection of its own.
+type crowd struct {
+	mu      sync.Mutex
+	waiting int
+	gate    chan struct{}
 }
 
 // gather makes the next requests wait until so many have come.
@@ -125,10 +60,11 @@
 }
 
 // callers are the calls that go over kept connections.
-func callers(t *testing.T, address string, dial DialFunc) map[string]func(context.Context) error {
-	platform, closePlatform := NewClient("http://"+address, dial)
-	engines, closeEngines := NewEngineClient(dial)
-	services, closeServices := NewServiceClient(dial)
+func callers(t *testing.T, address string) map[string]func(context.Context) error {
+	dial := (&net.Dialer{}).DialContext
+	platform, closePlatform := remote.NewClient("http://"+address, dial)
+	engines, closeEngines := remote.NewEngineClient(dial)
+	services, closeServices := remote.NewServiceClient(dial)
 	t.Cleanup(closePlatform)
 	t.Cleanup(closeEngines)
 	t.Cleanup(closeServices)
@@ -170,16 +106,18 @@
 	calls.Wait()
 }
 
-func withKeptConnections(t *testing.T, test func(*testing.T, *silencer, *crowd, func(context.Context) error)) {
+func withKeptConnections(t *testing.T, test func(*testing.T, *standin.Silencer, *crowd, func(context.Context) error)) {
 	for _, name := range []string{"platform", "runner", "service"} {
 		t.Run(name, func(t *testing.T) {
 			server := &crowd{}
 			listening := httptest.NewServer(server)
 			defer listening.Close()
-			network := &silencer{}
-			call := callers(t, strings.TrimPrefix(listening.URL, "http://"), network.dial)[name]
+			network, closeNetwork, err := standin.NewSilencer(strings.TrimPrefix(listening.URL, "http://"))
+			require.NoError(t, err)
+			defer closeNetwork()
+			call := callers(t, network.Address())[name]
 			together(t, server, keptConnections, call)
-			require.Equal(t, keptConnections, network.dialed())
+			require.Equal(t, keptConnections, network.Opened())
 			test(t, network, server, call)
 		})
 	}
@@ -189,8 +127,8 @@
 // turn, for as long as connections are kept; the platform's log was then out of reach for half a minute, though new
 // connections worked.
 func TestCallAfterOneOnASilentConnectionIsAnswered(t *testing.T) {
-	withKeptConnections(t, func(t *testing.T, network *silencer, server *crowd, call func(context.Context) error) {
-		network.silence()
+	withKeptConnections(t, func(t *testing.T, network *standin.Silencer, server *crowd, call func(context.Context) error) {
+		network.Silence()
 		ctx, cancel := context.WithTimeout(t.Context(), callLimit)
 		defer cancel()
 		require.ErrorIs(t, call(ctx), context.DeadlineExceeded)
@@ -200,8 +138,8 @@
 
 // A stall is found out by who waits for the answer, who then leaves as a caller does, only later.
 func TestCallAfterOneThatWasGivenUpLateIsAnswered(t *testing.T) {
-	withKeptConnections(t, func(t *testing.T, network *silencer, server *crowd, call func(context.Context) error) {
-		network.silence()
+	withKeptConnections(t, func(t *testing.T, network *standin.Silencer, server *crowd, call func(context.Context) error) {
+		network.Silence()
 		ctx, cancel := context.WithCancel(t.Context())
 		leaves := time.AfterFunc(wellLimit, cancel)
 		defer leaves.Stop()
@@ -212,13 +150,13 @@
 
 // A caller that leaves soon says nothing of the connections: the others are kept.
 func TestConnectionsAreKeptWhenACallerLeavesSoon(t *testing.T) {
-	withKeptConnections(t, func(t *testing.T, network *silencer, server *crowd, call func(context.Context) error) {
+	withKeptConnections(t, func(t *testing.T, network *standin.Silencer, server *crowd, call func(context.Context) error) {
 		server.gather(2)
 		ctx, cancel := context.WithCancel(t.Context())
 		leaves := time.AfterFunc(callLimit, cancel)
 		defer leaves.Stop()
 		require.ErrorIs(t, call(ctx), context.Canceled)
 		together(t, server, keptConnections-1, call)
-		assert.Equal(t, keptConnections, network.dialed())
+		assert.Equal(t, keptConnections, network.Opened())
 	})
 }
--- a/standin/silencer.go
+++ b/standin/silencer.go
@@ -53,6 +53,13 @@
 	return len(s.open)
 }
 
+// Opened is how many connections were ever opened through the proxy.
+func (s *Silencer) Opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 func (s *Silencer) accept() {
 	for {
 		near, err := s.listener.Accept()
