--- a/exchange/history.go
+++ b/exchange/history.go
@@ -2,8 +2,8 @@
 
 import "github.com/willowwick/willowwick"
 
-// historyMost is how many endpoints a history may name before it forgets those that are gone: four times the endpoints
-// of the largest fleet that is planned for.
+// historyMost is how many endpoints a history may name before it forgets those that are gone: six times the 670 endpoints
+// of the fleet that is planned for.
 const historyMost = 4096
 
 // listHistory is where the entries of a list of endpoints last changed, so that a box that has an older list is told of
--- a/exchange/mesh_fleet_test.go
+++ b/exchange/mesh_fleet_test.go
@@ -11,40 +11,48 @@
 )
 
 // meshSizes are the fleets that mechanisms of swaps are tried at, from two boxes to hundreds.
-var meshSizes = []struct{ boxes, halls, endpoints int }{{2, 1, 4}, {6, 3, 21}, {61, 5, 100}, {295, 5, 165}}
+var meshSizes = []meshSize{{2, 1, 4}, {6, 3, 21}, {61, 5, 100}, {295, 5, 165}}
 
-// A box knows most others from its hub alone. Each entry that nobody had renewed for half a minute was once dropped and
-// named again with all the others in the next swap; on 295 boxes that had started in turn that was nearly each swap, and a
-// hub with nothing to tell swapped 750 KB a second. Nor does a box forget another one that lives meanwhile.
-func TestSwapsOfACalmFleetAreSmall(t *testing.T) {
-	const steps, watched = 5, peerKept
-	const perBox = 1000 // bytes a second, all boxes' swaps counted once: a calm box of 6 swaps 690, one of 295 560
+// meshSize is the size of a fleet.
+type meshSize struct{ boxes, halls, endpoints int }
+
+// eachMeshSize runs a test in virtual time for each size of a fleet.
+func eachMeshSize(t *testing.T, test func(t *testing.T, size meshSize)) {
 	quietLogs(t)
 	for _, size := range meshSizes {
 		t.Run(fmt.Sprint(size.boxes), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(1, 0, size.halls, size.endpoints)
-				for i := range size.boxes {
-					m.start(i, size.halls)
-					if i%max(size.boxes/steps, 1) == 0 {
-						m.run(t, time.Second)
-					}
-				}
-				m.run(t, peerKept/3)
-				m.swapped = 0
-				for begin := time.Now(); time.Since(begin) < watched; {
-					m.run(t, time.Second)
-					for _, box := range m.boxes {
-						require.Equal(t, size.boxes, box.peers.boxes(), "boxes that %s knows", box.settings.Box)
-					}
-				}
-				assert.Less(t, m.swapped, perBox*size.boxes*int(watched.Seconds()))
-			})
+			synctest.Test(t, func(t *testing.T) { test(t, size) })
 		})
 	}
 }
 
+// A box knows most others from its hub alone. Each entry that nobody had renewed for half a minute was once dropped and
+// named again with all the others in the next swap; on 295 boxes that had started in turn that was nearly each swap, and a
+// hub with nothing to tell swapped 750 KB a second. Nor does a box forget another one that lives meanwhile.
+func TestSwapsOfACalmFleetAreSmall(t *testing.T) {
+	const steps, watched = 5, peerKept
+	const perBox = 1000 // bytes a second, all boxes' swaps counted once: a calm box of 6 swaps 690, one of 295 560
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		m := newMesh(1, 0, size.halls, size.endpoints)
+		for i := range size.boxes {
+			m.start(i, size.halls)
+			if i%max(size.boxes/steps, 1) == 0 {
+				m.run(t, time.Second)
+			}
+		}
+		m.run(t, peerKept/3)
+		m.swapped = 0
+		for begin := time.Now(); time.Since(begin) < watched; {
+			m.run(t, time.Second)
+			for _, box := range m.boxes {
+				require.Equal(t, size.boxes, box.peers.boxes(), "boxes that %s knows", box.settings.Box)
+			}
+		}
+		assert.Less(t, m.swapped, perBox*size.boxes*int(watched.Seconds()))
+	})
+}
+
 // Boxes that are gone are forgotten by all, though each was named by others.
 func TestBoxesThatAreGoneAreForgotten(t *testing.T) {
 	quietLogs(t)
@@ -68,29 +76,23 @@
 func TestNewsOfAnEndpointCostWhatTheySay(t *testing.T) {
 	const changes = 4
 	const perChange = 400 // bytes for each box: a changed entry has some 150
-	quietLogs(t)
-	for _, size := range meshSizes {
-		t.Run(fmt.Sprint(size.boxes), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(1, size.boxes, size.halls, size.endpoints)
-				m.run(t, 3*time.Second)
-				m.swapped = 0
-				m.run(t, changes*time.Second)
-				calm := m.swapped
-				m.swapped = 0
-				for i := range changes {
-					m.store.put(meshEndpoint(size.endpoints+i, size.halls))
-					m.run(t, time.Second)
-				}
-				assert.Less(t, m.swapped-calm, perChange*changes*size.boxes)
-				m.run(t, meshDrain)
-				for _, box := range m.boxes {
-					assert.Len(t, box.pool.Endpoints(), size.endpoints+changes, "endpoints that %s knows", box.settings.Box)
-				}
-			})
-		})
-	}
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		m := newMesh(1, size.boxes, size.halls, size.endpoints)
+		m.run(t, 3*time.Second)
+		m.swapped = 0
+		m.run(t, changes*time.Second)
+		calm := m.swapped
+		m.swapped = 0
+		for i := range changes {
+			m.store.put(meshEndpoint(size.endpoints+i, size.halls))
+			m.run(t, time.Second)
+		}
+		assert.Less(t, m.swapped-calm, perChange*changes*size.boxes)
+		m.run(t, meshDrain)
+		for _, box := range m.boxes {
+			assert.Len(t, box.pool.Endpoints(), size.endpoints+changes, "endpoints that %s knows", box.settings.Box)
+		}
+	})
 }
 
 // Whatever happens at the store, a box that hears of it by swaps has what its reader has.
@@ -126,21 +128,15 @@
 // take no time, so that a quarter of the time is left to them.
 func TestALeavingEndpointIsKnownInTimeThoughTheStoreRefusesSomeBoxes(t *testing.T) {
 	const trials, refusedPercent = 4, 35
-	quietLogs(t)
-	for _, size := range meshSizes {
-		t.Run(fmt.Sprint(size.boxes), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(1, size.boxes, size.halls, size.endpoints)
-				m.run(t, 3*time.Second)
-				for trial := range trials {
-					for _, box := range m.boxes {
-						box.isRefused = m.random.IntN(100) < refusedPercent
-					}
-					m.run(t, time.Duration(m.random.IntN(int(meshDrain))))
-					assert.LessOrEqual(t, m.leave(t, meshEndpoint(trial, size.halls)), meshDrain*3/4)
-				}
-			})
-		})
-	}
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		m := newMesh(1, size.boxes, size.halls, size.endpoints)
+		m.run(t, 3*time.Second)
+		for trial := range trials {
+			for _, box := range m.boxes {
+				box.isRefused = m.random.IntN(100) < refusedPercent
+			}
+			m.run(t, time.Duration(m.random.IntN(int(meshDrain))))
+			assert.LessOrEqual(t, m.leave(t, meshEndpoint(trial, size.halls)), meshDrain*3/4)
+		}
+	})
 }
