Refusals tell how old the configuration is that they rest on; the log tells how many of its lines are missing

A box knew how old its list of endpoints is, and when the store last answered it a read of declarations, but not from when its configuration is where another box reads for it. It is now told with the digests (for replies alone, whose time under way is bounded by the call), counted from when a read was sent, and stands in `refused on arrival` and in a metric. Dropped log lines were a metric alone; the log now says so itself. Run: TestTheLogTellsHowManyOfItsLinesAreMissing.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -31,9 +32,10 @@
 	if err != nil {
 		return err
 	}
-	logs, flushLogs := exchange.NewLogQueue(os.Stdout)
+	loggerTo := func(out io.Writer) *slog.Logger { return o.loggerTo(out).With("box", settings.Box) }
+	logs, flushLogs := exchange.NewLogQueue(os.Stdout, loggerTo)
 	defer flushLogs()
-	slog.SetDefault(o.loggerTo(logs).With("box", settings.Box))
+	slog.SetDefault(loggerTo(logs))
 	boundResources(settings)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -20,7 +20,8 @@
 		LinkMbps      int
 		TableVersion  uint64
 		ReadAgeMs     int64             // since it last showed that the box can read the store
-		StoreAgeMs    int64             // since what it knows of the store was read there, by whichever box
+		StoreAgeMs    int64             // since what it knows of the endpoints was read there, by whichever box
+		ConfigAgeMs   int64             // since its configuration was the newest for certain; 0 from a box of an earlier release
 		EndpointsFrom willowwick.Offset // where its list of endpoints last changed
 		EndpointsRead willowwick.Offset // up to where it knows all changes
 		EndpointsSum  uint64            // over that list; 0 while entries are in doubt
@@ -67,15 +68,20 @@
 func (d *Digest) addAge(underWay time.Duration) {
 	d.ReadAgeMs += underWay.Milliseconds()
 	d.StoreAgeMs += underWay.Milliseconds()
+	if d.ConfigAgeMs > 0 {
+		d.ConfigAgeMs += underWay.Milliseconds()
+	}
 }
 
 // digest is this box's own.
 func (p *peers) digest(now time.Time) Digest {
 	x := p.router
+	// Before the version: a configuration that comes into force in between is newer than the age tells, not older.
+	configAge := max(x.sync.configAge(now).Milliseconds(), 1)
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		TableVersion: x.configVersion(),
-		LinkMbps:     x.settings.LinkMbps, StoreAgeMs: min(x.sync.storeAge(now), longestAge).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
+		TableVersion: x.configVersion(), ConfigAgeMs: configAge,
+		LinkMbps: x.settings.LinkMbps, StoreAgeMs: min(x.sync.storeAge(now), longestAge).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
 		Evacuated: x.evacuations.set(),
 		Own:       p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
 	}
--- a/exchange/logs.go
+++ b/exchange/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 )
@@ -9,17 +10,21 @@
 // logQueueLines bounds the lines that wait for a slow reader: some seconds of a busy box.
 const logQueueLines = 4096
 
-// LogQueue writes lines beside the work; when its reader is slow it drops and counts them.
+// LogQueue writes lines beside the work; when its reader is slow it drops and counts them, and once the reader has caught up a
+// line says how many are missing.
 type LogQueue struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	told    uint64 // of those that were dropped; only run uses it
 	done    sync.WaitGroup
 	out     io.Writer
+	own     *slog.Logger // writes to out, past the queue
 }
 
-// NewLogQueue returns a queue in front of a writer, and a function that writes what waits.
-func NewLogQueue(out io.Writer) (*LogQueue, func()) {
-	q := &LogQueue{lines: make(chan []byte, logQueueLines), out: out}
+// NewLogQueue returns a queue in front of a writer, and a function that writes what waits; the logger that loggerTo makes
+// writes the queue's own lines.
+func NewLogQueue(out io.Writer, loggerTo func(io.Writer) *slog.Logger) (*LogQueue, func()) {
+	q := &LogQueue{lines: make(chan []byte, logQueueLines), out: out, own: loggerTo(out)}
 	q.done.Go(q.run)
 	return q, func() {
 		close(q.lines)
@@ -48,5 +53,19 @@
 		if _, err := q.out.Write(line); err != nil {
 			q.dropped.Add(1)
 		}
+		if len(q.lines) == 0 {
+			q.tellDropped()
+		}
+	}
+}
+
+// tellDropped says in the log itself how many of its lines are missing before this one: who looks for a request there sees
+// that its line may be among them.
+func (q *LogQueue) tellDropped() {
+	dropped := q.dropped.Load()
+	if dropped == q.told {
+		return
 	}
+	q.own.Warn("log lines were dropped", "lines", dropped-q.told, "dropped_so_far", dropped)
+	q.told = dropped
 }
--- /dev/null
+++ b/exchange/logs_test.go
@@ -0,0 +1,42 @@
+package exchange
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	bytes.Buffer
+	released chan struct{}
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return w.Buffer.Write(p)
+}
+
+// Seen: a record of an incident had no line for the requests that it named, and nothing in it told whether lines were dropped.
+func TestTheLogTellsHowManyOfItsLinesAreMissing(t *testing.T) {
+	const dropped = 7
+	out := &stuckWriter{released: make(chan struct{})}
+	queue, flush := NewLogQueue(out, func(to io.Writer) *slog.Logger { return slog.New(slog.NewTextHandler(to, nil)) })
+	// One more than the queue holds may be with the writer already.
+	for n := range logQueueLines + 1 + dropped {
+		_, _ = fmt.Fprintf(queue, "line %d\n", n)
+	}
+	lost := queue.Dropped()
+	assert.GreaterOrEqual(t, lost, uint64(dropped))
+	close(out.released)
+	flush()
+	text := out.String()
+	assert.Contains(t, text, `msg="log lines were dropped" lines=`+fmt.Sprint(lost)+` dropped_so_far=`+fmt.Sprint(lost))
+	assert.Equal(t, logQueueLines+1+dropped-int(lost)+1, strings.Count(text, "\n"), "each line that was taken, and the one that tells")
+	assert.Equal(t, 1, strings.Count(text, "were dropped"), "it is told once")
+}
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -35,6 +35,7 @@
 	set.NewGauge("willowwick_boxes", func() float64 { return float64(x.peers.boxes()) })
 	set.NewGauge("willowwick_store_held_read_seconds", func() float64 { return x.sync.heldAge(time.Now()).Seconds() })
 	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(time.Now()).Seconds() })
+	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(time.Now()).Seconds() })
 	return m
 }
 
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -115,7 +115,8 @@
 	if refusal != nil {
 		x.refuse(out, refusal)
 		slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", r.RequestURI,
-			"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion())
+			"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion(),
+			"config_age_ms", x.sync.configAge(arrived).Milliseconds(), "endpoints_age_ms", min(x.sync.storeAge(arrived), longestAge).Milliseconds())
 		return
 	}
 	if x.refusing.Load() && c.deadline.UnixNano() > x.stopAt.Load() {
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -106,6 +106,7 @@
 	p.listKnown(reply.Known, sent)
 	p.renew(reply.HallAges, sent)
 	p.takeTable(reply.Table, reply.Digest.Box)
+	p.router.sync.hearConfig(&reply.Digest, now)
 	p.router.sync.takeFromPeer(reply, now)
 }
 
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -72,7 +72,8 @@
 		// Whether the store is reached.
 		answeredAt [readKinds]time.Time // last answer of the store to this box
 		failing    [readKinds]bool      // the last read of the kind failed
-		asOf       time.Time            // from when what is known of the store is, read here or by another box
+		asOf       time.Time            // from when what is known of the endpoints is, read here or by another box
+		configAsOf time.Time            // from when the configuration is, read here or by another box
 		failedAt   time.Time            // last read that failed
 		blindAt    time.Time            // last time that neither a read nor another box told what the store holds
 		cancelRead context.CancelFunc   // ends the read that the store holds; nil if there is none
@@ -145,7 +146,7 @@
 	return s.failing != [readKinds]bool{}
 }
 
-// storeAge is how old what this box knows of the store is.
+// storeAge is how old what this box knows of the endpoints is.
 func (s *syncer) storeAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,8 +197,8 @@
 			sleep(ctx, feedPoll)
 			continue
 		}
-		began := time.Now()
-		declared, wasCancelled, err := s.readDeclarations(ctx, next)
+		began, wait := time.Now(), s.nextWait()
+		declared, wasCancelled, err := s.readDeclarations(ctx, next, wait)
 		if wasCancelled {
 			slog.Info("held read given up", "ms", time.Since(began).Milliseconds(), "from", next)
 			sleep(ctx, feedPoll)
@@ -208,9 +209,11 @@
 			continue
 		}
 		pause = 0
-		next = declared.Next
-		s.noteAnswer(readDeclared, time.Now())
+		ended := time.Now()
+		s.noteAnswer(readDeclared, ended)
 		s.declare(ctx, declared)
+		s.noteConfig(readAsOf(began, ended, wait, next, declared))
+		next = declared.Next
 		s.lookForReader(ctx)
 	}
 }
@@ -229,19 +232,23 @@
 
 // readDeclarations reads what was declared since an offset; wasCancelled tells that the read was ended from here.
 func (s *syncer) readDeclarations(
-	ctx context.Context, from willowwick.Offset,
+	ctx context.Context, from willowwick.Offset, wait time.Duration,
 ) (declared willowwick.Declarations, wasCancelled bool, err error) {
 	held, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.setCancelRead(cancel, time.Now())
 	defer s.setCancelRead(nil, time.Time{})
-	wait := s.heldLimit()
+	declared, err = s.control.Declarations(held, from, wait)
+	return declared, held.Err() != nil, err
+}
+
+// nextWait is how long the store may hold the next read of the declarations.
+func (s *syncer) nextWait() time.Duration {
 	if s.isFailing(readDeclared) {
 		// An answer at once shows whether the store is back.
-		wait = 0
+		return 0
 	}
-	declared, err = s.control.Declarations(held, from, wait)
-	return declared, held.Err() != nil, err
+	return s.heldLimit()
 }
 
 // heldLimit is how long the store may hold a read of the declarations: a call lasts until something changes, and one that
