Failing test: what an old configuration does not hold is refused for good

The second test holds what the mend must keep: where nothing fails, what does not exist is refused for good at every moment (passes).

--- /dev/null
+++ b/exchange/for_good_test.go
@@ -0,0 +1,123 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+// muteControl is a store that answers all but reads of declarations, which get no answer until the client's limit on them is
+// over, while it is mute: a part of its log is away, or the connections on which they go have fallen silent.
+type muteControl struct {
+	*testControl
+	mute atomic.Bool
+}
+
+// Declarations implements willowwick.Control.
+func (c *muteControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
+	limit := time.Now().Add(wait + headLimit)
+	if !c.mute.Load() {
+		declared, err := c.testControl.Declarations(ctx, from, wait)
+		if err != nil || !c.mute.Load() {
+			return declared, err
+		}
+	}
+	sleep(ctx, time.Until(limit))
+	return willowwick.Declarations{}, errDown
+}
+
+// bigRoute is a route whose requests may have bodies.
+func bigRoute() willowwick.Route {
+	route := againRoute()
+	route.Name, route.Prefix = "big", "/big/"
+	return route
+}
+
+// newMuteHall starts boxes of one hall whose store can be mute.
+func newMuteHall(t *testing.T, boxes int) (*muteControl, []*site) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control := &muteControl{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}}
+	control.change(func() {
+		control.table = testTable(1, onceRoute(), bigRoute())
+		control.table.Limits.BodyBytes = 10
+		control.endpoints[r.id] = r.endpoint("v1")
+	})
+	settings := testSettings()
+	settings.Drain = feedDrain
+	var sites []*site
+	for i := range boxes {
+		settings.Box = willowwick.BoxID(fmt.Sprint("box-", i))
+		s := startSite(t, control, settings)
+		settings.Seeds = append(settings.Seeds, s.daemon.router.settings.Peers)
+		sites = append(sites, s)
+	}
+	awaitReaders(t, sites, 1)
+	return control, sites
+}
+
+// Seen: routes that had been added were refused with 404, for good, by boxes of several halls, for as long as the
+// configuration that added them did not reach the boxes; their callers gave up what would have been served a moment later.
+//
+// How: reads of declarations brought nothing, here since they get no answer, while the reads of endpoints were answered. A
+// caller asked for the new route.
+//
+// Cause: a box refused for good unless what it knew of the store was old, and that age was renewed by the list of
+// endpoints. What a refusal rests on is how old the *configuration* is. The age of both beside each other in the line of
+// the refusal proved it: 200 ms for the endpoints, seconds for the configuration.
+func TestWhatAnOldConfigurationDoesNotHoldIsNotRefusedForGood(t *testing.T) {
+	for _, boxes := range []int{1, 3} {
+		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
+			t.Parallel()
+			control, sites := newMuteHall(t, boxes)
+			control.mute.Store(true)
+			control.change(func() {
+				control.table = testTable(2, onceRoute(), againRoute(), bigRoute())
+				control.table.Accounts[0].Keys = append(control.table.Accounts[0].Keys, "key-that-was-added")
+				control.table.Limits.BodyBytes = 1000
+			})
+			time.Sleep(inForceWithin)
+			for _, s := range sites {
+				require.Equal(t, uint64(1), s.daemon.router.configVersion())
+				for _, ask := range []struct{ what, path, key, body string }{
+					{"a route", "/again/", testKey, "x"},
+					{"a key", "/once/", "key-that-was-added", "x"},
+					{"a limit on bodies", "/big/", testKey, strings.Repeat("x", 100)},
+				} {
+					answer := s.do(t, http.MethodPost, ask.path, "id", ask.body, "T-Key", ask.key)
+					assert.Equal(t, http.StatusServiceUnavailable, answer.status, "%s, at %s", ask.what, s.daemon.router.settings.Box)
+					assert.NotEmpty(t, answer.header.Get("Retry-After"), "%s, at %s", ask.what, s.daemon.router.settings.Box)
+				}
+			}
+			control.mute.Store(false)
+			for _, s := range sites {
+				require.Eventually(t, func() bool {
+					return s.do(t, http.MethodPost, "/again/", "id", "x").status == http.StatusOK
+				}, patience, 20*time.Millisecond)
+			}
+		})
+	}
+}
+
+// While nothing fails, what does not exist is refused for good at every moment, on the box that reads and on those that it
+// reads for: their callers are not asked to come again for nothing.
+func TestWhatDoesNotExistIsRefusedForGoodByABoxThatIsUpToDate(t *testing.T) {
+	const watched = 3 * time.Second
+	_, sites := newMuteHall(t, 3)
+	for _, s := range sites {
+		require.Eventually(t, func() bool { return !s.daemon.router.sync.isStale(time.Now()) }, patience, time.Millisecond)
+	}
+	for began := time.Now(); time.Since(began) < watched; time.Sleep(20 * time.Millisecond) {
+		for _, s := range sites {
+			require.Equal(t, http.StatusNotFound, s.do(t, http.MethodPost, "/never/", "id", "x").status, "at %s", s.daemon.router.settings.Box)
+			require.Equal(t, http.StatusUnauthorized, s.do(t, http.MethodPost, "/once/", "id", "x", "T-Key", "no-key").status)
+		}
+	}
+}
