--- a/cmd/e2e/soak_callers_test.go
+++ b/cmd/e2e/soak_callers_test.go
@@ -18,6 +18,7 @@
 	kindOnce   askKind = "once"   // runs at most once
 	kindAgain  askKind = "again"  // may be repeated
 	kindForged askKind = "forged" // carries headers that only the router may set
+	kindNever  askKind = "never"  // asks for a route that no configuration ever had
 
 	// callersPerBox and askPause, the mean pause of one caller, make some 300 requests a second at each box at the most.
 	callersPerBox = 5
@@ -55,6 +56,7 @@
 	// callers ask all boxes until they are stopped, on connections that they keep.
 	callers struct {
 		site *soakSite
+		draw func(box int, random *rand.Rand) *asked // the next request
 		stop chan struct{}
 		done sync.WaitGroup
 
@@ -63,8 +65,8 @@
 	}
 )
 
-func (s *soakSite) startCallers(seed uint64) *callers {
-	c := &callers{site: s, stop: make(chan struct{})}
+func (s *soakSite) startCallers(seed uint64, draw func(box int, random *rand.Rand) *asked) *callers {
+	c := &callers{site: s, draw: draw, stop: make(chan struct{})}
 	for box := range s.boxes {
 		for n := range callersPerBox {
 			c.done.Go(func() { c.run(box, n, rand.New(rand.NewPCG(seed, uint64(box*callersPerBox+n)))) })
@@ -104,11 +106,11 @@
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
 
-// draw chooses a kind of request; most ask for routes that always stand, some for one of the newest configuration or of
+// drawAny chooses a kind of request; most ask for routes that always stand, some for one of the newest configuration or of
 // the newest that must be in force, or for an older one with the key that the newest took away.
-func (c *callers) draw(box int, random *rand.Rand) *asked {
+func (s *soakSite) drawAny(box int, random *rand.Rand) *asked {
 	a := &asked{box: box, key: siteKey, limit: time.Duration(1500+random.IntN(2500)) * time.Millisecond}
-	newest := c.site.newestVersion()
+	newest := s.newestVersion()
 	switch random.IntN(10) {
 	case 0, 1, 2, 3:
 		a.kind = kindStream
@@ -117,7 +119,7 @@
 	case 7:
 		a.kind = kindForged
 	case 8:
-		a.kind, a.version = kindAgain, []int{newest, c.site.dueVersion()}[random.IntN(2)]
+		a.kind, a.version = kindAgain, []int{newest, s.dueVersion()}[random.IntN(2)]
 	default:
 		a.kind, a.version, a.key = kindAgain, max(newest-1, 1), versionKey(max(newest-1, 1))
 	}
@@ -161,6 +163,8 @@
 	switch {
 	case a.kind == kindStream:
 		path = "/explain/x"
+	case a.kind == kindNever:
+		path = "/never/x"
 	case a.version > 0:
 		path = fmt.Sprintf("/at-%d/x", a.version)
 	}
--- /dev/null
+++ b/cmd/e2e/soak_changes_test.go
@@ -0,0 +1,167 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/willowwick/willowwick/standin"
+)
+
+const (
+	// changeKept is for how many versions routes and keys stay: with changePause and changeSpread some four seconds, twice
+	// the time in which they must be in force.
+	changeKept = 8
+	// changePause and changeSpread bound the pauses between two configurations from below, and by how much more.
+	changePause  = 200 * time.Millisecond
+	changeSpread = 700 * time.Millisecond
+	// changeWithin is how many of the newest versions requests are drawn from: those that come, are there, and have gone.
+	changeWithin = 2 * changeKept
+)
+
+// TestSoakOfChanges plays a storm of configurations beside faults of the store and of boxes, with requests to each box for
+// what was just added, was just taken away, or never existed.
+func TestSoakOfChanges(t *testing.T) {
+	first := *soakFirst
+	if first == 0 {
+		first = rand.Uint64N(1 << 40)
+	}
+	for i := range *soakSeeds {
+		seed := first + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soakOfChanges(t, seed, *soakLength, *soakBoxes) })
+	}
+}
+
+// soakOfChanges plays one seed.
+func soakOfChanges(t *testing.T, seed uint64, length time.Duration, boxes int) {
+	site := startSoakSite(
+		&soakSite{t: t, store: standin.NewStore(), routesKept: changeKept, keysKept: changeKept}, boxes, 1+int(seed%soakHalls), soakRunners)
+	plan := newChanges(site, seed, length)
+	site.started = time.Now()
+	callers := site.startCallers(seed, site.drawChanged)
+	plan.play(time.Now())
+	site.passCalm()
+	asks := callers.end()
+	calm, findings := site.checkCalm(seed)
+	never, findingsNever := site.checkNever()
+	asks = append(append(asks, calm...), never...)
+	v := verdict{seed: seed, events: plan.events, asks: len(asks), whole: countWhole(asks)}
+	v.findings = slices.Concat(findings, findingsNever, judgeAll(site, plan, asks), judgeForGood(site, plan, asks))
+	v.report(t)
+	if t.Failed() {
+		site.keepLogs(seed)
+	}
+}
+
+// newChanges draws the events of such a soak.
+func newChanges(site *soakSite, seed uint64, length time.Duration) *agenda {
+	a := &agenda{site: site, random: rand.New(rand.NewPCG(seed, seed+1)), length: length}
+	for at := changePause; at < length; at += changePause + time.Duration(a.random.Int64N(int64(changeSpread))) {
+		a.reconfigure(at)
+	}
+	kinds := []func(time.Duration){
+		a.kill, a.terminate, a.freeze, a.harmStoreLink, a.storeAway, a.declarationsAway, a.loseBoxConns, a.loseStoreConns, a.storeUnheard,
+		a.storeReturnsDeaf, a.storeForgets,
+	}
+	for at := 500 * time.Millisecond; at < length; at += time.Duration(200+a.random.IntN(1500)) * time.Millisecond {
+		kinds[a.random.IntN(len(kinds))](at)
+	}
+	slices.SortStableFunc(a.events, func(x, y event) int { return int(x.at - y.at) })
+	return a
+}
+
+// declarationsAway takes the part of the store away that holds declarations; its other parts are served.
+func (a *agenda) declarationsAway(at time.Duration) {
+	lasting := a.lasting() + soakApply
+	a.add(at, fmt.Sprint("declarations away ", lasting), func() {
+		defer a.storeDown.begin()()
+		a.site.store.SetAway("keyed.op", true)
+		time.Sleep(lasting)
+		a.site.store.SetAway("keyed.op", false)
+	})
+}
+
+// drawChanged chooses a route or a key of a version, or a route that never was.
+func (s *soakSite) drawChanged(box int, random *rand.Rand) *asked {
+	a := &asked{kind: kindAgain, box: box, key: siteKey, limit: time.Duration(1500+random.IntN(2500)) * time.Millisecond}
+	newest := s.newestVersion()
+	version := max(newest-random.IntN(changeWithin), 1)
+	switch random.IntN(5) {
+	case 0:
+		a.kind = kindNever
+	case 1, 2:
+		a.version, a.key = newest, versionKey(version)
+	default:
+		a.version = version
+	}
+	return a
+}
+
+// checkNever: a box that is up to date refuses for good what never existed.
+func (s *soakSite) checkNever() (asks []*asked, findings []string) {
+	client, closeClient := newCaller()
+	defer closeClient()
+	for box := range s.boxes {
+		a := &asked{id: fmt.Sprint("never-", box), kind: kindNever, box: box, key: siteKey, limit: calmLimit}
+		asks = append(asks, a)
+		s.ask(client, a, rand.New(rand.NewPCG(0, 0)))
+		if a.status != http.StatusNotFound {
+			findings = append(findings, fmt.Sprintf("%s after the faults: status %d for a route that never was", a.id, a.status))
+		}
+	}
+	return asks, findings
+}
+
+// judgeForGood returns what was refused for good though the configuration in force allows it, and refusals for good without
+// a line in the log. No trouble is an excuse: a box that does not know what is in force has to say so.
+func judgeForGood(site *soakSite, agenda *agenda, asks []*asked) []string {
+	j := &judge{site: site, agenda: agenda}
+	logs := make([]string, len(site.boxes))
+	for i, box := range site.boxes {
+		logs[i] = box.output.text()
+	}
+	for _, a := range asks {
+		if a.status != http.StatusNotFound && a.status != http.StatusUnauthorized {
+			continue
+		}
+		j.checkForGood(a)
+		// What a box had not written when it was killed is lost.
+		if site.boxes[a.box].lifeNumber() == a.life && !strings.Contains(logs[a.box], `"request":"`+a.id+`"`) {
+			j.tell(a, "no line of the log names it")
+		}
+	}
+	return j.findings
+}
+
+// checkForGood: what was accepted long enough ago is not refused for good, unless it was taken away since.
+func (j *judge) checkForGood(a *asked) {
+	if a.kind == kindNever {
+		return
+	}
+	if a.status == http.StatusNotFound {
+		j.checkHeld(a, a.version, j.site.routesKept)
+		return
+	}
+	if a.key == siteKey {
+		j.tell(a, "the key of all configurations was refused for good")
+		return
+	}
+	var version int
+	if _, err := fmt.Sscanf(a.key, versionKeyFormat, &version); err != nil {
+		j.tell(a, err.Error())
+		return
+	}
+	j.checkHeld(a, version, j.site.keysKept)
+}
+
+// checkHeld: what a version brought had to be in force, and was not.
+func (j *judge) checkHeld(a *asked, version, kept int) {
+	since := a.from.Sub(j.site.writtenAt(version))
+	if since > soakApply && !j.site.isTakenAway(version, kept, a.to) {
+		j.tell(a, fmt.Sprintf("refused for good, though version %d was written %v before", version, since.Round(time.Millisecond)))
+	}
+}
--- a/cmd/e2e/soak_checks_test.go
+++ b/cmd/e2e/soak_checks_test.go
@@ -137,13 +137,14 @@
 		return
 	}
 	written := j.site.writtenAt(a.version)
-	if a.key == siteKey && a.status == http.StatusNotFound && a.from.After(written.Add(soakApply)) {
+	isRouteGone := j.site.isTakenAway(a.version, j.site.routesKept, a.to)
+	if a.key == siteKey && a.status == http.StatusNotFound && a.from.After(written.Add(soakApply)) && !isRouteGone {
 		j.tell(a, fmt.Sprintf("version %d was written %v before", a.version, a.from.Sub(written)))
 	}
-	if a.key == siteKey || a.status != http.StatusOK || a.version >= j.site.newestVersion() {
+	if a.key == siteKey || a.status != http.StatusOK || a.version+j.site.keysKept > j.site.newestVersion() {
 		return
 	}
-	if removed := j.site.writtenAt(a.version + 1); a.from.After(removed.Add(soakRevoke)) {
+	if removed := j.site.writtenAt(a.version + j.site.keysKept); a.from.After(removed.Add(soakRevoke)) {
 		j.tell(a, fmt.Sprintf("its key was taken away %v before", a.from.Sub(removed)))
 	}
 }
@@ -159,6 +160,9 @@
 		if a.version == 0 || a.key != siteKey || a.life == 0 || j.site.boxes[a.box].lifeNumber() != a.life {
 			continue
 		}
+		if j.site.isTakenAway(a.version, j.site.routesKept, a.to) {
+			continue
+		}
 		seen := newest[key]
 		if a.status == http.StatusNotFound && seen != nil && seen.version >= a.version && a.from.After(seen.to) {
 			j.tell(a, fmt.Sprintf("the box had version %d before", seen.version))
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -42,6 +42,9 @@
 		boxes   []*soakBox
 		started time.Time // of the traffic
 
+		routesKept int // of the newest versions that a configuration has routes of; 0: of all
+		keysKept   int // of the newest versions whose keys it has
+
 		mu       sync.Mutex
 		runners  []*soakRunner
 		versions []time.Time // when each configuration was written; the first is version 1
@@ -80,8 +83,14 @@
 	}
 )
 
+// newSoakSite starts a site whose configurations keep the routes of all versions before and the key of the newest.
 func newSoakSite(t *testing.T, boxes, halls, runners int) *soakSite {
-	s := &soakSite{t: t, store: standin.NewStore()}
+	return startSoakSite(&soakSite{t: t, store: standin.NewStore(), keysKept: 1}, boxes, halls, runners)
+}
+
+// startSoakSite starts the boxes and endpoints of a site.
+func startSoakSite(s *soakSite, boxes, halls, runners int) *soakSite {
+	t := s.t
 	address := serveStandin(t, s.store)
 	s.configure()
 	for i := range runners {
@@ -197,7 +206,8 @@
 	_ = store.Put("keyed.servers", r.id, nil)
 }
 
-// configure writes the next configuration. Version n has the routes /at-1/ to /at-n/ and a key of its own.
+// configure writes the next configuration. Each version n brings the route /at-n/ and a key of its own, which stay for as
+// many versions as the site keeps them.
 func (s *soakSite) configure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,19 +215,41 @@
 	var config map[string]any
 	require.NoError(s.t, json.Unmarshal(fmt.Appendf(nil, siteConfig, version), &config))
 	routes, _ := config["routes"].([]any)
-	for n := 1; n <= version; n++ {
+	for n := firstKept(version, s.routesKept); n <= version; n++ {
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprint("at-", n), "host": siteHost, "path-prefix": fmt.Sprintf("/at-%d/", n), "kind": "idempotent",
 			"timeout-ms": versionTimeout.Milliseconds(), "goal-ms": 300, "priority": 2, "service": "app", "max-attempts": 3,
 		})
 	}
 	config["routes"] = routes
-	config["tenants"] = []any{map[string]any{"name": "lab", "api-keys": []string{siteKey, versionKey(version)}}}
+	keys := []string{siteKey}
+	for n := firstKept(version, s.keysKept); n <= version; n++ {
+		keys = append(keys, versionKey(n))
+	}
+	config["tenants"] = []any{map[string]any{"name": "lab", "api-keys": keys}}
 	require.NoError(s.t, s.store.Put("keyed.op", "config", config))
 	s.versions = append(s.versions, time.Now())
 }
 
-func versionKey(version int) string { return fmt.Sprint("key-of-version-", version) }
+// firstKept is the oldest version of which a newer one holds something, where that is kept for so many; 0: for good.
+func firstKept(version, kept int) int {
+	if kept == 0 {
+		return 1
+	}
+	return max(version-kept+1, 1)
+}
+
+// isTakenAway reports whether a version was written, until a moment, that no longer holds what the given one brought.
+func (s *soakSite) isTakenAway(version, kept int, by time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return kept > 0 && version+kept <= len(s.versions) && !s.versions[version+kept-1].After(by)
+}
+
+// versionKeyFormat makes the key that a version brought.
+const versionKeyFormat = "key-of-version-%d"
+
+func versionKey(version int) string { return fmt.Sprintf(versionKeyFormat, version) }
 
 // writtenAt tells when a version of the configuration was written.
 func (s *soakSite) writtenAt(version int) time.Time {
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -118,7 +118,7 @@
 	site := newSoakSite(t, boxes, halls, soakRunners)
 	plan := newAgenda(site, seed, length)
 	site.started = time.Now()
-	callers := site.startCallers(seed)
+	callers := site.startCallers(seed, site.drawAny)
 	plan.play(time.Now())
 	site.passCalm()
 	calm, findings := site.checkCalm(seed)
--- a/standin/store.go
+++ b/standin/store.go
@@ -32,6 +32,7 @@
 	Store struct {
 		mu     sync.Mutex
 		faults StoreFaults
+		away   map[string]bool // topics that are not served
 		topics map[string]*storeTopic
 		groups map[string]*storeGroup
 		calls  map[string]int
@@ -71,7 +72,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	s := &Store{topics: map[string]*storeTopic{}, groups: map[string]*storeGroup{}, calls: map[string]int{}, mux: http.NewServeMux()}
+	s := &Store{
+		away: map[string]bool{}, topics: map[string]*storeTopic{}, groups: map[string]*storeGroup{}, calls: map[string]int{},
+		mux: http.NewServeMux(),
+	}
 	s.mux.HandleFunc("POST /log-append", s.appendRecords)
 	s.mux.HandleFunc("GET /log-read", s.read)
 	s.mux.HandleFunc("GET /log-newest", s.readNewest)
@@ -85,7 +89,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	down := s.faults.Down
+	down := s.faults.Down || s.away[r.URL.Query().Get("topic")]
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -101,6 +105,13 @@
 	s.faults = faults
 }
 
+// SetAway takes one topic away, or brings it back; the others are served.
+func (s *Store) SetAway(topic string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[topic] = away
+}
+
 // Calls is how often a call was made.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -216,7 +227,7 @@
 	for {
 		s.mu.Lock()
 		t := s.topic(query.Get("topic"))
-		first, end, down := t.first, t.end(), s.faults.Down
+		first, end, down := t.first, t.end(), s.faults.Down || s.away[query.Get("topic")]
 		var records [][]byte
 		if from >= first && from <= end {
 			records = t.records[from-first:]
