What the configuration does not hold is refused for good only while that is the newest for certain

Cause: 404, 401 and 413 were for good unless what the box knew of the store was more than 2 s old, and that age was renewed by the list of endpoints. A refusal rests on the configuration, so it now goes by how long ago that was the newest for certain, read here or heard from another box with one at least as new, and by the operator's bound: a box says for good what no configuration that has to be in force can contradict. Older than that, it answers 503 with when to come again. The age is taken before the configuration is looked at. A box that looked for a reader, or lost the one it had, asks for an answer at once: a held read would leave it in doubt for 2.1 s of 2 s.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -86,6 +86,8 @@
 	if err != nil {
 		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "header", "%v", err)
 	}
+	// Before the configuration is looked at: one that comes into force in between makes no older one up to date.
+	isStale := x.sync.isStale(arrived)
 	t := x.table.Load()
 	if t == nil {
 		return nil, willowwick.NotRun(willowwick.CodeStale, arrived.Add(comeBackLater), "no configuration is known yet")
@@ -93,7 +95,8 @@
 	target, path := requestTarget(r)
 	declared := t.route(r.Host, path)
 	if declared == nil {
-		return nil, x.unknown(arrived, willowwick.Invalid(willowwick.CodeUnknownService, "path", "no route of %q leads to %q", r.Host, path))
+		refusal := willowwick.Invalid(willowwick.CodeUnknownService, "path", "no route of %q leads to %q", r.Host, path)
+		return nil, unlessStale(refusal, isStale, arrived)
 	}
 	c := &call{
 		router: x, out: out, head: head, table: t, route: declared, arrived: arrived, model: noModel,
@@ -102,25 +105,26 @@
 	}
 	if !declared.Anonymous && len(t.Accounts) > 0 {
 		if c.account = t.accounts[head.Key]; c.account == nil {
-			return nil, x.unknown(arrived, willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key"))
+			return nil, unlessStale(willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key"), isStale, arrived)
 		}
 	}
 	if head.ID == "" {
 		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "id", "the request has no id")
 	}
 	if refusal := c.readBody(r); refusal != nil {
-		return nil, refusal
+		return nil, unlessStale(refusal, isStale, arrived)
 	}
 	c.plan()
 	return c, nil
 }
 
-// unknown refuses what the configuration does not hold; while a newer one may be on its way, the caller may come again.
-func (x *Router) unknown(now time.Time, refusal *willowwick.Refusal) *willowwick.Refusal {
-	if x.sync.isStale(now) {
-		return willowwick.NotRun(willowwick.CodeStale, now.Add(comeBackLater), "%s, but the configuration may be old", refusal.Message)
+// unlessStale refuses for good what the configuration does not allow, unless another one may have to be in force by now: then
+// the caller may come again. A caller that is refused for good gives up what would be served a moment later.
+func unlessStale(refusal *willowwick.Refusal, isStale bool, now time.Time) *willowwick.Refusal {
+	if !isStale || refusal.Kind != willowwick.KindInvalid {
+		return refusal
 	}
-	return refusal
+	return willowwick.NotRun(willowwick.CodeStale, now.Add(comeBackLater), "%s, but the configuration may be old", refusal.Message)
 }
 
 // requestTarget returns the request line's target and its path, both as the caller wrote them.
--- a/exchange/freshness.go
+++ b/exchange/freshness.go
@@ -6,6 +6,13 @@
 	"github.com/willowwick/willowwick"
 )
 
+// isStale reports whether a configuration may have to be in force that this box does not have: one that was accepted long
+// enough ago, and after this box's was the newest for certain. Where nothing fails, a box's is at most twice heldLimit and one
+// swap old, 1.7 s of 2 s: the store may answer with news at the end of one held read, and without at the end of the next.
+func (s *syncer) isStale(now time.Time) bool {
+	return s.configAge(now) > s.router.settings.InForce
+}
+
 // noteConfig notes that this box has the configuration that was in the store at a moment, or a newer one: all that was
 // accepted until then. It is called once that configuration is in force here.
 func (s *syncer) noteConfig(asOf time.Time) {
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -32,8 +32,6 @@
 	// them; retryBehind bounds how long one of them waits for its turn.
 	probeEvery  = 250 * time.Millisecond
 	retryBehind = 6 * time.Second
-	// staleAfter is how long after the last answer of the store what it holds may have changed unseen.
-	staleAfter = 2 * time.Second
 )
 
 const (
@@ -102,11 +100,6 @@
 	}
 }
 
-// isStale reports whether what the store holds may have changed unseen.
-func (s *syncer) isStale(now time.Time) bool {
-	return s.storeAge(now) > staleAfter
-}
-
 // readAge is how long ago it showed that this box can read the store, all of it; as long as no read has failed, what
 // other boxes read for it counts too, since it did not have to read then.
 func (s *syncer) readAge(now time.Time) time.Duration {
@@ -197,7 +190,8 @@
 			sleep(ctx, feedPoll)
 			continue
 		}
-		began, wait := time.Now(), s.nextWait()
+		began := time.Now()
+		wait := s.nextWait(began)
 		declared, wasCancelled, err := s.readDeclarations(ctx, next, wait)
 		if wasCancelled {
 			slog.Info("held read given up", "ms", time.Since(began).Milliseconds(), "from", next)
@@ -242,13 +236,16 @@
 	return declared, held.Err() != nil, err
 }
 
-// nextWait is how long the store may hold the next read of the declarations.
-func (s *syncer) nextWait() time.Duration {
-	if s.isFailing(readDeclared) {
-		// An answer at once shows whether the store is back.
+// nextWait is how long the store may hold the next read of the declarations. An answer at once shows whether the store is
+// back; and on a box that has not read for longer than its own reads leave it alone, since it looked for a reader or
+// lost the one that it had, whether its configuration still is the newest.
+func (s *syncer) nextWait(now time.Time) time.Duration {
+	limit := s.heldLimit()
+	isInDoubt := s.router.table.Load() != nil && s.configAge(now) > 2*limit
+	if s.isFailing(readDeclared) || isInDoubt {
 		return 0
 	}
-	return s.heldLimit()
+	return limit
 }
 
 // heldLimit is how long the store may hold a read of the declarations: a call lasts until something changes, and one that
