An answer that is there is not dropped for one that usually comes too late

Cause: a small model's answer of low confidence was given up for the large model's as long as any time was left, and the caller got 504. The large model is asked only if its answer usually begins before the request's time is up; where nothing is known yet of how long it takes, as before.

--- a/exchange/send.go
+++ b/exchange/send.go
@@ -329,7 +329,14 @@
 	if s.head.Confidence >= s.confidenceNeeded(now) {
 		return false
 	}
-	return c.runs < c.route.MaxRuns && now.Before(c.deadline) && s.router.takeRepeat(c, route.RepeatEscalation, now)
+	return c.runs < c.route.MaxRuns && s.hasTimeFor(c.route.Models[len(c.route.Models)-1], now) && s.router.takeRepeat(c, route.RepeatEscalation, now)
+}
+
+// hasTimeFor reports whether a model's answer, begun now, usually begins before the request's time is up; where it does not,
+// the answer that is there is all that the caller can get.
+func (s *send) hasTimeFor(model willowwick.ModelID, now time.Time) bool {
+	usual, _ := s.router.releases.usual(s.route.Name, model)
+	return now.Add(usual).Before(s.deadline)
 }
 
 // confidenceNeeded falls from one setting to the other as the large model's answer is expected later, and as the
