States of roll-outs are read beside the declarations, not between them

Cause: the box that reads the declarations read the states of roll-outs on the same turn, and an answer of the store is read to its end however slowly it comes; no declarations were read meanwhile, and nothing counted it. They are read on a turn of their own now. Tests call declare without a context, which it no longer takes.

--- a/exchange/evacuation_test.go
+++ b/exchange/evacuation_test.go
@@ -45,7 +45,7 @@
 
 // declare gives the box what a read of the store would bring.
 func (s *site) declare(t *testing.T, declared willowwick.Declarations) {
-	s.daemon.router.sync.declare(t.Context(), declared)
+	s.daemon.router.sync.declare(declared)
 }
 
 // tell gives the box the digest of another one.
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -51,6 +51,7 @@
 	syncer struct {
 		router  *Router
 		control willowwick.Control
+		ordered chan struct{} // a roll-out was ordered, and what became of it is to be read
 
 		mu sync.Mutex
 
@@ -93,7 +94,7 @@
 
 func newSyncer(x *Router, control willowwick.Control) *syncer {
 	return &syncer{
-		router: x, control: control,
+		router: x, control: control, ordered: make(chan struct{}, 1),
 		listed: map[willowwick.EndpointID]willowwick.Endpoint{},
 		lapsed: map[willowwick.EndpointID]time.Time{},
 		gone:   map[willowwick.EndpointID]goneEntry{}, history: newListHistory(),
@@ -205,7 +206,7 @@
 		pause = 0
 		ended := time.Now()
 		s.noteAnswer(readDeclared, ended)
-		s.declare(ctx, declared)
+		s.declare(declared)
 		s.noteConfig(readAsOf(began, ended, wait, next, declared))
 		next = declared.Next
 		s.lookForReader(ctx)
@@ -356,7 +357,7 @@
 
 // declare takes a configuration, evacuations and orders of roll-outs. Evacuations come first: a box that has just started
 // serves from its first configuration on.
-func (s *syncer) declare(ctx context.Context, declared willowwick.Declarations) {
+func (s *syncer) declare(declared willowwick.Declarations) {
 	s.router.evacuations.declare(declared)
 	if declared.Table != nil {
 		s.router.setTable(declared.Table, "store")
@@ -367,9 +368,24 @@
 	for _, order := range declared.Orders {
 		s.router.releases.begin(order, 0, time.Now())
 	}
-	// The orders may be old: what became of them stands in the store.
-	if _, err := s.readStatuses(ctx); err != nil {
-		slog.Info("states of roll-outs could not be read", "error", err)
+	select {
+	case s.ordered <- struct{}{}:
+	default: // they are read after this anyway
+	}
+}
+
+// followOrdered reads what became of roll-outs whenever one was ordered, which may have been long ago, until the context
+// ends. It is no part of reading the declarations: an answer that comes in slowly would keep those away, unseen.
+func (s *syncer) followOrdered(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.ordered:
+		}
+		if _, err := s.readStatuses(ctx); err != nil {
+			slog.Info("states of roll-outs could not be read", "error", err)
+		}
 	}
 }
 
