Own interface: what the configuration does not hold is refused for good only where the bound allows it

Cause: 401, 403 and 404 were for good whatever a box knew. They go by when the configuration was last compared with the log, by this box or those that told it, and by the 16 s within which operators are promised a change in force; beyond it the answer is "not run", with when to come again. Being in touch with other boxes does not count here: they may know no more, or be cut off as well.

--- a/serve/api.go
+++ b/serve/api.go
@@ -110,14 +110,16 @@
 	if !strings.HasPrefix(authorization, bearerPrefix) {
 		return nil, nil, willowwick.Invalid(willowwick.CodeBadKey, "Authorization", "send the client account's key as 'Authorization: Bearer KEY'")
 	}
-	id, account, ok := d.node.Follower.Revision().Authenticate(strings.TrimPrefix(authorization, bearerPrefix))
+	now := time.Now()
+	revision := d.node.Follower.Revision()
+	id, account, ok := revision.Authenticate(strings.TrimPrefix(authorization, bearerPrefix))
 	if !ok {
-		if d.node.Follower.Revision().Offset == 0 {
-			return nil, nil, willowwick.NotRun(willowwick.CodeStale, time.Now().Add(isolatedRetry), "this box has no configuration yet")
+		if revision.Offset == 0 {
+			return nil, nil, willowwick.NotRun(willowwick.CodeStale, now.Add(isolatedRetry), "this box has no configuration yet")
 		}
-		return nil, nil, willowwick.Invalid(willowwick.CodeBadKey, "Authorization", "no client account has this key")
+		refusal := willowwick.Invalid(willowwick.CodeBadKey, "Authorization", "no client account has this key")
+		return nil, nil, d.unlessStale(refusal, revision, now)
 	}
-	now := time.Now()
 	request := &willowwick.Request{
 		ID: d.newRequestID(), Account: id, Class: willowwick.Class(deref(h.class)),
 		Session: willowwick.SessionID(deref(h.session)), IdempotencyKey: deref(h.idempotencyKey),
--- a/serve/run.go
+++ b/serve/run.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	isolatedAfter   = 10 * time.Second
+	isolatedAfter = 10 * time.Second
+	// inForceWithin is within what time operators are promised a change in force on all boxes, at 390 of them.
+	inForceWithin   = 16 * time.Second
 	isolatedRetry   = 2 * time.Second
 	claimRetry      = time.Second
 	stoppingRetry   = time.Second
@@ -107,7 +109,8 @@
 	}
 	account, ok := revision.Account(request.Account)
 	if !ok {
-		return nil, willowwick.Invalid(willowwick.CodeBadKey, "Authorization", "the client account is not declared any more")
+		refusal := willowwick.Invalid(willowwick.CodeBadKey, "Authorization", "the client account is not declared any more")
+		return nil, d.unlessStale(refusal, revision, now)
 	}
 	r := &run{
 		daemon: d, request: request, revision: revision, account: account,
@@ -121,7 +124,7 @@
 	}
 	plan, refusal := route.MakePlan(revision, request, now)
 	if refusal != nil {
-		return nil, refusal
+		return nil, d.unlessStale(refusal, revision, now)
 	}
 	if plan.Failure != nil {
 		d.metrics.policyFailures.Inc()
@@ -152,6 +155,17 @@
 	return nil
 }
 
+// unlessStale refuses for good what a configuration does not hold, unless another one may have to be in force by now: then the
+// caller may come again. A caller that is refused for good gives up what another box serves. Boxes in touch are no excuse
+// here: they may know no more, or be cut off with this one.
+func (d *Daemon) unlessStale(refusal *willowwick.Refusal, revision *config.Revision, now time.Time) *willowwick.Refusal {
+	isNewest := revision == d.node.Follower.Revision() && now.Sub(d.node.Follower.Confirmed()) <= inForceWithin
+	if isNewest || refusal.Kind != willowwick.KindInvalid {
+		return refusal
+	}
+	return willowwick.NotRun(willowwick.CodeStale, now.Add(isolatedRetry), "%s, but the configuration may be old", refusal.Message)
+}
+
 // claim reserves the request's idempotency key over the whole fleet.
 func (r *run) claim(ctx context.Context) *willowwick.Refusal {
 	if r.request.IdempotencyKey == "" {
--- a/serve/services.go
+++ b/serve/services.go
@@ -99,10 +99,12 @@
 	revision := d.node.Follower.Revision()
 	declared, ok := revision.Service(service)
 	if !ok {
-		return nil, willowwick.Invalid(willowwick.CodeUnknownService, "service", "no service is called %q", service)
+		refusal := willowwick.Invalid(willowwick.CodeUnknownService, "service", "no service is called %q", service)
+		return nil, d.unlessStale(refusal, revision, now)
 	}
 	if !account.AllowsService(service) {
-		return nil, willowwick.Invalid(willowwick.CodeNotAllowed, "service", "client account %q may not use service %q", request.Account, service)
+		refusal := willowwick.Invalid(willowwick.CodeNotAllowed, "service", "client account %q may not use service %q", request.Account, service)
+		return nil, d.unlessStale(refusal, revision, now)
 	}
 	path := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix+string(service))
 	if strings.Contains(path+"/", "/../") || strings.Contains(path+"/", "/./") {
