--- a/exchange/transit_test.go
+++ b/exchange/transit_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"net/rpc"
 	"testing"
 	"time"
@@ -57,3 +58,38 @@
 	defer hearer.sync.mu.Unlock()
 	assert.LessOrEqual(t, hearer.sync.asOf.UnixMilli(), server.made.UnixMilli())
 }
+
+// lateEndpoints is a store whose answers with the list of endpoints come in late, over a narrow link.
+type lateEndpoints struct {
+	*testControl
+	late time.Duration
+	made chan time.Time // when each answer was made
+}
+
+// Endpoints implements willowwick.Control.
+func (c *lateEndpoints) Endpoints(ctx context.Context, from willowwick.Offset) (willowwick.EndpointChanges, error) {
+	changes, err := c.testControl.Endpoints(ctx, from)
+	made := time.Now()
+	sleep(ctx, c.late)
+	c.made <- made
+	return changes, err
+}
+
+// What a box reads itself is as old as what it hears: an answer says what was so when it was made, not when it was in.
+func TestAListOfEndpointsIsAsOldAsItWasWhenTheStoreMadeIt(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control := &lateEndpoints{
+		testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}},
+		late:        400 * time.Millisecond, made: make(chan time.Time, 1000),
+	}
+	control.change(func() { control.table = testTable(1, onceRoute()) })
+	s := startSite(t, control, testSettings())
+	made := <-control.made
+	for len(control.made) > 0 {
+		made = <-control.made
+	}
+	x := s.daemon.router
+	x.sync.mu.Lock()
+	defer x.sync.mu.Unlock()
+	assert.False(t, x.sync.asOf.After(made), "%v after it was made", x.sync.asOf.Sub(made))
+}
