A list of endpoints is as old as the read that asked for it

Cause: its age was counted from when the answer was in. The client reads an answer to its end however slowly it comes, so what was seconds old counted as new, here and at the boxes that are told. It is counted from when the read was asked for, as what other boxes tell is. Tests pass both times to takeChanges, the same where no time goes by.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -504,11 +504,11 @@
 	beat := func(beat uint64) []willowwick.Endpoint {
 		return []willowwick.Endpoint{{ID: "a", Service: "work", Beat: beat}}
 	}
-	s.takeChanges(willowwick.EndpointChanges{Present: beat(1), Next: 1}, now)
+	s.takeChanges(willowwick.EndpointChanges{Present: beat(1), Next: 1}, now, now)
 	later := now.Add(2 * testSettings().Drain)
 	s.noteFailure(readEndpoints, later, errDown)
-	s.takeChanges(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"a"}, Next: 2}, later)
-	s.takeChanges(willowwick.EndpointChanges{Present: beat(2), Next: 3}, later)
+	s.takeChanges(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"a"}, Next: 2}, later, later)
+	s.takeChanges(willowwick.EndpointChanges{Present: beat(2), Next: 3}, later, later)
 	changes := s.listFor(&SwapCall{Digest: Digest{EndpointsFrom: 1}, TakesChanges: true})
 	require.NotNil(t, changes)
 	require.Equal(t, beat(2), changes.Endpoints)
@@ -522,8 +522,8 @@
 	s := newSyncer(x, nil)
 	x.sync = s
 	now := time.Now()
-	s.takeChanges(willowwick.EndpointChanges{Present: []willowwick.Endpoint{{ID: "a", Service: "work"}}, Next: 1}, now)
-	s.takeChanges(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"b"}, Next: 3}, now)
+	s.takeChanges(willowwick.EndpointChanges{Present: []willowwick.Endpoint{{ID: "a", Service: "work"}}, Next: 1}, now, now)
+	s.takeChanges(willowwick.EndpointChanges{Gone: []willowwick.EndpointID{"b"}, Next: 3}, now, now)
 	behind := SwapReply{Endpoints: &EndpointList{
 		Endpoints: []willowwick.Endpoint{{ID: "b", Service: "work"}}, Since: 1, From: 2, Next: 2, Told: now,
 	}}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -46,21 +46,23 @@
 			sleep(ctx, feedPoll)
 			continue
 		}
+		asked := time.Now()
 		changes, err := s.control.Endpoints(ctx, s.endpointsAt())
 		if err != nil {
 			pause = s.backOff(ctx, readEndpoints, pause, err)
 			continue
 		}
 		pause = 0
-		s.takeChanges(changes, time.Now())
+		s.takeChanges(changes, asked, time.Now())
 	}
 }
 
-// takeChanges takes what the store answered to a read of the list.
-func (s *syncer) takeChanges(changes willowwick.EndpointChanges, now time.Time) {
+// takeChanges takes what the store answered to a read of the list. It holds what was so when the read was asked for certain:
+// the answer may have come in slowly.
+func (s *syncer) takeChanges(changes willowwick.EndpointChanges, asked, now time.Time) {
 	s.noteAnswer(readEndpoints, now)
 	s.mu.Lock()
-	s.asOf = now
+	s.asOf = latest(s.asOf, asked)
 	s.apply(changes, now)
 	if s.changed && s.next > s.changedAt {
 		// Offsets compare between boxes: who has read up to here has all changes up to here.
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -202,7 +202,7 @@
 		return
 	}
 	box.sync.noteAnswer(readDeclared, now)
-	box.sync.takeChanges(m.store.since(box.sync.endpointsAt()), now)
+	box.sync.takeChanges(m.store.since(box.sync.endpointsAt()), now, now)
 }
 
 func (m *mesh) swap(t *testing.T, box *meshBox, address string, now time.Time) {
