Only an answer that holds all makes a configuration the newest; a box that looks for a reader goes on reading

An answer of the store that is cut at its size, or whose newest configuration cannot be decoded, says nothing of what came after; such answers now say so and leave the age as it was. It looks for no longer than a read is held. The log tells of dropped lines also where its reader never catches up.

--- a/control.go
+++ b/control.go
@@ -12,6 +12,7 @@
 		Table       *RoutingTable // the newest one, or nil if there was none in what was read
 		Orders      []ReleaseOrder
 		Evacuations []Evacuation // those of one hall in the order in which they were declared
+		Partial     bool         // more stood there than was read so far: an answer is long, or the newest table cannot be decoded
 		Next        Offset       // where the next read goes on; 0 reads everything anew
 	}
 
--- a/exchange/evacuation_test.go
+++ b/exchange/evacuation_test.go
@@ -44,7 +44,7 @@
 }
 
 // declare gives the box what a read of the store would bring.
-func (s *site) declare(t *testing.T, declared willowwick.Declarations) {
+func (s *site) declare(declared willowwick.Declarations) {
 	s.daemon.router.sync.declare(declared)
 }
 
@@ -189,35 +189,35 @@
 		isEmpty bool
 	}{
 		{"a whole read", func() {
-			s.declare(t, willowwick.Declarations{Whole: true, Next: 100, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 99}}})
+			s.declare(willowwick.Declarations{Whole: true, Next: 100, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 99}}})
 		}, true},
 		{"a late read of changes", func() {
-			s.declare(t, willowwick.Declarations{Next: 61, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 60, TakenBack: true}}})
+			s.declare(willowwick.Declarations{Next: 61, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 60, TakenBack: true}}})
 		}, true},
-		{"a late whole read", func() { s.declare(t, willowwick.Declarations{Whole: true, Next: 70}) }, true},
+		{"a late whole read", func() { s.declare(willowwick.Declarations{Whole: true, Next: 70}) }, true},
 		{"another box that knows less", func() { s.tell(EvacuatedHalls{AsOf: 80}) }, true},
 		{"a box that tells nothing of it", func() { s.tell(EvacuatedHalls{}) }, true},
 		{"another box that knows more", func() { s.tell(EvacuatedHalls{AsOf: 110}) }, false},
 		{"its old state", func() { s.tell(evacuated(105)) }, false},
 		{"a read that ends before what was told", func() {
-			s.declare(t, willowwick.Declarations{Next: 102, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 101}}})
+			s.declare(willowwick.Declarations{Next: 102, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 101}}})
 		}, false},
 		{"a read that begins before what was told", func() {
-			s.declare(t, willowwick.Declarations{Next: 112, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 101}}})
+			s.declare(willowwick.Declarations{Next: 112, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 101}}})
 		}, false},
 		{"a new record", func() {
-			s.declare(t, willowwick.Declarations{Next: 113, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 112}}})
+			s.declare(willowwick.Declarations{Next: 113, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 112}}})
 		}, true},
-		{"changes of other kinds", func() { s.declare(t, willowwick.Declarations{Next: 120}) }, true},
-		{"a whole read after the store forgot its history", func() { s.declare(t, willowwick.Declarations{Whole: true, Next: 130}) }, false},
+		{"changes of other kinds", func() { s.declare(willowwick.Declarations{Next: 120}) }, true},
+		{"a whole read after the store forgot its history", func() { s.declare(willowwick.Declarations{Whole: true, Next: 130}) }, false},
 		{"a whole read that saw a record after its end", func() {
-			s.declare(t, willowwick.Declarations{Whole: true, Next: 140, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 145}}})
+			s.declare(willowwick.Declarations{Whole: true, Next: 140, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 145}}})
 		}, true},
 		{"the records between", func() {
-			s.declare(t, willowwick.Declarations{Next: 142, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 141, TakenBack: true}}})
+			s.declare(willowwick.Declarations{Next: 142, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 141, TakenBack: true}}})
 		}, true},
 		{"many changes at once", func() {
-			s.declare(t, willowwick.Declarations{Next: 150, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 145}, {Hall: hall, At: 149, TakenBack: true}}})
+			s.declare(willowwick.Declarations{Next: 150, Evacuations: []willowwick.Evacuation{{Hall: hall, At: 145}, {Hall: hall, At: 149, TakenBack: true}}})
 		}, false},
 	}
 	for _, step := range steps {
--- a/exchange/for_good_test.go
+++ b/exchange/for_good_test.go
@@ -121,3 +121,33 @@
 		}
 	}
 }
+
+// partialControl is a store whose reads of declarations are answered, but with less than stands there.
+type partialControl struct {
+	*testControl
+	isPartial atomic.Bool
+}
+
+// Declarations implements willowwick.Control.
+func (c *partialControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
+	declared, err := c.testControl.Declarations(ctx, from, wait)
+	if c.isPartial.Load() {
+		declared.Table, declared.Partial = nil, true
+	}
+	return declared, err
+}
+
+// An answer that holds less than what stands in the store, since that is long or some of it could not be decoded, shows
+// nothing of whether the configuration is the newest.
+func TestAnAnswerThatHoldsNotAllMakesNoConfigurationTheNewest(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control := &partialControl{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}}}
+	control.change(func() { control.table = testTable(1, onceRoute()) })
+	s := startSite(t, control, testSettings())
+	control.isPartial.Store(true)
+	control.change(func() { control.table = testTable(2, againRoute()) })
+	before := control.calls.Load()
+	time.Sleep(inForceWithin + 100*time.Millisecond)
+	assert.Less(t, control.calls.Load()-before, int64(40), "it goes on asking with its usual pauses")
+	assert.Equal(t, http.StatusServiceUnavailable, s.do(t, http.MethodPost, "/again/", "id", "x").status)
+}
--- a/exchange/logs.go
+++ b/exchange/logs.go
@@ -7,15 +7,21 @@
 	"sync/atomic"
 )
 
-// logQueueLines bounds the lines that wait for a slow reader: some seconds of a busy box.
-const logQueueLines = 4096
+const (
+	// logQueueLines bounds the lines that wait for a slow reader: some seconds of a busy box.
+	logQueueLines = 4096
+	// tellEvery is after how many lines at the latest the log tells of those that were dropped, if its reader never
+	// catches up.
+	tellEvery = 1000
+)
 
-// LogQueue writes lines beside the work; when its reader is slow it drops and counts them, and once the reader has caught up a
-// line says how many are missing.
+// LogQueue writes lines beside the work; when its reader is slow it drops and counts them, and a line of its own says how
+// many are missing.
 type LogQueue struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	told    uint64 // of those that were dropped; only run uses it
+	told    uint64 // of those that were dropped; only run uses it, as written
+	written int
 	done    sync.WaitGroup
 	out     io.Writer
 	own     *slog.Logger // writes to out, past the queue
@@ -53,7 +59,7 @@
 		if _, err := q.out.Write(line); err != nil {
 			q.dropped.Add(1)
 		}
-		if len(q.lines) == 0 {
+		if q.written++; len(q.lines) == 0 || q.written%tellEvery == 0 {
 			q.tellDropped()
 		}
 	}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -207,22 +207,27 @@
 		ended := time.Now()
 		s.noteAnswer(readDeclared, ended)
 		s.declare(declared)
-		s.noteConfig(readAsOf(began, ended, wait, next, declared))
+		if !declared.Partial {
+			s.noteConfig(readAsOf(began, ended, wait, next, declared))
+		}
 		next = declared.Next
 		s.lookForReader(ctx)
 	}
 }
 
-// lookForReader waits in the first moments of a box whether another reads for it, before the store holds a read here.
+// lookForReader waits in the first moments of a box whether another reads for it, before the store holds a read here; no
+// longer than the store would hold one, since a hall may follow this box already.
 func (s *syncer) lookForReader(ctx context.Context) {
-	for ctx.Err() == nil && s.mayFindReader(time.Now()) {
+	limit := time.Now().Add(s.heldLimit())
+	for now := time.Now(); ctx.Err() == nil && now.Before(limit) && s.mayFindReader(now); now = time.Now() {
 		sleep(ctx, feedPoll)
 	}
 }
 
 // mayFindReader reports whether this box serves, but has just started and is not fed yet.
 func (s *syncer) mayFindReader(now time.Time) bool {
-	return s.router.peers.isNew(now) && s.hasEndpoints() && !s.isFed(now)
+	serves := s.router.table.Load() != nil && s.hasEndpoints()
+	return serves && s.router.peers.isNew(now) && !s.isFed(now)
 }
 
 // readDeclarations reads what was declared since an offset; wasCancelled tells that the read was ended from here.
@@ -238,12 +243,11 @@
 }
 
 // nextWait is how long the store may hold the next read of the declarations. An answer at once shows whether the store is
-// back; and on a box that has not read for longer than its own reads leave it alone, since it looked for a reader or
-// lost the one that it had, whether its configuration still is the newest.
+// back; on a box that lost its reader, whether its configuration still is the newest; and where a reader may be found
+// soon, nothing is held that would be given up.
 func (s *syncer) nextWait(now time.Time) time.Duration {
 	limit := s.heldLimit()
-	isInDoubt := s.router.table.Load() != nil && s.configAge(now) > 2*limit
-	if s.isFailing(readDeclared) || isInDoubt {
+	if s.isFailing(readDeclared) || s.declaredAge(now) > 2*limit || s.mayFindReader(now) {
 		return 0
 	}
 	return limit
--- a/standin/store.go
+++ b/standin/store.go
@@ -230,7 +230,7 @@
 		first, end, down := t.first, t.end(), s.faults.Down || s.away[query.Get("topic")]
 		var records [][]byte
 		if from >= first && from <= end {
-			records = t.records[from-first:]
+			records = upTo(t.records[from-first:], query.Get("max-kb"))
 		}
 		s.mu.Unlock()
 		switch {
@@ -247,6 +247,22 @@
 	}
 }
 
+// upTo returns the first of the records that have so many KB together, and one at the least; all of them if the text is
+// empty.
+func upTo(records [][]byte, kb string) [][]byte {
+	limit, err := strconv.Atoi(kb)
+	if err != nil {
+		return records
+	}
+	size := 0
+	for i, record := range records {
+		if size += lengthBytes + len(record); size > limit<<10 && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 func writeRecords(w http.ResponseWriter, end, first uint64, records [][]byte) {
 	data := binary.BigEndian.AppendUint64(nil, end)
 	data = binary.BigEndian.AppendUint64(data, first)
