--- a/exchange/freshness_test.go
+++ b/exchange/freshness_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 )
 
@@ -63,3 +64,13 @@
 	untold.addAge(200 * time.Millisecond)
 	assert.Zero(t, untold.ConfigAgeMs)
 }
+
+// A box that had just started once left the declarations unread for 1.5 s while it looked for another that reads for it; with
+// the swap to those that follow it that was all the time to put a configuration in force.
+func TestABoxThatHasJustStartedGoesOnReading(t *testing.T) {
+	s := newSite(t, newRunner(t, "r1", answerText("ok")).endpoint("v1"))
+	x := s.daemon.router
+	require.True(t, x.peers.isNew(time.Now()))
+	s.control.change(func() { s.control.table = testTable(2, againRoute()) })
+	require.Eventually(t, func() bool { return x.configVersion() == 2 }, x.sync.heldLimit()+2*feedPoll, 5*time.Millisecond)
+}
