--- a/exchange/freshness.go
+++ b/exchange/freshness.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -51,3 +52,108 @@
 	}
 	return began
 }
+
+// readAge is how long ago it showed that this box can read the store, all of it; as long as no read has failed, what
+// other boxes read for it counts too, since it did not have to read then.
+func (s *syncer) readAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var age time.Duration
+	for kind, failing := range s.failing {
+		if failing || readKind(kind) == readDeclared && s.heldFor(now) > s.heldLimit()+heldLate {
+			age = max(age, now.Sub(s.answeredAt[kind]))
+		}
+	}
+	if age > 0 {
+		return age
+	}
+	return s.reachAge(now)
+}
+
+// reachAge is how long ago the store answered this box anything, or another box that read for it; the caller holds the
+// lock.
+func (s *syncer) reachAge(now time.Time) time.Duration {
+	age := min(now.Sub(s.answeredAt[readDeclared]), now.Sub(s.answeredAt[readEndpoints]))
+	if s.isUnreachable() {
+		return age
+	}
+	return min(age, now.Sub(s.asOf))
+}
+
+// isReached reports whether the store answers this box anything.
+func (s *syncer) isReached(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reachAge(now) <= s.router.reliedLimit()
+}
+
+// isUnreachable reports whether a last read failed; the caller holds the lock.
+func (s *syncer) isUnreachable() bool {
+	return s.failing != [readKinds]bool{}
+}
+
+// storeAge is how old what this box knows of the endpoints is.
+func (s *syncer) storeAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.asOf)
+}
+
+// noteAnswer notes that the store answers reads of a kind.
+func (s *syncer) noteAnswer(kind readKind, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answeredAt[kind] = now
+	if !s.failing[kind] {
+		return
+	}
+	s.failing[kind] = false
+	slog.Info("store is reached again", "read", kind.String(), "away_ms", now.Sub(s.failedAt).Milliseconds(), "held_read_ms", s.heldFor(now).Milliseconds())
+}
+
+// noteFailure notes that the store does not answer reads of a kind. A read of the other kind goes on: its own limits end it,
+// and its answer may be coming in.
+func (s *syncer) noteFailure(kind readKind, now time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedAt = now
+	if now.Sub(s.asOf) > s.router.reliedLimit() {
+		s.blindAt = now
+	}
+	if !s.failing[kind] {
+		s.failing[kind] = true
+		slog.Info("store is not reached", "read", kind.String(), "error", err, "answered_ms_ago", now.Sub(s.answeredAt[kind]).Milliseconds())
+	}
+}
+
+// isFailing reports whether the last read of a kind failed.
+func (s *syncer) isFailing(kind readKind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing[kind]
+}
+
+// heldFor is how long the store has held a read; the caller holds the lock.
+func (s *syncer) heldFor(now time.Time) time.Duration {
+	if s.heldSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.heldSince)
+}
+
+// heldAge is how long the store has held a read, 0 if it holds none.
+func (s *syncer) heldAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heldFor(now)
+}
+
+// declaredAge is how long ago the store last answered with what is declared, 0 if it never did.
+func (s *syncer) declaredAge(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answeredAt[readDeclared].IsZero() {
+		return 0
+	}
+	return now.Sub(s.answeredAt[readDeclared])
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -114,9 +114,7 @@
 	c, refusal := x.begin(out, r, arrived)
 	if refusal != nil {
 		x.refuse(out, refusal)
-		slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", r.RequestURI,
-			"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion(),
-			"config_age_ms", x.sync.configAge(arrived).Milliseconds(), "endpoints_age_ms", min(x.sync.storeAge(arrived), longestAge).Milliseconds())
+		x.logRefused(out, r, refusal, arrived)
 		return
 	}
 	if x.refusing.Load() && c.deadline.UnixNano() > x.stopAt.Load() {
@@ -130,6 +128,14 @@
 	c.run()
 }
 
+// logRefused writes the only line about a request that was refused on arrival, with the ages of what that rests on.
+func (x *Router) logRefused(out *reply, r *http.Request, refusal *willowwick.Refusal, arrived time.Time) {
+	endpointsAge := min(x.sync.storeAge(arrived), longestAge)
+	slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", r.RequestURI,
+		"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion(),
+		"config_age_ms", x.sync.configAge(arrived).Milliseconds(), "endpoints_age_ms", endpointsAge.Milliseconds())
+}
+
 func (x *Router) configVersion() uint64 {
 	if t := x.table.Load(); t != nil {
 		return t.Version
