--- a/exchange/statuses_test.go
+++ b/exchange/statuses_test.go
@@ -41,3 +41,30 @@
 	control.change(func() { control.table = testTable(2, againRoute()) })
 	require.Eventually(t, func() bool { return s.daemon.router.configVersion() == 2 }, inForceWithin, 5*time.Millisecond)
 }
+
+// The box that writes states of roll-outs once judged none of them, and closed no idle connections, while an answer of the
+// store that it needed for writing came in slowly.
+func TestABadReleaseIsJudgedWhileStatesOfRollOutsComeInSlowly(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	control := &slowStatuses{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}}}
+	control.change(func() { control.table = testTable(1, onceRoute()) })
+	s := startSite(t, control, testSettings())
+	x := s.daemon.router
+	require.Eventually(t, x.sync.isLeading, patience, time.Millisecond)
+	control.change(func() {
+		control.orders = []willowwick.ReleaseOrder{{Service: "work", Target: "v2", Period: time.Minute, At: 1}}
+	})
+	// One read for the order, another one before the state is written.
+	require.Eventually(t, func() bool { return control.asked.Load() > 1 }, patience, time.Millisecond)
+	for range 10 * plainlyBad {
+		x.releases.observe(observation{service: "work", release: "v2", route: "once", isError: true})
+	}
+	require.Eventually(t, func() bool {
+		for _, roll := range x.releases.progresses(time.Now()) {
+			if roll.Status.State == willowwick.ReleaseRolledBack {
+				return true
+			}
+		}
+		return false
+	}, 4*leadEvery, 5*time.Millisecond)
+}
