Releases are judged, and idle connections closed, whatever the store takes to answer

Cause: judging, closing idle connections and writing states stood on one turn, so the box that leads judged nothing while an answer that it needed for writing came in slowly, without a bound, or was lost, 0.6 s each. Writing has a turn of its own. Since a release may turn out bad meanwhile, the state is written only if it is still due after the reads.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -98,7 +98,8 @@
 		d.workers.Go(func() { x.hints.send(ctx) })
 	}
 	for _, work := range []func(context.Context){
-		x.gate.Run, x.sync.followDeclarations, x.sync.followOrdered, x.sync.followEndpoints, x.sync.keepMembership, x.sync.lead, x.peers.run,
+		x.gate.Run, x.sync.followDeclarations, x.sync.followOrdered, x.sync.followEndpoints, x.sync.keepMembership,
+		x.sync.judgeReleases, x.sync.lead, x.peers.run,
 	} {
 		d.workers.Go(func() { work(ctx) })
 	}
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,7 +16,7 @@
 	joinEvery = time.Second
 	// membersEvery is how often the group is listed where its generation has not changed.
 	membersEvery = 10 * time.Second
-	// leadEvery is how often the box that leads looks for states to write.
+	// leadEvery is how often a box judges releases, and the one that leads looks for states to write.
 	leadEvery = 300 * time.Millisecond
 	// memberSeparator stands between the parts of a member's name.
 	memberSeparator = "@"
@@ -116,8 +117,9 @@
 	return s.leads
 }
 
-// lead judges roll-outs on every box, writes their states on the box that leads, and closes idle connections in time.
-func (s *syncer) lead(ctx context.Context) {
+// judgeReleases judges roll-outs on every box, and closes idle connections in time, until the context ends. No wait for the
+// store is part of it: a bad release gets requests for as long as nobody judges it.
+func (s *syncer) judgeReleases(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
 		s.router.releases.setBoxes(s.router.peers.boxes())
@@ -125,12 +127,19 @@
 		report := s.router.peers.fleetReport(now)
 		s.router.releases.setKeptElsewhere(report.Kept)
 		s.router.releases.judge(report.evidence(), now)
-		if s.isLeading() {
+		s.router.conns.Sweep(now)
+		sleep(ctx, leadEvery)
+	}
+}
+
+// lead writes the states of roll-outs on the box that leads, until the context ends.
+func (s *syncer) lead(ctx context.Context) {
+	for ctx.Err() == nil {
+		if now := time.Now(); s.isLeading() {
 			for _, due := range s.router.releases.due(now) {
 				s.writeDue(ctx, due, now)
 			}
 		}
-		s.router.conns.Sweep(now)
 		sleep(ctx, leadEvery)
 	}
 }
@@ -161,6 +170,9 @@
 			return
 		}
 	}
+	if !slices.Contains(s.router.releases.due(time.Now()), due) {
+		return // it was judged otherwise meanwhile
+	}
 	if err := s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End); err != nil {
 		slog.Info("state of a roll-out could not be written", "service", due.Service, "release", due.Target, "state", due.State,
 			"after", statuses.End, "error", err)
