--- a/cmd/e2e/soak_changes_test.go
+++ b/cmd/e2e/soak_changes_test.go
@@ -30,14 +30,20 @@
 // TestSoakOfChanges plays a storm of configurations beside faults of the store and of boxes, with requests to each box for
 // what was just added, was just taken away, or never existed.
 func TestSoakOfChanges(t *testing.T) {
-	first := *soakFirst
-	if first == 0 {
-		first = rand.Uint64N(1 << 40)
-	}
-	for i := range *soakSeeds {
-		seed := first + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soakOfChanges(t, seed, *soakLength, *soakBoxes) })
-	}
+	eachSeed(t, func(t *testing.T, seed uint64) { soakOfChanges(t, seed, *soakLength, *soakBoxes) })
+}
+
+// failedChanges are seeds of it that failed once, by refusals for good that went by the age of the list of endpoints.
+var failedChanges = []failedSeed{
+	{11, 8 * time.Second, 3, wrongAge},
+	{12, 8 * time.Second, 3, wrongAge},
+	{3, 8 * time.Second, 3, wrongAge},
+	{4, 8 * time.Second, 3, wrongAge},
+}
+
+// TestChangesThatFailedOnce plays them again.
+func TestChangesThatFailedOnce(t *testing.T) {
+	playAgain(t, failedChanges, func(t *testing.T, failed failedSeed) { soakOfChanges(t, failed.seed, failed.length, failed.boxes) })
 }
 
 // soakOfChanges plays one seed.
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -40,6 +40,8 @@
 	// reads was the longest duration there is, and adding to it overflowed, so the others of its hall, and it itself, took
 	// each other for the reader, and none read.
 	relyOnNever = "a box that never read the store counted as its hall's reader"
+	// wrongAge: boxes refused for good what their configuration did not hold as long as their list of endpoints was fresh.
+	wrongAge = "a refusal for good went by how old the list of endpoints was"
 )
 
 var (
@@ -53,12 +55,7 @@
 
 // failedSeeds are seeds that failed once, with what they found; they stay as they were played then. The first shows its
 // cause most surely: CI plays no more, since one takes some 15 s.
-var failedSeeds = []struct {
-	seed   uint64
-	length time.Duration
-	boxes  int
-	cause  string
-}{
+var failedSeeds = []failedSeed{
 	{4000, 5 * time.Second, 4, lostRead},
 	{4002, 5 * time.Second, 4, lostRead},
 	{6000, 5 * time.Second, 4, lostRead},
@@ -73,40 +70,59 @@
 	{8003, 5 * time.Second, 4, relyOnNever},
 }
 
-// verdict is what came of one seed.
-type verdict struct {
-	seed     uint64
-	events   []event
-	asks     int
-	whole    int
-	findings []string
-}
+type (
+	// failedSeed is a seed that failed once, as it was played then.
+	failedSeed struct {
+		seed   uint64
+		length time.Duration
+		boxes  int
+		cause  string
+	}
+
+	// verdict is what came of one seed.
+	verdict struct {
+		seed     uint64
+		events   []event
+		asks     int
+		whole    int
+		findings []string
+	}
+)
 
 // TestSoak plays random faults against real daemons and checks what callers and endpoints see.
 func TestSoak(t *testing.T) {
+	var verdicts []verdict
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		verdicts = append(verdicts, soak(t, seed, *soakLength, *soakBoxes))
+	})
+	if *soakReport != "" {
+		require.NoError(t, os.WriteFile(*soakReport, []byte(reportOf(verdicts)), 0o600))
+	}
+}
+
+// TestSeedsThatFailedOnce plays them again.
+func TestSeedsThatFailedOnce(t *testing.T) {
+	playAgain(t, failedSeeds, func(t *testing.T, failed failedSeed) { soak(t, failed.seed, failed.length, failed.boxes) })
+}
+
+// eachSeed runs a test for each seed that the flags ask for.
+func eachSeed(t *testing.T, test func(t *testing.T, seed uint64)) {
 	first := *soakFirst
 	if first == 0 {
 		first = rand.Uint64N(1 << 40)
 	}
-	var verdicts []verdict
 	for i := range *soakSeeds {
 		seed := first + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
-			v := soak(t, seed, *soakLength, *soakBoxes)
-			verdicts = append(verdicts, v)
-		})
-	}
-	if *soakReport != "" {
-		require.NoError(t, os.WriteFile(*soakReport, []byte(reportOf(verdicts)), 0o600))
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { test(t, seed) })
 	}
 }
 
-// TestSeedsThatFailedOnce plays them again.
-func TestSeedsThatFailedOnce(t *testing.T) {
-	for _, failed := range failedSeeds[:min(*soakAgain, len(failedSeeds))] {
+// playAgain runs a test for as many of the seeds that failed once as the flags ask for.
+func playAgain(t *testing.T, seeds []failedSeed, test func(t *testing.T, failed failedSeed)) {
+	for _, failed := range seeds[:min(*soakAgain, len(seeds))] {
 		t.Run(fmt.Sprint("seed-", failed.seed), func(t *testing.T) {
 			t.Log(failed.cause)
-			soak(t, failed.seed, failed.length, failed.boxes)
+			test(t, failed)
 		})
 	}
 }
