A list of endpoints is in use as soon as it is known

Cause: the list was given to the pool after the lock under which it changed was released. In between, the box called itself ready and had no endpoint to send to, and two lists that came at once, from the store and from a box, could be given in the wrong order. It is given under that lock.

--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -54,8 +54,9 @@
 	if changes.Whole {
 		s.history.restart(s.next)
 	}
-	s.mu.Unlock()
 	s.publish()
+	s.mu.Unlock()
+	s.router.noteWarm()
 }
 
 // settle says up to where the list's changes so far stand; the caller holds the lock.
@@ -122,9 +123,8 @@
 // its requests to one of them would be lost.
 func (s *syncer) dropLapsed(now time.Time) {
 	s.mu.Lock()
-	dropped := s.dropOverdue(now)
-	s.mu.Unlock()
-	if dropped {
+	defer s.mu.Unlock()
+	if s.dropOverdue(now) {
 		s.publish()
 	}
 }
@@ -212,14 +212,12 @@
 	s.noteChange(id)
 }
 
-// publish gives the list to the pool.
+// publish gives the list to the pool; the caller holds the lock, so that the box has no list that is not in use, and none
+// takes the place of a newer one.
 func (s *syncer) publish() {
-	s.mu.Lock()
 	list := make([]willowwick.Endpoint, 0, len(s.listed))
 	for _, endpoint := range s.listed {
 		list = append(list, endpoint)
 	}
-	s.mu.Unlock()
 	s.router.pool.Update(list)
-	s.router.noteWarm()
 }
--- a/exchange/listing_swap.go
+++ b/exchange/listing_swap.go
@@ -143,10 +143,11 @@
 	if s.known && reply.Digest.EndpointsFrom <= s.next && asOf.After(s.asOf) {
 		s.asOf = asOf
 	}
-	s.mu.Unlock()
 	if isNews {
 		s.publish()
 	}
+	s.mu.Unlock()
+	s.router.noteWarm()
 }
 
 // isNews reports whether a list of another box holds changes beyond what this one has read, or is to take the place of its
