Tidy: one refusal for what may be right by a configuration that is not here yet; no lock for it on the way of each request

Both interfaces had a function of their own with the same words; Refusal.UnlessStale serves both, and each says when its configuration is stale. The exchange looked at its age on each request; it does so only for a refusal, and tells by the configuration itself whether another came into force meanwhile. Both take the age first and the configuration then: the own interface had it the other way round, by which a configuration that came into force in between could make the one before look up to date. The age of the list is bounded where it is made, not by each that tells it, and named for what it is; the store's stand-in asks in one place whether it is down.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -86,8 +86,6 @@
 	if err != nil {
 		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "header", "%v", err)
 	}
-	// Before the configuration is looked at: one that comes into force in between makes no older one up to date.
-	isStale := x.sync.isStale(arrived)
 	t := x.table.Load()
 	if t == nil {
 		return nil, willowwick.NotRun(willowwick.CodeStale, arrived.Add(comeBackLater), "no configuration is known yet")
@@ -96,7 +94,7 @@
 	declared := t.route(r.Host, path)
 	if declared == nil {
 		refusal := willowwick.Invalid(willowwick.CodeUnknownService, "path", "no route of %q leads to %q", r.Host, path)
-		return nil, unlessStale(refusal, isStale, arrived)
+		return nil, x.unlessStale(refusal, t, arrived)
 	}
 	c := &call{
 		router: x, out: out, head: head, table: t, route: declared, arrived: arrived, model: noModel,
@@ -105,26 +103,24 @@
 	}
 	if !declared.Anonymous && len(t.Accounts) > 0 {
 		if c.account = t.accounts[head.Key]; c.account == nil {
-			return nil, unlessStale(willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key"), isStale, arrived)
+			return nil, x.unlessStale(willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key"), t, arrived)
 		}
 	}
 	if head.ID == "" {
 		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "id", "the request has no id")
 	}
 	if refusal := c.readBody(r); refusal != nil {
-		return nil, unlessStale(refusal, isStale, arrived)
+		return nil, x.unlessStale(refusal, t, arrived)
 	}
 	c.plan()
 	return c, nil
 }
 
-// unlessStale refuses for good what the configuration does not allow, unless another one may have to be in force by now: then
-// the caller may come again. A caller that is refused for good gives up what would be served a moment later.
-func unlessStale(refusal *willowwick.Refusal, isStale bool, now time.Time) *willowwick.Refusal {
-	if !isStale || refusal.Kind != willowwick.KindInvalid {
-		return refusal
-	}
-	return willowwick.NotRun(willowwick.CodeStale, now.Add(comeBackLater), "%s, but the configuration may be old", refusal.Message)
+// unlessStale refuses for good what a configuration does not allow, unless another one may have to be in force by now. The
+// age is taken before the configuration: one that comes into force in between makes no older one up to date.
+func (x *Router) unlessStale(refusal *willowwick.Refusal, t *table, now time.Time) *willowwick.Refusal {
+	isStale := x.sync.isStale(now) || x.table.Load() != t
+	return refusal.UnlessStale(isStale, now.Add(comeBackLater))
 }
 
 // requestTarget returns the request line's target and its path, both as the caller wrote them.
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -80,8 +80,8 @@
 	configAge := max(x.sync.configAge(now).Milliseconds(), 1)
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		TableVersion: x.configVersion(), ConfigAgeMs: configAge,
-		LinkMbps: x.settings.LinkMbps, StoreAgeMs: min(x.sync.storeAge(now), longestAge).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
+		LinkMbps: x.settings.LinkMbps, TableVersion: x.configVersion(), ConfigAgeMs: configAge,
+		StoreAgeMs: x.sync.endpointsAge(now).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
 		Evacuated: x.evacuations.set(),
 		Own:       p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
 	}
--- a/exchange/freshness.go
+++ b/exchange/freshness.go
@@ -37,9 +37,6 @@
 func (s *syncer) configAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.configAsOf.IsZero() {
-		return longestAge
-	}
 	return min(now.Sub(s.configAsOf), longestAge)
 }
 
@@ -92,11 +89,11 @@
 	return s.failing != [readKinds]bool{}
 }
 
-// storeAge is how old what this box knows of the endpoints is.
-func (s *syncer) storeAge(now time.Time) time.Duration {
+// endpointsAge is how old what this box knows of the endpoints is, whichever box read that; longestAge if none did.
+func (s *syncer) endpointsAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.asOf)
+	return min(now.Sub(s.asOf), longestAge)
 }
 
 // noteAnswer notes that the store answers reads of a kind.
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -74,7 +74,7 @@
 		}
 		limit = s.router.reliedLimit()
 	}
-	return s.storeAge(now) > limit
+	return s.endpointsAge(now) > limit
 }
 
 // reliedLimit is how old what a box has read may be for others to rely on it.
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -130,10 +130,9 @@
 
 // logRefused writes the only line about a request that was refused on arrival, with the ages of what that rests on.
 func (x *Router) logRefused(out *reply, r *http.Request, refusal *willowwick.Refusal, arrived time.Time) {
-	endpointsAge := min(x.sync.storeAge(arrived), longestAge)
 	slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", r.RequestURI,
 		"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion(),
-		"config_age_ms", x.sync.configAge(arrived).Milliseconds(), "endpoints_age_ms", endpointsAge.Milliseconds())
+		"config_age_ms", x.sync.configAge(arrived).Milliseconds(), "endpoints_age_ms", x.sync.endpointsAge(arrived).Milliseconds())
 }
 
 func (x *Router) configVersion() uint64 {
--- a/refusal.go
+++ b/refusal.go
@@ -71,6 +71,16 @@
 	return &Refusal{Kind: KindInvalid, Code: code, Param: param, Message: fmt.Sprintf(format, args...)}
 }
 
+// UnlessStale returns the refusal, or in place of one for good that rests on a configuration one for now, if another
+// configuration may have to be in force by now. A caller that is refused for good gives up what would be served a moment
+// later, or by another box.
+func (r *Refusal) UnlessStale(isStale bool, retryAt time.Time) *Refusal {
+	if !isStale || r.Kind != KindInvalid {
+		return r
+	}
+	return NotRun(CodeStale, retryAt, "%s, but the configuration may be old", r.Message)
+}
+
 // Failed returns the refusal of a request that was tried without success.
 func Failed(code RefusalCode, format string, args ...any) *Refusal {
 	return &Refusal{Kind: KindFailed, Code: code, Message: fmt.Sprintf(format, args...)}
--- a/serve/run.go
+++ b/serve/run.go
@@ -155,15 +155,12 @@
 	return nil
 }
 
-// unlessStale refuses for good what a configuration does not hold, unless another one may have to be in force by now: then the
-// caller may come again. A caller that is refused for good gives up what another box serves. Boxes in touch are no excuse
-// here: they may know no more, or be cut off with this one.
+// unlessStale refuses for good what a configuration does not hold, unless another one may have to be in force by now. Boxes in
+// touch are no excuse here: they may know no more, or be cut off with this one. The age is taken before the
+// configuration: one that comes into force in between makes no older one up to date.
 func (d *Daemon) unlessStale(refusal *willowwick.Refusal, revision *config.Revision, now time.Time) *willowwick.Refusal {
-	isNewest := revision == d.node.Follower.Revision() && now.Sub(d.node.Follower.Confirmed()) <= inForceWithin
-	if isNewest || refusal.Kind != willowwick.KindInvalid {
-		return refusal
-	}
-	return willowwick.NotRun(willowwick.CodeStale, now.Add(isolatedRetry), "%s, but the configuration may be old", refusal.Message)
+	isStale := now.Sub(d.node.Follower.Confirmed()) > inForceWithin || d.node.Follower.Revision() != revision
+	return refusal.UnlessStale(isStale, now.Add(isolatedRetry))
 }
 
 // claim reserves the request's idempotency key over the whole fleet.
--- a/standin/store.go
+++ b/standin/store.go
@@ -89,7 +89,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	down := s.faults.Down || s.away[r.URL.Query().Get("topic")]
+	down := s.isDown(r.URL.Query().Get("topic"))
 	s.mu.Unlock()
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -112,6 +112,11 @@
 	s.away[topic] = away
 }
 
+// isDown reports whether calls for a topic, or for none, are not served; the caller holds the lock.
+func (s *Store) isDown(topic string) bool {
+	return s.faults.Down || s.away[topic]
+}
+
 // Calls is how often a call was made.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
@@ -227,7 +232,7 @@
 	for {
 		s.mu.Lock()
 		t := s.topic(query.Get("topic"))
-		first, end, down := t.first, t.end(), s.faults.Down || s.away[query.Get("topic")]
+		first, end, down := t.first, t.end(), s.isDown(query.Get("topic"))
 		var records [][]byte
 		if from >= first && from <= end {
 			records = upTo(t.records[from-first:], query.Get("max-kb"))
