Tidy: one store for tests and one soak in place of copies

newTestControl takes the place of the same five lines in ten tests; losingControl loses all reads as well as one, so the second stand-in with the same limit is gone. Both soaks are played by one function and judged by one: what was asked in the one is asked in both now, that nothing is refused for good that has to be in force, that each refusal for good has its line, that a route that never was is refused so in the calm. The log is gone through once, not for each refusal. A 404 for a route of all configurations is a finding; it would have ended the test. When a version's route or key was taken away is told in one place. In transit_test the answers are counted under the lock: one that came between the count and the lock could fail the test.

--- a/cmd/e2e/soak_changes_test.go
+++ b/cmd/e2e/soak_changes_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -49,22 +48,8 @@
 // soakOfChanges plays one seed.
 func soakOfChanges(t *testing.T, seed uint64, length time.Duration, boxes int) {
 	site := startSoakSite(
-		&soakSite{t: t, store: standin.NewStore(), routesKept: changeKept, keysKept: changeKept}, boxes, 1+int(seed%soakHalls), soakRunners)
-	plan := newChanges(site, seed, length)
-	site.started = time.Now()
-	callers := site.startCallers(seed, site.drawChanged)
-	plan.play(time.Now())
-	site.passCalm()
-	asks := callers.end()
-	calm, findings := site.checkCalm(seed)
-	never, findingsNever := site.checkNever()
-	asks = append(append(asks, calm...), never...)
-	v := verdict{seed: seed, events: plan.events, asks: len(asks), whole: countWhole(asks)}
-	v.findings = slices.Concat(findings, findingsNever, judgeAll(site, plan, asks), judgeForGood(site, plan, asks))
-	v.report(t)
-	if t.Failed() {
-		site.keepLogs(seed)
-	}
+		&soakSite{t: t, store: standin.NewStore(), routesKept: changeKept, keysKept: changeKept}, boxes, hallsOf(seed), soakRunners)
+	playSoak(site, newChanges(site, seed, length), seed, site.drawChanged, (*judge).checkServed)
 }
 
 // newChanges draws the events of such a soak.
@@ -111,72 +96,6 @@
 	return a
 }
 
-// checkNever: a box that is up to date refuses for good what never existed.
-func (s *soakSite) checkNever() (asks []*asked, findings []string) {
-	client, closeClient := newCaller()
-	defer closeClient()
-	for box := range s.boxes {
-		a := &asked{id: fmt.Sprint("never-", box), kind: kindNever, box: box, key: siteKey, limit: calmLimit}
-		asks = append(asks, a)
-		s.ask(client, a, rand.New(rand.NewPCG(0, 0)))
-		if a.status != http.StatusNotFound {
-			findings = append(findings, fmt.Sprintf("%s after the faults: status %d for a route that never was", a.id, a.status))
-		}
-	}
-	return asks, findings
-}
-
-// judgeForGood returns what was refused for good though the configuration in force allows it, and refusals for good without
-// a line in the log. No trouble is an excuse: a box that does not know what is in force has to say so.
-func judgeForGood(site *soakSite, agenda *agenda, asks []*asked) []string {
-	j := &judge{site: site, agenda: agenda}
-	logs := make([]string, len(site.boxes))
-	for i, box := range site.boxes {
-		logs[i] = box.output.text()
-	}
-	j.checkServed(asks)
-	for _, a := range asks {
-		if a.status != http.StatusNotFound && a.status != http.StatusUnauthorized {
-			continue
-		}
-		j.checkForGood(a)
-		// What a box had not written when it was killed is lost.
-		if site.boxes[a.box].lifeNumber() == a.life && !strings.Contains(logs[a.box], `"request":"`+a.id+`"`) {
-			j.tell(a, "no line of the log names it")
-		}
-	}
-	return j.findings
-}
-
-// checkForGood: what was accepted long enough ago is not refused for good, unless it was taken away since.
-func (j *judge) checkForGood(a *asked) {
-	if a.kind == kindNever {
-		return
-	}
-	if a.status == http.StatusNotFound {
-		j.checkHeld(a, a.version, j.site.routesKept)
-		return
-	}
-	if a.key == siteKey {
-		j.tell(a, "the key of all configurations was refused for good")
-		return
-	}
-	var version int
-	if _, err := fmt.Sscanf(a.key, versionKeyFormat, &version); err != nil {
-		j.tell(a, err.Error())
-		return
-	}
-	j.checkHeld(a, version, j.site.keysKept)
-}
-
-// checkHeld: what a version brought had to be in force, and was not.
-func (j *judge) checkHeld(a *asked, version, kept int) {
-	since := a.from.Sub(j.site.writtenAt(version))
-	if since > soakApply && !j.site.isTakenAway(version, kept, a.to) {
-		j.tell(a, fmt.Sprintf("refused for good, though version %d was written %v before", version, since.Round(time.Millisecond)))
-	}
-}
-
 // checkServed: a box in touch serves what must be in force. One that only ever asked its callers to come again would refuse
 // nothing for good either.
 func (j *judge) checkServed(asks []*asked) {
--- a/cmd/e2e/soak_checks_test.go
+++ b/cmd/e2e/soak_checks_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -30,13 +31,25 @@
 		site     *soakSite
 		agenda   *agenda
 		runs     map[string][]ran
+		named    map[string]bool // requests that some line of a box's log names
 		findings []string
 	}
+
+	// check looks at all requests together.
+	check func(j *judge, asks []*asked)
 )
 
+// requestInLog finds the request that a line of a log names.
+var requestInLog = regexp.MustCompile(`"request":"([^"]*)"`)
+
 // judgeAll returns what broke a promise.
-func judgeAll(site *soakSite, agenda *agenda, asks []*asked) []string {
-	j := &judge{site: site, agenda: agenda, runs: map[string][]ran{}}
+func judgeAll(site *soakSite, agenda *agenda, asks []*asked, checks ...check) []string {
+	j := &judge{site: site, agenda: agenda, runs: map[string][]ran{}, named: map[string]bool{}}
+	for _, box := range site.boxes {
+		for _, found := range requestInLog.FindAllStringSubmatch(box.output.text(), -1) {
+			j.named[found[1]] = true
+		}
+	}
 	for _, runner := range site.allRunners() {
 		for _, run := range runner.Runs() {
 			j.runs[run.Request] = append(j.runs[run.Request], ran{run, runner})
@@ -52,6 +65,7 @@
 		j.checkCut(a)
 		j.checkVersion(a)
 		j.checkLeaving(a)
+		j.checkForGood(a)
 	}
 	for id := range j.runs {
 		if !known[id] {
@@ -60,6 +74,9 @@
 	}
 	j.checkNeverBack(asks)
 	j.checkRollOut()
+	for _, check := range checks {
+		check(j, asks)
+	}
 	return j.findings
 }
 
@@ -141,10 +158,10 @@
 	if a.key == siteKey && a.status == http.StatusNotFound && a.from.After(written.Add(soakApply)) && !isRouteGone {
 		j.tell(a, fmt.Sprintf("version %d was written %v before", a.version, a.from.Sub(written)))
 	}
-	if a.key == siteKey || a.status != http.StatusOK || a.version+j.site.keysKept > j.site.newestVersion() {
+	if a.key == siteKey || a.status != http.StatusOK {
 		return
 	}
-	if removed := j.site.writtenAt(a.version + j.site.keysKept); a.from.After(removed.Add(soakRevoke)) {
+	if removed, isRemoved := j.site.takenAwayAt(a.version, j.site.keysKept); isRemoved && a.from.After(removed.Add(soakRevoke)) {
 		j.tell(a, fmt.Sprintf("its key was taken away %v before", a.from.Sub(removed)))
 	}
 }
@@ -193,3 +210,34 @@
 		j.report("the bad release %s was completed: %s", j.agenda.bad, value)
 	}
 }
+
+// checkForGood: what was accepted long enough ago is not refused for good, unless it was taken away since, and a refusal for
+// good has its line in the log. No trouble is an excuse: a box that does not know what is in force has to say so.
+func (j *judge) checkForGood(a *asked) {
+	if a.status != http.StatusNotFound && a.status != http.StatusUnauthorized {
+		return
+	}
+	// What a box had not written when it was killed is lost.
+	if j.site.boxes[a.box].lifeNumber() == a.life && !j.named[a.id] {
+		j.tell(a, "no line of the log names it")
+	}
+	var version int
+	_, err := fmt.Sscanf(a.key, versionKeyFormat, &version)
+	switch {
+	case a.kind == kindNever:
+	case a.status == http.StatusNotFound && a.version > 0:
+		j.checkHeld(a, a.version, j.site.routesKept)
+	case a.status == http.StatusUnauthorized && err == nil:
+		j.checkHeld(a, version, j.site.keysKept)
+	default:
+		j.tell(a, "what all configurations hold was refused for good")
+	}
+}
+
+// checkHeld: what a version brought had to be in force, and was not.
+func (j *judge) checkHeld(a *asked, version, kept int) {
+	since := a.from.Sub(j.site.writtenAt(version))
+	if since > soakApply && !j.site.isTakenAway(version, kept, a.to) {
+		j.tell(a, fmt.Sprintf("refused for good, though version %d was written %v before", version, since.Round(time.Millisecond)))
+	}
+}
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -239,11 +239,19 @@
 	return max(version-kept+1, 1)
 }
 
-// isTakenAway reports whether a version was written, until a moment, that no longer holds what the given one brought.
+// takenAwayAt tells when a version was written that no longer holds what the given one brought; false if none was, or that
+// is kept for good.
+func (s *soakSite) takenAwayAt(version, kept int) (time.Time, bool) {
+	if kept == 0 || version+kept > s.newestVersion() {
+		return time.Time{}, false
+	}
+	return s.writtenAt(version + kept), true
+}
+
+// isTakenAway reports whether one was until a moment.
 func (s *soakSite) isTakenAway(version, kept int, by time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return kept > 0 && version+kept <= len(s.versions) && !s.versions[version+kept-1].After(by)
+	at, isTaken := s.takenAwayAt(version, kept)
+	return isTaken && !at.After(by)
 }
 
 // versionKeyFormat makes the key that a version brought.
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -129,24 +130,34 @@
 
 // soak plays one seed.
 func soak(t *testing.T, seed uint64, length time.Duration, boxes int) verdict {
-	// One box of each hall reads the store; where there is one hall, nobody else makes up for it.
-	halls := 1 + int(seed%soakHalls)
-	site := newSoakSite(t, boxes, halls, soakRunners)
-	plan := newAgenda(site, seed, length)
+	site := newSoakSite(t, boxes, hallsOf(seed), soakRunners)
+	return playSoak(site, newAgenda(site, seed, length), seed, site.drawAny)
+}
+
+// hallsOf is the number of halls of a seed: one box of each hall reads the store, and where there is one hall, nobody else
+// makes up for it.
+func hallsOf(seed uint64) int { return 1 + int(seed%soakHalls) }
+
+// playSoak plays an agenda beside callers that draw their requests, and judges what came of these; checks are those of one
+// sort of soak alone.
+func playSoak(
+	site *soakSite, plan *agenda, seed uint64, draw func(box int, random *rand.Rand) *asked, checks ...check,
+) verdict {
 	site.started = time.Now()
-	callers := site.startCallers(seed, site.drawAny)
+	callers := site.startCallers(seed, draw)
 	plan.play(time.Now())
 	site.passCalm()
 	calm, findings := site.checkCalm(seed)
-	asks := append(callers.end(), calm...)
+	never, findingsNever := site.checkNever()
+	asks := slices.Concat(callers.end(), calm, never)
 	v := verdict{seed: seed, events: plan.events, asks: len(asks), whole: countWhole(asks)}
-	v.findings = append(findings, judgeAll(site, plan, asks)...)
+	v.findings = slices.Concat(findings, findingsNever, judgeAll(site, plan, asks, checks...))
 	// A soak that asked next to nothing would find nothing either.
 	if v.asks < len(site.boxes)*calmAsks*2 || v.whole == 0 {
 		v.findings = append(v.findings, fmt.Sprintf("only %d requests, %d of them answered whole", v.asks, v.whole))
 	}
-	v.report(t)
-	if t.Failed() {
+	v.report(site.t)
+	if site.t.Failed() {
 		site.keepLogs(seed)
 	}
 	return v
@@ -207,6 +218,21 @@
 	return asks, findings
 }
 
+// checkNever: a box that is up to date refuses for good what never existed.
+func (s *soakSite) checkNever() (asks []*asked, findings []string) {
+	client, closeClient := newCaller()
+	defer closeClient()
+	for box := range s.boxes {
+		a := &asked{id: fmt.Sprint("never-", box), kind: kindNever, box: box, key: siteKey, limit: calmLimit}
+		asks = append(asks, a)
+		s.ask(client, a, rand.New(rand.NewPCG(0, 0)))
+		if a.status != http.StatusNotFound {
+			findings = append(findings, fmt.Sprintf("%s after the faults: status %d for a route that never was", a.id, a.status))
+		}
+	}
+	return asks, findings
+}
+
 // keepLogs writes the logs of a seed that failed where they outlast the test.
 func (s *soakSite) keepLogs(seed uint64) {
 	folder := filepath.Join(os.TempDir(), fmt.Sprint("willowwick-soak-", seed))
--- a/exchange/cut_off_test.go
+++ b/exchange/cut_off_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"github.com/willowwick/willowwick"
 )
 
 // Seen: the boxes of a hall follow a box that has never read the store, and none of them reads declarations.
@@ -30,11 +29,7 @@
 // The same with whole boxes: the first box of a hall comes back while the store turns it away, and serves the others.
 func TestAHallReadsDeclarationsWhenItsFirstBoxStartsTurnedAway(t *testing.T) {
 	r := newRunner(t, "r1", answerText("ok"))
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
-	control.change(func() {
-		control.table = testTable(1, onceRoute())
-		control.endpoints[r.id] = r.endpoint("v1")
-	})
+	control := newTestControl(testTable(1, onceRoute()), r.endpoint("v1"))
 	settings := testSettings()
 	settings.Box, settings.LinkMbps, settings.Drain = "box-second", 100, feedDrain
 	second := startSite(t, control, settings).daemon.router
--- a/exchange/escalation_test.go
+++ b/exchange/escalation_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"github.com/willowwick/willowwick"
 )
 
 // Pattern: prompts wait long at crowded endpoints, so that the small model's answer begins just before its caller's deadline.
@@ -27,8 +26,7 @@
 		w.Header().Set("T-Confidence", map[string]string{"small": "10", "large": "90"}[model])
 		_, _ = io.WriteString(w, "id: 1\ndata: "+model+"\n\n")
 	})
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{"r1": r.endpoint("v1")}}
-	control.change(func() { control.table = testTable(1, streamRoute()) })
+	control := newTestControl(testTable(1, streamRoute()), r.endpoint("v1"))
 	settings := testSettings()
 	settings.LateConfidence = 15
 	s := startSite(t, control, settings)
--- a/exchange/for_good_test.go
+++ b/exchange/for_good_test.go
@@ -14,26 +14,6 @@
 	"github.com/willowwick/willowwick"
 )
 
-// muteControl is a store that answers all but reads of declarations, which get no answer until the client's limit on them is
-// over, while it is mute: a part of its log is away, or the connections on which they go have fallen silent.
-type muteControl struct {
-	*testControl
-	mute atomic.Bool
-}
-
-// Declarations implements willowwick.Control.
-func (c *muteControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
-	limit := time.Now().Add(wait + headLimit)
-	if !c.mute.Load() {
-		declared, err := c.testControl.Declarations(ctx, from, wait)
-		if err != nil || !c.mute.Load() {
-			return declared, err
-		}
-	}
-	sleep(ctx, time.Until(limit))
-	return willowwick.Declarations{}, errDown
-}
-
 // bigRoute is a route whose requests may have bodies.
 func bigRoute() willowwick.Route {
 	route := againRoute()
@@ -41,14 +21,13 @@
 	return route
 }
 
-// newMuteHall starts boxes of one hall whose store can be mute.
-func newMuteHall(t *testing.T, boxes int) (*muteControl, []*site) {
+// newLosingHall starts boxes of one hall whose store can lose their reads of declarations.
+func newLosingHall(t *testing.T, boxes int) (*losingControl, []*site) {
 	r := newRunner(t, "r1", answerText("ok"))
-	control := &muteControl{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}}
+	control := newLosingControl(r.endpoint("v1"))
 	control.change(func() {
 		control.table = testTable(1, onceRoute(), bigRoute())
 		control.table.Limits.BodyBytes = 10
-		control.endpoints[r.id] = r.endpoint("v1")
 	})
 	settings := testSettings()
 	settings.Drain = feedDrain
@@ -76,8 +55,8 @@
 	for _, boxes := range []int{1, 3} {
 		t.Run(fmt.Sprint(boxes, " boxes"), func(t *testing.T) {
 			t.Parallel()
-			control, sites := newMuteHall(t, boxes)
-			control.mute.Store(true)
+			control, sites := newLosingHall(t, boxes)
+			control.loseAll.Store(true)
 			control.change(func() {
 				control.table = testTable(2, onceRoute(), againRoute(), bigRoute())
 				control.table.Accounts[0].Keys = append(control.table.Accounts[0].Keys, "key-that-was-added")
@@ -96,7 +75,7 @@
 					assert.NotEmpty(t, answer.header.Get("Retry-After"), "%s, at %s", ask.what, s.daemon.router.settings.Box)
 				}
 			}
-			control.mute.Store(false)
+			control.loseAll.Store(false)
 			for _, s := range sites {
 				require.Eventually(t, func() bool {
 					return s.do(t, http.MethodPost, "/again/", "id", "x").status == http.StatusOK
@@ -110,7 +89,7 @@
 // reads for: their callers are not asked to come again for nothing.
 func TestWhatDoesNotExistIsRefusedForGoodByABoxThatIsUpToDate(t *testing.T) {
 	const watched = 3 * time.Second
-	_, sites := newMuteHall(t, 3)
+	_, sites := newLosingHall(t, 3)
 	for _, s := range sites {
 		require.Eventually(t, func() bool { return !s.daemon.router.sync.isStale(time.Now()) }, patience, time.Millisecond)
 	}
@@ -141,8 +120,7 @@
 // nothing of whether the configuration is the newest.
 func TestAnAnswerThatHoldsNotAllMakesNoConfigurationTheNewest(t *testing.T) {
 	r := newRunner(t, "r1", answerText("ok"))
-	control := &partialControl{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}}}
-	control.change(func() { control.table = testTable(1, onceRoute()) })
+	control := &partialControl{testControl: newTestControl(testTable(1, onceRoute()), r.endpoint("v1"))}
 	s := startSite(t, control, testSettings())
 	control.isPartial.Store(true)
 	control.change(func() { control.table = testTable(2, againRoute()) })
--- a/exchange/hints_test.go
+++ b/exchange/hints_test.go
@@ -15,13 +15,7 @@
 
 // newHalls starts as many boxes in each hall, which know each other by the first box of each.
 func newHalls(t *testing.T, halls, boxes int, endpoints ...willowwick.Endpoint) []*site {
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
-	control.change(func() {
-		control.table = testTable(1, streamRoute())
-		for _, endpoint := range endpoints {
-			control.endpoints[endpoint.ID] = endpoint
-		}
-	})
+	control := newTestControl(testTable(1, streamRoute()), endpoints...)
 	var sites []*site
 	for hall := range halls {
 		for box := range boxes {
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -17,13 +17,7 @@
 
 // newHall starts boxes of one hall that know each other by their seeds.
 func newHall(t *testing.T, boxes int, endpoints ...willowwick.Endpoint) (*testControl, []*site) {
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
-	control.change(func() {
-		control.table = testTable(1, onceRoute(), streamRoute())
-		for _, endpoint := range endpoints {
-			control.endpoints[endpoint.ID] = endpoint
-		}
-	})
+	control := newTestControl(testTable(1, onceRoute(), streamRoute()), endpoints...)
 	var sites []*site
 	for i := range boxes {
 		settings := testSettings()
--- a/exchange/regain_test.go
+++ b/exchange/regain_test.go
@@ -53,11 +53,7 @@
 // read all of the store, then has a failed read of declarations, and is fed by the first from then on.
 func turnedHall(t *testing.T) (control *testControl, controls []*turningControl, sites []*site) {
 	r := newRunner(t, "r1", answerText("ok"))
-	control = &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
-	control.change(func() {
-		control.table = testTable(1, onceRoute())
-		control.endpoints[r.id] = r.endpoint("v1")
-	})
+	control = newTestControl(testTable(1, onceRoute()), r.endpoint("v1"))
 	controls = []*turningControl{{testControl: control}, {testControl: control}}
 	settings := testSettings()
 	settings.Box, settings.LinkMbps, settings.Drain = "box-second", 100, feedDrain
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -103,6 +103,18 @@
 	held      atomic.Int64 // reads of declarations that wait
 }
 
+// newTestControl returns a store that holds a configuration, nil for none, and endpoints.
+func newTestControl(table *willowwick.RoutingTable, endpoints ...willowwick.Endpoint) *testControl {
+	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
+	control.change(func() {
+		control.table = table
+		for _, endpoint := range endpoints {
+			control.endpoints[endpoint.ID] = endpoint
+		}
+	})
+	return control
+}
+
 // siteControl is a testControl, or one with troubles of its own around it.
 type siteControl interface {
 	willowwick.Control
@@ -330,14 +342,7 @@
 
 // newSite starts a daemon with the three usual routes in front of the endpoints.
 func newSite(t *testing.T, endpoints ...willowwick.Endpoint) *site {
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
-	control.change(func() {
-		control.table = testTable(1, onceRoute(), againRoute(), streamRoute())
-		for _, endpoint := range endpoints {
-			control.endpoints[endpoint.ID] = endpoint
-		}
-	})
-	return startSite(t, control, testSettings())
+	return startSite(t, newTestControl(testTable(1, onceRoute(), againRoute(), streamRoute()), endpoints...), testSettings())
 }
 
 func startSite(t *testing.T, control siteControl, settings Settings) *site {
--- a/exchange/slow_link_test.go
+++ b/exchange/slow_link_test.go
@@ -49,12 +49,8 @@
 // Cause: a read is ended by what becomes of another one (giveUpHeldRead), also where it is not held any more but moves
 // forward. What limits a read that nothing comes of is the limit of its own connection.
 func TestAConfigurationThatComesInSlowlyIsNotGivenUp(t *testing.T) {
-	control := &narrowControl{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}}
 	r := newRunner(t, "r1", answerText("ok"))
-	control.change(func() {
-		control.table = testTable(1, onceRoute())
-		control.endpoints[r.id] = r.endpoint("v1")
-	})
+	control := &narrowControl{testControl: newTestControl(testTable(1, onceRoute()), r.endpoint("v1"))}
 	settings := testSettings()
 	settings.Drain = feedDrain
 	s := startSite(t, control, settings)
--- a/exchange/stale_test.go
+++ b/exchange/stale_test.go
@@ -22,28 +22,20 @@
 	*testControl
 	lost     chan struct{} // gets a value for each read of declarations that is lost
 	loseNext atomic.Bool   // the next read of declarations that may be held is lost
+	loseAll  atomic.Bool   // all reads of declarations are, also one that is held as it is set: a part of the log is away
 }
 
 func newLosingControl(endpoints ...willowwick.Endpoint) *losingControl {
-	control := &losingControl{
-		testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}},
-		lost:        make(chan struct{}, 1000),
-	}
-	control.change(func() {
-		control.table = testTable(1, onceRoute())
-		for _, endpoint := range endpoints {
-			control.endpoints[endpoint.ID] = endpoint
-		}
-	})
-	return control
+	return &losingControl{testControl: newTestControl(testTable(1, onceRoute()), endpoints...), lost: make(chan struct{}, 1000)}
 }
 
 // Declarations implements willowwick.Control.
 func (c *losingControl) Declarations(ctx context.Context, from willowwick.Offset, wait time.Duration) (willowwick.Declarations, error) {
 	limit := time.Now().Add(wait + headLimit)
-	if from == 0 || !c.loseNext.CompareAndSwap(true, false) {
+	if !c.loseAll.Load() && (from == 0 || !c.loseNext.CompareAndSwap(true, false)) {
 		declared, err := c.testControl.Declarations(ctx, from, wait)
-		if !errors.Is(err, errDown) {
+		isLost := errors.Is(err, errDown) || err == nil && c.loseAll.Load()
+		if !isLost {
 			return declared, err
 		}
 	}
--- a/exchange/statuses_test.go
+++ b/exchange/statuses_test.go
@@ -31,8 +31,7 @@
 // Cause: the box read no declarations while it waited for the states, a wait of another kind, and counted as its hall's reader.
 func TestAConfigurationIsInForceWhileStatesOfRollOutsComeInSlowly(t *testing.T) {
 	r := newRunner(t, "r1", answerText("ok"))
-	control := &slowStatuses{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}}}
-	control.change(func() { control.table = testTable(1, onceRoute()) })
+	control := &slowStatuses{testControl: newTestControl(testTable(1, onceRoute()), r.endpoint("v1"))}
 	s := startSite(t, control, testSettings())
 	control.change(func() {
 		control.orders = []willowwick.ReleaseOrder{{Service: "work", Target: "v2", Period: time.Minute, At: 1}}
@@ -46,8 +45,7 @@
 // store that it needed for writing came in slowly.
 func TestABadReleaseIsJudgedWhileStatesOfRollOutsComeInSlowly(t *testing.T) {
 	r := newRunner(t, "r1", answerText("ok"))
-	control := &slowStatuses{testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}}}
-	control.change(func() { control.table = testTable(1, onceRoute()) })
+	control := &slowStatuses{testControl: newTestControl(testTable(1, onceRoute()), r.endpoint("v1"))}
 	s := startSite(t, control, testSettings())
 	x := s.daemon.router
 	require.Eventually(t, x.sync.isLeading, patience, time.Millisecond)
--- a/exchange/stop_cut_test.go
+++ b/exchange/stop_cut_test.go
@@ -77,13 +77,7 @@
 // newStopSite starts a daemon that takes callers from the listener.
 func newStopSite(t *testing.T, settings Settings, callers net.Listener, endpoints ...willowwick.Endpoint) *site {
 	t.Helper()
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
-	control.change(func() {
-		control.table = testTable(1, onceRoute(), againRoute(), streamRoute())
-		for _, endpoint := range endpoints {
-			control.endpoints[endpoint.ID] = endpoint
-		}
-	})
+	control := newTestControl(testTable(1, onceRoute(), againRoute(), streamRoute()), endpoints...)
 	peers := listen(t)
 	settings.Peers = peers.Addr().String()
 	daemon, closeDaemon := New(settings, Outside{
--- a/exchange/transit_test.go
+++ b/exchange/transit_test.go
@@ -79,17 +79,16 @@
 func TestAListOfEndpointsIsAsOldAsItWasWhenTheStoreMadeIt(t *testing.T) {
 	r := newRunner(t, "r1", answerText("ok"))
 	control := &lateEndpoints{
-		testControl: &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{r.id: r.endpoint("v1")}},
+		testControl: newTestControl(testTable(1, onceRoute()), r.endpoint("v1")),
 		late:        400 * time.Millisecond, made: make(chan time.Time, 1000),
 	}
-	control.change(func() { control.table = testTable(1, onceRoute()) })
-	s := startSite(t, control, testSettings())
+	x := startSite(t, control, testSettings()).daemon.router
 	made := <-control.made
+	x.sync.mu.Lock()
+	defer x.sync.mu.Unlock()
+	// Each answer that was taken has told before.
 	for len(control.made) > 0 {
 		made = <-control.made
 	}
-	x := s.daemon.router
-	x.sync.mu.Lock()
-	defer x.sync.mu.Unlock()
 	assert.False(t, x.sync.asOf.After(made), "%v after it was made", x.sync.asOf.Sub(made))
 }
