Sight: a broken send tells whether its endpoint ended, and which request it was

Cause: lines about sends that broke could not tell an endpoint that ended from a connection that was reset, and nothing in them said that two requests with different ids were the same. Change: such a line has the fingerprint of the request's content and whether anything still listens at the endpoint's address; a counter for the latter. Looks are shared by all requests that broke at the endpoint; a connection that comes up is kept for the next request. No decision goes by it.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -62,6 +62,8 @@
 		resumed string // last event that went out
 		pace    pace
 		failure *failedAnswer
+
+		identity *willowwick.Fingerprint // nil until it was asked for
 	}
 
 	// pace is how the answer has gone out to the caller so far.
@@ -262,6 +264,15 @@
 	return c.account.Name
 }
 
+// fingerprint names the request's content. It is taken only where it is needed: bodies are large, and on a calm day nobody asks.
+func (c *call) fingerprint() willowwick.Fingerprint {
+	if c.identity == nil {
+		identity := willowwick.FingerprintOf(c.accountName(), c.message.Method, c.message.Host, c.message.Target, c.message.Body)
+		c.identity = &identity
+	}
+	return *c.identity
+}
+
 func (c *call) cost() willowwick.Tokens {
 	return max(c.head.PromptTokens/promptPerOutput+c.head.MaxTokens, plainCost)
 }
--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -130,6 +130,22 @@
 	return choice
 }
 
+// isRetired reports whether the endpoints of a release may be stopped at any time: it is given up or found to be bad, or all
+// requests of its service have moved to another one.
+func (r *releases) isRetired(service willowwick.ServiceID, release willowwick.ReleaseID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Contains(r.verdicts.banned(service, now), release) {
+		return true
+	}
+	m := r.moves[service]
+	if m == nil {
+		return false
+	}
+	isTarget := release == m.order.Target
+	return m.state == willowwick.ReleaseCompleted && !isTarget || m.state == willowwick.ReleaseRolledBack && isTarget
+}
+
 func (r *releases) chooseIn(m *move, session string, now time.Time) releaseChoice {
 	choice := releaseChoice{release: m.order.Target}
 	switch m.state {
--- /dev/null
+++ b/exchange/ends.go
@@ -0,0 +1,104 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// endCheckLimit is how long a look at an endpoint's address may take: the way to another hall and back takes some
+	// milliseconds, and the request that broke waits for it.
+	endCheckLimit = 100 * time.Millisecond
+	// endKept is how long it is remembered that an endpoint ended: its entry is gone by then.
+	endKept = 30 * time.Second
+)
+
+type (
+	// endChecks finds out whether an endpoint ended when a connection to it broke. Where it did, nothing listens at its address any
+	// more; where only the connection was reset, it does.
+	endChecks struct {
+		router *Router
+
+		mu     sync.Mutex
+		checks map[willowwick.EndpointID]*endCheck
+	}
+
+	// endCheck is one look, which all requests that broke at the endpoint share.
+	endCheck struct {
+		began time.Time
+		done  chan struct{} // closed once hasEnded is known
+		ended bool
+	}
+)
+
+func newEndChecks(x *Router) *endChecks {
+	return &endChecks{router: x, checks: map[willowwick.EndpointID]*endCheck{}}
+}
+
+// hasEnded reports whether an endpoint, to which a connection broke at a moment, ended by itself. One that leaves, whose entry is
+// gone, or whose release is given up may be stopped by its operator at any time.
+func (e *endChecks) hasEnded(ctx context.Context, endpoint willowwick.Endpoint, brokeAt time.Time) bool {
+	entry, isListed := e.router.sync.entry(endpoint.ID)
+	if !isListed || entry.Leaving || e.router.releases.isRetired(endpoint.Service, endpoint.Release, brokeAt) {
+		return false
+	}
+	for {
+		check, isOwn := e.checkFor(endpoint.ID, brokeAt)
+		if isOwn {
+			e.look(ctx, check, endpoint.Address)
+			return check.ended
+		}
+		select {
+		case <-check.done:
+		case <-ctx.Done():
+			return false
+		}
+		if check.ended || !check.began.Before(brokeAt) {
+			return check.ended
+		}
+	}
+}
+
+// checkFor returns the check that is under way for an endpoint or tells what is asked; isOwn says that the caller has to make it.
+func (e *endChecks) checkFor(id willowwick.EndpointID, brokeAt time.Time) (check *endCheck, isOwn bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	check = e.checks[id]
+	if check != nil && (!check.isDone() || check.ended || !check.began.Before(brokeAt)) {
+		return check, false
+	}
+	e.forget(brokeAt)
+	check = &endCheck{began: time.Now(), done: make(chan struct{})}
+	e.checks[id] = check
+	return check, true
+}
+
+func (c *endCheck) isDone() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// look makes the check; an endpoint of which nothing shows in time counts as alive.
+func (e *endChecks) look(ctx context.Context, check *endCheck, address string) {
+	ctx, cancel := context.WithTimeout(ctx, endCheckLimit)
+	defer cancel()
+	listens, known := e.router.conns.IsListening(ctx, address)
+	check.ended = known && !listens
+	close(check.done)
+}
+
+// forget drops old checks; the caller holds the lock.
+func (e *endChecks) forget(now time.Time) {
+	for id, check := range e.checks {
+		if now.Sub(check.began) > endKept {
+			delete(e.checks, id)
+		}
+	}
+}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -88,6 +88,14 @@
 	return s.known
 }
 
+// entry is what is known of an endpoint that is listed.
+func (s *syncer) entry(id willowwick.EndpointID) (willowwick.Endpoint, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	endpoint, found := s.listed[id]
+	return endpoint, found
+}
+
 func (s *syncer) endpointsAt() willowwick.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -64,6 +64,11 @@
 	m.hintsSent.Inc()
 }
 
+// endedUnder counts a send that broke because its endpoint ended.
+func (m *routerMetrics) endedUnder() {
+	m.set.GetOrCreateCounter("willowwick_sends_ended_with_endpoint_total").Inc()
+}
+
 func (m *routerMetrics) repeatDenied() {
 	m.denied.Inc()
 }
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -69,6 +69,7 @@
 		sync     *syncer
 		peers    *peers
 		hints    *hints
+		ends     *endChecks
 
 		evacuations *evacuations
 
@@ -96,6 +97,7 @@
 		budgets: map[willowwick.ServiceID]*route.RepeatBudget{},
 	}
 	x.evacuations = &evacuations{pool: x.pool}
+	x.ends = newEndChecks(x)
 	x.releases = newReleases(settings.Releases, x.hasRelease)
 	x.metrics = newRouterMetrics(x)
 	return x, closeConns
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -76,6 +76,7 @@
 		sentAt  time.Time
 		model   willowwick.ModelID // asked of the endpoint; empty to leave the caller's
 		outcome route.Outcome
+		ended   bool // its connection broke because the endpoint ended
 	}
 )
 
@@ -116,6 +117,9 @@
 			s.outcome = route.OutcomeFailed
 		}
 	}
+	if result.kind == broken {
+		s.noteBroken()
+	}
 	if s.isWithoutAnswer(result) {
 		c.router.conns.Suspect(ticket.Endpoint.Address, s.sentAt)
 	}
@@ -141,17 +145,30 @@
 	return result.kind == silent || result.kind == broken || s.timeIsUp()
 }
 
+// noteBroken finds out whether the endpoint ended under the request.
+func (s *send) noteBroken() {
+	s.ended = s.router.ends.hasEnded(s.ctx, s.ticket.Endpoint, time.Now())
+	if s.ended {
+		s.router.metrics.endedUnder()
+	}
+}
+
 func (c *call) logSend(s *send, result sendResult) {
 	cause := ""
 	if result.err != nil {
 		cause = result.err.Error()
 	}
 	ahead, reading := s.ticket.Forecast()
-	slog.Info("send ended", "request", c.head.ID, "outcome", kindNames[result.kind], "cause", cause,
+	var more []any
+	if result.kind == broken {
+		// What the same request did before, under other ids, is found by its fingerprint.
+		more = []any{"fingerprint", c.fingerprint().String(), "endpoint_ended", s.ended}
+	}
+	slog.Info("send ended", append(more, "request", c.head.ID, "outcome", kindNames[result.kind], "cause", cause,
 		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
 		"confidence", s.head.Confidence, "running", s.head.Load.Running, "waiting", s.head.Load.Waiting,
 		"ms", time.Since(s.sentAt).Milliseconds(), "age_ms", time.Since(c.arrived).Milliseconds(),
-		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())
+		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
 }
 
 func (s *send) do() sendResult {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -110,21 +110,44 @@
 		p.count(func(s *Stats) { s.Stale++ })
 		c.Close()
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(willowwick.ErrNotSent, err.Error())
 	}
+	return c, nil
+}
+
+// dial opens a new connection to the address.
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	p.count(func(s *Stats) { s.Dialed++ })
 	c := &Conn{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), address: address}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		if c.raw, err = tcp.SyscallConn(); err != nil {
 			_ = conn.Close()
-			return nil, errors.Wrap(willowwick.ErrNotSent, err.Error())
+			return nil, err
 		}
 	}
 	return c, nil
 }
 
+// IsListening finds out by a new connection whether anything still listens at the address; known is false if that did not show
+// in time. A connection that comes up is kept for the next request.
+func (p *Pool) IsListening(ctx context.Context, address string) (listens, known bool) {
+	c, err := p.dial(ctx, address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return false, true
+	case err != nil:
+		return false, false
+	}
+	c.Release("")
+	return true, true
+}
+
 func (p *Pool) count(change func(*Stats)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
