--- a/exchange/call.go
+++ b/exchange/call.go
@@ -64,6 +64,7 @@
 		failure *failedAnswer
 
 		identity *willowwick.Fingerprint // nil until it was asked for
+		trial    willowwick.ReleaseID    // the request ended endpoints, and is tried once on this release
 	}
 
 	// pace is how the answer has gone out to the caller so far.
@@ -115,6 +116,9 @@
 		return nil, x.unlessStale(refusal, t, arrived)
 	}
 	c.plan()
+	if refusal := c.refuseHarmful(arrived); refusal != nil {
+		return nil, refusal
+	}
 	return c, nil
 }
 
@@ -207,6 +211,11 @@
 			c.giveUp(refusal)
 			return
 		}
+		if c.isHarmful() {
+			ticket.Done(route.OutcomeCancelled)
+			c.giveUp(harmRefusal())
+			return
+		}
 		c.sends++
 		result := c.sendOnce(ticket)
 		if result.kind == answered || result.kind == callerLeft {
@@ -224,6 +233,7 @@
 	now := time.Now()
 	// Roll-outs may have begun or ended since the send before.
 	c.choice = c.router.releases.choose(c.service, c.sessionText(), now, c.deadline)
+	c.choice.only = c.trial
 	until := c.deadline
 	if c.sends == 0 {
 		until = earliest(until, now.Add(scale(c.route.Goal, queueShare)))
@@ -289,7 +299,7 @@
 	case notRun:
 		return c.router.takeRepeat(c, route.RepeatFailover, now)
 	default:
-		return c.mayRunAgain() && c.router.takeRepeat(c, route.RepeatFailover, now)
+		return c.trial == "" && c.mayRunAgain() && c.router.takeRepeat(c, route.RepeatFailover, now)
 	}
 }
 
--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -53,17 +53,21 @@
 		release   willowwick.ReleaseID // the target of a roll-out; empty if there is none
 		useTarget bool
 		banned    []willowwick.ReleaseID
+		only      willowwick.ReleaseID // the one release on which the request is tried; empty if any will do
 	}
 )
 
 // allows reports whether the endpoint has the release that was chosen.
 func (c releaseChoice) allows(endpoint willowwick.Endpoint) bool {
+	if c.only != "" {
+		return c.otherwise(endpoint)
+	}
 	return c.otherwise(endpoint) && (c.release == "" || (endpoint.Release == c.release) == c.useTarget)
 }
 
 // otherwise allows what is used if no endpoint has the chosen release.
 func (c releaseChoice) otherwise(endpoint willowwick.Endpoint) bool {
-	return !slices.Contains(c.banned, endpoint.Release)
+	return !slices.Contains(c.banned, endpoint.Release) && (c.only == "" || endpoint.Release == c.only)
 }
 
 // hashOf names a session of a service on the wire between boxes, and places it among those that try a release first.
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -47,6 +48,8 @@
 		KnownSum     uint64 // over the boxes that the caller knows
 		TakesChanges bool   // of the list of endpoints; a box of an earlier release takes whole lists alone
 		WantsList    bool   // whole, since its own differs from what the peer told last
+		Harm         quarantine.News
+		HarmKnown    quarantine.Position // up to where the caller knows what the peer has learnt
 	}
 
 	// SwapReply is a peer's digest with what the caller lacks.
@@ -56,6 +59,7 @@
 		Endpoints *EndpointList
 		Known     []KnownRow // all boxes, if the caller knows others
 		HallAges  []HallAge  // if it knows the same ones
+		Harm      quarantine.News
 	}
 )
 
--- /dev/null
+++ b/exchange/harm.go
@@ -0,0 +1,169 @@
+package exchange
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
+)
+
+const (
+	// harmEvery is how often a box looks whether the store has to be told of a request: soon enough that all boxes may lose
+	// power a moment after a request was found out.
+	harmEvery = feedPoll
+	// mostTarget bounds what is kept and told of a caller's path, which may be as long as its headers.
+	mostTarget = 512
+	// harmRetry is the pause after a call to the store that failed.
+	harmRetry = time.Second
+)
+
+// harmTold is what two boxes have told each other of requests that end endpoints.
+type harmTold struct {
+	theirs quarantine.Position // up to where this box knows what the other one has learnt
+	own    quarantine.Position // up to where the other one knows what this box has learnt
+	boot   willowwick.BootID   // the life of the other one that knows it
+}
+
+// harmRefusal is what the caller of a request that ends endpoints is told by each box: for good, and without a promise that it
+// has not run.
+func harmRefusal() *willowwick.Refusal {
+	return willowwick.Failed(willowwick.CodeHarmful, "%d endpoints ended while they ran this request; it is not sent to others", quarantine.RefuseAfter)
+}
+
+// refuseHarmful refuses a request that ends the endpoints that run it. The box that leads tries it once where it may run after
+// all; it is the only one that does so at a time.
+func (c *call) refuseHarmful(now time.Time) *willowwick.Refusal {
+	if !c.isHarmful() {
+		return nil
+	}
+	x := c.router
+	if x.sync.isLeading() {
+		if release, isAllowed := x.harm.Trial(c.fingerprint(), x.releasesOf(c.service, now), now); isAllowed {
+			slog.Info("refused request is tried once", "request", c.head.ID, "fingerprint", c.fingerprint().String(), "release", release)
+			x.peers.hurry()
+			c.trial = release
+			return nil
+		}
+	}
+	return harmRefusal()
+}
+
+// isHarmful reports whether the request is to be sent to no endpoint. Its fingerprint is taken only while some request is under
+// suspicion.
+func (c *call) isHarmful() bool {
+	harm := c.router.harm
+	return c.trial == "" && !harm.IsEmpty() && harm.Refuses(c.fingerprint())
+}
+
+// releasesOf lists the releases of a service's endpoints that may get requests.
+func (x *Router) releasesOf(service willowwick.ServiceID, now time.Time) []willowwick.ReleaseID {
+	var list []willowwick.ReleaseID
+	for _, endpoint := range x.pool.Endpoints() {
+		isUsed := endpoint.Service == service && !endpoint.Leaving && !x.releases.isRetired(service, endpoint.Release, now)
+		if isUsed && !slices.Contains(list, endpoint.Release) {
+			list = append(list, endpoint.Release)
+		}
+	}
+	return list
+}
+
+// noteHarm notes that the endpoint ended while it had the request.
+func (s *send) noteHarm(now time.Time) {
+	endpoint := s.ticket.Endpoint
+	about := willowwick.HarmfulRequest{
+		Request: s.fingerprint(), Account: s.accountName(), Service: s.service, Host: s.message.Host,
+		Target: s.message.Target[:min(len(s.message.Target), mostTarget)],
+	}
+	s.router.harm.NoteEnd(about, willowwick.EndpointEnd{
+		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Release: endpoint.Release, At: now,
+	})
+	s.router.peers.hurry()
+}
+
+// noteHarmless notes that an endpoint has answered the request whole.
+func (s *send) noteHarmless(now time.Time) {
+	if !s.router.harm.IsEmpty() {
+		s.router.harm.NoteAnswer(s.fingerprint(), now)
+	}
+}
+
+// harmTold is what this box and another one have told each other.
+func (p *peers) harmTold(address string) harmTold {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.known[address]; known != nil {
+		return known.harm
+	}
+	return harmTold{}
+}
+
+// harmFor is what this box tells another one that knows so much.
+func (p *peers) harmFor(address string, known quarantine.Position, now time.Time) quarantine.News {
+	return p.router.harm.Since(known, p.router.settings.Boot, address, now)
+}
+
+// takeHarm takes what another box tells, and passes it on at once.
+func (p *peers) takeHarm(news quarantine.News, from string, now time.Time) {
+	if p.router.harm.Take(news, from, now) {
+		p.hurry()
+	}
+}
+
+// noteHarmTold notes what a box knows that has answered. One that was started anew meanwhile knows nothing of before.
+func (p *peers) noteHarmTold(address string, own quarantine.Position, reply *SwapReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	if known == nil {
+		return
+	}
+	if known.harm.boot != reply.Digest.Boot {
+		own = quarantine.Position{}
+	}
+	known.harm = harmTold{theirs: reply.Harm.Position, own: own, boot: reply.Digest.Boot}
+}
+
+// keepHarmful reads what the store holds of requests that end endpoints, and writes what this box found, until the context ends. What
+// the boxes know dies with them, and all may lose power at once.
+func (s *syncer) keepHarmful(ctx context.Context) {
+	isRestored := false
+	sleep(ctx, lookFor)
+	for ctx.Err() == nil {
+		now := time.Now()
+		if !isRestored && !s.isFed(now) && !s.mayRest(now) {
+			isRestored = s.restoreHarmful(ctx)
+		}
+		s.router.harm.Expire(now)
+		if !s.writeHarmful(ctx) {
+			sleep(ctx, harmRetry)
+		}
+		sleep(ctx, harmEvery)
+	}
+}
+
+// restoreHarmful reads what the store holds, and reports whether that was possible.
+func (s *syncer) restoreHarmful(ctx context.Context) bool {
+	records, err := s.control.Harmful(ctx)
+	if err != nil {
+		slog.Info("requests that end endpoints could not be read", "error", err)
+		sleep(ctx, harmRetry)
+		return false
+	}
+	s.router.harm.Restore(records, time.Now())
+	return true
+}
+
+// writeHarmful writes what is due, and reports whether the store took it.
+func (s *syncer) writeHarmful(ctx context.Context) bool {
+	for _, request := range s.router.harm.Due() {
+		if err := s.control.SetHarmful(ctx, request); err != nil {
+			slog.Info("request that ends endpoints could not be written", "fingerprint", request.Request.String(), "error", err)
+			return false
+		}
+		s.router.harm.Written(request)
+	}
+	return true
+}
--- /dev/null
+++ b/exchange/harm_fleet_test.go
@@ -0,0 +1,201 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// harmArrivals is the time between arrivals of a harmful request anywhere in a fleet.
+	harmArrivals = 300 * time.Millisecond
+	// harmTakes is how long an endpoint runs it until it ends, and harmRuns how often one arrival is sent.
+	harmTakes = 100 * time.Millisecond
+	harmRuns  = 3
+)
+
+type (
+	// harmMesh is a mesh to which one harmful request comes again and again.
+	harmMesh struct {
+		*mesh
+		request willowwick.HarmfulRequest
+		pending []harmSend
+		sent    []time.Time
+		ends    []time.Time
+		next    time.Time // arrival
+	}
+
+	// harmSend is a send of the request that ends its endpoint at a moment.
+	harmSend struct {
+		box  *meshBox
+		at   time.Time
+		left int // sends of this arrival after it
+	}
+)
+
+func newHarmMesh(m *mesh) *harmMesh {
+	return &harmMesh{mesh: m, request: willowwick.HarmfulRequest{
+		Request: willowwick.FingerprintOf(testAccount, "POST", testHost, "/stream/", []byte(harmfulBody)), Account: testAccount,
+	}}
+}
+
+// play lets the request come to the boxes for a length of virtual time.
+func (h *harmMesh) play(t *testing.T, length time.Duration, boxes ...*meshBox) {
+	for until := time.Now().Add(length); time.Now().Before(until); {
+		h.run(t, meshStep)
+		now := time.Now()
+		h.endSends(now)
+		if now.Before(h.next) {
+			continue
+		}
+		h.next = now.Add(harmArrivals)
+		if box := boxes[h.random.IntN(len(boxes))]; !box.down {
+			h.send(box, now, harmRuns)
+		}
+	}
+}
+
+// send sends the request from a box, unless it refuses that.
+func (h *harmMesh) send(box *meshBox, now time.Time, left int) {
+	if left == 0 || box.harm.Refuses(h.request.Request) {
+		return
+	}
+	h.sent = append(h.sent, now)
+	h.pending = append(h.pending, harmSend{box, now.Add(harmTakes), left - 1})
+}
+
+// endSends ends the endpoints whose time has come.
+func (h *harmMesh) endSends(now time.Time) {
+	var pending []harmSend
+	due := h.pending
+	h.pending = nil
+	for _, s := range due {
+		if now.Before(s.at) {
+			pending = append(pending, s)
+			continue
+		}
+		h.ends = append(h.ends, now)
+		s.box.harm.NoteEnd(h.request, willowwick.EndpointEnd{
+			Endpoint: willowwick.EndpointID(fmt.Sprint("ended-", len(h.ends))), Release: "v1", At: now,
+		})
+		h.send(s.box, now, s.left)
+	}
+	h.pending = append(h.pending, pending...)
+}
+
+// late counts the sends that began more than the grace after the third end, and not before a moment.
+func (h *harmMesh) late(notBefore time.Time) int {
+	count := 0
+	for _, at := range h.sent {
+		if len(h.ends) >= harmSlack && at.Sub(h.ends[harmSlack-1]) > harmGrace && !at.Before(notBefore) {
+			count++
+		}
+	}
+	return count
+}
+
+func (h *harmMesh) requireRefused(t *testing.T) {
+	for _, box := range h.boxes {
+		require.True(t, box.down || box.harm.Refuses(h.request.Request), "%s refuses the request", box.settings.Box)
+	}
+}
+
+// Whatever the size of the fleet, and with the store away or turning boxes away, all boxes know in time of ends that each
+// of them saw a few of.
+func TestAHarmfulRequestIsRefusedByAllBoxesInTime(t *testing.T) {
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		for _, trouble := range []string{"none", "store away", "boxes turned away"} {
+			m := newMesh(1, size.boxes, size.halls, size.endpoints)
+			m.run(t, 5*time.Second)
+			m.isAway = trouble == "store away"
+			for i, box := range m.boxes {
+				box.isRefused = trouble == "boxes turned away" && i%3 == 0
+			}
+			h := newHarmMesh(m)
+			h.play(t, 10*time.Second, m.boxes...)
+			assert.LessOrEqual(t, h.late(time.Time{}), harmSlack, "late sends, trouble: %s", trouble)
+			h.requireRefused(t)
+			t.Logf("trouble %s: %d ends, %d late sends", trouble, len(h.ends), h.late(time.Time{}))
+		}
+	})
+}
+
+// Boxes that are started anew, one after the other, learn from the others what is refused.
+func TestBoxesThatStartAnewRefuseAHarmfulRequest(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		const boxes, halls = 6, 3
+		h := newHarmMesh(newMesh(1, boxes, halls, 21))
+		h.run(t, 3*time.Second)
+		h.play(t, 5*time.Second, h.boxes...)
+		for i := range boxes {
+			h.start(i, halls)
+			h.run(t, 2*time.Second)
+		}
+		h.requireRefused(t)
+		h.play(t, 5*time.Second, h.boxes...)
+		assert.LessOrEqual(t, h.late(time.Time{}), harmSlack)
+	})
+}
+
+// What the boxes know dies with them. What must last is at the store, from where each box that reads it takes it again.
+func TestAHarmfulRequestIsRefusedAfterAllBoxesLostPower(t *testing.T) {
+	t.Parallel()
+	const boxes = 3
+	h, sites := newHarmSite(t, boxes, 6)
+	for i := 0; !sites[0].refusesHarmful(); i++ {
+		require.Less(t, i, 40, "a request that ends endpoints is refused")
+		sites[i%boxes].do(t, http.MethodPost, "/stream/", fmt.Sprint("harmful-", i), harmfulBody)
+	}
+	require.Eventually(t, func() bool {
+		h.control.mu.Lock()
+		defer h.control.mu.Unlock()
+		return len(h.control.harmful) == 1
+	}, time.Second, 5*time.Millisecond, "it is at the store at once")
+	for _, s := range sites {
+		s.stop()
+		s.closeDaemon()
+	}
+	anew := startSite(t, h.control, testSettings())
+	require.Eventually(t, anew.refusesHarmful, harmGrace, 10*time.Millisecond)
+	_, before := h.lateRuns()
+	reply := anew.do(t, http.MethodPost, "/stream/", "harmful-anew", harmfulBody)
+	assert.Equal(t, http.StatusBadGateway, reply.status)
+	assert.Empty(t, reply.header.Get("Retry-After"), "it is not to come again")
+	_, after := h.lateRuns()
+	assert.Equal(t, before, after)
+	other := anew.do(t, http.MethodPost, "/stream/", "other", "another body")
+	assert.Equal(t, events(1), other.body)
+}
+
+// refusesHarmful reports whether a box refuses the harmful body.
+func (s *site) refusesHarmful() bool {
+	return s.daemon.router.harm.Refuses(willowwick.FingerprintOf(testAccount, http.MethodPost, testHost, "/stream/", []byte(harmfulBody)))
+}
+
+// Halls that are cut from each other find a harmful request out by themselves; after the cut each takes over what the other
+// found before it is bound to it.
+func TestHallsThatWereCutTellEachOtherOfAHarmfulRequest(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			const boxes, halls = 6, 2
+			h := newHarmMesh(newMesh(seed, boxes, halls, 20))
+			h.run(t, 5*time.Second)
+			h.isCut = true
+			h.run(t, time.Duration(3+4*seed)*time.Second)
+			h.play(t, 6*time.Second, h.boxes[0], h.boxes[2], h.boxes[4])
+			h.isCut = false
+			healed := time.Now()
+			h.play(t, 15*time.Second, h.boxes...)
+			assert.LessOrEqual(t, h.late(healed.Add(harmGrace)), harmSlack, "seed %d", seed)
+			h.requireRefused(t)
+		})
+	}
+}
--- a/exchange/harm_test.go
+++ b/exchange/harm_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
 )
 
 const (
@@ -130,3 +131,77 @@
 	assert.LessOrEqual(t, late, harmSlack, "runs later than %s after the third end", harmGrace)
 	assert.Greater(t, served.Load(), others.Load()*8/10, "other requests go on")
 }
+
+// An endpoint that says that it leaves may be stopped at any time, and a connection may be reset by whatever lies between: neither is
+// the request's doing.
+func TestStopsAndResetsCountAgainstNoRequest(t *testing.T) {
+	for name, ends := range map[string]bool{"stopped by plan": true, "reset": false} {
+		t.Run(name, func(t *testing.T) {
+			var s *site
+			var self *runner
+			self = newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+				if ends {
+					s.control.change(func() {
+						leaving := self.endpoint("v1")
+						leaving.Leaving = true
+						s.control.endpoints["r1"] = leaving
+					})
+					assert.Eventually(t, func() bool {
+						entry, _ := s.daemon.router.sync.entry("r1")
+						return entry.Leaving
+					}, patience, 5*time.Millisecond)
+					self.crash()
+				}
+				hangUp(w)
+			})
+			s = newSite(t, self.endpoint("v1"))
+			assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "id", "body").status)
+			assert.True(t, s.daemon.router.harm.IsEmpty())
+		})
+	}
+}
+
+// A popular request is at work on many endpoints when their rack fails. It is refused for a moment, like one that ended them; then
+// the box that leads tries it, once, and it is served again.
+func TestAPopularRequestIsServedAgainAfterARackFailed(t *testing.T) {
+	t.Parallel()
+	const rack = 4
+	var runners []*runner
+	var endpoints []willowwick.Endpoint
+	var working sync.WaitGroup
+	working.Add(rack)
+	for i := range rack {
+		var self *runner
+		self = newRunner(t, fmt.Sprint("r", i), func(http.ResponseWriter, *http.Request) {
+			working.Done()
+			working.Wait()
+			self.crash()
+		})
+		runners = append(runners, self)
+		endpoints = append(endpoints, self.endpoint("v1"))
+	}
+	s := newSite(t, endpoints...)
+	var callers sync.WaitGroup
+	for i := range rack {
+		callers.Go(func() { s.do(t, http.MethodPost, "/once/", fmt.Sprint("at-the-rack-", i), "popular") })
+	}
+	callers.Wait()
+	spare := newRunner(t, "spare", answerText("ok"))
+	s.control.change(func() {
+		for _, r := range runners {
+			delete(s.control.endpoints, r.id)
+		}
+		s.control.endpoints["spare"] = spare.endpoint("v1")
+	})
+	require.Eventually(t, func() bool { return len(s.daemon.router.pool.Endpoints()) == 1 }, patience, 5*time.Millisecond)
+	began := time.Now()
+	assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "refused", "popular").status)
+	assert.Less(t, time.Since(began), 100*time.Millisecond, "it is told so at once")
+	assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "other", "another").status)
+	require.Eventually(t, func() bool {
+		return s.do(t, http.MethodPost, "/once/", "again", "popular").status == http.StatusOK
+	}, patience, 50*time.Millisecond)
+	for range 3 {
+		assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "again", "popular").status)
+	}
+}
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -51,6 +51,7 @@
 		triedAt  time.Time // last call
 		failures int       // calls in a row that failed
 		swapping bool      // a call to it is under way
+		harm     harmTold
 	}
 )
 
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -27,11 +27,13 @@
 	mesh struct {
 		store  *meshStore
 		isAway bool                           // the store answers nobody
+		isCut  bool                           // halls do not reach each other
 		reads  bool                           // boxes without a reader read the configuration as well
 		beats  uint64                         // heartbeats of endpoints so far
 		left   map[willowwick.EndpointID]bool // endpoints that have ever said that they leave, which is for good
 		boxes  []*meshBox
 		named  map[string]*meshBox
+		starts int // of boxes so far
 		random *rand.Rand
 
 		messages gobCounter
@@ -143,6 +145,8 @@
 	settings := testSettings()
 	settings.Hall, settings.Drain = willowwick.HallID(fmt.Sprint("hall-", i%halls)), meshDrain
 	settings.Box = willowwick.BoxID(fmt.Sprint("box-", i))
+	m.starts++
+	settings.Boot = willowwick.BootID(fmt.Sprint("boot-", m.starts))
 	settings.Peers = fmt.Sprintf("10.0.%d.%d:8282", i/250, i%250)
 	settings.Seeds = nil
 	for seed := range meshSeeds {
@@ -229,7 +233,7 @@
 	}
 	defer box.peers.endSwap(address)
 	other := m.named[address]
-	if other == nil || other.down {
+	if other == nil || other.down || m.isCut && other.settings.Hall != box.settings.Hall {
 		box.peers.failed(address, errDown)
 		return
 	}
@@ -237,6 +241,7 @@
 	var reply SwapReply
 	require.NoError(t, (&rpcServer{peers: other.peers}).Swap(&call, &reply))
 	box.peers.takeReply(reply, now, now)
+	box.peers.noteHarmTold(address, call.Harm.Position, &reply)
 	m.swapped += m.messages.add(t, call) + m.messages.add(t, reply)
 }
 
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -36,6 +36,14 @@
 	set.NewGauge("willowwick_store_held_read_seconds", func() float64 { return x.sync.heldAge(time.Now()).Seconds() })
 	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(time.Now()).Seconds() })
 	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(time.Now()).Seconds() })
+	set.NewGauge("willowwick_requests_suspected", func() float64 {
+		suspected, _ := x.harm.Counts()
+		return float64(suspected)
+	})
+	set.NewGauge("willowwick_requests_quarantined", func() float64 {
+		_, refused := x.harm.Counts()
+		return float64(refused)
+	})
 	return m
 }
 
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -29,6 +29,7 @@
 		router    *Router
 		transport *fleet.Transport
 		began     time.Time
+		urgent    chan struct{} // there is news that cannot wait for the next round of swaps
 
 		mu    sync.Mutex
 		known map[string]*peer // by address
@@ -46,7 +47,10 @@
 	transport, closeTransport := fleet.NewTransport(x.settings.Key, func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}, nil)
-	p := &peers{router: x, transport: transport, began: time.Now(), known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{}}
+	p := &peers{
+		router: x, transport: transport, began: time.Now(), urgent: make(chan struct{}, 1),
+		known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{},
+	}
 	for _, address := range x.settings.Seeds {
 		p.list(KnownBox{Address: address}, time.Now())
 	}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -245,6 +245,7 @@
 func (s *send) delivered() {
 	took := time.Since(s.arrived)
 	s.router.metrics.delivered(s.route, took)
+	s.noteHarmless(time.Now())
 	ahead, reading := s.ticket.Forecast()
 	s.logEnd("answered", s.answer.Status, "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
 		"model", s.model, "confidence", s.head.Confidence, "account", s.accountName(),
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
 )
@@ -70,6 +71,7 @@
 		peers    *peers
 		hints    *hints
 		ends     *endChecks
+		harm     *quarantine.Ledger
 
 		evacuations *evacuations
 
@@ -91,6 +93,7 @@
 	conns, closeConns := wire.NewPool(wire.Settings{DialLimit: dialLimit, Silence: sendSilence})
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
+		harm: quarantine.New(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter, QueueShare: queueAtEndpoint,
 		}),
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -150,6 +150,7 @@
 	s.ended = s.router.ends.hasEnded(s.ctx, s.ticket.Endpoint, time.Now())
 	if s.ended {
 		s.router.metrics.endedUnder()
+		s.noteHarm(time.Now())
 	}
 }
 
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -96,6 +97,7 @@
 	listed    willowwick.Offset
 	statuses  []willowwick.ReleaseStatus
 	written   []willowwick.ReleaseStatus
+	harmful   map[willowwick.Fingerprint]willowwick.HarmfulRequest
 	members   []string
 	leader    string
 	reads     int // of the list of endpoints
@@ -105,7 +107,9 @@
 
 // newTestControl returns a store that holds a configuration, nil for none, and endpoints.
 func newTestControl(table *willowwick.RoutingTable, endpoints ...willowwick.Endpoint) *testControl {
-	control := &testControl{endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}}
+	control := &testControl{
+		endpoints: map[willowwick.EndpointID]willowwick.Endpoint{}, harmful: map[willowwick.Fingerprint]willowwick.HarmfulRequest{},
+	}
 	control.change(func() {
 		control.table = table
 		for _, endpoint := range endpoints {
@@ -190,6 +194,29 @@
 	return nil
 }
 
+func (c *testControl) Harmful(context.Context) ([]willowwick.HarmfulRequest, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return nil, errDown
+	}
+	return slices.Collect(maps.Values(c.harmful)), nil
+}
+
+func (c *testControl) SetHarmful(_ context.Context, request willowwick.HarmfulRequest) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down {
+		return errDown
+	}
+	if len(request.Ends) == 0 {
+		delete(c.harmful, request.Request)
+	} else {
+		c.harmful[request.Request] = request
+	}
+	return nil
+}
+
 func (c *testControl) Join(_ context.Context, member string, _ uint64) (willowwick.Membership, error) {
 	c.calls.Add(1)
 	c.mu.Lock()
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -8,6 +8,8 @@
 const (
 	// swapEvery is how often digests go round: evidence on a bad release is everywhere within two seconds.
 	swapEvery = 500 * time.Millisecond
+	// swapLeast is the least time between two rounds, also where there is news that cannot wait.
+	swapLeast = 50 * time.Millisecond
 	// swapShare bounds it by the time to leave an endpoint: less than the difference of reliedShare and endpointsShare.
 	swapShare = 0.25
 	// swapLimit is how long a peer may take; one in another hall answers in some milliseconds, but a box with a fifth of
@@ -31,7 +33,27 @@
 			}
 		}
 		p.forget(now)
-		sleep(ctx, p.pause(now))
+		sleep(ctx, swapLeast)
+		p.awaitRound(ctx, now.Add(p.pause(now)))
+	}
+}
+
+// awaitRound waits for the next round of swaps, or for news that cannot wait for it.
+func (p *peers) awaitRound(ctx context.Context, at time.Time) {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.urgent:
+	case <-timer.C:
+	}
+}
+
+// hurry begins the next round of swaps at once.
+func (p *peers) hurry() {
+	select {
+	case p.urgent <- struct{}{}:
+	default: // it begins at once anyway
 	}
 }
 
@@ -86,6 +108,7 @@
 		return
 	}
 	p.takeReply(reply, sent, time.Now())
+	p.noteHarmTold(address, call.Harm.Position, &reply)
 }
 
 // callTo is what this box tells another one.
@@ -96,6 +119,8 @@
 	if version, heard := p.versionOf(address); heard {
 		call.Table = p.tableFor(version)
 	}
+	told := p.harmTold(address)
+	call.Harm, call.HarmKnown = p.harmFor(address, told.own, now), told.theirs
 	return call
 }
 
@@ -108,6 +133,7 @@
 	p.takeTable(reply.Table, reply.Digest.Box)
 	p.router.sync.hearConfig(&reply.Digest, now)
 	p.router.sync.takeFromPeer(reply, now)
+	p.takeHarm(reply.Harm, reply.Digest.Address, now)
 }
 
 // Swap answers a box's digest with this box's own.
@@ -119,6 +145,8 @@
 	reply.Digest = p.digest(now)
 	reply.Table = p.tableFor(call.Digest.TableVersion)
 	reply.Endpoints = p.router.sync.listFor(call)
+	p.takeHarm(call.Harm, call.Digest.Address, now)
+	reply.Harm = p.harmFor(call.Digest.Address, call.HarmKnown, now)
 	if call.KnownSum == p.knownSum(now) {
 		reply.HallAges = p.hallAges(now)
 	} else {
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -50,3 +50,15 @@
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
 }
+
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) {
+	return []byte(f.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	parsed, err := ParseFingerprint(string(text))
+	*f = parsed
+	return err
+}
--- /dev/null
+++ b/harm.go
@@ -0,0 +1,23 @@
+package willowwick
+
+import "time"
+
+type (
+	// EndpointEnd says that an endpoint ended by itself.
+	EndpointEnd struct {
+		Endpoint    EndpointID  `json:"endpoint"`
+		Incarnation Incarnation `json:"incarnation,omitempty"`
+		Release     ReleaseID   `json:"release"`
+		At          time.Time   `json:"at"`
+	}
+
+	// HarmfulRequest is a request under which endpoints ended, with what operators need to find its caller.
+	HarmfulRequest struct {
+		Request Fingerprint   `json:"fingerprint"`
+		Account AccountID     `json:"account,omitempty"`
+		Service ServiceID     `json:"service"`
+		Host    string        `json:"host"`
+		Target  string        `json:"target"`
+		Ends    []EndpointEnd `json:"ends"`
+	}
+)
--- a/platform.go
+++ b/platform.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// EndpointKind tells runners from instances of plain services.
-type EndpointKind string
+type (
+	// EndpointKind tells runners from instances of plain services.
+	EndpointKind string
+	// Incarnation tells the lives of an endpoint apart: the Unix millisecond of its start by its own clock; 0 if it tells none.
+	Incarnation int64
+)
 
 // Kinds of endpoint.
 const (
@@ -37,6 +41,7 @@
 	Slots         int          `json:"slots,omitempty"`     // requests that it works on at once
 	Beat          uint64       `json:"beat,omitempty"`      // heartbeats so far
 	ColdUntil     time.Time    `json:"cold_until,omitzero"` // until when it bears few requests; zero if it is not cold
+	Incarnation   Incarnation  `json:"incarnation,omitempty"`
 }
 
 // Listing is one state of the platform's list; it lags behind the truth.
--- /dev/null
+++ b/quarantine/ledger.go
@@ -0,0 +1,335 @@
+package quarantine
+
+import (
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// RefuseAfter is how many endpoints a request must have ended, without a whole answer since, to be refused. Operators allow
+	// three; one that fails by itself takes some requests with it that are as good as any others.
+	RefuseAfter = 3
+	// togetherWithin is the time within which ends are rather a failure of the endpoints, by a rack or a release: a request
+	// that comes to many of them at once is refused, but is tried once more.
+	togetherWithin = time.Second
+	// trialAfter is how long after its last end a refused request may be tried: by then all boxes refuse it.
+	trialAfter = 2 * time.Second
+	// clearMargin is how much later than a whole answer an end still counts as before it: boxes tell each other how long ago
+	// something was, and news may be under way for a swap.
+	clearMargin = time.Second
+	// suspectKept is how long ends count that have not led to a refusal: callers repeat for less than a minute.
+	suspectKept = 10 * time.Minute
+	// refusedKept is how long a request is refused after its last end. Within a day somebody has seen why endpoints end.
+	refusedKept = 24 * time.Hour
+	// mostSuspects bounds the requests that are kept: 40 ends of endpoints with a hundred requests each, in 1 MB.
+	mostSuspects = 4096
+	// mostRefused bounds the requests that are refused; an endpoint has to end three times for each.
+	mostRefused = 256
+	// mostEnds bounds the ends that are kept of a request: more prove nothing.
+	mostEnds = 8
+)
+
+type (
+	// Ledger remembers under which requests endpoints ended; all boxes tell each other what they noted, and so come to the
+	// same opinion of a request, in whatever order the news reach them.
+	Ledger struct {
+		isUsed atomic.Bool // anything is kept
+
+		mu       sync.Mutex
+		suspects map[willowwick.Fingerprint]*suspect
+		likely   map[willowwick.Fingerprint]*suspect // those with enough ends to be refused
+		refused  map[willowwick.Fingerprint]bool
+		history  history
+		due      map[willowwick.Fingerprint]bool // what of them is kept at the store has to be written
+	}
+
+	// endKey names the end of one life of an endpoint.
+	endKey struct {
+		endpoint    willowwick.EndpointID
+		incarnation willowwick.Incarnation
+	}
+
+	// suspect is a request under which an endpoint ended.
+	suspect struct {
+		about     *willowwick.HarmfulRequest // without ends; nil if only other boxes saw the request
+		ends      map[endKey]willowwick.EndpointEnd
+		clearedAt time.Time // of its newest whole answer; ends before it do not count
+		tried     map[willowwick.ReleaseID]bool
+		updated   time.Time
+	}
+)
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{
+		suspects: map[willowwick.Fingerprint]*suspect{}, likely: map[willowwick.Fingerprint]*suspect{},
+		refused: map[willowwick.Fingerprint]bool{}, due: map[willowwick.Fingerprint]bool{},
+	}
+}
+
+// IsEmpty reports whether no request is suspected, so that none needs to be told from others.
+func (l *Ledger) IsEmpty() bool {
+	return !l.isUsed.Load()
+}
+
+// Refuses reports whether a request is sent to no endpoint.
+func (l *Ledger) Refuses(request willowwick.Fingerprint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.refused[request]
+}
+
+// Counts returns how many requests are suspected, and how many of them are refused.
+func (l *Ledger) Counts() (suspected, refused int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.suspects), len(l.refused)
+}
+
+// NoteEnd notes that an endpoint ended while this box had the request there.
+func (l *Ledger) NoteEnd(about willowwick.HarmfulRequest, end willowwick.EndpointEnd) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspect(about.Request, end.At)
+	if s.about == nil {
+		about.Ends = nil
+		s.about = &about
+	}
+	l.addEnd(about.Request, end, "")
+	l.judge(end.At, "seen here")
+}
+
+// NoteAnswer notes that an endpoint has answered the request whole: what ended others before was something else.
+func (l *Ledger) NoteAnswer(request willowwick.Fingerprint, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.clear(request, now, "") {
+		l.judge(now, "answered here")
+	}
+}
+
+// Trial returns the release on whose endpoints a refused request may be tried once, if there is one; no other box may ask at the
+// same time. It is tried on each release that it has ended no endpoint of, which may bear it, and once where its
+// ends came so close together that something else may have been their cause.
+func (l *Ledger) Trial(
+	request willowwick.Fingerprint, releases []willowwick.ReleaseID, now time.Time,
+) (release willowwick.ReleaseID, allowed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[request]
+	if s == nil || !l.refused[request] || now.Sub(s.lastEnd()) < trialAfter {
+		return "", false
+	}
+	for _, release := range releases {
+		if s.tried[release] || s.endedOn(release) && !s.isInDoubt() {
+			continue
+		}
+		l.addTrial(request, release, now, "")
+		return release, true
+	}
+	return "", false
+}
+
+// Expire forgets what is too old to count.
+func (l *Ledger) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for request, s := range l.suspects {
+		kept := suspectKept
+		if l.refused[request] {
+			kept = refusedKept
+		}
+		if now.Sub(s.updated) > kept {
+			l.forget(request)
+		}
+	}
+	l.judge(now, "too old")
+}
+
+// suspect returns what is kept of a request, from now on if it is new; the caller holds the lock.
+func (l *Ledger) suspect(request willowwick.Fingerprint, now time.Time) *suspect {
+	s := l.suspects[request]
+	if s == nil {
+		l.makeRoom()
+		s = &suspect{ends: map[endKey]willowwick.EndpointEnd{}, tried: map[willowwick.ReleaseID]bool{}}
+		l.suspects[request] = s
+		l.isUsed.Store(true)
+	}
+	if now.After(s.updated) {
+		s.updated = now
+	}
+	return s
+}
+
+// makeRoom forgets the request with the fewest ends, of these the oldest, where as many are kept as may be; the caller holds
+// the lock.
+func (l *Ledger) makeRoom() {
+	if len(l.suspects) < mostSuspects {
+		return
+	}
+	var least willowwick.Fingerprint
+	var found *suspect
+	for request, s := range l.suspects {
+		isLess := found == nil || len(s.ends) < len(found.ends) || len(s.ends) == len(found.ends) && s.updated.Before(found.updated)
+		if isLess {
+			least, found = request, s
+		}
+	}
+	l.forget(least)
+}
+
+// forget drops a request; the caller holds the lock.
+func (l *Ledger) forget(request willowwick.Fingerprint) {
+	delete(l.suspects, request)
+	delete(l.likely, request)
+	l.isUsed.Store(len(l.suspects) > 0)
+}
+
+// addEnd takes the end of an endpoint under a request, and reports whether it is news; the caller holds the lock.
+func (l *Ledger) addEnd(request willowwick.Fingerprint, end willowwick.EndpointEnd, from string) bool {
+	s := l.suspect(request, end.At)
+	key := endKey{end.Endpoint, end.Incarnation}
+	_, known := s.ends[key]
+	if known || s.isCleared(end) || len(s.ends) >= mostEnds {
+		return false
+	}
+	s.ends[key] = end
+	if len(s.ends) >= RefuseAfter {
+		l.likely[request] = s
+	}
+	l.history.add(entry{kind: kindEnd, request: request, end: end, from: from})
+	return true
+}
+
+// clear takes that a request was answered whole at a moment, and reports whether it is news; the caller holds the lock.
+func (l *Ledger) clear(request willowwick.Fingerprint, at time.Time, from string) bool {
+	s := l.suspects[request]
+	if s == nil || len(s.ends) == 0 || !at.After(s.clearedAt) {
+		return false
+	}
+	s.clearedAt, s.updated = at, at
+	for key, end := range s.ends {
+		if s.isCleared(end) {
+			delete(s.ends, key)
+		}
+	}
+	if len(s.ends) < RefuseAfter {
+		delete(l.likely, request)
+	}
+	l.history.add(entry{kind: kindAnswer, request: request, end: willowwick.EndpointEnd{At: at}, from: from})
+	return true
+}
+
+// addTrial takes that a request is tried on a release, and reports whether it is news; the caller holds the lock.
+func (l *Ledger) addTrial(request willowwick.Fingerprint, release willowwick.ReleaseID, at time.Time, from string) bool {
+	s := l.suspects[request]
+	if s == nil || s.tried[release] {
+		return false
+	}
+	s.tried[release] = true
+	l.history.add(entry{kind: kindTrial, request: request, end: willowwick.EndpointEnd{Release: release, At: at}, from: from})
+	return true
+}
+
+// judge finds the requests that are refused now; the caller holds the lock.
+func (l *Ledger) judge(now time.Time, source string) {
+	for request := range l.refused {
+		if l.likely[request] == nil || l.isVictim(l.likely[request]) {
+			l.admit(request, source)
+		}
+	}
+	for request, s := range l.likely {
+		if !l.refused[request] && !l.isVictim(s) && len(l.refused) < mostRefused {
+			l.refuse(request, s, now, source)
+		}
+	}
+}
+
+// refuse notes that a request is refused from now on; the caller holds the lock.
+func (l *Ledger) refuse(request willowwick.Fingerprint, s *suspect, now time.Time, source string) {
+	l.refused[request] = true
+	l.due[request] = true
+	attributes := []any{"fingerprint", request.String(), "ends", len(s.ends), "source", source, "last_end_ms_ago", now.Sub(s.lastEnd()).Milliseconds()}
+	for _, end := range s.sorted() {
+		attributes = append(attributes, "endpoint", end.Endpoint)
+	}
+	if s.about != nil {
+		attributes = append(attributes, "account", s.about.Account, "service", s.about.Service, "host", s.about.Host, "target", s.about.Target)
+	}
+	slog.Warn("request is refused from now on: endpoints ended while they ran it", attributes...)
+}
+
+// admit notes that a request is sent to endpoints again; the caller holds the lock.
+func (l *Ledger) admit(request willowwick.Fingerprint, source string) {
+	delete(l.refused, request)
+	l.due[request] = true
+	slog.Info("request is sent to endpoints again", "fingerprint", request.String(), "source", source)
+}
+
+// isVictim reports whether another request was at work wherever endpoints ended under this one, and at more ends besides: they
+// are that one's doing. The caller holds the lock.
+func (l *Ledger) isVictim(s *suspect) bool {
+	for _, other := range l.likely {
+		if len(other.ends) > len(s.ends) && other.holds(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// isCleared reports whether a whole answer makes an end count for nothing.
+func (s *suspect) isCleared(end willowwick.EndpointEnd) bool {
+	return !s.clearedAt.IsZero() && !end.At.After(s.clearedAt.Add(clearMargin))
+}
+
+// holds reports whether all ends of another request are among those of this one.
+func (s *suspect) holds(other *suspect) bool {
+	for key := range other.ends {
+		if _, found := s.ends[key]; !found {
+			return false
+		}
+	}
+	return true
+}
+
+// sorted are the ends in the order in which they came.
+func (s *suspect) sorted() []willowwick.EndpointEnd {
+	ends := make([]willowwick.EndpointEnd, 0, len(s.ends))
+	for _, end := range s.ends {
+		ends = append(ends, end)
+	}
+	slices.SortFunc(ends, func(a, b willowwick.EndpointEnd) int { return a.At.Compare(b.At) })
+	return ends
+}
+
+// lastEnd is when the last endpoint ended under the request; zero if none did.
+func (s *suspect) lastEnd() time.Time {
+	var last time.Time
+	for _, end := range s.ends {
+		if end.At.After(last) {
+			last = end.At
+		}
+	}
+	return last
+}
+
+// endedOn reports whether an endpoint of the release ended under the request.
+func (s *suspect) endedOn(release willowwick.ReleaseID) bool {
+	for _, end := range s.ends {
+		if end.Release == release {
+			return true
+		}
+	}
+	return false
+}
+
+// isInDoubt reports whether all ends came together.
+func (s *suspect) isInDoubt() bool {
+	ends := s.sorted()
+	return len(ends) > 0 && ends[len(ends)-1].At.Sub(ends[0].At) < togetherWithin
+}
--- /dev/null
+++ b/quarantine/ledger_test.go
@@ -0,0 +1,251 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+var began = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func requestOf(body string) willowwick.Fingerprint {
+	return willowwick.FingerprintOf("ada", "POST", "site.example", "/x/", []byte(body))
+}
+
+// endAt is the end of an endpoint some milliseconds after the begin.
+func endAt(endpoint string, ms int) willowwick.EndpointEnd {
+	return willowwick.EndpointEnd{
+		Endpoint: willowwick.EndpointID(endpoint), Release: "v1", At: began.Add(time.Duration(ms) * time.Millisecond),
+	}
+}
+
+// note notes the end of an endpoint under each of the requests.
+func (l *Ledger) note(end willowwick.EndpointEnd, bodies ...string) {
+	for _, body := range bodies {
+		l.NoteEnd(willowwick.HarmfulRequest{Request: requestOf(body), Account: "ada"}, end)
+	}
+}
+
+func (l *Ledger) refuses(body string) bool {
+	return l.Refuses(requestOf(body))
+}
+
+func TestARequestIsRefusedAfterItsThirdEnd(t *testing.T) {
+	l := New()
+	assert.True(t, l.IsEmpty())
+	l.note(endAt("a", 0), "harmful", "other")
+	l.note(endAt("b", 2000), "harmful")
+	l.note(endAt("b", 2001), "harmful") // seen twice
+	assert.False(t, l.refuses("harmful"))
+	l.note(endAt("c", 4000), "harmful")
+	assert.True(t, l.refuses("harmful"))
+	assert.False(t, l.refuses("other"))
+	again := endAt("a", 5000)
+	again.Incarnation = 2
+	l.note(again, "other")
+	_, refused := l.Counts()
+	assert.Equal(t, 1, refused)
+}
+
+// The requests at work beside a harmful one are at each of the ends that they were sent to anew; what they have no end of, it has.
+func TestWhatWasAtWorkBesideAHarmfulRequestIsNotRefused(t *testing.T) {
+	l := New()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		l.note(endAt(endpoint, 100*i), "harmful", "victim")
+	}
+	assert.True(t, l.refuses("victim"), "nothing tells them apart yet")
+	l.note(endAt("d", 400), "harmful")
+	assert.True(t, l.refuses("harmful"))
+	assert.False(t, l.refuses("victim"))
+}
+
+func TestAWholeAnswerClearsARequest(t *testing.T) {
+	l := New()
+	l.note(endAt("a", 0), "popular")
+	l.note(endAt("b", 1), "popular")
+	l.NoteAnswer(requestOf("popular"), began.Add(20*time.Millisecond))
+	l.note(endAt("c", 2), "popular")
+	assert.False(t, l.refuses("popular"), "an end before the answer")
+	for i, endpoint := range []string{"d", "e", "f"} {
+		l.note(endAt(endpoint, 3000+i), "popular")
+	}
+	require.True(t, l.refuses("popular"))
+	l.NoteAnswer(requestOf("popular"), began.Add(3100*time.Millisecond))
+	assert.False(t, l.refuses("popular"), "one that was under way elsewhere was answered")
+	due := l.Due()
+	require.Len(t, due, 1)
+	assert.Empty(t, due[0].Ends, "the store is told")
+}
+
+// Many endpoints that end at once are rather a failure of theirs, and a popular request is at all of them.
+func TestARequestWhoseEndsCameTogetherIsTriedOnce(t *testing.T) {
+	l := New()
+	releases := []willowwick.ReleaseID{"v1"}
+	for i, endpoint := range []string{"a", "b", "c", "d"} {
+		l.note(endAt(endpoint, i), "popular")
+		l.note(endAt(endpoint, 900*i), "harmful")
+	}
+	_, isAllowed := l.Trial(requestOf("popular"), releases, began.Add(time.Second))
+	assert.False(t, isAllowed, "some boxes may not refuse it yet")
+	later := began.Add(8 * time.Second)
+	_, isAllowed = l.Trial(requestOf("popular"), releases, later)
+	assert.True(t, isAllowed)
+	_, isAllowed = l.Trial(requestOf("popular"), releases, later)
+	assert.False(t, isAllowed, "once")
+	_, isAllowed = l.Trial(requestOf("harmful"), releases, later)
+	assert.False(t, isAllowed, "its ends came one after the other")
+	l.NoteAnswer(requestOf("popular"), later)
+	assert.False(t, l.refuses("popular"))
+}
+
+func TestARefusedRequestIsTriedOnceOnANewRelease(t *testing.T) {
+	l := New()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		l.note(endAt(endpoint, 1000*i), "harmful")
+	}
+	releases := []willowwick.ReleaseID{"v1", "v2"}
+	later := began.Add(10 * time.Second)
+	release, isAllowed := l.Trial(requestOf("harmful"), releases, later)
+	assert.True(t, isAllowed)
+	assert.Equal(t, willowwick.ReleaseID("v2"), release)
+	end := endAt("d", 10_100)
+	end.Release = "v2"
+	l.note(end, "harmful")
+	_, isAllowed = l.Trial(requestOf("harmful"), releases, later.Add(time.Minute))
+	assert.False(t, isAllowed)
+	assert.True(t, l.refuses("harmful"))
+}
+
+// Boxes come to the same opinion in whatever order they hear of each other, also through a third one, and although some are
+// started anew.
+func TestBoxesAgreeWhateverOrderTheirNewsCome(t *testing.T) {
+	const boxes, steps = 4, 120
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		ledgers, boots := make([]*Ledger, boxes), make([]int, boxes)
+		known := map[string]Position{}
+		for i := range ledgers {
+			ledgers[i] = New()
+		}
+		now := began
+		tell := func(from, to int) {
+			link := fmt.Sprint(from, boots[from], to, boots[to])
+			boot := willowwick.BootID(fmt.Sprint(from, "-", boots[from]))
+			news := ledgers[from].Since(known[link], boot, fmt.Sprint(to), now)
+			known[link] = news.Position
+			ledgers[to].Take(news, fmt.Sprint(from), now)
+		}
+		for step := range steps {
+			now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
+			at := random.IntN(boxes)
+			body := fmt.Sprint("body ", random.IntN(3))
+			switch random.IntN(10) {
+			case 0:
+				ledgers[at].NoteAnswer(requestOf(body), now)
+			case 1, 2, 3:
+				ledgers[at].note(endAt(fmt.Sprint("e", step), int(now.Sub(began).Milliseconds())), body)
+			case 4:
+				if random.IntN(5) == 0 {
+					// Its neighbours know what it knew, all of it told before.
+					for to := range ledgers {
+						tell(at, to)
+					}
+					ledgers[at] = New()
+					boots[at]++
+				}
+			default:
+				tell(at, random.IntN(boxes))
+			}
+		}
+		for range 3 {
+			for from := range ledgers {
+				for to := range ledgers {
+					tell(from, to)
+				}
+			}
+		}
+		for _, l := range ledgers[1:] {
+			assert.Equal(t, ledgers[0].refused, l.refused, "seed %d", seed)
+		}
+	}
+}
+
+func TestNewsAreToldOnce(t *testing.T) {
+	a, b := New(), New()
+	a.note(endAt("a", 0), "one", "two")
+	news := a.Since(Position{}, "boot", "b", began)
+	require.Len(t, news.Ends, 1)
+	assert.Len(t, news.Ends[0].Requests, 2, "a row for each end, not for each request")
+	assert.True(t, b.Take(news, "a", began))
+	assert.False(t, b.Take(news, "a", began))
+	assert.Empty(t, b.Since(Position{}, "", "a", began).Ends, "not told back to where it came from")
+	assert.Empty(t, a.Since(news.Position, "boot", "b", began).Ends)
+	assert.Equal(t, News{}, New().Since(Position{}, "boot", "b", began), "nothing on a calm day")
+}
+
+// A caller can fill the ledger with requests that were at an endpoint that ended once, and forces out nothing that counts.
+func TestTheLedgerIsBounded(t *testing.T) {
+	l := New()
+	l.note(endAt("a", 0), "harmful")
+	l.note(endAt("b", 1000), "harmful")
+	for i := range 2 * mostSuspects {
+		l.note(endAt("c", 2000+i), fmt.Sprint("body ", i))
+	}
+	suspected, _ := l.Counts()
+	assert.Equal(t, mostSuspects, suspected)
+	assert.LessOrEqual(t, len(l.history.entries), mostHistory)
+	l.note(endAt("d", 3000), "harmful")
+	assert.True(t, l.refuses("harmful"))
+	l.Expire(began.Add(2 * suspectKept))
+	suspected, refused := l.Counts()
+	assert.Equal(t, 1, suspected)
+	assert.Equal(t, 1, refused)
+	l.Expire(began.Add(2 * refusedKept))
+	assert.True(t, l.IsEmpty())
+	assert.False(t, l.refuses("harmful"))
+}
+
+func TestWhatTheStoreHoldsIsRefusedByABoxThatStartsAnew(t *testing.T) {
+	l := New()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		l.note(endAt(endpoint, 1000*i), "harmful")
+	}
+	due := l.Due()
+	require.Len(t, due, 1)
+	assert.Len(t, due[0].Ends, 3)
+	assert.Equal(t, willowwick.AccountID("ada"), due[0].Account)
+	l.Written(due[0])
+	assert.Empty(t, l.Due())
+	anew := New()
+	anew.Restore(due, began.Add(time.Minute))
+	assert.True(t, anew.refuses("harmful"))
+	assert.Empty(t, anew.Due())
+	late := New()
+	late.Restore(due, began.Add(2*refusedKept))
+	assert.False(t, late.refuses("harmful"))
+	require.Len(t, late.Due(), 1)
+	assert.Empty(t, late.Due()[0].Ends, "what is too old is dropped at the store")
+}
+
+func TestNoCallerHasAnotherOnesRequestRefused(t *testing.T) {
+	same := willowwick.FingerprintOf("ada", "POST", "host", "/x", []byte("b"))
+	assert.Equal(t, same, willowwick.FingerprintOf("ada", "POST", "host", "/x", []byte("b")))
+	for _, other := range []willowwick.Fingerprint{
+		willowwick.FingerprintOf("bob", "POST", "host", "/x", []byte("b")),
+		willowwick.FingerprintOf("ada", "POST", "hos", "t/x", []byte("b")),
+		willowwick.FingerprintOf("ada", "POST", "host", "/", []byte("xb")),
+		willowwick.FingerprintOf("ada", "POST", "host", "/x", []byte("c")),
+	} {
+		assert.NotEqual(t, same, other)
+	}
+	parsed, err := willowwick.ParseFingerprint(same.String())
+	require.NoError(t, err)
+	assert.Equal(t, same, parsed)
+	_, err = willowwick.ParseFingerprint("12")
+	assert.Error(t, err)
+}
--- /dev/null
+++ b/quarantine/news.go
@@ -0,0 +1,174 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// kindEnd: an endpoint ended under the request.
+	kindEnd kind = iota
+	// kindAnswer: the request was answered whole.
+	kindAnswer
+	// kindTrial: the request is tried on a release.
+	kindTrial
+)
+
+// mostHistory bounds what is kept to be told to other boxes one by one; to a box that is further behind all is told.
+const mostHistory = 2 * mostSuspects
+
+type (
+	// kind is what an entry of the history says.
+	kind uint8
+
+	// entry is one thing that a box learnt, by itself or from another box.
+	entry struct {
+		kind    kind
+		request willowwick.Fingerprint
+		end     willowwick.EndpointEnd // of an answer only the time, of a trial the time and the release
+		from    string                 // the box that told of it; empty if it was seen here
+	}
+
+	// history is what the ledger learnt, in order.
+	history struct {
+		first   uint64 // number of the first entry that is kept
+		entries []entry
+	}
+
+	// Position is up to where a box knows what another one has learnt.
+	Position struct {
+		Boot willowwick.BootID // the life of the other box in which it counted
+		Next uint64
+	}
+
+	// News is what one box tells another.
+	News struct {
+		Position Position // of the box that tells, after these news
+		Ends     []EndRow
+		Answers  []AnswerRow
+		Trials   []TrialRow
+	}
+
+	// EndRow is the end of an endpoint with the requests that were at work there: 16 bytes each on the wire.
+	EndRow struct {
+		Endpoint    willowwick.EndpointID
+		Incarnation willowwick.Incarnation
+		Release     willowwick.ReleaseID
+		AgeMs       int64
+		Requests    []willowwick.Fingerprint
+	}
+
+	// AnswerRow is the whole answer to a request.
+	AnswerRow struct {
+		Request willowwick.Fingerprint
+		AgeMs   int64
+	}
+
+	// TrialRow is the trial of a request on a release.
+	TrialRow struct {
+		Request willowwick.Fingerprint
+		Release willowwick.ReleaseID
+		AgeMs   int64
+	}
+)
+
+// add appends an entry.
+func (h *history) add(e entry) {
+	h.entries = append(h.entries, e)
+	if len(h.entries) > mostHistory {
+		dropped := len(h.entries) - mostHistory/2
+		h.entries = append([]entry(nil), h.entries[dropped:]...)
+		h.first += uint64(dropped)
+	}
+}
+
+// next is the number of the next entry.
+func (h *history) next() uint64 {
+	return h.first + uint64(len(h.entries))
+}
+
+// Since returns what another box does not know, which has told how far it does; what it told itself is left out.
+func (l *Ledger) Since(known Position, boot willowwick.BootID, to string, now time.Time) News {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.history.next() == 0 {
+		return News{} // on a calm day this costs swaps nothing
+	}
+	news := News{Position: Position{Boot: boot, Next: l.history.next()}}
+	if known.Boot != boot || known.Next < l.history.first {
+		l.addAll(&news, now)
+		return news
+	}
+	at := map[endKey]int{}
+	for _, e := range l.history.entries[min(known.Next, l.history.next())-l.history.first:] {
+		if e.from == "" || e.from != to {
+			news.add(e, at, now)
+		}
+	}
+	return news
+}
+
+// addAll adds all that is known; the caller holds the lock.
+func (l *Ledger) addAll(news *News, now time.Time) {
+	at := map[endKey]int{}
+	for request, s := range l.suspects {
+		if !s.clearedAt.IsZero() {
+			news.add(entry{kind: kindAnswer, request: request, end: willowwick.EndpointEnd{At: s.clearedAt}}, at, now)
+		}
+		for _, end := range s.ends {
+			news.add(entry{kind: kindEnd, request: request, end: end}, at, now)
+		}
+		for release := range s.tried {
+			news.add(entry{kind: kindTrial, request: request, end: willowwick.EndpointEnd{Release: release, At: s.updated}}, at, now)
+		}
+	}
+}
+
+// add adds an entry; at is where the rows of ends stand.
+func (n *News) add(e entry, at map[endKey]int, now time.Time) {
+	age := now.Sub(e.end.At).Milliseconds()
+	switch e.kind {
+	case kindAnswer:
+		n.Answers = append(n.Answers, AnswerRow{e.request, age})
+	case kindTrial:
+		n.Trials = append(n.Trials, TrialRow{e.request, e.end.Release, age})
+	default:
+		key := endKey{e.end.Endpoint, e.end.Incarnation}
+		row, found := at[key]
+		if !found {
+			row = len(n.Ends)
+			at[key] = row
+			n.Ends = append(n.Ends, EndRow{Endpoint: key.endpoint, Incarnation: key.incarnation, Release: e.end.Release, AgeMs: age})
+		}
+		n.Ends[row].Requests = append(n.Ends[row].Requests, e.request)
+	}
+}
+
+// Take takes what another box told, and reports whether it was news.
+func (l *Ledger) Take(news News, from string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isNews := false
+	for _, row := range news.Ends {
+		end := willowwick.EndpointEnd{Endpoint: row.Endpoint, Incarnation: row.Incarnation, Release: row.Release, At: ago(now, row.AgeMs)}
+		for _, request := range row.Requests {
+			isNews = l.addEnd(request, end, from) || isNews
+		}
+	}
+	for _, row := range news.Trials {
+		isNews = l.addTrial(row.Request, row.Release, ago(now, row.AgeMs), from) || isNews
+	}
+	// Answers come last: they may clear ends that came with them.
+	for _, row := range news.Answers {
+		isNews = l.clear(row.Request, ago(now, row.AgeMs), from) || isNews
+	}
+	if isNews {
+		l.judge(now, "peer "+from)
+	}
+	return isNews
+}
+
+func ago(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
--- /dev/null
+++ b/quarantine/record.go
@@ -0,0 +1,72 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+// Due returns what has to be written to the store: the refused requests that this box has seen itself, and those that are admitted
+// again, without ends.
+func (l *Ledger) Due() []willowwick.HarmfulRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []willowwick.HarmfulRequest
+	for request := range l.due {
+		s := l.suspects[request]
+		switch {
+		case !l.refused[request]:
+			list = append(list, willowwick.HarmfulRequest{Request: request})
+		case s.about != nil:
+			record := *s.about
+			record.Ends = s.sorted()
+			list = append(list, record)
+		default:
+			delete(l.due, request) // a box that has seen it writes it
+		}
+	}
+	return list
+}
+
+// Written notes that the store has what was due of a request.
+func (l *Ledger) Written(record willowwick.HarmfulRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if isRefused := len(record.Ends) > 0; isRefused == l.refused[record.Request] {
+		delete(l.due, record.Request)
+	}
+}
+
+// Restore takes what the store holds; what is too old to count is to be dropped there.
+func (l *Ledger) Restore(records []willowwick.HarmfulRequest, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, record := range records {
+		l.restore(record, now)
+	}
+	l.judge(now, "store")
+	for _, record := range records {
+		if l.refused[record.Request] {
+			delete(l.due, record.Request)
+		}
+	}
+}
+
+// restore takes one record; the caller holds the lock.
+func (l *Ledger) restore(record willowwick.HarmfulRequest, now time.Time) {
+	about := record
+	about.Ends = nil
+	for _, end := range record.Ends {
+		if end.At.After(now) {
+			end.At = now // clocks of boxes differ
+		}
+		if now.Sub(end.At) > refusedKept {
+			l.due[record.Request] = true
+			continue
+		}
+		if s := l.suspect(record.Request, end.At); s.about == nil {
+			s.about = &about
+		}
+		l.addEnd(record.Request, end, "")
+	}
+}
