An endpoint that starts again under its id is a new one

Cause: what was kept of an endpoint went by its id alone. One that ended and started again stayed gone until its heartbeats, which count anew, had passed the old number and one more; one that had said it leaves stayed so for good; load, forecasts, breakers and connections of the life before were taken for the new one's. Change: an entry's incarnation tells lives apart; with a new one all that was known is forgotten, and a late heartbeat of the life before counts for nothing. It also shows an end that a look at the address came too late for: what was at work there is suspected then. Entries that tell none are taken as before.

--- /dev/null
+++ b/exchange/born_test.go
@@ -0,0 +1,151 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
+)
+
+// bornSite is a site with one endpoint that starts again under its id.
+type bornSite struct {
+	*site
+	endpoint willowwick.Endpoint
+}
+
+func newBornSite(t *testing.T, endpoint willowwick.Endpoint) *bornSite {
+	endpoint.Incarnation, endpoint.Beat = 1000, 50
+	return &bornSite{newSite(t, endpoint), endpoint}
+}
+
+// write writes the endpoint's entry as changed.
+func (b *bornSite) write(change func(endpoint *willowwick.Endpoint)) {
+	change(&b.endpoint)
+	b.control.change(func() { b.control.endpoints[b.endpoint.ID] = b.endpoint })
+}
+
+// remove takes the endpoint's entry away, and waits until the box knows.
+func (b *bornSite) remove(t *testing.T) {
+	b.control.change(func() { delete(b.control.endpoints, b.endpoint.ID) })
+	require.Eventually(t, func() bool { return !b.isListed() }, patience, 5*time.Millisecond)
+}
+
+func (b *bornSite) isListed() bool {
+	entry, isListed := b.daemon.router.sync.entry(b.endpoint.ID)
+	return isListed && !entry.Leaving
+}
+
+func restart(endpoint *willowwick.Endpoint) {
+	endpoint.Incarnation, endpoint.Beat, endpoint.Leaving = endpoint.Incarnation+5000, 1, false
+}
+
+// An endpoint may start again under its id, and its heartbeats count anew. It once stayed gone until it had sent more of them than
+// before.
+func TestAnEndpointThatStartsAgainIsBackAtOnce(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	b := newBornSite(t, r.endpoint("v1"))
+	b.remove(t)
+	b.write(restart)
+	require.Eventually(t, b.isListed, time.Second, 5*time.Millisecond)
+	assert.Equal(t, http.StatusOK, b.do(t, http.MethodPost, "/once/", "id", "x").status)
+}
+
+// What a life of an endpoint said of its leaving holds for that life alone.
+func TestAnEndpointThatLeftAndStartsAgainStays(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	b := newBornSite(t, r.endpoint("v1"))
+	b.write(func(endpoint *willowwick.Endpoint) { endpoint.Leaving = true })
+	require.Eventually(t, func() bool { return !b.isListed() }, patience, 5*time.Millisecond)
+	b.write(restart)
+	require.Eventually(t, b.isListed, time.Second, 5*time.Millisecond)
+	assert.Equal(t, http.StatusOK, b.do(t, http.MethodPost, "/once/", "id", "x").status)
+}
+
+// A heartbeat of the life before may be written late: it brings back neither that life nor its leaving.
+func TestALateHeartbeatOfAnEarlierLifeCountsForNothing(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	b := newBornSite(t, r.endpoint("v1"))
+	before := b.endpoint
+	before.Leaving, before.Beat = true, before.Beat+1
+	b.write(restart)
+	require.Eventually(t, func() bool {
+		entry, _ := b.daemon.router.sync.entry("r1")
+		return entry.Incarnation == b.endpoint.Incarnation
+	}, patience, 5*time.Millisecond)
+	b.control.change(func() { b.control.endpoints["r1"] = before })
+	time.Sleep(200 * time.Millisecond)
+	assert.True(t, b.isListed())
+	assert.Equal(t, http.StatusOK, b.do(t, http.MethodPost, "/once/", "id", "x").status)
+}
+
+// What a box knows of an endpoint's load, work and failures is of one life of it.
+func TestAnEndpointThatStartsAgainIsNotJudgedByItsLifeBefore(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Running", "8")
+		_, _ = io.WriteString(w, "ok")
+	})
+	b := newBornSite(t, r.endpoint("v1"))
+	b.do(t, http.MethodPost, "/once/", "id", "x")
+	pool := b.daemon.router.pool
+	load, known := pool.LoadOf("r1")
+	require.True(t, known)
+	require.Equal(t, 8, load.Running)
+	pool.MarkLeaving("r1")
+	b.write(restart)
+	require.Eventually(t, func() bool {
+		_, known := pool.LoadOf("r1")
+		return !known
+	}, time.Second, 5*time.Millisecond)
+	assert.Empty(t, pool.Leaving())
+}
+
+// An endpoint may be back before anybody looks whether something listens at its address. That it started anew shows that
+// it ended under what was at work there.
+func TestAnEndThatOnlyTheNextLifeShowsCountsAgainstTheRequest(t *testing.T) {
+	var b *bornSite
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) { hangUp(w) })
+	b = newBornSite(t, r.endpoint("v1"))
+	for range quarantine.RefuseAfter {
+		b.do(t, http.MethodPost, "/once/", "id", "harmful")
+		require.Equal(t, b.endpoint.Incarnation, b.daemon.router.pool.Endpoints()[0].Incarnation)
+		b.write(restart)
+		require.Eventually(t, func() bool {
+			entry, _ := b.daemon.router.sync.entry("r1")
+			return entry.Incarnation == b.endpoint.Incarnation
+		}, patience, 5*time.Millisecond)
+	}
+	identity := willowwick.FingerprintOf(testAccount, http.MethodPost, testHost, "/once/", []byte("harmful"))
+	assert.True(t, b.daemon.router.harm.Refuses(identity))
+}
+
+// Boxes that hear of endpoints from each other know the same lives of them.
+func TestListsOfEndpointsThatStartAgainStayAlike(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(seed, 6, 2, 8)
+			m.run(t, 2*time.Second)
+			for range 40 {
+				m.disturb()
+				if m.random.IntN(2) == 0 {
+					m.startAgain()
+				}
+				m.run(t, time.Duration(m.random.IntN(1000))*time.Millisecond)
+			}
+			m.isAway = false
+			for range 4 {
+				m.beatAll()
+				m.run(t, meshDrain/2)
+			}
+			for _, box := range m.boxes {
+				assert.ElementsMatch(t, withoutBeats(m.store.list()), withoutBeats(box.pool.Endpoints()), "endpoints that %s knows, seed %d", box.settings.Box, seed)
+			}
+		})
+	}
+}
--- a/exchange/ends.go
+++ b/exchange/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,10 @@
 	endCheckLimit = 100 * time.Millisecond
 	// endKept is how long it is remembered that an endpoint ended: its entry is gone by then.
 	endKept = 30 * time.Second
+	// breakKept is how long a connection that broke may still turn out to have ended with its endpoint: some heartbeats.
+	breakKept = 10 * time.Second
+	// mostBreaks bounds the broken connections that wait for that.
+	mostBreaks = 1024
 )
 
 type (
@@ -23,7 +28,21 @@
 		router *Router
 
 		mu     sync.Mutex
-		checks map[willowwick.EndpointID]*endCheck
+		checks map[endpointInLife]*endCheck
+		breaks []brokenSend // of endpoints at whose address something listened again
+	}
+
+	// endpointInLife names one life of an endpoint.
+	endpointInLife struct {
+		id          willowwick.EndpointID
+		incarnation willowwick.Incarnation
+	}
+
+	// brokenSend is a request whose connection broke, for which reason is not known yet.
+	brokenSend struct {
+		about    willowwick.HarmfulRequest
+		endpoint willowwick.Endpoint
+		at       time.Time
 	}
 
 	// endCheck is one look, which all requests that broke at the endpoint share.
@@ -35,18 +54,21 @@
 )
 
 func newEndChecks(x *Router) *endChecks {
-	return &endChecks{router: x, checks: map[willowwick.EndpointID]*endCheck{}}
+	return &endChecks{router: x, checks: map[endpointInLife]*endCheck{}}
 }
 
 // hasEnded reports whether an endpoint, to which a connection broke at a moment, ended by itself. One that leaves, whose entry is
 // gone, or whose release is given up may be stopped by its operator at any time.
 func (e *endChecks) hasEnded(ctx context.Context, endpoint willowwick.Endpoint, brokeAt time.Time) bool {
+	if e.router.sync.hasStartedAgain(endpoint) {
+		return true
+	}
 	entry, isListed := e.router.sync.entry(endpoint.ID)
 	if !isListed || entry.Leaving || e.router.releases.isRetired(endpoint.Service, endpoint.Release, brokeAt) {
 		return false
 	}
 	for {
-		check, isOwn := e.checkFor(endpoint.ID, brokeAt)
+		check, isOwn := e.checkFor(endpointInLife{endpoint.ID, endpoint.Incarnation}, brokeAt)
 		if isOwn {
 			e.look(ctx, check, endpoint.Address)
 			return check.ended
@@ -63,16 +85,16 @@
 }
 
 // checkFor returns the check that is under way for an endpoint or tells what is asked; isOwn says that the caller has to make it.
-func (e *endChecks) checkFor(id willowwick.EndpointID, brokeAt time.Time) (check *endCheck, isOwn bool) {
+func (e *endChecks) checkFor(of endpointInLife, brokeAt time.Time) (check *endCheck, isOwn bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	check = e.checks[id]
+	check = e.checks[of]
 	if check != nil && (!check.isDone() || check.ended || !check.began.Before(brokeAt)) {
 		return check, false
 	}
 	e.forget(brokeAt)
 	check = &endCheck{began: time.Now(), done: make(chan struct{})}
-	e.checks[id] = check
+	e.checks[of] = check
 	return check, true
 }
 
@@ -96,9 +118,36 @@
 
 // forget drops old checks; the caller holds the lock.
 func (e *endChecks) forget(now time.Time) {
-	for id, check := range e.checks {
+	for of, check := range e.checks {
 		if now.Sub(check.began) > endKept {
-			delete(e.checks, id)
+			delete(e.checks, of)
 		}
 	}
 }
+
+// await keeps a send that broke while something listens at its endpoint's address: the endpoint may have started again already,
+// which its next entry shows.
+func (e *endChecks) await(broken brokenSend) {
+	if broken.endpoint.Incarnation == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.breaks = slices.DeleteFunc(e.breaks, func(b brokenSend) bool { return broken.at.Sub(b.at) > breakKept })
+	if len(e.breaks) < mostBreaks {
+		e.breaks = append(e.breaks, broken)
+	}
+}
+
+// endedBefore takes that a life of an endpoint was over before the one that its entry tells of now.
+func (e *endChecks) endedBefore(id willowwick.EndpointID, incarnation willowwick.Incarnation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.breaks = slices.DeleteFunc(e.breaks, func(b brokenSend) bool {
+		isOf := b.endpoint.ID == id && b.endpoint.Incarnation == incarnation
+		if isOf {
+			e.router.noteHarm(b)
+		}
+		return isOf
+	})
+}
--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -70,17 +70,22 @@
 	return list
 }
 
-// noteHarm notes that the endpoint ended while it had the request.
-func (s *send) noteHarm(now time.Time) {
-	endpoint := s.ticket.Endpoint
-	about := willowwick.HarmfulRequest{
-		Request: s.fingerprint(), Account: s.accountName(), Service: s.service, Host: s.message.Host,
-		Target: s.message.Target[:min(len(s.message.Target), mostTarget)],
+// identify says what is told of the request to other boxes and to operators.
+func (c *call) identify() willowwick.HarmfulRequest {
+	return willowwick.HarmfulRequest{
+		Request: c.fingerprint(), Account: c.accountName(), Service: c.service, Host: c.message.Host,
+		Target: c.message.Target[:min(len(c.message.Target), mostTarget)],
 	}
-	s.router.harm.NoteEnd(about, willowwick.EndpointEnd{
-		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Release: endpoint.Release, At: now,
+}
+
+// noteHarm notes that an endpoint ended while it had a request.
+func (x *Router) noteHarm(broken brokenSend) {
+	x.metrics.endedUnder()
+	endpoint := broken.endpoint
+	x.harm.NoteEnd(broken.about, willowwick.EndpointEnd{
+		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Release: endpoint.Release, At: broken.at,
 	})
-	s.router.peers.hurry()
+	x.peers.hurry()
 }
 
 // noteHarmless notes that an endpoint has answered the request whole.
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -111,6 +111,10 @@
 	}
 	present := map[willowwick.EndpointID]bool{}
 	for _, endpoint := range changes.Present {
+		if s.isFormerLife(endpoint) {
+			present[endpoint.ID] = true // what the newer life said holds on
+			continue
+		}
 		if s.isBack(endpoint) {
 			present[endpoint.ID] = true
 			s.list(endpoint, changes.Next)
@@ -152,6 +156,9 @@
 // list takes the entry of an endpoint; the caller holds the lock.
 func (s *syncer) list(endpoint willowwick.Endpoint, at willowwick.Offset) {
 	old, known := s.listed[endpoint.ID]
+	if endpoint.Incarnation == 0 {
+		endpoint.Incarnation = old.Incarnation // a box of an earlier release does not tell it
+	}
 	// Leaving is for good: a later entry that says otherwise was written before.
 	endpoint.Leaving = endpoint.Leaving || old.Leaving
 	// Boxes that were told that it lapsed have dropped it, or will, unless they are told that it is back.
@@ -193,6 +200,7 @@
 // sameEntry reports whether two entries of an endpoint say the same.
 func sameEntry(a, b willowwick.Endpoint) bool {
 	isSame := a.Address == b.Address && a.Service == b.Service && a.Release == b.Release && a.Leaving == b.Leaving
+	isSame = isSame && a.Incarnation == b.Incarnation
 	return isSame && !route.IsColdAgain(a.ColdUntil, b.ColdUntil)
 }
 
--- a/exchange/listing_swap.go
+++ b/exchange/listing_swap.go
@@ -55,7 +55,9 @@
 
 // entrySum is the same for two entries of an endpoint that say the same of where and for what it is used.
 func entrySum(endpoint willowwick.Endpoint) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s %s %s %s %t", endpoint.ID, endpoint.Address, endpoint.Service, endpoint.Release, endpoint.Leaving))
+	return xxhash.Sum64String(fmt.Sprintf(
+		"%s %s %s %s %t %d", endpoint.ID, endpoint.Address, endpoint.Service, endpoint.Release, endpoint.Leaving, endpoint.Incarnation,
+	))
 }
 
 // wantsList reports whether this box asks another one for its whole list now: it reads the store for this one and lists other
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -31,6 +31,7 @@
 		reads  bool                           // boxes without a reader read the configuration as well
 		beats  uint64                         // heartbeats of endpoints so far
 		left   map[willowwick.EndpointID]bool // endpoints that have ever said that they leave, which is for good
+		lives  map[willowwick.EndpointID]willowwick.Incarnation
 		boxes  []*meshBox
 		named  map[string]*meshBox
 		starts int // of boxes so far
@@ -130,6 +131,7 @@
 	m := &mesh{
 		store: &meshStore{entries: map[willowwick.EndpointID]meshEntry{}, gone: map[willowwick.EndpointID]willowwick.Offset{}},
 		named: map[string]*meshBox{}, random: rand.New(rand.NewPCG(seed, seed)), left: map[willowwick.EndpointID]bool{},
+		lives: map[willowwick.EndpointID]willowwick.Incarnation{},
 	}
 	for i := range endpoints {
 		m.store.put(meshEndpoint(i, halls))
@@ -288,11 +290,28 @@
 		m.start(m.random.IntN(len(m.boxes)), 2)
 	default:
 		m.beats++
+		endpoint.Incarnation = m.lives[endpoint.ID]
 		endpoint.Beat, endpoint.Leaving = m.beats, m.left[endpoint.ID]
 		m.store.put(endpoint)
 	}
 }
 
+// startAgain lets an endpoint that is listed end and start again under its id, with heartbeats that count anew.
+func (m *mesh) startAgain() {
+	endpoint := meshEndpoint(m.random.IntN(8), 2)
+	if _, isListed := m.store.entries[endpoint.ID]; !isListed {
+		return
+	}
+	if m.random.IntN(2) == 0 {
+		m.store.remove(endpoint.ID)
+	}
+	m.beats++
+	m.left[endpoint.ID] = false
+	m.lives[endpoint.ID] += willowwick.Incarnation(m.beats)
+	endpoint.Incarnation, endpoint.Beat = m.lives[endpoint.ID], 1
+	m.store.put(endpoint)
+}
+
 // leave lets an endpoint say that it leaves, and returns how long it takes until all boxes that the store serves know.
 func (m *mesh) leave(t *testing.T, endpoint willowwick.Endpoint) time.Duration {
 	endpoint.Leaving = true
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -147,10 +147,12 @@
 
 // noteBroken finds out whether the endpoint ended under the request.
 func (s *send) noteBroken() {
-	s.ended = s.router.ends.hasEnded(s.ctx, s.ticket.Endpoint, time.Now())
+	broken := brokenSend{about: s.identify(), endpoint: s.ticket.Endpoint, at: time.Now()}
+	s.ended = s.router.ends.hasEnded(s.ctx, broken.endpoint, broken.at)
 	if s.ended {
-		s.router.metrics.endedUnder()
-		s.noteHarm(time.Now())
+		s.router.noteHarm(broken)
+	} else {
+		s.router.ends.await(broken)
 	}
 }
 
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -59,6 +59,7 @@
 		listed    map[willowwick.EndpointID]willowwick.Endpoint
 		lapsed    map[willowwick.EndpointID]time.Time // when an entry that is gone ends to count
 		gone      map[willowwick.EndpointID]goneEntry
+		lives     map[willowwick.EndpointID]endpointLife
 		known     bool              // the list was read
 		next      willowwick.Offset // from which it is read on
 		changedAt willowwick.Offset // where it last changed in more than heartbeats
@@ -96,8 +97,8 @@
 	return &syncer{
 		router: x, control: control, ordered: make(chan struct{}, 1),
 		listed: map[willowwick.EndpointID]willowwick.Endpoint{},
-		lapsed: map[willowwick.EndpointID]time.Time{},
-		gone:   map[willowwick.EndpointID]goneEntry{}, history: newListHistory(),
+		lapsed: map[willowwick.EndpointID]time.Time{}, lives: map[willowwick.EndpointID]endpointLife{},
+		gone: map[willowwick.EndpointID]goneEntry{}, history: newListHistory(),
 	}
 }
 
--- a/route/pool.go
+++ b/route/pool.go
@@ -123,7 +123,7 @@
 	byHash := make(map[uint32]*member, len(listing))
 	for _, endpoint := range listing {
 		m := p.endpoints[endpoint.ID]
-		if m == nil || m.endpoint.Address != endpoint.Address {
+		if m == nil || m.endpoint.Address != endpoint.Address || hasStartedAgain(m.endpoint, endpoint) {
 			m = &member{limit: p.options.StartLimit, hash: xxhash.Sum64String(string(endpoint.ID))}
 		}
 		if IsColdAgain(m.endpoint.ColdUntil, endpoint.ColdUntil) {
@@ -140,6 +140,11 @@
 	p.rebuild()
 }
 
+// hasStartedAgain reports whether an entry is of a later life of its endpoint, of which nothing is known yet.
+func hasStartedAgain(old, entry willowwick.Endpoint) bool {
+	return old.Incarnation != 0 && old.Incarnation != entry.Incarnation
+}
+
 func (p *Pool) rebuild() {
 	p.rows = map[row]*candidateRow{}
 	ids := make([]willowwick.EndpointID, 0, len(p.endpoints))
