An entry of another writer names no endpoint, and hides no others

Cause: what could not be decoded was skipped, so that the entry before it stayed in use; one with fields missing or of an unknown state decoded and was used; bytes that were no record ended each read of the list from there on.

--- a/control.go
+++ b/control.go
@@ -28,6 +28,7 @@
 		Whole   bool // Present is the whole list; what is not in it is gone
 		Present []Endpoint
 		Gone    []EndpointID // they went before Present was written, also where they stand there again
+		Unnamed []EndpointID // the newest entry under the name is none of an endpoint; another one may follow at any time
 		Next    Offset
 	}
 
--- /dev/null
+++ b/exchange/foreign_test.go
@@ -0,0 +1,26 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/willowwick/willowwick"
+)
+
+// An entry of another writer takes the place of an endpoint's: the endpoint gets nothing until its own next entry, and no longer.
+func TestAnEndpointIsNotUsedWhileAnotherWritersEntryStandsInItsPlace(t *testing.T) {
+	quietLogs(t)
+	m := newMesh(1, 1, 1, 0)
+	s := m.boxes[0].sync
+	now := time.Now()
+	endpoint := meshEndpoint(1, 1)
+	endpoint.Beat = 7
+	s.takeChanges(willowwick.EndpointChanges{Whole: true, Present: []willowwick.Endpoint{endpoint}, Next: 1}, now, now)
+	assert.Len(t, m.boxes[0].pool.Endpoints(), 1)
+	s.takeChanges(willowwick.EndpointChanges{Unnamed: []willowwick.EndpointID{endpoint.ID}, Next: 2}, now, now)
+	assert.Empty(t, m.boxes[0].pool.Endpoints())
+	endpoint.Beat = 8
+	s.takeChanges(willowwick.EndpointChanges{Present: []willowwick.Endpoint{endpoint}, Next: 3}, now, now)
+	assert.Len(t, m.boxes[0].pool.Endpoints(), 1)
+}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -109,6 +109,14 @@
 		s.history.note(id)
 		s.endpointGone(id, now)
 	}
+	for _, id := range changes.Unnamed {
+		s.history.note(id)
+		if _, wasListed := s.listed[id]; wasListed {
+			s.drop(id, now)
+			// It may live, and its next heartbeat is no late one of an endpoint that went.
+			delete(s.gone, id)
+		}
+	}
 	present := map[willowwick.EndpointID]bool{}
 	for _, endpoint := range changes.Present {
 		if s.isFormerLife(endpoint) {
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -37,6 +37,7 @@
 	// BatchRunner stands in for a runner of the users' platform; it keeps its entry in a store.
 	BatchRunner struct {
 		settings BatchSettings
+		born     int64 // Unix milliseconds
 		store    *Store
 		mu       sync.Mutex
 		faults   BatchFaults
@@ -63,13 +64,15 @@
 		Version string `json:"version"`
 		Slots   int    `json:"slots"`
 		State   string `json:"state"`
+		ColdMs  int    `json:"cold-remaining-ms"`
 		Beat    int    `json:"sequence"`
+		Born    int64  `json:"born"`
 	}
 )
 
 // NewBatchRunner returns a runner that keeps its entry, and a function that ends it without taking the entry out.
 func NewBatchRunner(settings BatchSettings, store *Store) (*BatchRunner, func()) {
-	b := &BatchRunner{settings: settings, store: store, stop: make(chan struct{})}
+	b := &BatchRunner{settings: settings, store: store, stop: make(chan struct{}), born: time.Now().UnixMilli()}
 	go b.heartbeat()
 	return b, sync.OnceFunc(func() { close(b.stop) })
 }
@@ -94,7 +97,7 @@
 	if b.leaving {
 		state = "draining"
 	}
-	entry := batchEntry{b.settings.Service, b.settings.Address, b.settings.Hall, b.settings.Release, b.settings.Slots, state, b.beats}
+	entry := batchEntry{b.settings.Service, b.settings.Address, b.settings.Hall, b.settings.Release, b.settings.Slots, state, 0, b.beats, b.born}
 	b.mu.Unlock()
 	// An entry that cannot be encoded would be a fault of this file; the store itself takes all.
 	_ = b.store.Put("keyed.servers", b.settings.ID, entry)
--- a/standin/store.go
+++ b/standin/store.go
@@ -140,6 +140,18 @@
 	return nil
 }
 
+// PutRaw appends bytes that need not be a record of a key and a value, as a writer that does not know the topic may.
+func (s *Store) PutRaw(topic string, record []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	if len(record) == 0 || len(record) < 1+int(record[0]) {
+		t.records = append(t.records, record)
+		return
+	}
+	t.append(record)
+}
+
 // Get returns the newest value of a key.
 func (s *Store) Get(topic, key string) (value []byte, found bool) {
 	s.mu.Lock()
