--- /dev/null
+++ b/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock tells the time that has passed, that of a suspended machine included.
+package clock
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
@@ -230,7 +231,7 @@
 
 // enter takes a place at an endpoint.
 func (c *call) enter() (*gate.Ticket, *willowwick.Refusal) {
-	now := time.Now()
+	now := clock.Now()
 	// Roll-outs may have begun or ended since the send before.
 	c.choice = c.router.releases.choose(c.service, c.sessionText(), now, c.deadline)
 	c.choice.only = c.trial
@@ -289,7 +290,7 @@
 
 // mayGoOn decides whether the request is sent again after a send that brought no answer.
 func (c *call) mayGoOn(result sendResult) bool {
-	now := time.Now()
+	now := clock.Now()
 	if c.ctx.Err() != nil || c.sends >= maxSends || !now.Before(c.deadline) {
 		return false
 	}
@@ -337,7 +338,7 @@
 }
 
 func (c *call) timeIsUp() bool {
-	return errors.Is(c.ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(c.deadline)
+	return errors.Is(c.ctx.Err(), context.DeadlineExceeded) || !clock.Now().Before(c.deadline)
 }
 
 // note takes the time of an event that goes out.
@@ -354,7 +355,7 @@
 func (c *call) logEnd(what string, status int, more ...any) {
 	attributes := append([]any{
 		"request", c.head.ID, "session", c.head.Session, "route", c.route.Name, "service", c.service, "status", status,
-		"sends", c.sends, "runs", c.runs, "ms", time.Since(c.arrived).Milliseconds(), "config", c.table.Version,
+		"sends", c.sends, "runs", c.runs, "ms", clock.Since(c.arrived).Milliseconds(), "config", c.table.Version,
 		"goal_ms", c.route.Goal.Milliseconds(),
 	}, more...)
 	if !c.pace.firstAt.IsZero() {
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
 )
 
@@ -162,14 +163,14 @@
 // Drain is the planned stop: not ready at once, still serving what comes, gone when nothing is under way any more
 // or the grace is nearly over.
 func (d *Daemon) Drain() {
-	began := time.Now()
+	began := clock.Now()
 	x := d.router
 	slog.Info("planned stop began", "in_flight", x.inFlight.Load(), "grace_ms", x.settings.Grace.Milliseconds())
 	x.stopping.Store(true)
 	d.leaveGroup()
 	limit := began.Add(x.settings.Grace - leaveEarly)
 	x.stopAt.Store(limit.Add(-lastAnswer).UnixNano())
-	time.Sleep(time.Until(earliest(began.Add(x.settings.TurnAway), limit)))
+	time.Sleep(clock.Until(earliest(began.Add(x.settings.TurnAway), limit)))
 	x.refusing.Store(true)
 	// The listener stays: the entry uses boxes that are not ready where it has too few others. Connections at rest
 	// stay too: a request may be on its way on them.
@@ -177,17 +178,17 @@
 	if err := d.callers.Close(); err != nil {
 		slog.Debug("listener for callers did not close", "error", err)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	ctx, cancel := clock.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if left := d.callers.retire(ctx); left > 0 {
 		slog.Info("requests were still under way at the end", "requests", left)
 	}
-	slog.Info("planned stop ended", "ms", time.Since(began).Milliseconds())
+	slog.Info("planned stop ended", "ms", clock.Since(began).Milliseconds())
 }
 
 // awaitQuiet waits until no caller's connection has had a request on it for some looks, or for the limit.
 func awaitQuiet(busy *atomic.Int64, limit time.Time) {
-	for quiet := 0; quiet < quietLooks && time.Now().Before(limit); quiet++ {
+	for quiet := 0; quiet < quietLooks && clock.Now().Before(limit); quiet++ {
 		if busy.Load() > 0 {
 			quiet = 0
 		}
--- a/exchange/ends.go
+++ b/exchange/ends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -93,7 +94,7 @@
 		return check, false
 	}
 	e.forget(brokeAt)
-	check = &endCheck{began: time.Now(), done: make(chan struct{})}
+	check = &endCheck{began: clock.Now(), done: make(chan struct{})}
 	e.checks[of] = check
 	return check, true
 }
--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/quarantine"
 )
 
@@ -137,7 +138,7 @@
 	isRestored := false
 	sleep(ctx, lookFor)
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		if !isRestored && !s.isFed(now) && !s.mayRest(now) {
 			isRestored = s.restoreHarmful(ctx)
 		}
@@ -157,13 +158,22 @@
 		sleep(ctx, harmRetry)
 		return false
 	}
-	s.router.harm.Restore(records, time.Now())
+	now := clock.Now()
+	for _, record := range records {
+		for i, end := range record.Ends {
+			record.Ends[i].At = now.Add(-clock.System(now).Sub(end.At))
+		}
+	}
+	s.router.harm.Restore(records, now)
 	return true
 }
 
 // writeHarmful writes what is due, and reports whether the store took it.
 func (s *syncer) writeHarmful(ctx context.Context) bool {
 	for _, request := range s.router.harm.Due() {
+		for i, end := range request.Ends {
+			request.Ends[i].At = clock.System(end.At)
+		}
 		if err := s.control.SetHarmful(ctx, request); err != nil {
 			slog.Info("request that ends endpoints could not be written", "fingerprint", request.Request.String(), "error", err)
 			return false
--- a/exchange/hints.go
+++ b/exchange/hints.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -100,7 +101,7 @@
 	if h.conn == nil || !isReading {
 		return
 	}
-	if !h.mayTell(reading.Length, h.router.peers.boxes(), time.Now()) {
+	if !h.mayTell(reading.Length, h.router.peers.boxes(), clock.Now()) {
 		h.router.metrics.hintDropped()
 		return
 	}
@@ -145,7 +146,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-h.queue:
-			near, far := h.router.peers.audience(time.Now())
+			near, far := h.router.peers.audience(clock.Now())
 			sleep(ctx, max(time.Duration(len(near))*hintPause, hintPauseLeast))
 			own, heard := h.collect(first)
 			h.sendTo(near, hintKeep, append(heard, own...))
@@ -187,7 +188,7 @@
 func (h *hints) relayOf(hall []netip.AddrPort) netip.AddrPort {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	start := rand.IntN(len(hall))
 	for i := range hall {
 		if box := hall[(start+i)%len(hall)]; now.Sub(h.tellers[box]) < tellerFresh {
@@ -232,7 +233,7 @@
 			slog.Debug("datagram is not a box's", "from", from, "error", err)
 			continue
 		}
-		h.take(kind, rows, time.Now())
+		h.take(kind, rows, clock.Now())
 		h.heardFrom(from)
 	}
 }
@@ -241,7 +242,7 @@
 	if udp, ok := from.(*net.UDPAddr); ok {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.tellers[udp.AddrPort()] = time.Now()
+		h.tellers[udp.AddrPort()] = clock.Now()
 	}
 }
 
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -107,7 +108,7 @@
 func (p *peers) listKnown(rows []KnownRow, asOf time.Time) {
 	for _, row := range rows {
 		at := asOf.Add(-time.Duration(row.AgeMs) * time.Millisecond)
-		if time.Since(at) <= peerKept {
+		if clock.Since(at) <= peerKept {
 			p.list(KnownBox{Address: row.Address, Hall: row.Hall, LinkMbps: row.LinkMbps}, at)
 		}
 	}
@@ -191,7 +192,7 @@
 		return
 	}
 	known.failures++
-	known.tryAt = time.Now().Add(retryPause(known.failures))
+	known.tryAt = clock.Now().Add(retryPause(known.failures))
 	if known.failures == 1 {
 		slog.Info("box is not reached", "peer", known.digest.Box, "address", address, "error", err)
 	}
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -28,7 +29,7 @@
 	var listedAt time.Time
 	sleep(ctx, lookFor)
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		_, isFed := s.router.peers.reader(now)
 		switch {
 		case s.mayRest(now):
@@ -47,7 +48,7 @@
 // returns when they were listed last.
 func (s *syncer) joinGroup(ctx context.Context, member string, listedAt time.Time) time.Time {
 	membership, err := s.control.Join(ctx, member, s.generation)
-	now := time.Now()
+	now := clock.Now()
 	if err != nil {
 		s.setLead(false, "the group does not answer")
 		return listedAt
@@ -121,7 +122,7 @@
 // store is part of it: a bad release gets requests for as long as nobody judges it.
 func (s *syncer) judgeReleases(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		s.router.releases.setBoxes(s.router.peers.boxes())
 		s.router.paceCold(now)
 		report := s.router.peers.fleetReport(now)
@@ -135,7 +136,7 @@
 // lead writes the states of roll-outs on the box that leads, until the context ends.
 func (s *syncer) lead(ctx context.Context) {
 	for ctx.Err() == nil {
-		if now := time.Now(); s.isLeading() {
+		if now := clock.Now(); s.isLeading() {
 			for _, due := range s.router.releases.due(now) {
 				s.writeDue(ctx, due, now)
 			}
@@ -170,7 +171,7 @@
 			return
 		}
 	}
-	if !slices.Contains(s.router.releases.due(time.Now()), due) {
+	if !slices.Contains(s.router.releases.due(clock.Now()), due) {
 		return // it was judged otherwise meanwhile
 	}
 	if err := s.control.SetStatus(ctx, due.ReleaseStatus, statuses.End); err != nil {
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -24,19 +25,19 @@
 func (s *syncer) followEndpoints(ctx context.Context) {
 	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
-		if now := time.Now(); !s.mustRead(now) {
+		if now := clock.Now(); !s.mustRead(now) {
 			s.dropLapsed(now)
 			sleep(ctx, feedPoll)
 			continue
 		}
-		asked := time.Now()
+		asked := clock.Now()
 		changes, err := s.control.Endpoints(ctx, s.endpointsAt())
 		if err != nil {
 			pause = s.backOff(ctx, readEndpoints, pause, err)
 			continue
 		}
 		pause = 0
-		s.takeChanges(changes, asked, time.Now())
+		s.takeChanges(changes, asked, clock.Now())
 	}
 }
 
--- a/exchange/listing_swap.go
+++ b/exchange/listing_swap.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -79,7 +80,7 @@
 	if !s.known || s.changedAt <= from && !wantsWhole {
 		return nil
 	}
-	list := &EndpointList{Next: s.next, From: s.changedAt, Told: time.Now()}
+	list := &EndpointList{Next: s.next, From: s.changedAt, Told: clock.Now()}
 	changed, known := s.history.since(from)
 	if known && call.TakesChanges && !wantsWhole {
 		list.Since = from
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 // routerMetrics are the counters of one router.
@@ -33,9 +34,9 @@
 	set.NewGauge("willowwick_connections_stale", func() float64 { return float64(x.conns.Stats().Stale) })
 	set.NewGauge("willowwick_surplus_answers", func() float64 { return float64(x.conns.Stats().Surplus) })
 	set.NewGauge("willowwick_boxes", func() float64 { return float64(x.peers.boxes()) })
-	set.NewGauge("willowwick_store_held_read_seconds", func() float64 { return x.sync.heldAge(time.Now()).Seconds() })
-	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(time.Now()).Seconds() })
-	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(time.Now()).Seconds() })
+	set.NewGauge("willowwick_store_held_read_seconds", func() float64 { return x.sync.heldAge(clock.Now()).Seconds() })
+	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(clock.Now()).Seconds() })
+	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_requests_suspected", func() float64 {
 		suspected, _ := x.harm.Counts()
 		return float64(suspected)
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/route"
 )
@@ -48,11 +49,11 @@
 		return dialer.DialContext(ctx, "tcp", address)
 	}, nil)
 	p := &peers{
-		router: x, transport: transport, began: time.Now(), urgent: make(chan struct{}, 1),
+		router: x, transport: transport, began: clock.Now(), urgent: make(chan struct{}, 1),
 		known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{},
 	}
 	for _, address := range x.settings.Seeds {
-		p.list(KnownBox{Address: address}, time.Now())
+		p.list(KnownBox{Address: address}, clock.Now())
 	}
 	return p, closeTransport
 }
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
 )
@@ -130,7 +131,7 @@
 		buffer = grow(buffer)
 		n, err := s.answer.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		s.ticket.Heard(time.Now())
+		s.ticket.Heard(clock.Now())
 		whole := bytes.LastIndex(buffer, eventEnd) + len(eventEnd)
 		if whole >= len(eventEnd) {
 			if !s.passEvents(buffer[:whole]) {
@@ -161,14 +162,14 @@
 func (s *send) awaitEvents() error {
 	stallAt := s.deadline
 	if s.route.Resumable && s.route.GapGoal > 0 {
-		stallAt = earliest(stallAt, time.Now().Add(scale(s.route.GapGoal, stallShare)))
+		stallAt = earliest(stallAt, clock.Now().Add(scale(s.route.GapGoal, stallShare)))
 	}
 	for {
 		err := s.answer.Await(stallAt)
 		if !errors.Is(err, wire.ErrSilent) || !stallAt.Before(s.deadline) {
 			return err
 		}
-		if s.mayLeaveStream(time.Now()) {
+		if s.mayLeaveStream(clock.Now()) {
 			return err
 		}
 		stallAt = s.deadline
@@ -190,7 +191,7 @@
 		s.observe(false)
 		s.out.head(s.answer.Status, s.answer.Header, -1)
 	}
-	s.pace.note(time.Now())
+	s.pace.note(clock.Now())
 	if id := lastID(events); id != "" {
 		s.resumed = id
 	}
@@ -243,9 +244,9 @@
 
 // delivered counts and logs an answer that the caller has whole.
 func (s *send) delivered() {
-	took := time.Since(s.arrived)
+	took := clock.Since(s.arrived)
 	s.router.metrics.delivered(s.route, took)
-	s.noteHarmless(time.Now())
+	s.noteHarmless(clock.Now())
 	ahead, reading := s.ticket.Forecast()
 	s.logEnd("answered", s.answer.Status, "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
 		"model", s.model, "confidence", s.head.Confidence, "account", s.accountName(),
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/rollout"
 )
 
@@ -82,11 +83,11 @@
 // ownReport is what this box has seen.
 func (p *peers) ownReport() Report {
 	x := p.router
-	report := Report{Boxes: 1, Kept: x.releases.kept(time.Now())}
+	report := Report{Boxes: 1, Kept: x.releases.kept(clock.Now())}
 	for key, counts := range x.releases.evidence() {
 		report.Evidence = append(report.Evidence, EvidenceRow{key.Service, key.Release, key.Route, counts})
 	}
-	for _, own := range x.releases.progresses(time.Now()) {
+	for _, own := range x.releases.progresses(clock.Now()) {
 		report.Moves = append(report.Moves, MoveRow{
 			Service: own.Status.Service, Target: own.Status.Target, Moved: own.Moved, OldInFlight: x.oldInFlight(own.Status),
 		})
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
@@ -108,7 +108,7 @@
 
 // ServeHTTP implements http.Handler.
 func (x *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	x.inFlight.Add(1)
 	defer x.inFlight.Add(-1)
 	if x.stopping.Load() {
@@ -127,7 +127,7 @@
 		c.logEnd("refused", http.StatusServiceUnavailable, "cause", "this box is stopping")
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := clock.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
 	c.run()
@@ -156,9 +156,9 @@
 	if refusal.Kind == willowwick.KindNotRun {
 		at := refusal.RetryAt
 		if at.IsZero() {
-			at = time.Now().Add(comeBack)
+			at = clock.Now().Add(comeBack)
 		}
-		header.Set("Retry-After", retryAfter(at, time.Now()))
+		header.Set("Retry-After", retryAfter(at, clock.Now()))
 	}
 	out.begun = true
 	out.writer.WriteHeader(statusOf(refusal))
@@ -221,7 +221,7 @@
 
 // hasOther reports whether another endpoint of the service than the given one may be tried.
 func (x *Router) hasOther(c *call, not willowwick.EndpointID) bool {
-	return x.pool.HasOpen(time.Now(), c.service, func(endpoint willowwick.Endpoint) bool {
+	return x.pool.HasOpen(clock.Now(), c.service, func(endpoint willowwick.Endpoint) bool {
 		return endpoint.ID != not && !c.exclude[endpoint.ID] && c.choice.allows(endpoint)
 	})
 }
@@ -239,7 +239,7 @@
 		return
 	}
 	x.table.Store(newTable(declared))
-	x.paceCold(time.Now())
+	x.paceCold(clock.Now())
 	x.noteWarm()
 	slog.Info("configuration in force", "version", declared.Version, "routes", len(declared.Routes),
 		"accounts", len(declared.Accounts), "source", source)
@@ -277,7 +277,7 @@
 	default:
 	}
 	limit := warmLimit
-	now := time.Now()
+	now := clock.Now()
 	// A header that is wrong is told to the caller once the request is begun.
 	if head, err := x.codec.DecodeRequest(r.Header, now); err == nil && !head.Deadline.IsZero() {
 		limit = max(limit, scale(head.Deadline.Sub(now), warmShare))
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
@@ -87,7 +88,7 @@
 
 // refusal is what the caller is told if the request is given up after this send.
 func (r sendResult) refusal(c *call) *willowwick.Refusal {
-	now := time.Now()
+	now := clock.Now()
 	cause := kindNames[r.kind]
 	if r.err != nil {
 		cause += ": " + r.err.Error()
@@ -124,9 +125,9 @@
 		c.router.conns.Suspect(ticket.Endpoint.Address, s.sentAt)
 	}
 	if result.kind == silent {
-		c.router.hints.tell(ticket.HeldUp(time.Now()))
+		c.router.hints.tell(ticket.HeldUp(clock.Now()))
 	} else {
-		c.router.hints.tell(ticket.Withdrawn(time.Now()))
+		c.router.hints.tell(ticket.Withdrawn(clock.Now()))
 	}
 	ticket.Done(s.outcome)
 	if result.kind != answered {
@@ -147,7 +148,7 @@
 
 // noteBroken finds out whether the endpoint ended under the request.
 func (s *send) noteBroken() {
-	broken := brokenSend{about: s.identify(), endpoint: s.ticket.Endpoint, at: time.Now()}
+	broken := brokenSend{about: s.identify(), endpoint: s.ticket.Endpoint, at: clock.Now()}
 	s.ended = s.router.ends.hasEnded(s.ctx, broken.endpoint, broken.at)
 	if s.ended {
 		s.router.noteHarm(broken)
@@ -170,12 +171,12 @@
 	slog.Info("send ended", append(more, "request", c.head.ID, "outcome", kindNames[result.kind], "cause", cause,
 		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
 		"confidence", s.head.Confidence, "running", s.head.Load.Running, "waiting", s.head.Load.Waiting,
-		"ms", time.Since(s.sentAt).Milliseconds(), "age_ms", time.Since(c.arrived).Milliseconds(),
+		"ms", clock.Since(s.sentAt).Milliseconds(), "age_ms", clock.Since(c.arrived).Milliseconds(),
 		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
 }
 
 func (s *send) do() sendResult {
-	s.sentAt = time.Now()
+	s.sentAt = clock.Now()
 	conn, err := s.router.conns.Open(s.ctx, s.ticket.Endpoint.Address)
 	if err != nil {
 		s.outcome = route.OutcomeFailed
@@ -194,12 +195,12 @@
 	}
 	s.runs++
 	if s.route.Stream {
-		s.router.hints.tell(s.ticket.Sent(time.Now()))
+		s.router.hints.tell(s.ticket.Sent(clock.Now()))
 	}
 	if err := s.receive(); err != nil {
 		return s.unanswered(err)
 	}
-	s.router.hints.tell(s.ticket.Begun(time.Now()))
+	s.router.hints.tell(s.ticket.Begun(clock.Now()))
 	return s.judge()
 }
 
@@ -215,7 +216,7 @@
 	if s.route.Stream {
 		head.Priority = min(urgency(s.route, s.account), lowestPriority)
 	}
-	s.router.codec.EncodeRequest(header, head, time.Now())
+	s.router.codec.EncodeRequest(header, head, clock.Now())
 	return header
 }
 
@@ -225,7 +226,7 @@
 	for {
 		answer, err := s.conn.Receive(s.message.Method, silentAt, s.deadline, s.belongs)
 		if errors.Is(err, wire.ErrSilent) && silentAt.Before(s.deadline) {
-			now := time.Now()
+			now := clock.Now()
 			if s.isLost(now) {
 				return err
 			}
@@ -237,7 +238,7 @@
 			return err
 		}
 		s.answer = answer
-		s.head = s.router.codec.DecodeAnswer(answer.Header, time.Now())
+		s.head = s.router.codec.DecodeAnswer(answer.Header, clock.Now())
 		if s.head.HasLoad {
 			s.head.Load.Endpoint = s.ticket.Endpoint.ID
 			s.router.pool.Report(s.head.Load)
@@ -345,7 +346,7 @@
 	if s.head.Confidence == willowwick.NoConfidence {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	if s.head.Confidence >= s.confidenceNeeded(now) {
 		return false
 	}
@@ -378,7 +379,7 @@
 func (s *send) observe(isError bool) {
 	s.router.releases.observe(observation{
 		service: s.service, release: s.ticket.Endpoint.Release, route: s.route.Name, model: s.model,
-		took: time.Since(s.sentAt), isError: isError,
+		took: clock.Since(s.sentAt), isError: isError,
 	})
 }
 
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -277,14 +277,22 @@
 // runner is an endpoint whose handler a test sets.
 type runner struct {
 	*httptest.Server
-	id   willowwick.EndpointID
-	mu   sync.Mutex
-	seen []*http.Request
-	body []string
+	id      willowwick.EndpointID
+	mu      sync.Mutex
+	handler http.HandlerFunc
+	seen    []*http.Request
+	body    []string
+}
+
+// handle changes what the runner does with requests from now on.
+func (r *runner) handle(handler http.HandlerFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handler = handler
 }
 
 func newRunner(t *testing.T, id string, handler http.HandlerFunc) *runner {
-	r := &runner{id: willowwick.EndpointID(id)}
+	r := &runner{id: willowwick.EndpointID(id), handler: handler}
 	r.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		body, _ := io.ReadAll(request.Body)
 		r.mu.Lock()
@@ -293,7 +301,10 @@
 		r.mu.Unlock()
 		w.Header().Set("T-Id", request.Header.Get("T-Id"))
 		w.Header().Set("T-Seal", id)
-		handler(w, request)
+		r.mu.Lock()
+		now := r.handler
+		r.mu.Unlock()
+		now(w, request)
 	}))
 	t.Cleanup(r.CloseClientConnections)
 	return r
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -26,7 +28,7 @@
 // run swaps digests until the context ends; a box that does not answer keeps none of the others waiting.
 func (p *peers) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		for _, address := range p.targets(now) {
 			if p.beginSwap(address, now) {
 				go p.swap(ctx, address)
@@ -40,7 +42,7 @@
 
 // awaitRound waits for the next round of swaps, or for news that cannot wait for it.
 func (p *peers) awaitRound(ctx context.Context, at time.Time) {
-	timer := time.NewTimer(time.Until(at))
+	timer := time.NewTimer(clock.Until(at))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -100,14 +102,14 @@
 	defer p.endSwap(address)
 	ctx, cancel := context.WithTimeout(ctx, swapLimit)
 	defer cancel()
-	call := p.callTo(address, time.Now())
+	call := p.callTo(address, clock.Now())
 	var reply SwapReply
-	sent := time.Now()
+	sent := clock.Now()
 	if err := p.transport.Call(ctx, address, rpcSwap, &call, &reply); err != nil {
 		p.failed(address, err)
 		return
 	}
-	p.takeReply(reply, sent, time.Now())
+	p.takeReply(reply, sent, clock.Now())
 	p.noteHarmTold(address, call.Harm.Position, &reply)
 }
 
@@ -138,7 +140,7 @@
 
 // Swap answers a box's digest with this box's own.
 func (s *rpcServer) Swap(call *SwapCall, reply *SwapReply) error {
-	now := time.Now()
+	now := clock.Now()
 	p := s.peers
 	p.heard(call.Digest, now)
 	p.takeTable(call.Table, call.Digest.Box)
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -115,15 +116,15 @@
 	var next willowwick.Offset
 	var pause time.Duration // after the last read, if it failed
 	for ctx.Err() == nil {
-		if now := time.Now(); s.isFed(now) && !s.mustRegain(readDeclared, now) || s.mayRest(now) {
+		if now := clock.Now(); s.isFed(now) && !s.mustRegain(readDeclared, now) || s.mayRest(now) {
 			sleep(ctx, feedPoll)
 			continue
 		}
-		began := time.Now()
+		began := clock.Now()
 		wait := s.nextWait(began)
 		declared, wasCancelled, err := s.readDeclarations(ctx, next, wait)
 		if wasCancelled {
-			slog.Info("held read given up", "ms", time.Since(began).Milliseconds(), "from", next)
+			slog.Info("held read given up", "ms", clock.Since(began).Milliseconds(), "from", next)
 			sleep(ctx, feedPoll)
 			continue
 		}
@@ -132,7 +133,7 @@
 			continue
 		}
 		pause = 0
-		ended := time.Now()
+		ended := clock.Now()
 		s.noteAnswer(readDeclared, ended)
 		s.declare(declared)
 		if !declared.Partial {
@@ -146,8 +147,8 @@
 // lookForReader waits in the first moments of a box whether another reads for it, before the store holds a read here; no
 // longer than the store would hold one, since a hall may follow this box already.
 func (s *syncer) lookForReader(ctx context.Context) {
-	limit := time.Now().Add(s.heldLimit())
-	for now := time.Now(); ctx.Err() == nil && now.Before(limit) && s.mayFindReader(now); now = time.Now() {
+	limit := clock.Now().Add(s.heldLimit())
+	for now := clock.Now(); ctx.Err() == nil && now.Before(limit) && s.mayFindReader(now); now = clock.Now() {
 		sleep(ctx, feedPoll)
 	}
 }
@@ -164,7 +165,7 @@
 ) (declared willowwick.Declarations, wasCancelled bool, err error) {
 	held, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.setCancelRead(cancel, time.Now())
+	s.setCancelRead(cancel, clock.Now())
 	defer s.setCancelRead(nil, time.Time{})
 	declared, err = s.control.Declarations(held, from, wait)
 	return declared, held.Err() != nil, err
@@ -189,7 +190,7 @@
 
 // backOff notes a read that failed, waits before the next one, and returns how long it waited.
 func (s *syncer) backOff(ctx context.Context, kind readKind, before time.Duration, err error) time.Duration {
-	now := time.Now()
+	now := clock.Now()
 	s.noteFailure(kind, now, err)
 	pause := s.longer(before, now)
 	sleep(ctx, pause)
@@ -266,7 +267,7 @@
 		return
 	}
 	for _, order := range declared.Orders {
-		s.router.releases.begin(order, 0, time.Now())
+		s.router.releases.begin(order, 0, clock.Now())
 	}
 	select {
 	case s.ordered <- struct{}{}:
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 )
 
@@ -84,7 +85,7 @@
 // ReadLog folds the log to its end.
 func (f *Follower) ReadLog(ctx context.Context) error {
 	for {
-		asked := time.Now()
+		asked := clock.Now()
 		from := f.Revision().Offset + 1
 		page, err := f.log.Read(ctx, willowwick.StreamConfig, from, readLimit)
 		if err != nil {
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 )
 
@@ -15,7 +16,7 @@
 // gossip renews the own digest when due and exchanges digests with one box of
 // the hall and one of another hall.
 func (n *Node) gossip(ctx context.Context) {
-	n.renewDigest(time.Now())
+	n.renewDigest(clock.Now())
 	same, other := n.partners()
 	if same != nil {
 		n.exchange(ctx, *same)
@@ -84,7 +85,7 @@
 }
 
 func (n *Node) exchange(ctx context.Context, with willowwick.Box) {
-	now := time.Now()
+	now := clock.Now()
 	args := ExchangeArgs{Peer: n.Self.Peer, Hall: n.Self.Hall, Offset: n.Follower.Revision().Offset}
 	marks, hallMarks := n.Table.Marks()
 	args.HallMarks = hallMarks
@@ -100,7 +101,7 @@
 	if err := n.Transport.Call(callCtx, with.Peer, rpcName+".Exchange", args, &reply); err != nil {
 		return
 	}
-	n.merge(time.Now(), reply.Digests, reply.Halls)
+	n.merge(clock.Now(), reply.Digests, reply.Halls)
 	n.heardOffset(callCtx, with.Peer, reply.Offset, reply.ConfirmMs)
 	if len(reply.Want) > 0 {
 		_ = n.Transport.Call(callCtx, with.Peer, rpcName+".Push", PushArgs{Digests: n.Table.Select(reply.Want)}, &Nothing{})
@@ -120,7 +121,7 @@
 		n.pull(ctx, peer)
 	}
 	if confirmMs >= 0 {
-		n.Follower.Confirm(offset, time.Now().Add(-time.Duration(confirmMs)*time.Millisecond))
+		n.Follower.Confirm(offset, clock.Now().Add(-time.Duration(confirmMs)*time.Millisecond))
 	}
 }
 
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 )
 
 // lead claims or renews the lease, and does the holder's duties.
 func (n *Node) lead(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	n.Lease.Observe(now, n.Follower.Revision().Lease)
@@ -21,7 +22,7 @@
 			_ = n.Follower.ReadLog(callCtx)
 		}
 	}
-	fence, held := n.Lease.Fence(time.Now())
+	fence, held := n.Lease.Fence(clock.Now())
 	if !held || n.Follower.IsBlocked() {
 		return
 	}
@@ -51,7 +52,7 @@
 
 // keepRoster writes a new roster when the boxes that are alive differ from the one in force.
 func (n *Node) keepRoster(ctx context.Context, fence willowwick.Fence) {
-	now := time.Now()
+	now := clock.Now()
 	roster := n.Follower.Revision().Roster
 	members := n.wantedMembers(now, roster)
 	if sameMembers(members, roster.Members) || !n.mayChangeRoster(now, roster) {
@@ -143,7 +144,7 @@
 	if err := n.Follower.ReadLog(ctx); err != nil {
 		return
 	}
-	if current, held := n.Lease.Fence(time.Now()); !held || current != fence {
+	if current, held := n.Lease.Fence(clock.Now()); !held || current != fence {
 		return
 	}
 	state, err := n.Follower.Revision().Encode()
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/route"
 )
@@ -129,7 +130,7 @@
 	n.nextOwn = time.Time{}
 	n.mu.Unlock()
 	for ctx.Err() == nil && (n.isMember() || n.releaseLease(ctx)) {
-		n.renewDigest(time.Now())
+		n.renewDigest(clock.Now())
 		if holder, ok := n.leaseHolder(); ok {
 			n.exchange(ctx, holder)
 		}
@@ -268,7 +269,7 @@
 
 // revised runs after each step of the fold.
 func (n *Node) revised(r *config.Revision) {
-	now := time.Now()
+	now := clock.Now()
 	n.Lease.Observe(now, r.Lease)
 	if r.Roster.Epoch > n.Registry.Epoch() {
 		n.noteRoster(now)
@@ -311,7 +312,7 @@
 // followLog reads the log if this box is one of the readers of its hall, or has
 // not heard of a current offset for longer than news take through a large hall.
 func (n *Node) followLog(ctx context.Context) {
-	if !n.isReader() && time.Since(n.Follower.Confirmed()) < 2*ConfirmFor {
+	if !n.isReader() && clock.Since(n.Follower.Confirmed()) < 2*ConfirmFor {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, logTimeout)
@@ -325,7 +326,7 @@
 func (n *Node) isReader() bool {
 	own := pairScore(n.Self.Boot, "reader")
 	higher := 0
-	for _, box := range n.Table.Live(time.Now()) {
+	for _, box := range n.Table.Live(clock.Now()) {
 		if box.Hall == n.Self.Hall && box.Boot != n.Self.Boot && pairScore(box.Boot, "reader") > own {
 			higher++
 		}
@@ -387,7 +388,7 @@
 }
 
 func (n *Node) sweep(context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	n.Registry.Sweep(now)
 	n.Table.Forget(now)
 }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 )
 
@@ -37,7 +38,7 @@
 // Exchange swaps digests.
 func (p *peerService) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
 	n := p.node
-	now := time.Now()
+	now := clock.Now()
 	n.merge(now, nil, args.Halls)
 	reply.Digests, reply.Halls, reply.Want = n.Table.Newer(args)
 	if args.Hall != n.Self.Hall && args.stampOf(n.Self.Hall) < hallStamp(now) {
@@ -60,7 +61,7 @@
 
 // Push takes digests that were asked for.
 func (p *peerService) Push(args PushArgs, _ *Nothing) error {
-	p.node.merge(time.Now(), args.Digests, nil)
+	p.node.merge(clock.Now(), args.Digests, nil)
 	return nil
 }
 
@@ -89,7 +90,7 @@
 
 // Put sets a claim or a session version.
 func (p *peerService) Put(args PutArgs, reply *PutReply) error {
-	now := time.Now()
+	now := clock.Now()
 	if args.Strict && !p.node.mayGrant(now) {
 		*reply = PutReply{Status: PutUnconfirmed, Epoch: p.node.Registry.Epoch()}
 		return nil
@@ -106,13 +107,13 @@
 
 // Export hands entries to a box that is new to their pairs.
 func (p *peerService) Export(args ExportArgs, reply *ExportReply) error {
-	*reply = p.node.Registry.Export(time.Now(), args)
+	*reply = p.node.Registry.Export(clock.Now(), args)
 	return nil
 }
 
 // Hold keeps usage records.
 func (p *peerService) Hold(args HoldArgs, _ *Nothing) error {
-	return p.node.Usage.Hold(time.Now(), args)
+	return p.node.Usage.Hold(clock.Now(), args)
 }
 
 // Settle forgets usage records that are on the log.
@@ -148,7 +149,7 @@
 }
 
 func (n *Node) chooseBuddy() (LiveBox, bool) {
-	live := n.LiveBoxes(time.Now())
+	live := n.LiveBoxes(clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.buddy.Boot != "" {
@@ -194,7 +195,7 @@
 	if buddy.Boot == "" {
 		return
 	}
-	for _, box := range n.Table.Live(time.Now()) {
+	for _, box := range n.Table.Live(clock.Now()) {
 		if box.Boot == buddy.Boot && !box.Draining {
 			return
 		}
@@ -221,12 +222,12 @@
 func (n *Node) Claim(ctx context.Context, key string, request willowwick.RequestID) ClaimStatus {
 	roster := n.Registry.Roster()
 	pair := Pair(roster, key)
-	if len(pair) == 0 || !n.mayGrant(time.Now()) {
+	if len(pair) == 0 || !n.mayGrant(clock.Now()) {
 		return ClaimUnavailable
 	}
 	args := PutArgs{
 		Epoch: roster.Epoch, Strict: true,
-		Entry: RegistryEntry{Key: key, Value: string(request), Deadline: time.Now().Add(ClaimWindow)},
+		Entry: RegistryEntry{Key: key, Value: string(request), Deadline: clock.TimeOfDay().Add(ClaimWindow)},
 	}
 	for i, keeper := range pair {
 		reply, err := n.put(ctx, keeper, args)
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 )
 
@@ -27,7 +28,7 @@
 	RegistryEntry struct {
 		Key      string
 		Value    string
-		Deadline time.Time // when it may be forgotten
+		Deadline time.Time // when it may be forgotten, by the time of day
 	}
 
 	// PutArgs sets a key that is not set yet.
@@ -237,7 +238,7 @@
 	}
 	r.exports, r.exportsAt = map[willowwick.BootID][]RegistryEntry{}, r.roster.Epoch
 	for key, entry := range r.entries {
-		if !now.Before(entry.Deadline) {
+		if !clock.System(now).Before(entry.Deadline) {
 			continue
 		}
 		for _, keeper := range Pair(r.roster, key) {
@@ -294,7 +295,7 @@
 		return reply
 	}
 	entry, known := r.entries[args.Entry.Key]
-	if known && now.Before(entry.Deadline) && !args.Replace {
+	if known && clock.System(now).Before(entry.Deadline) && !args.Replace {
 		reply.Value = entry.Value
 		if entry.Value != args.Entry.Value {
 			reply.Status = PutHeld
@@ -378,7 +379,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key, entry := range r.entries {
-		if !now.Before(entry.Deadline) {
+		if !clock.System(now).Before(entry.Deadline) {
 			delete(r.entries, key)
 		}
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/rollout"
 	"github.com/willowwick/willowwick/route"
 )
@@ -185,7 +186,7 @@
 // hallStamp is the same for all digests of a hall within a period, whoever
 // sums it up, so that each period's digest travels once.
 func hallStamp(now time.Time) int64 {
-	return now.UnixNano() / int64(hallPeriod)
+	return clock.System(now).UnixNano() / int64(hallPeriod) // by the time of day, which boxes share
 }
 
 // HallDigest sums up the own hall.
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -216,14 +217,14 @@
 
 // client returns the kept connection to the address, or opens one.
 func (t *Transport) client(ctx context.Context, address string) (*peerClient, error) {
-	if client := t.kept(address, time.Now()); client != nil {
+	if client := t.kept(address, clock.Now()); client != nil {
 		return client, nil
 	}
 	conn, err := t.open(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
-	client := &peerClient{Client: rpc.NewClient(conn), keptUntil: time.Now().Add(keptFor)}
+	client := &peerClient{Client: rpc.NewClient(conn), keptUntil: clock.Now().Add(keptFor)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -256,7 +257,7 @@
 // AppendNow appends what is due and reports whether the log took it.
 func (u *Usage) AppendNow(ctx context.Context) bool {
 	for {
-		records := u.due(time.Now())
+		records := u.due(clock.Now())
 		if len(records) == 0 {
 			return true
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -77,12 +78,12 @@
 			return nil, g.leave(w)
 		}
 	}
-	return &Ticket{Place: w.place, gate: g, work: wish.Work, cost: wish.Cost, taken: time.Now()}, nil
+	return &Ticket{Place: w.place, gate: g, work: wish.Work, cost: wish.Cost, taken: clock.Now()}, nil
 }
 
 // join takes a place if there is one, and otherwise a turn in the queue.
 func (g *Gate) join(wish Wish) (w *waiting, placed bool, refusal *willowwick.Refusal) {
-	now := time.Now()
+	now := clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q := g.queue(wish.Work)
@@ -113,7 +114,7 @@
 	defer g.mu.Unlock()
 	q := g.queue(w.Work)
 	if w.place != nil {
-		w.place.Release(time.Now(), route.OutcomeCancelled)
+		w.place.Release(clock.Now(), route.OutcomeCancelled)
 		g.gave(w.Work)
 	} else {
 		q.RemoveValue(w.Account, w)
@@ -210,7 +211,7 @@
 
 // Done gives the place back and lets the next request have it.
 func (t *Ticket) Done(outcome route.Outcome) {
-	now := time.Now()
+	now := clock.Now()
 	t.Release(now, outcome)
 	t.gate.mu.Lock()
 	defer t.gate.mu.Unlock()
--- a/remote/engine.go
+++ b/remote/engine.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 // Headers between the router and endpoints.
@@ -132,7 +133,7 @@
 	}
 	request.Header.Set("Content-Type", contentTypeJSON)
 	request.Header.Set(HeaderRequestID, string(call.Request))
-	request.Header.Set(HeaderDeadline, call.Deadline.UTC().Format(time.RFC3339Nano))
+	request.Header.Set(HeaderDeadline, clock.System(call.Deadline).UTC().Format(time.RFC3339Nano))
 	if call.ResumeAt > 0 {
 		request.Header.Set(HeaderResumeAt, strconv.Itoa(call.ResumeAt))
 	}
--- a/serve/admin.go
+++ b/serve/admin.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/fleet"
 )
@@ -91,7 +92,7 @@
 
 // Status returns what the daemon knows of itself and the fleet.
 func (d *Daemon) Status() Status {
-	now := time.Now()
+	now := clock.Now()
 	r := d.node.Follower.Revision()
 	ready, why := d.ready()
 	own, held := d.node.Usage.Backlog()
--- a/serve/api.go
+++ b/serve/api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/gen/chat"
@@ -81,7 +82,7 @@
 		select {
 		case d.places <- struct{}{}:
 		default:
-			writeRefusal(w, d.refuse(willowwick.NotRun(willowwick.CodeOverloaded, time.Now().Add(gate.OverloadRetry),
+			writeRefusal(w, d.refuse(willowwick.NotRun(willowwick.CodeOverloaded, clock.Now().Add(gate.OverloadRetry),
 				"this box serves %d requests already", d.settings.MaxRequests)), "")
 			return
 		}
@@ -110,7 +111,7 @@
 	if !strings.HasPrefix(authorization, bearerPrefix) {
 		return nil, nil, willowwick.Invalid(willowwick.CodeBadKey, "Authorization", "send the client account's key as 'Authorization: Bearer KEY'")
 	}
-	now := time.Now()
+	now := clock.Now()
 	revision := d.node.Follower.Revision()
 	id, account, ok := revision.Authenticate(strings.TrimPrefix(authorization, bearerPrefix))
 	if !ok {
--- a/serve/call.go
+++ b/serve/call.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/rollout"
 	"github.com/willowwick/willowwick/route"
@@ -68,7 +69,7 @@
 
 // open finds a runner that begins the answer.
 func (r *run) open(ctx context.Context, version willowwick.VersionID) (*call, *willowwick.Refusal) {
-	c := &call{run: r, ctx: ctx, version: version, exclude: map[willowwick.EndpointID]bool{}, begun: time.Now()}
+	c := &call{run: r, ctx: ctx, version: version, exclude: map[willowwick.EndpointID]bool{}, begun: clock.Now()}
 	if refusal := c.attach(); refusal != nil {
 		return nil, refusal
 	}
@@ -104,7 +105,7 @@
 	if c.position > 0 {
 		return willowwick.Failed(willowwick.CodeNoVersion, "version %q was withdrawn while its answer was being resumed", c.version)
 	}
-	return willowwick.NotRun(willowwick.CodeNoVersion, time.Now().Add(gate.OverloadRetry), "version %q is not to be used any more", c.version)
+	return willowwick.NotRun(willowwick.CodeNoVersion, clock.Now().Add(gate.OverloadRetry), "version %q is not to be used any more", c.version)
 }
 
 func (c *call) enter() (*gate.Ticket, *willowwick.Refusal) {
@@ -183,7 +184,7 @@
 	if r.sent {
 		return willowwick.Failed(willowwick.CodeEndpoint, "no endpoint gave a whole answer of version %q", c.version)
 	}
-	return willowwick.NotRun(willowwick.CodeNoEndpoint, time.Now().Add(gate.OverloadRetry), "no endpoint took the request")
+	return willowwick.NotRun(willowwick.CodeNoEndpoint, clock.Now().Add(gate.OverloadRetry), "no endpoint took the request")
 }
 
 func (c *call) timedOut() *willowwick.Refusal {
@@ -235,7 +236,7 @@
 
 func (c *call) accept(chunk willowwick.Chunk) {
 	if c.first.IsZero() {
-		c.first = time.Now()
+		c.first = clock.Now()
 		c.run.daemon.metrics.firstToken.UpdateDuration(c.begun)
 	}
 	c.position++
@@ -286,7 +287,7 @@
 		usage = *last.Usage
 	}
 	c.charge(usage)
-	now := time.Now()
+	now := clock.Now()
 	slow := c.isSlow(now, usage.Output)
 	seen := rollout.Evidence{Requests: 1}
 	outcome := route.OutcomeGood
--- a/serve/cascade.go
+++ b/serve/cascade.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/rollout"
 	"github.com/willowwick/willowwick/route"
@@ -71,7 +71,7 @@
 
 // chooseVersion picks the version of a model and keeps the session on it.
 func (r *run) chooseVersion(ctx context.Context, model willowwick.ModelID) (willowwick.VersionID, *willowwick.Refusal) {
-	now := time.Now()
+	now := clock.Now()
 	query := route.VersionQuery{
 		Account: r.request.Account, Model: model, Seed: string(r.request.ID), Pinned: r.token.Versions[model],
 		Confirmed: r.daemon.node.Confirmed(now), Exclude: r.plan.Exclude, Now: now,
@@ -115,7 +115,7 @@
 	if !ok {
 		return route.TryStage
 	}
-	judged := r.plan.Judge == config.JudgeRater && r.daemon.rater.isUp(time.Now())
+	judged := r.plan.Judge == config.JudgeRater && r.daemon.rater.isUp(clock.Now())
 	return r.daemon.learner.Choose(route.StageChoice{
 		Subject:    r.subject(version),
 		StrongOf:   r.subject(strong),
@@ -123,7 +123,7 @@
 		Strong:     r.expectedCost(strong),
 		Judged:     judged,
 		Quality:    r.plan.Quality,
-		Now:        time.Now(),
+		Now:        clock.Now(),
 		Deadline:   r.request.Deadline,
 		CanExplore: true,
 	})
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/gate"
@@ -99,7 +100,7 @@
 	d.endpointNames.Store(&map[fleet.NameHash]willowwick.EndpointID{})
 	transport, closeTransport := fleet.NewTransport(settings.Key, outside.Dial, settings.PeerTLS)
 	self := fleet.Identity{
-		Box: settings.Box, Boot: settings.Boot, Hall: settings.Hall, Peer: settings.PeerAddress, Started: time.Now(),
+		Box: settings.Box, Boot: settings.Boot, Hall: settings.Hall, Peer: settings.PeerAddress, Started: clock.Now(),
 	}
 	d.node = fleet.NewNode(fleet.Settings{
 		Self: self, Log: outside.Log, Live: outside.Live, Listener: outside.Peers,
@@ -201,7 +202,7 @@
 // Drain is the planned stop: not ready first, then new requests refused, then
 // answers finished and usage handed over. It returns when the daemon may be stopped.
 func (d *Daemon) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(d.settings.DrainLimit))
+	ctx, cancel := clock.WithDeadline(ctx, clock.Now().Add(d.settings.DrainLimit))
 	defer cancel()
 	slog.Info("planned stop began", "box", d.settings.Box)
 	d.notReady.Store(true)
@@ -264,7 +265,7 @@
 
 // ready reports whether the balancer should send requests, and if not, why.
 func (d *Daemon) ready() (ok bool, why string) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case d.notReady.Load():
 		return false, "stopping"
@@ -298,7 +299,7 @@
 
 // fillDigest adds this box's part to its digest.
 func (d *Daemon) fillDigest(digest *fleet.Digest) {
-	now := time.Now()
+	now := clock.Now()
 	for account, rate := range d.limiter.Measure(now) {
 		digest.Demand.Add(fleet.HashName(account), rate)
 	}
@@ -317,7 +318,7 @@
 
 // heardDigests takes what other boxes know of endpoints.
 func (d *Daemon) heardDigests(digests []fleet.Digest, halls []fleet.HallDigest) {
-	now := time.Now()
+	now := clock.Now()
 	names := *d.endpointNames.Load()
 	for _, digest := range digests {
 		if digest.Box == d.settings.Box {
@@ -346,7 +347,7 @@
 // boxes of a hall share them out by rendezvous hashing.
 func (d *Daemon) polledEndpoints() []willowwick.Endpoint {
 	var hall []fleet.LiveBox
-	for _, box := range d.node.Table.Live(time.Now()) {
+	for _, box := range d.node.Table.Live(clock.Now()) {
 		if box.Hall == d.settings.Hall {
 			hall = append(hall, box)
 		}
@@ -395,13 +396,13 @@
 		return
 	}
 	// The report's own time is the endpoint's clock; what counts here is when it was had.
-	load.At = time.Now()
+	load.At = clock.Now()
 	d.pool.Report(load)
 }
 
 func (d *Daemon) watchVersions(ctx context.Context) {
 	for ctx.Err() == nil {
-		d.watch.look(time.Now(), d.node.Follower.Revision())
+		d.watch.look(clock.Now(), d.node.Follower.Revision())
 		d.noteReadiness()
 		pause(ctx, watchTick)
 	}
@@ -449,10 +450,10 @@
 			if err := d.node.Follower.ReadLog(ctx); err != nil {
 				return
 			}
-			if current, held := d.node.Lease.Fence(time.Now()); !held || current != fence {
+			if current, held := d.node.Lease.Fence(clock.Now()); !held || current != fence {
 				return
 			}
-			order := willowwick.Order{Fence: fence, Withdraw: version, Deadline: time.Now().Add(orderFor)}
+			order := willowwick.Order{Fence: fence, Withdraw: version, Deadline: clock.Now().Add(orderFor)}
 			err := d.outside.Engine.Order(ctx, endpoint, order)
 			if errors.Is(err, willowwick.ErrFenced) {
 				d.metrics.fenceRefused.Inc()
--- a/serve/errors.go
+++ b/serve/errors.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gen/chat"
 	"github.com/willowwick/willowwick/gen/models"
 	goahttp "goa.design/goa/v3/http"
@@ -83,7 +83,7 @@
 	if r.RetryAt.IsZero() {
 		return nil
 	}
-	seconds := max(1, int(math.Ceil(time.Until(r.RetryAt).Seconds())))
+	seconds := max(1, int(math.Ceil(clock.Until(r.RetryAt).Seconds())))
 	return &seconds
 }
 
--- a/serve/rating.go
+++ b/serve/rating.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 )
 
@@ -56,13 +57,13 @@
 
 // rate asks the rater, for at most rateWait.
 func (d *Daemon) rate(ctx context.Context, rating willowwick.RatingRequest) (willowwick.Score, error) {
-	if !d.rater.isUp(time.Now()) {
+	if !d.rater.isUp(clock.Now()) {
 		return 0, errRaterDown
 	}
 	ctx, cancel := context.WithTimeout(ctx, rateWait)
 	defer cancel()
 	score, err := d.outside.Rater.Rate(ctx, rating)
-	d.rater.note(time.Now(), err)
+	d.rater.note(clock.Now(), err)
 	if err != nil {
 		d.metrics.ratingFailures.Inc()
 		return 0, err
@@ -97,7 +98,7 @@
 // sampleRating has some answers rated that nobody waits for, as evidence on
 // their version; all of those of a version that is rolling out.
 func (d *Daemon) sampleRating(r *run, version willowwick.VersionID, text string) {
-	if r.judging || !d.isSampled(r.request.ID, version) || !d.rater.isUp(time.Now()) {
+	if r.judging || !d.isSampled(r.request.ID, version) || !d.rater.isUp(clock.Now()) {
 		return
 	}
 	select {
--- a/serve/run.go
+++ b/serve/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/route"
@@ -79,7 +80,7 @@
 
 // Complete answers a chat request, or says why not.
 func (d *Daemon) Complete(ctx context.Context, request *willowwick.Request, token string) (*Answer, *willowwick.Refusal) {
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	ctx, cancel := clock.WithDeadline(ctx, request.Deadline)
 	r, refusal := d.beginRun(request, token)
 	if refusal == nil {
 		refusal = r.claim(ctx)
@@ -102,7 +103,7 @@
 
 // beginRun checks what can be known before anything is reserved.
 func (d *Daemon) beginRun(request *willowwick.Request, token string) (*run, *willowwick.Refusal) {
-	now := time.Now()
+	now := clock.Now()
 	revision := d.node.Follower.Revision()
 	if refusal := d.mayServe(now); refusal != nil {
 		return nil, refusal
@@ -184,9 +185,9 @@
 
 // claimKey reserves a key, and makes sure that the reservation is still young when it returns.
 func (d *Daemon) claimKey(ctx context.Context, key string, id willowwick.RequestID) *willowwick.Refusal {
-	begun := time.Now()
+	begun := clock.Now()
 	status := d.node.Claim(ctx, key, id)
-	if status == fleet.ClaimGranted && time.Since(begun) > claimFreshFor {
+	if status == fleet.ClaimGranted && clock.Since(begun) > claimFreshFor {
 		status = fleet.ClaimUnavailable
 	}
 	switch status {
@@ -197,7 +198,7 @@
 	case fleet.ClaimUnknown:
 		return willowwick.OutcomeUnknown(willowwick.CodeClaim, "whether a request with this idempotency key ran before is not known; this one was not run")
 	default:
-		return willowwick.NotRun(willowwick.CodeClaim, time.Now().Add(claimRetry), "the idempotency key cannot be reserved just now")
+		return willowwick.NotRun(willowwick.CodeClaim, clock.Now().Add(claimRetry), "the idempotency key cannot be reserved just now")
 	}
 }
 
@@ -227,7 +228,7 @@
 		if declared, ok := r.revision.Version(version); ok {
 			r.token.Versions[declared.Model] = version
 		}
-		r.token.Expires = time.Now().Add(sessionFor)
+		r.token.Expires = clock.TimeOfDay().Add(sessionFor)
 		answer.SessionToken = r.daemon.sessions.issue(r.token)
 	}
 	return answer
@@ -281,7 +282,7 @@
 	r.daemon.limiter.Refund(r.request.Account, r.request.EstimatedTokens()-r.usage.Prompt-r.usage.Output)
 	r.daemon.node.Usage.Record(context.Background(), willowwick.UsageRecord{
 		Request: r.request.ID, Account: r.request.Account, Version: version,
-		Prompt: r.usage.Prompt, Output: r.usage.Output, Cost: r.cost, At: time.Now().UTC(),
+		Prompt: r.usage.Prompt, Output: r.usage.Output, Cost: r.cost, At: clock.TimeOfDay().UTC(),
 	})
 	r.noteQuality(version)
 	r.daemon.metrics.answered(r.request.Account, version, r.cost)
--- a/serve/services.go
+++ b/serve/services.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/route"
@@ -63,7 +64,7 @@
 		writeRefusal(w, d.refuse(refusal), "")
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), run.request.Deadline)
+	ctx, cancel := clock.WithDeadline(r.Context(), run.request.Deadline)
 	defer cancel()
 	reply, refusal := run.answer(ctx)
 	if refusal != nil {
@@ -92,7 +93,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	now := time.Now()
+	now := clock.Now()
 	if refusal := d.mayServe(now); refusal != nil {
 		return nil, refusal
 	}
@@ -168,7 +169,7 @@
 		return nil, refusal
 	}
 	s.daemon.node.Usage.Record(context.Background(), willowwick.UsageRecord{
-		Request: s.request.ID, Account: s.request.Account, Service: s.service, At: time.Now().UTC(),
+		Request: s.request.ID, Account: s.request.Account, Service: s.service, At: clock.TimeOfDay().UTC(),
 	})
 	return reply, nil
 }
@@ -251,6 +252,6 @@
 	case s.sent:
 		return willowwick.Failed(willowwick.CodeEndpoint, "no instance answered")
 	default:
-		return willowwick.NotRun(willowwick.CodeNoEndpoint, time.Now().Add(gate.OverloadRetry), "no instance took the call")
+		return willowwick.NotRun(willowwick.CodeNoEndpoint, clock.Now().Add(gate.OverloadRetry), "no instance took the call")
 	}
 }
--- a/serve/sessions.go
+++ b/serve/sessions.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
 )
 
@@ -82,7 +83,7 @@
 	if err := json.Unmarshal(data, &token); err != nil {
 		return sessionToken{}, false
 	}
-	return token, token.Account == account && now.Before(token.Expires)
+	return token, token.Account == account && clock.System(now).Before(token.Expires)
 }
 
 func pinKey(account willowwick.AccountID, model willowwick.ModelID, session willowwick.SessionID) string {
@@ -111,7 +112,7 @@
 
 // pin settles the version of a session with the boxes that keep it.
 func (s *sessions) pin(ctx context.Context, key string, version willowwick.VersionID, replace bool) willowwick.VersionID {
-	lasts := time.Now().Add(pinFor)
+	lasts := clock.Now().Add(pinFor)
 	kept := s.node.Pin(ctx, key, version, lasts, replace)
 	s.remember(key, kept, lasts)
 	return kept
--- a/serve/trace.go
+++ b/serve/trace.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -65,7 +66,7 @@
 
 // add notes a decision.
 func (t *Trace) add(event, format string, args ...any) {
-	step := TraceStep{At: time.Now(), Event: event, Detail: fmt.Sprintf(format, args...)}
+	step := TraceStep{At: clock.TimeOfDay(), Event: event, Detail: fmt.Sprintf(format, args...)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.Steps) < traceMaxSteps {
--- a/wire/message.go
+++ b/wire/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -157,7 +158,7 @@
 }
 
 func (c *Conn) receiveOne(method string, silentAt, deadline time.Time) (*Answer, error) {
-	if err := c.conn.SetReadDeadline(silentAt); err != nil {
+	if err := c.conn.SetReadDeadline(clock.System(silentAt)); err != nil {
 		return nil, errors.Wrap(willowwick.ErrBroken, err.Error())
 	}
 	if _, err := c.reader.Peek(1); err != nil {
@@ -166,7 +167,7 @@
 		}
 		return nil, errors.Wrap(willowwick.ErrBroken, "no answer: "+err.Error())
 	}
-	if err := c.conn.SetReadDeadline(deadline); err != nil {
+	if err := c.conn.SetReadDeadline(clock.System(deadline)); err != nil {
 		return nil, errors.Wrap(willowwick.ErrBroken, err.Error())
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -201,7 +202,7 @@
 	if a.conn.reader.Buffered() > 0 || a.Length >= 0 && a.read >= a.Length {
 		return nil
 	}
-	if err := a.conn.conn.SetReadDeadline(until); err != nil {
+	if err := a.conn.conn.SetReadDeadline(clock.System(until)); err != nil {
 		return errors.Wrap(willowwick.ErrBroken, err.Error())
 	}
 	_, err := a.conn.reader.Peek(1)
@@ -209,7 +210,7 @@
 		return ErrSilent
 	}
 	// Any other error, the end of the connection among them, is the body's to tell.
-	return errors.Wrap(a.conn.conn.SetReadDeadline(a.deadline), "read deadline")
+	return errors.Wrap(a.conn.conn.SetReadDeadline(clock.System(a.deadline)), "read deadline")
 }
 
 // Done gives the connection back after a whole answer, and closes it otherwise.
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"golang.org/x/sys/unix"
 )
 
@@ -103,7 +104,7 @@
 		if c == nil {
 			break
 		}
-		if c.isQuiet(time.Now()) {
+		if c.isQuiet(clock.Now()) {
 			p.count(func(s *Stats) { s.Reused++ })
 			return c, nil
 		}
@@ -252,7 +253,7 @@
 
 // Release gives the connection back after a whole answer, or closes it if it may not be used again.
 func (c *Conn) Release(keepAlive string) {
-	c.rested = time.Now()
+	c.rested = clock.Now()
 	c.until = c.rested.Add(idleTime(keepAlive))
 	if err := c.conn.SetDeadline(time.Time{}); err != nil || c.reader.Buffered() > 0 || !c.wasWritten() {
 		c.Close()
