The own interface sends no request on that ended three endpoints

Cause: the class of the incident holds there too: what a broken answer tells of its request was forgotten with it, and each request that was at an endpoint when it ended counted as evidence against its version. Change: the same ledger, told by gossip; a box looks whether anything listens at the runner's or instance's address where an answer broke off. The end of an endpoint counts as one failure of its version, not as one for each request there. A refusal that says that something was tried never goes out as 503, which promises that nothing ran: it did for codes without a status of their own, the new one among them. What boxes have told each other is kept in one place for both interfaces. Not kept on the log of the own interface yet: a fleet that loses power all at once finds such a request out anew.

--- a/engine.go
+++ b/engine.go
@@ -51,6 +51,9 @@
 	Open(ctx context.Context, call EngineCall) (ChunkStream, func(), error)
 	Load(ctx context.Context, endpoint Endpoint) (EndpointLoad, error)
 	Order(ctx context.Context, endpoint Endpoint, order Order) error
+	// IsListening finds out by a new connection whether anything listens at the endpoint's address; known is false if that
+	// did not show in time.
+	IsListening(ctx context.Context, endpoint Endpoint) (listens, known bool)
 }
 
 // ServiceCall is one call to a plain service.
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -48,8 +48,7 @@
 		KnownSum     uint64 // over the boxes that the caller knows
 		TakesChanges bool   // of the list of endpoints; a box of an earlier release takes whole lists alone
 		WantsList    bool   // whole, since its own differs from what the peer told last
-		Harm         quarantine.News
-		HarmKnown    quarantine.Position // up to where the caller knows what the peer has learnt
+		Harm         quarantine.Call
 	}
 
 	// SwapReply is a peer's digest with what the caller lacks.
--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -21,13 +21,6 @@
 	harmRetry = time.Second
 )
 
-// harmTold is what two boxes have told each other of requests that end endpoints.
-type harmTold struct {
-	theirs quarantine.Position // up to where this box knows what the other one has learnt
-	own    quarantine.Position // up to where the other one knows what this box has learnt
-	boot   willowwick.BootID   // the life of the other one that knows it
-}
-
 // harmRefusal is what the caller of a request that ends endpoints is told by each box: for good, and without a promise that it
 // has not run.
 func harmRefusal() *willowwick.Refusal {
@@ -96,42 +89,6 @@
 	}
 }
 
-// harmTold is what this box and another one have told each other.
-func (p *peers) harmTold(address string) harmTold {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.known[address]; known != nil {
-		return known.harm
-	}
-	return harmTold{}
-}
-
-// harmFor is what this box tells another one that knows so much.
-func (p *peers) harmFor(address string, known quarantine.Position, now time.Time) quarantine.News {
-	return p.router.harm.Since(known, p.router.settings.Boot, address, now)
-}
-
-// takeHarm takes what another box tells, and passes it on at once.
-func (p *peers) takeHarm(news quarantine.News, from string, now time.Time) {
-	if p.router.harm.Take(news, from, now) {
-		p.hurry()
-	}
-}
-
-// noteHarmTold notes what a box knows that has answered. One that was started anew meanwhile knows nothing of before.
-func (p *peers) noteHarmTold(address string, own quarantine.Position, reply *SwapReply) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	known := p.known[address]
-	if known == nil {
-		return
-	}
-	if known.harm.boot != reply.Digest.Boot {
-		own = quarantine.Position{}
-	}
-	known.harm = harmTold{theirs: reply.Harm.Position, own: own, boot: reply.Digest.Boot}
-}
-
 // keepHarmful reads what the store holds of requests that end endpoints, and writes what this box found, until the context ends. What
 // the boxes know dies with them, and all may lose power at once.
 func (s *syncer) keepHarmful(ctx context.Context) {
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -52,7 +52,6 @@
 		triedAt  time.Time // last call
 		failures int       // calls in a row that failed
 		swapping bool      // a call to it is under way
-		harm     harmTold
 	}
 )
 
@@ -214,6 +213,7 @@
 	for address, known := range p.known {
 		if !known.isKept(now) {
 			delete(p.known, address)
+			p.harm.Forget(address)
 		}
 	}
 }
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -242,8 +242,7 @@
 	call := box.peers.callTo(address, now)
 	var reply SwapReply
 	require.NoError(t, (&rpcServer{peers: other.peers}).Swap(&call, &reply))
-	box.peers.takeReply(reply, now, now)
-	box.peers.noteHarmTold(address, call.Harm.Position, &reply)
+	box.peers.takeReply(&call, reply, now, now)
 	m.swapped += m.messages.add(t, call) + m.messages.add(t, reply)
 }
 
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -11,6 +11,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -30,6 +31,7 @@
 		router    *Router
 		transport *fleet.Transport
 		began     time.Time
+		harm      *quarantine.Peers
 		urgent    chan struct{} // there is news that cannot wait for the next round of swaps
 
 		mu    sync.Mutex
@@ -50,6 +52,7 @@
 	}, nil)
 	p := &peers{
 		router: x, transport: transport, began: clock.Now(), urgent: make(chan struct{}, 1),
+		harm:  quarantine.NewPeers(x.harm, x.settings.Boot),
 		known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{},
 	}
 	for _, address := range x.settings.Seeds {
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -109,8 +109,7 @@
 		p.failed(address, err)
 		return
 	}
-	p.takeReply(reply, sent, clock.Now())
-	p.noteHarmTold(address, call.Harm.Position, &reply)
+	p.takeReply(&call, reply, sent, clock.Now())
 }
 
 // callTo is what this box tells another one.
@@ -121,13 +120,12 @@
 	if version, heard := p.versionOf(address); heard {
 		call.Table = p.tableFor(version)
 	}
-	told := p.harmTold(address)
-	call.Harm, call.HarmKnown = p.harmFor(address, told.own, now), told.theirs
+	call.Harm = p.harm.CallTo(address, now)
 	return call
 }
 
 // takeReply takes what a box answered to a call sent at the given time.
-func (p *peers) takeReply(reply SwapReply, sent, now time.Time) {
+func (p *peers) takeReply(call *SwapCall, reply SwapReply, sent, now time.Time) {
 	reply.Digest.addAge(now.Sub(sent))
 	p.heard(reply.Digest, now)
 	p.listKnown(reply.Known, sent)
@@ -135,7 +133,9 @@
 	p.takeTable(reply.Table, reply.Digest.Box)
 	p.router.sync.hearConfig(&reply.Digest, now)
 	p.router.sync.takeFromPeer(reply, now)
-	p.takeHarm(reply.Harm, reply.Digest.Address, now)
+	if p.harm.Took(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now) {
+		p.hurry()
+	}
 }
 
 // Swap answers a box's digest with this box's own.
@@ -147,8 +147,10 @@
 	reply.Digest = p.digest(now)
 	reply.Table = p.tableFor(call.Digest.TableVersion)
 	reply.Endpoints = p.router.sync.listFor(call)
-	p.takeHarm(call.Harm, call.Digest.Address, now)
-	reply.Harm = p.harmFor(call.Digest.Address, call.HarmKnown, now)
+	isNews := false
+	if reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now); isNews {
+		p.hurry()
+	}
 	if call.KnownSum == p.knownSum(now) {
 		reply.HallAges = p.hallAges(now)
 	} else {
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/rollout"
 )
 
@@ -97,6 +98,7 @@
 		Marks     Marks
 		HallMarks []HallMark
 		Halls     []HallDigest
+		Harm      quarantine.Call
 	}
 
 	// ExchangeReply brings what the caller lacked and asks for what the answerer lacks.
@@ -106,6 +108,8 @@
 		Digests   []Digest
 		Halls     []HallDigest
 		Want      []NameHash
+		Boot      willowwick.BootID
+		Harm      quarantine.News
 	}
 
 	// PushArgs brings digests that were asked for.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -14,6 +14,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -66,7 +67,9 @@
 		Registry  *Registry
 		Usage     *Usage
 		Lease     *Lease
+		Harm      *quarantine.Ledger // of requests that end endpoints
 
+		harm     *quarantine.Peers
 		mu       sync.Mutex
 		listing  willowwick.Listing
 		listed   bool
@@ -90,7 +93,9 @@
 		Table:     NewTable(settings.Self),
 		Registry:  NewRegistry(settings.Self.Boot),
 		Lease:     NewLease(settings.Self),
+		Harm:      quarantine.New(),
 	}
+	n.harm = quarantine.NewPeers(n.Harm, settings.Self.Boot)
 	seed := xxhash.Sum64String(string(settings.Self.Boot))
 	n.random = rand.New(rand.NewPCG(seed, seed))
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -391,4 +396,5 @@
 	now := clock.Now()
 	n.Registry.Sweep(now)
 	n.Table.Forget(now)
+	n.Harm.Expire(now)
 }
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -49,6 +49,8 @@
 		n.workers.Go(func() { n.pullFrom(args.Peer) })
 	}
 	reply.ConfirmMs = n.confirmAge(now)
+	reply.Boot = n.Self.Boot
+	reply.Harm, _ = n.harm.Answer(args.Harm, args.Peer, now)
 	return nil
 }
 
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -97,9 +97,15 @@
 
 // serve runs an HTTP server for a host until the fleet is closed.
 func (f *Fleet) serve(host string, handler http.Handler) (string, error) {
+	address, _, err := f.serveUntil(host, handler)
+	return address, err
+}
+
+// serveUntil runs an HTTP server for a host until the fleet is closed, or the function it returns ends it with all its connections.
+func (f *Fleet) serveUntil(host string, handler http.Handler) (address string, end func(), err error) {
 	listener, err := f.options.Network.Listen(host)
 	if err != nil {
-		return "", errors.Wrap(err, "lab")
+		return "", nil, errors.Wrap(err, "lab")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerWait}
 	done := make(chan struct{})
@@ -107,32 +113,19 @@
 		defer close(done)
 		_ = server.Serve(listener)
 	}()
+	end = func() { _ = server.Close() }
 	f.closers = append(f.closers, func() {
-		_ = server.Close()
+		end()
 		<-done
 	})
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), end, nil
 }
 
 func (f *Fleet) startEndpoints() error {
 	for i := range f.options.Runners {
-		id := willowwick.EndpointID("runner" + itoa(i+1))
-		behaviours := map[willowwick.VersionID]standin.VersionBehaviour{}
-		endpoint := willowwick.Endpoint{ID: id, Kind: willowwick.KindRunner, Hall: f.hall(i), ChecksFencing: true}
-		for version, behaviour := range f.options.Versions {
-			behaviours[version] = behaviour
-			endpoint.Versions = append(endpoint.Versions, version)
-		}
-		engine := standin.NewEngine(id, max(f.options.Slots, 1), behaviours)
-		engine.ChecksFencing = true
-		address, err := f.serve(string(id), engine)
-		if err != nil {
+		if err := f.startRunner(i); err != nil {
 			return err
 		}
-		endpoint.Address = address
-		f.addresses = append(f.addresses, address)
-		f.Runners = append(f.Runners, engine)
-		f.Platform.SetEndpoint(endpoint)
 	}
 	for name, instances := range f.options.Services {
 		for i := range instances {
@@ -149,6 +142,29 @@
 	return nil
 }
 
+// startRunner starts and lists a runner; the first is number 0.
+func (f *Fleet) startRunner(i int) error {
+	id := willowwick.EndpointID("runner" + itoa(i+1))
+	behaviours := map[willowwick.VersionID]standin.VersionBehaviour{}
+	endpoint := willowwick.Endpoint{ID: id, Kind: willowwick.KindRunner, Hall: f.hall(i), ChecksFencing: true}
+	for version, behaviour := range f.options.Versions {
+		behaviours[version] = behaviour
+		endpoint.Versions = append(endpoint.Versions, version)
+	}
+	engine := standin.NewEngine(id, max(f.options.Slots, 1), behaviours)
+	engine.ChecksFencing = true
+	address, end, err := f.serveUntil(string(id), engine)
+	engine.End = end
+	if err != nil {
+		return err
+	}
+	endpoint.Address = address
+	f.addresses = append(f.addresses, address)
+	f.Runners = append(f.Runners, engine)
+	f.Platform.SetEndpoint(endpoint)
+	return nil
+}
+
 func (f *Fleet) close() {
 	for _, box := range f.Boxes {
 		box.Kill()
--- a/lab/network.go
+++ b/lab/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -135,7 +136,7 @@
 		return nil, errCut
 	}
 	if listener == nil {
-		return nil, errors.New("connection refused")
+		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
 	nearConn := m.track(near, newLink(host, target))
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -44,6 +44,7 @@
 		suspects map[willowwick.Fingerprint]*suspect
 		likely   map[willowwick.Fingerprint]*suspect // those with enough ends to be refused
 		refused  map[willowwick.Fingerprint]bool
+		known    map[endKey]time.Time // ends of endpoints under whatever request
 		history  history
 		due      map[willowwick.Fingerprint]bool // what of them is kept at the store has to be written
 	}
@@ -68,7 +69,7 @@
 func New() *Ledger {
 	return &Ledger{
 		suspects: map[willowwick.Fingerprint]*suspect{}, likely: map[willowwick.Fingerprint]*suspect{},
-		refused: map[willowwick.Fingerprint]bool{}, due: map[willowwick.Fingerprint]bool{},
+		refused: map[willowwick.Fingerprint]bool{}, due: map[willowwick.Fingerprint]bool{}, known: map[endKey]time.Time{},
 	}
 }
 
@@ -91,10 +92,12 @@
 	return len(l.suspects), len(l.refused)
 }
 
-// NoteEnd notes that an endpoint ended while this box had the request there.
-func (l *Ledger) NoteEnd(about willowwick.HarmfulRequest, end willowwick.EndpointEnd) {
+// NoteEnd notes that an endpoint ended while this box had the request there, and reports whether the end was not known before
+// under any request.
+func (l *Ledger) NoteEnd(about willowwick.HarmfulRequest, end willowwick.EndpointEnd) (isFirst bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_, isKnown := l.known[endKey{end.Endpoint, end.Incarnation}]
 	s := l.suspect(about.Request, end.At)
 	if s.about == nil {
 		about.Ends = nil
@@ -102,6 +105,7 @@
 	}
 	l.addEnd(about.Request, end, "")
 	l.judge(end.At, "seen here")
+	return !isKnown
 }
 
 // NoteAnswer notes that an endpoint has answered the request whole: what ended others before was something else.
@@ -148,6 +152,11 @@
 			l.forget(request)
 		}
 	}
+	for key, at := range l.known {
+		if now.Sub(at) > suspectKept {
+			delete(l.known, key)
+		}
+	}
 	l.judge(now, "too old")
 }
 
@@ -199,6 +208,7 @@
 		return false
 	}
 	s.ends[key] = end
+	l.known[key] = end.At
 	if len(s.ends) >= RefuseAfter {
 		l.likely[request] = s
 	}
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -127,18 +127,22 @@
 	const boxes, steps = 4, 120
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, seed))
-		ledgers, boots := make([]*Ledger, boxes), make([]int, boxes)
-		known := map[string]Position{}
-		for i := range ledgers {
-			ledgers[i] = New()
+		ledgers, peers, boots := make([]*Ledger, boxes), make([]*Peers, boxes), make([]int, boxes)
+		start := func(box int) {
+			boots[box]++
+			ledgers[box] = New()
+			peers[box] = NewPeers(ledgers[box], willowwick.BootID(fmt.Sprint(box, "-", boots[box])))
+		}
+		for box := range boxes {
+			start(box)
 		}
 		now := began
-		tell := func(from, to int) {
-			link := fmt.Sprint(from, boots[from], to, boots[to])
-			boot := willowwick.BootID(fmt.Sprint(from, "-", boots[from]))
-			news := ledgers[from].Since(known[link], boot, fmt.Sprint(to), now)
-			known[link] = news.Position
-			ledgers[to].Take(news, fmt.Sprint(from), now)
+		tell := func(from, to int, isLost bool) {
+			call := peers[from].CallTo(fmt.Sprint(to), now)
+			answer, _ := peers[to].Answer(call, fmt.Sprint(from), now)
+			if !isLost {
+				peers[from].Took(call, answer, fmt.Sprint(to), peers[to].boot, now)
+			}
 		}
 		for step := range steps {
 			now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond)
@@ -153,19 +157,18 @@
 				if random.IntN(5) == 0 {
 					// Its neighbours know what it knew, all of it told before.
 					for to := range ledgers {
-						tell(at, to)
+						tell(at, to, false)
 					}
-					ledgers[at] = New()
-					boots[at]++
+					start(at)
 				}
 			default:
-				tell(at, random.IntN(boxes))
+				tell(at, random.IntN(boxes), random.IntN(4) == 0)
 			}
 		}
 		for range 3 {
 			for from := range ledgers {
 				for to := range ledgers {
-					tell(from, to)
+					tell(from, to, false)
 				}
 			}
 		}
--- /dev/null
+++ b/quarantine/peers.go
@@ -0,0 +1,71 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+type (
+	// Peers keeps what this box and others have told each other, so that each piece of news goes once to each of them.
+	Peers struct {
+		ledger *Ledger
+		boot   willowwick.BootID
+
+		mu   sync.Mutex
+		told map[string]told // by the other box's address
+	}
+
+	// Call is what a box tells another one that it calls.
+	Call struct {
+		News  News
+		Known Position // up to where the caller knows what the other one has learnt
+	}
+
+	// told is how far two boxes know each other's news.
+	told struct {
+		theirs Position          // up to where this box knows what the other one has learnt
+		own    Position          // up to where the other one knows what this box has learnt
+		boot   willowwick.BootID // the life of the other one that knows it
+	}
+)
+
+// NewPeers returns what a box in one of its lives tells others of a ledger.
+func NewPeers(ledger *Ledger, boot willowwick.BootID) *Peers {
+	return &Peers{ledger: ledger, boot: boot, told: map[string]told{}}
+}
+
+// CallTo returns what this box tells another one.
+func (p *Peers) CallTo(address string, now time.Time) Call {
+	p.mu.Lock()
+	known := p.told[address]
+	p.mu.Unlock()
+	return Call{News: p.ledger.Since(known.own, p.boot, address, now), Known: known.theirs}
+}
+
+// Answer takes what a box tells that calls, and returns what it does not know; isNews says whether this box did not know it.
+func (p *Peers) Answer(call Call, from string, now time.Time) (answer News, isNews bool) {
+	isNews = p.ledger.Take(call.News, from, now)
+	return p.ledger.Since(call.Known, p.boot, from, now), isNews
+}
+
+// Took takes the answer of a box, in one of its lives, to a call, and reports whether it was news. A box that was started anew
+// meanwhile knows nothing of what was told before.
+func (p *Peers) Took(call Call, answer News, address string, boot willowwick.BootID, now time.Time) (isNews bool) {
+	p.mu.Lock()
+	own := call.News.Position
+	if p.told[address].boot != boot {
+		own = Position{}
+	}
+	p.told[address] = told{theirs: answer.Position, own: own, boot: boot}
+	p.mu.Unlock()
+	return p.ledger.Take(answer, address, now)
+}
+
+// Forget drops what is kept of a box that is gone.
+func (p *Peers) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.told, address)
+}
--- a/remote/engine.go
+++ b/remote/engine.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"io"
 	"iter"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +44,7 @@
 	// EngineClient reaches runners by the OpenAI-compatible chat completions API.
 	EngineClient struct {
 		http *http.Client
+		dial DialFunc
 	}
 
 	// ChatRequest is the body of a call to a runner.
@@ -93,7 +96,7 @@
 // NewEngineClient returns a client and a function that closes its idle connections.
 func NewEngineClient(dial DialFunc) (*EngineClient, func()) {
 	kept := newPools(dial)
-	return &EngineClient{http: &http.Client{Transport: kept}}, kept.CloseIdleConnections
+	return &EngineClient{http: &http.Client{Transport: kept}, dial: dial}, kept.CloseIdleConnections
 }
 
 // Open implements willowwick.Engine.
@@ -246,6 +249,18 @@
 	return load, nil
 }
 
+// IsListening implements willowwick.Engine.
+func (e *EngineClient) IsListening(ctx context.Context, endpoint willowwick.Endpoint) (listens, known bool) {
+	conn, err := e.dial(ctx, "tcp", endpoint.Address)
+	if err != nil {
+		return false, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if err := conn.Close(); err != nil {
+		slog.Debug("connection did not close", "address", endpoint.Address, "error", err)
+	}
+	return true, true
+}
+
 // Order implements willowwick.Engine.
 func (e *EngineClient) Order(ctx context.Context, endpoint willowwick.Endpoint, order willowwick.Order) error {
 	body, err := json.Marshal(order)
--- a/serve/call.go
+++ b/serve/call.go
@@ -82,6 +82,9 @@
 		if refusal := c.checkAllowed(); refusal != nil {
 			return refusal
 		}
+		if refusal := c.run.daemon.refuseHarmful(c.run.content, willowwick.ReleaseID(c.version)); refusal != nil {
+			return refusal
+		}
 		entered, refusal := c.enter()
 		if refusal != nil {
 			return refusal
@@ -175,7 +178,7 @@
 		budgeted = true
 		r.sent = true
 		entered.Done(route.OutcomeFailed)
-		r.daemon.watch.add(c.version, rollout.Evidence{Requests: 1, Errors: 1})
+		c.noteBroken(entered.Endpoint, err)
 	}
 	if c.attempts < maxAttempts && (!budgeted || r.daemon.retries.Take()) {
 		r.daemon.metrics.retries.Inc()
@@ -250,12 +253,13 @@
 func (c *call) resume(err error) *willowwick.Refusal {
 	r := c.run
 	r.trace.add("broken", "%s at position %d: %v", c.ticket.Endpoint.ID, c.position, err)
+	endpoint := c.ticket.Endpoint
 	c.detach(route.OutcomeFailed)
 	if c.ctx.Err() != nil {
 		return c.timedOut()
 	}
 	r.daemon.metrics.resumes.Inc()
-	r.daemon.watch.add(c.version, rollout.Evidence{Requests: 1, Errors: 1})
+	c.noteBroken(endpoint, err)
 	c.attempts++
 	if c.attempts >= maxAttempts || !r.daemon.retries.Take() {
 		return willowwick.Failed(willowwick.CodeCutOff, "the answer broke off and could not be resumed")
@@ -266,6 +270,14 @@
 	return nil
 }
 
+// noteBroken counts an attempt that broke as evidence on the version, the end of an endpoint once.
+func (c *call) noteBroken(endpoint willowwick.Endpoint, err error) {
+	r := c.run
+	if r.daemon.noteBroken(c.ctx, r.content, endpoint, willowwick.ReleaseID(c.version), err) {
+		r.daemon.watch.add(c.version, rollout.Evidence{Requests: 1, Errors: 1})
+	}
+}
+
 // detach leaves the present runner.
 func (c *call) detach(outcome route.Outcome) {
 	if c.ticket == nil {
@@ -295,6 +307,7 @@
 		seen.Slow, outcome = 1, route.OutcomeSlow
 	}
 	r.daemon.watch.add(c.version, seen)
+	r.daemon.noteHarmless(r.content)
 	r.daemon.retries.Succeeded()
 	r.daemon.learner.Took(r.subject(c.version), now.Sub(c.begun))
 	r.daemon.metrics.wholeAnswer.UpdateDuration(c.begun)
--- a/serve/errors.go
+++ b/serve/errors.go
@@ -72,10 +72,14 @@
 	if class, ok := classOf[r.Code]; ok {
 		return class
 	}
-	if r.Kind == willowwick.KindOutcomeUnknown {
+	switch r.Kind {
+	case willowwick.KindOutcomeUnknown:
 		return classOf[willowwick.CodeDuplicate]
+	case willowwick.KindFailed:
+		return classOf[willowwick.CodeEndpoint] // no promise that nothing ran
+	default:
+		return classUnavailable
 	}
-	return classUnavailable
 }
 
 // retryAfter returns the whole seconds after which a retry makes sense, or nil.
--- /dev/null
+++ b/serve/harm.go
@@ -0,0 +1,95 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/quarantine"
+)
+
+const (
+	// endCheckLimit is how long a look at an endpoint's address may take: the way to another hall and back takes some
+	// milliseconds, and the request that broke waits for it.
+	endCheckLimit = 100 * time.Millisecond
+)
+
+// content is a request as far as it matters to an endpoint that runs it, to be told from others by its fingerprint.
+type content struct {
+	about willowwick.HarmfulRequest // its fingerprint is taken where it is needed
+	body  func() []byte
+}
+
+// contentOf is the content of a chat request.
+func contentOf(request *willowwick.Request) *content {
+	return &content{
+		about: willowwick.HarmfulRequest{Account: request.Account, Target: request.Target},
+		body: func() []byte {
+			body, err := json.Marshal([]any{request.Messages, request.MaxTokens, request.Temperature})
+			if err != nil {
+				// What came as JSON goes back to it.
+				slog.Error("request has no fingerprint", "request", request.ID, "error", err)
+			}
+			return body
+		},
+	}
+}
+
+// fingerprint names the content.
+func (c *content) fingerprint() willowwick.Fingerprint {
+	if c.about.Request == (willowwick.Fingerprint{}) {
+		c.about.Request = willowwick.FingerprintOf(c.about.Account, "", c.about.Host, c.about.Target, c.body())
+	}
+	return c.about.Request
+}
+
+// refuseHarmful refuses a request that ends the endpoints that run it, as all boxes do. The box that holds the lease tries it
+// once on a release of the service or version on which it may run after all.
+func (d *Daemon) refuseHarmful(c *content, release willowwick.ReleaseID) *willowwick.Refusal {
+	harm := d.node.Harm
+	if harm.IsEmpty() || !harm.Refuses(c.fingerprint()) {
+		return nil
+	}
+	now := clock.Now()
+	if _, holdsLease := d.node.Lease.Fence(now); holdsLease {
+		if _, isAllowed := harm.Trial(c.fingerprint(), []willowwick.ReleaseID{release}, now); isAllowed {
+			return nil
+		}
+	}
+	return willowwick.Failed(willowwick.CodeHarmful, "%d endpoints ended while they ran this request; it is not sent to others", quarantine.RefuseAfter)
+}
+
+// noteBroken finds out whether an endpoint ended under a request whose answer broke off, and notes that. One that leaves may
+// be stopped by its operator at any time. It reports whether that tells anything of the release: an endpoint that ends takes all its
+// requests with it, and one of them may have ended it, so that they count as one failure and not as many.
+func (d *Daemon) noteBroken(ctx context.Context, c *content, endpoint willowwick.Endpoint, release willowwick.ReleaseID, err error) (isEvidence bool) {
+	isSent := !errors.Is(err, willowwick.ErrNotSent) && !errors.Is(err, willowwick.ErrBusy) && !errors.Is(err, willowwick.ErrLeaving)
+	if !isSent || ctx.Err() != nil || !d.stays(endpoint.ID) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckLimit)
+	defer cancel()
+	if listens, known := d.outside.Engine.IsListening(ctx, endpoint); listens || !known {
+		return true
+	}
+	c.fingerprint()
+	return d.node.Harm.NoteEnd(c.about, willowwick.EndpointEnd{Endpoint: endpoint.ID, Release: release, At: clock.Now()})
+}
+
+// stays reports whether an endpoint is listed and does not leave.
+func (d *Daemon) stays(id willowwick.EndpointID) bool {
+	isListed := slices.ContainsFunc(d.pool.Endpoints(), func(e willowwick.Endpoint) bool { return e.ID == id && !e.Leaving })
+	return isListed && !slices.Contains(d.pool.Leaving(), id)
+}
+
+// noteHarmless notes that an endpoint has answered the request whole.
+func (d *Daemon) noteHarmless(c *content) {
+	if !d.node.Harm.IsEmpty() {
+		d.node.Harm.NoteAnswer(c.fingerprint(), clock.Now())
+	}
+}
--- a/serve/run.go
+++ b/serve/run.go
@@ -29,6 +29,7 @@
 type (
 	// run is one chat request on its way through the daemon.
 	run struct {
+		content  *content
 		daemon   *Daemon
 		request  *willowwick.Request
 		revision *config.Revision
@@ -119,6 +120,7 @@
 		trace:  d.traces.begin(d.settings.Box, request.ID, request.Account, request.Target),
 	}
 	r.prefix = prefixHash(request.Messages)
+	r.content = contentOf(request)
 	r.token = sessionToken{Account: request.Account, Versions: map[willowwick.ModelID]willowwick.VersionID{}}
 	if known, ok := d.sessions.read(token, request.Account, now); ok {
 		r.token = known
--- a/serve/services.go
+++ b/serve/services.go
@@ -29,6 +29,7 @@
 type (
 	// serviceRun is one call of a plain service on its way.
 	serviceRun struct {
+		content    *content
 		daemon     *Daemon
 		request    *willowwick.Request
 		account    *config.ClientAccount
@@ -124,7 +125,11 @@
 	return &serviceRun{
 		daemon: d, request: request, account: account, service: service, repeatable: repeatable,
 		exclude: map[willowwick.EndpointID]bool{},
-		trace:   d.traces.begin(d.settings.Box, request.ID, request.Account, r.Method+" "+servicePrefix+string(service)+path),
+		content: &content{
+			about: willowwick.HarmfulRequest{Account: request.Account, Service: service, Host: r.Method, Target: r.URL.RequestURI()},
+			body:  func() []byte { return body },
+		},
+		trace: d.traces.begin(d.settings.Box, request.ID, request.Account, r.Method+" "+servicePrefix+string(service)+path),
 		call: willowwick.ServiceCall{
 			Request: request.ID, Method: r.Method, Path: path, Query: r.URL.RawQuery, Header: r.Header,
 			Body: body, Repeatable: repeatable, Deadline: request.Deadline,
@@ -182,12 +187,17 @@
 		if refusal != nil {
 			return nil, s.afterSending(refusal)
 		}
+		if refusal := s.daemon.refuseHarmful(s.content, entered.Endpoint.Release); refusal != nil {
+			entered.Done(route.OutcomeCancelled)
+			return nil, refusal
+		}
 		s.call.Endpoint = entered.Endpoint
 		s.trace.add("sent", "to endpoint %s", entered.Endpoint.ID)
 		reply, err := s.try(ctx)
 		if err == nil {
 			entered.Done(route.OutcomeGood)
 			s.daemon.retries.Succeeded()
+			s.daemon.noteHarmless(s.content)
 			return reply, nil
 		}
 		if refusal := s.failed(ctx, entered, err, attempt); refusal != nil {
@@ -241,6 +251,7 @@
 		notSent = true
 	}
 	entered.Done(route.OutcomeFailed)
+	s.daemon.noteBroken(ctx, s.content, entered.Endpoint, entered.Endpoint.Release, err)
 	s.sent = s.sent || !notSent
 	switch {
 	case !notSent && !s.repeatable:
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -45,6 +45,8 @@
 		Skip      int  `json:"skip"`      // streams that leave out a chunk
 		Repeat    int  `json:"repeat"`    // streams that send a chunk twice
 		DenyAfter bool `json:"denyAfter"` // answer 500 to all
+		// EndOn ends the runner when it begins to run a prompt that holds this.
+		EndOn string `json:"endOn"`
 	}
 
 	// Engine stands in for a runner.
@@ -55,10 +57,13 @@
 		BetweenChunks time.Duration
 		ChecksFencing bool
 		IgnoresOrders bool
+		// End ends the runner as the end of its process would; nil if it cannot.
+		End func()
 
 		mu       sync.Mutex
 		versions map[willowwick.VersionID]VersionBehaviour
 		faults   EngineFaults
+		ended    bool
 		places   chan struct{}
 		waiting  int
 		running  int
@@ -96,6 +101,13 @@
 	change(&e.faults)
 }
 
+// HasEnded reports whether a prompt ended the runner.
+func (e *Engine) HasEnded() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
 // SetBehaviour changes how a version answers.
 func (e *Engine) SetBehaviour(version willowwick.VersionID, behaviour VersionBehaviour) {
 	e.mu.Lock()
@@ -177,6 +189,13 @@
 		return
 	}
 	defer e.leavePlace()
+	if mark := run.faults.EndOn; mark != "" && e.End != nil && strings.Contains(run.prompt, mark) {
+		e.mu.Lock()
+		e.ended = true
+		e.mu.Unlock()
+		e.End()
+		panic(http.ErrAbortHandler)
+	}
 	e.stream(w, r, run)
 }
 
@@ -212,7 +231,7 @@
 
 // takeFaults uses up the faults that strike one stream.
 func (e *Engine) takeFaults() EngineFaults {
-	struck := EngineFaults{}
+	struck := EngineFaults{EndOn: e.faults.EndOn}
 	take := func(left *int, struck *int) {
 		if *left > 0 {
 			*left--
