--- a/control.go
+++ b/control.go
@@ -12,6 +12,7 @@
 		Table       *RoutingTable // the newest one, or nil if there was none in what was read
 		Orders      []ReleaseOrder
 		Evacuations []Evacuation // those of one hall in the order in which they were declared
+		Admissions  []Admission  // likewise
 		Partial     bool         // more stood there than was read so far: an answer is long, or the newest table cannot be decoded
 		Next        Offset       // where the next read goes on; 0 reads everything anew
 	}
@@ -23,6 +24,13 @@
 		At        Offset // where it stands among the declarations
 	}
 
+	// Admission says that a request is to be sent to endpoints although it ended some, or that the operator took this back.
+	Admission struct {
+		Request   Fingerprint
+		TakenBack bool
+		At        Offset // where it stands among the declarations
+	}
+
 	// EndpointChanges is what a read of the list of endpoints brought.
 	EndpointChanges struct {
 		Whole   bool // Present is the whole list; what is not in it is gone
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -27,6 +27,7 @@
 		EndpointsRead willowwick.Offset // up to where it knows all changes
 		EndpointsSum  uint64            // over that list; 0 while entries are in doubt
 		Evacuated     EvacuatedHalls
+		Admitted      AdmittedRequests
 		Own           Report
 		Halls         []HallReport // what a hub knows of all halls; empty on a box that has a hub
 		Progress      []ProgressRow
@@ -85,8 +86,8 @@
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
 		LinkMbps: x.settings.LinkMbps, TableVersion: x.configVersion(), ConfigAgeMs: configAge,
 		StoreAgeMs: x.sync.endpointsAge(now).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
-		Evacuated: x.evacuations.set(),
-		Own:       p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
+		Evacuated: x.evacuations.set(), Admitted: x.admissions.set(),
+		Own: p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
 	}
 	digest.EndpointsFrom, digest.EndpointsRead, digest.EndpointsSum = x.sync.listedFrom()
 	for _, own := range x.releases.progresses(now) {
--- a/exchange/harm_fleet_test.go
+++ b/exchange/harm_fleet_test.go
@@ -199,3 +199,25 @@
 		})
 	}
 }
+
+// An operator has a request sent on all the same, at all boxes, and takes that back.
+func TestARequestThatTheOperatorAdmitsIsSentOn(t *testing.T) {
+	h, sites := newHarmSite(t, 2, 4)
+	refused := func() bool { return sites[0].refusesHarmful() && sites[1].refusesHarmful() }
+	for i := 0; !refused(); i++ {
+		require.Less(t, i, 40)
+		sites[i%2].do(t, http.MethodPost, "/stream/", fmt.Sprint("harmful-", i), harmfulBody)
+		time.Sleep(20 * time.Millisecond)
+	}
+	request := willowwick.FingerprintOf(testAccount, http.MethodPost, testHost, "/stream/", []byte(harmfulBody))
+	h.control.change(func() {
+		h.control.admitted = []willowwick.Admission{{Request: request, At: h.control.changes}}
+	})
+	for _, s := range sites {
+		require.Eventually(t, func() bool { return !s.refusesHarmful() }, inForceWithin, 10*time.Millisecond)
+	}
+	h.control.change(func() { h.control.admitted = nil })
+	for _, s := range sites {
+		require.Eventually(t, s.refusesHarmful, inForceWithin, 10*time.Millisecond)
+	}
+}
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -129,6 +129,7 @@
 	p.takeHalls(digest.Halls, now)
 	p.mu.Unlock()
 	p.router.evacuations.hear(digest.Evacuated, "peer "+string(digest.Box))
+	p.router.admissions.hear(digest.Admitted, "peer "+string(digest.Box))
 	p.router.releases.hearEnded(digest.Verdicts)
 	p.router.pool.HearSpeeds(digest.Speeds)
 	for _, row := range digest.Progress {
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -74,6 +74,7 @@
 		harm     *quarantine.Ledger
 
 		evacuations *evacuations
+		admissions  *admissions
 
 		metrics  *routerMetrics
 		inFlight atomic.Int64
@@ -100,6 +101,7 @@
 		budgets: map[willowwick.ServiceID]*route.RepeatBudget{},
 	}
 	x.evacuations = &evacuations{pool: x.pool}
+	x.admissions = &admissions{harm: x.harm}
 	x.ends = newEndChecks(x)
 	x.releases = newReleases(settings.Releases, x.hasRelease)
 	x.metrics = newRouterMetrics(x)
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -92,6 +92,7 @@
 	table     *willowwick.RoutingTable
 	orders    []willowwick.ReleaseOrder
 	evacuated []willowwick.Evacuation
+	admitted  []willowwick.Admission
 	changes   willowwick.Offset // of declarations
 	endpoints map[willowwick.EndpointID]willowwick.Endpoint
 	listed    willowwick.Offset
@@ -138,6 +139,7 @@
 		c.mu.Lock()
 		declared := willowwick.Declarations{
 			Whole: true, Table: c.table, Orders: c.orders, Evacuations: slices.Clone(c.evacuated), Next: c.changes,
+			Admissions: slices.Clone(c.admitted),
 		}
 		down := c.down
 		c.mu.Unlock()
--- /dev/null
+++ b/exchange/standing.go
@@ -0,0 +1,52 @@
+package exchange
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/willowwick/willowwick"
+)
+
+type (
+	// standing is the newest set of keys that is known to stand among the operator's declarations.
+	//
+	// Offsets compare between boxes: what is as of a later one holds all that is as of an earlier one, whoever read it.
+	standing[K comparable] struct {
+		asOf    willowwick.Offset       // the declarations before it are counted in
+		members map[K]willowwick.Offset // where each of them was declared; never changed
+	}
+
+	// standingChange says that a key was declared, or that the operator took it back.
+	standingChange[K comparable] struct {
+		key       K
+		takenBack bool
+		at        willowwick.Offset
+	}
+)
+
+// after returns the set after what a read of the store brought, and false if that is no news: another box told of what came
+// after all of it.
+func (s standing[K]) after(isWhole bool, next willowwick.Offset, changes []standingChange[K]) (standing[K], bool) {
+	if next <= s.asOf {
+		return s, false
+	}
+	news := standing[K]{asOf: next, members: map[K]willowwick.Offset{}}
+	if !isWhole {
+		maps.Copy(news.members, s.members)
+		changes = slices.DeleteFunc(slices.Clone(changes), s.isCountedIn)
+	}
+	for _, change := range changes {
+		if change.takenBack {
+			delete(news.members, change.key)
+		} else {
+			news.members[change.key] = change.at
+		}
+	}
+	return news, true
+}
+
+// isCountedIn reports whether the set holds the change or what came after it. A whole read is made of several calls
+// and may have seen records after the offset that it is as of, so a key's own offset counts as well.
+func (s standing[K]) isCountedIn(change standingChange[K]) bool {
+	return change.at < s.asOf || change.at < s.members[change.key]
+}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -260,6 +260,7 @@
 // serves from its first configuration on.
 func (s *syncer) declare(declared willowwick.Declarations) {
 	s.router.evacuations.declare(declared)
+	s.router.admissions.declare(declared)
 	if declared.Table != nil {
 		s.router.setTable(declared.Table, "store")
 	}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -44,7 +44,8 @@
 		suspects map[willowwick.Fingerprint]*suspect
 		likely   map[willowwick.Fingerprint]*suspect // those with enough ends to be refused
 		refused  map[willowwick.Fingerprint]bool
-		known    map[endKey]time.Time // ends of endpoints under whatever request
+		admitted map[willowwick.Fingerprint]willowwick.Offset // by the operator
+		known    map[endKey]time.Time                         // ends of endpoints under whatever request
 		history  history
 		due      map[willowwick.Fingerprint]bool // what of them is kept at the store has to be written
 	}
@@ -82,7 +83,15 @@
 func (l *Ledger) Refuses(request willowwick.Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.refused[request]
+	_, isAdmitted := l.admitted[request]
+	return l.refused[request] && !isAdmitted
+}
+
+// SetAdmitted says which requests the operator has sent to endpoints whatever they did there, and no others.
+func (l *Ledger) SetAdmitted(requests map[willowwick.Fingerprint]willowwick.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admitted = requests
 }
 
 // Counts returns how many requests are suspected, and how many of them are refused.
