Soak: a harmful request at real processes, with endpoints that start again under their ids

It ends each endpoint that runs it, while boxes and the store are in trouble. Half of the endpoints are back under their ids behind a link that goes on taking connections, so that only the start in their entries shows that they ended; the others are replaced.

--- a/cmd/e2e/soak_callers_test.go
+++ b/cmd/e2e/soak_callers_test.go
@@ -19,6 +19,7 @@
 	kindAgain  askKind = "again"  // may be repeated
 	kindForged askKind = "forged" // carries headers that only the router may set
 	kindNever  askKind = "never"  // asks for a route that no configuration ever had
+	kindHarm   askKind = "harm"   // ends the endpoint that runs it; always the same request
 
 	// callersPerBox and askPause, the mean pause of one caller, make some 300 requests a second at each box at the most.
 	callersPerBox = 5
@@ -158,17 +159,25 @@
 	}
 }
 
+// body is what the caller sends.
+func (a *asked) body() string {
+	if a.kind == kindHarm {
+		return harmfulBody
+	}
+	return "body of " + a.id
+}
+
 func (s *soakSite) request(ctx context.Context, a *asked) *http.Request {
 	path := "/lookup/x"
 	switch {
-	case a.kind == kindStream:
+	case a.kind == kindStream, a.kind == kindHarm:
 		path = "/explain/x"
 	case a.kind == kindNever:
 		path = "/never/x"
 	case a.version > 0:
 		path = fmt.Sprintf("/at-%d/x", a.version)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.boxes[a.box].callers+path, strings.NewReader("body of "+a.id))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.boxes[a.box].callers+path, strings.NewReader(a.body()))
 	if err != nil {
 		panic(err) // the addresses and paths are this file's own
 	}
@@ -178,7 +187,7 @@
 	request.Header.Set("Credential", a.key)
 	request.Header.Set("Deadline-Ms", fmt.Sprint(a.limit.Milliseconds()))
 	switch a.kind {
-	case kindStream:
+	case kindStream, kindHarm:
 		request.Header.Set("Accept", "text/event-stream")
 		request.Header.Set("Model", "*")
 	case kindForged:
--- a/cmd/e2e/soak_checks_test.go
+++ b/cmd/e2e/soak_checks_test.go
@@ -114,7 +114,7 @@
 		j.tell(a, "was refused as not run, but ran")
 	}
 	for _, run := range runs {
-		if run.Account != "lab" || run.Body != "body of "+a.id || run.Hold != "" {
+		if run.Account != "lab" || run.Body != a.body() || run.Hold != "" {
 			j.tell(a, fmt.Sprintf("reached an endpoint as account %q with body %q and lease %q", run.Account, run.Body, run.Hold))
 		}
 	}
@@ -135,7 +135,7 @@
 // only where endpoints are in trouble.
 func (j *judge) checkCut(a *asked) {
 	isInTime := a.to.Sub(a.from) < a.limit
-	if a.left || len(j.runs[a.id]) == 0 || !isInTime || !j.site.boxes[a.box].troubles.isQuiet(a.from, a.to) {
+	if a.left || a.kind == kindHarm || len(j.runs[a.id]) == 0 || !isInTime || !j.site.boxes[a.box].troubles.isQuiet(a.from, a.to) {
 		return
 	}
 	hasNoAnswer := a.err != nil && a.status == 0 && !a.refused
--- a/cmd/e2e/soak_link_test.go
+++ b/cmd/e2e/soak_link_test.go
@@ -43,6 +43,7 @@
 	link struct {
 		address string
 		target  string
+		end     func() // takes no connection any more, as if there were no link and no server
 
 		mu     sync.Mutex
 		state  linkState
@@ -81,11 +82,12 @@
 			go l.carry(conn)
 		}
 	}()
-	t.Cleanup(func() {
+	l.end = func() {
 		_ = listener.Close()
 		l.set(linkReset)
 		l.resetOpen(func(*linkConn) bool { return true })
-	})
+	}
+	t.Cleanup(l.end)
 	return l
 }
 
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -42,8 +42,9 @@
 		boxes   []*soakBox
 		started time.Time // of the traffic
 
-		routesKept int // of the newest versions that a configuration has routes of; 0: of all
-		keysKept   int // of the newest versions whose keys it has
+		routesKept int               // of the newest versions that a configuration has routes of; 0: of all
+		keysKept   int               // of the newest versions whose keys it has
+		onHarm     func(*soakRunner) // ends a runner that runs the harmful request; nil where none comes
 
 		mu       sync.Mutex
 		runners  []*soakRunner
@@ -136,11 +137,18 @@
 }
 
 func (s *soakSite) addRunner(id, service, release string) *soakRunner {
-	r := &soakRunner{id: id, service: service, release: release}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(s.t, err)
-	r.link = newLink(s.t, listener.Addr().String())
-	runner, stopBeats := standin.NewBatchRunner(runnerSettings(id, service, release, r.link.address), s.store)
+	return s.serveRunner(&soakRunner{id: id, service: service, release: release, link: newLink(s.t, listener.Addr().String())}, listener)
+}
+
+// serveRunner lets a runner begin its life behind its link.
+func (s *soakSite) serveRunner(r *soakRunner, listener net.Listener) *soakRunner {
+	settings := runnerSettings(r.id, r.service, r.release, r.link.address)
+	if s.onHarm != nil {
+		settings.EndOn, settings.OnEnd = harmfulBody, func() { s.onHarm(r) }
+	}
+	runner, stopBeats := standin.NewBatchRunner(settings, s.store)
 	r.BatchRunner = runner
 	server := &http.Server{Handler: runner, ReadHeaderTimeout: startWithin}
 	go func() { _ = server.Serve(listener) }()
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -25,6 +25,9 @@
 		Slots      int
 		Events     int           // of each stream
 		EventPause time.Duration // setting
+		// EndOn is the body that ends the runner when it begins to run it; OnEnd then ends its process, as far as it goes.
+		EndOn string
+		OnEnd func()
 	}
 
 	// BatchFaults are the troubles of a runner.
@@ -155,6 +158,11 @@
 		return
 	}
 	defer b.end()
+	if b.settings.OnEnd != nil && string(body) == b.settings.EndOn {
+		time.Sleep(b.settings.EventPause)
+		b.settings.OnEnd()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Response-Seal", b.settings.ID+"."+id)
 	if faults.FailEvery > 0 && number%faults.FailEvery == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
