Quarantine: the store is told of trials, and only by boxes that told it before of what is admitted again

A trial is kept at the store with the request, so that a fleet that lost power does not try it again. A request that is admitted again was to be dropped at the store by every box; now by those that wrote or read it there, also if it was answered while the store was being told. What is too old to count is looked for once a minute, not ten times a second. Checked: tests of each.

--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -35,7 +35,7 @@
 	}
 	x := c.router
 	if x.sync.isLeading() {
-		if release, isAllowed := x.harm.Trial(c.fingerprint(), x.releasesOf(c.service, now), now); isAllowed {
+		if release, isAllowed := x.harm.Trial(c.identify(), x.releasesOf(c.service, now), now); isAllowed {
 			slog.Info("refused request is tried once", "request", c.head.ID, "fingerprint", c.fingerprint().String(), "release", release)
 			x.peers.hurry()
 			c.trial = release
--- a/harm.go
+++ b/harm.go
@@ -19,5 +19,6 @@
 		Host    string        `json:"host"`
 		Target  string        `json:"target"`
 		Ends    []EndpointEnd `json:"ends"`
+		Tried   []ReleaseID   `json:"tried,omitempty"` // releases on which it was tried once more
 	}
 )
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -26,6 +26,8 @@
 	suspectKept = 10 * time.Minute
 	// refusedKept is how long a request is refused after its last end. Within a day somebody has seen why endpoints end.
 	refusedKept = 24 * time.Hour
+	// expireEvery is how often what is too old to count is looked for.
+	expireEvery = time.Minute
 	// mostSuspects bounds the requests that are kept: 40 ends of endpoints with a hundred requests each, in 1 MB.
 	mostSuspects = 4096
 	// mostRefused bounds the requests that are refused; an endpoint has to end three times for each.
@@ -48,6 +50,8 @@
 		known    map[endKey]time.Time                         // ends of endpoints under whatever request
 		history  history
 		due      map[willowwick.Fingerprint]bool // what of them is kept at the store has to be written
+		stored   map[willowwick.Fingerprint]bool // the store holds it, as far as this box wrote or read it
+		expireAt time.Time                       // not looked for what is too old before
 	}
 
 	// endKey names the end of one life of an endpoint.
@@ -71,6 +75,7 @@
 	return &Ledger{
 		suspects: map[willowwick.Fingerprint]*suspect{}, likely: map[willowwick.Fingerprint]*suspect{},
 		refused: map[willowwick.Fingerprint]bool{}, due: map[willowwick.Fingerprint]bool{}, known: map[endKey]time.Time{},
+		stored: map[willowwick.Fingerprint]bool{},
 	}
 }
 
@@ -108,10 +113,7 @@
 	defer l.mu.Unlock()
 	_, isKnown := l.known[endKey{end.Endpoint, end.Incarnation}]
 	s := l.suspect(about.Request, end.At)
-	if s.about == nil {
-		about.Ends = nil
-		s.about = &about
-	}
+	s.identify(about)
 	l.addEnd(about.Request, end, "")
 	l.judge(end.At, "seen here")
 	return !isKnown
@@ -130,28 +132,35 @@
 // same time. It is tried on each release that it has ended no endpoint of, which may bear it, and once where its
 // ends came so close together that something else may have been their cause.
 func (l *Ledger) Trial(
-	request willowwick.Fingerprint, releases []willowwick.ReleaseID, now time.Time,
+	about willowwick.HarmfulRequest, releases []willowwick.ReleaseID, now time.Time,
 ) (release willowwick.ReleaseID, allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	request := about.Request
 	s := l.suspects[request]
 	if s == nil || !l.refused[request] || now.Sub(s.lastEnd()) < trialAfter {
 		return "", false
 	}
+	s.identify(about)
 	for _, release := range releases {
 		if s.tried[release] || s.endedOn(release) && !s.isInDoubt() {
 			continue
 		}
 		l.addTrial(request, release, now, "")
+		l.due[request] = true
 		return release, true
 	}
 	return "", false
 }
 
-// Expire forgets what is too old to count.
+// Expire forgets what is too old to count; it may be called often.
 func (l *Ledger) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if now.Before(l.expireAt) {
+		return
+	}
+	l.expireAt = now.Add(expireEvery)
 	for request, s := range l.suspects {
 		kept := suspectKept
 		if l.refused[request] {
@@ -274,9 +283,11 @@
 	l.refused[request] = true
 	l.due[request] = true
 	attributes := []any{"fingerprint", request.String(), "ends", len(s.ends), "source", source, "last_end_ms_ago", now.Sub(s.lastEnd()).Milliseconds()}
+	var endpoints []string
 	for _, end := range s.sorted() {
-		attributes = append(attributes, "endpoint", end.Endpoint)
+		endpoints = append(endpoints, string(end.Endpoint))
 	}
+	attributes = append(attributes, "endpoints", endpoints)
 	if s.about != nil {
 		attributes = append(attributes, "account", s.about.Account, "service", s.about.Service, "host", s.about.Host, "target", s.about.Target)
 	}
@@ -286,7 +297,7 @@
 // admit notes that a request is sent to endpoints again; the caller holds the lock.
 func (l *Ledger) admit(request willowwick.Fingerprint, source string) {
 	delete(l.refused, request)
-	l.due[request] = true
+	l.due[request] = l.stored[request] // others drop what they wrote
 	slog.Info("request is sent to endpoints again", "fingerprint", request.String(), "source", source)
 }
 
@@ -301,6 +312,14 @@
 	return false
 }
 
+// identify keeps what is told of a request to operators, unless it is known.
+func (s *suspect) identify(about willowwick.HarmfulRequest) {
+	if s.about == nil {
+		about.Ends, about.Tried = nil, nil
+		s.about = &about
+	}
+}
+
 // isCleared reports whether a whole answer makes an end count for nothing.
 func (s *suspect) isCleared(end willowwick.EndpointEnd) bool {
 	return !s.clearedAt.IsZero() && !end.At.After(s.clearedAt.Add(clearMargin))
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -31,6 +31,10 @@
 	}
 }
 
+func aboutOf(body string) willowwick.HarmfulRequest {
+	return willowwick.HarmfulRequest{Request: requestOf(body), Account: "ada"}
+}
+
 func (l *Ledger) refuses(body string) bool {
 	return l.Refuses(requestOf(body))
 }
@@ -75,11 +79,20 @@
 		l.note(endAt(endpoint, 3000+i), "popular")
 	}
 	require.True(t, l.refuses("popular"))
+	for _, record := range l.Due() {
+		l.Written(record)
+	}
+	other := New()
+	other.Take(l.Since(Position{}, "boot", "other", began.Add(3010*time.Millisecond)), "own", began.Add(3010*time.Millisecond))
+	require.True(t, other.refuses("popular"))
 	l.NoteAnswer(requestOf("popular"), began.Add(3100*time.Millisecond))
 	assert.False(t, l.refuses("popular"), "one that was under way elsewhere was answered")
 	due := l.Due()
 	require.Len(t, due, 1)
 	assert.Empty(t, due[0].Ends, "the store is told")
+	other.Take(l.Since(Position{}, "boot", "other", began.Add(3110*time.Millisecond)), "own", began.Add(3110*time.Millisecond))
+	assert.False(t, other.refuses("popular"))
+	assert.Empty(t, other.Due(), "by the box that told it before")
 }
 
 // Many endpoints that end at once are rather a failure of theirs, and a popular request is at all of them.
@@ -90,14 +103,14 @@
 		l.note(endAt(endpoint, i), "popular")
 		l.note(endAt(endpoint, 900*i), "harmful")
 	}
-	_, isAllowed := l.Trial(requestOf("popular"), releases, began.Add(time.Second))
+	_, isAllowed := l.Trial(aboutOf("popular"), releases, began.Add(time.Second))
 	assert.False(t, isAllowed, "some boxes may not refuse it yet")
 	later := began.Add(8 * time.Second)
-	_, isAllowed = l.Trial(requestOf("popular"), releases, later)
+	_, isAllowed = l.Trial(aboutOf("popular"), releases, later)
 	assert.True(t, isAllowed)
-	_, isAllowed = l.Trial(requestOf("popular"), releases, later)
+	_, isAllowed = l.Trial(aboutOf("popular"), releases, later)
 	assert.False(t, isAllowed, "once")
-	_, isAllowed = l.Trial(requestOf("harmful"), releases, later)
+	_, isAllowed = l.Trial(aboutOf("harmful"), releases, later)
 	assert.False(t, isAllowed, "its ends came one after the other")
 	l.NoteAnswer(requestOf("popular"), later)
 	assert.False(t, l.refuses("popular"))
@@ -110,15 +123,19 @@
 	}
 	releases := []willowwick.ReleaseID{"v1", "v2"}
 	later := began.Add(10 * time.Second)
-	release, isAllowed := l.Trial(requestOf("harmful"), releases, later)
+	release, isAllowed := l.Trial(aboutOf("harmful"), releases, later)
 	assert.True(t, isAllowed)
 	assert.Equal(t, willowwick.ReleaseID("v2"), release)
 	end := endAt("d", 10_100)
 	end.Release = "v2"
 	l.note(end, "harmful")
-	_, isAllowed = l.Trial(requestOf("harmful"), releases, later.Add(time.Minute))
+	_, isAllowed = l.Trial(aboutOf("harmful"), releases, later.Add(time.Minute))
 	assert.False(t, isAllowed)
 	assert.True(t, l.refuses("harmful"))
+	anew := New()
+	anew.Restore(l.Due(), later)
+	_, isAllowed = anew.Trial(aboutOf("harmful"), releases, later.Add(time.Minute))
+	assert.False(t, isAllowed, "nor by a box that starts anew")
 }
 
 // Boxes come to the same opinion in whatever order they hear of each other, also through a third one, and although some are
@@ -204,6 +221,7 @@
 	assert.LessOrEqual(t, len(l.history.entries), mostHistory)
 	l.note(endAt("d", 3000), "harmful")
 	assert.True(t, l.refuses("harmful"))
+	l.Expire(began)
 	l.Expire(began.Add(2 * suspectKept))
 	suspected, refused := l.Counts()
 	assert.Equal(t, 1, suspected)
@@ -235,6 +253,23 @@
 	assert.Empty(t, late.Due()[0].Ends, "what is too old is dropped at the store")
 }
 
+// A request may be answered whole while the store is told that it is refused.
+func TestWhatChangesWhileTheStoreIsToldIsToldToo(t *testing.T) {
+	l := New()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		l.note(endAt(endpoint, 1000*i), "popular")
+	}
+	due := l.Due()
+	require.Len(t, due, 1)
+	l.NoteAnswer(requestOf("popular"), began.Add(5*time.Second))
+	l.Written(due[0])
+	due = l.Due()
+	require.Len(t, due, 1)
+	assert.Empty(t, due[0].Ends)
+	l.Written(due[0])
+	assert.Empty(t, l.Due())
+}
+
 func TestNoCallerHasAnotherOnesRequestRefused(t *testing.T) {
 	same := willowwick.FingerprintOf("ada", "POST", "host", "/x", []byte("b"))
 	assert.Equal(t, same, willowwick.FingerprintOf("ada", "POST", "host", "/x", []byte("b")))
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -12,14 +14,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []willowwick.HarmfulRequest
-	for request := range l.due {
+	for request, isDue := range l.due {
 		s := l.suspects[request]
 		switch {
+		case !isDue:
+			delete(l.due, request)
 		case !l.refused[request]:
 			list = append(list, willowwick.HarmfulRequest{Request: request})
 		case s.about != nil:
 			record := *s.about
-			record.Ends = s.sorted()
+			record.Ends, record.Tried = s.sorted(), slices.Sorted(maps.Keys(s.tried))
 			list = append(list, record)
 		default:
 			delete(l.due, request) // a box that has seen it writes it
@@ -28,13 +32,18 @@
 	return list
 }
 
-// Written notes that the store has what was due of a request.
+// Written notes that the store has what was due of a request. What changed meanwhile is due again.
 func (l *Ledger) Written(record willowwick.HarmfulRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if isRefused := len(record.Ends) > 0; isRefused == l.refused[record.Request] {
-		delete(l.due, record.Request)
+	request, holds := record.Request, len(record.Ends) > 0
+	l.stored[request] = holds
+	if !holds {
+		delete(l.stored, request)
 	}
+	s := l.suspects[request]
+	isCurrent := holds == l.refused[request] && (!holds || len(record.Tried) == len(s.tried))
+	l.due[request] = !isCurrent
 }
 
 // Restore takes what the store holds; what is too old to count is to be dropped there.
@@ -54,8 +63,7 @@
 
 // restore takes one record; the caller holds the lock.
 func (l *Ledger) restore(record willowwick.HarmfulRequest, now time.Time) {
-	about := record
-	about.Ends = nil
+	l.stored[record.Request] = true
 	for _, end := range record.Ends {
 		if end.At.After(now) {
 			end.At = now // clocks of boxes differ
@@ -64,9 +72,10 @@
 			l.due[record.Request] = true
 			continue
 		}
-		if s := l.suspect(record.Request, end.At); s.about == nil {
-			s.about = &about
-		}
+		l.suspect(record.Request, end.At).identify(record)
 		l.addEnd(record.Request, end, "")
 	}
+	for _, release := range record.Tried {
+		l.addTrial(record.Request, release, now, "")
+	}
 }
--- a/serve/harm.go
+++ b/serve/harm.go
@@ -57,7 +57,7 @@
 	}
 	now := clock.Now()
 	if _, holdsLease := d.node.Lease.Fence(now); holdsLease {
-		if _, isAllowed := harm.Trial(c.fingerprint(), []willowwick.ReleaseID{release}, now); isAllowed {
+		if _, isAllowed := harm.Trial(c.about, []willowwick.ReleaseID{release}, now); isAllowed {
 			return nil
 		}
 	}
