Quarantine: of requests that were at the same ends each is tried once

Checked: TestRequestsThatWereAtTheSameEndsAreTriedOnce, which failed first by reading (no trial was allowed); in an older test two requests were at the same endpoints by the way it was written, and now are not; what it asks of them is the same.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -129,8 +129,8 @@
 }
 
 // Trial returns the release on whose endpoints a refused request may be tried once, if there is one; no other box may ask at the
-// same time. It is tried on each release that it has ended no endpoint of, which may bear it, and once where its
-// ends came so close together that something else may have been their cause.
+// same time. It is tried on each release that it has ended no endpoint of, which may bear it, and once where something else may
+// have been the cause of its ends: they came close together, or another request was at work at all of them.
 func (l *Ledger) Trial(
 	about willowwick.HarmfulRequest, releases []willowwick.ReleaseID, now time.Time,
 ) (release willowwick.ReleaseID, allowed bool) {
@@ -143,7 +143,7 @@
 	}
 	s.identify(about)
 	for _, release := range releases {
-		if s.tried[release] || s.endedOn(release) && !s.isInDoubt() {
+		if s.tried[release] || s.endedOn(release) && !s.cameTogether() && !l.hasTwin(s) {
 			continue
 		}
 		l.addTrial(request, release, now, "")
@@ -312,6 +312,16 @@
 	return false
 }
 
+// hasTwin reports whether another request was at work at the same ends, and at no others; the caller holds the lock.
+func (l *Ledger) hasTwin(s *suspect) bool {
+	for _, other := range l.likely {
+		if other != s && len(other.ends) == len(s.ends) && other.holds(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // identify keeps what is told of a request to operators, unless it is known.
 func (s *suspect) identify(about willowwick.HarmfulRequest) {
 	if s.about == nil {
@@ -366,8 +376,8 @@
 	return false
 }
 
-// isInDoubt reports whether all ends came together.
-func (s *suspect) isInDoubt() bool {
+// cameTogether reports whether all ends came within a moment.
+func (s *suspect) cameTogether() bool {
 	ends := s.sorted()
 	return len(ends) > 0 && ends[len(ends)-1].At.Sub(ends[0].At) < togetherWithin
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -21,7 +21,7 @@
 			delete(l.due, request)
 		case !l.refused[request]:
 			list = append(list, willowwick.HarmfulRequest{Request: request})
-		case s.about != nil:
+		case s != nil && s.about != nil:
 			record := *s.about
 			record.Ends, record.Tried = s.sorted(), slices.Sorted(maps.Keys(s.tried))
 			list = append(list, record)
