--- a/exchange/admission.go
+++ b/exchange/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"sync"
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/quarantine"
@@ -17,47 +16,37 @@
 
 	// admissions keeps the newest set of admitted requests that is known, and puts it in force on the ledger.
 	admissions struct {
-		harm *quarantine.Ledger
-
-		mu    sync.Mutex
-		known standing[willowwick.Fingerprint]
+		standingKeeper[willowwick.Fingerprint]
 	}
 )
 
+func newAdmissions(harm *quarantine.Ledger) *admissions {
+	a := &admissions{}
+	a.put = func(old, news standing[willowwick.Fingerprint], source string) {
+		if len(news.members) > 0 || len(old.members) > 0 {
+			slog.Info("requests admitted by the operator", "requests", len(news.members), "as_of", news.asOf, "source", source)
+		}
+		harm.SetAdmitted(news.members)
+	}
+	return a
+}
+
 // set is the newest set that is known; empty until the operator has admitted a request.
 func (a *admissions) set() AdmittedRequests {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return AdmittedRequests{AsOf: a.known.asOf, Requests: a.known.members}
+	known := a.newest()
+	return AdmittedRequests{AsOf: known.asOf, Requests: known.members}
 }
 
-// declare takes what a read of the store brought, unless another box told of what came after all of it.
+// declare takes what a read of the store brought.
 func (a *admissions) declare(declared willowwick.Declarations) {
 	changes := make([]standingChange[willowwick.Fingerprint], 0, len(declared.Admissions))
 	for _, admission := range declared.Admissions {
 		changes = append(changes, standingChange[willowwick.Fingerprint]{admission.Request, admission.TakenBack, admission.At})
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if news, isNews := a.known.after(declared.Whole, declared.Next, changes); isNews {
-		a.put(news, "store")
-	}
+	a.standingKeeper.declare(declared.Whole, declared.Next, changes)
 }
 
-// hear takes the set that another box knows, if it is newer.
+// hear takes the set that another box knows.
 func (a *admissions) hear(news AdmittedRequests, source string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if news.AsOf > a.known.asOf {
-		a.put(standing[willowwick.Fingerprint]{news.AsOf, news.Requests}, source)
-	}
-}
-
-// put puts a set in force; the caller holds the lock.
-func (a *admissions) put(news standing[willowwick.Fingerprint], source string) {
-	if len(news.members) > 0 || len(a.known.members) > 0 {
-		slog.Info("requests admitted by the operator", "requests", len(news.members), "as_of", news.asOf, "source", source)
-	}
-	a.known = news
-	a.harm.SetAdmitted(news.members)
+	a.standingKeeper.hear(standing[willowwick.Fingerprint]{news.AsOf, news.Requests}, source)
 }
--- a/exchange/born_test.go
+++ b/exchange/born_test.go
@@ -138,14 +138,7 @@
 				}
 				m.run(t, time.Duration(m.random.IntN(1000))*time.Millisecond)
 			}
-			m.isAway = false
-			for range 4 {
-				m.beatAll()
-				m.run(t, meshDrain/2)
-			}
-			for _, box := range m.boxes {
-				assert.ElementsMatch(t, withoutBeats(m.store.list()), withoutBeats(box.pool.Endpoints()), "endpoints that %s knows, seed %d", box.settings.Box, seed)
-			}
+			m.assertListsAlike(t, seed)
 		})
 	}
 }
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -12,6 +12,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
 )
@@ -214,7 +215,7 @@
 		}
 		if c.isHarmful() {
 			ticket.Done(route.OutcomeCancelled)
-			c.giveUp(harmRefusal())
+			c.giveUp(quarantine.Refusal())
 			return
 		}
 		c.sends++
--- a/exchange/ends.go
+++ b/exchange/ends.go
@@ -8,12 +8,10 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/quarantine"
 )
 
 const (
-	// endCheckLimit is how long a look at an endpoint's address may take: the way to another hall and back takes some
-	// milliseconds, and the request that broke waits for it.
-	endCheckLimit = 100 * time.Millisecond
 	// endKept is how long it is remembered that an endpoint ended: its entry is gone by then.
 	endKept = 30 * time.Second
 	// breakKept is how long a connection that broke may still turn out to have ended with its endpoint: some heartbeats.
@@ -110,7 +108,7 @@
 
 // look makes the check; an endpoint of which nothing shows in time counts as alive.
 func (e *endChecks) look(ctx context.Context, check *endCheck, address string) {
-	ctx, cancel := context.WithTimeout(ctx, endCheckLimit)
+	ctx, cancel := context.WithTimeout(ctx, quarantine.CheckLimit)
 	defer cancel()
 	listens, known := e.router.conns.IsListening(ctx, address)
 	check.ended = known && !listens
--- a/exchange/evacuation.go
+++ b/exchange/evacuation.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"maps"
 	"slices"
-	"sync"
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/route"
@@ -19,52 +18,46 @@
 
 	// evacuations keeps the newest set of evacuated halls that is known, and puts it in force on the pool.
 	evacuations struct {
-		pool *route.Pool
-
-		mu    sync.Mutex
-		known standing[willowwick.HallID]
+		standingKeeper[willowwick.HallID]
 	}
 )
 
+func newEvacuations(pool *route.Pool) *evacuations {
+	e := &evacuations{}
+	e.put = func(old, news standing[willowwick.HallID], source string) {
+		pool.SetEvacuated(slices.Collect(maps.Keys(news.members)))
+		logEvacuations(old, news, source)
+	}
+	return e
+}
+
 // set is the newest set that is known.
 func (e *evacuations) set() EvacuatedHalls {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return EvacuatedHalls{AsOf: e.known.asOf, Halls: e.known.members}
+	known := e.newest()
+	return EvacuatedHalls{AsOf: known.asOf, Halls: known.members}
 }
 
 // count is the number of evacuated halls.
 func (e *evacuations) count() int {
-	return len(e.set().Halls)
+	return len(e.newest().members)
 }
 
-// declare takes what a read of the store brought, unless another box told of what came after all of it.
+// declare takes what a read of the store brought.
 func (e *evacuations) declare(declared willowwick.Declarations) {
 	changes := make([]standingChange[willowwick.HallID], 0, len(declared.Evacuations))
 	for _, evacuation := range declared.Evacuations {
 		changes = append(changes, standingChange[willowwick.HallID]{evacuation.Hall, evacuation.TakenBack, evacuation.At})
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if news, isNews := e.known.after(declared.Whole, declared.Next, changes); isNews {
-		e.put(news, "store")
-	}
+	e.standingKeeper.declare(declared.Whole, declared.Next, changes)
 }
 
-// hear takes the set that another box knows, if it is newer.
+// hear takes the set that another box knows.
 func (e *evacuations) hear(news EvacuatedHalls, source string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if news.AsOf > e.known.asOf {
-		e.put(standing[willowwick.HallID]{news.AsOf, news.Halls}, source)
-	}
+	e.standingKeeper.hear(standing[willowwick.HallID]{news.AsOf, news.Halls}, source)
 }
 
-// put puts a set in force; the caller holds the lock.
-func (e *evacuations) put(news standing[willowwick.HallID], source string) {
-	old := e.known
-	e.known = news
-	e.pool.SetEvacuated(slices.Collect(maps.Keys(news.members)))
+// logEvacuations writes a line for each hall that is evacuated or taken back.
+func logEvacuations(old, news standing[willowwick.HallID], source string) {
 	for hall, at := range news.members {
 		if _, wasEvacuated := old.members[hall]; !wasEvacuated {
 			slog.Info("hall evacuated", "hall", hall, "offset", at, "as_of", news.asOf, "source", source)
--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -21,12 +21,6 @@
 	harmRetry = time.Second
 )
 
-// harmRefusal is what the caller of a request that ends endpoints is told by each box: for good, and without a promise that it
-// has not run.
-func harmRefusal() *willowwick.Refusal {
-	return willowwick.Failed(willowwick.CodeHarmful, "%d endpoints ended while they ran this request; it is not sent to others", quarantine.RefuseAfter)
-}
-
 // refuseHarmful refuses a request that ends the endpoints that run it. The box that leads tries it once where it may run after
 // all; it is the only one that does so at a time.
 func (c *call) refuseHarmful(now time.Time) *willowwick.Refusal {
@@ -42,7 +36,7 @@
 			return nil
 		}
 	}
-	return harmRefusal()
+	return quarantine.Refusal()
 }
 
 // isHarmful reports whether the request is to be sent to no endpoint. Its fingerprint is taken only while some request is under
--- a/exchange/mesh_fleet_test.go
+++ b/exchange/mesh_fleet_test.go
@@ -110,15 +110,7 @@
 				m.disturb()
 				m.run(t, time.Duration(m.random.IntN(1000))*time.Millisecond)
 			}
-			// An endpoint that was gone counts again after two heartbeats; every entry that lapsed is back or dropped by then.
-			m.isAway = false
-			for range 4 {
-				m.beatAll()
-				m.run(t, meshDrain/2)
-			}
-			for _, box := range m.boxes {
-				assert.ElementsMatch(t, withoutBeats(m.store.list()), withoutBeats(box.pool.Endpoints()), "endpoints that %s knows, seed %d", box.settings.Box, seed)
-			}
+			m.assertListsAlike(t, seed)
 		})
 	}
 }
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 )
@@ -261,6 +262,19 @@
 	}
 }
 
+// assertListsAlike lets the store come back, and checks that all boxes list then what it lists.
+func (m *mesh) assertListsAlike(t *testing.T, seed uint64) {
+	// An endpoint that was gone counts again after two heartbeats; every entry that lapsed is back or dropped by then.
+	m.isAway = false
+	for range 4 {
+		m.beatAll()
+		m.run(t, meshDrain/2)
+	}
+	for _, box := range m.boxes {
+		assert.ElementsMatch(t, withoutBeats(m.store.list()), withoutBeats(box.pool.Endpoints()), "endpoints that %s knows, seed %d", box.settings.Box, seed)
+	}
+}
+
 // withoutBeats leaves out what is not told of endpoints that only go on living.
 func withoutBeats(list []willowwick.Endpoint) []willowwick.Endpoint {
 	for i := range list {
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -100,8 +100,8 @@
 		}),
 		budgets: map[willowwick.ServiceID]*route.RepeatBudget{},
 	}
-	x.evacuations = &evacuations{pool: x.pool}
-	x.admissions = &admissions{harm: x.harm}
+	x.evacuations = newEvacuations(x.pool)
+	x.admissions = newAdmissions(x.harm)
 	x.ends = newEndChecks(x)
 	x.releases = newReleases(settings.Releases, x.hasRelease)
 	x.metrics = newRouterMetrics(x)
--- a/exchange/standing.go
+++ b/exchange/standing.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/willowwick/willowwick"
 )
@@ -16,6 +17,14 @@
 		members map[K]willowwick.Offset // where each of them was declared; never changed
 	}
 
+	// standingKeeper keeps the newest set that is known, and puts it in force. No news that are older than it take its place.
+	standingKeeper[K comparable] struct {
+		put func(old, news standing[K], source string) // called under the lock, one set after the other
+
+		mu    sync.Mutex
+		known standing[K]
+	}
+
 	// standingChange says that a key was declared, or that the operator took it back.
 	standingChange[K comparable] struct {
 		key       K
@@ -50,3 +59,35 @@
 func (s standing[K]) isCountedIn(change standingChange[K]) bool {
 	return change.at < s.asOf || change.at < s.members[change.key]
 }
+
+// newest is the newest set that is known.
+func (k *standingKeeper[K]) newest() standing[K] {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.known
+}
+
+// declare takes what a read of the store brought, unless another box told of what came after all of it.
+func (k *standingKeeper[K]) declare(isWhole bool, next willowwick.Offset, changes []standingChange[K]) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if news, isNews := k.known.after(isWhole, next, changes); isNews {
+		k.take(news, "store")
+	}
+}
+
+// hear takes the set that another box knows, if it is newer.
+func (k *standingKeeper[K]) hear(news standing[K], source string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if news.asOf > k.known.asOf {
+		k.take(news, source)
+	}
+}
+
+// take keeps a set and puts it in force; the caller holds the lock.
+func (k *standingKeeper[K]) take(news standing[K], source string) {
+	old := k.known
+	k.known = news
+	k.put(old, news, source)
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -37,8 +37,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	request, holds := record.Request, len(record.Ends) > 0
-	l.stored[request] = holds
-	if !holds {
+	if holds {
+		l.stored[request] = true
+	} else {
 		delete(l.stored, request)
 	}
 	s := l.suspects[request]
--- /dev/null
+++ b/quarantine/refusal.go
@@ -0,0 +1,16 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+// CheckLimit is how long a look may take whether an endpoint ended: the way to another hall and back takes some milliseconds,
+// and the request that broke waits for it.
+const CheckLimit = 100 * time.Millisecond
+
+// Refusal returns what the caller of a refused request is told by each box: for good, and without a promise that it has not run.
+func Refusal() *willowwick.Refusal {
+	return willowwick.Failed(willowwick.CodeHarmful, "%d endpoints ended while they ran this request; it is not sent to others", RefuseAfter)
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -234,6 +234,14 @@
 	}
 }
 
+// Stays reports whether an endpoint is listed and may be given new work.
+func (p *Pool) Stays(id willowwick.EndpointID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.endpoints[id]
+	return m != nil && m.stays()
+}
+
 // SetEvacuated leaves the endpoints of these halls without new work, and no others; running work goes on.
 func (p *Pool) SetEvacuated(halls []willowwick.HallID) {
 	evacuated := make(map[willowwick.HallID]bool, len(halls))
--- a/serve/harm.go
+++ b/serve/harm.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
@@ -13,12 +11,6 @@
 	"github.com/willowwick/willowwick/quarantine"
 )
 
-const (
-	// endCheckLimit is how long a look at an endpoint's address may take: the way to another hall and back takes some
-	// milliseconds, and the request that broke waits for it.
-	endCheckLimit = 100 * time.Millisecond
-)
-
 // content is a request as far as it matters to an endpoint that runs it, to be told from others by its fingerprint.
 type content struct {
 	about willowwick.HarmfulRequest // its fingerprint is taken where it is needed
@@ -61,7 +53,7 @@
 			return nil
 		}
 	}
-	return willowwick.Failed(willowwick.CodeHarmful, "%d endpoints ended while they ran this request; it is not sent to others", quarantine.RefuseAfter)
+	return quarantine.Refusal()
 }
 
 // noteBroken finds out whether an endpoint ended under a request whose answer broke off, and notes that. One that leaves may
@@ -69,10 +61,10 @@
 // requests with it, and one of them may have ended it, so that they count as one failure and not as many.
 func (d *Daemon) noteBroken(ctx context.Context, c *content, endpoint willowwick.Endpoint, release willowwick.ReleaseID, err error) (isEvidence bool) {
 	isSent := !errors.Is(err, willowwick.ErrNotSent) && !errors.Is(err, willowwick.ErrBusy) && !errors.Is(err, willowwick.ErrLeaving)
-	if !isSent || ctx.Err() != nil || !d.stays(endpoint.ID) {
+	if !isSent || ctx.Err() != nil || !d.pool.Stays(endpoint.ID) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckLimit)
+	ctx, cancel := context.WithTimeout(ctx, quarantine.CheckLimit)
 	defer cancel()
 	if listens, known := d.outside.Engine.IsListening(ctx, endpoint); listens || !known {
 		return true
@@ -81,12 +73,6 @@
 	return d.node.Harm.NoteEnd(c.about, willowwick.EndpointEnd{Endpoint: endpoint.ID, Release: release, At: clock.Now()})
 }
 
-// stays reports whether an endpoint is listed and does not leave.
-func (d *Daemon) stays(id willowwick.EndpointID) bool {
-	isListed := slices.ContainsFunc(d.pool.Endpoints(), func(e willowwick.Endpoint) bool { return e.ID == id && !e.Leaving })
-	return isListed && !slices.Contains(d.pool.Leaving(), id)
-}
-
 // noteHarmless notes that an endpoint has answered the request whole.
 func (d *Daemon) noteHarmless(c *content) {
 	if !d.node.Harm.IsEmpty() {
