Failing tests: reading what is refused changes what the store holds; a look at an endpoint ends with its caller

Traced by running them eight times with the race detector: two boxes read the same record from the store in memory, and each took its times to its own clock in place (exchange/harm.go).

--- a/exchange/ends_test.go
+++ b/exchange/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 // logBuffer keeps what is logged.
@@ -70,3 +72,19 @@
 		assert.Equal(t, want.String(), line["fingerprint"])
 	}
 }
+
+// All requests that broke at an endpoint share one look at it. The caller of the one that makes it may leave meanwhile; the others
+// would take the endpoint for alive, and one more may end.
+func TestALookAtAnEndpointOutlivesItsCaller(t *testing.T) {
+	t.Parallel()
+	r := newRunner(t, "r1", answerText("ok"))
+	s := newSite(t, r.endpoint("v1"))
+	endpoint, _ := s.daemon.router.sync.entry("r1")
+	r.crash()
+	brokeAt := clock.Now()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	ends := s.daemon.router.ends
+	ends.hasEnded(left, endpoint, brokeAt)
+	assert.True(t, ends.hasEnded(t.Context(), endpoint, brokeAt))
+}
--- a/exchange/harm_test.go
+++ b/exchange/harm_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -205,3 +206,25 @@
 		assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "again", "popular").status)
 	}
 }
+
+// A store in memory gives all boxes the records that it holds itself. Each box takes their times to its own clock; where it did so in
+// place, boxes that read at once changed each other's times and what the store holds.
+func TestReadingWhatIsRefusedLeavesTheStoreAsItIs(t *testing.T) {
+	t.Parallel()
+	held := willowwick.HarmfulRequest{
+		Request: willowwick.FingerprintOf(testAccount, http.MethodPost, testHost, "/once/", []byte(harmfulBody)),
+		Account: testAccount, Service: "work", Host: testHost, Target: "/once/",
+	}
+	for i := range harmSlack {
+		at := time.Now().UTC().Truncate(time.Second).Add(-time.Duration(i+1) * time.Minute)
+		held.Ends = append(held.Ends, willowwick.EndpointEnd{Endpoint: willowwick.EndpointID(fmt.Sprint("r", i)), Release: "v1", At: at})
+	}
+	want := slices.Clone(held.Ends)
+	control := newTestControl(testTable(1, onceRoute()))
+	control.harmful[held.Request] = held
+	s := startSite(t, control, testSettings())
+	require.Eventually(t, func() bool { return s.daemon.router.harm.Refuses(held.Request) }, patience, 5*time.Millisecond)
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	assert.Equal(t, want, control.harmful[held.Request].Ends)
+}
