A box reads what is refused without changing what the store gave it

Cause: times of ends were taken to the box's own clock in the slice that the store returned. Change: HarmfulRequest.WithEndTimes returns a copy, for both ways; Control says that nobody changes what Harmful returns.

--- a/control.go
+++ b/control.go
@@ -62,7 +62,7 @@
 		Statuses(ctx context.Context) (ReleaseStatuses, error)
 		// SetStatus writes a state if the topic still ends at the offset; otherwise it returns ErrConflict.
 		SetStatus(ctx context.Context, status ReleaseStatus, end Offset) error
-		// Harmful reads the requests that are refused since they end endpoints.
+		// Harmful reads the requests that are refused since they end endpoints. They may be the store's own: nobody changes them.
 		Harmful(ctx context.Context) ([]HarmfulRequest, error)
 		// SetHarmful writes such a request; one without ends is not refused any more.
 		SetHarmful(ctx context.Context, request HarmfulRequest) error
--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -110,22 +110,18 @@
 		return false
 	}
 	now := clock.Now()
-	for _, record := range records {
-		for i, end := range record.Ends {
-			record.Ends[i].At = now.Add(-clock.System(now).Sub(end.At))
-		}
+	restored := make([]willowwick.HarmfulRequest, len(records))
+	for i, record := range records {
+		restored[i] = record.WithEndTimes(func(at time.Time) time.Time { return now.Add(-clock.System(now).Sub(at)) })
 	}
-	s.router.harm.Restore(records, now)
+	s.router.harm.Restore(restored, now)
 	return true
 }
 
 // writeHarmful writes what is due, and reports whether the store took it.
 func (s *syncer) writeHarmful(ctx context.Context) bool {
 	for _, request := range s.router.harm.Due() {
-		for i, end := range request.Ends {
-			request.Ends[i].At = clock.System(end.At)
-		}
-		if err := s.control.SetHarmful(ctx, request); err != nil {
+		if err := s.control.SetHarmful(ctx, request.WithEndTimes(clock.System)); err != nil {
 			slog.Info("request that ends endpoints could not be written", "fingerprint", request.Request.String(), "error", err)
 			return false
 		}
--- a/harm.go
+++ b/harm.go
@@ -1,6 +1,9 @@
 package willowwick
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type (
 	// EndpointEnd says that an endpoint ended by itself.
@@ -22,3 +25,12 @@
 		Tried   []ReleaseID   `json:"tried,omitempty"` // releases on which it was tried once more
 	}
 )
+
+// WithEndTimes is the request with the times of its ends as another clock shows them; the ends of the original stay as they are.
+func (h HarmfulRequest) WithEndTimes(convert func(time.Time) time.Time) HarmfulRequest {
+	h.Ends = slices.Clone(h.Ends)
+	for i, end := range h.Ends {
+		h.Ends[i].At = convert(end.At)
+	}
+	return h
+}
