A look at an endpoint goes on when its caller leaves

Cause: all requests that broke at an endpoint share one look whether it ended; the look went by the context of the request that made it, and showed nothing if that caller left within its milliseconds. The others took the endpoint for alive and were sent on.

--- a/exchange/ends.go
+++ b/exchange/ends.go
@@ -106,9 +106,10 @@
 	}
 }
 
-// look makes the check; an endpoint of which nothing shows in time counts as alive.
+// look makes the check; an endpoint of which nothing shows in time counts as alive. It goes on if the caller of the request that
+// makes it leaves: others wait for what it shows, and would send the request to one more endpoint.
 func (e *endChecks) look(ctx context.Context, check *endCheck, address string) {
-	ctx, cancel := context.WithTimeout(ctx, quarantine.CheckLimit)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), quarantine.CheckLimit)
 	defer cancel()
 	listens, known := e.router.conns.IsListening(ctx, address)
 	check.ended = known && !listens
