--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -304,3 +304,47 @@
 	_, err = willowwick.ParseFingerprint("12")
 	assert.Error(t, err)
 }
+
+// Each trial may end one more endpoint with all that is at work there, and a fleet may move to a new release several times a day.
+func TestTrialsOfARequestBecomeRare(t *testing.T) {
+	l := New()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		l.note(endAt(endpoint, 1000*i), "harmful")
+	}
+	tried := 0
+	const most = 2 // of the three sends that operators allow, one is left for boxes that have not been told
+	try := func(at int) {
+		release := willowwick.ReleaseID(fmt.Sprint("v", 2+at/10))
+		if _, isAllowed := l.Trial(aboutOf("harmful"), []willowwick.ReleaseID{"v1", release}, began.Add(time.Duration(at)*time.Second)); isAllowed {
+			tried++
+			end := endAt(fmt.Sprint("end ", at), 1000*at+100)
+			end.Release = release
+			l.note(end, "harmful")
+		}
+	}
+	for second := range 90 {
+		try(second)
+	}
+	assert.Equal(t, most, tried)
+	try(3 * 3600)
+	assert.Equal(t, most+1, tried, "it may bear a later release")
+}
+
+// Places are scarce after a rack has failed: a trial may find none, or get no answer in time.
+func TestATrialThatShowsNothingIsMadeAgain(t *testing.T) {
+	l := New()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		l.note(endAt(endpoint, i), "popular")
+	}
+	releases := []willowwick.ReleaseID{"v1"}
+	_, isAllowed := l.Trial(aboutOf("popular"), releases, began.Add(3*time.Second))
+	require.True(t, isAllowed)
+	_, isAllowed = l.Trial(aboutOf("popular"), releases, began.Add(10*time.Second))
+	assert.False(t, isAllowed)
+	_, isAllowed = l.Trial(aboutOf("popular"), releases, began.Add(time.Minute))
+	assert.True(t, isAllowed)
+	anew := New()
+	anew.Restore(l.Due(), began.Add(time.Minute))
+	_, isAllowed = anew.Trial(aboutOf("popular"), releases, began.Add(2*time.Minute))
+	assert.False(t, isAllowed, "a box that starts anew knows how often it was tried")
+}
