Trials of a refused request come after ever longer pauses, on any release

Cause: a refused request was tried once on each release. Change: the pause before each further trial is ten times as long (2 s, 20 s, 3 min, ...), counted from the last end or trial, at the store too; on a release that it ended no endpoint of, or on any where its ends leave a doubt.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -66,7 +66,7 @@
 		failure *failedAnswer
 
 		identity *willowwick.Fingerprint // nil until it was asked for
-		trial    willowwick.ReleaseID    // the request ended endpoints, and is tried once on this release
+		trial    willowwick.ReleaseID    // the request ended endpoints, and is tried on this release
 	}
 
 	// pace is how the answer has gone out to the caller so far.
--- a/harm.go
+++ b/harm.go
@@ -22,7 +22,7 @@
 		Host    string        `json:"host"`
 		Target  string        `json:"target"`
 		Ends    []EndpointEnd `json:"ends"`
-		Tried   []ReleaseID   `json:"tried,omitempty"` // releases on which it was tried once more
+		Tried   []ReleaseID   `json:"tried,omitempty"` // releases on which it was tried since, in order
 	}
 )
 
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,10 +17,13 @@
 	// three; one that fails by itself takes some requests with it that are as good as any others.
 	RefuseAfter = 3
 	// togetherWithin is the time within which ends are rather a failure of the endpoints, by a rack or a release: a request
-	// that comes to many of them at once is refused, but is tried once more.
+	// that comes to many of them at once is refused, but is tried again.
 	togetherWithin = time.Second
 	// trialAfter is how long after its last end a refused request may be tried: by then all boxes refuse it.
 	trialAfter = 2 * time.Second
+	// trialGrowth is by how much the pause before each further trial is longer: 2 s, 20 s, 3 min. Each may end one more endpoint
+	// with all that is at work there; operators allow three, of which one is left for boxes that have not been told.
+	trialGrowth = 10
 	// clearMargin is how much later than a whole answer an end still counts as before it: boxes tell each other how long ago
 	// something was, and news may be under way for a swap.
 	clearMargin = time.Second
@@ -65,9 +70,16 @@
 		about     *willowwick.HarmfulRequest // without ends; nil if only other boxes saw the request
 		ends      map[endKey]willowwick.EndpointEnd
 		clearedAt time.Time // of its newest whole answer; ends before it do not count
-		tried     map[willowwick.ReleaseID]bool
+		tried     map[trial]bool
+		triedAt   time.Time // of its newest trial
 		updated   time.Time
 	}
+
+	// trial is one of the sends of a refused request that find out whether it still ends endpoints.
+	trial struct {
+		release willowwick.ReleaseID
+		number  int // of trials before it
+	}
 )
 
 // New returns an empty ledger.
@@ -128,9 +140,9 @@
 	}
 }
 
-// Trial returns the release on whose endpoints a refused request may be tried once, if there is one; no other box may ask at the
-// same time. It is tried on each release that it has ended no endpoint of, which may bear it, and once where something else may
-// have been the cause of its ends: they came close together, or another request was at work at all of them.
+// Trial returns the release on whose endpoints a refused request may be tried, if there is one; no other box may ask at the same
+// time. It is tried on a release that it has ended no endpoint of, which may bear it, and on any where something else may have been
+// the cause of its ends: they came close together, or another request was at work at all of them.
 func (l *Ledger) Trial(
 	about willowwick.HarmfulRequest, releases []willowwick.ReleaseID, now time.Time,
 ) (release willowwick.ReleaseID, allowed bool) {
@@ -138,17 +150,17 @@
 	defer l.mu.Unlock()
 	request := about.Request
 	s := l.suspects[request]
-	if s == nil || !l.refused[request] || now.Sub(s.lastEnd()) < trialAfter {
+	if s == nil || !l.refused[request] || now.Before(s.nextTrial()) {
 		return "", false
 	}
 	s.identify(about)
+	isDoubtful := s.cameTogether() || l.hasTwin(s)
 	for _, release := range releases {
-		if s.tried[release] || s.endedOn(release) && !s.cameTogether() && !l.hasTwin(s) {
-			continue
+		if isDoubtful || !s.endedOn(release) {
+			l.addTrial(request, trial{release, len(s.tried)}, now, "")
+			l.due[request] = true
+			return release, true
 		}
-		l.addTrial(request, release, now, "")
-		l.due[request] = true
-		return release, true
 	}
 	return "", false
 }
@@ -183,7 +195,7 @@
 	s := l.suspects[request]
 	if s == nil {
 		l.makeRoom()
-		s = &suspect{ends: map[endKey]willowwick.EndpointEnd{}, tried: map[willowwick.ReleaseID]bool{}}
+		s = &suspect{ends: map[endKey]willowwick.EndpointEnd{}, tried: map[trial]bool{}}
 		l.suspects[request] = s
 		l.isUsed.Store(true)
 	}
@@ -253,14 +265,17 @@
 	return true
 }
 
-// addTrial takes that a request is tried on a release, and reports whether it is news; the caller holds the lock.
-func (l *Ledger) addTrial(request willowwick.Fingerprint, release willowwick.ReleaseID, at time.Time, from string) bool {
+// addTrial takes that a request is tried, and reports whether it is news; the caller holds the lock.
+func (l *Ledger) addTrial(request willowwick.Fingerprint, tried trial, at time.Time, from string) bool {
 	s := l.suspects[request]
-	if s == nil || s.tried[release] {
+	if s == nil || s.tried[tried] {
 		return false
 	}
-	s.tried[release] = true
-	l.history.add(entry{kind: kindTrial, request: request, end: willowwick.EndpointEnd{Release: release, At: at}, from: from})
+	s.tried[tried] = true
+	if at.After(s.triedAt) {
+		s.triedAt = at
+	}
+	l.history.add(entry{kind: kindTrial, request: request, end: willowwick.EndpointEnd{Release: tried.release, At: at}, trial: tried.number, from: from})
 	return true
 }
 
@@ -366,6 +381,32 @@
 	return last
 }
 
+// nextTrial is when the request may be tried again.
+func (s *suspect) nextTrial() time.Time {
+	pause := trialAfter
+	for range s.tried {
+		pause = min(trialGrowth*pause, refusedKept)
+	}
+	last := s.lastEnd()
+	if s.triedAt.After(last) {
+		last = s.triedAt
+	}
+	return last.Add(pause)
+}
+
+// trials are the releases on which the request was tried, in the order of the trials.
+func (s *suspect) trials() []willowwick.ReleaseID {
+	var list []willowwick.ReleaseID
+	for _, tried := range slices.SortedFunc(maps.Keys(s.tried), compareTrials) {
+		list = append(list, tried.release)
+	}
+	return list
+}
+
+func compareTrials(a, b trial) int {
+	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.release, b.release))
+}
+
 // endedOn reports whether an endpoint of the release ended under the request.
 func (s *suspect) endedOn(release willowwick.ReleaseID) bool {
 	for _, end := range s.ends {
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -27,6 +27,7 @@
 		kind    kind
 		request willowwick.Fingerprint
 		end     willowwick.EndpointEnd // of an answer only the time, of a trial the time and the release
+		trial   int                    // number of a trial
 		from    string                 // the box that told of it; empty if it was seen here
 	}
 
@@ -69,6 +70,7 @@
 	TrialRow struct {
 		Request willowwick.Fingerprint
 		Release willowwick.ReleaseID
+		Number  int // of trials before it
 		AgeMs   int64
 	}
 )
@@ -119,8 +121,9 @@
 		for _, end := range s.ends {
 			news.add(entry{kind: kindEnd, request: request, end: end}, at, now)
 		}
-		for release := range s.tried {
-			news.add(entry{kind: kindTrial, request: request, end: willowwick.EndpointEnd{Release: release, At: s.updated}}, at, now)
+		for tried := range s.tried {
+			end := willowwick.EndpointEnd{Release: tried.release, At: s.triedAt}
+			news.add(entry{kind: kindTrial, request: request, end: end, trial: tried.number}, at, now)
 		}
 	}
 }
@@ -132,7 +135,7 @@
 	case kindAnswer:
 		n.Answers = append(n.Answers, AnswerRow{e.request, age})
 	case kindTrial:
-		n.Trials = append(n.Trials, TrialRow{e.request, e.end.Release, age})
+		n.Trials = append(n.Trials, TrialRow{e.request, e.end.Release, e.trial, age})
 	default:
 		key := endKey{e.end.Endpoint, e.end.Incarnation}
 		row, found := at[key]
@@ -157,7 +160,7 @@
 		}
 	}
 	for _, row := range news.Trials {
-		isNews = l.addTrial(row.Request, row.Release, ago(now, row.AgeMs), from) || isNews
+		isNews = l.addTrial(row.Request, trial{row.Release, row.Number}, ago(now, row.AgeMs), from) || isNews
 	}
 	// Answers come last: they may clear ends that came with them.
 	for _, row := range news.Answers {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -23,7 +21,7 @@
 			list = append(list, willowwick.HarmfulRequest{Request: request})
 		case s != nil && s.about != nil:
 			record := *s.about
-			record.Ends, record.Tried = s.sorted(), slices.Sorted(maps.Keys(s.tried))
+			record.Ends, record.Tried = s.sorted(), s.trials()
 			list = append(list, record)
 		default:
 			delete(l.due, request) // a box that has seen it writes it
@@ -76,7 +74,7 @@
 		l.suspect(record.Request, end.At).identify(record)
 		l.addEnd(record.Request, end, "")
 	}
-	for _, release := range record.Tried {
-		l.addTrial(record.Request, release, now, "")
+	for number, release := range record.Tried {
+		l.addTrial(record.Request, trial{release, number}, now, "")
 	}
 }
--- a/serve/harm.go
+++ b/serve/harm.go
@@ -41,7 +41,7 @@
 }
 
 // refuseHarmful refuses a request that ends the endpoints that run it, as all boxes do. The box that holds the lease tries it
-// once on a release of the service or version on which it may run after all.
+// now and then on a release of the service or version on which it may run after all.
 func (d *Daemon) refuseHarmful(c *content, release willowwick.ReleaseID) *willowwick.Refusal {
 	harm := d.node.Harm
 	if harm.IsEmpty() || !harm.Refuses(c.fingerprint()) {
