--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -21,8 +21,8 @@
 	harmRetry = time.Second
 )
 
-// refuseHarmful refuses a request that ends the endpoints that run it. The box that leads tries it once where it may run after
-// all; it is the only one that does so at a time.
+// refuseHarmful refuses a request that ends the endpoints that run it. The box that leads tries it now and then where it may run
+// after all; it is the only one that does so at a time.
 func (c *call) refuseHarmful(now time.Time) *willowwick.Refusal {
 	if !c.isHarmful() {
 		return nil
@@ -30,7 +30,7 @@
 	x := c.router
 	if x.sync.isLeading() {
 		if release, isAllowed := x.harm.Trial(c.identify(), x.releasesOf(c.service, now), now); isAllowed {
-			slog.Info("refused request is tried once", "request", c.head.ID, "fingerprint", c.fingerprint().String(), "release", release)
+			slog.Info("refused request is tried", "request", c.head.ID, "fingerprint", c.fingerprint().String(), "release", release)
 			x.peers.hurry()
 			c.trial = release
 			return nil
@@ -83,30 +83,41 @@
 	}
 }
 
-// keepHarmful reads what the store holds of requests that end endpoints, and writes what this box found, until the context ends. What
-// the boxes know dies with them, and all may lose power at once.
+// keepHarmful looks after what the store holds of requests that end endpoints, until the context ends. What the boxes know dies with
+// them, and all may lose power at once.
 func (s *syncer) keepHarmful(ctx context.Context) {
-	isRestored := false
 	sleep(ctx, lookFor)
 	for ctx.Err() == nil {
-		now := clock.Now()
-		if !isRestored && !s.isFed(now) && !s.mayRest(now) {
-			isRestored = s.restoreHarmful(ctx)
-		}
-		s.router.harm.Expire(now)
-		if !s.writeHarmful(ctx) {
+		if !s.lookAfterHarmful(ctx) {
 			sleep(ctx, harmRetry)
 		}
 		sleep(ctx, harmEvery)
 	}
 }
 
+// lookAfterHarmful reads what the store holds where that is due, and writes what this box found; it reports whether the store
+// answered.
+func (s *syncer) lookAfterHarmful(ctx context.Context) bool {
+	now := clock.Now()
+	isAnswered := true
+	if s.mustReadHarmful(now) {
+		isAnswered = s.restoreHarmful(ctx)
+		s.isRestored = isAnswered
+	}
+	s.router.harm.Expire(now)
+	return s.writeHarmful(ctx) && isAnswered
+}
+
+// mustReadHarmful reports whether this box has to read what the store holds: what the boxes know of it dies with them.
+func (s *syncer) mustReadHarmful(now time.Time) bool {
+	return !s.isRestored && !s.isFed(now) && !s.mayRest(now)
+}
+
 // restoreHarmful reads what the store holds, and reports whether that was possible.
 func (s *syncer) restoreHarmful(ctx context.Context) bool {
 	records, err := s.control.Harmful(ctx)
 	if err != nil {
 		slog.Info("requests that end endpoints could not be read", "error", err)
-		sleep(ctx, harmRetry)
 		return false
 	}
 	now := clock.Now()
--- a/exchange/harm_fleet_test.go
+++ b/exchange/harm_fleet_test.go
@@ -202,6 +202,26 @@
 	}
 }
 
+// Halls that do not reach each other may all reach the store. Each of them once had endpoints of its own end before it refused a
+// request that another one had found out.
+func TestHallsThatAreCutLearnFromTheStoreOfAHarmfulRequest(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			const boxes, halls = 9, 3
+			h := newHarmMesh(newMesh(seed, boxes, halls, 20), harmfulBody)
+			h.store.harmful = map[willowwick.Fingerprint]willowwick.HarmfulRequest{}
+			h.run(t, 5*time.Second)
+			h.isCut = true
+			h.run(t, time.Duration(1+2*seed)*time.Second)
+			h.play(t, 4*time.Second, h.boxes[0], h.boxes[3], h.boxes[6])
+			h.play(t, 6*time.Second, h.boxes...)
+			assert.LessOrEqual(t, h.late(time.Time{}), harmSlack, "seed %d", seed)
+			h.requireRefused(t)
+		})
+	}
+}
+
 // An operator has a request sent on all the same, at all boxes, and takes that back.
 func TestARequestThatTheOperatorAdmitsIsSentOn(t *testing.T) {
 	h, sites := newHarmSite(t, 2, 4)
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -54,6 +54,8 @@
 		control willowwick.Control
 		ordered chan struct{} // a roll-out was ordered, and what became of it is to be read
 
+		isRestored bool // what is refused was read; only keepHarmful uses it
+
 		mu sync.Mutex
 
 		// The list of endpoints.
