Only a success clears a request; halls that are cut from each other learn from the store what is refused

Cause: each whole answer cleared a request, also one of an endpoint that rejects long requests before it has them. And the store, which holds what is refused, was read once in a box's life, so that boxes that reach it but not each other each had three endpoints end. Change: an answer has to be a success. A box that reads the store looks there each second while it hears of no box of some hall.

--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -19,6 +19,9 @@
 	mostTarget = 512
 	// harmRetry is the pause after a call to the store that failed.
 	harmRetry = time.Second
+	// harmLook is how often a box that reads the store looks there for what others found, while it hears of no box of some hall: all
+	// have to know within three seconds.
+	harmLook = time.Second
 )
 
 // refuseHarmful refuses a request that ends the endpoints that run it. The box that leads tries it now and then where it may run
@@ -78,7 +81,7 @@
 
 // noteHarmless notes that an endpoint has answered the request whole.
 func (s *send) noteHarmless(now time.Time) {
-	if !s.router.harm.IsEmpty() {
+	if quarantine.IsHarmlessBy(s.answer.Status) && !s.router.harm.IsEmpty() {
 		s.router.harm.NoteAnswer(s.fingerprint(), now)
 	}
 }
@@ -101,16 +104,19 @@
 	now := clock.Now()
 	isAnswered := true
 	if s.mustReadHarmful(now) {
-		isAnswered = s.restoreHarmful(ctx)
-		s.isRestored = isAnswered
+		if isAnswered = s.restoreHarmful(ctx); isAnswered {
+			s.harmDue = now.Add(harmLook)
+		}
 	}
 	s.router.harm.Expire(now)
 	return s.writeHarmful(ctx) && isAnswered
 }
 
-// mustReadHarmful reports whether this box has to read what the store holds: what the boxes know of it dies with them.
+// mustReadHarmful reports whether this box has to read what the store holds: once, since what boxes know dies with them, and again
+// and again while other halls may have found out something that they cannot tell it.
 func (s *syncer) mustReadHarmful(now time.Time) bool {
-	return !s.isRestored && !s.isFed(now) && !s.mayRest(now)
+	isDue := s.harmDue.IsZero() || !now.Before(s.harmDue) && s.router.peers.missesHall(now)
+	return isDue && !s.isFed(now) && !s.mayRest(now)
 }
 
 // restoreHarmful reads what the store holds, and reports whether that was possible.
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -58,6 +58,18 @@
 	return p.first(hall, func(known *peer) bool { return known.isInTouch(now) })
 }
 
+// missesHall reports whether no box of some hall has been heard of lately, though there is one.
+func (p *peers) missesHall(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, hall := range p.hallsKnown() {
+		if _, found := p.firstInTouch(hall, now); !found {
+			return true
+		}
+	}
+	return false
+}
+
 // isCutOff reports whether a box has not read the store for too long to rely on it.
 func (p *peers) isCutOff(known *peer, now time.Time) bool {
 	told, since := time.Duration(known.digest.ReadAgeMs)*time.Millisecond, now.Sub(known.heard)
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -54,7 +54,7 @@
 		control willowwick.Control
 		ordered chan struct{} // a roll-out was ordered, and what became of it is to be read
 
-		isRestored bool // what is refused was read; only keepHarmful uses it
+		harmDue time.Time // what is refused is not read again before; zero until it was read. Only keepHarmful uses it
 
 		mu sync.Mutex
 
--- a/quarantine/refusal.go
+++ b/quarantine/refusal.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -14,3 +15,9 @@
 func Refusal() *willowwick.Refusal {
 	return willowwick.Failed(willowwick.CodeHarmful, "%d endpoints ended while they ran this request; it is not sent to others", RefuseAfter)
 }
+
+// IsHarmlessBy reports whether the status of a whole answer shows that an endpoint bore the request to its end: one that rejects it
+// may not have begun.
+func IsHarmlessBy(status int) bool {
+	return status < http.StatusMultipleChoices
+}
--- a/serve/services.go
+++ b/serve/services.go
@@ -12,6 +12,7 @@
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/route"
 	goahttp "goa.design/goa/v3/http"
 )
@@ -197,7 +198,9 @@
 		if err == nil {
 			entered.Done(route.OutcomeGood)
 			s.daemon.retries.Succeeded()
-			s.daemon.noteHarmless(s.content)
+			if quarantine.IsHarmlessBy(reply.status) {
+				s.daemon.noteHarmless(s.content)
+			}
 			return reply, nil
 		}
 		if refusal := s.failed(ctx, entered, err, attempt); refusal != nil {
