--- a/exchange/call.go
+++ b/exchange/call.go
@@ -96,20 +96,13 @@
 		return nil, willowwick.NotRun(willowwick.CodeStale, arrived.Add(comeBackLater), "no configuration is known yet")
 	}
 	target, path := requestTarget(r)
-	declared := t.route(r.Host, path)
-	if declared == nil {
-		refusal := willowwick.Invalid(willowwick.CodeUnknownService, "path", "no route of %q leads to %q", r.Host, path)
-		return nil, x.unlessStale(refusal, t, arrived)
-	}
 	c := &call{
-		router: x, out: out, head: head, table: t, route: declared, arrived: arrived, model: noModel,
+		router: x, out: out, head: head, table: t, arrived: arrived, model: noModel,
 		message: wire.Message{Method: r.Method, Target: target, Host: r.Host, Header: r.Header},
 		exclude: map[willowwick.EndpointID]bool{}, resumed: head.ResumeAfter,
 	}
-	if !declared.Anonymous && len(t.Accounts) > 0 {
-		if c.account = t.accounts[head.Key]; c.account == nil {
-			return nil, x.unlessStale(willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key"), t, arrived)
-		}
+	if refusal := c.admit(path); refusal != nil {
+		return nil, x.unlessStale(refusal, t, arrived)
 	}
 	if head.ID == "" {
 		return nil, willowwick.Invalid(willowwick.CodeBadRequest, "id", "the request has no id")
@@ -124,6 +117,20 @@
 	return c, nil
 }
 
+// admit finds the request's route and client account in the configuration.
+func (c *call) admit(path string) *willowwick.Refusal {
+	if c.route = c.table.route(c.message.Host, path); c.route == nil {
+		return willowwick.Invalid(willowwick.CodeUnknownService, "path", "no route of %q leads to %q", c.message.Host, path)
+	}
+	if c.route.Anonymous || len(c.table.Accounts) == 0 {
+		return nil
+	}
+	if c.account = c.table.accounts[c.head.Key]; c.account == nil {
+		return willowwick.Invalid(willowwick.CodeBadKey, "key", "no client account has this key")
+	}
+	return nil
+}
+
 // unlessStale refuses for good what a configuration does not allow, unless another one may have to be in force by now. The
 // age is taken before the configuration: one that comes into force in between makes no older one up to date.
 func (x *Router) unlessStale(refusal *willowwick.Refusal, t *table, now time.Time) *willowwick.Refusal {
