--- a/exchange.go
+++ b/exchange.go
@@ -43,6 +43,7 @@
 		Load       EndpointLoad
 		HasLoad    bool
 		Confidence int // the model's own opinion of its answer, 0 to 100; NoConfidence if it gave none
+		RateLimit  RateLimit
 	}
 
 	// HeaderCodec reads and writes the headers of opaque requests; it keeps the
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -37,6 +37,7 @@
 	set.NewGauge("willowwick_store_held_read_seconds", func() float64 { return x.sync.heldAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(clock.Now()).Seconds() })
+	set.NewGauge("willowwick_endpoints_limited", func() float64 { return float64(x.limits.Count()) })
 	set.NewGauge("willowwick_requests_suspected", func() float64 {
 		suspected, _ := x.harm.Counts()
 		return float64(suspected)
@@ -78,6 +79,11 @@
 	m.set.GetOrCreateCounter("willowwick_sends_ended_with_endpoint_total").Inc()
 }
 
+// sentToLimited counts a send to an endpoint that names a limit.
+func (m *routerMetrics) sentToLimited() {
+	m.set.GetOrCreateCounter("willowwick_sends_to_limited_endpoints_total").Inc()
+}
+
 // eraBegan counts a return of the store from a copy of itself.
 func (m *routerMetrics) eraBegan() {
 	m.set.GetOrCreateCounter("willowwick_store_eras_begun_total").Inc()
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -11,6 +11,7 @@
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/quarantine"
+	"github.com/willowwick/willowwick/ratelimit"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
 )
@@ -72,6 +73,7 @@
 		hints    *hints
 		ends     *endChecks
 		harm     *quarantine.Ledger
+		limits   *ratelimit.Ledger
 
 		evacuations *evacuations
 		admissions  *admissions
@@ -94,7 +96,7 @@
 	conns, closeConns := wire.NewPool(wire.Settings{DialLimit: dialLimit, Silence: sendSilence})
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
-		harm: quarantine.New(),
+		harm: quarantine.New(), limits: ratelimit.NewLedger(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter, QueueShare: queueAtEndpoint,
 		}),
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -209,6 +209,9 @@
 		slog.Debug("send broke off", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
+	if s.router.limits.IsLimited(s.ticket.Endpoint.ID) {
+		s.router.metrics.sentToLimited()
+	}
 	if s.route.Stream {
 		s.router.hints.tell(s.ticket.Sent(clock.Now()))
 	}
@@ -254,6 +257,7 @@
 		}
 		s.answer = answer
 		s.head = s.router.codec.DecodeAnswer(answer.Header, clock.Now())
+		s.noteRateLimit()
 		if s.head.HasLoad {
 			s.head.Load.Endpoint = s.ticket.Endpoint.ID
 			s.router.pool.Report(s.head.Load)
@@ -262,6 +266,13 @@
 	}
 }
 
+// noteRateLimit takes what the answer says of the endpoint's limit; another endpoint at its address says nothing of it.
+func (s *send) noteRateLimit() {
+	if s.answer.Status != http.StatusMisdirectedRequest {
+		s.router.limits.Heard(clock.Now(), s.sentAt, s.ticket.Endpoint.ID, s.head.RateLimit)
+	}
+}
+
 // lateAt is when an answer that has not begun is later than all but a few, by the forecast of reading its prompt, or by
 // what is usual on its route where no forecast is.
 func (s *send) lateAt() time.Time {
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -65,7 +65,7 @@
 func (testCodec) DecodeAnswer(header http.Header, at time.Time) willowwick.AnswerHead {
 	head := willowwick.AnswerHead{
 		Request: willowwick.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
-		Confidence: willowwick.NoConfidence,
+		Confidence: willowwick.NoConfidence, RateLimit: willowwick.ParseRateLimit(header.Get("T-Limit")),
 	}
 	if text := header.Get("T-Confidence"); text != "" {
 		head.Confidence, _ = strconv.Atoi(text)
