--- /dev/null
+++ b/exchange/ratelimit_test.go
@@ -0,0 +1,213 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// limitWindow is the length of time over which what an endpoint gets is counted against its limit.
+	limitWindow = 4 * time.Second
+	// limitExcess and limitSlack bound it: so many times what the limit allows, and so many requests more.
+	limitExcess, limitSlack = 1.5, 5
+	// limitContact is how long boxes have until they hold a limit that is new.
+	limitContact = 3 * time.Second
+	// limitAtOnce is within what time a request that cannot be served is refused.
+	limitAtOnce = 150 * time.Millisecond
+)
+
+type (
+	// limitedRunner is an endpoint that names a limit in its answers for a time, and notes when it gets requests.
+	limitedRunner struct {
+		*runner
+		mu       sync.Mutex
+		rate     string // that it names; empty for none
+		arrivals []time.Time
+	}
+
+	// limitCalls is what came of requests that come all the time.
+	limitCalls struct {
+		mu      sync.Mutex
+		served  int
+		refused int
+		other   []int
+		longest time.Duration // until a request was refused
+		hasTime bool          // all refusals say when to come back
+	}
+)
+
+func newLimitedRunner(t *testing.T, id string) *limitedRunner {
+	l := &limitedRunner{}
+	l.runner = newRunner(t, id, func(w http.ResponseWriter, _ *http.Request) {
+		l.mu.Lock()
+		l.arrivals = append(l.arrivals, time.Now())
+		rate := l.rate
+		l.mu.Unlock()
+		if rate != "" {
+			w.Header().Set("T-Limit", rate)
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = w.Write([]byte("ok"))
+	})
+	return l
+}
+
+// name makes the runner name a limit; empty for none.
+func (l *limitedRunner) name(rate string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate = rate
+}
+
+// between counts the requests that it got in a span of time.
+func (l *limitedRunner) between(from, to time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, at := range l.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// mostInWindow is the most requests that it got in any window within a span of time.
+func (l *limitedRunner) mostInWindow(from, to time.Time) int {
+	l.mu.Lock()
+	arrivals := append([]time.Time(nil), l.arrivals...)
+	l.mu.Unlock()
+	most := 0
+	for _, begin := range arrivals {
+		if begin.Before(from) || begin.Add(limitWindow).After(to) {
+			continue
+		}
+		most = max(most, l.between(begin, begin.Add(limitWindow)))
+	}
+	return max(most, l.between(to.Add(-limitWindow), to))
+}
+
+// newLimitSite starts boxes in halls that know each other by the first one, before endpoints.
+func newLimitSite(t *testing.T, boxes, halls int, runners ...*limitedRunner) (*testControl, []*site) {
+	var endpoints []willowwick.Endpoint
+	for i, r := range runners {
+		endpoint := r.endpoint("v1")
+		endpoint.Hall = willowwick.HallID(fmt.Sprint("hall-", i%halls))
+		endpoints = append(endpoints, endpoint)
+	}
+	control := newTestControl(testTable(1, onceRoute(), againRoute()), endpoints...)
+	var sites []*site
+	for i := range boxes {
+		settings := testSettings()
+		settings.Box, settings.Boot = willowwick.BoxID(fmt.Sprint("box-", i)), willowwick.BootID(fmt.Sprint("boot-", i))
+		settings.Hall, settings.Drain = willowwick.HallID(fmt.Sprint("hall-", i%halls)), feedDrain
+		if i > 0 {
+			settings.Seeds = []string{sites[0].daemon.router.settings.Peers}
+		}
+		sites = append(sites, startSite(t, control, settings))
+	}
+	awaitReaders(t, sites, halls)
+	return control, sites
+}
+
+// call lets requests come to the boxes in turn, so many a second, until the test ends or the function it returns is called.
+func callAll(t *testing.T, sites []*site, perSecond int) (calls *limitCalls, stop func()) {
+	calls = &limitCalls{hasTime: true}
+	done := make(chan struct{})
+	var workers sync.WaitGroup
+	workers.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				workers.Go(func() { calls.add(t, sites[n%len(sites)], n) })
+			}
+		}
+	})
+	stop = sync.OnceFunc(func() {
+		close(done)
+		workers.Wait()
+	})
+	t.Cleanup(stop)
+	return calls, stop
+}
+
+func (c *limitCalls) add(t *testing.T, s *site, n int) {
+	request := s.request(t, http.MethodPost, "/again/", fmt.Sprint("limited-", n), "x")
+	sent := time.Now()
+	response, err := s.client.Do(request)
+	if !assert.NoError(t, err) {
+		return
+	}
+	_ = response.Body.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch response.StatusCode {
+	case http.StatusOK:
+		c.served++
+	case http.StatusServiceUnavailable:
+		c.refused++
+		c.longest = max(c.longest, time.Since(sent))
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		c.hasTime = c.hasTime && err == nil && seconds > 0
+	default:
+		c.other = append(c.other, response.StatusCode)
+	}
+}
+
+// assertWithin checks that the runner got what its limit allows and no more than the bound.
+func (l *limitedRunner) assertWithin(t *testing.T, rate float64, from, to time.Time) {
+	t.Helper()
+	allowed := limitExcess*rate*limitWindow.Seconds() + limitSlack
+	most := l.mostInWindow(from, to)
+	assert.LessOrEqual(t, float64(most), allowed, "requests in %s at %s, which takes %v a second", limitWindow, l.id, rate)
+	used := float64(l.between(from, to))
+	assert.GreaterOrEqual(t, used, rate*to.Sub(from).Seconds()/2, "%s is given what it takes", l.id)
+	t.Logf("%s takes %v a second: at most %d in %s (allowed %.0f), %.0f in %s", l.id, rate, most, limitWindow, allowed, used, to.Sub(from))
+}
+
+// An endpoint that named a limit got as much as any other, from all boxes that it had told of it.
+func TestBoxesTogetherKeepTheLimitThatAnEndpointNames(t *testing.T) {
+	t.Parallel()
+	limited, others := newLimitedRunner(t, "r0"), []*limitedRunner{newLimitedRunner(t, "r1"), newLimitedRunner(t, "r2")}
+	_, sites := newLimitSite(t, 6, 3, limited, others[0], others[1])
+	calls, stop := callAll(t, sites, 150)
+	time.Sleep(time.Second)
+	limited.name("1.2")
+	time.Sleep(limitContact)
+	from := time.Now()
+	time.Sleep(2 * limitWindow)
+	limited.assertWithin(t, 1.2, from, time.Now())
+	stop()
+	assert.Zero(t, calls.refused, "the others take what is beyond the limit")
+	assert.Empty(t, calls.other)
+}
+
+// Where every endpoint names a limit, what is beyond the limits is refused at once.
+func TestWhatNoLimitAllowsIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	limited := newLimitedRunner(t, "r0")
+	limited.name("8")
+	_, sites := newLimitSite(t, 6, 3, limited)
+	calls, stop := callAll(t, sites, 100)
+	time.Sleep(limitContact)
+	from := time.Now()
+	time.Sleep(2 * limitWindow)
+	limited.assertWithin(t, 8, from, time.Now())
+	stop()
+	require.NotZero(t, calls.refused)
+	assert.Less(t, calls.longest, limitAtOnce, "what cannot be served is refused at once")
+	assert.True(t, calls.hasTime, "a refusal says when to come back")
+	assert.Empty(t, calls.other)
+}
