Boxes hold the limits that endpoints name together, by permits that one of them hands out

What callers saw: an endpoint in need that said how much it takes got as much as the others, and failed its requests.

Cause: what one endpoint bears was known to no box, and every box decides by itself what it sends. Shares of a fixed size would not do: 1.2 a second is one request in five seconds for each of six boxes, and one in four minutes for each of 295.

Change: boxes tell each other which endpoints name limits (ratelimit.Ledger). A request for such an endpoint needs a permit, which the box asks of its hub and that one of the hub that grants: the one that started first of those in touch. Permits come at the rate of the limit (ratelimit.Granter), in the part that the boxes make which take that hub for the one that grants, so that sides of a cut do not add up to more. A request that is denied goes to another endpoint; where all name limits it is refused at once, with the time of the next permit.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -61,6 +61,7 @@
 		model    int // index in the route's models, or noModel
 		choice   releaseChoice
 
+		denials int // permits that it was denied
 		sends   int // times it was sent, whatever came of it
 		runs    int // endpoints that may have run it
 		exclude map[willowwick.EndpointID]bool
@@ -229,6 +230,11 @@
 			c.giveUp(quarantine.Refusal())
 			return
 		}
+		if !c.obtainPermit(ticket) {
+			ticket.Done(route.OutcomeCancelled)
+			c.denials++
+			continue
+		}
 		c.sends++
 		result := c.sendOnce(ticket)
 		if result.kind == answered || result.kind == callerLeft {
@@ -261,11 +267,18 @@
 			}
 			return place, known
 		},
+		Hopeless: c.isHopeless,
 	})
 }
 
 // acquire takes a place at an endpoint that is allowed, in a hall that the request has not missed where there is one.
 func (c *call) acquire(now time.Time, work route.Work, allow func(willowwick.Endpoint) bool) (*route.Place, bool) {
+	if c.denials >= mostAsks {
+		allowed := allow
+		allow = func(endpoint willowwick.Endpoint) bool {
+			return allowed(endpoint) && !c.router.isLimited(now, endpoint)
+		}
+	}
 	if len(c.missed) > 0 {
 		there := func(endpoint willowwick.Endpoint) bool {
 			return c.missed[endpoint.Hall] < missesOfHall && allow(endpoint)
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -6,6 +6,7 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/quarantine"
+	"github.com/willowwick/willowwick/ratelimit"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -20,6 +21,8 @@
 		Hall          willowwick.HallID
 		Address       string
 		LinkMbps      int
+		StartedMs     int64  // Unix milliseconds; 0 from a box of an earlier release
+		Granter       string // on a hub, the address of the box that it takes for the one that grants permits
 		TableVersion  uint64
 		TakesPacked   bool                // a box of an earlier release takes configurations as they are alone
 		ReadAgeMs     int64               // since it last showed that the box can read the store
@@ -54,6 +57,7 @@
 		TakesChanges bool                     // of the list of endpoints; a box of an earlier release takes whole lists alone
 		WantsList    bool                     // whole, since its own differs from what the peer told last
 		Harm         quarantine.Call
+		Limits       ratelimit.News
 	}
 
 	// SwapReply is a peer's digest with what the caller lacks.
@@ -65,6 +69,7 @@
 		Known     []KnownRow // all boxes, if the caller knows others
 		HallAges  []HallAge  // if it knows the same ones
 		Harm      quarantine.News
+		Limits    ratelimit.News
 	}
 )
 
@@ -89,7 +94,7 @@
 	configAge := max(x.sync.configAge(now).Milliseconds(), 1)
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		LinkMbps: x.settings.LinkMbps, TableVersion: x.configVersion(), TakesPacked: true, ConfigAgeMs: configAge,
+		LinkMbps: x.settings.LinkMbps, StartedMs: p.startedMs, TableVersion: x.configVersion(), TakesPacked: true, ConfigAgeMs: configAge,
 		StoreAgeMs: x.sync.endpointsAge(now).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
 		Evacuated: x.evacuations.set(), Admitted: x.admissions.set(),
 		Own: p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
@@ -101,7 +106,9 @@
 	}
 	if _, hasHub := p.hub(now); !hasHub {
 		digest.Halls = p.hallReports(now)
+		digest.Granter = p.granterOfHubs(now)
 	}
+	p.noteGranting(now, digest.Granter == digest.Address)
 	return digest
 }
 
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -38,6 +38,12 @@
 	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_endpoints_limited", func() float64 { return float64(x.limits.Count()) })
+	set.NewGauge("willowwick_grants_permits", func() float64 {
+		if x.peers.granter.IsGranting() {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("willowwick_requests_suspected", func() float64 {
 		suspected, _ := x.harm.Counts()
 		return float64(suspected)
@@ -84,6 +90,16 @@
 	m.set.GetOrCreateCounter("willowwick_sends_to_limited_endpoints_total").Inc()
 }
 
+// asked counts a question for a permit by its answer.
+func (m *routerMetrics) asked(answer string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_permits_asked_total{answer=%q}", answer)).Inc()
+}
+
+// permitsGranted counts permits that this box handed out.
+func (m *routerMetrics) permitsGranted(permits int) {
+	m.set.GetOrCreateCounter("willowwick_permits_granted_total").Add(permits)
+}
+
 // eraBegan counts a return of the store from a copy of itself.
 func (m *routerMetrics) eraBegan() {
 	m.set.GetOrCreateCounter("willowwick_store_eras_begun_total").Inc()
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -12,6 +12,7 @@
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/quarantine"
+	"github.com/willowwick/willowwick/ratelimit"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -31,6 +32,8 @@
 		router    *Router
 		transport *fleet.Transport
 		began     time.Time
+		startedMs int64 // the same by the time of day, as other boxes are told
+		granter   *ratelimit.Granter
 		harm      *quarantine.Peers
 		urgent    chan struct{} // there is news that cannot wait for the next round of swaps
 
@@ -51,7 +54,7 @@
 		return dialer.DialContext(ctx, "tcp", address)
 	}, nil)
 	p := &peers{
-		router: x, transport: transport, began: clock.Now(), urgent: make(chan struct{}, 1),
+		router: x, transport: transport, began: clock.Now(), startedMs: clock.TimeOfDay().UnixMilli(), granter: ratelimit.NewGranter(x.limits), urgent: make(chan struct{}, 1),
 		harm:  quarantine.NewPeers(x.harm, x.settings.Boot),
 		known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{},
 	}
--- /dev/null
+++ b/exchange/permits.go
@@ -0,0 +1,199 @@
+package exchange
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/ratelimit"
+)
+
+const (
+	// rpcPermit names the method on the wire that asks for permits.
+	rpcPermit = rpcName + ".Permit"
+	// askLimit is how long a request waits for its permit: a question takes two ways there and back between halls.
+	askLimit = 100 * time.Millisecond
+	// mostAsks bounds how many permits one request is denied before it goes only to endpoints that need none.
+	mostAsks = 3
+)
+
+// Permits to send to endpoints that name limits are handed out by one box, so that a limit holds for all boxes together. A box
+// asks the hub of its hall, which asks the hub that grants: of those that are in touch, the one that started first, so that
+// boxes that start change nothing.
+//
+// Boxes that are cut from each other may have a granter on each side. Each hands out the part of a limit that the boxes
+// make which take it for the granter, so that all parts together are no more than the limit.
+
+// permitResult is what came of a question for permits.
+type permitResult struct {
+	reply ratelimit.Reply
+	err   error
+}
+
+// obtainPermit reports whether the request may be sent to the endpoint of its place.
+func (c *call) obtainPermit(ticket *gate.Ticket) bool {
+	if !ticket.MustAsk() {
+		return true
+	}
+	x, id := c.router, ticket.Endpoint.ID
+	now := clock.Now()
+	reply, err := x.peers.askPermit(c.ctx, x.limits.Ask(now, id, x.settings.Box), now)
+	if err != nil {
+		slog.Debug("no permit was had", "endpoint", id, "error", err)
+		x.metrics.asked("unanswered")
+		x.limits.Unanswered(clock.Now(), id)
+		return false
+	}
+	if !x.limits.Answered(clock.Now(), now, id, reply) {
+		x.metrics.asked("denied")
+		return false
+	}
+	x.metrics.asked("granted")
+	return true
+}
+
+// askPermit asks for permits; a box that is slow to answer keeps no request waiting.
+func (p *peers) askPermit(ctx context.Context, call ratelimit.Call, now time.Time) (ratelimit.Reply, error) {
+	address := p.granterFor(now)
+	if address == p.self().Address {
+		return p.grant(call, now), nil
+	}
+	results := make(chan permitResult, 1)
+	go func() {
+		// Giving a call up costs its connection, over which swaps go too.
+		ctx, cancel := context.WithTimeout(context.Background(), swapLimit)
+		defer cancel()
+		result := permitResult{}
+		result.err = p.transport.Call(ctx, address, rpcPermit, &call, &result.reply)
+		results <- result
+	}()
+	timer := time.NewTimer(askLimit)
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result.reply, result.err
+	case <-timer.C:
+		return ratelimit.Reply{}, errors.New("the box that was asked for a permit is slow")
+	case <-ctx.Done():
+		return ratelimit.Reply{}, errors.Wrap(ctx.Err(), "ask for a permit")
+	}
+}
+
+// Permit answers a box that asks for permits, by asking the box that grants if that is another one.
+func (s *rpcServer) Permit(call *ratelimit.Call, reply *ratelimit.Reply) error {
+	p, now := s.peers, clock.Now()
+	if call.IsPassedOn && p.granterFor(now) != p.self().Address {
+		return errors.New("this box grants no permits")
+	}
+	passed := *call
+	passed.IsPassedOn = true
+	var err error
+	*reply, err = p.askPermit(context.Background(), passed, now)
+	return err
+}
+
+// grant answers a question as the box that grants.
+func (p *peers) grant(call ratelimit.Call, now time.Time) ratelimit.Reply {
+	p.noteGranting(now, true)
+	reply := p.granter.Answer(call, p.grantedPart(now), now)
+	p.router.metrics.permitsGranted(reply.Permits)
+	return reply
+}
+
+// noteGranting notes whether this box is the one that grants.
+func (p *peers) noteGranting(now time.Time, isGranting bool) {
+	if p.granter.SetGranting(now, isGranting) {
+		slog.Info("grants of permits changed", "granting", isGranting)
+	}
+}
+
+// granterFor is the address of the box that this one asks for permits: its hub, or on a hub the box that grants, which may be
+// this one.
+func (p *peers) granterFor(now time.Time) string {
+	if hub, hasHub := p.hub(now); hasHub {
+		return hub.Address
+	}
+	return p.granterOfHubs(now)
+}
+
+// granterOfHubs is the address of the box that grants, as a hub knows it.
+func (p *peers) granterOfHubs(now time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first, startedMs := p.self().Address, p.startedMs
+	for _, hall := range p.hallsKnown() {
+		hub, found := p.hubOf(hall, now)
+		if !found || hall == p.router.settings.Hall {
+			continue
+		}
+		digest := &p.known[hub.Address].digest
+		if digest.StartedMs == 0 {
+			continue // a box of an earlier release
+		}
+		if digest.StartedMs < startedMs || digest.StartedMs == startedMs && hub.Address < first {
+			first, startedMs = hub.Address, digest.StartedMs
+		}
+	}
+	return first
+}
+
+// grantedPart is the part of a limit that this box hands out: that of the boxes which take it for the one that grants, among all
+// that are known. A box that has just started and is in touch with none does not know them yet.
+func (p *peers) grantedPart(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	follows := map[willowwick.HallID]bool{}
+	for _, hall := range p.hallsKnown() {
+		hub, found := p.hubOf(hall, now)
+		follows[hall] = found && p.known[hub.Address].digest.Granter == p.self().Address
+	}
+	all, following := 1, 1
+	for _, known := range p.known {
+		if !known.isCounted(now) {
+			continue
+		}
+		all++
+		isOwnHall := known.box.Hall == p.router.settings.Hall
+		if isOwnHall && known.isInTouch(now) || !isOwnHall && follows[known.box.Hall] {
+			following++
+		}
+	}
+	if following == 1 && now.Sub(p.began) < countAfter {
+		all = max(all, youngFleet)
+	}
+	return float64(following) / float64(all)
+}
+
+// isLimited reports whether an endpoint names a limit.
+func (x *Router) isLimited(now time.Time, endpoint willowwick.Endpoint) bool {
+	_, isLimited := x.limits.Limited(now, endpoint.ID)
+	return isLimited
+}
+
+// allowed says which endpoints the request may go to, whatever they have to do: those of the chosen release where there are any.
+func (c *call) allowed() func(willowwick.Endpoint) bool {
+	if c.router.pool.HasStaying(c.service, c.choice.allows) {
+		return c.choice.allows
+	}
+	return c.choice.otherwise
+}
+
+// hasUnlimited reports whether one of the endpoints that the request may go to names no limit.
+func (c *call) hasUnlimited(now time.Time) bool {
+	allow := c.allowed()
+	return c.router.pool.HasStaying(c.service, func(endpoint willowwick.Endpoint) bool {
+		return allow(endpoint) && !c.router.isLimited(now, endpoint)
+	})
+}
+
+// isHopeless reports whether no endpoint can take the request before a time, since all that might name limits.
+func (c *call) isHopeless(now time.Time) (until time.Time, isHopeless bool) {
+	if until, isHopeless = c.router.pool.AllLimited(now, c.service, c.allowed()); isHopeless {
+		return until, true
+	}
+	return now, c.denials >= mostAsks && !c.hasUnlimited(now)
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -94,11 +94,13 @@
 // newRouter returns a router without configuration, and a function that closes its connections.
 func newRouter(settings Settings, codec willowwick.HeaderCodec) (*Router, func()) {
 	conns, closeConns := wire.NewPool(wire.Settings{DialLimit: dialLimit, Silence: sendSilence})
+	limits := ratelimit.NewLedger()
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
-		harm: quarantine.New(), limits: ratelimit.NewLedger(),
+		harm: quarantine.New(), limits: limits,
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter, QueueShare: queueAtEndpoint,
+			Limits: limits,
 		}),
 		budgets: map[willowwick.ServiceID]*route.RepeatBudget{},
 	}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -209,7 +209,7 @@
 		slog.Debug("send broke off", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
-	if s.router.limits.IsLimited(s.ticket.Endpoint.ID) {
+	if s.router.isLimited(s.sentAt, s.ticket.Endpoint) {
 		s.router.metrics.sentToLimited()
 	}
 	if s.route.Stream {
@@ -269,7 +269,9 @@
 // noteRateLimit takes what the answer says of the endpoint's limit; another endpoint at its address says nothing of it.
 func (s *send) noteRateLimit() {
 	if s.answer.Status != http.StatusMisdirectedRequest {
-		s.router.limits.Heard(clock.Now(), s.sentAt, s.ticket.Endpoint.ID, s.head.RateLimit)
+		if s.router.limits.Heard(clock.Now(), s.sentAt, s.ticket.Endpoint, s.head.RateLimit) {
+			s.router.peers.hurry()
+		}
 	}
 }
 
@@ -376,6 +378,9 @@
 	if s.head.Confidence >= s.confidenceNeeded(now) {
 		return false
 	}
+	if !c.hasUnlimited(now) {
+		return false // the answer that is there is worth more than a refusal
+	}
 	return c.runs < c.route.MaxRuns && s.hasTimeFor(c.route.Models[len(c.route.Models)-1], now) && s.router.takeRepeat(c, route.RepeatEscalation, now)
 }
 
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -121,6 +121,7 @@
 		call.Table, call.Packed = p.tableFor(version, takesPacked)
 	}
 	call.Harm = p.harm.CallTo(address, now)
+	call.Limits = p.router.limits.News(p.limitSumOf(address), now)
 	return call
 }
 
@@ -133,7 +134,8 @@
 	p.takeTable(reply.Table, reply.Packed, &reply.Digest)
 	p.router.sync.hearConfig(&reply.Digest, now)
 	p.router.sync.takeFromPeer(reply, now)
-	if p.harm.Took(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now) {
+	isNews := p.harm.Took(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now)
+	if p.takeLimits(reply.Limits, reply.Digest.Address, sent) || isNews {
 		p.hurry()
 	}
 }
@@ -148,9 +150,11 @@
 	reply.Table, reply.Packed = p.tableFor(call.Digest.TableVersion, call.Digest.TakesPacked)
 	reply.Endpoints = p.router.sync.listFor(call)
 	isNews := false
-	if reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now); isNews {
+	reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now)
+	if p.takeLimits(call.Limits, call.Digest.Address, now) || isNews {
 		p.hurry()
 	}
+	reply.Limits = p.router.limits.News(call.Limits.Sum, now)
 	if call.KnownSum == p.knownSum(now) {
 		reply.HallAges = p.hallAges(now)
 	} else {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,6 +17,10 @@
 	OverloadRetry = time.Second
 	// noEndpointRetry is when a request that no endpoint serves should come back.
 	noEndpointRetry = 2 * time.Second
+	// limitedRetry is when a request that the limits of endpoints do not allow should come back at the earliest.
+	limitedRetry = 300 * time.Millisecond
+	// limitedRetryMost is when it should at the latest: it is likely to come to another box, which may have its turn sooner.
+	limitedRetryMost = 3 * time.Second
 )
 
 type (
@@ -36,6 +40,8 @@
 		Deadline time.Time
 		// Acquire takes a place if there is one; known is false if nothing serves the work.
 		Acquire func(now time.Time) (place *route.Place, known bool)
+		// Hopeless reports whether no place can come before a time, though some endpoint serves the work; nil if it always may.
+		Hopeless func(now time.Time) (until time.Time, isHopeless bool)
 	}
 
 	// waiting is a wish with what came of it.
@@ -98,6 +104,9 @@
 			return w, true, nil
 		}
 	}
+	if until, isHopeless := wish.isHopeless(now); isHopeless {
+		return nil, false, limitedRefusal(now, until, wish.Work)
+	}
 	retryAt, ok := q.Push(now, &route.Waiter{Account: wish.Account, Weight: wish.Weight, Cost: wish.Cost, Deadline: wish.Deadline, Value: w})
 	if !ok {
 		if retryAt.Before(now.Add(OverloadRetry)) {
@@ -108,6 +117,19 @@
 	return w, false, nil
 }
 
+func (w *Wish) isHopeless(now time.Time) (until time.Time, isHopeless bool) {
+	if w.Hopeless == nil {
+		return time.Time{}, false
+	}
+	return w.Hopeless(now)
+}
+
+// limitedRefusal is that of a request that no endpoint takes before a time.
+func limitedRefusal(now, until time.Time, work string) *willowwick.Refusal {
+	until = now.Add(min(max(until.Sub(now), limitedRetry), limitedRetryMost))
+	return willowwick.NotRun(willowwick.CodeRateLimited, until, "every endpoint that serves %q names a limit, and takes no more now", work)
+}
+
 // leave takes back a wish whose caller is gone.
 func (g *Gate) leave(w *waiting) *willowwick.Refusal {
 	g.mu.Lock()
@@ -156,7 +178,10 @@
 		}
 		place, known := w.Acquire(now)
 		if place == nil && known {
-			return
+			if !w.refuseHopeless(q, now) {
+				return
+			}
+			continue
 		}
 		q.Pop()
 		if !known {
@@ -168,6 +193,17 @@
 	}
 }
 
+// refuseHopeless refuses a request at the head of its queue for which no place can come, and reports whether it did.
+func (w *waiting) refuseHopeless(q *route.Queue, now time.Time) bool {
+	until, isHopeless := w.isHopeless(now)
+	if !isHopeless {
+		return false
+	}
+	q.Pop()
+	w.result <- limitedRefusal(now, until, w.Work)
+	return true
+}
+
 // tick refuses what has run out of time and looks for free places.
 func (g *Gate) tick(now time.Time) {
 	g.mu.Lock()
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
 type (
@@ -17,6 +18,32 @@
 		// Unreadable is what stands in the answer in place of a rate; such an answer tells nothing of the limit.
 		Unreadable string
 	}
+
+	// Permission is what a request needs in order to be sent to an endpoint.
+	Permission int
+
+	// RateLimiter knows the endpoints that name limits, and who may send to them.
+	RateLimiter interface {
+		// MayUse reports whether a request may be given the endpoint: it names no limit, a permit is at hand, or one may be
+		// asked for.
+		MayUse(now time.Time, endpoint EndpointID) bool
+		// Use gives a request the endpoint; MayUse must have allowed it.
+		Use(now time.Time, endpoint EndpointID) Permission
+		// Limited reports whether the endpoint names a limit, and when a request may next be given it.
+		Limited(now time.Time, endpoint EndpointID) (nextAt time.Time, isLimited bool)
+		// Keep takes the platform's list: limits of endpoints that are gone, or have started again, are forgotten.
+		Keep(listing []Endpoint)
+	}
+)
+
+// Permissions.
+const (
+	// PermissionFree: the endpoint names no limit.
+	PermissionFree Permission = iota
+	// PermissionHeld: a permit was at hand, and is used.
+	PermissionHeld
+	// PermissionToAsk: a permit must be asked for before the request is sent.
+	PermissionToAsk
 )
 
 // ParseRateLimit reads the limit in an answer; no text names none.
--- a/ratelimit/ledger_test.go
+++ b/ratelimit/ledger_test.go
@@ -8,7 +8,7 @@
 	"github.com/willowwick/willowwick"
 )
 
-const endpoint = willowwick.EndpointID("e1")
+var endpoint = willowwick.Endpoint{ID: "e1"}
 
 func named(rate willowwick.PerSecond) willowwick.RateLimit {
 	return willowwick.RateLimit{Rate: rate, Named: true}
@@ -22,11 +22,11 @@
 	assert.True(t, l.Heard(at(100), at(50), endpoint, named(2)))
 	assert.False(t, l.Heard(at(110), at(60), endpoint, named(2)), "it is known")
 	assert.False(t, l.Heard(at(200), at(90), endpoint, willowwick.RateLimit{}), "its request was sent before")
-	assert.True(t, l.IsLimited(endpoint))
+	assert.True(t, l.Count() == 1)
 	assert.True(t, l.Heard(at(210), at(120), endpoint, named(3)), "another rate")
 	assert.False(t, l.Heard(at(220), at(215), endpoint, willowwick.RateLimit{Unreadable: "x"}), "neither a limit nor its end")
-	assert.True(t, l.IsLimited(endpoint))
+	assert.True(t, l.Count() == 1)
 	assert.True(t, l.Heard(at(300), at(250), endpoint, willowwick.RateLimit{}))
-	assert.False(t, l.IsLimited(endpoint))
+	assert.False(t, l.Count() == 1)
 	assert.Zero(t, l.Count())
 }
--- /dev/null
+++ b/ratelimit/news.go
@@ -0,0 +1,139 @@
+package ratelimit
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// agesDiffer is by how much the same moment may seem to differ between boxes: their ages grow by the time on the way.
+	agesDiffer = 500 * time.Millisecond
+	// neverMs is the age of what has not happened.
+	neverMs = -1
+)
+
+type (
+	// Row is the limit of an endpoint as boxes tell each other.
+	Row struct {
+		Endpoint    willowwick.EndpointID
+		Incarnation willowwick.Incarnation
+		Rate        willowwick.PerSecond
+		NamedMs     int64 // ago
+		EndedMs     int64 // ago; negative if it has not ended
+	}
+
+	// News is what boxes tell each other of limits: a sum over all that one knows, and all of it where the other's sum differs.
+	News struct {
+		Sum  uint64
+		Rows []Row
+	}
+
+	// Call asks for permits.
+	Call struct {
+		Box    willowwick.BoxID // that asks
+		Row    Row
+		Wanted int
+		// IsPassedOn says that another box was asked, which asks for it.
+		IsPassedOn bool
+	}
+
+	// Reply answers a Call.
+	Reply struct {
+		Row     Row // as the box that grants knows the limit
+		Permits int
+		RetryMs int64 // until another question may be asked
+	}
+)
+
+// unknownRow tells that nothing is known of an endpoint's limit.
+func unknownRow(endpoint willowwick.EndpointID) Row {
+	return Row{Endpoint: endpoint, NamedMs: neverMs, EndedMs: neverMs}
+}
+
+// row tells of a limit.
+func (k *limit) row(endpoint willowwick.EndpointID, now time.Time) Row {
+	row := Row{
+		Endpoint: endpoint, Incarnation: k.incarnation, Rate: k.rate,
+		NamedMs: now.Sub(k.namedAt).Milliseconds(), EndedMs: neverMs,
+	}
+	if !k.endedAt.IsZero() {
+		row.EndedMs = now.Sub(k.endedAt).Milliseconds()
+	}
+	return row
+}
+
+// sum is the limit's part of a sum over limits. It leaves out times, which no two boxes know alike.
+func (k *limit) sum(endpoint willowwick.EndpointID) uint64 {
+	text := strconv.AppendInt([]byte(endpoint), int64(k.incarnation), 16)
+	text = strconv.AppendUint(append(text, '/'), math.Float64bits(float64(k.rate)), 16)
+	return xxhash.Sum64(strconv.AppendBool(append(text, '/'), k.isNamed()))
+}
+
+// News tells another box, whose sum is given, what this one knows.
+func (l *Ledger) News(theirs uint64, now time.Time) News {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	news := News{}
+	for id, known := range l.limits {
+		news.Sum += known.sum(id)
+	}
+	if news.Sum == theirs {
+		return news
+	}
+	for id, known := range l.limits {
+		news.Rows = append(news.Rows, known.row(id, now))
+	}
+	return news
+}
+
+// Take takes what another box told at the given time, and reports whether it is news.
+func (l *Ledger) Take(news News, source string, toldAt time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isNews := false
+	for _, row := range news.Rows {
+		isNews = l.merge(row, source, toldAt) || isNews
+	}
+	return isNews
+}
+
+// merge takes a row that was told at the given time; the caller holds the lock.
+func (l *Ledger) merge(row Row, source string, toldAt time.Time) bool {
+	if row.Rate < 0 || row.NamedMs < 0 {
+		return false // an unknownRow
+	}
+	known := l.limits[row.Endpoint]
+	if known != nil && row.Incarnation < known.incarnation {
+		return false
+	}
+	if known != nil && row.Incarnation > known.incarnation {
+		delete(l.limits, row.Endpoint)
+	}
+	known = l.entry(row.Endpoint, row.Incarnation)
+	before := *known
+	known.takeNamed(row.Rate, toldAt.Add(-time.Duration(row.NamedMs)*time.Millisecond))
+	if row.EndedMs >= 0 {
+		if at := toldAt.Add(-time.Duration(row.EndedMs) * time.Millisecond); at.After(known.endedAt) {
+			known.endedAt = at
+		}
+	}
+	isNews := known.isNamed() != before.isNamed() || known.isNamed() && known.rate != before.rate
+	if isNews {
+		known.log(row.Endpoint, source)
+	}
+	return isNews
+}
+
+// takeNamed takes the rate that was named later; of two that were named at about the same time, the lower one.
+func (k *limit) takeNamed(rate willowwick.PerSecond, at time.Time) {
+	switch apart := at.Sub(k.namedAt); {
+	case apart > agesDiffer:
+		k.rate, k.namedAt = rate, at
+	case apart >= -agesDiffer && rate < k.rate:
+		k.rate = rate
+	}
+}
--- a/route/place.go
+++ b/route/place.go
@@ -31,13 +31,14 @@
 
 	// Place is one request's place at an endpoint.
 	Place struct {
-		Endpoint willowwick.Endpoint
-		pool     *Pool
-		member   *member
-		work     Work
-		prompt   reading
-		taken    time.Time
-		released bool
+		Endpoint   willowwick.Endpoint
+		pool       *Pool
+		member     *member
+		work       Work
+		prompt     reading
+		taken      time.Time
+		released   bool
+		permission willowwick.Permission // what it needs to be sent
 
 		sentAt  time.Time         // when the work was sent; zero before
 		unread  willowwick.Tokens // tokens of the prompt that the endpoint has to read, as forecast
@@ -59,6 +60,11 @@
 	OutcomeCancelled
 )
 
+// MustAsk reports whether a permit must be asked for before the request is sent.
+func (p *Place) MustAsk() bool {
+	return p.permission == willowwick.PermissionToAsk
+}
+
 // Sent notes that the endpoint has the request's prompt to read, and returns what is to be told to other boxes of it.
 func (p *Place) Sent(now time.Time) (reading Reading, isReading bool) {
 	p.pool.mu.Lock()
--- a/route/pool.go
+++ b/route/pool.go
@@ -49,6 +49,8 @@
 		QueueShare float64
 		// QuietAfter is how long an endpoint with work may say nothing before others are preferred; 0 never.
 		QuietAfter time.Duration // setting
+		// Limits knows what endpoints take from all boxes together; nil if none names a limit.
+		Limits willowwick.RateLimiter
 	}
 
 	// member is an endpoint with what the box knows of it.
@@ -108,6 +110,9 @@
 	if options.LoadFresh == 0 {
 		options.LoadFresh = loadFresh
 	}
+	if options.Limits == nil {
+		options.Limits = unlimited{}
+	}
 	return &Pool{
 		picker: picker, options: options,
 		endpoints: map[willowwick.EndpointID]*member{}, rows: map[row]*candidateRow{}, busy: map[*member]bool{},
@@ -117,6 +122,7 @@
 
 // Update takes the platform's list; endpoints that are gone get no new work.
 func (p *Pool) Update(listing []willowwick.Endpoint) {
+	p.options.Limits.Keep(listing)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := make(map[willowwick.EndpointID]*member, len(listing))
@@ -350,7 +356,7 @@
 		return nil, false
 	}
 	r.now, r.prompt, r.exclude, r.allow = now, p.readingOf(name.service, work), exclude, allow
-	if len(exclude) > 0 && r.allExcluded() {
+	if len(exclude) > 0 && r.allExcluded(now) {
 		// Every endpoint failed this request once; a second try beats none.
 		r.exclude = nil
 	}
@@ -368,11 +374,12 @@
 		m.heardAt = now
 	}
 	p.noteCold(now, m)
+	permission := p.options.Limits.Use(now, m.endpoint.ID)
 	m.inFlight++
 	m.recent++
 	p.busy[m] = true
 	p.inFlight++
-	return &Place{Endpoint: m.endpoint, pool: p, member: m, work: work, prompt: r.prompt, taken: now}, true
+	return &Place{Endpoint: m.endpoint, pool: p, member: m, work: work, prompt: r.prompt, taken: now, permission: permission}, true
 }
 
 // readingOf is what the work's prompt asks of any of the service's endpoints.
@@ -383,7 +390,8 @@
 	return reading{work.Prompt, work.parts(), p.speeds[speedKey{service, work.Model}].perToken()}
 }
 
-// HasOpen reports whether one of the service's endpoints that are allowed may be given work.
+// HasOpen reports whether one of the service's endpoints that are allowed may be given work; those that name limits do not
+// count, since a permit may be denied.
 func (p *Pool) HasOpen(now time.Time, service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -392,6 +400,9 @@
 		return false
 	}
 	for _, m := range r.members {
+		if _, isLimited := p.options.Limits.Limited(now, m.endpoint.ID); isLimited {
+			continue
+		}
 		if allow(m.endpoint) && !p.isPaused(now, m) && m.open(now, p.options, false) {
 			return true
 		}
@@ -458,10 +469,11 @@
 		Load:     m.knownLoad(r.now, r.pool.options),
 		InFlight: m.inFlight,
 		Recent:   m.recent,
-		Open:     !r.exclude[m.endpoint.ID] && r.allows(m) && !r.pool.isPaused(r.now, m) && m.open(r.now, r.pool.options, r.trusting),
-		Ahead:    m.reader.ahead(r.now),
-		Reading:  reading,
-		Failing:  m.failingShare(r.now),
+		Open: !r.exclude[m.endpoint.ID] && r.allows(m) && !r.pool.isPaused(r.now, m) && m.open(r.now, r.pool.options, r.trusting) &&
+			r.pool.options.Limits.MayUse(r.now, m.endpoint.ID),
+		Ahead:   m.reader.ahead(r.now),
+		Reading: reading,
+		Failing: m.failingShare(r.now),
 	}
 }
 
@@ -478,10 +490,10 @@
 	return r.ring[at].index
 }
 
-// allExcluded reports whether no endpoint that stays is left to try.
-func (r *candidateRow) allExcluded() bool {
+// allExcluded reports whether no endpoint that stays is left to try; one whose limit takes no request now is none.
+func (r *candidateRow) allExcluded(now time.Time) bool {
 	for _, m := range r.members {
-		if m.stays() && r.allows(m) && !r.exclude[m.endpoint.ID] {
+		if m.stays() && r.allows(m) && !r.exclude[m.endpoint.ID] && r.pool.options.Limits.MayUse(now, m.endpoint.ID) {
 			return false
 		}
 	}
--- a/route/pressure.go
+++ b/route/pressure.go
@@ -20,10 +20,11 @@
 	if r == nil {
 		return Pressure{}
 	}
+	counts := p.countedBy(now, r)
 	var backlog time.Duration
 	requests, endpoints := 0, 0
 	for _, m := range r.members {
-		if !m.stays() || now.Before(m.suspectUntil) || !allow(m.endpoint) {
+		if !m.stays() || now.Before(m.suspectUntil) || !allow(m.endpoint) || !counts(m) {
 			continue
 		}
 		load := m.knownLoad(now, p.options)
