--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/ratelimit"
 )
 
 const (
@@ -205,6 +206,14 @@
 	box := &meshBox{Router: x}
 	x.sync = newSyncer(x, &meshControl{mesh: m, box: box})
 	x.peers, _ = newPeers(x)
+	x.peers.askBox = func(_ context.Context, address string, call *ratelimit.Call) (reply ratelimit.Reply, err error) {
+		other := m.named[address]
+		if other == nil || other.down || m.isCut && other.settings.Hall != settings.Hall {
+			return reply, errDown
+		}
+		err = (&rpcServer{peers: other.peers}).Permit(call, &reply)
+		return reply, err
+	}
 	x.hints = newHints(x, nil)
 	x.setTable(testTable(1, onceRoute(), streamRoute()), "test")
 	// Real boxes start a little after each other.
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -34,8 +34,10 @@
 		began     time.Time
 		startedMs int64 // the same by the time of day, as other boxes are told
 		granter   *ratelimit.Granter
-		harm      *quarantine.Peers
-		urgent    chan struct{} // there is news that cannot wait for the next round of swaps
+		// askBox asks the box at an address for permits.
+		askBox func(ctx context.Context, address string, call *ratelimit.Call) (ratelimit.Reply, error)
+		harm   *quarantine.Peers
+		urgent chan struct{} // there is news that cannot wait for the next round of swaps
 
 		mu    sync.Mutex
 		known map[string]*peer // by address
@@ -58,6 +60,10 @@
 		harm:  quarantine.NewPeers(x.harm, x.settings.Boot),
 		known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{},
 	}
+	p.askBox = p.callForPermit
+	if len(x.settings.Seeds) > 0 {
+		x.limits.AwaitNews(p.began.Add(lookFor))
+	}
 	for _, address := range x.settings.Seeds {
 		p.list(KnownBox{Address: address}, clock.Now())
 	}
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -67,9 +67,8 @@
 		// Giving a call up costs its connection, over which swaps go too.
 		ctx, cancel := context.WithTimeout(context.Background(), swapLimit)
 		defer cancel()
-		result := permitResult{}
-		result.err = p.transport.Call(ctx, address, rpcPermit, &call, &result.reply)
-		results <- result
+		reply, err := p.askBox(ctx, address, &call)
+		results <- permitResult{reply, err}
 	}()
 	timer := time.NewTimer(askLimit)
 	defer timer.Stop()
@@ -83,6 +82,12 @@
 	}
 }
 
+// callForPermit asks the box at an address over its connection.
+func (p *peers) callForPermit(ctx context.Context, address string, call *ratelimit.Call) (reply ratelimit.Reply, err error) {
+	err = p.transport.Call(ctx, address, rpcPermit, call, &reply)
+	return reply, err
+}
+
 // Permit answers a box that asks for permits, by asking the box that grants if that is another one.
 func (s *rpcServer) Permit(call *ratelimit.Call, reply *ratelimit.Reply) error {
 	p, now := s.peers, clock.Now()
--- /dev/null
+++ b/exchange/ratelimit_fleet_test.go
@@ -0,0 +1,218 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+)
+
+const (
+	// limitDemand is how many requests a second come to a fleet, all of which would go to the limited endpoint.
+	limitDemand = 150
+	// limitAnswers is how long the endpoint takes to answer.
+	limitAnswers = 30 * time.Millisecond
+)
+
+type (
+	// limitMesh is a mesh to whose boxes requests come that would all go to one endpoint.
+	limitMesh struct {
+		*mesh
+		endpoint willowwick.Endpoint
+		said     willowwick.RateLimit
+		arrivals []time.Time
+		answers  []limitAnswer
+		due      float64 // requests that have not come yet
+		denied   int
+	}
+
+	// limitAnswer is an answer under way.
+	limitAnswer struct {
+		box    *meshBox
+		sentAt time.Time
+		at     time.Time
+		said   willowwick.RateLimit
+	}
+)
+
+func newLimitMesh(m *mesh) *limitMesh {
+	return &limitMesh{mesh: m, endpoint: meshEndpoint(0, 1)}
+}
+
+func (l *limitMesh) name(rate willowwick.PerSecond) {
+	l.said = willowwick.RateLimit{Rate: rate, Named: true}
+}
+
+// play lets requests come to the boxes for a length of virtual time.
+func (l *limitMesh) play(t *testing.T, length time.Duration, boxes ...*meshBox) {
+	for until := time.Now().Add(length); time.Now().Before(until); {
+		l.run(t, meshStep)
+		l.answer(time.Now())
+		for l.due += limitDemand * meshStep.Seconds(); l.due >= 1; l.due-- {
+			if box := boxes[l.random.IntN(len(boxes))]; !box.down {
+				l.request(t, box, time.Now())
+			}
+		}
+	}
+}
+
+// request lets a request come to a box, which sends it if it may.
+func (l *limitMesh) request(t *testing.T, box *meshBox, now time.Time) {
+	if !box.limits.MayUse(now, l.endpoint.ID) {
+		return
+	}
+	if box.limits.Use(now, l.endpoint.ID) == willowwick.PermissionToAsk && !l.ask(t, box, now) {
+		l.denied++
+		return
+	}
+	now = time.Now()
+	l.arrivals = append(l.arrivals, now)
+	l.answers = append(l.answers, limitAnswer{box, now, now.Add(limitAnswers), l.said})
+}
+
+func (l *limitMesh) ask(t *testing.T, box *meshBox, now time.Time) bool {
+	reply, err := box.peers.askPermit(t.Context(), box.limits.Ask(now, l.endpoint.ID, box.settings.Box), now)
+	if err != nil {
+		box.limits.Unanswered(clock.Now(), l.endpoint.ID)
+		return false
+	}
+	return box.limits.Answered(clock.Now(), now, l.endpoint.ID, reply)
+}
+
+// answer lets the answers come whose time it is.
+func (l *limitMesh) answer(now time.Time) {
+	var underWay []limitAnswer
+	for _, answer := range l.answers {
+		if now.Before(answer.at) {
+			underWay = append(underWay, answer)
+			continue
+		}
+		answer.box.limits.Heard(now, answer.sentAt, l.endpoint, answer.said)
+	}
+	l.answers = underWay
+}
+
+// between counts the requests that the endpoint got in a span of time.
+func (l *limitMesh) between(from, to time.Time) int {
+	count := 0
+	for _, at := range l.arrivals {
+		if !at.Before(from) && at.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// assertHeld checks that the endpoint got no more than its limit allows in any window of a span, and at least a part of it.
+func (l *limitMesh) assertHeld(t *testing.T, from, to time.Time, leastPart float64, what string) {
+	t.Helper()
+	rate := float64(l.said.Rate)
+	most := l.between(to.Add(-limitWindow), to)
+	for _, begin := range l.arrivals {
+		if end := begin.Add(limitWindow); !begin.Before(from) && !end.After(to) {
+			most = max(most, l.between(begin, end))
+		}
+	}
+	allowed := limitExcess*rate*limitWindow.Seconds() + limitSlack
+	assert.LessOrEqual(t, float64(most), allowed, "most in %s, limit %v, %s", limitWindow, rate, what)
+	got := float64(l.between(from, to))
+	assert.GreaterOrEqual(t, got, leastPart*rate*to.Sub(from).Seconds(), "limit %v is used, %s", rate, what)
+	t.Logf("limit %v, %s: most %d in %s (allowed %.0f), %.0f in %s, %d denied", rate, what, most, limitWindow, allowed, got, to.Sub(from), l.denied)
+	l.denied = 0
+}
+
+// Whatever the size of the fleet, and with the store away, boxes together send what a limit allows and no more.
+func TestALimitHoldsAndIsUsedAtAllSizes(t *testing.T) {
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		l := newLimitMesh(newMesh(1, size.boxes, size.halls, size.endpoints))
+		l.play(t, 6*time.Second, l.boxes...)
+		for _, rate := range []willowwick.PerSecond{0.5, 8} {
+			l.isAway = !l.isAway
+			l.name(rate)
+			l.play(t, limitContact, l.boxes...)
+			from := time.Now()
+			l.play(t, 3*limitWindow, l.boxes...)
+			l.assertHeld(t, from, time.Now(), 0.6, fmt.Sprint(size.boxes, " boxes"))
+		}
+	})
+}
+
+// All work comes to one box, which may send all that the limit allows.
+func TestABoxWithAllTheWorkUsesTheWholeLimit(t *testing.T) {
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		l := newLimitMesh(newMesh(1, size.boxes, size.halls, size.endpoints))
+		l.run(t, 6*time.Second)
+		l.name(2)
+		l.play(t, limitContact, l.boxes[size.boxes-1])
+		from := time.Now()
+		l.play(t, 3*limitWindow, l.boxes[size.boxes-1])
+		l.assertHeld(t, from, time.Now(), 0.8, "one box with all the work")
+	})
+}
+
+// Boxes that are started anew, one after the other and the one that grants among them, know of no limit and send no more.
+func TestALimitHoldsWhileBoxesStartAnew(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			const boxes, halls = 6, 3
+			l := newLimitMesh(newMesh(seed, boxes, halls, 20))
+			l.run(t, 6*time.Second)
+			l.name(2.3)
+			l.play(t, limitContact, l.boxes...)
+			from := time.Now()
+			for i := range boxes {
+				l.boxes[i].down = true
+				l.play(t, time.Duration(l.random.IntN(3000))*time.Millisecond, l.boxes...)
+				l.start(i, halls)
+				l.play(t, 2*time.Second, l.boxes...)
+			}
+			l.assertHeld(t, from, time.Now(), 0.4, fmt.Sprint("restarts, seed ", seed))
+		})
+	}
+}
+
+// Halls that are cut from each other each use a part; all together send no more than the limit, during the cut and after it.
+func TestALimitHoldsForHallsThatAreCut(t *testing.T) {
+	quietLogs(t)
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			const boxes, halls = 9, 3
+			l := newLimitMesh(newMesh(seed, boxes, halls, 20))
+			l.run(t, 6*time.Second)
+			l.name(6)
+			l.play(t, limitContact, l.boxes...)
+			from := time.Now()
+			l.isCut = true
+			l.play(t, time.Duration(5+4*seed)*time.Second, l.boxes...)
+			l.isCut = false
+			l.play(t, 3*limitWindow, l.boxes...)
+			l.assertHeld(t, from, time.Now(), 0.5, fmt.Sprint("cut, seed ", seed))
+		})
+	}
+}
+
+// An endpoint that names no limit any more is used fully again within seconds, by all boxes, and not by all at once.
+func TestAnEndpointWhoseLimitHasEndedIsUsedMoreAndMore(t *testing.T) {
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		l := newLimitMesh(newMesh(1, size.boxes, size.halls, size.endpoints))
+		l.run(t, 6*time.Second)
+		l.name(2)
+		l.play(t, 2*limitWindow, l.boxes...)
+		l.said = willowwick.RateLimit{}
+		ended := time.Now()
+		for len(l.boxes) > 0 && l.boxes[0].limits.Count() > 0 && time.Since(ended) < 10*time.Second {
+			l.play(t, meshStep, l.boxes...)
+		}
+		known := time.Now()
+		require.Less(t, known.Sub(ended), 6*time.Second, "the end is known")
+		l.play(t, 20*time.Second, l.boxes...)
+		assert.Less(t, l.between(known, known.Add(time.Second)), limitDemand/4, "no rush")
+		assert.GreaterOrEqual(t, l.between(known.Add(12*time.Second), known.Add(20*time.Second)), 8*limitDemand-limitDemand/10, "all comes there again")
+	})
+}
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -34,6 +34,9 @@
 	Ledger struct {
 		mu     sync.Mutex
 		limits map[willowwick.EndpointID]*limit
+
+		untoldUntil time.Time                      // no other box has told of limits yet, and may still
+		unanswered  map[willowwick.EndpointID]bool // until then, endpoints with a request that is the first one
 	}
 
 	// limit is the limit of one endpoint, with what this box may send there.
@@ -55,7 +58,20 @@
 
 // NewLedger returns a ledger that knows of no limit.
 func NewLedger() *Ledger {
-	return &Ledger{limits: map[willowwick.EndpointID]*limit{}}
+	return &Ledger{limits: map[willowwick.EndpointID]*limit{}, unanswered: map[willowwick.EndpointID]bool{}}
+}
+
+// AwaitNews tells that nothing is known yet of what endpoints have named to other boxes. Until one of them tells, or the given
+// time, an endpoint gets one request, and others only after its answer.
+func (l *Ledger) AwaitNews(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.untoldUntil = until
+}
+
+// isUntold reports whether other boxes may know of limits that this one does not; the caller holds the lock.
+func (l *Ledger) isUntold(now time.Time) bool {
+	return now.Before(l.untoldUntil)
 }
 
 // Heard takes what an answer says, to a request that was sent at the given time, and reports whether it is news.
@@ -65,6 +81,9 @@
 func (l *Ledger) Heard(now, sentAt time.Time, endpoint willowwick.Endpoint, said willowwick.RateLimit) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isUntold(now) {
+		l.unanswered[endpoint.ID] = false
+	}
 	known := l.limits[endpoint.ID]
 	switch {
 	case said.Unreadable != "":
@@ -136,7 +155,7 @@
 	defer l.mu.Unlock()
 	known := l.limits[endpoint]
 	if known == nil {
-		return true
+		return !l.isUntold(now) || !l.unanswered[endpoint]
 	}
 	if _, isLimited := known.rateAt(now); !isLimited {
 		return true
@@ -162,6 +181,7 @@
 	defer l.mu.Unlock()
 	known := l.limits[endpoint]
 	if known == nil {
+		l.noteFirst(now, endpoint)
 		return willowwick.PermissionFree
 	}
 	if _, isLimited := known.rateAt(now); !isLimited {
@@ -176,6 +196,13 @@
 	return willowwick.PermissionToAsk
 }
 
+// noteFirst notes that an endpoint gets its first request of a box that knows nothing yet; the caller holds the lock.
+func (l *Ledger) noteFirst(now time.Time, endpoint willowwick.EndpointID) {
+	if _, isTried := l.unanswered[endpoint]; l.isUntold(now) && !isTried {
+		l.unanswered[endpoint] = true
+	}
+}
+
 // Limited implements willowwick.RateLimiter.
 func (l *Ledger) Limited(now time.Time, endpoint willowwick.EndpointID) (nextAt time.Time, isLimited bool) {
 	l.mu.Lock()
--- a/ratelimit/news.go
+++ b/ratelimit/news.go
@@ -94,6 +94,8 @@
 func (l *Ledger) Take(news News, source string, toldAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.untoldUntil = time.Time{}
+	clear(l.unanswered)
 	isNews := false
 	for _, row := range news.Rows {
 		isNews = l.merge(row, source, toldAt) || isNews
