--- a/lab/fleet_promises_test.go
+++ b/lab/fleet_promises_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -212,8 +213,10 @@
 		// A fresh box joins from its peers while the log is down.
 		s.logDown(true)
 		s.Boxes[4].Kill()
+		watch() // what its former life alone had read of the log is gone
+		newest := slices.Max(highest)
 		require.NoError(t, s.Boxes[4].Start())
-		s.eventually(20*time.Second, "joined from peers", func() bool { return s.Boxes[4].Daemon.Status().Offset > 0 })
+		s.eventually(20*time.Second, "joined from peers", func() bool { return s.Boxes[4].Daemon.Status().Offset >= newest })
 		_, ok := s.Boxes[4].Daemon.Node().Follower.Revision().Cascade("extra")
 		require.True(t, ok)
 		watch()
