The own interface holds the limits that endpoints name, with the same ledger and permits

Runners and plain services name a limit in X-Rate-Limit. The holder of the lease grants permits; while the log is away and nobody holds it, each box grants itself its equal share. Boxes tell each other of limits as they gossip. The question to the granting box and what boxes tell each other stand once, in ratelimit, for both interfaces.

--- a/exchange/known.go
+++ b/exchange/known.go
@@ -7,7 +7,6 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
-	"github.com/willowwick/willowwick/ratelimit"
 )
 
 const (
@@ -53,7 +52,6 @@
 		triedAt  time.Time // last call
 		failures int       // calls in a row that failed
 		swapping bool      // a call to it is under way
-		limitSum uint64    // over the limits that it knew last
 	}
 )
 
@@ -176,26 +174,6 @@
 	return near, far
 }
 
-// limitSumOf is the sum over the limits that a box last told.
-func (p *peers) limitSumOf(address string) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.known[address]; known != nil {
-		return known.limitSum
-	}
-	return 0
-}
-
-// takeLimits takes what a box told of limits at a time, and reports whether it is news.
-func (p *peers) takeLimits(news ratelimit.News, address string, toldAt time.Time) bool {
-	p.mu.Lock()
-	if known := p.known[address]; known != nil {
-		known.limitSum = news.Sum
-	}
-	p.mu.Unlock()
-	return p.router.limits.Take(news, "peer "+address, toldAt)
-}
-
 // versionOf is the version of the configuration that a box last told of, and whether it takes packed ones.
 func (p *peers) versionOf(address string) (version uint64, takesPacked, heard bool) {
 	p.mu.Lock()
@@ -239,6 +217,7 @@
 		if !known.isKept(now) {
 			delete(p.known, address)
 			p.harm.Forget(address)
+			p.limits.Forget(address)
 		}
 	}
 }
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -33,6 +33,7 @@
 		transport *fleet.Transport
 		began     time.Time
 		startedMs int64 // the same by the time of day, as other boxes are told
+		limits    *ratelimit.Peers
 		granter   *ratelimit.Granter
 		// askBox asks the box at an address for permits.
 		askBox func(ctx context.Context, address string, call *ratelimit.Call) (ratelimit.Reply, error)
@@ -56,7 +57,7 @@
 		return dialer.DialContext(ctx, "tcp", address)
 	}, nil)
 	p := &peers{
-		router: x, transport: transport, began: clock.Now(), startedMs: clock.TimeOfDay().UnixMilli(), granter: ratelimit.NewGranter(x.limits), urgent: make(chan struct{}, 1),
+		router: x, transport: transport, began: clock.Now(), startedMs: clock.TimeOfDay().UnixMilli(), limits: ratelimit.NewPeers(x.limits), granter: ratelimit.NewGranter(x.limits), urgent: make(chan struct{}, 1),
 		harm:  quarantine.NewPeers(x.harm, x.settings.Boot),
 		known: map[string]*peer{}, halls: map[willowwick.HallID]heardReport{},
 	}
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -28,12 +28,6 @@
 // Boxes that are cut from each other may have a granter on each side. Each hands out the part of a limit that the boxes
 // make which take it for the granter, so that all parts together are no more than the limit.
 
-// permitResult is what came of a question for permits.
-type permitResult struct {
-	reply ratelimit.Reply
-	err   error
-}
-
 // obtainPermit reports whether the request may be sent to the endpoint of its place.
 func (c *call) obtainPermit(ticket *gate.Ticket) bool {
 	if !ticket.MustAsk() {
@@ -62,24 +56,9 @@
 	if address == p.self().Address {
 		return p.grant(call, now), nil
 	}
-	results := make(chan permitResult, 1)
-	go func() {
-		// Giving a call up costs its connection, over which swaps go too.
-		ctx, cancel := context.WithTimeout(context.Background(), swapLimit)
-		defer cancel()
-		reply, err := p.askBox(ctx, address, &call)
-		results <- permitResult{reply, err}
-	}()
-	timer := time.NewTimer(askLimit)
-	defer timer.Stop()
-	select {
-	case result := <-results:
-		return result.reply, result.err
-	case <-timer.C:
-		return ratelimit.Reply{}, errors.New("the box that was asked for a permit is slow")
-	case <-ctx.Done():
-		return ratelimit.Reply{}, errors.Wrap(ctx.Err(), "ask for a permit")
-	}
+	return ratelimit.AskWithin(ctx, askLimit, swapLimit, func(ctx context.Context) (ratelimit.Reply, error) {
+		return p.askBox(ctx, address, &call)
+	})
 }
 
 // callForPermit asks the box at an address over its connection.
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -121,7 +121,7 @@
 		call.Table, call.Packed = p.tableFor(version, takesPacked)
 	}
 	call.Harm = p.harm.CallTo(address, now)
-	call.Limits = p.router.limits.News(p.limitSumOf(address), now)
+	call.Limits = p.limits.CallTo(address, now)
 	return call
 }
 
@@ -135,7 +135,7 @@
 	p.router.sync.hearConfig(&reply.Digest, now)
 	p.router.sync.takeFromPeer(reply, now)
 	isNews := p.harm.Took(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now)
-	if p.takeLimits(reply.Limits, reply.Digest.Address, sent) || isNews {
+	if p.limits.Took(reply.Limits, reply.Digest.Address, sent) || isNews {
 		p.hurry()
 	}
 }
@@ -151,10 +151,10 @@
 	reply.Endpoints = p.router.sync.listFor(call)
 	isNews := false
 	reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now)
-	if p.takeLimits(call.Limits, call.Digest.Address, now) || isNews {
+	var isLimitNews bool
+	if reply.Limits, isLimitNews = p.limits.Answer(call.Limits, call.Digest.Address, now); isNews || isLimitNews {
 		p.hurry()
 	}
-	reply.Limits = p.router.limits.News(call.Limits.Sum, now)
 	if call.KnownSum == p.knownSum(now) {
 		reply.HallAges = p.hallAges(now)
 	} else {
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/quarantine"
+	"github.com/willowwick/willowwick/ratelimit"
 	"github.com/willowwick/willowwick/rollout"
 )
 
@@ -99,6 +100,7 @@
 		HallMarks []HallMark
 		Halls     []HallDigest
 		Harm      quarantine.Call
+		Limits    ratelimit.News
 	}
 
 	// ExchangeReply brings what the caller lacked and asks for what the answerer lacks.
@@ -110,6 +112,7 @@
 		Want      []NameHash
 		Boot      willowwick.BootID
 		Harm      quarantine.News
+		Limits    ratelimit.News
 	}
 
 	// PushArgs brings digests that were asked for.
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -96,13 +96,16 @@
 		args.HallMarks = append(args.HallMarks, HallMark{Hall: n.Self.Hall, Stamp: hallStamp(now)})
 	}
 	args.Harm = n.harm.CallTo(with.Peer, now)
+	args.Limits = n.limits.CallTo(with.Peer, now)
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply ExchangeReply
 	if err := n.Transport.Call(callCtx, with.Peer, rpcName+".Exchange", args, &reply); err != nil {
 		return
 	}
+	n.noteTouch(clock.Now())
 	n.merge(clock.Now(), reply.Digests, reply.Halls)
+	n.limits.Took(reply.Limits, with.Peer, now)
 	n.harm.Took(args.Harm, reply.Harm, with.Peer, reply.Boot, clock.Now())
 	n.heardOffset(callCtx, with.Peer, reply.Offset, reply.ConfirmMs)
 	if len(reply.Want) > 0 {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -15,6 +15,7 @@
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/config"
 	"github.com/willowwick/willowwick/quarantine"
+	"github.com/willowwick/willowwick/ratelimit"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -68,8 +69,12 @@
 		Usage     *Usage
 		Lease     *Lease
 		Harm      *quarantine.Ledger // of requests that end endpoints
+		Limits    *ratelimit.Ledger  // of endpoints
 
 		harm     *quarantine.Peers
+		limits   *ratelimit.Peers
+		granter  *ratelimit.Granter // for all boxes, while this one holds the lease
+		share    *ratelimit.Granter // for this box, while nobody does
 		mu       sync.Mutex
 		listing  willowwick.Listing
 		listed   bool
@@ -78,10 +83,14 @@
 		buddy    LiveBox
 		draining bool
 		rosterAt time.Time // when the roster last changed here
-		random   *rand.Rand
-		cancel   context.CancelFunc
-		ctx      context.Context // ends when the node stops
-		workers  Workers
+		// ungrantedSince is when this box first asked for a permit and nobody granted any since; zero if somebody did.
+		ungrantedSince time.Time
+		holderAskAt    time.Time // when the holder of the lease is asked again meanwhile
+		touchedAt      time.Time // when another box last called or answered
+		random         *rand.Rand
+		cancel         context.CancelFunc
+		ctx            context.Context // ends when the node stops
+		workers        Workers
 	}
 )
 
@@ -94,7 +103,10 @@
 		Registry:  NewRegistry(settings.Self.Boot),
 		Lease:     NewLease(settings.Self),
 		Harm:      quarantine.New(),
+		Limits:    ratelimit.NewLedger(),
 	}
+	n.limits = ratelimit.NewPeers(n.Limits)
+	n.granter, n.share = ratelimit.NewGranter(n.Limits), ratelimit.NewGranter(n.Limits)
 	n.harm = quarantine.NewPeers(n.Harm, settings.Self.Boot)
 	seed := xxhash.Sum64String(string(settings.Self.Boot))
 	n.random = rand.New(rand.NewPCG(seed, seed))
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -39,6 +39,7 @@
 func (p *peerService) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
 	n := p.node
 	now := clock.Now()
+	n.noteTouch(now)
 	n.merge(now, nil, args.Halls)
 	reply.Digests, reply.Halls, reply.Want = n.Table.Newer(args)
 	if args.Hall != n.Self.Hall && args.stampOf(n.Self.Hall) < hallStamp(now) {
@@ -51,6 +52,7 @@
 	reply.ConfirmMs = n.confirmAge(now)
 	reply.Boot = n.Self.Boot
 	reply.Harm, _ = n.harm.Answer(args.Harm, args.Peer, now)
+	reply.Limits, _ = n.limits.Answer(args.Limits, args.Peer, now)
 	return nil
 }
 
--- /dev/null
+++ b/ratelimit/peers.go
@@ -0,0 +1,81 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Peers keeps what other boxes last knew of limits, so that they are told only where they know others.
+type Peers struct {
+	ledger *Ledger
+
+	mu   sync.Mutex
+	sums map[string]uint64 // by the other box's address
+}
+
+// NewPeers returns what a box tells others of a ledger.
+func NewPeers(ledger *Ledger) *Peers {
+	return &Peers{ledger: ledger, sums: map[string]uint64{}}
+}
+
+// CallTo returns what this box tells another one.
+func (p *Peers) CallTo(address string, now time.Time) News {
+	p.mu.Lock()
+	theirs := p.sums[address]
+	p.mu.Unlock()
+	return p.ledger.News(theirs, now)
+}
+
+// Answer takes what a box tells that calls, and returns what it does not know; isNews says whether this box did not know it.
+func (p *Peers) Answer(call News, from string, now time.Time) (answer News, isNews bool) {
+	isNews = p.Took(call, from, now)
+	return p.ledger.News(call.Sum, now), isNews
+}
+
+// Took takes what a box told at a time, and reports whether it was news.
+func (p *Peers) Took(news News, from string, toldAt time.Time) (isNews bool) {
+	p.mu.Lock()
+	p.sums[from] = news.Sum
+	p.mu.Unlock()
+	return p.ledger.Take(news, "peer "+from, toldAt)
+}
+
+// Forget drops what is kept of a box that is gone.
+func (p *Peers) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sums, address)
+}
+
+// answered is what came of a question.
+type answered struct {
+	reply Reply
+	err   error
+}
+
+// AskWithin asks another box for permits, and waits for its answer no longer than the limit. The question goes on until its
+// context ends, which has the longer limit: giving a call up costs its connection, over which boxes say other things, too.
+func AskWithin(
+	ctx context.Context, limit, longest time.Duration, ask func(ctx context.Context) (Reply, error),
+) (Reply, error) {
+	results := make(chan answered, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
+		defer cancel()
+		reply, err := ask(ctx)
+		results <- answered{reply, err}
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case result := <-results:
+		return result.reply, result.err
+	case <-timer.C:
+		return Reply{}, errors.New("the box that was asked for a permit is slow")
+	case <-ctx.Done():
+		return Reply{}, errors.Wrap(ctx.Err(), "ask for a permit")
+	}
+}
--- a/remote/engine.go
+++ b/remote/engine.go
@@ -28,6 +28,7 @@
 	HeaderWaiting   = "X-Load-Waiting"
 	HeaderSlots     = "X-Load-Slots"
 	HeaderLeaving   = "X-Leaving"
+	HeaderRateLimit = "X-Rate-Limit" // requests a second that the endpoint takes from all boxes together
 )
 
 // Paths of a runner.
@@ -107,6 +108,7 @@
 		cancel()
 		return nil, nil, err
 	}
+	tellLimit(call.Heard, response.Header)
 	if err := checkStatus(response); err != nil {
 		cancel()
 		_ = response.Body.Close()
@@ -144,6 +146,13 @@
 	return response, wrapSend(err)
 }
 
+// tellLimit tells what an answer says of its endpoint's limit.
+func tellLimit(heard func(willowwick.RateLimit), header http.Header) {
+	if heard != nil {
+		heard(willowwick.ParseRateLimit(header.Get(HeaderRateLimit)))
+	}
+}
+
 // wrapSend marks errors of calls that cannot have reached the endpoint.
 func wrapSend(err error) error {
 	if err == nil {
--- a/serve/call.go
+++ b/serve/call.go
@@ -89,6 +89,9 @@
 		if refusal != nil {
 			return refusal
 		}
+		if !c.run.daemon.obtainPermit(c.ctx, entered, c.exclude) {
+			continue
+		}
 		err := c.openAt(entered)
 		if err == nil {
 			return nil
@@ -119,6 +122,7 @@
 		Acquire: func(now time.Time) (*route.Place, bool) {
 			return r.daemon.pool.AcquireVersion(now, c.version, r.prefix, c.exclude)
 		},
+		Hopeless: func(now time.Time) (time.Time, bool) { return r.daemon.pool.AllLimitedOf(now, c.version) },
 	})
 }
 
@@ -136,7 +140,7 @@
 	stream, release, err := r.daemon.outside.Engine.Open(ctx, willowwick.EngineCall{
 		Endpoint: entered.Endpoint, Request: c.id, Version: c.version, Messages: r.request.Messages,
 		MaxTokens: r.request.MaxTokens, Temperature: r.request.Temperature,
-		ResumeAt: c.position, Deadline: r.request.Deadline,
+		ResumeAt: c.position, Deadline: r.request.Deadline, Heard: r.daemon.hearsLimit(entered.Endpoint),
 	})
 	if err != nil {
 		cancel()
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -92,7 +92,6 @@
 	seed := xxhash.Sum64String(string(settings.Boot))
 	d := &Daemon{
 		settings: settings, outside: outside,
-		pool: route.NewPool(route.NewPowerOfTwo(settings.Hall, true, seed)),
 		gate: gate.New(), learner: route.NewLearner(), limiter: route.NewAccountLimiter(),
 		retries: route.NewRetryBudget(), traces: newTraces(), rater: newRaterHealth(),
 		places: make(chan struct{}, settings.MaxRequests), ordered: map[orderKey]bool{},
@@ -106,6 +105,7 @@
 		Self: self, Log: outside.Log, Live: outside.Live, Listener: outside.Peers,
 		OnRevision: d.revised, OnListing: d.listed, Fill: d.fillDigest, OnDigests: d.heardDigests, Lead: d.lead,
 	}, transport)
+	d.pool = route.NewPoolWith(route.NewPowerOfTwo(settings.Hall, true, seed), route.PoolOptions{Limits: d.node.Limits})
 	d.sessions = newSessions(settings.Key, d.node)
 	d.watch = newWatch(d)
 	d.metrics = newDaemonMetrics(d)
--- /dev/null
+++ b/serve/permits.go
@@ -0,0 +1,29 @@
+package serve
+
+import (
+	"context"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/route"
+)
+
+// obtainPermit reports whether a request may be sent to the endpoint of its place; if not, the place is given back, and the
+// request goes elsewhere.
+func (d *Daemon) obtainPermit(ctx context.Context, entered *gate.Ticket, exclude map[willowwick.EndpointID]bool) bool {
+	if !entered.MustAsk() || d.node.ObtainPermit(ctx, entered.Endpoint.ID) {
+		return true
+	}
+	entered.Done(route.OutcomeCancelled)
+	exclude[entered.Endpoint.ID] = true
+	return false
+}
+
+// hearsLimit returns what takes the limit that the answer to a request tells, which is sent to the endpoint now.
+func (d *Daemon) hearsLimit(endpoint willowwick.Endpoint) func(willowwick.RateLimit) {
+	sentAt := clock.Now()
+	return func(said willowwick.RateLimit) {
+		d.node.Limits.Heard(clock.Now(), sentAt, endpoint, said)
+	}
+}
--- a/serve/services.go
+++ b/serve/services.go
@@ -192,7 +192,11 @@
 			entered.Done(route.OutcomeCancelled)
 			return nil, refusal
 		}
-		s.call.Endpoint = entered.Endpoint
+		if !s.daemon.obtainPermit(ctx, entered, s.exclude) {
+			attempt--
+			continue
+		}
+		s.call.Endpoint, s.call.Heard = entered.Endpoint, s.daemon.hearsLimit(entered.Endpoint)
 		s.trace.add("sent", "to endpoint %s", entered.Endpoint.ID)
 		reply, err := s.try(ctx)
 		if err == nil {
@@ -217,6 +221,9 @@
 		Acquire: func(now time.Time) (*route.Place, bool) {
 			return s.daemon.pool.AcquireService(now, s.service, s.exclude)
 		},
+		Hopeless: func(now time.Time) (time.Time, bool) {
+			return s.daemon.pool.AllLimited(now, s.service, nil)
+		},
 	}
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -47,6 +47,8 @@
 		DenyAfter bool `json:"denyAfter"` // answer 500 to all
 		// EndOn ends the runner when it begins to run a prompt that holds this.
 		EndOn string `json:"endOn"`
+		// RateLimit is the limit that answers name; empty for none.
+		RateLimit string `json:"rateLimit"`
 	}
 
 	// Engine stands in for a runner.
@@ -359,6 +361,9 @@
 	header.Set(remote.HeaderRunning, strconv.Itoa(load.Running))
 	header.Set(remote.HeaderWaiting, strconv.Itoa(load.Waiting))
 	header.Set(remote.HeaderSlots, strconv.Itoa(load.Slots))
+	if e.faults.RateLimit != "" {
+		header.Set(remote.HeaderRateLimit, e.faults.RateLimit)
+	}
 }
 
 // report renews the load report when it has lagged enough.
--- a/standin/service.go
+++ b/standin/service.go
@@ -22,6 +22,8 @@
 		Leaving   bool `json:"leaving"`
 		DropAfter int  `json:"dropAfter"` // calls that take effect and are not answered
 		SlowMs    int  `json:"slowMs"`
+		// RateLimit is the limit that answers name; empty for none.
+		RateLimit string `json:"rateLimit"`
 	}
 
 	// Service stands in for an instance of a plain service; it counts the effects of its calls.
@@ -70,6 +72,9 @@
 	}
 	s.mu.Lock()
 	faults := s.faults
+	if faults.RateLimit != "" {
+		w.Header().Set(remote.HeaderRateLimit, faults.RateLimit)
+	}
 	if faults.Leaving {
 		s.mu.Unlock()
 		w.Header().Set(remote.HeaderLeaving, "true")
