--- a/standin/batch.go
+++ b/standin/batch.go
@@ -48,6 +48,8 @@
 		beats    int
 		running  int
 		runs     []BatchRun
+		limit    string // that answers name; empty for none
+		arrivals []BatchArrival
 		stop     chan struct{}
 	}
 
@@ -60,6 +62,12 @@
 		At      time.Time
 	}
 
+	// BatchArrival is a request that came, whether it ran or not.
+	BatchArrival struct {
+		Request string
+		At      time.Time
+	}
+
 	batchEntry struct {
 		Service string `json:"service"`
 		Address string `json:"address"`
@@ -121,6 +129,30 @@
 	b.faults = faults
 }
 
+// NameLimit makes the runner name a limit in its answers from now on; empty for none.
+func (b *BatchRunner) NameLimit(limit string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// Arrivals lists the requests that came so far, the oldest first.
+func (b *BatchRunner) Arrivals() []BatchArrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.arrivals)
+}
+
+// arrive notes a request, and writes the limit that its answer names.
+func (b *BatchRunner) arrive(id string, header http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, BatchArrival{id, time.Now()})
+	if b.limit != "" {
+		header.Set("Server-Limit", b.limit)
+	}
+}
+
 // Runs lists the runs so far, the oldest first.
 func (b *BatchRunner) Runs() []BatchRun {
 	b.mu.Lock()
@@ -145,6 +177,7 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
+	b.arrive(id, w.Header())
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.settings.ID {
 		w.Header().Set("Instance-Id", b.settings.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
