What limits allow goes to the most urgent requests first, and a part of it to the others

Where all endpoints of a service name limits, which requests were refused was left to chance. A box on which one was refused lets two of three less urgent ones yield for a second.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -61,9 +61,10 @@
 		model    int // index in the route's models, or noModel
 		choice   releaseChoice
 
-		denials int // permits that it was denied
-		sends   int // times it was sent, whatever came of it
-		runs    int // endpoints that may have run it
+		yields  bool // it leaves what limited endpoints take to more urgent requests
+		denials int  // permits that it was denied
+		sends   int  // times it was sent, whatever came of it
+		runs    int  // endpoints that may have run it
 		exclude map[willowwick.EndpointID]bool
 		missed  map[willowwick.HallID]int // endpoints of the hall that were not where the list says; nil if there were none
 		resumed string                    // last event that went out
@@ -116,6 +117,7 @@
 		return nil, x.unlessStale(refusal, t, arrived)
 	}
 	c.plan()
+	c.yields = x.shortages.mustYield(c.service, urgency(c.route, c.account), arrived)
 	if refusal := c.refuseHarmful(arrived); refusal != nil {
 		return nil, refusal
 	}
@@ -222,6 +224,7 @@
 	for {
 		ticket, refusal := c.enter()
 		if refusal != nil {
+			c.noteShortage(refusal)
 			c.giveUp(refusal)
 			return
 		}
@@ -273,7 +276,7 @@
 
 // acquire takes a place at an endpoint that is allowed, in a hall that the request has not missed where there is one.
 func (c *call) acquire(now time.Time, work route.Work, allow func(willowwick.Endpoint) bool) (*route.Place, bool) {
-	if c.denials >= mostAsks {
+	if c.avoidsLimits() {
 		allowed := allow
 		allow = func(endpoint willowwick.Endpoint) bool {
 			return allowed(endpoint) && !c.router.isLimited(now, endpoint)
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -179,5 +179,17 @@
 	if until, isHopeless = c.router.pool.AllLimited(now, c.service, c.allowed()); isHopeless {
 		return until, true
 	}
-	return now, c.denials >= mostAsks && !c.hasUnlimited(now)
+	return now, c.avoidsLimits() && !c.hasUnlimited(now)
+}
+
+// avoidsLimits reports whether the request goes only to endpoints that name no limit.
+func (c *call) avoidsLimits() bool {
+	return c.yields || c.denials >= mostAsks
+}
+
+// noteShortage notes a request that was refused since all endpoints name limits.
+func (c *call) noteShortage(refusal *willowwick.Refusal) {
+	if refusal.Code == willowwick.CodeRateLimited {
+		c.router.shortages.note(c.service, urgency(c.route, c.account), clock.Now())
+	}
 }
--- a/exchange/ratelimit_test.go
+++ b/exchange/ratelimit_test.go
@@ -35,6 +35,7 @@
 
 	// limitCalls is what came of requests that come all the time.
 	limitCalls struct {
+		path    string
 		mu      sync.Mutex
 		served  int
 		refused int
@@ -118,9 +119,9 @@
 	return control, sites
 }
 
-// call lets requests come to the boxes in turn, so many a second, until the test ends or the function it returns is called.
-func callAll(t *testing.T, sites []*site, perSecond int) (calls *limitCalls, stop func()) {
-	calls = &limitCalls{hasTime: true}
+// callAll lets requests of a route come to the boxes in turn, so many a second, until the test ends or the function it returns is called.
+func callAll(t *testing.T, sites []*site, path string, perSecond int) (calls *limitCalls, stop func()) {
+	calls = &limitCalls{path: path, hasTime: true}
 	done := make(chan struct{})
 	var workers sync.WaitGroup
 	workers.Go(func() {
@@ -144,7 +145,7 @@
 }
 
 func (c *limitCalls) add(t *testing.T, s *site, n int) {
-	request := s.request(t, http.MethodPost, "/again/", fmt.Sprint("limited-", n), "x")
+	request := s.request(t, http.MethodPost, c.path, fmt.Sprint("limited", c.path, n), "x")
 	sent := time.Now()
 	response, err := s.client.Do(request)
 	if !assert.NoError(t, err) {
@@ -182,7 +183,7 @@
 	t.Parallel()
 	limited, others := newLimitedRunner(t, "r0"), []*limitedRunner{newLimitedRunner(t, "r1"), newLimitedRunner(t, "r2")}
 	_, sites := newLimitSite(t, 6, 3, limited, others[0], others[1])
-	calls, stop := callAll(t, sites, 150)
+	calls, stop := callAll(t, sites, "/again/", 150)
 	time.Sleep(time.Second)
 	limited.name("1.2")
 	time.Sleep(limitContact)
@@ -200,7 +201,7 @@
 	limited := newLimitedRunner(t, "r0")
 	limited.name("8")
 	_, sites := newLimitSite(t, 6, 3, limited)
-	calls, stop := callAll(t, sites, 100)
+	calls, stop := callAll(t, sites, "/again/", 100)
 	time.Sleep(limitContact)
 	from := time.Now()
 	time.Sleep(2 * limitWindow)
@@ -211,3 +212,30 @@
 	assert.True(t, calls.hasTime, "a refusal says when to come back")
 	assert.Empty(t, calls.other)
 }
+
+// What limits allow goes to urgent requests first, and a part of it to others.
+func TestUrgentRequestsComeFirstWhereAllEndpointsNameLimits(t *testing.T) {
+	t.Parallel()
+	limited := newLimitedRunner(t, "r0")
+	limited.name("10")
+	control, sites := newLimitSite(t, 3, 1, limited)
+	control.change(func() {
+		urgent, patient := onceRoute(), againRoute()
+		urgent.Priority, patient.Priority = 1, 4
+		control.table = testTable(2, urgent, patient)
+	})
+	for _, s := range sites {
+		require.Eventually(t, func() bool { return s.daemon.router.configVersion() == 2 }, patience, 5*time.Millisecond)
+	}
+	urgent, stopUrgent := callAll(t, sites, "/once/", 50)
+	patient, stopPatient := callAll(t, sites, "/again/", 50)
+	from := time.Now()
+	time.Sleep(2 * limitWindow)
+	stopUrgent()
+	stopPatient()
+	limited.assertWithin(t, 10, from, time.Now())
+	mean := (urgent.served + patient.served) / 2
+	assert.Greater(t, urgent.served, mean+mean/4, "of %d and %d served", urgent.served, patient.served)
+	assert.Greater(t, patient.served, mean/4, "no kind of request is left without")
+	t.Logf("%d urgent and %d others served, %d and %d refused", urgent.served, patient.served, urgent.refused, patient.refused)
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -61,19 +61,20 @@
 
 	// Router answers opaque requests.
 	Router struct {
-		settings Settings
-		codec    willowwick.HeaderCodec
-		table    atomic.Pointer[table]
-		pool     *route.Pool
-		gate     *gate.Gate
-		conns    *wire.Pool
-		releases *releases
-		sync     *syncer
-		peers    *peers
-		hints    *hints
-		ends     *endChecks
-		harm     *quarantine.Ledger
-		limits   *ratelimit.Ledger
+		settings  Settings
+		codec     willowwick.HeaderCodec
+		table     atomic.Pointer[table]
+		pool      *route.Pool
+		gate      *gate.Gate
+		conns     *wire.Pool
+		releases  *releases
+		sync      *syncer
+		peers     *peers
+		hints     *hints
+		ends      *endChecks
+		harm      *quarantine.Ledger
+		limits    *ratelimit.Ledger
+		shortages *shortages
 
 		evacuations *evacuations
 		admissions  *admissions
@@ -97,7 +98,7 @@
 	limits := ratelimit.NewLedger()
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
-		harm: quarantine.New(), limits: limits,
+		harm: quarantine.New(), limits: limits, shortages: newShortages(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: startLimit, LoadFresh: loadFresh, TrustLast: true, QuietAfter: quietAfter, QueueShare: queueAtEndpoint,
 			Limits: limits,
