A request that only a full endpoint may take is sent there again after a moment, not at once

Its small model's answer had been dropped, the other endpoint that names no limit was full, and the limits of the rest took no more: since no endpoint that may be tried was left, the request went to the full one seven times within a millisecond. Cause: an endpoint whose limit takes nothing counted as one that had failed the request. It now waits for a permit for at most a quarter of its goal, and goes to an endpoint that turned it away again after 50 ms.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -61,10 +61,11 @@
 		model    int // index in the route's models, or noModel
 		choice   releaseChoice
 
-		yields  bool // it leaves what limited endpoints take to more urgent requests
-		denials int  // permits that it was denied
-		sends   int  // times it was sent, whatever came of it
-		runs    int  // endpoints that may have run it
+		yields  bool      // it leaves what limited endpoints take to more urgent requests
+		denials int       // permits that it was denied
+		endedAt time.Time // of its last send
+		sends   int       // times it was sent, whatever came of it
+		runs    int       // endpoints that may have run it
 		exclude map[willowwick.EndpointID]bool
 		missed  map[willowwick.HallID]int // endpoints of the hall that were not where the list says; nil if there were none
 		resumed string                    // last event that went out
@@ -240,6 +241,7 @@
 		}
 		c.sends++
 		result := c.sendOnce(ticket)
+		c.endedAt = clock.Now()
 		if result.kind == answered || result.kind == callerLeft {
 			return
 		}
@@ -257,7 +259,7 @@
 	c.choice = c.router.releases.choose(c.service, c.sessionText(), now, c.deadline)
 	c.choice.only = c.trial
 	until := c.deadline
-	if c.sends == 0 {
+	if c.sends == 0 || c.hasOnlyLimitedLeft(now) {
 		until = earliest(until, now.Add(scale(c.route.Goal, queueShare)))
 	}
 	work := c.work()
@@ -290,7 +292,7 @@
 			return place, true
 		}
 	}
-	return c.router.pool.AcquireAllowed(now, c.service, work, c.exclude, allow)
+	return c.router.pool.AcquireAllowed(now, c.service, work, c.excluded(now), allow)
 }
 
 // noteMiss notes that an endpoint was not where the list says.
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -19,6 +19,9 @@
 	askLimit = 100 * time.Millisecond
 	// mostAsks bounds how many permits one request is denied before it goes only to endpoints that need none.
 	mostAsks = 3
+	// tryAgainAfter is how long after a send a request may go to the same endpoint again where the limits of all others take
+	// no more: places come free meanwhile.
+	tryAgainAfter = 50 * time.Millisecond
 )
 
 // Permits to send to endpoints that name limits are handed out by one box, so that a limit holds for all boxes together. A box
@@ -182,6 +185,20 @@
 	return now, c.avoidsLimits() && !c.hasUnlimited(now)
 }
 
+// hasOnlyLimitedLeft reports whether the request was sent to all endpoints but those whose limits take no more now.
+func (c *call) hasOnlyLimitedLeft(now time.Time) bool {
+	return len(c.exclude) > 0 && c.router.pool.OnlyLimitedLeft(now, c.service, c.exclude, c.allowed())
+}
+
+// excluded are the endpoints to which the request does not go now, since it was there before: none where only limited ones are
+// left, after a moment, since a second try beats a refusal.
+func (c *call) excluded(now time.Time) map[willowwick.EndpointID]bool {
+	if c.hasOnlyLimitedLeft(now) && now.Sub(c.endedAt) >= tryAgainAfter {
+		return nil
+	}
+	return c.exclude
+}
+
 // avoidsLimits reports whether the request goes only to endpoints that name no limit.
 func (c *call) avoidsLimits() bool {
 	return c.yields || c.denials >= mostAsks
--- a/exchange/ratelimit_test.go
+++ b/exchange/ratelimit_test.go
@@ -241,3 +241,33 @@
 	assert.Greater(t, patient.served, mean/4, "no kind of request is left without")
 	t.Logf("%d urgent and %d others served, %d and %d refused", urgent.served, patient.served, len(urgent.refused), len(patient.refused))
 }
+
+// A request that one endpoint turned away, while the other takes no more, was sent to the first one again and again within a
+// millisecond, and then failed.
+func TestARequestThatOnlyAFullEndpointMayTakeIsSentThereAgainAfterAMoment(t *testing.T) {
+	const full = 150 * time.Millisecond
+	limited, other := newLimitedRunner(t, "r0"), newLimitedRunner(t, "r1")
+	limited.name("0.2")
+	_, sites := newLimitSite(t, 1, 1, limited, other)
+	s := sites[0]
+	for i := range 20 { // one of them tells the limit, others use up its permits
+		s.do(t, http.MethodPost, "/again/", fmt.Sprint("before-", i), "x")
+	}
+	from := time.Now()
+	tells := other.handler
+	other.handle(func(w http.ResponseWriter, r *http.Request) {
+		if time.Since(from) < full {
+			w.Header().Set("T-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		tells(w, r)
+	})
+	before := len(other.requests())
+	// The route's goal leaves a request that is sent again 75 ms to wait for a place.
+	require.Eventually(t, func() bool {
+		return s.do(t, http.MethodPost, "/again/", fmt.Sprint("full-", time.Now().UnixNano()), "x").status == http.StatusOK
+	}, patience, time.Millisecond)
+	assert.Less(t, time.Since(from), time.Second)
+	assert.LessOrEqual(t, len(other.requests())-before, 12, "sends in %s", full)
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -356,7 +356,7 @@
 		return nil, false
 	}
 	r.now, r.prompt, r.exclude, r.allow = now, p.readingOf(name.service, work), exclude, allow
-	if len(exclude) > 0 && r.allExcluded(now) {
+	if len(exclude) > 0 && r.allExcluded() {
 		// Every endpoint failed this request once; a second try beats none.
 		r.exclude = nil
 	}
@@ -490,10 +490,10 @@
 	return r.ring[at].index
 }
 
-// allExcluded reports whether no endpoint that stays is left to try; one whose limit takes no request now is none.
-func (r *candidateRow) allExcluded(now time.Time) bool {
+// allExcluded reports whether no endpoint that stays is left to try.
+func (r *candidateRow) allExcluded() bool {
 	for _, m := range r.members {
-		if m.stays() && r.allows(m) && !r.exclude[m.endpoint.ID] && r.pool.options.Limits.MayUse(now, m.endpoint.ID) {
+		if m.stays() && r.allows(m) && !r.exclude[m.endpoint.ID] {
 			return false
 		}
 	}
--- a/route/ratelimit.go
+++ b/route/ratelimit.go
@@ -29,6 +29,15 @@
 	return p.allLimited(now, row{service: service}, allow)
 }
 
+// OnlyLimitedLeft reports whether those of the service's endpoints that stay, are allowed and are not excluded all name limits
+// that take no request now.
+func (p *Pool) OnlyLimitedLeft(
+	now time.Time, service willowwick.ServiceID, exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
+) bool {
+	_, all := p.AllLimited(now, service, func(endpoint willowwick.Endpoint) bool { return allow(endpoint) && !exclude[endpoint.ID] })
+	return all
+}
+
 // AllLimitedOf is AllLimited for the runners that serve a version.
 func (p *Pool) AllLimitedOf(now time.Time, version willowwick.VersionID) (nextAt time.Time, all bool) {
 	return p.allLimited(now, row{version: version}, nil)
