--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -34,6 +35,9 @@
 type (
 	// Ledger is what one box knows of the limits that endpoints name. It implements willowwick.RateLimiter.
 	Ledger struct {
+		// isNeeded is false while nothing bounds any endpoint: the choice of one asks for each of them.
+		isNeeded atomic.Bool
+
 		mu     sync.Mutex
 		limits map[willowwick.EndpointID]*limit
 
@@ -69,6 +73,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.untoldUntil = until
+	l.isNeeded.Store(true)
 }
 
 // isUntold reports whether other boxes may know of limits that this one does not; the caller holds the lock.
@@ -110,6 +115,7 @@
 	if known == nil {
 		known = &limit{incarnation: incarnation}
 		l.limits[endpoint] = known
+		l.isNeeded.Store(true)
 	}
 	return known
 }
@@ -153,6 +159,9 @@
 
 // MayUse implements willowwick.RateLimiter.
 func (l *Ledger) MayUse(now time.Time, endpoint willowwick.EndpointID) bool {
+	if !l.isNeeded.Load() {
+		return true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.limits[endpoint]
@@ -179,6 +188,9 @@
 
 // Use implements willowwick.RateLimiter.
 func (l *Ledger) Use(now time.Time, endpoint willowwick.EndpointID) willowwick.Permission {
+	if !l.isNeeded.Load() {
+		return willowwick.PermissionFree
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.limits[endpoint]
@@ -216,6 +228,9 @@
 
 // Limited implements willowwick.RateLimiter.
 func (l *Ledger) Limited(now time.Time, endpoint willowwick.EndpointID) (nextAt time.Time, isLimited bool) {
+	if !l.isNeeded.Load() {
+		return time.Time{}, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.limits[endpoint]
@@ -237,6 +252,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.limits) == 0 {
+		l.isNeeded.Store(!l.untoldUntil.IsZero())
 		return
 	}
 	listed := make(map[willowwick.EndpointID]bool, len(listing))
