Boxes see what endpoints say of leaving and rest, in log lines and metrics

No change of what is sent. One type holds what an answer says of its endpoint (leaving, rest, limit), one function reads it for both protocols, and one place takes it, from errors, refusals, heads of streams and late answers alike.

--- a/exchange.go
+++ b/exchange.go
@@ -43,7 +43,7 @@
 		Load       EndpointLoad
 		HasLoad    bool
 		Confidence int // the model's own opinion of its answer, 0 to 100; NoConfidence if it gave none
-		RateLimit  RateLimit
+		Notice     Notice
 	}
 
 	// HeaderCodec reads and writes the headers of opaque requests; it keeps the
@@ -53,8 +53,8 @@
 		DecodeRequest(header http.Header, arrived time.Time) (ExchangeHead, error)
 		// EncodeRequest takes out what callers may not set and adds what the router sets.
 		EncodeRequest(header http.Header, send SendHead, now time.Time)
-		// DecodeAnswer reads an endpoint's headers.
-		DecodeAnswer(header http.Header, at time.Time) AnswerHead
+		// DecodeAnswer reads the status and the headers of an endpoint's answer.
+		DecodeAnswer(status int, header http.Header, at time.Time) AnswerHead
 		// EncodeOwn marks an answer of the router's own with the request that it belongs to.
 		EncodeOwn(header http.Header, id RequestID)
 		// TakeSeal takes the endpoint's signature off an answer that is not passed on as it came.
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -38,6 +38,14 @@
 	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declaredAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_endpoints_limited", func() float64 { return float64(x.limits.Count()) })
+	set.NewGauge("willowwick_endpoints_leaving", func() float64 {
+		leaving, _ := x.pool.CountNotices(clock.Now())
+		return float64(leaving)
+	})
+	set.NewGauge("willowwick_endpoints_resting", func() float64 {
+		_, resting := x.pool.CountNotices(clock.Now())
+		return float64(resting)
+	})
 	set.NewGauge("willowwick_grants_permits", func() float64 {
 		if x.peers.granter.IsGranting() {
 			return 1
@@ -90,6 +98,16 @@
 	m.set.GetOrCreateCounter("willowwick_sends_to_limited_endpoints_total").Inc()
 }
 
+// sentToLeaving counts a send to an endpoint that had said that it leaves.
+func (m *routerMetrics) sentToLeaving() {
+	m.set.GetOrCreateCounter("willowwick_sends_to_leaving_endpoints_total").Inc()
+}
+
+// sentToResting counts a send to an endpoint that had asked for rest.
+func (m *routerMetrics) sentToResting() {
+	m.set.GetOrCreateCounter("willowwick_sends_to_resting_endpoints_total").Inc()
+}
+
 // asked counts a question for a permit by its answer.
 func (m *routerMetrics) asked(answer string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_permits_asked_total{answer=%q}", answer)).Inc()
--- /dev/null
+++ b/exchange/notices.go
@@ -0,0 +1,42 @@
+package exchange
+
+import (
+	"log/slog"
+	"net/http"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/wire"
+)
+
+// belongs reports whether an answer is to this request. One that is late tells of its endpoint all the same.
+func (s *send) belongs(answer *wire.Answer) bool {
+	head := s.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now())
+	if head.Request == "" || head.Request == s.call.head.ID {
+		return true
+	}
+	// When its request was sent is not known, so that it tells nothing of the limit.
+	head.Notice.RateLimit = willowwick.RateLimit{Unreadable: "late"}
+	s.hear(answer.Status, head.Notice)
+	return false
+}
+
+// hear takes what an answer says of its endpoint, whatever becomes of the answer: errors, refusals and answers that are dropped
+// tell as much as those that are passed on. Another endpoint at the address says nothing of this one.
+func (s *send) hear(status int, notice willowwick.Notice) {
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
+	x, endpoint, now := s.router, s.ticket.Endpoint, clock.Now()
+	news := x.pool.Hear(now, s.sentAt, endpoint, notice)
+	if news.Leaving {
+		slog.Info("endpoint says that it leaves", "endpoint", endpoint.ID, "source", "answer", "request", s.call.head.ID)
+	}
+	if news.Rest {
+		slog.Info("endpoint asks for rest", "endpoint", endpoint.ID, "request", s.call.head.ID,
+			"ms", notice.RestUntil.Sub(now).Milliseconds())
+	}
+	if news.Limit {
+		x.peers.hurry()
+	}
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -209,9 +209,7 @@
 		slog.Debug("send broke off", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
-	if s.router.isLimited(s.sentAt, s.ticket.Endpoint) {
-		s.router.metrics.sentToLimited()
-	}
+	s.countSent()
 	if s.route.Stream {
 		s.router.hints.tell(s.ticket.Sent(clock.Now()))
 	}
@@ -238,6 +236,21 @@
 	return header
 }
 
+// countSent counts sends to endpoints that want fewer, or none.
+func (s *send) countSent() {
+	now := clock.Now()
+	if s.router.isLimited(now, s.ticket.Endpoint) {
+		s.router.metrics.sentToLimited()
+	}
+	leaves, rests := s.ticket.Noticed(now)
+	if leaves {
+		s.router.metrics.sentToLeaving()
+	}
+	if rests {
+		s.router.metrics.sentToResting()
+	}
+}
+
 // receive reads the head of the answer; a silent endpoint is left if another may be tried.
 func (s *send) receive() error {
 	silentAt := s.lateAt()
@@ -256,8 +269,8 @@
 			return err
 		}
 		s.answer = answer
-		s.head = s.router.codec.DecodeAnswer(answer.Header, clock.Now())
-		s.noteRateLimit()
+		s.head = s.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now())
+		s.hear(answer.Status, s.head.Notice)
 		if s.head.HasLoad {
 			s.head.Load.Endpoint = s.ticket.Endpoint.ID
 			s.router.pool.Report(s.head.Load)
@@ -266,15 +279,6 @@
 	}
 }
 
-// noteRateLimit takes what the answer says of the endpoint's limit; another endpoint at its address says nothing of it.
-func (s *send) noteRateLimit() {
-	if s.answer.Status != http.StatusMisdirectedRequest {
-		if s.router.limits.Heard(clock.Now(), s.sentAt, s.ticket.Endpoint, s.head.RateLimit) {
-			s.router.peers.hurry()
-		}
-	}
-}
-
 // lateAt is when an answer that has not begun is later than all but a few, by the forecast of reading its prompt, or by
 // what is usual on its route where no forecast is.
 func (s *send) lateAt() time.Time {
@@ -305,11 +309,6 @@
 	return !s.route.Stream || s.ticket.IsQuiet(now) || now.Sub(s.sentAt) > muteFactor*(lateAt.Sub(s.sentAt)+quietAfter)
 }
 
-func (s *send) belongs(header http.Header) bool {
-	id := s.router.codec.DecodeAnswer(header, s.sentAt).Request
-	return id == "" || id == s.call.head.ID
-}
-
 func (s *send) unanswered(err error) sendResult {
 	s.outcome = route.OutcomeFailed
 	if errors.Is(err, wire.ErrSilent) {
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -62,10 +62,14 @@
 	}
 }
 
-func (testCodec) DecodeAnswer(header http.Header, at time.Time) willowwick.AnswerHead {
+func (testCodec) DecodeAnswer(status int, header http.Header, at time.Time) willowwick.AnswerHead {
 	head := willowwick.AnswerHead{
 		Request: willowwick.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
-		Confidence: willowwick.NoConfidence, RateLimit: willowwick.ParseRateLimit(header.Get("T-Limit")),
+		Confidence: willowwick.NoConfidence,
+		Notice:     willowwick.Notice{Leaving: header.Get("T-Leaving") != "", RateLimit: willowwick.ParseRateLimit(header.Get("T-Limit"))},
+	}
+	if status == http.StatusServiceUnavailable {
+		head.Notice.RestUntil = willowwick.ParseRest(header.Get("T-Rest"), at, time.Now())
 	}
 	if text := header.Get("T-Confidence"); text != "" {
 		head.Confidence, _ = strconv.Atoi(text)
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -24,6 +24,9 @@
 
 	// RateLimiter knows the endpoints that name limits, and who may send to them.
 	RateLimiter interface {
+		// Heard takes what an answer says of its endpoint's limit, to a request that was sent at the given time, and reports
+		// whether it is news.
+		Heard(now, sentAt time.Time, endpoint Endpoint, said RateLimit) bool
 		// MayUse reports whether a request may be given the endpoint: it names no limit, a permit is at hand, or one may be
 		// asked for.
 		MayUse(now time.Time, endpoint EndpointID) bool
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -81,7 +81,7 @@
 	return now.Before(l.untoldUntil)
 }
 
-// Heard takes what an answer says, to a request that was sent at the given time, and reports whether it is news.
+// Heard implements willowwick.RateLimiter.
 //
 // An answer without a limit ends one only if its request was sent after the limit was known: others may have been on their way
 // since before.
--- a/remote/engine.go
+++ b/remote/engine.go
@@ -28,9 +28,13 @@
 	HeaderWaiting   = "X-Load-Waiting"
 	HeaderSlots     = "X-Load-Slots"
 	HeaderLeaving   = "X-Leaving"
+	HeaderRest      = "Retry-After"  // in a 503: how long the endpoint wants no request of the box that it answers
 	HeaderRateLimit = "X-Rate-Limit" // requests a second that the endpoint takes from all boxes together
 )
 
+// noticeHeaders are those in which an answer tells of its endpoint.
+var noticeHeaders = willowwick.NoticeHeaders{Leaving: HeaderLeaving, Rest: HeaderRest, RateLimit: HeaderRateLimit}
+
 // Paths of a runner.
 const (
 	PathCompletions = "/v1/chat/completions"
@@ -108,7 +112,7 @@
 		cancel()
 		return nil, nil, err
 	}
-	tellLimit(call.Heard, response.Header)
+	tellNotice(call.Heard, response)
 	if err := checkStatus(response); err != nil {
 		cancel()
 		_ = response.Body.Close()
@@ -146,10 +150,10 @@
 	return response, wrapSend(err)
 }
 
-// tellLimit tells what an answer says of its endpoint's limit.
-func tellLimit(heard func(willowwick.RateLimit), header http.Header) {
+// tellNotice tells what an answer says of its endpoint.
+func tellNotice(heard func(willowwick.Notice), response *http.Response) {
 	if heard != nil {
-		heard(willowwick.ParseRateLimit(header.Get(HeaderRateLimit)))
+		heard(noticeHeaders.Read(response.StatusCode, response.Header, clock.Now()))
 	}
 }
 
--- a/remote/service.go
+++ b/remote/service.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, wrapSend(err)
 	}
-	tellLimit(call.Heard, response.Header)
+	tellNotice(call.Heard, response)
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderLeaving) != "" {
 		_ = response.Body.Close()
 		return nil, willowwick.ErrLeaving
--- a/route/place.go
+++ b/route/place.go
@@ -71,6 +71,13 @@
 	return true
 }
 
+// Noticed reports whether the endpoint has said in its answers that it leaves, and whether it has asked for rest that has not ended.
+func (p *Place) Noticed(now time.Time) (leaves, rests bool) {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return p.member.said.leaving, p.member.said.isResting(now)
+}
+
 // Sent notes that the endpoint has the request's prompt to read, and returns what is to be told to other boxes of it.
 func (p *Place) Sent(now time.Time) (reading Reading, isReading bool) {
 	p.pool.mu.Lock()
--- a/route/pool.go
+++ b/route/pool.go
@@ -34,6 +34,7 @@
 		speeds    map[speedKey]*speed
 		lateness  map[speedKey]*Lateness // of first events against their forecasts
 		evacuated map[willowwick.HallID]bool
+		said      map[willowwick.EndpointID]*said
 		// coldPauses are lengths: between this box's requests to one cold endpoint of a service.
 		coldPauses map[willowwick.ServiceID]time.Duration // setting
 	}
@@ -56,6 +57,7 @@
 	// member is an endpoint with what the box knows of it.
 	member struct {
 		endpoint     willowwick.Endpoint
+		said         *said
 		load         willowwick.EndpointLoad
 		inFlight     int
 		recent       int
@@ -93,7 +95,7 @@
 	return &Pool{
 		picker: picker, options: options,
 		endpoints: map[willowwick.EndpointID]*member{}, rows: map[row]*candidateRow{}, busy: map[*member]bool{},
-		speeds: map[speedKey]*speed{}, lateness: map[speedKey]*Lateness{},
+		said: map[willowwick.EndpointID]*said{}, speeds: map[speedKey]*speed{}, lateness: map[speedKey]*Lateness{},
 	}
 }
 
@@ -112,7 +114,7 @@
 		if IsColdAgain(m.endpoint.ColdUntil, endpoint.ColdUntil) {
 			m.coldNext = time.Time{}
 		}
-		m.endpoint = endpoint
+		m.endpoint, m.said = endpoint, p.saidBy(endpoint)
 		// Once leaving, an endpoint stays so under its address: the list may lag behind other signals.
 		m.leaving = m.leaving || endpoint.Leaving
 		m.evacuated = p.evacuated[endpoint.Hall]
--- a/route/ratelimit.go
+++ b/route/ratelimit.go
@@ -21,6 +21,10 @@
 
 func (unlimited) Unasked(willowwick.EndpointID) {}
 
+func (unlimited) Heard(time.Time, time.Time, willowwick.Endpoint, willowwick.RateLimit) bool {
+	return false
+}
+
 func (unlimited) Keep([]willowwick.Endpoint) {}
 
 // AllLimited reports whether every one of the service's endpoints that stay and are allowed names a limit that takes no request
--- a/serve/call.go
+++ b/serve/call.go
@@ -140,7 +140,7 @@
 	stream, release, err := r.daemon.outside.Engine.Open(ctx, willowwick.EngineCall{
 		Endpoint: entered.Endpoint, Request: c.id, Version: c.version, Messages: r.request.Messages,
 		MaxTokens: r.request.MaxTokens, Temperature: r.request.Temperature,
-		ResumeAt: c.position, Deadline: r.request.Deadline, Heard: r.daemon.hearsLimit(entered.Endpoint),
+		ResumeAt: c.position, Deadline: r.request.Deadline, Heard: r.daemon.hears(entered.Endpoint, r.request.ID),
 	})
 	if err != nil {
 		cancel()
--- /dev/null
+++ b/serve/notices.go
@@ -0,0 +1,23 @@
+package serve
+
+import (
+	"log/slog"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+)
+
+// hears returns what takes what the answer to a request says of the endpoint to which the request is sent now.
+func (d *Daemon) hears(endpoint willowwick.Endpoint, request willowwick.RequestID) func(willowwick.Notice) {
+	sentAt := clock.Now()
+	return func(notice willowwick.Notice) {
+		now := clock.Now()
+		news := d.pool.Hear(now, sentAt, endpoint, notice)
+		if news.Leaving {
+			slog.Info("endpoint says that it leaves", "endpoint", endpoint.ID, "source", "answer", "request", request)
+		}
+		if news.Rest {
+			slog.Info("endpoint asks for rest", "endpoint", endpoint.ID, "request", request, "ms", notice.RestUntil.Sub(now).Milliseconds())
+		}
+	}
+}
--- a/serve/permits.go
+++ b/serve/permits.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/route"
 )
@@ -19,11 +18,3 @@
 	exclude[entered.Endpoint.ID] = true
 	return false
 }
-
-// hearsLimit returns what takes the limit that the answer to a request tells, which is sent to the endpoint now.
-func (d *Daemon) hearsLimit(endpoint willowwick.Endpoint) func(willowwick.RateLimit) {
-	sentAt := clock.Now()
-	return func(said willowwick.RateLimit) {
-		d.node.Limits.Heard(clock.Now(), sentAt, endpoint, said)
-	}
-}
--- a/serve/services.go
+++ b/serve/services.go
@@ -196,7 +196,7 @@
 			attempt--
 			continue
 		}
-		s.call.Endpoint, s.call.Heard = entered.Endpoint, s.daemon.hearsLimit(entered.Endpoint)
+		s.call.Endpoint, s.call.Heard = entered.Endpoint, s.daemon.hears(entered.Endpoint, s.request.ID)
 		s.trace.add("sent", "to endpoint %s", entered.Endpoint.ID)
 		reply, err := s.try(ctx)
 		if err == nil {
--- a/wire/message.go
+++ b/wire/message.go
@@ -137,7 +137,7 @@
 // Receive reads the head of the answer that belongs to the request, skipping answers of earlier ones.
 //
 // It returns ErrSilent if no byte has come by the given time; it may then be called again.
-func (c *Conn) Receive(method string, silentAt, deadline time.Time, belongs func(http.Header) bool) (*Answer, error) {
+func (c *Conn) Receive(method string, silentAt, deadline time.Time, belongs func(*Answer) bool) (*Answer, error) {
 	for range maxSurplus {
 		answer, err := c.receiveOne(method, silentAt, deadline)
 		if err != nil {
@@ -146,7 +146,7 @@
 		if answer.Status < http.StatusOK {
 			continue
 		}
-		if belongs(answer.Header) {
+		if belongs(answer) {
 			return answer, nil
 		}
 		c.pool.count(func(s *Stats) { s.Surplus++ })
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -64,8 +64,8 @@
 	return &Message{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body), HasLen: true}
 }
 
-func belongsTo(id string) func(http.Header) bool {
-	return func(header http.Header) bool { return header.Get("Id") == id }
+func belongsTo(id string) func(*Answer) bool {
+	return func(answer *Answer) bool { return answer.Header.Get("Id") == id }
 }
 
 func receive(c *Conn, id string) (*Answer, string, error) {
