Failing tests: boxes send on to endpoints whose answers said that they leave

Seen before any change, 2 s after an answer had told the box: 99 requests of 6 boxes in 4 s, 96 of 24; where both of two endpoints leave 71 and 77, none refused.

--- /dev/null
+++ b/exchange/notices_test.go
@@ -0,0 +1,200 @@
+package exchange
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// leaveWithin is how long after an answer that told a box that the endpoint leaves requests of the box may still arrive there:
+	// what the answer says holds at once.
+	leaveWithin = 200 * time.Millisecond
+	// restGrace is how long after a 503 with rest requests may still arrive, and restSlack how many may later.
+	restGrace, restSlack = 500 * time.Millisecond, 2
+	// noticeRate is how many requests a second come to a fleet.
+	noticeRate = 150
+)
+
+type (
+	// noticeRunner is an endpoint that says of itself in its answers what a test wants, and notes to which box.
+	noticeRunner struct {
+		*runner
+		boxes int
+
+		mu       sync.Mutex
+		leaving  bool
+		rest     string // that it asks for, turning all away; empty for none
+		arrivals []noticeArrival
+	}
+
+	// noticeArrival is a request with what its answer said.
+	noticeArrival struct {
+		box       int
+		at        time.Time
+		leaving   bool
+		restUntil time.Time
+	}
+)
+
+func newNoticeRunner(t *testing.T, id string, boxes int) *noticeRunner {
+	n := &noticeRunner{boxes: boxes}
+	n.runner = newRunner(t, id, func(w http.ResponseWriter, r *http.Request) {
+		if n.arrive(w, r) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	return n
+}
+
+// arrive notes a request of callAll, and writes what the answer says of the runner; isTurnedAway says that it is all the answer.
+func (n *noticeRunner) arrive(w http.ResponseWriter, r *http.Request) (isTurnedAway bool) {
+	number, err := strconv.Atoi(r.Header.Get("T-Id")[strings.LastIndexByte(r.Header.Get("T-Id"), '/')+1:])
+	if err != nil {
+		panic(err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if n.leaving {
+		w.Header().Set("T-Leaving", "1")
+	}
+	if n.rest != "" {
+		w.Header().Set("T-Not-Run", "1")
+		w.Header().Set("T-Rest", n.rest)
+	}
+	n.arrivals = append(n.arrivals, noticeArrival{number % n.boxes, now, n.leaving, willowwick.ParseRest(n.rest, now, now)})
+	return n.rest != ""
+}
+
+// leave makes the runner say that it leaves.
+func (n *noticeRunner) leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+}
+
+// askForRest makes the runner turn all requests away and ask for rest; empty for neither.
+func (n *noticeRunner) askForRest(rest string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rest = rest
+}
+
+// lateToLeave counts the requests of boxes that an answer had told long before that the runner leaves.
+func (n *noticeRunner) lateToLeave() (late, told int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	toldAt := map[int]time.Time{}
+	for _, arrival := range n.arrivals {
+		if at, isTold := toldAt[arrival.box]; isTold && arrival.at.Sub(at) > leaveWithin {
+			late++
+		}
+		if _, isTold := toldAt[arrival.box]; arrival.leaving && !isTold {
+			toldAt[arrival.box] = arrival.at
+		}
+	}
+	return late, len(toldAt)
+}
+
+// mostInRest is the most requests that came from one box in the rest that one answer to it had asked for, after the grace.
+func (n *noticeRunner) mostInRest() (most, asked int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, answer := range n.arrivals {
+		if answer.restUntil.IsZero() {
+			continue
+		}
+		asked++
+		count := 0
+		for _, arrival := range n.arrivals[i+1:] {
+			isIn := arrival.at.Sub(answer.at) > restGrace && arrival.at.Before(answer.restUntil)
+			if arrival.box == answer.box && isIn {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most, asked
+}
+
+// count is the number of requests that came.
+func (n *noticeRunner) count() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.arrivals)
+}
+
+// newNoticeFleet starts boxes in three halls before so many runners.
+func newNoticeFleet(t *testing.T, boxes, count int) (*testControl, []*site, []*noticeRunner) {
+	noticeRunners, runners := make([]*noticeRunner, count), make([]*runner, count)
+	for i := range count {
+		noticeRunners[i] = newNoticeRunner(t, fmt.Sprint("r", i), boxes)
+		runners[i] = noticeRunners[i].runner
+	}
+	control, sites := newFleet(t, boxes, min(boxes, 3), runners...)
+	return control, sites, noticeRunners
+}
+
+// An endpoint said in its answers that it leaves, and boxes sent to it as before until the store told the same.
+func TestBoxesLeaveAnEndpointThatSaysInAnAnswerThatItLeaves(t *testing.T) {
+	t.Parallel()
+	for _, boxes := range []int{6, 24} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			_, sites, runners := newNoticeFleet(t, boxes, 3)
+			calls, stop := callAll(t, sites, "/again/", noticeRate)
+			time.Sleep(time.Second)
+			runners[0].leave()
+			time.Sleep(4 * time.Second)
+			stop()
+			late, told := runners[0].lateToLeave()
+			require.Positive(t, told)
+			assert.Zero(t, late, "requests later than %s after an answer had told the box, %d boxes told", leaveWithin, told)
+			assert.Empty(t, calls.refused, "the others take what went there")
+			assert.Empty(t, calls.other)
+		})
+	}
+}
+
+// Where every endpoint says that it leaves, nothing can be sent: requests are refused at once, with a time.
+func TestWhereAllEndpointsLeaveRequestsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	_, sites, runners := newNoticeFleet(t, 6, 2)
+	calls, stop := callAll(t, sites, "/again/", noticeRate)
+	time.Sleep(500 * time.Millisecond)
+	for _, r := range runners {
+		r.leave()
+	}
+	time.Sleep(3 * time.Second)
+	stop()
+	for _, r := range runners {
+		late, told := r.lateToLeave()
+		require.Positive(t, told)
+		assert.Zero(t, late, "requests later than %s after an answer had told the box, %d boxes told", leaveWithin, told)
+	}
+	assertRefusedAtOnce(t, calls)
+}
+
+// assertRefusedAtOnce checks that some requests were refused, at once and with a time, and none failed.
+func assertRefusedAtOnce(t *testing.T, calls *limitCalls) {
+	t.Helper()
+	require.NotEmpty(t, calls.refused)
+	slices.Sort(calls.refused)
+	assert.Less(t, calls.refused[len(calls.refused)*9/10], limitAtOnce, "what cannot be served is refused at once")
+	assert.Less(t, slices.Max(calls.refused), limitLast)
+	assert.True(t, calls.hasTime, "a refusal says when to come back")
+	assert.Empty(t, calls.other)
+}
--- a/exchange/ratelimit_test.go
+++ b/exchange/ratelimit_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -98,11 +97,21 @@
 }
 
 // newLimitSite starts boxes in halls that know each other by the first one, before endpoints.
-func newLimitSite(t *testing.T, boxes, halls int, runners ...*limitedRunner) (*testControl, []*site) {
+func newLimitSite(t *testing.T, boxes, halls int, limited ...*limitedRunner) (*testControl, []*site) {
+	runners := make([]*runner, len(limited))
+	for i, l := range limited {
+		runners[i] = l.runner
+	}
+	return newFleet(t, boxes, halls, runners...)
+}
+
+// newFleet starts boxes in halls that know each other by the first one, before endpoints.
+func newFleet(t *testing.T, boxes, halls int, runners ...*runner) (*testControl, []*site) {
 	var endpoints []willowwick.Endpoint
 	for i, r := range runners {
 		endpoint := r.endpoint("v1")
 		endpoint.Hall = willowwick.HallID(fmt.Sprint("hall-", i%halls))
+		endpoint.Incarnation = willowwick.Incarnation(i + 1)
 		endpoints = append(endpoints, endpoint)
 	}
 	control := newTestControl(testTable(1, onceRoute(), againRoute()), endpoints...)
@@ -207,12 +216,7 @@
 	time.Sleep(2 * limitWindow)
 	limited.assertWithin(t, 8, from, time.Now())
 	stop()
-	require.NotEmpty(t, calls.refused)
-	slices.Sort(calls.refused)
-	assert.Less(t, calls.refused[len(calls.refused)*9/10], limitAtOnce, "what cannot be served is refused at once")
-	assert.Less(t, slices.Max(calls.refused), limitLast)
-	assert.True(t, calls.hasTime, "a refusal says when to come back")
-	assert.Empty(t, calls.other)
+	assertRefusedAtOnce(t, calls)
 }
 
 // What limits allow goes to urgent requests first, and a part of it to others.
