What an endpoint says of its leaving in an answer holds at once, whatever the store says

Seen: while the store was away, requests reached an endpoint 2.3 and 2.9 s after its answers had told their boxes that it leaves (bound 2.0); 44 requests in ten seconds, 12 of them cut or failed.

Cause: the header was read nowhere. What made an endpoint leave was its entry, and beside it one mark of the pool that a 421 alone set, that went with its entry, and that five other places did not ask.

Change: each life of an endpoint has one record in the pool of what it said of itself, which outlives its entry. Every answer goes into it: whole ones, errors, refusals, heads of streams, dropped and late ones. The record decides for choice, repeats, escalation, trials, the look at ends and what is told of an endpoint; a request whose place was taken before is not sent. Boxes tell each other of those whose entry does not say so, in the digests that go round anyway, so that a calm fleet swaps no more than before.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -346,7 +346,7 @@
 		return false
 	}
 	switch result.kind {
-	case notSent, unreached, escalated:
+	case notSent, unreached, escalated, withheld:
 		return true // for an escalation the budget was asked before the answer was dropped
 	case notRun:
 		return c.router.takeRepeat(c, route.RepeatFailover, now)
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -34,6 +34,7 @@
 		EndpointsSum  uint64              // over that list; 0 while entries are in doubt
 		Evacuated     EvacuatedHalls
 		Admitted      AdmittedRequests
+		Leaving       []route.LeavingRow // endpoints that leave, of which its list does not say so yet
 		Own           Report
 		Halls         []HallReport // what a hub knows of all halls; empty on a box that has a hub
 		Progress      []ProgressRow
@@ -96,7 +97,7 @@
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
 		LinkMbps: x.settings.LinkMbps, StartedMs: p.startedMs, TableVersion: x.configVersion(), TakesPacked: true, ConfigAgeMs: configAge,
 		StoreAgeMs: x.sync.endpointsAge(now).Milliseconds(), ReadAgeMs: min(x.sync.readAge(now), longestAge).Milliseconds(),
-		Evacuated: x.evacuations.set(), Admitted: x.admissions.set(),
+		Evacuated: x.evacuations.set(), Admitted: x.admissions.set(), Leaving: x.pool.LeavingUnlisted(),
 		Own: p.ownReport(), Verdicts: x.releases.ended(now), Speeds: x.pool.Speeds(),
 	}
 	digest.RestoringMs = x.sync.restoringFor(now).Milliseconds()
--- a/exchange/ends.go
+++ b/exchange/ends.go
@@ -62,8 +62,8 @@
 	if e.router.sync.hasStartedAgain(endpoint) {
 		return true
 	}
-	entry, isListed := e.router.sync.entry(endpoint.ID)
-	if !isListed || entry.Leaving || e.router.releases.isRetired(endpoint.Service, endpoint.Release, brokeAt) {
+	_, isListed := e.router.sync.entry(endpoint.ID)
+	if !isListed || e.router.pool.IsLeaving(endpoint.ID) || e.router.releases.isRetired(endpoint.Service, endpoint.Release, brokeAt) {
 		return false
 	}
 	for {
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -132,6 +132,7 @@
 	p.router.sync.hearRestoring(time.Duration(digest.RestoringMs)*time.Millisecond, now)
 	p.router.evacuations.hear(digest.Evacuated, "peer "+string(digest.Box))
 	p.router.admissions.hear(digest.Admitted, "peer "+string(digest.Box))
+	p.router.hearLeaving(digest.Leaving, "peer "+string(digest.Box))
 	p.router.releases.hearEnded(digest.Verdicts)
 	p.router.pool.HearSpeeds(digest.Speeds)
 	for _, row := range digest.Progress {
--- /dev/null
+++ b/exchange/leaving_test.go
@@ -0,0 +1,231 @@
+package exchange
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/route"
+)
+
+// newLeavingSite starts a box before two runners, of which the first answers by the handler.
+func newLeavingSite(t *testing.T, handler http.HandlerFunc) (b *bornSite, leaving, other *runner) {
+	leaving, other = newRunner(t, "r1", handler), newRunner(t, "r2", answerText("ok"))
+	b = newBornSite(t, leaving.endpoint("v1"))
+	b.control.change(func() { b.control.endpoints["r2"] = other.endpoint("v1") })
+	require.Eventually(t, func() bool { return len(b.daemon.router.pool.Endpoints()) == 2 }, patience, 5*time.Millisecond)
+	return b, leaving, other
+}
+
+// tell sends requests until the box knows that the first runner leaves.
+func (b *bornSite) tell(t *testing.T, path string, header ...string) {
+	n := 0
+	require.Eventually(t, func() bool {
+		n++
+		b.do(t, http.MethodPost, path, fmt.Sprint("tell-", n), "x", header...)
+		return b.daemon.router.pool.IsLeaving("r1")
+	}, patience, time.Millisecond)
+}
+
+// assertUnused checks that the first runner gets nothing of many requests.
+func (b *bornSite) assertUnused(t *testing.T, r *runner) {
+	t.Helper()
+	before := len(r.requests())
+	for n := range 40 {
+		assert.Equal(t, http.StatusOK, b.do(t, http.MethodPost, "/again/", fmt.Sprint("after-", n), "x").status)
+	}
+	assert.Equal(t, before, len(r.requests()), "requests to an endpoint that leaves")
+}
+
+func sayLeaving(w http.ResponseWriter) { w.Header().Set("T-Leaving", "1") }
+
+// Not only whole answers tell that an endpoint leaves: errors, refusals, heads of streams and answers that are dropped for another
+// model's do as well.
+func TestEveryAnswerTellsThatItsEndpointLeaves(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"failure": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		"turned away": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("T-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"stream": func(w http.ResponseWriter, r *http.Request) {
+			streamEvents(w, r, 3)
+		},
+		"dropped": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("T-Confidence", map[string]string{"small": "10", "large": "90"}[r.Header.Get("T-Model")])
+			streamEvents(w, r, 3)
+		},
+		"whole": answerText("ok"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, leaving, _ := newLeavingSite(t, func(w http.ResponseWriter, r *http.Request) {
+				sayLeaving(w)
+				answer(w, r)
+			})
+			b.tell(t, "/stream/", "T-Model", "*")
+			b.assertUnused(t, leaving)
+		})
+	}
+}
+
+// A late answer to an earlier request comes in place of the one that is due, and tells of its endpoint all the same.
+func TestALateAnswerTellsThatItsEndpointLeaves(t *testing.T) {
+	b, leaving, _ := newLeavingSite(t, func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if !assert.NoError(t, err) {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nT-Id: earlier\r\nT-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: r1\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("T-Id"))
+	})
+	b.tell(t, "/again/")
+	b.assertUnused(t, leaving)
+}
+
+// The store may come back from a copy of itself in which an endpoint that left is listed as ready, after its entry had gone. What the
+// endpoint said holds on, and ends with its life.
+func TestALeavingEndpointWhoseEntryComesBackIsNotUsed(t *testing.T) {
+	b, leaving, _ := newLeavingSite(t, func(w http.ResponseWriter, _ *http.Request) {
+		sayLeaving(w)
+		_, _ = io.WriteString(w, "ok")
+	})
+	b.tell(t, "/again/")
+	b.remove(t)
+	b.control.comeBack(func() {
+		b.endpoint.Beat += 10
+		b.control.endpoints["r1"] = b.endpoint
+	})
+	lists := func() bool { return len(b.daemon.router.pool.Endpoints()) == 2 }
+	for range 2 { // one that is gone counts from its second heartbeat on
+		b.write(func(endpoint *willowwick.Endpoint) { endpoint.Beat++ })
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Eventually(t, lists, patience, 5*time.Millisecond)
+	b.assertUnused(t, leaving)
+	leaving.handle(answerText("ok"))
+	b.write(restart)
+	require.Eventually(t, func() bool { return !b.daemon.router.pool.IsLeaving("r1") }, patience, 5*time.Millisecond)
+	before := len(leaving.requests())
+	require.Eventually(t, func() bool {
+		b.do(t, http.MethodPost, "/again/", fmt.Sprint("new-", time.Now().UnixNano()), "x")
+		return len(leaving.requests()) > before
+	}, patience, time.Millisecond, "its next life is used")
+}
+
+// An endpoint that ends after it has said that it leaves ended by plan: what was at work there is not to blame.
+func TestTheEndOfAnEndpointThatSaidThatItLeavesIsNoRequestsFault(t *testing.T) {
+	b, _, _ := newLeavingSite(t, func(w http.ResponseWriter, _ *http.Request) {
+		sayLeaving(w)
+		_, _ = io.WriteString(w, "ok")
+	})
+	b.tell(t, "/again/")
+	endpoint := b.daemon.router.pool.Endpoints()[0]
+	require.Equal(t, willowwick.EndpointID("r1"), endpoint.ID)
+	endpoint.Address = "127.0.0.1:1" // nothing listens there
+	assert.False(t, b.daemon.router.ends.hasEnded(t.Context(), endpoint, time.Now()))
+	assert.True(t, b.daemon.router.ends.hasEnded(t.Context(), willowwick.Endpoint{ID: "r2", Address: endpoint.Address}, time.Now()),
+		"the other one does not leave")
+}
+
+// newCall begins a request of a route as if it had come from a caller.
+func (s *site) newCall(t *testing.T, path, id string) (*call, *httptest.ResponseRecorder) {
+	recorder := httptest.NewRecorder()
+	out := &reply{writer: recorder, controller: http.NewResponseController(recorder), codec: testCodec{}}
+	request := s.request(t, http.MethodPost, path, id, "x")
+	request.RequestURI = path
+	c, refusal := s.daemon.router.begin(out, request, time.Now())
+	require.Nil(t, refusal)
+	c.ctx = t.Context()
+	return c, recorder
+}
+
+// What an endpoint says holds for a request for which it was chosen before, and that is not sent yet.
+func TestARequestIsNotSentToAnEndpointThatSaidMeanwhileThatItLeaves(t *testing.T) {
+	b, leaving, other := newLeavingSite(t, answerText("ok"))
+	for len(other.requests()) == 0 {
+		c, recorder := b.newCall(t, "/once/", fmt.Sprint("meanwhile-", time.Now().UnixNano()))
+		ticket, refusal := c.enter()
+		require.Nil(t, refusal)
+		if ticket.Endpoint.ID != "r1" {
+			ticket.Done(route.OutcomeCancelled)
+			continue
+		}
+		now := time.Now()
+		require.True(t, b.daemon.router.pool.Hear(now, now, ticket.Endpoint, willowwick.Notice{Leaving: true}).Leaving)
+		assert.Equal(t, withheld, c.sendOnce(ticket).kind)
+		c.run()
+		assert.Equal(t, http.StatusOK, recorder.Code)
+	}
+	assert.Empty(t, leaving.requests())
+}
+
+// Another endpoint at the address says nothing of the one that was meant.
+func TestAMisdirectedAnswerTellsOfAnotherEndpoint(t *testing.T) {
+	b, _, _ := newLeavingSite(t, func(w http.ResponseWriter, _ *http.Request) {
+		sayLeaving(w)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	for n := range 20 {
+		assert.Equal(t, http.StatusOK, b.do(t, http.MethodPost, "/again/", fmt.Sprint(n), "x").status)
+	}
+	assert.False(t, b.daemon.router.pool.IsLeaving("r1"))
+}
+
+// While the store is away, an endpoint that leaves tells it to the boxes to which it answers alone. What others send there comes late,
+// and may be cut by its end, so that boxes tell each other, whatever the size of the fleet.
+func TestBoxesTellEachOtherWhichEndpointsLeave(t *testing.T) {
+	const within = 2 * time.Second // the shortest time that there is to leave an endpoint
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		m := newMesh(1, size.boxes, size.halls, size.endpoints)
+		m.run(t, 10*time.Second)
+		m.isAway = true
+		m.run(t, time.Second)
+		endpoint, now := meshEndpoint(0, size.halls), time.Now()
+		told := m.boxes[size.boxes-1]
+		news := told.pool.Hear(now, now, endpoint, willowwick.Notice{Leaving: true})
+		require.True(t, news.Leaving)
+		for !m.allKnow(endpoint.ID) && time.Since(now) < 2*within {
+			m.run(t, meshStep)
+		}
+		t.Logf("%d boxes know after %s", size.boxes, time.Since(now))
+		assert.LessOrEqual(t, time.Since(now), within)
+	})
+}
+
+// allKnow reports whether all boxes know that an endpoint leaves.
+func (m *mesh) allKnow(id willowwick.EndpointID) bool {
+	for _, box := range m.boxes {
+		if !box.pool.IsLeaving(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// Once the list says that an endpoint leaves, boxes no longer tell each other.
+func TestBoxesDoNotTellEachOtherWhatTheListSays(t *testing.T) {
+	quietLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 6, 2, 8)
+		m.run(t, 10*time.Second)
+		endpoint, now := meshEndpoint(0, 2), time.Now()
+		m.boxes[0].pool.Hear(now, now, endpoint, willowwick.Notice{Leaving: true})
+		m.run(t, time.Second)
+		assert.NotEmpty(t, m.boxes[5].peers.digest(time.Now()).Leaving)
+		m.leave(t, endpoint)
+		m.run(t, 2*time.Second)
+		for _, box := range m.boxes {
+			assert.Empty(t, box.peers.digest(time.Now()).Leaving)
+		}
+	})
+}
--- a/exchange/lives.go
+++ b/exchange/lives.go
@@ -25,11 +25,16 @@
 		return true
 	}
 	s.forgetLives()
-	s.lives[entry.ID] = endpointLife{current: entry.Incarnation, former: life.current, formerLeft: s.listed[entry.ID].Leaving}
+	s.lives[entry.ID] = endpointLife{current: entry.Incarnation, former: life.current, formerLeft: s.leaves(entry.ID)}
 	s.beginLife(entry, life.current)
 	return false
 }
 
+// leaves reports whether the newest life of an endpoint that is in use leaves, by its entry or by what it said. The caller holds the lock.
+func (s *syncer) leaves(id willowwick.EndpointID) bool {
+	return s.listed[id].Leaving || s.router.pool.IsLeaving(id)
+}
+
 // beginLife forgets what was known of the life before, if there was one; the caller holds the lock.
 func (s *syncer) beginLife(entry willowwick.Endpoint, former willowwick.Incarnation) {
 	old, wasListed := s.listed[entry.ID]
@@ -43,7 +48,7 @@
 	}
 	delete(s.listed, entry.ID)
 	s.router.conns.Drop(old.Address)
-	if !old.Leaving {
+	if !s.lives[entry.ID].formerLeft {
 		s.router.ends.endedBefore(entry.ID, former)
 	}
 }
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -6,6 +6,7 @@
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
 )
 
@@ -40,3 +41,11 @@
 		x.peers.hurry()
 	}
 }
+
+// hearLeaving takes from another box which endpoints leave: an endpoint ends some time after its answers have begun to say so, and what
+// is sent there late may be cut.
+func (x *Router) hearLeaving(rows []route.LeavingRow, source string) {
+	for _, endpoint := range x.pool.HearLeaving(rows) {
+		slog.Info("endpoint says that it leaves", "endpoint", endpoint, "source", source)
+	}
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -37,6 +37,8 @@
 	abandoned
 	// escalated: the answer of a small model was dropped for a larger one's.
 	escalated
+	// withheld: the endpoint takes no requests any more since it was chosen, and the request was not sent.
+	withheld
 )
 
 const (
@@ -85,7 +87,7 @@
 
 var kindNames = map[sendKind]string{
 	answered: "answered", callerLeft: "caller left", notSent: "not sent", unreached: "unreached", notRun: "not run",
-	silent: "silent", broken: "broken", failed: "failed", abandoned: "abandoned", escalated: "escalated",
+	silent: "silent", broken: "broken", failed: "failed", abandoned: "abandoned", escalated: "escalated", withheld: "withheld",
 }
 
 // refusal is what the caller is told if the request is given up after this send.
@@ -197,6 +199,11 @@
 		s.outcome = route.OutcomeFailed
 		return sendResult{notSent, err}
 	}
+	if s.ticket.IsWithheld() {
+		// What it said since it was chosen holds for this request too: a permit, or a new connection, takes its time.
+		conn.Release("")
+		return sendResult{kind: withheld}
+	}
 	s.conn = conn
 	// The end of the request, by time or by its caller, ends the endpoint's work too.
 	stop := context.AfterFunc(s.ctx, conn.Close)
@@ -344,7 +351,7 @@
 	s.runs--
 	s.outcome = route.OutcomeBusy
 	if s.answer.Status == http.StatusMisdirectedRequest {
-		s.router.pool.MarkLeaving(s.ticket.Endpoint.ID)
+		s.router.pool.MarkMisplaced(s.ticket.Endpoint)
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.answer, maxWhole)); err != nil {
 		slog.Debug("rest of a refusal could not be read", "request", s.call.head.ID, "error", err)
--- a/route/place.go
+++ b/route/place.go
@@ -78,6 +78,13 @@
 	return p.member.said.leaving, p.member.said.isResting(now)
 }
 
+// IsWithheld reports whether the endpoint takes no requests any more since the place was taken.
+func (p *Place) IsWithheld() bool {
+	p.pool.mu.Lock()
+	defer p.pool.mu.Unlock()
+	return !p.member.stays()
+}
+
 // Sent notes that the endpoint has the request's prompt to read, and returns what is to be told to other boxes of it.
 func (p *Place) Sent(now time.Time) (reading Reading, isReading bool) {
 	p.pool.mu.Lock()
--- a/route/pool.go
+++ b/route/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -63,7 +64,6 @@
 		recent       int
 		failures     int
 		suspectUntil time.Time
-		leaving      bool
 		evacuated    bool // its hall is
 		limit        float64
 		hash         uint64
@@ -115,12 +115,11 @@
 			m.coldNext = time.Time{}
 		}
 		m.endpoint, m.said = endpoint, p.saidBy(endpoint)
-		// Once leaving, an endpoint stays so under its address: the list may lag behind other signals.
-		m.leaving = m.leaving || endpoint.Leaving
 		m.evacuated = p.evacuated[endpoint.Hall]
 		known[endpoint.ID] = m
 		byHash[uint32(m.hash)] = m
 	}
+	p.forgetSaid(clock.Now(), known)
 	p.endpoints, p.byHash = known, byHash
 	p.rebuild()
 }
@@ -174,7 +173,7 @@
 	}
 	m.load = load
 	m.recent = 0
-	m.leaving = m.leaving || load.Leaving
+	m.said.leaving = m.said.leaving || load.Leaving
 }
 
 // NoteReading takes what another box has sent to an endpoint.
@@ -210,15 +209,6 @@
 	return m.load, true
 }
 
-// MarkLeaving notes that an endpoint is leaving, whoever said so.
-func (p *Pool) MarkLeaving(id willowwick.EndpointID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m := p.endpoints[id]; m != nil {
-		m.leaving = true
-	}
-}
-
 // Stays reports whether an endpoint is listed and may be given new work.
 func (p *Pool) Stays(id willowwick.EndpointID) bool {
 	p.mu.Lock()
@@ -241,27 +231,15 @@
 	}
 }
 
-// Leaving lists the endpoints known to be leaving.
-func (p *Pool) Leaving() []willowwick.EndpointID {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var ids []willowwick.EndpointID
-	for id, m := range p.endpoints {
-		if m.leaving {
-			ids = append(ids, id)
-		}
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
-// Endpoints lists the endpoints of the platform's list.
+// Endpoints lists the endpoints of the platform's list; each that is known to be leaving says so, whatever its entry says.
 func (p *Pool) Endpoints() []willowwick.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]willowwick.Endpoint, 0, len(p.endpoints))
 	for _, m := range p.endpoints {
-		list = append(list, m.endpoint)
+		endpoint := m.endpoint
+		endpoint.Leaving = m.said.leaving
+		list = append(list, endpoint)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
@@ -282,9 +260,10 @@
 	return int(min(m.limit, options.QueueShare*float64(m.load.Slots)))
 }
 
-// stays reports whether the endpoint may be given new work at all: it is not leaving, and its hall is not evacuated.
+// stays reports whether the endpoint may be given new work at all: it is where its entry says and not leaving, and its hall is
+// not evacuated.
 func (m *member) stays() bool {
-	return !m.leaving && !m.evacuated
+	return !m.said.leaving && !m.said.misplaced && !m.evacuated
 }
 
 // isDoubtful reports whether the endpoint owes an answer for long, or is on trial after a suspicion.
--- a/serve/call.go
+++ b/serve/call.go
@@ -167,7 +167,6 @@
 	budgeted := false
 	switch {
 	case errors.Is(err, willowwick.ErrLeaving):
-		r.daemon.pool.MarkLeaving(endpoint)
 		entered.Done(route.OutcomeCancelled)
 	case errors.Is(err, willowwick.ErrNotSent):
 		entered.Done(route.OutcomeFailed)
--- a/serve/services.go
+++ b/serve/services.go
@@ -255,11 +255,7 @@
 func (s *serviceRun) failed(ctx context.Context, entered *gate.Ticket, err error, attempt int) *willowwick.Refusal {
 	s.trace.add("endpoint", "%s: %v", entered.Endpoint.ID, err)
 	s.exclude[entered.Endpoint.ID] = true
-	notSent := errors.Is(err, willowwick.ErrNotSent)
-	if errors.Is(err, willowwick.ErrLeaving) {
-		s.daemon.pool.MarkLeaving(entered.Endpoint.ID)
-		notSent = true
-	}
+	notSent := errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrLeaving)
 	entered.Done(route.OutcomeFailed)
 	s.daemon.noteBroken(ctx, s.content, entered.Endpoint, entered.Endpoint.Release, err)
 	s.sent = s.sent || !notSent
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -38,6 +38,7 @@
 	EngineFaults struct {
 		Leaving   bool `json:"leaving"`   // say so, and refuse new work
 		Quietly   bool `json:"quietly"`   // when leaving, say so in load reports only, and take what comes
+		Announced bool `json:"announced"` // say in answers alone that it leaves, and take what comes
 		CutAfter  int  `json:"cutAfter"`  // cut the next stream after so many chunks
 		CutTimes  int  `json:"cutTimes"`  // how many streams to cut
 		Stall     int  `json:"stall"`     // streams to stall after their first chunk
@@ -206,6 +207,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.writeLoad(w.Header())
+	if e.faults.Announced {
+		w.Header().Set(remote.HeaderLeaving, "true")
+	}
 	if e.faults.Leaving && !e.faults.Quietly {
 		w.Header().Set(remote.HeaderLeaving, "true")
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
--- a/standin/service.go
+++ b/standin/service.go
@@ -19,7 +19,8 @@
 type (
 	// ServiceFaults are the troubles of one instance of a plain service.
 	ServiceFaults struct {
-		Leaving   bool `json:"leaving"`
+		Leaving   bool `json:"leaving"`   // say so, and refuse calls
+		Announced bool `json:"announced"` // say in answers alone that it leaves, and take what comes
 		DropAfter int  `json:"dropAfter"` // calls that take effect and are not answered
 		SlowMs    int  `json:"slowMs"`
 		// RateLimit is the limit that answers name; empty for none.
@@ -75,6 +76,9 @@
 	if faults.RateLimit != "" {
 		w.Header().Set(remote.HeaderRateLimit, faults.RateLimit)
 	}
+	if faults.Announced {
+		w.Header().Set(remote.HeaderLeaving, "true")
+	}
 	if faults.Leaving {
 		s.mu.Unlock()
 		w.Header().Set(remote.HeaderLeaving, "true")
