--- a/exchange/notices_test.go
+++ b/exchange/notices_test.go
@@ -198,3 +198,46 @@
 	assert.True(t, calls.hasTime, "a refusal says when to come back")
 	assert.Empty(t, calls.other)
 }
+
+// An endpoint turned a request away and asked for rest, and boxes sent to it as before: it looked idle, and had what it turned
+// away sent on as repeats.
+func TestBoxesLetAnEndpointRestThatAsksForIt(t *testing.T) {
+	t.Parallel()
+	for _, rest := range []string{"2.5", "3", "8"} {
+		t.Run(rest, func(t *testing.T) {
+			t.Parallel()
+			seconds, err := strconv.ParseFloat(rest, 64)
+			require.NoError(t, err)
+			_, sites, runners := newNoticeFleet(t, 6, 3)
+			calls, stop := callAll(t, sites, "/again/", noticeRate)
+			time.Sleep(500 * time.Millisecond)
+			runners[0].askForRest(rest)
+			time.Sleep(time.Duration((seconds + 1) * float64(time.Second)))
+			stop()
+			most, asked := runners[0].mostInRest()
+			require.Positive(t, asked)
+			assert.LessOrEqual(t, most, restSlack, "requests of a box in the rest of %s s that it was asked for, %d times in all", rest, asked)
+			assert.Empty(t, calls.refused, "the others take what went there")
+			assert.Empty(t, calls.other)
+		})
+	}
+}
+
+// Where every endpoint asks for rest, nothing can be sent: requests are refused at once, with a time.
+func TestWhereAllEndpointsRestRequestsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	_, sites, runners := newNoticeFleet(t, 6, 3)
+	calls, stop := callAll(t, sites, "/again/", noticeRate)
+	time.Sleep(500 * time.Millisecond)
+	for _, r := range runners {
+		r.askForRest("3")
+	}
+	time.Sleep(4 * time.Second)
+	stop()
+	for _, r := range runners {
+		most, asked := r.mostInRest()
+		require.Positive(t, asked)
+		assert.LessOrEqual(t, most, restSlack, "requests of a box in the rest that it was asked for, %d times in all", asked)
+	}
+	assertRefusedAtOnce(t, calls)
+}
