An endpoint that asks for rest gets it: choice, refusals and forecasts go by one type

Seen: three runners turned all away for nine seconds and asked each box for 3 s of rest; boxes sent 23 and 29 requests meanwhile (2 allowed), 339 sends in all, which used up the budget of repeats: 119 of 534 requests were refused.

Cause: Retry-After of an endpoint was read nowhere. A 503 lowered what the box gives the endpoint at once, and its load, which came with it, made it look idle and the first choice.

Change: the rest is a deadline in the record of what a life of an endpoint said, for the box that was asked. Whether an endpoint may be given a request, on which ground not and from when on is answered in one place, availability, for choice, refusals, repeats, escalation and forecasts of both interfaces; AllLimited, OnlyLimitedLeft, hasUnlimited and countedBy went into it. Where all rest a request waits if the first rest ends within half of the time that it may wait, and is refused at once if not. Boxes come back spread over a fifth of the rest, with one request first.

--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -10,6 +10,7 @@
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/ratelimit"
+	"github.com/willowwick/willowwick/route"
 )
 
 const (
@@ -169,31 +170,28 @@
 	return c.choice.otherwise
 }
 
-// hasUnlimited reports whether one of the endpoints that the request may go to names no limit.
-func (c *call) hasUnlimited(now time.Time) bool {
+// isHopeless reports whether no endpoint that the request might go to takes one before a time, since all name limits or rest.
+func (c *call) isHopeless(now time.Time) (shortage route.Shortage, isHopeless bool) {
 	allow := c.allowed()
-	return c.router.pool.HasStaying(c.service, func(endpoint willowwick.Endpoint) bool {
-		return allow(endpoint) && !c.router.isLimited(now, endpoint)
-	})
-}
-
-// isHopeless reports whether no endpoint can take the request before a time, since all that might name limits.
-func (c *call) isHopeless(now time.Time) (until time.Time, isHopeless bool) {
-	if until, isHopeless = c.router.pool.AllLimited(now, c.service, c.allowed()); isHopeless {
-		return until, true
+	if !c.avoidsLimits() {
+		return c.router.pool.AllUnavailable(now, c.service, allow)
+	}
+	isFree := func(endpoint willowwick.Endpoint) bool { return allow(endpoint) && !c.router.isLimited(now, endpoint) }
+	if !c.router.pool.HasStaying(c.service, isFree) {
+		return route.Shortage{Until: now}, true
 	}
-	return now, c.avoidsLimits() && !c.hasUnlimited(now)
+	return c.router.pool.AllUnavailable(now, c.service, isFree)
 }
 
-// hasOnlyLimitedLeft reports whether the request was sent to all endpoints but those whose limits take no more now.
-func (c *call) hasOnlyLimitedLeft(now time.Time) bool {
-	return len(c.exclude) > 0 && c.router.pool.OnlyLimitedLeft(now, c.service, c.exclude, c.allowed())
+// hasOnlyUnavailableLeft reports whether the request was sent to all endpoints but those that take none now.
+func (c *call) hasOnlyUnavailableLeft(now time.Time) bool {
+	return len(c.exclude) > 0 && c.router.pool.OnlyUnavailableLeft(now, c.service, c.exclude, c.allowed())
 }
 
-// excluded are the endpoints to which the request does not go now, since it was there before: none where only limited ones are
-// left, after a moment, since a second try beats a refusal.
+// excluded are the endpoints to which the request does not go now, since it was there before: none where all others take none
+// now, after a moment, since a second try beats a refusal.
 func (c *call) excluded(now time.Time) map[willowwick.EndpointID]bool {
-	if c.hasOnlyLimitedLeft(now) && now.Sub(c.endedAt) >= tryAgainAfter {
+	if c.hasOnlyUnavailableLeft(now) && now.Sub(c.endedAt) >= tryAgainAfter {
 		return nil
 	}
 	return c.exclude
--- /dev/null
+++ b/exchange/rest_test.go
@@ -0,0 +1,110 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+// newRestSite starts a box before one runner that first turns requests away and asks for rest, and after it answers. The route lets
+// requests wait for half a second.
+func newRestSite(t *testing.T, rest time.Duration, hasRun bool) (*site, *runner) {
+	var turnedAway atomic.Bool
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		if turnedAway.Swap(true) {
+			_, _ = w.Write([]byte("ok"))
+			return
+		}
+		if !hasRun {
+			w.Header().Set("T-Not-Run", "1")
+		}
+		w.Header().Set("T-Rest", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	patient := onceRoute()
+	patient.Goal = 2 * time.Second
+	return startSite(t, newTestControl(testTable(1, patient), r.endpoint("v1")), testSettings()), r
+}
+
+// A request whose time leaves enough after the rest waits for its end; one whose time does not is refused, with the end of the rest.
+func TestARequestWaitsForAShortRestAlone(t *testing.T) {
+	for rest, status := range map[time.Duration]int{100 * time.Millisecond: http.StatusOK, time.Second: http.StatusServiceUnavailable} {
+		t.Run(rest.String(), func(t *testing.T) {
+			s, r := newRestSite(t, rest, false)
+			began := time.Now()
+			reply := s.do(t, http.MethodPost, "/once/", "first", "x")
+			assert.Equal(t, status, reply.status, reply.body)
+			reply = s.do(t, http.MethodPost, "/once/", "second", "x")
+			assert.Equal(t, status, reply.status, reply.body)
+			if status == http.StatusOK {
+				assert.GreaterOrEqual(t, time.Since(began), rest)
+				return
+			}
+			assert.Less(t, time.Since(began), limitLast, "it is refused at once")
+			seconds, err := strconv.ParseFloat(reply.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			assert.InDelta(t, 1.5*rest.Seconds(), seconds, rest.Seconds()/2+0.2, "the time of its return")
+			assert.Len(t, r.requests(), 1)
+		})
+	}
+}
+
+// A 503 that does not say that nothing ran asks for rest all the same.
+func TestA503ThatMayHaveRunAsksForRest(t *testing.T) {
+	s, r := newRestSite(t, time.Second, true)
+	assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "first", "x").status, "what may have run promises nothing")
+	for n := range 5 {
+		assert.Equal(t, http.StatusServiceUnavailable, s.do(t, http.MethodPost, "/once/", fmt.Sprint(n), "x").status)
+	}
+	assert.Len(t, r.requests(), 1)
+}
+
+// Where all other endpoints rest, a request that one has turned away goes there again after a moment.
+func TestARequestIsSentAgainToAFullEndpointWhileAllOthersRest(t *testing.T) {
+	const full = 150 * time.Millisecond
+	began := time.Now()
+	resting := newRunner(t, "r1", answerText("ok"))
+	other := newRunner(t, "r2", func(w http.ResponseWriter, _ *http.Request) {
+		if time.Since(began) < full {
+			w.Header().Set("T-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok"))
+	})
+	patient := onceRoute()
+	patient.Goal = 2 * time.Second
+	s := startSite(t, newTestControl(testTable(1, patient), resting.endpoint("v1"), other.endpoint("v1")), testSettings())
+	now := time.Now()
+	s.daemon.router.pool.Hear(now, now, resting.endpoint("v1"), willowwick.Notice{RestUntil: now.Add(time.Minute)})
+	for range 20 {
+		s.daemon.router.budget("work").Request(now)
+	}
+	began = time.Now()
+	assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "first", "x").status)
+	assert.Empty(t, resting.requests())
+	assert.LessOrEqual(t, len(other.requests()), maxSends)
+}
+
+// A rest that is asked for between the choice of an endpoint and the send holds for that request.
+func TestARequestIsNotSentToAnEndpointThatAskedForRestMeanwhile(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	s := newSite(t, r.endpoint("v1"))
+	c, _ := s.newCall(t, "/once/", "meanwhile")
+	ticket, refusal := c.enter()
+	require.Nil(t, refusal)
+	now := time.Now()
+	s.daemon.router.pool.Hear(now, now, ticket.Endpoint, willowwick.Notice{RestUntil: now.Add(time.Minute)})
+	assert.Equal(t, withheld, c.sendOnce(ticket).kind)
+	assert.Empty(t, r.requests())
+	_, refusal = c.enter()
+	require.NotNil(t, refusal)
+	assert.Equal(t, willowwick.CodeOverloaded, refusal.Code)
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -199,7 +199,7 @@
 		s.outcome = route.OutcomeFailed
 		return sendResult{notSent, err}
 	}
-	if s.ticket.IsWithheld() {
+	if s.ticket.IsWithheld(clock.Now()) {
 		// What it said since it was chosen holds for this request too: a permit, or a new connection, takes its time.
 		conn.Release("")
 		return sendResult{kind: withheld}
@@ -384,7 +384,7 @@
 	if s.head.Confidence >= s.confidenceNeeded(now) {
 		return false
 	}
-	if !c.hasUnlimited(now) {
+	if !c.router.pool.HasAvailable(now, c.service, c.allowed()) {
 		return false // the answer that is there is worth more than a refusal
 	}
 	return c.runs < c.route.MaxRuns && s.hasTimeFor(c.route.Models[len(c.route.Models)-1], now) && s.router.takeRepeat(c, route.RepeatEscalation, now)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,10 +18,13 @@
 	OverloadRetry = time.Second
 	// noEndpointRetry is when a request that no endpoint serves should come back.
 	noEndpointRetry = 2 * time.Second
-	// limitedRetry is when a request that the limits of endpoints do not allow should come back at the earliest.
-	limitedRetry = 300 * time.Millisecond
-	// limitedRetryMost is when it should at the latest: it is likely to come to another box, which may have its turn sooner.
-	limitedRetryMost = 3 * time.Second
+	// shortageRetry is when a request that no endpoint takes now should come back at the earliest.
+	shortageRetry = 300 * time.Millisecond
+	// shortageRetryMost is when it should at the latest: it is likely to come to another box, which may have its turn sooner.
+	shortageRetryMost = 3 * time.Second
+	// waitPart is the part of the time that a request may wait within which endpoints must take requests again for it to do so: at
+	// the end of their rest they take few at first, and others wait, too.
+	waitPart = 2
 )
 
 type (
@@ -41,7 +45,7 @@
 		// Acquire takes a place if there is one; known is false if nothing serves the work.
 		Acquire func(now time.Time) (place *route.Place, known bool)
 		// Hopeless reports whether no place can come before a time, though some endpoint serves the work; nil if it always may.
-		Hopeless func(now time.Time) (until time.Time, isHopeless bool)
+		Hopeless func(now time.Time) (shortage route.Shortage, isHopeless bool)
 	}
 
 	// waiting is a wish with what came of it.
@@ -104,8 +108,8 @@
 			return w, true, nil
 		}
 	}
-	if until, isHopeless := wish.isHopeless(now); isHopeless {
-		return nil, false, limitedRefusal(now, until, wish.Work)
+	if shortage, isHopeless := wish.isHopeless(now); isHopeless {
+		return nil, false, shortageRefusal(now, shortage, wish.Work)
 	}
 	retryAt, ok := q.Push(now, &route.Waiter{Account: wish.Account, Weight: wish.Weight, Cost: wish.Cost, Deadline: wish.Deadline, Value: w})
 	if !ok {
@@ -117,16 +121,29 @@
 	return w, false, nil
 }
 
-func (w *Wish) isHopeless(now time.Time) (until time.Time, isHopeless bool) {
+// isHopeless reports whether no place can come in time for the request to wait for it.
+func (w *Wish) isHopeless(now time.Time) (shortage route.Shortage, isHopeless bool) {
 	if w.Hopeless == nil {
-		return time.Time{}, false
+		return route.Shortage{}, false
 	}
-	return w.Hopeless(now)
+	if shortage, isHopeless = w.Hopeless(now); !isHopeless {
+		return shortage, false
+	}
+	mayWait := shortage.IsCertain && shortage.Until.Sub(now) < w.Deadline.Sub(now)/waitPart
+	return shortage, !mayWait
 }
 
-// limitedRefusal is that of a request that no endpoint takes before a time.
-func limitedRefusal(now, until time.Time, work string) *willowwick.Refusal {
-	until = now.Add(min(max(until.Sub(now), limitedRetry), limitedRetryMost))
+// shortageRefusal is that of a request that no endpoint takes before a time. Callers that are refused for the same rest come back
+// apart from each other: all at once would be more than endpoints take at its end.
+func shortageRefusal(now time.Time, shortage route.Shortage, work string) *willowwick.Refusal {
+	after := shortage.Until.Sub(now)
+	if shortage.IsCertain {
+		after += time.Duration(rand.Int64N(int64(max(after/2, shortageRetry))))
+	}
+	until := now.Add(min(max(after, shortageRetry), shortageRetryMost))
+	if shortage.IsCertain {
+		return willowwick.NotRun(willowwick.CodeOverloaded, until, "every endpoint that serves %q has asked for rest", work)
+	}
 	return willowwick.NotRun(willowwick.CodeRateLimited, until, "every endpoint that serves %q names a limit, and takes no more now", work)
 }
 
@@ -195,12 +212,12 @@
 
 // refuseHopeless refuses a request at the head of its queue for which no place can come, and reports whether it did.
 func (w *waiting) refuseHopeless(q *route.Queue, now time.Time) bool {
-	until, isHopeless := w.isHopeless(now)
+	shortage, isHopeless := w.isHopeless(now)
 	if !isHopeless {
 		return false
 	}
 	q.Pop()
-	w.result <- limitedRefusal(now, until, w.Work)
+	w.result <- shortageRefusal(now, shortage, w.Work)
 	return true
 }
 
--- a/lab/notices_test.go
+++ b/lab/notices_test.go
@@ -52,3 +52,45 @@
 		require.Equal(t, told, len(leaving.Effects()))
 	})
 }
+
+// TestARunnerThatAsksForRestGetsIt: each box sends it what is under way as it hears of the rest, and then nothing until its end.
+func TestARunnerThatAsksForRestGetsIt(t *testing.T) {
+	const rest = 8 * time.Second
+	inScene(t, 3, func(s *scene) {
+		resting := s.Runners[0]
+		resting.SetFaults(func(f *standin.EngineFaults) { f.Rest = "8" })
+		statuses := s.keepAsking(rest - time.Second)
+		require.Positive(t, resting.TurnedAway())
+		require.LessOrEqual(t, resting.TurnedAway(), 3*len(s.Boxes), "%v", statuses)
+		require.Len(t, statuses, 1, "the other runners take all: %v", statuses)
+		resting.SetFaults(func(f *standin.EngineFaults) { f.Rest = "" })
+		before := len(servedBy(resting))
+		s.keepAsking(rest)
+		require.Greater(t, len(servedBy(resting)), before, "it is used again after its rest")
+	})
+}
+
+// TestWhereAllRunnersRestChatsAreRefusedAtOnce, with a time to come back.
+func TestWhereAllRunnersRestChatsAreRefusedAtOnce(t *testing.T) {
+	inScene(t, 1, func(s *scene) {
+		for _, runner := range s.Runners {
+			runner.SetFaults(func(f *standin.EngineFaults) { f.Rest = "600" })
+		}
+		for n := range 12 { // each runner tells the box
+			s.askOnce(0, "tell "+itoa(n))
+		}
+		before := 0
+		for _, runner := range s.Runners {
+			before += runner.TurnedAway()
+		}
+		began := time.Now()
+		reply := s.askOnce(0, "after")
+		require.Equal(t, OutcomeRefused, reply.Outcome, "%+v", reply)
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+		after := 0
+		for _, runner := range s.Runners {
+			after += runner.TurnedAway()
+		}
+		require.Equal(t, before, after)
+	})
+}
--- a/route/notice.go
+++ b/route/notice.go
@@ -1,15 +1,22 @@
 package route
 
 import (
+	"math/rand/v2"
 	"sort"
 	"time"
 
 	"github.com/willowwick/willowwick"
 )
 
-// saidKept is how long what an endpoint said is kept once it is not listed: its entry may come back as it was before, since a
-// store that comes back from a copy of itself has lost what was written last.
-const saidKept = 10 * time.Minute
+const (
+	// saidKept is how long what an endpoint said is kept once it is not listed: its entry may come back as it was before, since a
+	// store that comes back from a copy of itself has lost what was written last.
+	saidKept = 10 * time.Minute
+	// restSpread bounds the time by which a box comes back later than it might, a random one: an endpoint that is short of room
+	// asks many boxes for the same rest at about the same time. restSpreadPart is the part of the rest that it is at most.
+	restSpread     = time.Second
+	restSpreadPart = 5
+)
 
 type (
 	// said is what is known of one life of an endpoint beside its entry, mostly from its own answers. It holds whatever the
@@ -17,10 +24,11 @@
 	said struct {
 		incarnation willowwick.Incarnation
 		address     string
-		leaving     bool      // it takes no new requests any more; for good
-		misplaced   bool      // another endpoint answers at its address
-		restUntil   time.Time // it wants no request of this box before; zero if it never asked for rest
-		goneAt      time.Time // it was listed until then; zero if it is
+		leaving     bool          // it takes no new requests any more; for good
+		misplaced   bool          // another endpoint answers at its address
+		restUntil   time.Time     // it wants no request of this box before; zero if it never asked for rest
+		restDelay   time.Duration // random length: by which this box comes back later
+		goneAt      time.Time     // it was listed until then; zero if it is
 	}
 
 	// News is what of a notice was not known yet.
@@ -53,9 +61,15 @@
 	news.Leaving = notice.Leaving && !s.leaving
 	news.Rest = notice.RestUntil.After(now) && !s.isResting(now)
 	s.leaving = s.leaving || notice.Leaving
+	if news.Rest {
+		s.restDelay = time.Duration(rand.Float64() * float64(min(restSpread, notice.RestUntil.Sub(now)/restSpreadPart)))
+	}
 	// A shorter rest that is asked for later takes nothing back: each answer binds by itself.
-	if notice.RestUntil.After(s.restUntil) {
-		s.restUntil = notice.RestUntil
+	if until := notice.RestUntil.Add(s.restDelay); notice.RestUntil.After(now) && until.After(s.restUntil) {
+		s.restUntil = until
+	}
+	if m := p.endpoints[endpoint.ID]; m != nil && s.isResting(now) {
+		m.limit = 1 // by the end of its rest its load is not known, and it gets one request of this box first
 	}
 	return news
 }
--- a/route/place.go
+++ b/route/place.go
@@ -78,11 +78,11 @@
 	return p.member.said.leaving, p.member.said.isResting(now)
 }
 
-// IsWithheld reports whether the endpoint takes no requests any more since the place was taken.
-func (p *Place) IsWithheld() bool {
+// IsWithheld reports whether the endpoint takes no requests since the place was taken: it leaves by now, or rests.
+func (p *Place) IsWithheld(now time.Time) bool {
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	return !p.member.stays()
+	return p.member.isWithheld(now)
 }
 
 // Sent notes that the endpoint has the request's prompt to read, and returns what is to be told to other boxes of it.
--- a/route/pool.go
+++ b/route/pool.go
@@ -266,6 +266,11 @@
 	return !m.said.leaving && !m.said.misplaced && !m.evacuated
 }
 
+// isWithheld reports whether the endpoint takes no work now, whatever it has to do: it does not stay, or rests.
+func (m *member) isWithheld(now time.Time) bool {
+	return !m.stays() || m.said.isResting(now)
+}
+
 // isDoubtful reports whether the endpoint owes an answer for long, or is on trial after a suspicion.
 func (m *member) isDoubtful(now time.Time, options PoolOptions) bool {
 	if m.inFlight == 0 {
@@ -358,7 +363,7 @@
 		return false
 	}
 	for _, m := range r.members {
-		if _, isLimited := p.options.Limits.Limited(now, m.endpoint.ID); isLimited {
+		if p.availability(now, m).ground != mayUse {
 			continue
 		}
 		if allow(m.endpoint) && !p.isPaused(now, m) && m.open(now, p.options, false) {
@@ -398,7 +403,7 @@
 }
 
 func (m *member) open(now time.Time, options PoolOptions, trusting bool) bool {
-	if !m.stays() || !trusting && now.Before(m.suspectUntil) {
+	if m.isWithheld(now) || !trusting && now.Before(m.suspectUntil) {
 		return false
 	}
 	if !trusting && options.QuietAfter > 0 && m.isDoubtful(now, options) {
--- a/route/ratelimit_test.go
+++ b/route/ratelimit_test.go
@@ -40,7 +40,7 @@
 		assert.Equal(t, willowwick.EndpointID("e2"), place.Endpoint.ID)
 		assert.False(t, place.MustAsk())
 	}
-	_, all := pool.AllLimited(now, "work", anyEndpoint)
+	_, all := pool.AllUnavailable(now, "work", anyEndpoint)
 	assert.False(t, all)
 	assert.True(t, pool.HasOpen(now, "work", anyEndpoint))
 }
@@ -51,11 +51,12 @@
 	place, known := pool.AcquireAllowed(now, "work", Work{}, nil, anyEndpoint)
 	assert.Nil(t, place)
 	assert.True(t, known)
-	nextAt, all := pool.AllLimited(now, "work", anyEndpoint)
+	shortage, all := pool.AllUnavailable(now, "work", anyEndpoint)
 	assert.True(t, all)
-	assert.Equal(t, now.Add(time.Second), nextAt)
+	nextAt := now.Add(time.Second)
+	assert.Equal(t, Shortage{Until: nextAt}, shortage, "a permit may be denied")
 	assert.False(t, pool.HasOpen(now, "work", anyEndpoint))
-	_, all = pool.AllLimited(nextAt, "work", anyEndpoint)
+	_, all = pool.AllUnavailable(nextAt, "work", anyEndpoint)
 	assert.False(t, all, "a permit may be asked for")
 	place, _ = pool.AcquireAllowed(nextAt, "work", Work{}, nil, anyEndpoint)
 	require.NotNil(t, place)
@@ -65,9 +66,9 @@
 func TestARequestThatMissedTheOthersHasOnlyLimitedEndpointsLeft(t *testing.T) {
 	now := time.Now()
 	pool := newLimitedPool(now, now.Add(time.Minute), []willowwick.EndpointID{"e1", "e2"}, "e1")
-	assert.False(t, pool.OnlyLimitedLeft(now, "work", nil, anyEndpoint))
-	assert.True(t, pool.OnlyLimitedLeft(now, "work", map[willowwick.EndpointID]bool{"e2": true}, anyEndpoint))
-	assert.False(t, pool.OnlyLimitedLeft(now, "work", map[willowwick.EndpointID]bool{"e1": true, "e2": true}, anyEndpoint))
+	assert.False(t, pool.OnlyUnavailableLeft(now, "work", nil, anyEndpoint))
+	assert.True(t, pool.OnlyUnavailableLeft(now, "work", map[willowwick.EndpointID]bool{"e2": true}, anyEndpoint))
+	assert.False(t, pool.OnlyUnavailableLeft(now, "work", map[willowwick.EndpointID]bool{"e1": true, "e2": true}, anyEndpoint))
 }
 
 // An endpoint that takes two a second runs next to nothing, and is not idle.
--- a/serve/permits.go
+++ b/serve/permits.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/route"
 )
@@ -12,7 +13,7 @@
 // request goes elsewhere.
 func (d *Daemon) obtainPermit(ctx context.Context, entered *gate.Ticket, exclude map[willowwick.EndpointID]bool) bool {
 	hasPermit := !entered.MustAsk() || d.node.ObtainPermit(ctx, entered.Endpoint.ID)
-	if hasPermit && !entered.IsWithheld() {
+	if hasPermit && !entered.IsWithheld(clock.Now()) {
 		return true
 	}
 	entered.Done(route.OutcomeCancelled)
--- a/serve/services.go
+++ b/serve/services.go
@@ -221,8 +221,8 @@
 		Acquire: func(now time.Time) (*route.Place, bool) {
 			return s.daemon.pool.AcquireService(now, s.service, s.exclude)
 		},
-		Hopeless: func(now time.Time) (time.Time, bool) {
-			return s.daemon.pool.AllLimited(now, s.service, nil)
+		Hopeless: func(now time.Time) (route.Shortage, bool) {
+			return s.daemon.pool.AllUnavailable(now, s.service, nil)
 		},
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -50,6 +50,8 @@
 		EndOn string `json:"endOn"`
 		// RateLimit is the limit that answers name; empty for none.
 		RateLimit string `json:"rateLimit"`
+		// Rest is how many seconds of rest the runner asks for as it turns all calls away; empty for none.
+		Rest string `json:"rest"`
 	}
 
 	// Engine stands in for a runner.
@@ -63,18 +65,19 @@
 		// End ends the runner as the end of its process would; nil if it cannot.
 		End func()
 
-		mu       sync.Mutex
-		versions map[willowwick.VersionID]VersionBehaviour
-		faults   EngineFaults
-		ended    bool
-		places   chan struct{}
-		waiting  int
-		running  int
-		reported willowwick.EndpointLoad
-		served   map[willowwick.VersionID][]time.Time
-		fence    willowwick.Fence
-		orders   []willowwick.Order
-		mux      *http.ServeMux
+		mu         sync.Mutex
+		versions   map[willowwick.VersionID]VersionBehaviour
+		faults     EngineFaults
+		ended      bool
+		places     chan struct{}
+		waiting    int
+		running    int
+		reported   willowwick.EndpointLoad
+		served     map[willowwick.VersionID][]time.Time
+		turnedAway int
+		fence      willowwick.Fence
+		orders     []willowwick.Order
+		mux        *http.ServeMux
 	}
 )
 
@@ -125,6 +128,13 @@
 	return append([]time.Time(nil), e.served[version]...)
 }
 
+// TurnedAway counts the calls that the runner turned away to have rest.
+func (e *Engine) TurnedAway() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.turnedAway
+}
+
 // Orders returns the orders that were obeyed.
 func (e *Engine) Orders() []willowwick.Order {
 	e.mu.Lock()
@@ -215,6 +225,12 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return false
 	}
+	if e.faults.Rest != "" {
+		e.turnedAway++
+		w.Header().Set(remote.HeaderRest, e.faults.Rest)
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return false
+	}
 	behaviour, ok := e.versions[run.call.Model]
 	if !ok {
 		http.Error(w, "version is not loaded", http.StatusNotFound)
