--- a/exchange/mesh_fleet_test.go
+++ b/exchange/mesh_fleet_test.go
@@ -101,8 +101,11 @@
 func TestBoxesThatStartDoNotSendEachOtherWhatBothHaveRead(t *testing.T) {
 	eachMeshSize(t, func(t *testing.T, size meshSize) {
 		m := newMesh(1, size.boxes, size.halls, size.endpoints)
-		m.moves = true
-		m.run(t, 5*time.Second)
+		m.moves, m.parts = true, map[string]*gobCounter{}
+		for second := range 5 {
+			m.run(t, time.Second)
+			t.Logf("%d s: %s; %d reads of the list", second+1, m.partsText(), m.store.reads)
+		}
 		assert.Zero(t, m.wholes)
 		m.store.put(meshEndpoint(size.endpoints, size.halls))
 		m.run(t, meshDrain)
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -44,8 +44,9 @@
 		random *rand.Rand
 
 		messages gobCounter
-		swapped  int // bytes of all swaps
-		wholes   int // lists of endpoints that went from box to box whole
+		swapped  int                    // bytes of all swaps
+		parts    map[string]*gobCounter // the same by the kind of news; nil if that is not counted
+		wholes   int                    // lists of endpoints that went from box to box whole
 	}
 
 	// meshBox is one box of a mesh.
@@ -310,6 +311,40 @@
 	}
 	box.peers.takeReply(&call, reply, now, now)
 	m.swapped += m.messages.add(t, call) + m.messages.add(t, reply)
+	if m.parts != nil {
+		m.countParts(t, &call, &reply)
+	}
+}
+
+// countParts adds the bytes of a swap by the kind of news, and counts whole lists.
+func (m *mesh) countParts(t *testing.T, call *SwapCall, reply *SwapReply) {
+	m.count(t, "digests", []Digest{call.Digest, reply.Digest})
+	m.count(t, "boxes", reply.Known)
+	m.count(t, "ages of halls", reply.HallAges)
+	m.count(t, "limits", []ratelimit.News{call.Limits, reply.Limits})
+	switch {
+	case reply.Endpoints == nil:
+	case reply.Endpoints.Since == 0:
+		m.count(t, "whole lists", reply.Endpoints)
+	default:
+		m.count(t, "changes of lists", reply.Endpoints)
+	}
+}
+
+func (m *mesh) count(t *testing.T, kind string, part any) {
+	if m.parts[kind] == nil {
+		m.parts[kind] = &gobCounter{}
+	}
+	m.parts[kind].add(t, part)
+}
+
+// partsText tells the bytes of swaps by the kind of news.
+func (m *mesh) partsText() string {
+	text := fmt.Sprintf("%d bytes", m.swapped)
+	for _, kind := range slices.Sorted(maps.Keys(m.parts)) {
+		text += fmt.Sprintf(", %s %d", kind, m.parts[kind].bytes)
+	}
+	return text
 }
 
 func quietLogs(t *testing.T) {
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -118,6 +118,19 @@
 	m.set.GetOrCreateCounter("willowwick_permits_granted_total").Add(permits)
 }
 
+// listTold counts a list of endpoints that another box was told, nil for none.
+func (m *routerMetrics) listTold(list *EndpointList) {
+	if list == nil {
+		return
+	}
+	form := "changes"
+	if list.Since == 0 {
+		form = "whole"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_lists_told_total{form=%q}", form)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_list_entries_told_total{form=%q}", form)).Add(len(list.Endpoints) + len(list.Gone))
+}
+
 // eraBegan counts a return of the store from a copy of itself.
 func (m *routerMetrics) eraBegan() {
 	m.set.GetOrCreateCounter("willowwick_store_eras_begun_total").Inc()
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -149,6 +149,7 @@
 	reply.Digest = p.digest(now)
 	reply.Table, reply.Packed = p.tableFor(call.Digest.TableVersion, call.Digest.TakesPacked)
 	reply.Endpoints = p.router.sync.listFor(call)
+	p.router.metrics.listTold(reply.Endpoints)
 	isNews := false
 	reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now)
 	var isLimitNews bool
