A request that all endpoints have turned away waits a moment before it goes to one of them again

Cause: where every endpoint was tried, a second try went out at once. A pause was there only where the others name limits or rest.

TestARequestIsSentAgainToTheOnlyEndpointAfterAMoment failed before (503 after 8 sends) and passes.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -249,6 +249,9 @@
 			c.giveUp(result.refusal(c))
 			return
 		}
+		if result.kind == notRun && c.mustAwaitRoom(c.endedAt) {
+			sleep(c.ctx, tryAgainAfter)
+		}
 	}
 }
 
@@ -349,12 +352,27 @@
 	case notSent, unreached, escalated, withheld:
 		return true // for an escalation the budget was asked before the answer was dropped
 	case notRun:
-		return c.router.takeRepeat(c, route.RepeatFailover, now)
+		return c.mayAwaitRoom(now) && c.router.takeRepeat(c, route.RepeatFailover, now)
 	default:
 		return c.trial == "" && c.mayRunAgain() && c.router.takeRepeat(c, route.RepeatFailover, now)
 	}
 }
 
+// mustAwaitRoom reports whether every endpoint that takes requests has turned this one away: a moment passes before it goes to one of
+// them again, in which places come free.
+func (c *call) mustAwaitRoom(now time.Time) bool {
+	pool, allowed := c.router.pool, c.allowed()
+	_, isShort := pool.AllUnavailable(now, c.service, allowed)
+	return !isShort && pool.NoneLeft(now, c.service, c.exclude, allowed)
+}
+
+// mayAwaitRoom reports whether there is time for that where it is needed: a request that nothing has run yet is refused where its caller
+// would wait too long.
+func (c *call) mayAwaitRoom(now time.Time) bool {
+	until := c.arrived.Add(scale(c.route.Goal, queueShare))
+	return c.runs > 0 || now.Add(tryAgainAfter).Before(until) || !c.mustAwaitRoom(now)
+}
+
 // mayRunAgain reports whether one more endpoint may run the request.
 func (c *call) mayRunAgain() bool {
 	if c.out.begun && !c.route.Resumable {
--- a/exchange/rest_test.go
+++ b/exchange/rest_test.go
@@ -108,3 +108,27 @@
 	require.NotNil(t, refusal)
 	assert.Equal(t, willowwick.CodeOverloaded, refusal.Code)
 }
+
+// All endpoints but one leave, and that one is full for a moment: a request was sent there eight times within two milliseconds, each time on
+// the fleet's budget of repeats, and then failed.
+func TestARequestIsSentAgainToTheOnlyEndpointAfterAMoment(t *testing.T) {
+	const full = 150 * time.Millisecond
+	began := time.Now()
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		if time.Since(began) < full {
+			w.Header().Set("T-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok"))
+	})
+	patient := onceRoute()
+	patient.Goal = 2 * time.Second
+	s := startSite(t, newTestControl(testTable(1, patient), r.endpoint("v1")), testSettings())
+	for range 40 {
+		s.daemon.router.budget("work").Request(time.Now())
+	}
+	began = time.Now()
+	assert.Equal(t, http.StatusOK, s.do(t, http.MethodPost, "/once/", "first", "x").status)
+	assert.LessOrEqual(t, len(r.requests()), int(full/tryAgainAfter)+2)
+}
--- a/route/availability.go
+++ b/route/availability.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -60,6 +61,19 @@
 	return p.allUnavailable(now, row{version: version}, nil)
 }
 
+// NoneLeft reports whether none of the service's endpoints that are allowed and not excluded may be given a request now.
+func (p *Pool) NoneLeft(
+	now time.Time, service willowwick.ServiceID, exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
+) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[row{service: service}]
+	return r == nil || !slices.ContainsFunc(r.members, func(m *member) bool {
+		found := p.availability(now, m)
+		return found.ground != hasLeft && !found.from.After(now) && !exclude[m.endpoint.ID] && allow(m.endpoint)
+	})
+}
+
 // OnlyUnavailableLeft reports whether those of the service's endpoints that stay, are allowed and are not excluded all take no
 // request now.
 func (p *Pool) OnlyUnavailableLeft(
