--- a/cmd/e2e/soak_faults_test.go
+++ b/cmd/e2e/soak_faults_test.go
@@ -110,6 +110,7 @@
 	box, lasting := a.box(), a.lasting()
 	a.add(at, fmt.Sprint("SIGSTOP ", box.name, " ", lasting), func() {
 		defer box.troubles.begin()()
+		defer box.freezes.begin()()
 		box.send(syscall.SIGSTOP)
 		time.Sleep(lasting)
 		box.send(syscall.SIGCONT)
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -59,6 +59,7 @@
 		ended     chan struct{}
 
 		troubles spans // unplanned
+		freezes  spans // those of them in which the daemon did not run
 		stops    spans // planned
 
 		mu   sync.Mutex
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -49,6 +49,8 @@
 		running  int
 		runs     []BatchRun
 		limit    string // that answers name; empty for none
+		says     bool   // answers say that it leaves, whatever its entry says
+		rest     string // seconds that it asks for as it turns all requests away; empty for none
 		arrivals []BatchArrival
 		stop     chan struct{}
 	}
@@ -62,10 +64,12 @@
 		At      time.Time
 	}
 
-	// BatchArrival is a request that came, whether it ran or not.
+	// BatchArrival is a request that came, whether it ran or not, with what its answer says.
 	BatchArrival struct {
 		Request string
 		At      time.Time
+		Leaving bool
+		Rest    string // empty if it asks for none
 	}
 
 	batchEntry struct {
@@ -136,6 +140,20 @@
 	b.limit = limit
 }
 
+// SayLeaving makes the runner say in all its answers from now on that it leaves; its entry goes on telling that it is ready.
+func (b *BatchRunner) SayLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.says = true
+}
+
+// AskForRest makes the runner turn all requests away from now on and ask for so many seconds of rest; empty for neither.
+func (b *BatchRunner) AskForRest(seconds string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rest = seconds
+}
+
 // Arrivals lists the requests that came so far, the oldest first.
 func (b *BatchRunner) Arrivals() []BatchArrival {
 	b.mu.Lock()
@@ -143,14 +161,19 @@
 	return slices.Clone(b.arrivals)
 }
 
-// arrive notes a request, and writes the limit that its answer names.
-func (b *BatchRunner) arrive(id string, header http.Header) {
+// arrive notes a request, and writes what its answer says of the runner.
+func (b *BatchRunner) arrive(id string, header http.Header) BatchArrival {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.arrivals = append(b.arrivals, BatchArrival{id, time.Now()})
+	arrival := BatchArrival{id, time.Now(), b.says || b.leaving, b.rest}
+	b.arrivals = append(b.arrivals, arrival)
 	if b.limit != "" {
 		header.Set("Server-Limit", b.limit)
 	}
+	if arrival.Leaving {
+		header.Set("Server-Leaving", "1")
+	}
+	return arrival
 }
 
 // Runs lists the runs so far, the oldest first.
@@ -177,12 +200,18 @@
 	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
-	b.arrive(id, w.Header())
+	arrival := b.arrive(id, w.Header())
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.settings.ID {
 		w.Header().Set("Instance-Id", b.settings.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if arrival.Rest != "" {
+		w.Header().Set("Retry-After", arrival.Rest)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	number, running, faults, taken := b.begin(batchRun(r, body))
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, b.settings.Slots))
 	if !taken {
