--- a/route/availability.go
+++ b/route/availability.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -65,10 +64,7 @@
 func (p *Pool) NoneLeft(
 	now time.Time, service willowwick.ServiceID, exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool,
 ) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := p.rows[row{service: service}]
-	return r == nil || !slices.ContainsFunc(r.members, func(m *member) bool {
+	return !p.hasMember(service, func(m *member) bool {
 		found := p.availability(now, m)
 		return found.ground != hasLeft && !found.from.After(now) && !exclude[m.endpoint.ID] && allow(m.endpoint)
 	})
@@ -110,18 +106,7 @@
 
 // HasAvailable reports whether one of the service's endpoints that are allowed may be given a request for certain, if it has room.
 func (p *Pool) HasAvailable(now time.Time, service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := p.rows[row{service: service}]
-	if r == nil {
-		return false
-	}
-	for _, m := range r.members {
-		if allow(m.endpoint) && p.availability(now, m).ground == mayUse {
-			return true
-		}
-	}
-	return false
+	return p.hasMember(service, func(m *member) bool { return allow(m.endpoint) && p.availability(now, m).ground == mayUse })
 }
 
 // countedBy returns which members show how much a service has to do: one that rests or names a limit has little to do because it
--- a/route/pool.go
+++ b/route/pool.go
@@ -356,29 +356,22 @@
 // HasOpen reports whether one of the service's endpoints that are allowed may be given work; those that name limits do not
 // count, since a permit may be denied.
 func (p *Pool) HasOpen(now time.Time, service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) bool {
+	return p.hasMember(service, func(m *member) bool {
+		return p.availability(now, m).ground == mayUse && allow(m.endpoint) && !p.isPaused(now, m) && m.open(now, p.options, false)
+	})
+}
+
+// hasMember reports whether one of the service's endpoints is as asked.
+func (p *Pool) hasMember(service willowwick.ServiceID, is func(m *member) bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.rows[row{service: service}]
-	if r == nil {
-		return false
-	}
-	for _, m := range r.members {
-		if p.availability(now, m).ground != mayUse {
-			continue
-		}
-		if allow(m.endpoint) && !p.isPaused(now, m) && m.open(now, p.options, false) {
-			return true
-		}
-	}
-	return false
+	return r != nil && slices.ContainsFunc(r.members, is)
 }
 
 // HasStaying reports whether one of the service's endpoints that are allowed is not leaving, in a hall that is not evacuated.
 func (p *Pool) HasStaying(service willowwick.ServiceID, allow func(willowwick.Endpoint) bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := p.rows[row{service: service}]
-	return r != nil && slices.ContainsFunc(r.members, func(m *member) bool { return m.stays() && allow(m.endpoint) })
+	return p.hasMember(service, func(m *member) bool { return m.stays() && allow(m.endpoint) })
 }
 
 // InFlightWhere counts the places taken at those of the service's endpoints that are counted.
