--- a/exchange/call.go
+++ b/exchange/call.go
@@ -262,7 +262,7 @@
 	c.choice = c.router.releases.choose(c.service, c.sessionText(), now, c.deadline)
 	c.choice.only = c.trial
 	until := c.deadline
-	if _, isShort := c.isHopeless(now); isShort || c.sends == 0 || c.hasOnlyUnavailableLeft(now) {
+	if c.sends == 0 || c.hasOnlyUnavailableLeft(now) || c.isShort(now) {
 		until = earliest(until, now.Add(scale(c.route.Goal, queueShare)))
 	}
 	work := c.work()
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"time"
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
@@ -16,20 +17,18 @@
 	if head.Request == "" || head.Request == s.call.head.ID {
 		return true
 	}
-	// When its request was sent is not known, so that it tells nothing of the limit.
-	head.Notice.RateLimit = willowwick.RateLimit{Unreadable: "late"}
-	s.hear(answer.Status, head.Notice)
+	s.hear(answer.Status, head.Notice, time.Time{}) // when its request was sent is not known
 	return false
 }
 
-// hear takes what an answer says of its endpoint, whatever becomes of the answer: errors, refusals and answers that are dropped
+// hear takes what an answer, to a request that was sent at the given time, says of its endpoint, whatever becomes of the answer: errors, refusals and answers that are dropped
 // tell as much as those that are passed on. Another endpoint at the address says nothing of this one.
-func (s *send) hear(status int, notice willowwick.Notice) {
+func (s *send) hear(status int, notice willowwick.Notice, sentAt time.Time) {
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
 	x, endpoint, now := s.router, s.ticket.Endpoint, clock.Now()
-	news := x.pool.Hear(now, s.sentAt, endpoint, notice)
+	news := x.pool.Hear(now, sentAt, endpoint, notice)
 	if news.Leaving {
 		slog.Info("endpoint says that it leaves", "endpoint", endpoint.ID, "source", "answer", "request", s.call.head.ID)
 	}
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -183,6 +183,12 @@
 	return c.router.pool.AllUnavailable(now, c.service, isFree)
 }
 
+// isShort reports whether none of them takes one now.
+func (c *call) isShort(now time.Time) bool {
+	_, isShort := c.isHopeless(now)
+	return isShort
+}
+
 // hasOnlyUnavailableLeft reports whether the request was sent to all endpoints but those that take none now.
 func (c *call) hasOnlyUnavailableLeft(now time.Time) bool {
 	return len(c.exclude) > 0 && c.router.pool.OnlyUnavailableLeft(now, c.service, c.exclude, c.allowed())
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -277,7 +277,7 @@
 		}
 		s.answer = answer
 		s.head = s.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now())
-		s.hear(answer.Status, s.head.Notice)
+		s.hear(answer.Status, s.head.Notice, s.sentAt)
 		if s.head.HasLoad {
 			s.head.Load.Endpoint = s.ticket.Endpoint.ID
 			s.router.pool.Report(s.head.Load)
