--- a/exchange/leaving_test.go
+++ b/exchange/leaving_test.go
@@ -105,12 +105,10 @@
 		b.endpoint.Beat += 10
 		b.control.endpoints["r1"] = b.endpoint
 	})
-	lists := func() bool { return len(b.daemon.router.pool.Endpoints()) == 2 }
-	for range 2 { // one that is gone counts from its second heartbeat on
+	require.Eventually(t, func() bool { // one that is gone counts from the second heartbeat on that a read shows
 		b.write(func(endpoint *willowwick.Endpoint) { endpoint.Beat++ })
-		time.Sleep(100 * time.Millisecond)
-	}
-	require.Eventually(t, lists, patience, 5*time.Millisecond)
+		return len(b.daemon.router.pool.Endpoints()) == 2
+	}, patience, 50*time.Millisecond)
 	b.assertUnused(t, leaving)
 	leaving.handle(answerText("ok"))
 	b.write(restart)
