An endpoint that ends as an answer is dropped counts against the request whose answer it was

The box had closed the connection by then, and an end counted against sends whose connections it broke alone.

Change: a send whose answer is dropped is remembered for a moment; an end of its endpoint within a second of it, noticed here or told by another box, counts against its request too. The fingerprint is taken only then, but for long bodies, which are not kept.

TestAnEndpointThatEndsAsAnAnswerIsDroppedCountsAgainstItsRequest failed before (the request was not suspected) and passes.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -332,12 +332,17 @@
 // fingerprint names the request's content. It is taken only where it is needed: bodies are large, and on a calm day nobody asks.
 func (c *call) fingerprint() willowwick.Fingerprint {
 	if c.identity == nil {
-		identity := willowwick.FingerprintOf(c.accountName(), c.message.Method, c.message.Host, c.message.Target, c.message.Body)
+		identity := c.takeFingerprint()
 		c.identity = &identity
 	}
 	return *c.identity
 }
 
+// takeFingerprint is fingerprint for other goroutines than the call's own.
+func (c *call) takeFingerprint() willowwick.Fingerprint {
+	return willowwick.FingerprintOf(c.accountName(), c.message.Method, c.message.Host, c.message.Target, c.message.Body)
+}
+
 func (c *call) cost() willowwick.Tokens {
 	return max(c.head.PromptTokens/promptPerOutput+c.head.MaxTokens, plainCost)
 }
--- a/exchange/ends.go
+++ b/exchange/ends.go
@@ -18,6 +18,13 @@
 	breakKept = 10 * time.Second
 	// mostBreaks bounds the broken connections that wait for that.
 	mostBreaks = 1024
+	// dropKept is how long a send whose answer was dropped may still have been at work at its endpoint, and so have ended it;
+	// mostDrops bounds those that are kept, and keptBody the bodies of their requests: of a longer one the fingerprint is taken at once.
+	dropKept  = time.Second
+	mostDrops = 256
+	keptBody  = 64 << 10
+	// dropNews is how much later it may become known here that the endpoint ended: another box tells of it within some swaps.
+	dropNews = 2 * time.Second
 )
 
 type (
@@ -29,6 +36,14 @@
 		mu     sync.Mutex
 		checks map[endpointInLife]*endCheck
 		breaks []brokenSend // of endpoints at whose address something listened again
+		drops  []droppedSend
+	}
+
+	// droppedSend is a send whose answer was dropped while its endpoint may have been at work on it.
+	droppedSend struct {
+		identify func() willowwick.HarmfulRequest // the fingerprint is taken only if the endpoint ended
+		endpoint willowwick.Endpoint
+		at       time.Time
 	}
 
 	// endpointInLife names one life of an endpoint.
@@ -151,3 +166,43 @@
 		return isOf
 	})
 }
+
+// noteDropped keeps a send whose answer is dropped now.
+func (e *endChecks) noteDropped(dropped droppedSend) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drops = slices.DeleteFunc(e.drops, func(d droppedSend) bool { return dropped.at.Sub(d.at) > dropKept+dropNews })
+	if len(e.drops) < mostDrops {
+		e.drops = append(e.drops, dropped)
+	}
+}
+
+// dropped is the send as its answer is dropped now.
+func (s *send) dropped() droppedSend {
+	c, d := s.call, droppedSend{endpoint: s.ticket.Endpoint, at: clock.Now()}
+	if len(c.message.Body) > keptBody {
+		about := c.identify()
+		d.identify = func() willowwick.HarmfulRequest { return about }
+	} else {
+		d.identify = func() willowwick.HarmfulRequest { return c.identifyAs(c.takeFingerprint()) }
+	}
+	return d
+}
+
+// countDropped counts the ends of endpoints, of which this box has just learnt, against the sends whose answers were dropped there right
+// before: nobody heard their connections break.
+func (e *endChecks) countDropped() {
+	var ended []brokenSend
+	e.mu.Lock()
+	e.drops = slices.DeleteFunc(e.drops, func(d droppedSend) bool {
+		at, isKnown := e.router.harm.EndOf(d.endpoint.ID, d.endpoint.Incarnation)
+		if isKnown && at.Sub(d.at).Abs() <= dropKept {
+			ended = append(ended, brokenSend{about: d.identify(), endpoint: d.endpoint, at: at})
+		}
+		return isKnown
+	})
+	e.mu.Unlock()
+	for _, one := range ended {
+		e.router.noteHarm(one)
+	}
+}
--- a/exchange/escalation_test.go
+++ b/exchange/escalation_test.go
@@ -41,3 +41,48 @@
 	assert.Equal(t, http.StatusOK, reply.status)
 	assert.Equal(t, "id: 1\ndata: small\n\n", reply.body)
 }
+
+// Seen: a request ended three endpoints some 50 ms after their small model's answer to it had been dropped for the large model's, and was sent to
+// five more, since an end counted against what was still at work there alone.
+func TestAnEndpointThatEndsAsAnAnswerIsDroppedCountsAgainstItsRequest(t *testing.T) {
+	var ending *runner
+	underWay, chosen := make(chan struct{}), make(chan struct{})
+	ending = newRunner(t, "r1", func(w http.ResponseWriter, r *http.Request) {
+		isHarmful := ending.lastBody(r) == harmfulBody
+		if isHarmful {
+			w.Header().Set("T-Confidence", "10")
+			chosen <- struct{}{}
+			<-chosen // there is another endpoint for the large model
+		}
+		_, _ = io.WriteString(w, event(1))
+		_ = http.NewResponseController(w).Flush()
+		if !isHarmful {
+			close(underWay)
+			<-r.Context().Done() // it is at work there until the endpoint ends
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+		ending.crash()
+	})
+	failing := newRunner(t, "r2", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	route := streamRoute()
+	route.MaxRuns = 2
+	control := newTestControl(testTable(1, route), ending.endpoint("v1"))
+	s := startSite(t, control, testSettings())
+	for range 20 {
+		s.daemon.router.budget("work").Request(time.Now())
+	}
+	other := make(chan siteReply, 1)
+	go func() { other <- s.do(t, http.MethodPost, "/stream/", "other", "x", "T-Model", "small") }()
+	<-underWay
+	go func() { s.do(t, http.MethodPost, "/stream/", "harmful", harmfulBody, "T-Model", "*") }()
+	<-chosen
+	control.change(func() { control.endpoints["r2"] = failing.endpoint("v1") })
+	require.Eventually(t, func() bool { return len(s.daemon.router.pool.Endpoints()) == 2 }, patience, 5*time.Millisecond)
+	chosen <- struct{}{}
+	<-other
+	assert.Eventually(t, func() bool {
+		suspected, _ := s.daemon.router.harm.Counts()
+		return suspected == 2
+	}, time.Second, 10*time.Millisecond, "both requests were at work there, or had just been")
+}
--- a/exchange/harm.go
+++ b/exchange/harm.go
@@ -63,8 +63,13 @@
 
 // identify says what is told of the request to other boxes and to operators.
 func (c *call) identify() willowwick.HarmfulRequest {
+	return c.identifyAs(c.fingerprint())
+}
+
+// identifyAs is identify with the request's fingerprint.
+func (c *call) identifyAs(fingerprint willowwick.Fingerprint) willowwick.HarmfulRequest {
 	return willowwick.HarmfulRequest{
-		Request: c.fingerprint(), Account: c.accountName(), Service: c.service, Host: c.message.Host,
+		Request: fingerprint, Account: c.accountName(), Service: c.service, Host: c.message.Host,
 		Target: c.message.Target[:min(len(c.message.Target), mostTarget)],
 	}
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -165,6 +165,7 @@
 	s.ended = s.router.ends.hasEnded(s.ctx, broken.endpoint, broken.at)
 	if s.ended {
 		s.router.noteHarm(broken)
+		s.router.ends.countDropped()
 	} else {
 		s.router.ends.await(broken)
 	}
@@ -336,6 +337,7 @@
 		s.outcome = route.OutcomeGood
 		s.observe(false)
 		s.call.model = len(s.route.Models) - 1
+		s.router.ends.noteDropped(s.dropped())
 		return sendResult{kind: escalated}
 	case s.out.begun && status != http.StatusOK:
 		s.outcome = route.OutcomeFailed
--- a/exchange/swap.go
+++ b/exchange/swap.go
@@ -135,6 +135,9 @@
 	p.router.sync.hearConfig(&reply.Digest, now)
 	p.router.sync.takeFromPeer(reply, now)
 	isNews := p.harm.Took(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now)
+	if isNews {
+		p.router.ends.countDropped()
+	}
 	if p.limits.Took(reply.Limits, reply.Digest.Address, sent) || isNews {
 		p.hurry()
 	}
@@ -151,7 +154,9 @@
 	reply.Endpoints = p.router.sync.listFor(call)
 	p.router.metrics.listTold(reply.Endpoints)
 	isNews := false
-	reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now)
+	if reply.Harm, isNews = p.harm.Answer(call.Harm, call.Digest.Address, now); isNews {
+		p.router.ends.countDropped()
+	}
 	var isLimitNews bool
 	if reply.Limits, isLimitNews = p.limits.Answer(call.Limits, call.Digest.Address, now); isNews || isLimitNews {
 		p.hurry()
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -131,6 +131,14 @@
 	return !isKnown
 }
 
+// EndOf returns when one life of an endpoint ended, if it is known to have ended under any request.
+func (l *Ledger) EndOf(endpoint willowwick.EndpointID, incarnation willowwick.Incarnation) (at time.Time, isKnown bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, isKnown = l.known[endKey{endpoint, incarnation}]
+	return at, isKnown
+}
+
 // NoteAnswer notes that an endpoint has answered the request whole: what ended others before was something else.
 func (l *Ledger) NoteAnswer(request willowwick.Fingerprint, now time.Time) {
 	l.mu.Lock()
