--- a/errors.go
+++ b/errors.go
@@ -16,6 +16,4 @@
 	ErrConflict = errors.New("conflicting write: the topic has grown since it was read")
 	// ErrStaleEra means that the answer belongs to an earlier era of the store.
 	ErrStaleEra = errors.New("the store has begun a new era")
-	// ErrFenced means that the endpoint has seen an order with a higher fence.
-	ErrFenced = errors.New("order is fenced off")
 )
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -55,6 +55,9 @@
 		Peers   net.Listener
 		Metrics net.Listener
 		Hints   net.PacketConn // datagrams between boxes, at the address of Peers; nil for none
+		// DutyLog and DutyAPI serve the fleet's duties; nil if Settings.Duties assigns none.
+		DutyLog willowwick.DutyLog
+		DutyAPI willowwick.DutyAPI
 		// Counters are exposed beside the daemon's own metrics.
 		Counters *metrics.Set
 	}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -60,6 +60,18 @@
 		UnreadyDelay     time.Duration // how long a stopping box waits for the load balancer to send callers elsewhere
 		Drain            time.Duration // a draining endpoint gets no requests later than this
 		ConfigApplyLimit time.Duration // a configuration is in force within this time after it was accepted
+		Regions          map[willowwick.HallID]willowwick.RegionID
+		Duties           DutySettings
+	}
+
+	// DutySettings configure the calls that one box makes to the platform's API for the whole fleet.
+	DutySettings struct {
+		Assigned      []willowwick.DutyID // duties of the fleet; empty if it has none
+		CallsPerS     float64             // calls per second that the API takes from all boxes together; 0 if unlimited
+		ChecksFencing bool                // the API rejects calls with a lower fencing token than seen before
+		Lease         time.Duration       // a box that gave up the duties doesn't take them back within this
+		UsageWindow   time.Duration       // length of a window of usage
+		UsageDue      time.Duration       // from the end of a window until its report is due
 	}
 
 	// Router relays requests to endpoints without interpreting their bodies.
--- a/platform.go
+++ b/platform.go
@@ -43,6 +43,8 @@
 	Beat          uint64       `json:"beat,omitempty"`      // number of heartbeats so far
 	ColdUntil     time.Time    `json:"cold_until,omitzero"` // it takes few requests until then; zero if it is not cold
 	Incarnation   Incarnation  `json:"incarnation,omitempty"`
+	Spot          bool         `json:"spot,omitempty"`     // the platform may take it away at short notice
+	LeavesAt      time.Time    `json:"leaves_at,omitzero"` // when a draining endpoint ends; zero if it doesn't say
 }
 
 // Listing is one revision of the platform's list, which lags behind the actual state.
--- a/routes.go
+++ b/routes.go
@@ -28,6 +28,7 @@
 		Anonymous  bool   // needs no key
 		Affinity   bool   // endpoints cache prompts that they have read
 		Models     []ModelID
+		Regions    []RegionID // requests may be served, cached and stored in these regions only; empty for all
 		Split      []ServiceShare
 		Timeout    time.Duration // longest time that a request may take, including its wait
 		Goal       time.Duration // an answer, or its first event, has its full value within this duration
@@ -42,13 +43,15 @@
 		ColdPerSecond  float64 // requests per second that a cold endpoint takes from all boxes together; 0 if unlimited
 		Slots          int     // concurrent requests that a runner can run; 0 if not declared
 		Prices         map[ModelID]float64
+		Autoscaling    *Autoscaling // nil if the fleet doesn't order its endpoints
 	}
 
 	// RoutedAccount is a client account as declared with the routes.
 	RoutedAccount struct {
 		Name     AccountID
 		Keys     []string
-		Priority int // overrides the route's; NoPriority if not declared
+		Priority int        // overrides the route's; NoPriority if not declared
+		Regions  []RegionID // see Route.Regions; a region must be allowed by both
 	}
 
 	// RoutingLimits bound the size of a caller's requests and the time that a caller may stay idle.
