--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -51,10 +51,16 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	daemon, closeDaemon := exchange.New(o.exchangeSettings(settings), exchange.Dependencies{
+	deps := exchange.Dependencies{
 		Control: control, Codec: platform.Codec{}, Counters: set,
 		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints,
-	})
+	}
+	if len(settings.Duties.Assigned) > 0 {
+		api, closeAPI := platform.NewDutyAPI(settings)
+		defer closeAPI()
+		deps.DutyLog, deps.DutyAPI = control.DutyLog(), api
+	}
+	daemon, closeDaemon := exchange.New(o.exchangeSettings(settings), deps)
 	defer closeDaemon()
 	stop := daemon.Start()
 	defer stop()
@@ -114,7 +120,7 @@
 		Regions: settings.Regions,
 		Duties: exchange.DutySettings{
 			Assigned: settings.Duties.Assigned, CallsPerS: settings.Duties.CallsPerS, ChecksFencing: settings.Duties.ChecksFencing,
-			Lease: settings.Duties.Lease, UsageWindow: settings.Duties.UsageWindow, UsageDue: settings.Duties.UsageDue,
+			Lease: settings.Duties.Lease, MemberTTL: settings.MemberTTL(), UsageWindow: settings.Duties.UsageWindow, UsageDue: settings.Duties.UsageDue,
 		},
 	}
 }
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -80,6 +80,7 @@
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
 	x.hints = newHints(x, deps.Hints)
+	x.duties = newDuties(x, deps.DutyLog)
 	return &Daemon{router: x, deps: deps, callers: newCallerListener(deps.Callers)}, func() {
 		closePeers()
 		closeRouter()
@@ -104,10 +105,10 @@
 		d.workers.Go(x.hints.receive)
 		d.workers.Go(func() { x.hints.send(ctx) })
 	}
-	for _, work := range []func(context.Context){
+	for _, work := range append(x.duties.loops(),
 		x.gate.Run, x.sync.followDeclarations, x.sync.followRolloutOrders, x.sync.followEndpoints, x.sync.maintainMembership,
 		x.sync.evaluateReleases, x.sync.writeRolloutStates, x.sync.runPoisonSync, x.peers.run,
-	} {
+	) {
 		d.workers.Go(func() { work(ctx) })
 	}
 	return d.stop
@@ -173,6 +174,7 @@
 	x := d.router
 	slog.Info("planned stop began", "in_flight", x.inFlight.Load(), "grace_ms", x.settings.Grace.Milliseconds())
 	x.stopping.Store(true)
+	x.duties.giveUp()
 	d.leaveGroup()
 	limit := began.Add(x.settings.Grace - exitMargin)
 	x.stopAt.Store(limit.Add(-lastAnswerMargin).UnixNano())
--- a/exchange/era.go
+++ b/exchange/era.go
@@ -14,6 +14,7 @@
 // noteEra records the era of the store that some data belongs to. A new era begins with a copy that lacks the last
 // writes: endpoints and the operator repeat theirs, and boxes have to write theirs again.
 func (s *syncer) noteEra(at willowwick.Position, now time.Time, source string) {
+	s.router.duties.noteEra(at.Era())
 	former, isNew := s.enterEra(at.Era(), now)
 	if !isNew {
 		return
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -70,6 +70,18 @@
 	return false
 }
 
+// hasOtherHall reports whether another hall has a live box.
+func (p *peers) hasOtherHall(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, hall := range p.knownHalls() {
+		if _, found := p.firstLiveBox(hall, now); found && hall != p.router.settings.Hall {
+			return true
+		}
+	}
+	return false
+}
+
 // isCutOffFromStore reports whether a box's last read of the store is too long ago to rely on it.
 func (p *peers) isCutOffFromStore(known *peer, now time.Time) bool {
 	readAge, since := time.Duration(known.digest.ReadAgeMs)*time.Millisecond, now.Sub(known.heardAt)
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -35,8 +35,10 @@
 		case s.maySkipCalls(now):
 			// A call would fail; the group has dropped this box by then, or does so now.
 			s.setLeader(false, "the store is not reached")
+		case s.router.duties.mustStayOut(now):
+			s.leaveGroup(ctx, member, "another box should take the duties")
 		case hasReader:
-			s.leaveGroup(ctx, member)
+			s.leaveGroup(ctx, member, "another box of the hall reads the store")
 		default:
 			listedAt = s.joinGroup(ctx, member, listedAt)
 		}
@@ -47,6 +49,7 @@
 // joinGroup renews this box's membership of the group, lists the members if they changed or were not listed for
 // memberListInterval, and returns when they were listed last.
 func (s *syncer) joinGroup(ctx context.Context, member string, listedAt time.Time) time.Time {
+	sent := clock.Now()
 	membership, err := s.control.Join(ctx, member, s.generation)
 	now := clock.Now()
 	if err != nil {
@@ -57,6 +60,7 @@
 	changed := membership.Generation != s.generation
 	s.generation = membership.Generation
 	s.setLeader(membership.IsLeader, "answer of the group")
+	s.router.duties.noteJoin(sent, membership.IsLeader)
 	if !changed && now.Sub(listedAt) <= memberListInterval {
 		return listedAt
 	}
@@ -64,13 +68,13 @@
 	return now
 }
 
-// leaveGroup leaves the group at once, so that another member can become the leader, since another box of the hall
-// reads the store.
-func (s *syncer) leaveGroup(ctx context.Context, member string) {
+// leaveGroup leaves the group at once, so that another member can become the leader.
+func (s *syncer) leaveGroup(ctx context.Context, member, why string) {
 	if !s.isMember {
 		return
 	}
-	s.setLeader(false, "another box of the hall reads the store")
+	s.setLeader(false, why)
+	s.router.duties.noteLeft(why)
 	if err := s.control.Leave(ctx, member); err != nil {
 		slog.Info("leaving the group failed; the membership expires", "error", err)
 	}
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -136,6 +136,31 @@
 	m.set.GetOrCreateCounter("willowwick_store_eras_begun_total").Inc()
 }
 
+// registerDuties adds the gauges of the duties.
+func (m *routerMetrics) registerDuties(d *duties) {
+	m.set.NewGauge("willowwick_duties_held", func() float64 {
+		if d.Holds(clock.Now()) {
+			return 1
+		}
+		return 0
+	})
+	m.set.NewGauge("willowwick_duties_token", func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(d.lease.Token())
+	})
+}
+
+// countDutyGrant counts a write of the lease on the duties.
+func (m *routerMetrics) countDutyGrant(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_duty_grants_total{outcome=%q}", outcome)).Inc()
+}
+
+// countDutyCall counts a call to the platform's API.
+func (m *routerMetrics) countDutyCall(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_duty_calls_total{outcome=%q}", outcome)).Inc()
+}
+
 func (m *routerMetrics) countRetryDenied() {
 	m.retriesDenied.Inc()
 }
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -70,6 +70,7 @@
 		CallsPerS     float64             // calls per second that the API takes from all boxes together; 0 if unlimited
 		ChecksFencing bool                // the API rejects calls with a lower fencing token than seen before
 		Lease         time.Duration       // a box that gave up the duties doesn't take them back within this
+		MemberTTL     time.Duration       // the group drops a member that sent nothing for this long
 		UsageWindow   time.Duration       // length of a window of usage
 		UsageDue      time.Duration       // from the end of a window until its report is due
 	}
@@ -90,6 +91,7 @@
 		poison    *quarantine.Ledger
 		limits    *ratelimit.Ledger
 		shortages *shortages
+		duties    *duties // nil if the fleet has none
 
 		evacuations *evacuations
 		admissions  *admissions
