--- a/lease/lease.go
+++ b/lease/lease.go
@@ -81,13 +81,14 @@
 		retryAt time.Time            // no call to the store before
 
 		// Own grants.
-		holds    bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
-		token    willowwick.FencingToken
-		claim    uint64           // of the last grant that was written here; 0 if none was
-		claimEra willowwick.Era   // of that grant
-		former   willowwick.BoxID // holder before that grant
-		outdated bool             // a higher token is needed
-		actsAt   time.Time        // no calls before
+		holds     bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
+		token     willowwick.FencingToken
+		claim     uint64           // of the last grant that was written here; 0 if none was
+		claimEra  willowwick.Era   // of that grant
+		former    willowwick.BoxID // holder before that grant
+		neverHeld bool             // as of that grant, no process of this box had held the lease
+		outdated  bool             // a higher token is needed
+		actsAt    time.Time        // no calls before
 
 		// Calls.
 		spent        map[willowwick.DutySubject]willowwick.FencingToken // highest token that can't be used again
@@ -168,6 +169,8 @@
 	isOwn := l.isOwn(state)
 	switch {
 	case !l.isRead:
+	case isOwn && state.Token == l.token && !l.actsAt.IsZero():
+		l.holds = true // nobody else has held it since
 	case isOwn && (!l.holds || state.Token > l.token):
 		l.hold(state.Token, now)
 	case isOwn || !l.holds:
@@ -188,6 +191,9 @@
 func (l *Lease) BeginGrant() (grant willowwick.DutyLease, end willowwick.Position) {
 	l.claim++
 	l.claimEra = l.known.End.Era()
+	if !l.holds {
+		l.neverHeld = l.hasNeverHeld()
+	}
 	if l.known.Lease != nil {
 		l.former = l.known.Lease.Holder
 	}
@@ -233,7 +239,7 @@
 	switch {
 	case l.running > 0, !l.unknownAt.IsZero() && now.Before(l.unknownAt.Add(memory)):
 		return returned
-	case l.known.Lease != nil && now.Before(l.startedAt.Add(memory)) && !l.isFirstHolderOther():
+	case now.Before(l.startedAt.Add(memory)) && !l.neverHeld:
 		return returned // a former process of this box may have called
 	case !l.answeredAt.IsZero() && now.Before(l.answeredAt.Add(l.settings.Lease+actingMargin)):
 		return l.answeredAt.Add(l.settings.Lease + actingMargin)
@@ -242,8 +248,12 @@
 	}
 }
 
-// isFirstHolderOther reports whether the newest grant is the topic's first record, and another box's.
-func (l *Lease) isFirstHolderOther() bool {
+// hasNeverHeld reports whether the topic shows that no process of this box has held the lease before: it holds no grant, or
+// its first record is the newest grant and another box's. A store that came back from a copy may lack earlier ones.
+func (l *Lease) hasNeverHeld() bool {
+	if l.known.Lease == nil {
+		return l.known.End.Era() == 0
+	}
 	return l.known.Token == 0 && l.known.Lease.Holder != l.settings.Self.Holder
 }
 
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,320 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"pgregory.net/rapid"
+)
+
+const testSubject = willowwick.DutySubject("usage")
+
+var testStart = time.Unix(5000, 0)
+
+// at returns the time some milliseconds after the start.
+func at(ms int) time.Time {
+	return testStart.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func newTestLease(box string, startedAt time.Time) *Lease {
+	return New(Settings{
+		Self:  willowwick.DutyLease{Holder: willowwick.BoxID(box), Boot: willowwick.BootID("boot of " + box)},
+		Lease: worldLease, MemberTTL: worldTTL,
+	}, startedAt)
+}
+
+func otherGrant(token willowwick.FencingToken) willowwick.DutyState {
+	return willowwick.DutyState{Lease: &willowwick.DutyLease{Holder: "other", Boot: "b"}, Token: token, End: token + 1}
+}
+
+// take makes the box the candidate and grants it the lease after what the topic holds.
+func take(t *testing.T, l *Lease, state willowwick.DutyState, now time.Time) willowwick.FencingToken {
+	l.Joined(now, true, now)
+	require.Equal(t, StepRead, l.Next(now))
+	l.Read(state, now, now)
+	require.Equal(t, StepGrant, l.Next(now))
+	_, end := l.BeginGrant()
+	require.Equal(t, state.End, end)
+	l.Granted(end, now)
+	require.Equal(t, StepNone, l.Next(now))
+	return end
+}
+
+func mustCall(t *testing.T, l *Lease, now time.Time) willowwick.FencingToken {
+	token, verdict := l.BeginCall(testSubject, now)
+	require.Equal(t, MayCall, verdict)
+	return token
+}
+
+func TestFirstHolderCallsAtOnce(t *testing.T) {
+	l := newTestLease("a", at(0))
+	assert.Equal(t, StepNone, l.Next(at(10)))
+	token := take(t, l, willowwick.DutyState{}, at(100))
+	assert.Equal(t, token, mustCall(t, l, at(100)))
+}
+
+// A box that was suspended, or doesn't reach the store, may not call once its membership may have expired.
+func TestValidityEndsBeforeTheMembershipExpires(t *testing.T) {
+	l := newTestLease("a", at(0))
+	take(t, l, willowwick.DutyState{}, at(100))
+	l.Joined(at(1000), true, at(1900)) // a slow answer counts from when the join was sent
+	assert.True(t, l.Holds(at(3400)))
+	_, verdict := l.BeginCall(testSubject, at(3600))
+	assert.Equal(t, NotHolder, verdict)
+	assert.Equal(t, StepNone, l.Next(at(3600)))
+
+	// Nobody else has taken it: it is this box's again, without a new grant.
+	l.Joined(at(5000), true, at(5000))
+	require.Equal(t, StepRead, l.Next(at(5000)))
+	l.Read(willowwick.DutyState{Lease: &willowwick.DutyLease{Holder: "a", Boot: "boot of a", Claim: 1}, End: 1}, at(5000), at(5010))
+	assert.Equal(t, StepNone, l.Next(at(5010)))
+	assert.True(t, l.Holds(at(5010)))
+}
+
+func TestReturningHolderWaits(t *testing.T) {
+	l := newTestLease("a", at(0))
+	take(t, l, willowwick.DutyState{}, at(100))
+	l.EndCall(testSubject, mustCall(t, l, at(200)), OutcomeAnswered, at(210))
+	l.Joined(at(1000), false, at(1010))
+	assert.False(t, l.Holds(at(1010)))
+	// Started less than a while ago: a call of a former process could still be executed.
+	take(t, l, otherGrant(7), at(2000))
+	l.Joined(at(4000), true, at(4010))
+	assert.False(t, l.Holds(at(4900)))
+	assert.True(t, l.Holds(at(5300)))
+
+	// Later only its own calls count.
+	late := newTestLease("a", at(-60_000))
+	take(t, late, otherGrant(7), at(0))
+	assert.True(t, late.Holds(at(0)), "it has not held the lease")
+	late.EndCall(testSubject, mustCall(t, late, at(0)), OutcomeAnswered, at(10))
+	late.Left("test", at(100))
+	take(t, late, otherGrant(9), at(2000))
+	assert.False(t, late.Holds(at(3100)))
+	assert.True(t, late.Holds(at(3300)))
+
+	// A call without an answer may be executed long after it was made.
+	mustCall(t, late, at(3300))
+	late.EndCall(testSubject, late.Token(), OutcomeUnknown, at(4000))
+	late.Left("test", at(4100))
+	take(t, late, otherGrant(11), at(12_000))
+	assert.False(t, late.Holds(at(14_000)))
+}
+
+// A box that has just started doesn't know whether it held the lease, unless another box wrote the first grant of all.
+func TestRestartedHolderWaits(t *testing.T) {
+	l := newTestLease("a", at(0))
+	take(t, l, otherGrant(0), at(100))
+	assert.True(t, l.Holds(at(100)))
+	for _, state := range []willowwick.DutyState{
+		otherGrant(1),
+		{Lease: &willowwick.DutyLease{Holder: "a", Boot: "earlier"}, End: 1},
+		{End: willowwick.NewPosition(1, 0)}, // the store came back from a copy
+	} {
+		l = newTestLease("a", at(0))
+		take(t, l, state, at(100))
+		assert.False(t, l.Holds(at(2000)))
+		assert.False(t, l.Holds(at(2550)))
+	}
+}
+
+func TestUnansweredCallNeedsANewToken(t *testing.T) {
+	l := newTestLease("a", at(0))
+	first := take(t, l, willowwick.DutyState{}, at(100))
+	other := willowwick.DutySubject("scale")
+	l.EndCall(testSubject, mustCall(t, l, at(200)), OutcomeUnknown, at(900))
+	_, verdict := l.BeginCall(other, at(910))
+	require.Equal(t, MayCall, verdict, "only its subject is affected")
+	l.EndCall(other, first, OutcomeUnknown, at(920))
+
+	_, verdict = l.BeginCall(testSubject, at(1000))
+	require.Equal(t, NeedsToken, verdict)
+	assert.Equal(t, StepNone, l.Next(at(1000)), "no write before it is needed")
+	l.RequireToken(testSubject)
+	require.Equal(t, StepGrant, l.Next(at(1000)))
+	_, end := l.BeginGrant()
+	l.Granted(end, at(1010))
+	assert.Greater(t, mustCall(t, l, at(1010)), first)
+	_, verdict = l.BeginCall(other, at(1020))
+	assert.Equal(t, MayCall, verdict, "one grant serves all subjects")
+}
+
+// A call that is still running counts as unanswered.
+func TestRunningCallNeedsANewToken(t *testing.T) {
+	l := newTestLease("a", at(0))
+	take(t, l, willowwick.DutyState{}, at(100))
+	mustCall(t, l, at(200))
+	_, verdict := l.BeginCall(testSubject, at(300))
+	assert.Equal(t, NeedsToken, verdict)
+}
+
+func TestFencedCallReadsTheTopic(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		state  func(l *Lease) willowwick.DutyState
+		step   Step
+		isHeld bool
+	}{
+		{"another box has taken the lease", func(*Lease) willowwick.DutyState { return otherGrant(3) }, StepNone, false},
+		{"the newest grant is this box's", func(l *Lease) willowwick.DutyState {
+			return willowwick.DutyState{Lease: &willowwick.DutyLease{Holder: "a", Boot: "boot of a"}, Token: l.Token(), End: l.End()}
+		}, StepNone, true},
+	} {
+		l := newTestLease("a", at(0))
+		first := take(t, l, willowwick.DutyState{}, at(100))
+		l.EndCall(testSubject, mustCall(t, l, at(200)), OutcomeFenced, at(210))
+		assert.False(t, l.Holds(at(210)), c.name)
+		require.Equal(t, StepRead, l.Next(at(210)), c.name)
+		l.Read(c.state(l), at(210), at(220))
+		assert.Equal(t, c.step, l.Next(at(220)), c.name)
+		assert.Equal(t, c.isHeld, l.Holds(at(220)), c.name)
+		if !c.isHeld {
+			l.Joined(at(215), true, at(230))
+			assert.False(t, l.IsCandidate(at(230)), "the join was sent before")
+			continue
+		}
+		_, verdict := l.BeginCall(testSubject, at(230))
+		require.Equal(t, NeedsToken, verdict, "token %s was fenced", first)
+	}
+}
+
+func TestGrantOfUnknownOutcome(t *testing.T) {
+	l := newTestLease("a", at(0))
+	l.Joined(at(0), true, at(0))
+	l.Read(willowwick.DutyState{}, at(0), at(0))
+	grant, _ := l.BeginGrant()
+	l.GrantFailed(false, at(100))
+	assert.Equal(t, StepNone, l.Next(at(150)))
+	require.Equal(t, StepRead, l.Next(at(400)))
+	l.Read(willowwick.DutyState{Lease: &grant, End: 1}, at(400), at(410))
+	assert.True(t, l.Holds(at(410)), "the write was done late")
+
+	// It was not done: the next one is a claim of its own under the same condition.
+	l = newTestLease("a", at(0))
+	l.Joined(at(0), true, at(0))
+	l.Read(willowwick.DutyState{}, at(0), at(0))
+	_, end := l.BeginGrant()
+	l.GrantFailed(false, at(100))
+	l.Read(willowwick.DutyState{}, at(400), at(410))
+	again, endAgain := l.BeginGrant()
+	assert.Equal(t, end, endAgain)
+	assert.NotEqual(t, grant.Claim, again.Claim)
+	// The first one was done in between: a conflict, after which the topic shows it.
+	l.GrantFailed(true, at(420))
+	l.Read(willowwick.DutyState{Lease: &grant, End: 1}, at(420), at(430))
+	assert.True(t, l.Holds(at(430)))
+}
+
+func TestStoreBackFromACopy(t *testing.T) {
+	l := newTestLease("a", at(0))
+	first := take(t, l, willowwick.DutyState{End: 5}, at(100))
+	l.EndCall(testSubject, mustCall(t, l, at(150)), OutcomeAnswered, at(160))
+	l.NoteEra(1)
+	assert.False(t, l.Holds(at(200)))
+	require.Equal(t, StepRead, l.Next(at(200)))
+	copied := willowwick.DutyState{
+		Lease: &willowwick.DutyLease{Holder: "a", Boot: "boot of a", Claim: 1}, Token: willowwick.NewPosition(1, 2), End: willowwick.NewPosition(1, 3),
+	}
+	l.Read(copied, at(200), at(210))
+	require.Equal(t, StepGrant, l.Next(at(210)))
+	_, end := l.BeginGrant()
+	l.Granted(end, at(220))
+	assert.Greater(t, mustCall(t, l, at(220)), first, "it has held the lease all the time, and calls at once")
+}
+
+func TestPlannedStopGivesUpForGood(t *testing.T) {
+	l := newTestLease("a", at(0))
+	take(t, l, willowwick.DutyState{}, at(100))
+	l.Stop()
+	assert.False(t, l.Holds(at(110)))
+	l.Joined(at(120), true, at(130))
+	assert.Equal(t, StepNone, l.Next(at(130)))
+	assert.True(t, l.IsAside(at(130)))
+}
+
+func TestUnreachableAPIMakesTheBoxStepAside(t *testing.T) {
+	l := newTestLease("a", at(0))
+	now := 100
+	take(t, l, willowwick.DutyState{}, at(now))
+	for ; !l.ShouldStepAside(at(now)); now += 500 {
+		require.Less(t, now, 10_000)
+		l.Joined(at(now), true, at(now))
+		l.EndCall(testSubject, mustCall(t, l, at(now)), OutcomeNotSent, at(now))
+	}
+	assert.GreaterOrEqual(t, now, 4000)
+	l.StepAside(at(now))
+	l.Joined(at(now+1000), true, at(now+1000))
+	assert.False(t, l.IsCandidate(at(now+1000)))
+	l.Joined(at(now+9000), true, at(now+9000))
+	assert.True(t, l.IsCandidate(at(now+9000)))
+}
+
+// A fleet under random faults keeps the rules, and has a holder again once they are over.
+func TestFleetKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 4)
+		w.pass(2 * time.Second)
+		pick := func(t *rapid.T) *worldBox {
+			if leader := rapid.IntRange(0, 1).Draw(t, "leader"); leader == 1 {
+				for _, box := range w.boxes {
+					if box.id == w.owner {
+						return box
+					}
+				}
+			}
+			return rapid.SampledFrom(w.boxes).Draw(t, "box")
+		}
+		pass := func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * worldTick) }
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":  pass,
+			"pass2": pass,
+			"pass3": pass,
+			"freeze": func(t *rapid.T) {
+				pick(t).frozenTo = w.now.Add(time.Duration(rapid.IntRange(1, 80).Draw(t, "frozen")) * 100 * time.Millisecond)
+			},
+			"kill": func(t *rapid.T) {
+				box := pick(t)
+				box.offTo = w.now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "off")) * 100 * time.Millisecond)
+			},
+			"kill all": func(*rapid.T) {
+				for _, box := range w.boxes {
+					box.offTo = w.now.Add(time.Second)
+				}
+			},
+			"stop": func(t *rapid.T) {
+				box := pick(t)
+				box.lease.Stop()
+				w.leave(box.id)
+				box.offTo = w.now.Add(time.Second)
+			},
+			"leave": func(t *rapid.T) {
+				box := pick(t)
+				box.lease.Left("test", w.now)
+				w.leave(box.id)
+			},
+			"cut store": func(t *rapid.T) { box := pick(t); box.cutStore = !box.cutStore },
+			"cut api":   func(t *rapid.T) { box := pick(t); box.cutAPI = !box.cutAPI },
+			"store":     func(*rapid.T) { w.isDown = !w.isDown },
+			"api":       func(*rapid.T) { w.apiDown = !w.apiDown },
+			"rebalance": func(t *rapid.T) {
+				if box := pick(t); !w.joinedAt[box.id].IsZero() {
+					w.wanted = box.id
+					w.generation++
+				}
+			},
+			"copy":    func(*rapid.T) { w.copied = w.topic },
+			"restore": func(*rapid.T) { w.restore() },
+		})
+		w.isDown, w.apiDown, w.isCalm = false, false, true
+		for _, box := range w.boxes {
+			box.cutStore, box.cutAPI = false, false
+		}
+		w.pass(20 * time.Second)
+		calls := len(w.executed)
+		w.pass(10 * time.Second)
+		require.Greater(t, len(w.executed), calls+20, "duties are done again")
+	})
+}
