--- a/standin/store.go
+++ b/standin/store.go
@@ -57,6 +57,7 @@
 		generation uint64               // counts the changes of the members
 		members    map[string]time.Time // expiry of each member
 		topic      string               // the member that owns its only part is the leader
+		owner      string               // of that part
 	}
 
 	joinRequest struct {
@@ -353,15 +354,18 @@
 	}
 }
 
-// partOwner returns the member that owns the topic's only part.
+// partOwner returns the member that owns the topic's only part: the same one as long as it is a member.
 func (g *storeGroup) partOwner() string {
-	owner := ""
+	if _, isMember := g.members[g.owner]; isMember {
+		return g.owner
+	}
+	g.owner = ""
 	for member := range g.members {
-		if owner == "" || member < owner {
-			owner = member
+		if g.owner == "" || member < g.owner {
+			g.owner = member
 		}
 	}
-	return owner
+	return g.owner
 }
 
 func (s *Store) handleLeave(w http.ResponseWriter, r *http.Request) {
