Lease: a restarted holder goes on from when its former process would have called

The grant names the time from which its holder calls. A process that finds a grant of the same box's former process, in a store that never came back from a copy, waits only until then. An order of spot runners that are not available reads the topic again if it was not read lately, since its status is that of a fenced call.

--- a/duty.go
+++ b/duty.go
@@ -40,6 +40,8 @@
 		Boot    BootID `json:"boot"`
 		Address string `json:"address"` // host:port under which other boxes reach the holder
 		Claim   uint64 `json:"claim"`   // tells the claims of one boot apart
+		// ActsAt is the holder's time of day before which it makes no calls.
+		ActsAt time.Time `json:"acts_at,omitzero"`
 	}
 
 	// DutyState is what the store holds on the duties.
--- a/exchange/duties.go
+++ b/exchange/duties.go
@@ -143,14 +143,19 @@
 		return
 	}
 	d.reports.add(state.Reports...)
+	if state.Lease != nil && !state.Lease.ActsAt.IsZero() {
+		state.Lease.ActsAt = clock.Now().Add(state.Lease.ActsAt.Sub(clock.TimeOfDay()))
+	}
 	d.lease.Read(state, began, clock.Now())
 }
 
 // grant writes a grant; the caller holds storeMu.
 func (d *duties) grant(ctx context.Context) {
 	d.mu.Lock()
-	grant, end := d.lease.BeginGrant()
+	now := clock.Now()
+	grant, end := d.lease.BeginGrant(now)
 	d.mu.Unlock()
+	grant.ActsAt = clock.TimeOfDay().Add(grant.ActsAt.Sub(now)).UTC().Round(time.Millisecond)
 	token, err := d.log.WriteLease(ctx, grant, end)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/exchange/duty_calls.go
+++ b/exchange/duty_calls.go
@@ -35,8 +35,7 @@
 	callCtx, cancel := clock.WithDeadline(ctx, validUntil)
 	defer cancel()
 	err = call(callCtx, d.router.settings.Box, token)
-	d.endCall(ctx, subject, token, err)
-	return err
+	return d.endCall(ctx, subject, token, err)
 }
 
 func (d *duties) subject(subject willowwick.DutySubject) *sync.Mutex {
@@ -91,9 +90,10 @@
 	return token, verdict
 }
 
-func (d *duties) endCall(ctx context.Context, subject willowwick.DutySubject, token willowwick.FencingToken, err error) {
+// endCall records the outcome of a call, and returns its error.
+func (d *duties) endCall(ctx context.Context, subject willowwick.DutySubject, token willowwick.FencingToken, err error) error {
 	outcome := dutyOutcome(err)
-	d.router.metrics.countDutyCall(dutyOutcomeName(err))
+	d.router.metrics.countDutyCall(outcome.String())
 	if err != nil {
 		slog.Debug("call of a duty failed", "subject", subject, "token", token, "error", err)
 	}
@@ -102,16 +102,32 @@
 	d.lease.EndCall(subject, token, outcome, now)
 	d.pace.Ended(outcome, now)
 	d.mu.Unlock()
-	if outcome == lease.OutcomeFenced {
+	switch outcome {
+	case lease.OutcomeFenced:
 		slog.Info("a higher token than this box's was used for a duty; the lease is read again", "subject", subject, "token", token)
 		d.advance(ctx)
+	case lease.OutcomeNoCapacity:
+		d.advance(ctx)
+		if !d.holdsGrant() {
+			return errors.Wrap(willowwick.ErrFenced, err.Error())
+		}
+	default:
 	}
+	return err
+}
+
+func (d *duties) holdsGrant() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.HoldsGrant(clock.Now())
 }
 
 func dutyOutcome(err error) lease.Outcome {
 	switch {
-	case err == nil, errors.Is(err, willowwick.ErrNoCapacity):
+	case err == nil:
 		return lease.OutcomeAnswered
+	case errors.Is(err, willowwick.ErrNoCapacity):
+		return lease.OutcomeNoCapacity
 	case errors.Is(err, willowwick.ErrFenced):
 		return lease.OutcomeFenced
 	case errors.Is(err, willowwick.ErrThrottled):
@@ -123,19 +139,6 @@
 	}
 }
 
-func dutyOutcomeName(err error) string {
-	switch {
-	case err == nil:
-		return "executed"
-	case errors.Is(err, willowwick.ErrNoCapacity):
-		return "no_capacity"
-	default:
-		return map[lease.Outcome]string{
-			lease.OutcomeFenced: "fenced", lease.OutcomeRejected: "rejected", lease.OutcomeNotSent: "not_sent", lease.OutcomeUnknown: "unknown",
-		}[dutyOutcome(err)]
-	}
-}
-
 // WriteUsageReport implements willowwick.DutyHolder. It returns ErrConflict if another report of the window is stored.
 func (d *duties) WriteUsageReport(ctx context.Context, report willowwick.UsageReport) error {
 	if !d.Holds(clock.Now()) {
--- a/lease/calls.go
+++ b/lease/calls.go
@@ -6,6 +6,17 @@
 	"github.com/willowwick/willowwick"
 )
 
+// outcomeNames are used in metrics.
+var outcomeNames = map[Outcome]string{
+	OutcomeUnknown: "unknown", OutcomeNotSent: "not_sent", OutcomeRejected: "rejected", OutcomeFenced: "fenced",
+	OutcomeNoCapacity: "no_capacity", OutcomeAnswered: "executed",
+}
+
+// String implements fmt.Stringer.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
 // Holds reports whether this box may call now.
 func (l *Lease) Holds(now time.Time) bool {
 	l.expire(now)
@@ -94,6 +105,11 @@
 		l.failures = 0
 		l.isRead = false
 		return
+	case OutcomeNoCapacity:
+		// The status is that of a call that was fenced.
+		l.isRead = l.isRead && now.Before(l.readAt.Add(noCapacityReadAge))
+		l.answeredAt = now
+		l.failures = 0
 	case OutcomeAnswered:
 		l.answeredAt = now
 		l.failures = 0
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -14,8 +14,13 @@
 	actingMargin = 200 * time.Millisecond
 	// lateCallLimit is how long after it was sent an unanswered call is expected to be executed at the latest.
 	lateCallLimit = 15 * time.Second
+	// storeCallLimit is how long a write to the store is expected to take at most.
+	storeCallLimit = time.Second
 	// storeRetryPause is the time between a failed call to the store and the next one.
 	storeRetryPause = 250 * time.Millisecond
+	// noCapacityReadAge is the age of the last read of the topic from which an order of runners that were not available makes the
+	// box read it again: it may have been rejected for its token.
+	noCapacityReadAge = 5 * time.Second
 	// stepAsideAfter and stepAsideCalls are for how long and how often calls must have got no answer, without one that got
 	// one, until the box lets another one try.
 	stepAsideAfter = 4 * time.Second
@@ -40,11 +45,12 @@
 
 // Outcomes of a call.
 const (
-	OutcomeUnknown  Outcome = iota // it may be executed now or later
-	OutcomeNotSent                 // the API was not reached
-	OutcomeRejected                // the API rejected it for its load; it isn't executed
-	OutcomeFenced                  // the API has seen a higher token on the subject
-	OutcomeAnswered                // it was executed, or rejected for what it asks
+	OutcomeUnknown    Outcome = iota // it may be executed now or later
+	OutcomeNotSent                   // the API was not reached
+	OutcomeRejected                  // the API rejected it for its load; it isn't executed
+	OutcomeFenced                    // the API has seen a higher token on the subject
+	OutcomeNoCapacity                // the API has no such runners, or has seen a higher token
+	OutcomeAnswered                  // it was executed
 )
 
 type (
@@ -78,17 +84,19 @@
 		// The topic.
 		isRead  bool                 // known is from this time as the candidate, and nothing suggests that it is outdated
 		known   willowwick.DutyState // without reports
+		readAt  time.Time            // when known was read
 		retryAt time.Time            // no call to the store before
 
 		// Own grants.
-		holds     bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
-		token     willowwick.FencingToken
-		claim     uint64           // of the last grant that was written here; 0 if none was
-		claimEra  willowwick.Era   // of that grant
-		former    willowwick.BoxID // holder before that grant
-		neverHeld bool             // as of that grant, no process of this box had held the lease
-		outdated  bool             // a higher token is needed
-		actsAt    time.Time        // no calls before
+		holds       bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
+		token       willowwick.FencingToken
+		claim       uint64           // of the last grant that was written here; 0 if none was
+		claimEra    willowwick.Era   // of that grant
+		former      willowwick.BoxID // holder before that grant
+		neverHeld   bool             // as of that grant, no process of this box had held the lease
+		resumedFrom time.Time        // from when it may call if a former process of this box wrote the grant before; else zero
+		outdated    bool             // a higher token is needed
+		actsAt      time.Time        // no calls before
 
 		// Calls.
 		spent        map[willowwick.DutySubject]willowwick.FencingToken // highest token that can't be used again
@@ -164,7 +172,7 @@
 // Read records what the topic held; began is when the read began.
 func (l *Lease) Read(state willowwick.DutyState, began, now time.Time) {
 	l.expire(now)
-	l.known, l.known.Reports = state, nil
+	l.known, l.known.Reports, l.readAt = state, nil, now
 	l.isRead = now.Before(l.validUntil) && !began.Before(l.since)
 	isOwn := l.isOwn(state)
 	switch {
@@ -187,18 +195,26 @@
 	l.retryAt = now.Add(storeRetryPause)
 }
 
-// BeginGrant returns the grant to write, and the end of the topic that is the condition of the write.
-func (l *Lease) BeginGrant() (grant willowwick.DutyLease, end willowwick.Position) {
+// BeginGrant returns the grant to write, and the end of the topic that is the condition of the write. The time in the grant
+// is of the caller's clock.
+func (l *Lease) BeginGrant(now time.Time) (grant willowwick.DutyLease, end willowwick.Position) {
 	l.claim++
 	l.claimEra = l.known.End.Era()
 	if !l.holds {
-		l.neverHeld = l.hasNeverHeld()
+		l.neverHeld, l.resumedFrom = l.hasNeverHeld(), l.ownActsAt(now)
 	}
 	if l.known.Lease != nil {
 		l.former = l.known.Lease.Holder
 	}
 	grant = l.settings.Self
 	grant.Claim = l.claim
+	grant.ActsAt = l.actsAt
+	if !l.holds {
+		// The wait begins once the write is answered.
+		if grant.ActsAt = l.mayActFrom(now); grant.ActsAt.After(now) {
+			grant.ActsAt = grant.ActsAt.Add(storeCallLimit)
+		}
+	}
 	return grant, l.known.End
 }
 
@@ -239,6 +255,8 @@
 	switch {
 	case l.running > 0, !l.unknownAt.IsZero() && now.Before(l.unknownAt.Add(memory)):
 		return returned
+	case !l.resumedFrom.IsZero():
+		return l.resumedFrom
 	case now.Before(l.startedAt.Add(memory)) && !l.neverHeld:
 		return returned // a former process of this box may have called
 	case !l.answeredAt.IsZero() && now.Before(l.answeredAt.Add(l.settings.Lease+actingMargin)):
@@ -257,6 +275,24 @@
 	return l.known.Token == 0 && l.known.Lease.Holder != l.settings.Self.Holder
 }
 
+// ownActsAt returns from when a former process of this box would have called under the newest grant: no other box has held
+// the lease since. It is zero if the newest grant is another box's, or if the store may lack later ones.
+func (l *Lease) ownActsAt(now time.Time) time.Time {
+	newest := l.known.Lease
+	if newest == nil || newest.Holder != l.settings.Self.Holder || newest.ActsAt.IsZero() || l.known.Token.Era() > 0 {
+		return time.Time{}
+	}
+	latest := now.Add(l.settings.Lease + actingMargin)
+	switch {
+	case newest.ActsAt.Before(now):
+		return now
+	case newest.ActsAt.After(latest):
+		return latest
+	default:
+		return newest.ActsAt
+	}
+}
+
 // isOwn reports whether the newest grant was written by this process in the current era.
 func (l *Lease) isOwn(state willowwick.DutyState) bool {
 	self := l.settings.Self
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -36,7 +36,7 @@
 	require.Equal(t, StepRead, l.Next(now))
 	l.Read(state, now, now)
 	require.Equal(t, StepGrant, l.Next(now))
-	_, end := l.BeginGrant()
+	_, end := l.BeginGrant(now)
 	require.Equal(t, state.End, end)
 	l.Granted(end, now)
 	require.Equal(t, StepNone, l.Next(now))
@@ -121,6 +121,46 @@
 	}
 }
 
+// The grant of a former process of the box says from when that one would have called.
+func TestRestartedHolderGoesOn(t *testing.T) {
+	state := willowwick.DutyState{Lease: &willowwick.DutyLease{Holder: "a", Boot: "earlier", ActsAt: at(-500)}, Token: 4, End: 5}
+	l := newTestLease("a", at(0))
+	take(t, l, state, at(100))
+	assert.True(t, l.Holds(at(100)))
+
+	state.Lease.ActsAt = at(700)
+	l = newTestLease("a", at(0))
+	take(t, l, state, at(100))
+	assert.False(t, l.Holds(at(690)))
+	assert.True(t, l.Holds(at(710)))
+
+	state.Lease.ActsAt = at(100_000) // its clock was wrong
+	l = newTestLease("a", at(0))
+	take(t, l, state, at(100))
+	assert.Equal(t, at(3300), l.ActsAt())
+
+	state.Token, state.End = willowwick.NewPosition(1, 4), willowwick.NewPosition(1, 5)
+	state.Lease.ActsAt = at(-500)
+	l = newTestLease("a", at(0))
+	take(t, l, state, at(100))
+	assert.Equal(t, at(3300), l.ActsAt(), "the store came back from a copy, which may lack another box's grant")
+}
+
+// An order of spot runners that are not available has the status of a fenced one: the topic shows which it was.
+func TestNoCapacityChecksTheLease(t *testing.T) {
+	l := newTestLease("a", at(0))
+	take(t, l, willowwick.DutyState{}, at(100))
+	l.EndCall(testSubject, mustCall(t, l, at(200)), OutcomeNoCapacity, at(210))
+	assert.True(t, l.Holds(at(210)), "the topic was read a moment ago")
+	for now := 1000; now <= 6000; now += 1000 {
+		l.Joined(at(now), true, at(now))
+	}
+	l.EndCall(testSubject, mustCall(t, l, at(6100)), OutcomeNoCapacity, at(6110))
+	require.Equal(t, StepRead, l.Next(at(6110)))
+	l.Read(otherGrant(3), at(6110), at(6120))
+	assert.False(t, l.Holds(at(6120)))
+}
+
 func TestUnansweredCallNeedsANewToken(t *testing.T) {
 	l := newTestLease("a", at(0))
 	first := take(t, l, willowwick.DutyState{}, at(100))
@@ -135,7 +175,7 @@
 	assert.Equal(t, StepNone, l.Next(at(1000)), "no write before it is needed")
 	l.RequireToken(testSubject)
 	require.Equal(t, StepGrant, l.Next(at(1000)))
-	_, end := l.BeginGrant()
+	_, end := l.BeginGrant(at(300))
 	l.Granted(end, at(1010))
 	assert.Greater(t, mustCall(t, l, at(1010)), first)
 	_, verdict = l.BeginCall(other, at(1020))
@@ -185,7 +225,7 @@
 	l := newTestLease("a", at(0))
 	l.Joined(at(0), true, at(0))
 	l.Read(willowwick.DutyState{}, at(0), at(0))
-	grant, _ := l.BeginGrant()
+	grant, _ := l.BeginGrant(at(0))
 	l.GrantFailed(false, at(100))
 	assert.Equal(t, StepNone, l.Next(at(150)))
 	require.Equal(t, StepRead, l.Next(at(400)))
@@ -196,10 +236,10 @@
 	l = newTestLease("a", at(0))
 	l.Joined(at(0), true, at(0))
 	l.Read(willowwick.DutyState{}, at(0), at(0))
-	_, end := l.BeginGrant()
+	_, end := l.BeginGrant(at(300))
 	l.GrantFailed(false, at(100))
 	l.Read(willowwick.DutyState{}, at(400), at(410))
-	again, endAgain := l.BeginGrant()
+	again, endAgain := l.BeginGrant(at(410))
 	assert.Equal(t, end, endAgain)
 	assert.NotEqual(t, grant.Claim, again.Claim)
 	// The first one was done in between: a conflict, after which the topic shows it.
@@ -220,7 +260,7 @@
 	}
 	l.Read(copied, at(200), at(210))
 	require.Equal(t, StepGrant, l.Next(at(210)))
-	_, end := l.BeginGrant()
+	_, end := l.BeginGrant(at(300))
 	l.Granted(end, at(220))
 	assert.Greater(t, mustCall(t, l, at(220)), first, "it has held the lease all the time, and calls at once")
 }
--- a/lease/pace.go
+++ b/lease/pace.go
@@ -52,7 +52,7 @@
 // Ended records the outcome of a call.
 func (p *Pace) Ended(outcome Outcome, now time.Time) {
 	switch outcome {
-	case OutcomeAnswered, OutcomeFenced:
+	case OutcomeAnswered, OutcomeNoCapacity, OutcomeFenced:
 		p.failures = 0
 	case OutcomeRejected:
 		p.pausedTo = now.Add(rejectedPause)
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -164,7 +164,7 @@
 
 // grant writes a grant; some answers are lost, and some writes are late.
 func (w *world) grant(box *worldBox) {
-	grant, end := box.lease.BeginGrant()
+	grant, end := box.lease.BeginGrant(w.now)
 	how := w.random.IntN(10)
 	if w.isDown || box.cutStore {
 		box.lease.GrantFailed(false, w.now)
