--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -19,6 +19,8 @@
 //   - The roster is the set of known boxes, which boxes compare by a checksum. See roster.go.
 //   - The group is the list of members in the store, which the readers of all halls join. One member is the leader, which
 //     writes the states of roll-outs. See lead.go.
+//   - A duty is a kind of call to the platform's API that one box makes for the whole fleet: the leader of the group, while it
+//     holds the lease on the duties. See duties.go, duty_calls.go and package lease.
 //   - An era is the time between two restores of the store from a copy (a backup). The copy may lack the last
 //     declarations, so boxes keep them for restoreTime while the operator writes them again. See era.go and
 //     declared_set.go.
--- a/exchange/duties_test.go
+++ b/exchange/duties_test.go
@@ -180,6 +180,19 @@
 	}
 }
 
+// The store gives the lead to another member: the leader, once it has heard of it, releases it without waiting for its next join.
+func TestLeaderThatLosesTheLeadReleasesIt(t *testing.T) {
+	t.Parallel()
+	f := newDutyFleet(t, 3, willowwick.DutyScale)
+	first := f.holder(t, nil)
+	time.Sleep(2 * joinInterval) // all are members
+	owner := f.store.PartOwner("willowwick")
+	f.store.MovePart("willowwick")
+	require.Eventually(t, func() bool { return !first.daemon.router.duties.Holds(clock.Now()) }, waitTimeout, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return f.store.PartOwner("willowwick") != owner }, joinInterval/2, 5*time.Millisecond)
+	f.holder(t, first)
+}
+
 // The API executes an order of the holder late, after newer ones: only the newest counts.
 func TestLateOrderIsFenced(t *testing.T) {
 	t.Parallel()
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -57,6 +57,13 @@
 		return listedAt
 	}
 	s.isMember = true
+	if s.router.duties != nil && s.isRolloutLeader() && !membership.IsLeader {
+		// The part goes to its new owner once this box has joined with the new generation.
+		s.generation = membership.Generation
+		s.setLeader(false, "answer of the group")
+		s.router.duties.noteJoin(sent, false)
+		return s.joinGroup(ctx, member, listedAt)
+	}
 	changed := membership.Generation != s.generation
 	s.generation = membership.Generation
 	s.setLeader(membership.IsLeader, "answer of the group")
--- a/standin/duty_api.go
+++ b/standin/duty_api.go
@@ -119,25 +119,24 @@
 	if r.URL.Path != "/usage" {
 		call.Subject = request.Service + "/" + request.Hall
 	}
-	switch status := a.handle(call, request); status {
-	case 0:
+	status, text := a.handle(call, request)
+	if status == 0 {
 		panic(http.ErrAbortHandler)
-	default:
-		w.WriteHeader(status)
 	}
+	writeJSONStatus(w, status, map[string]string{"error": text})
 }
 
-// handle returns the status, or 0 for no answer.
-func (a *DutyAPI) handle(call DutyCall, request dutyRequest) int {
+// handle returns the status and the error in the body, or 0 for no answer.
+func (a *DutyAPI) handle(call DutyCall, request dutyRequest) (status int, text string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
 	case a.faults.Silent:
-		return 0
+		return 0, ""
 	case a.faults.Down:
-		return http.StatusServiceUnavailable
+		return http.StatusServiceUnavailable, "try later"
 	case a.faults.Throttled:
-		return http.StatusTooManyRequests
+		return http.StatusTooManyRequests, "too many calls"
 	}
 	a.noteSender(call)
 	if a.faults.DroppedAnswers > 0 {
@@ -147,7 +146,7 @@
 			defer a.mu.Unlock()
 			a.execute(call, request)
 		})
-		return 0
+		return 0, ""
 	}
 	return a.execute(call, request)
 }
@@ -164,25 +163,25 @@
 	}
 }
 
-func (a *DutyAPI) execute(call DutyCall, request dutyRequest) int {
+func (a *DutyAPI) execute(call DutyCall, request dutyRequest) (status int, text string) {
 	if call.Token < a.tokens[call.Subject] {
-		return http.StatusConflict
+		return http.StatusConflict, "a higher fence was seen"
 	}
 	a.tokens[call.Subject] = call.Token
 	if request.Spot && a.faults.NoSpot {
-		return http.StatusConflict
+		return http.StatusConflict, "none to be had"
 	}
 	a.noteTurn(call)
 	a.executed = append(a.executed, call)
 	if call.Subject != "usage" {
 		a.runners[runnerKey(request.Service, request.Hall, request.Spot)] = request.Desired
-		return http.StatusOK
+		return http.StatusOK, ""
 	}
 	if former, reported := a.reports[request.Window]; reported && !maps.Equal(former, request.Counts) {
 		a.violate("window %d was reported with %v and %v", request.Window, former, request.Counts)
 	}
 	a.reports[request.Window] = request.Counts
-	return http.StatusOK
+	return http.StatusOK, ""
 }
 
 // noteTurn records a call of a holder that has called within the lease, and another one since.
--- a/standin/store.go
+++ b/standin/store.go
@@ -58,13 +58,15 @@
 		members    map[string]time.Time // expiry of each member
 		topic      string               // the member that owns its only part is the leader
 		owner      string               // of that part
+		isMoving   bool                 // the owner has to give up the part, and does with a join that names the newest generation
 	}
 
 	joinRequest struct {
-		Group  string   `json:"group"`
-		Member string   `json:"member"`
-		Topics []string `json:"topics"`
-		TTLMs  int64    `json:"ttl-ms"`
+		Group      string   `json:"group"`
+		Member     string   `json:"member"`
+		Topics     []string `json:"topics"`
+		TTLMs      int64    `json:"ttl-ms"`
+		Generation uint64   `json:"generation"`
 	}
 
 	storeItem struct {
@@ -335,8 +337,11 @@
 	}
 	g.members[call.Member] = time.Now().Add(time.Duration(call.TTLMs) * time.Millisecond)
 	g.expire()
+	if g.isMoving && g.owner == call.Member && call.Generation >= g.generation {
+		g.moveFrom(call.Member)
+	}
 	var parts [][]any
-	if g.partOwner() == call.Member {
+	if g.partOwner() == call.Member && !g.isMoving {
 		parts = append(parts, []any{g.topic, 0, 0})
 	}
 	generation := g.generation
@@ -354,12 +359,37 @@
 	}
 }
 
+// MovePart assigns the part of a group to another member, as the store does at times unasked.
+func (s *Store) MovePart(group string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.groups[group].isMoving = true
+	s.groups[group].generation++
+}
+
+// PartOwner returns the member that owns the part of a group.
+func (s *Store) PartOwner(group string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.groups[group].partOwner()
+}
+
+// moveFrom gives the part to another member, if there is one.
+func (g *storeGroup) moveFrom(owner string) {
+	for member := range g.members {
+		if member != owner {
+			g.owner, g.isMoving = member, false
+			return
+		}
+	}
+}
+
 // partOwner returns the member that owns the topic's only part: the same one as long as it is a member.
 func (g *storeGroup) partOwner() string {
 	if _, isMember := g.members[g.owner]; isMember {
 		return g.owner
 	}
-	g.owner = ""
+	g.owner, g.isMoving = "", false
 	for member := range g.members {
 		if g.owner == "" || member < g.owner {
 			g.owner = member
