Usage: ledger of counts by window, told between boxes, and who reports what

Each start of a box counts by window and client account; rows are cumulative, so telling them twice does no harm, and hubs pass them on by start, so that the end of a hub loses none. The reporter stores a report before it is sent, in the order of windows. Not joined to the lease yet. Off unless the duty is assigned.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -115,6 +115,7 @@
 		Duties: exchange.DutySettings{
 			Assigned: settings.Duties.Assigned, CallsPerS: settings.Duties.CallsPerS, ChecksFencing: settings.Duties.ChecksFencing,
 			Lease: settings.Duties.Lease, UsageWindow: settings.Duties.UsageWindow, UsageDue: settings.Duties.UsageDue,
+			UsageOff: settings.Duties.UsageOff,
 		},
 	}
 }
--- a/duty.go
+++ b/duty.go
@@ -114,3 +114,12 @@
 		HallPrices map[HallID]float64
 	}
 )
+
+// Total returns the number of requests of all accounts.
+func (r UsageReport) Total() int {
+	total := 0
+	for _, count := range r.Counts {
+		total += count
+	}
+	return total
+}
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -60,6 +60,7 @@
 		WantsList    bool                     // requests a whole list, since its own differs from the peer's last digest
 		Harm         quarantine.Call
 		Limits       ratelimit.Updates
+		Usage        []byte // see package usage; empty if the fleet doesn't report it
 	}
 
 	// SwapReply is the reply of a gossip exchange: the peer's digest with what the caller lacks.
@@ -72,6 +73,7 @@
 		HallAges  []HallAge  // if the rosters are equal
 		Harm      quarantine.Updates
 		Limits    ratelimit.Updates
+		Usage     []byte // as in SwapCall
 	}
 )
 
--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -127,6 +127,7 @@
 	}
 	call.Harm = p.quarantine.NewCall(address, now)
 	call.Limits = p.limits.NewCall(address, now)
+	call.Usage = p.usageMessage(address, now)
 	return call
 }
 
@@ -139,6 +140,7 @@
 	p.applyPeerTable(reply.Table, reply.Packed, &reply.Digest)
 	p.router.sync.noteConfigFromPeer(&reply.Digest, now)
 	p.router.sync.applyPeerList(reply, now)
+	p.receiveUsage(reply.Digest.Address, reply.Usage)
 	quarantineChanged := p.quarantine.HandleAnswer(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now)
 	if quarantineChanged {
 		p.router.crashes.countDroppedAtCrash()
@@ -154,7 +156,9 @@
 	p := s.peers
 	p.receiveDigest(call.Digest, now)
 	p.applyPeerTable(call.Table, call.Packed, &call.Digest)
+	p.receiveUsage(call.Digest.Address, call.Usage)
 	reply.Digest = p.ownDigest(now)
+	reply.Usage = p.usageMessage(call.Digest.Address, now)
 	reply.Table, reply.Packed = p.tableForPeer(call.Digest.TableVersion, call.Digest.TakesPacked)
 	reply.Endpoints = p.router.sync.listForPeer(call)
 	p.router.metrics.countListSent(reply.Endpoints)
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -220,6 +220,7 @@
 			delete(p.known, address)
 			p.quarantine.Forget(address)
 			p.limits.Forget(address)
+			p.forgetUsageOf(address)
 		}
 	}
 }
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -136,6 +136,11 @@
 	m.set.GetOrCreateCounter("willowwick_store_eras_begun_total").Inc()
 }
 
+// countUsageReport counts a window of usage by the outcome of its report.
+func (m *routerMetrics) countUsageReport(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_usage_reports_total{outcome=%q}", outcome)).Inc()
+}
+
 func (m *routerMetrics) countRetryDenied() {
 	m.retriesDenied.Inc()
 }
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -72,6 +72,7 @@
 		Lease         time.Duration       // a box that gave up the duties doesn't take them back within this
 		UsageWindow   time.Duration       // length of a window of usage
 		UsageDue      time.Duration       // from the end of a window until its report is due
+		UsageOff      float64             // share by which a report may be off
 	}
 
 	// Router relays requests to endpoints without interpreting their bodies.
@@ -93,6 +94,7 @@
 
 		evacuations *evacuations
 		admissions  *admissions
+		usage       *usageReports // nil if the fleet doesn't report usage
 
 		metrics     *routerMetrics
 		inFlight    atomic.Int64
@@ -124,6 +126,7 @@
 	x.admissions = newAdmissions(x.poison)
 	x.crashes = newCrashDetector(x)
 	x.releases = newReleases(settings.Releases, x.hasRelease)
+	x.usage = newUsageReports(x)
 	x.metrics = newRouterMetrics(x)
 	return x, closeConns
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -282,6 +282,7 @@
 		s.answer = answer
 		s.answerHead = s.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now())
 		s.applyNotice(answer.Status, s.answerHead.Notice, s.sentAt)
+		s.countUsage()
 		if s.answerHead.HasLoad {
 			s.answerHead.Load.Endpoint = s.ticket.Endpoint.ID
 			s.router.pool.Report(s.answerHead.Load)
--- /dev/null
+++ b/exchange/usage.go
@@ -0,0 +1,141 @@
+package exchange
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/usage"
+)
+
+const (
+	// usageInterval is how often the holder of the lease checks what is due.
+	usageInterval = 100 * time.Millisecond
+	// usageCallTimeout bounds a write to the store or a call to the platform's API.
+	usageCallTimeout = time.Second
+	// usageSubject is the subject of all usage reports.
+	usageSubject willowwick.DutySubject = "usage"
+	// maxMissingLogged bounds how many missing boxes a log line names.
+	maxMissingLogged = 10
+)
+
+// usageReports counts what client accounts use, and reports it while this box holds the lease on the duties.
+type usageReports struct {
+	settings usage.Settings
+	ledger   *usage.Ledger
+	reporter *usage.Reporter
+	router   *Router
+}
+
+// newUsageReports returns nil if the fleet does not report usage.
+func newUsageReports(x *Router) *usageReports {
+	duties := x.settings.Duties
+	if !slices.Contains(duties.Assigned, willowwick.DutyUsage) {
+		return nil
+	}
+	settings := usage.Settings{Window: duties.UsageWindow, Due: duties.UsageDue, Tolerance: duties.UsageOff}
+	ledger := usage.NewLedger(settings, x.settings.Box, x.settings.Boot, x.settings.Hall, clock.TimeOfDay())
+	return &usageReports{settings: settings, ledger: ledger, reporter: usage.NewReporter(settings, ledger), router: x}
+}
+
+// countUsage counts a request that an endpoint began to run: the head of its answer has come.
+func (s *send) countUsage() {
+	if s.router.usage == nil || s.answerHead.NotRun || s.answer.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	s.router.usage.ledger.Count(s.accountName(), clock.TimeOfDay())
+}
+
+// usageMessage returns the counts for the box at an address, nil if the fleet does not report usage.
+func (p *peers) usageMessage(address string, now time.Time) []byte {
+	u := p.router.usage
+	if u == nil {
+		return nil
+	}
+	_, hasHub := p.hub(now)
+	timeOfDay := clock.TimeOfDay()
+	u.ledger.SetHub(!hasHub, timeOfDay)
+	u.ledger.Forget(timeOfDay)
+	return u.ledger.Message(address, timeOfDay)
+}
+
+// receiveUsage applies the counts of another box; a box of an earlier release sends none.
+func (p *peers) receiveUsage(address string, data []byte) {
+	if p.router.usage == nil || len(data) == 0 {
+		return
+	}
+	if err := p.router.usage.ledger.Receive(address, data); err != nil {
+		slog.Warn("usage counts could not be read", "address", address, "error", err)
+	}
+}
+
+func (p *peers) forgetUsageOf(address string) {
+	if p.router.usage != nil {
+		p.router.usage.ledger.ForgetPeer(address)
+	}
+}
+
+// run stores and sends reports while this box holds the lease, until the context is done.
+func (u *usageReports) run(ctx context.Context, holder willowwick.DutyHolder, api willowwick.DutyAPI) {
+	for ctx.Err() == nil {
+		for holder.Holds(clock.Now()) && u.step(ctx, holder, api) && ctx.Err() == nil {
+		}
+		sleep(ctx, usageInterval)
+	}
+}
+
+// step does what is due, and returns false if nothing is or if it failed.
+func (u *usageReports) step(ctx context.Context, holder willowwick.DutyHolder, api willowwick.DutyAPI) bool {
+	step, isDue := u.reporter.Next(holder.UsageReports(), u.router.peers.fleetSize(), clock.TimeOfDay())
+	if !isDue {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, usageCallTimeout)
+	defer cancel()
+	var err error
+	switch step.Kind {
+	case usage.WriteReport:
+		err = holder.WriteUsageReport(ctx, step.Report)
+		u.reporter.NoteStored(step.Report.Window, err, clock.TimeOfDay())
+	case usage.SendReport:
+		err = holder.Call(ctx, usageSubject, func(ctx context.Context, box willowwick.BoxID, token willowwick.FencingToken) error {
+			return api.ReportUsage(ctx, box, token, step.Report)
+		})
+		u.reporter.NoteSent(step.Report.Window, err, clock.TimeOfDay())
+	}
+	u.log(step, err)
+	return err == nil
+}
+
+// log writes a line for each report that was stored, sent or left out, or for a failure.
+func (u *usageReports) log(step usage.Step, err error) {
+	report, metrics := step.Report, u.router.metrics
+	lateness := clock.TimeOfDay().Sub(u.settings.DueAt(report.Window))
+	attributes := []any{"window", report.Window, "begin", u.settings.Begin(report.Window).UTC(), "to_due_ms", -lateness.Milliseconds()}
+	coverage := []any{
+		"boxes", step.Coverage.Boxes, "missing", step.Coverage.Missing[:min(len(step.Coverage.Missing), maxMissingLogged)],
+		"unknown", step.Coverage.Unknown, "lost", step.Coverage.Lost,
+	}
+	switch {
+	case err != nil:
+		metrics.countUsageReport("failed")
+		slog.Info("usage report failed", append(attributes, "stored", step.Kind == usage.SendReport, "error", err)...)
+	case step.Kind == usage.WriteReport:
+		slog.Info("usage report stored", append(append(attributes, "requests", report.Total(), "accounts", len(report.Counts)), coverage...)...)
+	case step.Kind == usage.SendReport:
+		metrics.countUsageReport("sent")
+		if lateness > 0 {
+			metrics.countUsageReport("late")
+		}
+		slog.Info("usage report sent", append(attributes, "requests", report.Total(), "accounts", len(report.Counts), "failed_sends", step.Sends)...)
+	case step.Coverage.Boxes == 0:
+		metrics.countUsageReport("unknown")
+	default:
+		metrics.countUsageReport("missed")
+		slog.Warn("usage is not reported: the counts are incomplete", append(attributes, coverage...)...)
+	}
+}
--- /dev/null
+++ b/usage/ledger.go
@@ -0,0 +1,234 @@
+package usage
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// settleTime is how long after the beginning of an answer it may be counted: a box with a fifth of a core may delay
+	// the goroutine.
+	settleTime = 50 * time.Millisecond
+	// outageTime is how long after its due time a window is kept for a report that could not be written or sent.
+	outageTime = 30 * time.Second
+)
+
+type (
+	// Settings are the windows of a fleet, and when and how exactly they are reported.
+	Settings struct {
+		Window    time.Duration // length of a window
+		Due       time.Duration // from the end of a window until its report is due
+		Tolerance float64       // share of the boxes' time in a window whose counts a report may lack
+	}
+
+	// Ledger holds what each start of each box has counted. It may be used by several goroutines.
+	Ledger struct {
+		settings Settings
+
+		mu      sync.Mutex
+		own     *origin
+		origins map[originKey]*origin
+		// revision counts the changes of this ledger, so that each is told once to each box.
+		revision revision
+		peers    map[string]*peerState // by address
+		// collectingSince is since when this hub, or one that told it everything, has been told by all boxes; zero if this
+		// box is no hub.
+		collectingSince time.Time
+		written         willowwick.UsageWindow // newest window known to have a stored report; 0 if none
+		acknowledged    willowwick.UsageWindow // newest window whose report the platform is known to have; 0 if none
+	}
+
+	// revision is a position in the changes of one ledger.
+	revision uint64
+
+	// originKey is a hash of a BootID.
+	originKey uint64
+
+	// origin is one start of a box, with what it counted.
+	origin struct {
+		key     originKey
+		box     willowwick.BoxID
+		hall    willowwick.HallID
+		since   time.Time // when it began to count
+		until   time.Time // up to where its counts are known completely
+		ended   bool      // it stopped as planned and counts no more
+		counts  map[willowwick.UsageWindow]map[willowwick.AccountID]count
+		namedAt revision // when box, hall and since were learnt
+		stateAt revision // when until and ended changed enough to be told
+		countAt revision // when a count changed last
+	}
+
+	// count is the number of an account's requests in a window.
+	count struct {
+		requests int
+		at       revision
+	}
+)
+
+// WindowAt returns the window that contains a time.
+func (s Settings) WindowAt(at time.Time) willowwick.UsageWindow {
+	return willowwick.UsageWindow(at.UnixNano() / int64(s.Window))
+}
+
+// Begin returns when a window begins.
+func (s Settings) Begin(window willowwick.UsageWindow) time.Time {
+	return time.Unix(0, int64(window)*int64(s.Window))
+}
+
+// End returns when a window ends.
+func (s Settings) End(window willowwick.UsageWindow) time.Time {
+	return s.Begin(window + 1)
+}
+
+// DueAt returns when the report of a window is due.
+func (s Settings) DueAt(window willowwick.UsageWindow) time.Time {
+	return s.End(window).Add(s.Due)
+}
+
+// oldest returns the oldest window that is still kept.
+func (s Settings) oldest(now time.Time) willowwick.UsageWindow {
+	return s.WindowAt(now.Add(-s.Due - outageTime))
+}
+
+// NewLedger returns the ledger of a box that begins to count now.
+func NewLedger(settings Settings, box willowwick.BoxID, boot willowwick.BootID, hall willowwick.HallID, now time.Time) *Ledger {
+	own := newOrigin(keyOf(boot))
+	own.box, own.hall, own.since, own.until, own.namedAt, own.stateAt = box, hall, now, now, 1, 1
+	return &Ledger{
+		settings: settings, own: own, origins: map[originKey]*origin{own.key: own}, revision: 1, peers: map[string]*peerState{},
+	}
+}
+
+func newOrigin(key originKey) *origin {
+	return &origin{key: key, counts: map[willowwick.UsageWindow]map[willowwick.AccountID]count{}}
+}
+
+func keyOf(boot willowwick.BootID) originKey {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(boot))
+	return originKey(hash.Sum64())
+}
+
+// Count counts a request that began to run at the given time; requests without an account are not counted.
+func (l *Ledger) Count(account willowwick.AccountID, at time.Time) {
+	if account == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	window := l.settings.WindowAt(at)
+	l.setCount(l.own, window, account, l.own.counts[window][account].requests+1)
+}
+
+// setCount sets a higher count; the caller holds the lock.
+func (l *Ledger) setCount(o *origin, window willowwick.UsageWindow, account willowwick.AccountID, requests int) {
+	rows := o.counts[window]
+	if requests <= rows[account].requests {
+		return
+	}
+	if rows == nil {
+		rows = map[willowwick.AccountID]count{}
+		o.counts[window] = rows
+	}
+	l.revision++
+	rows[account] = count{requests, l.revision}
+	o.countAt = l.revision
+}
+
+// advance sets up to where an origin's counts are known; the caller holds the lock.
+func (l *Ledger) advance(o *origin, until time.Time) {
+	if !until.After(o.until) {
+		return
+	}
+	endsWindow := l.settings.WindowAt(until) > l.settings.WindowAt(o.until)
+	o.until = until
+	if endsWindow || o.countAt > o.stateAt {
+		l.revision++
+		o.stateAt = l.revision
+	}
+}
+
+// end records that an origin counts no more; the caller holds the lock.
+func (l *Ledger) end(o *origin) {
+	if !o.ended {
+		l.revision++
+		o.ended, o.stateAt = true, l.revision
+	}
+}
+
+// EndOwn records that this box stops as planned and counts no more.
+func (l *Ledger) EndOwn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end(l.own)
+}
+
+// SetHub records whether this box is the hub of its hall, which the others of the hall tell their counts. A new hub
+// lets the other hubs tell it everything again.
+func (l *Ledger) SetHub(isHub bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !isHub:
+		l.collectingSince = time.Time{}
+	case l.collectingSince.IsZero():
+		l.collectingSince = now
+		for _, peer := range l.peers {
+			peer.received = 0
+		}
+	}
+}
+
+// Forget drops windows that are not reported any more, and starts of boxes that have been silent for that long.
+func (l *Ledger) Forget(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	oldest := l.settings.oldest(now)
+	for key, o := range l.origins {
+		for window := range o.counts {
+			if window < oldest {
+				delete(o.counts, window)
+			}
+		}
+		if o != l.own && l.settings.WindowAt(o.until) < oldest {
+			delete(l.origins, key)
+		}
+	}
+}
+
+// Counts returns the sum of all boxes' counts in a window.
+func (l *Ledger) Counts(window willowwick.UsageWindow) map[willowwick.AccountID]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := map[willowwick.AccountID]int{}
+	for _, o := range l.origins {
+		for account, row := range o.counts[window] {
+			total[account] += row.requests
+		}
+	}
+	return total
+}
+
+// NoteWritten records that a window's report is stored.
+func (l *Ledger) NoteWritten(window willowwick.UsageWindow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.written = max(l.written, window)
+}
+
+// NoteAcknowledged records that the platform has a window's report.
+func (l *Ledger) NoteAcknowledged(window willowwick.UsageWindow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acknowledged = max(l.acknowledged, window)
+}
+
+// reported returns the newest windows known to be stored and to be with the platform.
+func (l *Ledger) reported() (written, acknowledged willowwick.UsageWindow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.written, l.acknowledged
+}
--- /dev/null
+++ b/usage/reporter.go
@@ -0,0 +1,169 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// waitShare is the share of the time to the due date for which a report waits for boxes that have not told: a box
+	// that was cut off for some seconds may still tell, and the rest suffices for a store or an API that fails at first.
+	waitShare = 0.75
+	// minPause and maxPause bound the pause after a failed send or write; it doubles with each.
+	minPause = 300 * time.Millisecond
+	maxPause = 2 * time.Second
+)
+
+// What the holder does next.
+const (
+	// WriteReport stores a report.
+	WriteReport StepKind = iota + 1
+	// SendReport sends a stored report.
+	SendReport
+	// SkipWindow leaves a window without a report, since its counts are not known well enough.
+	SkipWindow
+)
+
+type (
+	// StepKind is what the holder of the lease does next.
+	StepKind int
+
+	// Step is one step of the holder of the lease.
+	Step struct {
+		Kind     StepKind
+		Report   willowwick.UsageReport
+		Coverage Coverage // of the window; zero for a report that another holder wrote
+		Sends    int      // number of sends of the report by this box so far
+	}
+
+	// Reporter decides what the holder of the lease does; one goroutine uses it.
+	Reporter struct {
+		settings Settings
+		ledger   *Ledger
+		skipped  willowwick.UsageWindow // newest window that this box left without a report
+		// offered are the reports that this box tried to store: a write without an answer may have stored it.
+		offered map[willowwick.UsageWindow]Step
+		sends   map[willowwick.UsageWindow]int
+		writing backoff
+		sending backoff
+	}
+
+	// backoff is the pause after consecutive failures.
+	backoff struct {
+		failures int
+		until    time.Time
+	}
+)
+
+// NewReporter returns the Reporter of a box.
+func NewReporter(settings Settings, ledger *Ledger) *Reporter {
+	return &Reporter{
+		settings: settings, ledger: ledger, offered: map[willowwick.UsageWindow]Step{}, sends: map[willowwick.UsageWindow]int{},
+	}
+}
+
+// Next returns what the holder does now, and false if nothing; stored are the stored reports, fleet is the number of
+// boxes that gossip knows.
+//
+// Windows are stored in their order: of a window at or before the newest stored one, no other report is ever stored, so
+// that a window has one report at most though the store keeps only the last ones.
+func (r *Reporter) Next(stored []willowwick.UsageReport, fleet int, now time.Time) (Step, bool) {
+	for _, report := range stored {
+		r.ledger.NoteWritten(report.Window)
+	}
+	r.forget(now)
+	if report, found := r.firstUnsent(stored, now); found && !now.Before(r.sending.until) {
+		return Step{SendReport, report, r.offered[report.Window].Coverage, r.sends[report.Window]}, true
+	}
+	written, _ := r.ledger.reported()
+	window := max(written, r.skipped, r.settings.oldest(now)) + 1
+	if now.Before(r.writing.until) || now.Before(r.settings.End(window).Add(settleTime)) {
+		return Step{}, false
+	}
+	if offered, isOffered := r.offered[window]; isOffered {
+		return offered, true
+	}
+	return r.decide(window, fleet, now)
+}
+
+// decide returns whether a window is reported or skipped, and false as long as boxes may still tell.
+func (r *Reporter) decide(window willowwick.UsageWindow, fleet int, now time.Time) (Step, bool) {
+	coverage := r.ledger.Coverage(window, fleet, now)
+	isKnown := coverage.Lost <= r.settings.Tolerance
+	mayWait := now.Before(r.settings.End(window).Add(time.Duration(waitShare * float64(r.settings.Due))))
+	switch {
+	case isKnown && (coverage.IsComplete() || !mayWait):
+		step := Step{Kind: WriteReport, Report: willowwick.UsageReport{Window: window, Counts: r.ledger.Counts(window)}, Coverage: coverage}
+		r.offered[window] = step
+		return step, true
+	case mayWait:
+		return Step{}, false
+	default:
+		r.skipped = window
+		return Step{Kind: SkipWindow, Report: willowwick.UsageReport{Window: window}, Coverage: coverage}, true
+	}
+}
+
+// firstUnsent returns the oldest stored report that the platform is not known to have.
+func (r *Reporter) firstUnsent(stored []willowwick.UsageReport, now time.Time) (willowwick.UsageReport, bool) {
+	_, acknowledged := r.ledger.reported()
+	oldest := r.settings.oldest(now)
+	first, found := willowwick.UsageReport{}, false
+	for _, report := range stored {
+		isUnsent := report.Window > acknowledged && report.Window > oldest
+		if isUnsent && (!found || report.Window < first.Window) {
+			first, found = report, true
+		}
+	}
+	return first, found
+}
+
+// NoteStored records the outcome of storing a report.
+func (r *Reporter) NoteStored(window willowwick.UsageWindow, err error, now time.Time) {
+	r.writing.note(err, now)
+	if err == nil {
+		r.ledger.NoteWritten(window)
+	}
+	if errors.Is(err, willowwick.ErrNotHolder) {
+		delete(r.offered, window) // nothing was written
+	}
+}
+
+// NoteSent records the outcome of sending a report.
+func (r *Reporter) NoteSent(window willowwick.UsageWindow, err error, now time.Time) {
+	r.sends[window]++
+	r.sending.note(err, now)
+	if err == nil {
+		r.ledger.NoteAcknowledged(window)
+	}
+}
+
+func (b *backoff) note(err error, now time.Time) {
+	if err == nil {
+		*b = backoff{}
+		return
+	}
+	pause := minPause
+	for range b.failures {
+		pause = min(2*pause, maxPause)
+	}
+	b.failures++
+	b.until = now.Add(pause)
+}
+
+// forget drops what is kept of windows that are not reported any more.
+func (r *Reporter) forget(now time.Time) {
+	oldest := r.settings.oldest(now)
+	for window := range r.offered {
+		if window <= oldest {
+			delete(r.offered, window)
+		}
+	}
+	for window := range r.sends {
+		if window <= oldest {
+			delete(r.sends, window)
+		}
+	}
+}
--- /dev/null
+++ b/usage/reporter_test.go
@@ -0,0 +1,184 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+var errDown = errors.New("down")
+
+// testHolder is a box that holds the lease: it does what its reporter decides.
+type testHolder struct {
+	*testBox
+	*Reporter
+	fleet    *testFleet
+	stored   []willowwick.UsageReport
+	sent     []willowwick.UsageReport
+	skipped  []Coverage
+	storeErr error
+	sendErr  error
+}
+
+func newTestHolder(f *testFleet, b *testBox) *testHolder {
+	return &testHolder{testBox: b, Reporter: NewReporter(testSettings, b.Ledger), fleet: f}
+}
+
+// step does what is due, once, and returns its kind.
+func (h *testHolder) step() StepKind {
+	step, isDue := h.Next(h.stored, len(h.fleet.boxes), h.fleet.now)
+	if !isDue {
+		return 0
+	}
+	switch step.Kind {
+	case WriteReport:
+		if h.storeErr == nil {
+			h.stored = append(h.stored, step.Report)
+		}
+		h.NoteStored(step.Report.Window, h.storeErr, h.fleet.now)
+	case SendReport:
+		if h.sendErr == nil {
+			h.sent = append(h.sent, step.Report)
+		}
+		h.NoteSent(step.Report.Window, h.sendErr, h.fleet.now)
+	case SkipWindow:
+		h.skipped = append(h.skipped, step.Coverage)
+	}
+	return step.Kind
+}
+
+// runUntil gossips and reports until the given time after the end of the window.
+func (h *testHolder) runUntil(sinceEnd time.Duration) {
+	for at := testSettings.End(h.fleet.window).Add(sinceEnd); h.fleet.now.Before(at); {
+		h.fleet.runFor(round)
+		for h.step() != 0 {
+		}
+	}
+}
+
+// countOf returns the count of account "a" in the sent report of the window, and whether one was sent.
+func (h *testHolder) countOf(window willowwick.UsageWindow) (count int, sent bool) {
+	for _, report := range h.sent {
+		if report.Window == window {
+			return report.Counts["a"], true
+		}
+	}
+	return 0, false
+}
+
+func (h *testHolder) requireSent(t *testing.T, requests int) {
+	count, sent := h.countOf(h.fleet.window)
+	require.True(t, sent)
+	require.Equal(t, requests, count)
+}
+
+func TestACompleteWindowIsReportedSoonAndOnce(t *testing.T) {
+	f := newTestFleet(6, 2)
+	h := newTestHolder(f, f.boxes[0])
+	f.count(f.boxes[5], 5)
+	h.runUntil(2 * time.Second)
+	h.requireSent(t, 5)
+	sent := len(h.sent)
+	h.runUntil(4 * time.Second)
+	assert.Len(t, h.sent, sent)
+	assert.Empty(t, h.fleet.boxes[0].Counts(f.window-100))
+}
+
+func TestNothingIsSentThatIsNotStored(t *testing.T) {
+	f := newTestFleet(6, 2)
+	h := newTestHolder(f, f.boxes[0])
+	f.count(f.boxes[5], 5)
+	h.storeErr = errDown
+	h.runUntil(testSettings.Due + 2*time.Second)
+	assert.Empty(t, h.sent)
+	h.storeErr = nil
+	h.runUntil(testSettings.Due + 6*time.Second)
+	h.requireSent(t, 5)
+}
+
+// A write without an answer may have stored the report, so no other one is offered for the window.
+func TestTheSameReportIsStoredAgainAfterAWriteWithoutAnswer(t *testing.T) {
+	f := newTestFleet(6, 2)
+	h := newTestHolder(f, f.boxes[0])
+	f.count(f.boxes[5], 5)
+	h.storeErr = errDown
+	h.runUntil(2 * time.Second)
+	f.boxes[5].Count("a", testSettings.End(f.window).Add(-time.Second))
+	h.storeErr = nil
+	h.runUntil(6 * time.Second)
+	h.requireSent(t, 5)
+}
+
+func TestAnotherHoldersStoredReportIsSent(t *testing.T) {
+	f := newTestFleet(6, 2)
+	first, second := newTestHolder(f, f.boxes[0]), newTestHolder(f, f.boxes[1])
+	f.count(f.boxes[5], 5)
+	first.sendErr = errDown
+	first.runUntil(2 * time.Second)
+	second.stored = []willowwick.UsageReport{{Window: f.window, Counts: map[willowwick.AccountID]int{"a": 4}}}
+	second.runUntil(3 * time.Second)
+	second.requireSent(t, 4)
+}
+
+// After the end of the holder before it stored anything, the next one stores its own counts.
+func TestTheNextHolderReportsWhatItKnows(t *testing.T) {
+	f := newTestFleet(30, 3)
+	f.count(f.boxes[5], 5)
+	f.runFor(2 * round)
+	f.boxes[0].down = true
+	h := newTestHolder(f, f.boxes[1])
+	h.runUntil(testSettings.Due)
+	h.requireSent(t, 5)
+}
+
+func TestAReportThatThePlatformHasIsNotSentByTheNextHolder(t *testing.T) {
+	f := newTestFleet(6, 2)
+	first, second := newTestHolder(f, f.boxes[0]), newTestHolder(f, f.boxes[1])
+	first.runUntil(2 * time.Second)
+	f.runFor(2 * round)
+	second.stored = first.stored
+	assert.Zero(t, second.step())
+}
+
+func TestAnAPIThatIsDownDelaysOnlyTheSends(t *testing.T) {
+	f := newTestFleet(6, 2)
+	h := newTestHolder(f, f.boxes[0])
+	h.runUntil(-time.Second)
+	h.sent, h.stored, h.sendErr = nil, nil, errDown
+	h.runUntil(testSettings.Window + 2*time.Second)
+	assert.Len(t, h.stored, 2, "of this window and the next")
+	h.sendErr = nil
+	h.runUntil(testSettings.Due - time.Second)
+	assert.Len(t, h.sent, 2)
+}
+
+// While a box is missing, the report waits; then it is sent if the box can't have counted much.
+func TestAMissingBoxIsWaitedForUntilShortlyBeforeTheReportIsDue(t *testing.T) {
+	const few, many = 6, 30
+	for _, boxes := range []int{few, many} {
+		f := newTestFleet(boxes, 2)
+		h := newTestHolder(f, f.boxes[0])
+		f.boxes[5].down = true
+		h.runUntil(testSettings.Due / 2)
+		_, sent := h.countOf(f.window)
+		assert.False(t, sent)
+		h.runUntil(testSettings.Due)
+		_, sent = h.countOf(f.window)
+		assert.Equal(t, boxes == many, sent)
+		assert.Equal(t, boxes == few, len(h.skipped) > 0 && len(h.skipped[len(h.skipped)-1].Missing) == 1)
+	}
+}
+
+// A store that was restored from a copy may lack reports that were sent.
+func TestAWindowKnownToBeStoredIsNotReportedAnew(t *testing.T) {
+	f := newTestFleet(6, 2)
+	first, second := newTestHolder(f, f.boxes[0]), newTestHolder(f, f.boxes[1])
+	first.runUntil(2 * time.Second)
+	f.runFor(2 * round)
+	second.runUntil(4 * time.Second)
+	assert.Empty(t, second.stored)
+}
--- /dev/null
+++ b/usage/telling.go
@@ -0,0 +1,151 @@
+package usage
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+)
+
+// peerState is how far this box and another one have told each other.
+type peerState struct {
+	key      originKey // of the other box's start
+	isHub    bool
+	told     revision // up to where the other box has this ledger
+	received revision // up to where this box has the other's ledger
+}
+
+// Message returns what this box tells the box at an address: on a hub the hubs of other halls what the boxes of its hall
+// counted, elsewhere the hub what this box counted; only what has changed since the other box confirmed.
+func (l *Ledger) Message(address string, now time.Time) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(l.own, now.Add(-settleTime))
+	isHub := !l.collectingSince.IsZero()
+	m := message{
+		sender: l.own.key, at: now, isHub: isHub, collectingSince: l.collectingSince, written: l.written, acknowledged: l.acknowledged,
+	}
+	peer := l.peers[address]
+	if peer == nil {
+		return m.encode(l.settings)
+	}
+	m.confirms, m.confirmed = peer.key, peer.received
+	if isHub && !peer.isHub {
+		return m.encode(l.settings)
+	}
+	m.tells, m.from, m.to = true, peer.told, l.revision
+	for _, o := range l.sortedOrigins() {
+		// A box that has nothing yet gets all; later, each hall's hub tells of its own hall.
+		if peer.told == 0 || o.hall == l.own.hall {
+			m.addChanges(o, peer.told)
+		}
+	}
+	return m.encode(l.settings)
+}
+
+// sortedOrigins returns the origins in a fixed order; the caller holds the lock.
+func (l *Ledger) sortedOrigins() []*origin {
+	list := make([]*origin, 0, len(l.origins))
+	for _, o := range l.origins {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b *origin) int { return cmp.Compare(a.key, b.key) })
+	return list
+}
+
+// Receive applies what the box at an address told.
+func (l *Ledger) Receive(address string, data []byte) error {
+	m, err := decodeMessage(data, l.settings)
+	if err != nil {
+		return errors.Wrap(err, "usage counts of another box")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	peer := l.peers[address]
+	if peer == nil || peer.key != m.sender {
+		peer = &peerState{key: m.sender}
+		l.peers[address] = peer
+	}
+	peer.isHub = m.isHub
+	if m.confirms == l.own.key {
+		peer.told = min(m.confirmed, l.revision)
+	}
+	l.written, l.acknowledged = max(l.written, m.written), max(l.acknowledged, m.acknowledged)
+	if !m.tells {
+		return nil
+	}
+	l.merge(&m)
+	if m.from <= peer.received {
+		peer.received = max(peer.received, m.to)
+	}
+	tellsAll := m.from == 0 && m.isHub && !m.collectingSince.IsZero()
+	if tellsAll && m.collectingSince.Before(l.collectingSince) {
+		l.collectingSince = m.collectingSince
+	}
+	return nil
+}
+
+// merge applies the updates of a message; the caller holds the lock.
+func (l *Ledger) merge(m *message) {
+	for _, update := range m.origins {
+		o := l.origins[update.key]
+		if o == nil {
+			if !update.isNamed {
+				continue // told after this box forgot it
+			}
+			l.revision++
+			o = newOrigin(update.key)
+			o.box, o.hall, o.since, o.until, o.namedAt = update.box, update.hall, update.since, update.since, l.revision
+			l.origins[update.key] = o
+		}
+		if o == l.own {
+			continue
+		}
+		for _, row := range update.rows {
+			l.setCount(o, row.window, row.account, row.requests)
+		}
+		if update.hasState {
+			l.advance(o, update.until)
+			if update.ended {
+				l.end(o)
+			}
+		}
+	}
+}
+
+// ForgetPeer drops what is known of a box that is gone.
+func (l *Ledger) ForgetPeer(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.peers, address)
+}
+
+// addChanges adds what changed of an origin after a revision.
+func (m *message) addChanges(o *origin, after revision) {
+	update := originUpdate{key: o.key, isNamed: o.namedAt > after, hasState: o.stateAt > after, ended: o.ended, until: o.until}
+	update.box, update.hall, update.since = o.box, o.hall, o.since
+	if o.countAt > after {
+		for window, rows := range o.counts {
+			for account, row := range rows {
+				if row.at > after {
+					update.rows = append(update.rows, countRow{window, account, row.requests})
+				}
+			}
+		}
+	}
+	if update.isNamed || update.hasState || len(update.rows) > 0 {
+		slices.SortFunc(update.rows, func(a, b countRow) int {
+			return cmp.Or(cmp.Compare(a.window, b.window), cmp.Compare(a.account, b.account))
+		})
+		m.origins = append(m.origins, update)
+	}
+}
+
+// countRow is one count of an origin.
+type countRow struct {
+	window   willowwick.UsageWindow
+	account  willowwick.AccountID
+	requests int
+}
--- /dev/null
+++ b/usage/usage_test.go
@@ -0,0 +1,320 @@
+package usage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const round = 500 * time.Millisecond // between two gossip exchanges
+
+var testSettings = Settings{Window: 5 * time.Second, Due: 10 * time.Second, Tolerance: 0.05}
+
+type (
+	// testFleet is a fleet whose hubs tell each other by function calls, and the time.
+	testFleet struct {
+		now    time.Time
+		begin  time.Time // of the window in which the test counts
+		window willowwick.UsageWindow
+		boxes  []*testBox
+		starts int
+		truth  map[willowwick.UsageWindow]int // requests of the account "a"
+	}
+
+	testBox struct {
+		*Ledger
+		name    willowwick.BoxID
+		hall    willowwick.HallID
+		address string
+		down    bool // not running
+		cut     bool // not reached by others
+		skew    time.Duration
+	}
+)
+
+// newTestFleet starts boxes in halls, two windows before the one in which the test counts.
+func newTestFleet(boxes, halls int) *testFleet {
+	f := &testFleet{begin: time.Unix(1_700_000_000, 0), truth: map[willowwick.UsageWindow]int{}}
+	f.window = testSettings.WindowAt(f.begin)
+	f.now = f.begin.Add(-2 * testSettings.Window)
+	for i := range boxes {
+		f.boxes = append(f.boxes, &testBox{
+			name: willowwick.BoxID(fmt.Sprint("box-", i)), hall: willowwick.HallID(fmt.Sprint("hall-", i%halls)), address: fmt.Sprint("10.0.0.", i),
+		})
+		f.start(f.boxes[i])
+	}
+	f.runTo(f.begin)
+	return f
+}
+
+// start begins an incarnation of a box.
+func (f *testFleet) start(b *testBox) {
+	f.starts++
+	b.down = false
+	b.Ledger = NewLedger(testSettings, b.name, willowwick.BootID(fmt.Sprint("boot-", f.starts)), b.hall, f.timeOf(b))
+}
+
+func (f *testFleet) timeOf(b *testBox) time.Time {
+	return f.now.Add(b.skew)
+}
+
+// count lets an endpoint run requests for the account "a".
+func (f *testFleet) count(b *testBox, requests int) {
+	for range requests {
+		b.Count("a", f.timeOf(b))
+		f.truth[testSettings.WindowAt(f.now)]++
+	}
+}
+
+// hubOf returns the first live box of a hall that the given one reaches.
+func (f *testFleet) hubOf(hall willowwick.HallID, from *testBox) *testBox {
+	for _, b := range f.boxes {
+		if b == from || !b.down && !b.cut && !from.cut {
+			if b.hall == hall {
+				return b
+			}
+		}
+	}
+	return nil
+}
+
+// gossip is one round of all boxes.
+func (f *testFleet) gossip(t *testing.T) {
+	f.now = f.now.Add(round)
+	for _, b := range f.boxes {
+		if b.down {
+			continue
+		}
+		hub := f.hubOf(b.hall, b)
+		b.SetHub(hub == b, f.timeOf(b))
+		if hub != b {
+			f.exchange(t, b, hub)
+			continue
+		}
+		for _, other := range f.boxes {
+			if other != b && other.hall != b.hall && !other.down && f.hubOf(other.hall, b) == other {
+				f.exchange(t, b, other)
+			}
+		}
+	}
+}
+
+func (f *testFleet) exchange(t *testing.T, from, to *testBox) {
+	if t == nil {
+		t = &testing.T{}
+	}
+	require.NoError(t, to.Receive(from.address, from.Message(to.address, f.timeOf(from))))
+	require.NoError(t, from.Receive(to.address, to.Message(from.address, f.timeOf(to))))
+}
+
+// runTo gossips until a time.
+func (f *testFleet) runTo(at time.Time) {
+	for f.now.Before(at) {
+		f.gossip(nil)
+	}
+}
+
+// runFor gossips for a duration.
+func (f *testFleet) runFor(duration time.Duration) {
+	f.runTo(f.now.Add(duration))
+}
+
+// coverage returns what a box knows of the window.
+func (f *testFleet) coverage(b *testBox) Coverage {
+	return b.Coverage(f.window, len(f.boxes), f.timeOf(b))
+}
+
+// requireCounts checks the count of a box for the window, and that it knows nothing more to come.
+func (f *testFleet) requireCounts(t *testing.T, b *testBox, requests int) {
+	coverage := f.coverage(b)
+	require.True(t, coverage.IsComplete(), "%+v", coverage)
+	require.Equal(t, requests, b.Counts(f.window)["a"])
+}
+
+func TestHubsKnowTheCountsOfAllBoxes(t *testing.T) {
+	f := newTestFleet(9, 3)
+	for range 8 {
+		for _, b := range f.boxes {
+			f.count(b, 1)
+		}
+		f.runFor(round)
+	}
+	assert.False(t, f.coverage(f.boxes[0]).IsComplete(), "before the window ends")
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	for _, hub := range f.boxes[:3] {
+		f.requireCounts(t, hub, 9*8)
+		assert.Zero(t, f.coverage(hub).Lost)
+	}
+}
+
+// What a box has told survives its end, at most two gossip rounds of it are lost.
+func TestCountsOfAKilledBoxSurvive(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.count(f.boxes[5], 7)
+	f.runFor(2 * round)
+	f.count(f.boxes[5], 1)
+	f.boxes[5].down = true
+	f.runFor(2 * time.Second)
+	f.start(f.boxes[5])
+	f.count(f.boxes[5], 4)
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	f.requireCounts(t, f.boxes[0], 11)
+	lost := f.coverage(f.boxes[0]).Lost
+	assert.InDelta(t, restartLoss.Seconds()/testSettings.Window.Seconds()/9, lost, 1e-9)
+}
+
+func TestABoxThatDoesNotComeBackIsMissing(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.count(f.boxes[5], 7)
+	f.runFor(2 * round)
+	f.boxes[5].down = true
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	coverage := f.coverage(f.boxes[0])
+	assert.Equal(t, []willowwick.BoxID{"box-5"}, coverage.Missing)
+	assert.InDelta(t, 4.0/5/9, coverage.Lost, 0.02)
+	assert.Equal(t, 7, f.boxes[0].Counts(f.window)["a"])
+}
+
+func TestABoxThatStopsAsPlannedIsNotMissing(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.count(f.boxes[5], 7)
+	f.boxes[5].EndOwn()
+	f.runFor(round)
+	f.boxes[5].down = true
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	f.requireCounts(t, f.boxes[0], 7)
+	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
+}
+
+// A box that is cut off or suspended tells when it is back.
+func TestABoxThatWasCutOffIsWaitedFor(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.boxes[5].cut = true
+	f.count(f.boxes[5], 7)
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	assert.False(t, f.coverage(f.boxes[0]).IsComplete())
+	f.boxes[5].cut = false
+	f.runFor(3 * round)
+	f.requireCounts(t, f.boxes[0], 7)
+	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
+}
+
+// The boxes of a hall tell its next hub all that they counted, and the other hubs tell it what boxes that are gone did.
+func TestCountsSurviveTheEndOfAHub(t *testing.T) {
+	f := newTestFleet(9, 3)
+	gone := f.boxes[3] // of the hall of box 0
+	for _, b := range f.boxes {
+		f.count(b, 2)
+	}
+	f.runFor(2 * round)
+	gone.down, f.boxes[0].down = true, true
+	f.runFor(2 * time.Second)
+	f.start(f.boxes[0])
+	f.start(gone)
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	for _, hub := range f.boxes[:3] {
+		f.requireCounts(t, hub, 18)
+		assert.LessOrEqual(t, f.coverage(hub).Lost, testSettings.Tolerance)
+	}
+}
+
+func TestCountsSurviveTheEndOfAllHubs(t *testing.T) {
+	f := newTestFleet(30, 3)
+	for _, b := range f.boxes {
+		f.count(b, 2)
+	}
+	f.runFor(2 * round)
+	for _, hub := range f.boxes[:3] {
+		hub.down = true
+	}
+	f.runFor(2 * time.Second)
+	for _, hub := range f.boxes[:3] {
+		f.start(hub)
+	}
+	f.runTo(testSettings.End(f.window).Add(4 * round))
+	coverage := f.coverage(f.boxes[0])
+	assert.Equal(t, 2*27, f.boxes[0].Counts(f.window)["a"], "the hubs' own counts are lost")
+	assert.Greater(t, coverage.Lost, 0.0)
+}
+
+// A fleet whose boxes were all started again knows nothing of the window in which that was.
+func TestAfterTheEndOfAllBoxesTheWindowIsNotKnown(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runFor(3 * time.Second)
+	for _, b := range f.boxes {
+		f.start(b)
+	}
+	f.runTo(testSettings.End(f.window).Add(4 * round))
+	assert.Greater(t, f.coverage(f.boxes[0]).Lost, testSettings.Tolerance)
+	f.window++
+	f.runTo(testSettings.End(f.window).Add(4 * round))
+	assert.Zero(t, f.coverage(f.boxes[0]).Lost, "of the next one all is known")
+}
+
+func TestANewBoxLosesNothing(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runFor(3 * time.Second)
+	b := &testBox{name: "new", hall: "hall-1", address: "10.0.1.1"}
+	f.boxes = append(f.boxes, b)
+	f.start(b)
+	f.count(b, 3)
+	f.runTo(testSettings.End(f.window).Add(4 * round))
+	f.requireCounts(t, f.boxes[0], 3)
+	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
+}
+
+// A box that gossip knows and that has told nothing may have counted.
+func TestABoxThatToldNothingIsUnknown(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runTo(testSettings.End(f.window).Add(4 * round))
+	coverage := f.boxes[0].Coverage(f.window, 10, f.now)
+	assert.Equal(t, 1, coverage.Unknown)
+	assert.InDelta(t, 0.1, coverage.Lost, 1e-9)
+}
+
+func TestClocksApartMoveFewCounts(t *testing.T) {
+	f := newTestFleet(9, 3)
+	for i, b := range f.boxes {
+		b.skew = time.Duration(i-4) * 10 * time.Millisecond
+	}
+	for f.now.Before(testSettings.End(f.window)) {
+		for _, b := range f.boxes {
+			f.count(b, 10)
+		}
+		f.runFor(round)
+	}
+	f.runFor(4 * round)
+	truth := f.truth[f.window]
+	coverage := f.coverage(f.boxes[0])
+	assert.True(t, coverage.IsComplete())
+	assert.InDelta(t, truth, f.boxes[0].Counts(f.window)["a"], testSettings.Tolerance*float64(truth)*1.01)
+}
+
+func TestACalmMessageIsSmall(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runFor(time.Second)
+	assert.LessOrEqual(t, len(f.boxes[5].Message(f.boxes[2].address, f.now)), 60, "from a box to its hub")
+	assert.LessOrEqual(t, len(f.boxes[2].Message(f.boxes[5].address, f.now)), 50, "from a hub to a box")
+}
+
+func TestWindowsAreForgotten(t *testing.T) {
+	f := newTestFleet(3, 1)
+	f.count(f.boxes[2], 3)
+	f.runFor(testSettings.Window + testSettings.Due + outageTime + 2*testSettings.Window)
+	f.boxes[0].Forget(f.now)
+	assert.Empty(t, f.boxes[0].Counts(f.window))
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	fleet := newTestFleet(4, 2)
+	fleet.count(fleet.boxes[0], 3)
+	f.Add(fleet.boxes[0].Message(fleet.boxes[1].address, fleet.now))
+	f.Add([]byte{messageFormat, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = decodeMessage(data, testSettings)
+	})
+}
