--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// usageInterval is how often the holder of the lease checks what is due.
-	usageInterval = 100 * time.Millisecond
 	// usageCallTimeout bounds a write to the store or a call to the platform's API.
 	usageCallTimeout = time.Second
 	// usageSubject is the subject of all usage reports.
@@ -79,12 +77,16 @@
 	}
 }
 
-// run stores and sends reports while this box holds the lease, until the context is done.
-func (u *usageReports) run(ctx context.Context, holder willowwick.DutyHolder, api willowwick.DutyAPI) {
-	for ctx.Err() == nil {
-		for holder.Holds(clock.Now()) && u.step(ctx, holder, api) && ctx.Err() == nil {
+// work returns the worker of the duty: it stores and sends what is due while this box holds the lease. It is nil if the
+// fleet does not report usage.
+func (u *usageReports) work(holder willowwick.DutyHolder, api willowwick.DutyAPI) dutyWork {
+	if u == nil {
+		return nil
+	}
+	return func(ctx context.Context, now time.Time) {
+		for holder.Holds(now) && u.step(ctx, holder, api) {
+			now = clock.Now()
 		}
-		sleep(ctx, usageInterval)
 	}
 }
 
