--- a/exchange/call.go
+++ b/exchange/call.go
@@ -69,6 +69,7 @@
 		lastSendEndedAt time.Time // zero before the first send has ended
 		sends           int       // all sends, whatever their result
 		runs            int       // endpoints that may have run the request
+		isCounted       bool      // in its account's usage
 		triedEndpoints  map[willowwick.EndpointID]bool
 		missesByHall    map[willowwick.HallID]int // endpoints of each hall that were not reached at their listed address; nil if none
 		lastEventID     string                    // ID of the newest event that the caller has received
--- a/exchange/era.go
+++ b/exchange/era.go
@@ -21,6 +21,7 @@
 	}
 	x := s.router
 	x.metrics.countEra()
+	x.usage.noteRestored()
 	rewritten := x.releases.beginEra(at.Era(), now) + x.poison.MarkRefusedPending()
 	slog.Warn("store has come back from a copy of itself", "era", at.Era(), "former", former, "source", source,
 		"endpoints_read_to", s.listReadTo(), "declarations_read_to", x.evacuations.newest().asOf, "to_write_again", rewritten)
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -42,6 +42,7 @@
 		boxes          []*meshBox
 		byAddress      map[string]*meshBox
 		starts         int // of all boxes so far
+		duties         DutySettings
 		random         *rand.Rand
 
 		messages       gobCounter
@@ -200,7 +201,7 @@
 	m.starts++
 	settings.Boot = willowwick.BootID(fmt.Sprint("boot-", m.starts))
 	settings.Peers = fmt.Sprintf("10.0.%d.%d:8282", i/250, i%250)
-	settings.Seeds = nil
+	settings.Seeds, settings.Duties = nil, m.duties
 	for seed := range meshSeeds {
 		settings.Seeds = append(settings.Seeds, fmt.Sprintf("10.0.0.%d:8282", seed))
 	}
@@ -323,6 +324,7 @@
 	m.count(t, "boxes", reply.Known)
 	m.count(t, "ages of halls", reply.HallAges)
 	m.count(t, "limits", []ratelimit.Updates{call.Limits, reply.Limits})
+	m.count(t, "usage", [][]byte{call.Usage, reply.Usage})
 	switch {
 	case reply.Endpoints == nil:
 	case reply.Endpoints.Since == 0:
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -40,11 +40,13 @@
 	return &usageReports{settings: settings, ledger: ledger, reporter: usage.NewReporter(settings, ledger), router: x}
 }
 
-// countUsage counts a request that an endpoint began to run: the head of its answer has come.
+// countUsage counts the request once an endpoint has begun to run it, which the head of an answer shows; further runs of
+// the same request are not counted.
 func (s *send) countUsage() {
-	if s.router.usage == nil || s.answerHead.NotRun || s.answer.Status == http.StatusMisdirectedRequest {
+	if s.router.usage == nil || s.isCounted || s.answerHead.NotRun || s.answer.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	s.isCounted = true
 	s.router.usage.ledger.Count(s.accountName(), clock.TimeOfDay())
 }
 
@@ -77,6 +79,13 @@
 	}
 }
 
+// noteRestored records that the store was restored from a copy.
+func (u *usageReports) noteRestored() {
+	if u != nil {
+		u.ledger.NoteRestored(clock.TimeOfDay())
+	}
+}
+
 // work returns the worker of the duty: it stores and sends what is due while this box holds the lease. It is nil if the
 // fleet does not report usage.
 func (u *usageReports) work(holder willowwick.DutyHolder, api willowwick.DutyAPI) dutyWork {
--- /dev/null
+++ b/exchange/usage_test.go
@@ -0,0 +1,91 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+)
+
+const testUsageWindow = 5 * time.Second
+
+var usageDuty = DutySettings{Assigned: []willowwick.DutyID{willowwick.DutyUsage}, UsageWindow: testUsageWindow, UsageDue: 10 * time.Second, UsageOff: 0.05}
+
+// countUsage counts a request of one of the accounts on each box, and lets the boxes exchange gossip, for a duration.
+func (m *mesh) countUsage(t *testing.T, pause, duration time.Duration) {
+	const accounts = 24
+	for until := time.Now().Add(duration); time.Now().Before(until); {
+		for _, box := range m.boxes {
+			if box.usage != nil {
+				box.usage.ledger.Count(willowwick.AccountID(fmt.Sprintf("acct%03d", m.random.IntN(accounts))), clock.TimeOfDay())
+			}
+		}
+		m.run(t, pause)
+	}
+}
+
+// Of 24 accounts and 7 requests a second on each box, a box sends some 600 bytes a second, each exchange counted once.
+func TestUsageCostsFewBytes(t *testing.T) {
+	const perBox = 650 // bytes a second
+	const watched = 2 * testUsageWindow
+	const pause = 150 * time.Millisecond // between two requests of a box
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		m := newMesh(1, 0, size.halls, size.endpoints)
+		m.duties = usageDuty
+		for i := range size.boxes {
+			m.start(i, size.halls)
+		}
+		m.countUsage(t, pause, testUsageWindow)
+		m.parts = map[string]*gobCounter{}
+		m.countUsage(t, pause, watched)
+		bytes := m.parts["usage"].bytes / size.boxes / int(watched.Seconds())
+		t.Logf("%d bytes a second for each box", bytes)
+		assert.Less(t, bytes, perBox)
+	})
+}
+
+func TestFleetWithoutTheDutyTellsNoUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 2, 1, 3)
+		m.run(t, time.Second)
+		assert.Empty(t, m.boxes[0].peers.usageMessage(m.boxes[1].settings.Peers, time.Now()))
+	})
+}
+
+// A request counts once for its account as soon as an endpoint runs it: not when it is turned away, nor for each retry.
+func TestARequestCountsOnceWhenItBeginsToRun(t *testing.T) {
+	a, b := newRunner(t, "r1", answerText("ok")), newRunner(t, "r2", answerText("ok"))
+	settings := testSettings()
+	settings.Duties = usageDuty
+	s := startSite(t, newTestControl(testTable(1, onceRoute(), retryRoute()), a.endpoint("v1"), b.endpoint("v1")), settings)
+	for status, counts := range map[int]int{http.StatusOK: 1, http.StatusInternalServerError: 1, http.StatusServiceUnavailable: 0} {
+		answer := func(w http.ResponseWriter, _ *http.Request) {
+			if status == http.StatusServiceUnavailable {
+				w.Header().Set("T-Not-Run", "yes")
+			}
+			w.WriteHeader(status)
+		}
+		a.handle(answer)
+		b.handle(answer)
+		before, runs := s.usage(), len(a.requests())+len(b.requests())
+		s.do(t, http.MethodGet, "/again/", fmt.Sprint("id-", status), "")
+		assert.Equal(t, counts, s.usage()-before, "status %d", status)
+		if status != http.StatusOK {
+			assert.Greater(t, len(a.requests())+len(b.requests()), runs+1, "status %d", status)
+		}
+	}
+}
+
+// usage returns the number of requests that the daemon has counted recently.
+func (s *site) usage() int {
+	u, total := s.daemon.router.usage, 0
+	for window, left := u.settings.WindowAt(clock.TimeOfDay()), 3; left > 0; window, left = window-1, left-1 {
+		total += willowwick.UsageReport{Counts: u.ledger.Counts(window)}.Total()
+	}
+	return total
+}
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -37,7 +37,7 @@
 		// collectingSince is since when this hub, or one that told it everything, has been told by all boxes; zero if this
 		// box is no hub.
 		collectingSince time.Time
-		written         willowwick.UsageWindow // newest window known to have a stored report; 0 if none
+		written         willowwick.UsageWindow // newest window that may have a stored report; 0 if none
 		acknowledged    willowwick.UsageWindow // newest window whose report the platform is known to have; 0 if none
 	}
 
@@ -219,6 +219,12 @@
 	l.written = max(l.written, window)
 }
 
+// NoteRestored records that the store was restored from a copy, which may lack reports that were sent: of windows that
+// have ended by now, no report is stored that the store does not hold.
+func (l *Ledger) NoteRestored(now time.Time) {
+	l.NoteWritten(l.settings.WindowAt(now))
+}
+
 // NoteAcknowledged records that the platform has a window's report.
 func (l *Ledger) NoteAcknowledged(window willowwick.UsageWindow) {
 	l.mu.Lock()
--- a/usage/reporter_test.go
+++ b/usage/reporter_test.go
@@ -51,12 +51,19 @@
 	return step.Kind
 }
 
+// work does what is due.
+func (h *testHolder) work() {
+	kind := h.step()
+	for kind != 0 {
+		kind = h.step()
+	}
+}
+
 // runUntil gossips and reports until the given time after the end of the window.
 func (h *testHolder) runUntil(sinceEnd time.Duration) {
 	for at := testSettings.End(h.fleet.window).Add(sinceEnd); h.fleet.now.Before(at); {
 		h.fleet.runFor(round)
-		for h.step() != 0 {
-		}
+		h.work()
 	}
 }
 
@@ -105,9 +112,11 @@
 	f := newTestFleet(6, 2)
 	h := newTestHolder(f, f.boxes[0])
 	f.count(f.boxes[5], 5)
+	h.runUntil(-time.Second)
 	h.storeErr = errDown
 	h.runUntil(2 * time.Second)
 	f.boxes[5].Count("a", testSettings.End(f.window).Add(-time.Second))
+	f.runFor(2 * round)
 	h.storeErr = nil
 	h.runUntil(6 * time.Second)
 	h.requireSent(t, 5)
@@ -182,3 +191,21 @@
 	second.runUntil(4 * time.Second)
 	assert.Empty(t, second.stored)
 }
+
+// The holder ended right after it had sent a report that a copy of the store lacks; nobody else knows of it.
+func TestAfterARestoreNoEndedWindowIsReportedAnew(t *testing.T) {
+	f := newTestFleet(6, 2)
+	f.runTo(testSettings.End(f.window).Add(3 * round))
+	for _, b := range f.boxes {
+		b.NoteRestored(f.now)
+	}
+	h := newTestHolder(f, f.boxes[1])
+	h.runUntil(testSettings.Window + 3*time.Second)
+	_, sent := h.countOf(f.window)
+	assert.False(t, sent)
+	_, sent = h.countOf(f.window + 1)
+	assert.False(t, sent, "it may have ended when the restore was noticed")
+	h.runUntil(2*testSettings.Window + 3*time.Second)
+	_, sent = h.countOf(f.window + 2)
+	assert.True(t, sent)
+}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -149,6 +149,7 @@
 		f.requireCounts(t, hub, 9*8)
 		assert.Zero(t, f.coverage(hub).Lost)
 	}
+	assert.InDelta(t, 1, f.coverage(f.boxes[8]).Lost, 0, "a box that is no hub knows nothing of the others")
 }
 
 // What a box has told survives its end, at most two gossip rounds of it are lost.
@@ -222,6 +223,21 @@
 	}
 }
 
+// A box that was a hub before and becomes one again has missed what was told meanwhile.
+func TestABoxThatIsAHubAgainIsToldEverything(t *testing.T) {
+	f := newTestFleet(9, 3)
+	first, again, gone := f.boxes[0], f.boxes[3], f.boxes[6] // of one hall
+	first.down = true
+	f.runFor(3 * round)
+	first.down = false
+	f.runFor(3 * round)
+	f.count(gone, 4)
+	f.runFor(2 * round)
+	first.down, gone.down = true, true
+	f.runFor(3 * round)
+	assert.Equal(t, 4, again.Counts(f.window)["a"])
+}
+
 func TestCountsSurviveTheEndOfAllHubs(t *testing.T) {
 	f := newTestFleet(30, 3)
 	for _, b := range f.boxes {
@@ -267,6 +283,31 @@
 	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
 }
 
+// A hub that was started again takes from the others that a box which is new to it is new to all.
+func TestANewBoxLosesNothingThoughItsHubIsStartedAgain(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runFor(time.Second)
+	b := &testBox{name: "new", hall: "hall-1", address: "10.0.1.1"}
+	f.boxes = append(f.boxes, b)
+	f.start(b)
+	f.runFor(time.Second)
+	f.start(f.boxes[0])
+	f.runTo(testSettings.End(f.window).Add(4 * round))
+	assert.LessOrEqual(t, f.coverage(f.boxes[0]).Lost, 0.021, "only what the hub did not tell before its end")
+}
+
+// What a box confirmed to the former start of another one says nothing of the present one.
+func TestABoxStartedAgainTellsAllItCounted(t *testing.T) {
+	f := newTestFleet(2, 2)
+	f.count(f.boxes[1], 20)
+	f.runFor(2 * round)
+	f.start(f.boxes[1])
+	f.count(f.boxes[1], 3)
+	f.boxes[1].SetHub(true, f.now)
+	f.exchange(t, f.boxes[0], f.boxes[1])
+	assert.Equal(t, 23, f.boxes[0].Counts(f.window)["a"])
+}
+
 // A box that gossip knows and that has told nothing may have counted.
 func TestABoxThatToldNothingIsUnknown(t *testing.T) {
 	f := newTestFleet(9, 3)
