--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -192,6 +192,7 @@
 	if left := d.callers.retire(ctx); left > 0 {
 		slog.Info("requests were still in progress at the end of the grace period", "requests", left)
 	}
+	x.usage.tellLast()
 	slog.Info("planned stop ended", "ms", clock.Since(began).Milliseconds())
 }
 
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -17,6 +17,8 @@
 	usageCallTimeout = time.Second
 	// usageSubject is the subject of all usage reports.
 	usageSubject willowwick.DutySubject = "usage"
+	// lastTellTime is how long a stopping box takes to tell its last counts: a gossip round that starts at once.
+	lastTellTime = 3 * minGossipInterval
 	// maxMissingLogged bounds how many missing boxes a log line names.
 	maxMissingLogged = 10
 )
@@ -86,6 +88,16 @@
 	}
 }
 
+// tellLast tells the other boxes the last counts of this one, which counts no more.
+func (u *usageReports) tellLast() {
+	if u == nil {
+		return
+	}
+	u.ledger.EndOwn()
+	u.router.peers.requestRound()
+	time.Sleep(lastTellTime)
+}
+
 // work returns the worker of the duty: it stores and sends what is due while this box holds the lease. It is nil if the
 // fleet does not report usage.
 func (u *usageReports) work(holder willowwick.DutyHolder, api willowwick.DutyAPI) dutyWork {
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -29,9 +29,9 @@
 	}
 }
 
-// Of 24 accounts and 7 requests a second on each box, a box sends some 600 bytes a second, each exchange counted once.
+// Of 24 accounts and 7 requests a second on each box, a box sends some 350 bytes a second, each exchange counted once.
 func TestUsageCostsFewBytes(t *testing.T) {
-	const perBox = 650 // bytes a second
+	const perBox = 400 // bytes a second
 	const watched = 2 * testUsageWindow
 	const pause = 150 * time.Millisecond // between two requests of a box
 	eachMeshSize(t, func(t *testing.T, size meshSize) {
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -28,9 +28,12 @@
 	Ledger struct {
 		settings Settings
 
-		mu      sync.Mutex
-		own     *origin
-		origins map[originKey]*origin
+		mu       sync.Mutex
+		own      *origin
+		origins  map[originKey]*origin
+		accounts map[willowwick.AccountID]*account
+		// nextOrigin is the index of the next origin.
+		nextOrigin int
 		// revision counts the changes of this ledger, so that each is told once to each box.
 		revision revision
 		peers    map[string]*peerState // by address
@@ -47,9 +50,17 @@
 	// originKey is a hash of a BootID.
 	originKey uint64
 
+	// account is a client account that was counted.
+	account struct {
+		name    willowwick.AccountID
+		index   int      // by which messages of this ledger refer to the account
+		namedAt revision // when it was counted first
+	}
+
 	// origin is one start of a box, with what it counted.
 	origin struct {
 		key     originKey
+		index   int // by which messages of this ledger refer to the origin
 		box     willowwick.BoxID
 		hall    willowwick.HallID
 		since   time.Time // when it began to count
@@ -98,7 +109,8 @@
 	own := newOrigin(keyOf(boot))
 	own.box, own.hall, own.since, own.until, own.namedAt, own.stateAt = box, hall, now, now, 1, 1
 	return &Ledger{
-		settings: settings, own: own, origins: map[originKey]*origin{own.key: own}, revision: 1, peers: map[string]*peerState{},
+		settings: settings, own: own, origins: map[originKey]*origin{own.key: own}, nextOrigin: 1,
+		accounts: map[willowwick.AccountID]*account{}, revision: 1, peers: map[string]*peerState{},
 	}
 }
 
@@ -124,9 +136,9 @@
 }
 
 // setCount sets a higher count; the caller holds the lock.
-func (l *Ledger) setCount(o *origin, window willowwick.UsageWindow, account willowwick.AccountID, requests int) {
+func (l *Ledger) setCount(o *origin, window willowwick.UsageWindow, name willowwick.AccountID, requests int) {
 	rows := o.counts[window]
-	if requests <= rows[account].requests {
+	if requests <= rows[name].requests {
 		return
 	}
 	if rows == nil {
@@ -134,7 +146,10 @@
 		o.counts[window] = rows
 	}
 	l.revision++
-	rows[account] = count{requests, l.revision}
+	if l.accounts[name] == nil {
+		l.accounts[name] = &account{name, len(l.accounts), l.revision}
+	}
+	rows[name] = count{requests, l.revision}
 	o.countAt = l.revision
 }
 
--- a/usage/message.go
+++ b/usage/message.go
@@ -28,8 +28,8 @@
 type (
 	// message is what one box tells another.
 	//
-	// All numbers are varints, hashes have 8 bytes; names are sent once and referred to by their index, times and windows
-	// are relative to the time of the message.
+	// All numbers are varints, hashes have 8 bytes, times and windows are relative to the time of the message. Names of
+	// accounts and origins are told once to each box, later messages refer to them by an index.
 	message struct {
 		sender          originKey
 		at              time.Time
@@ -41,15 +41,30 @@
 		acknowledged    willowwick.UsageWindow
 		tells           bool // false if the message has no updates because the receiver needs none
 		from, to        revision
+		accounts        []accountName
 		origins         []originUpdate
 	}
 
+	// accountName tells what an index means.
+	accountName struct {
+		index int
+		name  willowwick.AccountID
+	}
+
+	// countRow is one count of an origin.
+	countRow struct {
+		window   willowwick.UsageWindow
+		account  int // index
+		requests int
+	}
+
 	// originUpdate is what changed of one start of a box.
 	originUpdate struct {
-		key      originKey
-		isNamed  bool // has box, hall and since
+		index    int
+		isNamed  bool // has key, box, hall and since
 		hasState bool // has until and ended
 		ended    bool
+		key      originKey
 		box      willowwick.BoxID
 		hall     willowwick.HallID
 		since    time.Time
@@ -57,55 +72,51 @@
 		rows     []countRow
 	}
 
-	// encoder builds a message: its names go before what refers to them.
 	encoder struct {
-		data  []byte
-		names []string
-		index map[string]int
+		data []byte
 	}
 
 	// decoder reads a message; after the first error it returns zeros.
 	decoder struct {
-		data  []byte
-		names []string
-		err   error
+		data []byte
+		err  error
 	}
 )
 
 func (m *message) encode(settings Settings) []byte {
-	e := &encoder{index: map[string]int{}}
 	base := settings.WindowAt(m.at)
-	for i := range m.origins {
-		e.addUpdate(&m.origins[i], m.at, base)
-	}
-	head := &encoder{data: []byte{messageFormat, flagOf(m.isHub, flagHub) | flagOf(m.tells, flagTells)}}
-	head.addHash(m.sender)
-	head.addUint(uint64(m.at.UnixMilli()))
-	head.addInt(int64(base - m.written))
-	head.addInt(int64(base - m.acknowledged))
+	e := &encoder{data: []byte{messageFormat, flagOf(m.isHub, flagHub) | flagOf(m.tells, flagTells)}}
+	e.addHash(m.sender)
+	e.addUint(uint64(m.at.UnixMilli()))
+	e.addInt(int64(base - m.written))
+	e.addInt(int64(base - m.acknowledged))
 	if m.isHub {
-		head.addAge(m.at, m.collectingSince)
+		e.addAge(m.at, m.collectingSince)
 	}
-	head.addHash(m.confirms)
-	head.addUint(uint64(m.confirmed))
+	e.addHash(m.confirms)
+	e.addUint(uint64(m.confirmed))
 	if !m.tells {
-		return head.data
+		return e.data
+	}
+	e.addUint(uint64(m.from))
+	e.addUint(uint64(m.to - m.from))
+	e.addUint(uint64(len(m.accounts)))
+	for _, named := range m.accounts {
+		e.addUint(uint64(named.index))
+		e.addName(string(named.name))
 	}
-	head.addUint(uint64(m.from))
-	head.addUint(uint64(m.to - m.from))
-	head.addUint(uint64(len(e.names)))
-	for _, name := range e.names {
-		head.addUint(uint64(len(name)))
-		head.data = append(head.data, name...)
+	e.addUint(uint64(len(m.origins)))
+	for i := range m.origins {
+		e.addUpdate(&m.origins[i], m.at, base)
 	}
-	head.addUint(uint64(len(m.origins)))
-	return append(head.data, e.data...)
+	return e.data
 }
 
 func (e *encoder) addUpdate(u *originUpdate, at time.Time, base willowwick.UsageWindow) {
-	e.addHash(u.key)
+	e.addUint(uint64(u.index))
 	e.data = append(e.data, flagOf(u.isNamed, flagNamed)|flagOf(u.hasState, flagState)|flagOf(u.ended, flagEnded))
 	if u.isNamed {
+		e.addHash(u.key)
 		e.addName(string(u.box))
 		e.addName(string(u.hall))
 		e.addAge(at, u.since)
@@ -116,7 +127,7 @@
 	e.addUint(uint64(len(u.rows)))
 	for _, row := range u.rows {
 		e.addInt(int64(base - row.window))
-		e.addName(string(row.account))
+		e.addUint(uint64(row.account))
 		e.addUint(uint64(row.requests))
 	}
 }
@@ -146,13 +157,8 @@
 }
 
 func (e *encoder) addName(name string) {
-	at, known := e.index[name]
-	if !known {
-		at = len(e.names)
-		e.index[name] = at
-		e.names = append(e.names, name)
-	}
-	e.addUint(uint64(at))
+	e.addUint(uint64(len(name)))
+	e.data = append(e.data, name...)
 }
 
 func decodeMessage(data []byte, settings Settings) (message, error) {
@@ -174,7 +180,7 @@
 	m.from = revision(d.uint())
 	m.to = m.from + revision(d.uint())
 	for range d.length() {
-		d.names = append(d.names, string(d.bytes(d.length())))
+		m.accounts = append(m.accounts, accountName{int(d.uint()), willowwick.AccountID(d.name())})
 	}
 	for range d.length() {
 		m.origins = append(m.origins, d.update(m.at, base))
@@ -183,17 +189,18 @@
 }
 
 func (d *decoder) update(at time.Time, base willowwick.UsageWindow) originUpdate {
-	u := originUpdate{key: d.hash()}
+	u := originUpdate{index: int(d.uint())}
 	flags := d.byte()
 	u.isNamed, u.hasState, u.ended = flags&flagNamed != 0, flags&flagState != 0, flags&flagEnded != 0
 	if u.isNamed {
+		u.key = d.hash()
 		u.box, u.hall, u.since = willowwick.BoxID(d.name()), willowwick.HallID(d.name()), d.moment(at)
 	}
 	if u.hasState {
 		u.until = d.moment(at)
 	}
 	for range d.length() {
-		u.rows = append(u.rows, countRow{base - willowwick.UsageWindow(d.int()), willowwick.AccountID(d.name()), int(d.uint())})
+		u.rows = append(u.rows, countRow{base - willowwick.UsageWindow(d.int()), int(d.uint()), int(d.uint())})
 	}
 	return u
 }
@@ -259,10 +266,5 @@
 }
 
 func (d *decoder) name() string {
-	at := d.uint()
-	if at >= uint64(len(d.names)) {
-		d.fail()
-		return ""
-	}
-	return d.names[at]
+	return string(d.bytes(d.length()))
 }
--- a/usage/telling.go
+++ b/usage/telling.go
@@ -15,6 +15,13 @@
 	isHub    bool
 	told     revision // up to where the other box has this ledger
 	received revision // up to where this box has the other's ledger
+	// accounts and origins are what the other box's indices mean.
+	accounts map[int]willowwick.AccountID
+	origins  map[int]originKey
+}
+
+func newPeerState(key originKey) *peerState {
+	return &peerState{key: key, accounts: map[int]willowwick.AccountID{}, origins: map[int]originKey{}}
 }
 
 // Message returns what this box tells the box at an address: on a hub the hubs of other halls what the boxes of its hall
@@ -36,10 +43,15 @@
 		return m.encode(l.settings)
 	}
 	m.tells, m.from, m.to = true, peer.told, l.revision
+	for _, known := range l.accounts {
+		if known.namedAt > peer.told {
+			m.accounts = append(m.accounts, accountName{known.index, known.name})
+		}
+	}
 	for _, o := range l.sortedOrigins() {
 		// A box that has nothing yet gets all; later, each hall's hub tells of its own hall.
 		if peer.told == 0 || o.hall == l.own.hall {
-			m.addChanges(o, peer.told)
+			m.addChanges(o, peer.told, l.accounts)
 		}
 	}
 	return m.encode(l.settings)
@@ -51,7 +63,7 @@
 	for _, o := range l.origins {
 		list = append(list, o)
 	}
-	slices.SortFunc(list, func(a, b *origin) int { return cmp.Compare(a.key, b.key) })
+	slices.SortFunc(list, func(a, b *origin) int { return cmp.Compare(a.index, b.index) })
 	return list
 }
 
@@ -65,7 +77,7 @@
 	defer l.mu.Unlock()
 	peer := l.peers[address]
 	if peer == nil || peer.key != m.sender {
-		peer = &peerState{key: m.sender}
+		peer = newPeerState(m.sender)
 		l.peers[address] = peer
 	}
 	peer.isHub = m.isHub
@@ -76,8 +88,8 @@
 	if !m.tells {
 		return nil
 	}
-	l.merge(&m)
-	if m.from <= peer.received {
+	isUnderstood := l.merge(&m, peer)
+	if isUnderstood && m.from <= peer.received {
 		peer.received = max(peer.received, m.to)
 	}
 	tellsAll := m.from == 0 && m.isHub && !m.collectingSince.IsZero()
@@ -87,32 +99,56 @@
 	return nil
 }
 
-// merge applies the updates of a message; the caller holds the lock.
-func (l *Ledger) merge(m *message) {
+// merge applies the updates of a message, and reports whether it understood them all: what an index means may have been
+// told in a message that was lost. The caller holds the lock.
+func (l *Ledger) merge(m *message, peer *peerState) bool {
+	for _, named := range m.accounts {
+		peer.accounts[named.index] = named.name
+	}
+	isUnderstood := true
 	for _, update := range m.origins {
-		o := l.origins[update.key]
-		if o == nil {
-			if !update.isNamed {
-				continue // told after this box forgot it
-			}
-			l.revision++
-			o = newOrigin(update.key)
-			o.box, o.hall, o.since, o.until, o.namedAt = update.box, update.hall, update.since, update.since, l.revision
-			l.origins[update.key] = o
+		if update.isNamed {
+			peer.origins[update.index] = update.key
+			l.addOrigin(update)
 		}
-		if o == l.own {
-			continue
+		key, isKnown := peer.origins[update.index]
+		isUnderstood = isUnderstood && isKnown
+		// This box may have forgotten the origin, and knows better what it counted itself.
+		if o := l.origins[key]; o != nil && o != l.own {
+			isUnderstood = l.mergeOrigin(o, update, peer) && isUnderstood
 		}
-		for _, row := range update.rows {
-			l.setCount(o, row.window, row.account, row.requests)
+	}
+	return isUnderstood
+}
+
+// addOrigin adds an origin that another box named; the caller holds the lock.
+func (l *Ledger) addOrigin(update originUpdate) {
+	if l.origins[update.key] != nil {
+		return
+	}
+	l.revision++
+	o := newOrigin(update.key)
+	o.box, o.hall, o.since, o.until, o.namedAt, o.index = update.box, update.hall, update.since, update.since, l.revision, l.nextOrigin
+	l.nextOrigin++
+	l.origins[update.key] = o
+}
+
+// mergeOrigin applies an update of an origin, and reports whether it understood it; the caller holds the lock.
+func (l *Ledger) mergeOrigin(o *origin, update originUpdate, peer *peerState) bool {
+	for _, row := range update.rows {
+		name, isKnown := peer.accounts[row.account]
+		if !isKnown {
+			return false
 		}
-		if update.hasState {
-			l.advance(o, update.until)
-			if update.ended {
-				l.end(o)
-			}
+		l.setCount(o, row.window, name, row.requests)
+	}
+	if update.hasState {
+		l.advance(o, update.until)
+		if update.ended {
+			l.end(o)
 		}
 	}
+	return true
 }
 
 // ForgetPeer drops what is known of a box that is gone.
@@ -123,14 +159,14 @@
 }
 
 // addChanges adds what changed of an origin after a revision.
-func (m *message) addChanges(o *origin, after revision) {
-	update := originUpdate{key: o.key, isNamed: o.namedAt > after, hasState: o.stateAt > after, ended: o.ended, until: o.until}
+func (m *message) addChanges(o *origin, after revision, accounts map[willowwick.AccountID]*account) {
+	update := originUpdate{key: o.key, index: o.index, isNamed: o.namedAt > after, hasState: o.stateAt > after, ended: o.ended, until: o.until}
 	update.box, update.hall, update.since = o.box, o.hall, o.since
 	if o.countAt > after {
 		for window, rows := range o.counts {
-			for account, row := range rows {
+			for name, row := range rows {
 				if row.at > after {
-					update.rows = append(update.rows, countRow{window, account, row.requests})
+					update.rows = append(update.rows, countRow{window, accounts[name].index, row.requests})
 				}
 			}
 		}
@@ -142,10 +178,3 @@
 		m.origins = append(m.origins, update)
 	}
 }
-
-// countRow is one count of an origin.
-type countRow struct {
-	window   willowwick.UsageWindow
-	account  willowwick.AccountID
-	requests int
-}
