--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -121,6 +121,7 @@
 		Duties: exchange.DutySettings{
 			Assigned: settings.Duties.Assigned, CallsPerS: settings.Duties.CallsPerS, ChecksFencing: settings.Duties.ChecksFencing,
 			Lease: settings.Duties.Lease, MemberTTL: settings.MemberTTL(), UsageWindow: settings.Duties.UsageWindow, UsageDue: settings.Duties.UsageDue,
+			UsageOff: settings.Duties.UsageOff,
 		},
 	}
 }
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -81,6 +81,7 @@
 	x.peers, closePeers = newPeers(x)
 	x.hints = newHints(x, deps.Hints)
 	x.duties = newDuties(x, deps.DutyLog)
+	x.duties.addWorker(willowwick.DutyUsage, x.usage.work(x.duties, deps.DutyAPI))
 	return &Daemon{router: x, deps: deps, callers: newCallerListener(deps.Callers)}, func() {
 		closePeers()
 		closeRouter()
@@ -191,6 +192,7 @@
 	if left := d.callers.retire(ctx); left > 0 {
 		slog.Info("requests were still in progress at the end of the grace period", "requests", left)
 	}
+	x.usage.tellLast()
 	slog.Info("planned stop ended", "ms", clock.Since(began).Milliseconds())
 }
 
