Orders of runners: deciding package, demand between boxes, join on the holder of the duties

A service with bounds for its runners was paid for all that the platform starts, and nobody ordered any.

Package autoscale decides by the demand of all boxes, in requests in progress, and the slots of the runners; boxes report their demand in digests only where the duty is assigned. Ordinary runners make way for spot runners before the first request; nothing is ordered away in a roll-out, an evacuated hall, or without list and counts. Not joined to the lease yet.

--- /dev/null
+++ b/autoscale/scaler_test.go
@@ -0,0 +1,379 @@
+package autoscale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	testStep = 400 * time.Millisecond
+	testBoot = 4 * time.Second
+	testCold = 3 * time.Second
+)
+
+var testHalls = []willowwick.HallID{"hall-a", "hall-b", "hall-c"}
+
+type (
+	// plant executes orders as the platform does: runners appear after their boot time, and drain at once.
+	plant struct {
+		scaler *Scaler
+		now    time.Time
+		view   View
+		orders []Decision
+		boots  []plantBoot
+		// losesBoots makes the runners of accepted orders never appear.
+		losesBoots bool
+		// reply decides what becomes of an order; nil accepts all.
+		reply func(order willowwick.RunnerOrder) error
+	}
+
+	plantBoot struct {
+		order willowwick.RunnerOrder
+		at    time.Time
+	}
+)
+
+// newPlant returns three halls with the given runners of both kinds in each.
+func newPlant(ordinary, spot int) *plant {
+	p := &plant{
+		scaler: New(Settings{Utilisation: 0.5}), now: time.Unix(1000, 0),
+		view: View{
+			Service: "work", Slots: 12, ColdTime: testCold, HasList: true,
+			Limits: willowwick.Autoscaling{
+				Min: 1, Max: 94, BootTime: testBoot, SpotPrice: 0.22,
+				HallPrices: map[willowwick.HallID]float64{"hall-a": 1, "hall-b": 0.8, "hall-c": 1.25},
+			},
+		},
+	}
+	for _, hall := range testHalls {
+		p.view.Halls = append(p.view.Halls, Hall{ID: hall, HasCounts: true, Ordinary: Runners{Ready: ordinary}, Spot: Runners{Ready: spot}})
+	}
+	return p
+}
+
+// settled returns a plant whose demand has been the same for long enough to know its peaks.
+func settled(t *testing.T, demand int) *plant {
+	p := newPlant(3, 17)
+	p.setDemand(demand)
+	p.run(peakWindow + 10*time.Second)
+	require.InDelta(t, float64(demand)/12/0.5, p.present(), 6, "runners for the demand")
+	p.orders = nil
+	return p
+}
+
+func (p *plant) setDemand(requests int) {
+	for i := range p.view.Halls {
+		p.view.Halls[i].Demand.Running = requests / len(p.view.Halls)
+	}
+}
+
+func (p *plant) present() int { return p.view.present() }
+
+// run lets time pass in steps and returns the orders given.
+func (p *plant) run(duration time.Duration) []Decision {
+	from := len(p.orders)
+	for end := p.now.Add(duration); p.now.Before(end); p.now = p.now.Add(testStep) {
+		p.finishBoots()
+		for _, decision := range p.scaler.Decide(p.now, p.view) {
+			p.orders = append(p.orders, decision)
+			err := p.execute(decision.RunnerOrder)
+			p.scaler.Note(p.now, decision.RunnerOrder, err)
+		}
+	}
+	return p.orders[from:]
+}
+
+func (p *plant) execute(order willowwick.RunnerOrder) error {
+	if p.reply != nil {
+		if err := p.reply(order); err != nil {
+			return err
+		}
+	}
+	isSame := func(boot plantBoot) bool { return boot.order.Hall == order.Hall && boot.order.Spot == order.Spot }
+	if runners := p.runners(order.Hall, order.Spot); order.Runners < runners.Present() {
+		runners.Ready = order.Runners
+		p.boots = slices.DeleteFunc(p.boots, isSame)
+	} else if !p.losesBoots {
+		p.boots = append(p.boots, plantBoot{order, p.now.Add(testBoot)})
+	}
+	return nil
+}
+
+func (p *plant) finishBoots() {
+	for len(p.boots) > 0 && !p.now.Before(p.boots[0].at) {
+		order := p.boots[0].order
+		p.runners(order.Hall, order.Spot).Ready = order.Runners
+		p.boots = p.boots[1:]
+	}
+}
+
+func (p *plant) hall(id willowwick.HallID) *Hall {
+	for i := range p.view.Halls {
+		if p.view.Halls[i].ID == id {
+			return &p.view.Halls[i]
+		}
+	}
+	panic("no such hall")
+}
+
+func (p *plant) runners(id willowwick.HallID, isSpot bool) *Runners {
+	if isSpot {
+		return &p.hall(id).Spot
+	}
+	return &p.hall(id).Ordinary
+}
+
+// loseSpot makes a hall's spot runners drain, and rejects orders for more there.
+func (p *plant) loseSpot(hall willowwick.HallID) {
+	spot := &p.hall(hall).Spot
+	*spot = Runners{Draining: spot.Present()}
+	p.reject(hall)
+}
+
+func (p *plant) reject(halls ...willowwick.HallID) {
+	p.reply = func(order willowwick.RunnerOrder) error {
+		for _, hall := range halls {
+			if order.Spot && order.Hall == hall {
+				return errors.WithStack(willowwick.ErrNoCapacity)
+			}
+		}
+		return nil
+	}
+}
+
+func ordersFor(orders []Decision, hall willowwick.HallID, isSpot bool) []Decision {
+	var list []Decision
+	for _, order := range orders {
+		if order.Hall == hall && order.Spot == isSpot {
+			list = append(list, order)
+		}
+	}
+	return list
+}
+
+// Start with too many: the platform starts 47 ordinary runners in each hall, seconds before the first request.
+func TestTheFirstOrdersReplaceMostRunnersBySpotRunners(t *testing.T) {
+	p := newPlant(47, 0)
+	first := p.scaler.Decide(p.now, p.view)
+	require.Len(t, first, 3)
+	for _, order := range first {
+		assert.True(t, order.Spot, "the others stay until spot runners are accepted")
+		assert.Equal(t, ReasonStart, order.Reason)
+	}
+	p.run(2 * time.Second)
+	p.run(5 * time.Second)
+	assert.InDelta(t, startShare*141, p.present(), 3)
+	for _, hall := range p.view.Halls {
+		assert.LessOrEqual(t, hall.Ordinary.Present(), 3)
+		assert.GreaterOrEqual(t, hall.Ordinary.Present(), 1)
+	}
+	assert.Empty(t, p.run(10*time.Second), "nothing more is known before the first request")
+}
+
+// Start with too many, no spot runners to be had: the ordinary ones stay.
+func TestOrdinaryRunnersStayWhereNoSpotRunnersAreAccepted(t *testing.T) {
+	p := newPlant(47, 0)
+	p.reject(testHalls...)
+	p.run(3 * time.Second)
+	assert.GreaterOrEqual(t, p.present(), 77)
+}
+
+// All boxes start again in the middle of a day: spot runners show that runners were ordered before.
+func TestANewHolderOrdersNothingBeforeItKnowsTheDemand(t *testing.T) {
+	p := newPlant(3, 17)
+	assert.Empty(t, p.run(20*time.Second))
+	p.setDemand(60)
+	assert.Empty(t, p.run(peakWindow-time.Second), "less than the window of peaks is known")
+	assert.NotEmpty(t, p.run(5*time.Second))
+}
+
+// Wave: the demand swings by 27 % in 11 s. Runners are kept for its peaks.
+func TestAWaveIsNotFollowedDownwards(t *testing.T) {
+	p := settled(t, 360)
+	var orders int
+	for second := range 66 {
+		p.setDemand(int(360 * (1 + 0.27*math.Sin(2*math.Pi*float64(second)/11))))
+		for _, order := range p.run(time.Second) {
+			orders++
+			if second > 22 {
+				assert.NotEqual(t, ReasonSaving, order.Reason, "second %d: %+v", second, order)
+			}
+		}
+		assert.GreaterOrEqual(t, p.present()*12, 457)
+	}
+	assert.LessOrEqual(t, orders, 9)
+}
+
+// Burst: the demand doubles within a second.
+func TestABurstIsOrderedForWithinASecond(t *testing.T) {
+	p := settled(t, 360)
+	p.setDemand(720)
+	orders := p.run(1200 * time.Millisecond)
+	require.NotEmpty(t, orders)
+	for _, order := range orders {
+		assert.Equal(t, ReasonDemand, order.Reason)
+	}
+	p.run(6 * time.Second)
+	assert.GreaterOrEqual(t, p.present(), 110)
+	p.setDemand(360)
+	p.run(peakWindow + 8*time.Second)
+	assert.LessOrEqual(t, p.present(), 70, "after the burst")
+}
+
+// A hall's spot runners are taken away: what is missing is ordered in the others at once.
+func TestLostSpotRunnersAreOrderedInOtherHalls(t *testing.T) {
+	p := settled(t, 360)
+	before := p.present()
+	p.loseSpot("hall-b")
+	orders := p.run(500 * time.Millisecond)
+	assert.NotEmpty(t, ordersFor(orders, "hall-a", true))
+	assert.NotEmpty(t, ordersFor(orders, "hall-c", true))
+	assert.Empty(t, ordersFor(orders, "hall-b", true), "there are none now")
+	assert.Empty(t, ordersFor(orders, "hall-a", false), "the smaller models bear a short shortage")
+	p.run(5 * time.Second)
+	assert.GreaterOrEqual(t, p.present(), before)
+	p.hall("hall-b").Spot, p.reply = Runners{}, nil
+	p.run(peakWindow + 10*time.Second)
+	assert.GreaterOrEqual(t, p.hall("hall-b").Spot.Present(), 15, "they are back")
+	assert.LessOrEqual(t, p.present(), before+4)
+}
+
+// No spot runners anywhere: they are asked for less and less often, and others are ordered only for what would exceed
+// all slots.
+func TestOrdinaryRunnersAreOrderedOnlyForWhatExceedsAllSlots(t *testing.T) {
+	p := settled(t, 360)
+	p.loseSpot("hall-b")
+	p.reject(testHalls...)
+	orders := p.run(9 * time.Second)
+	assert.LessOrEqual(t, len(ordersFor(orders, "hall-b", true)), 4)
+	for _, hall := range testHalls {
+		assert.Empty(t, ordersFor(orders, hall, false), "40 of 60 runners are left, which have slots for all")
+	}
+	p.loseSpot("hall-a")
+	p.loseSpot("hall-c")
+	p.reject(testHalls...)
+	p.run(8 * time.Second)
+	assert.InDelta(t, 30, p.present(), 6, "ordinary runners for the demand at all slots")
+}
+
+// A roll-out: the platform starts as many runners of the new release beside the old ones.
+func TestARollOutIsLeftAlone(t *testing.T) {
+	p := settled(t, 360)
+	p.view.IsRolling = true
+	for i := range p.view.Halls {
+		p.view.Halls[i].Ordinary.Ready *= 2
+		p.view.Halls[i].Spot.Ready *= 2
+	}
+	p.setDemand(180)
+	assert.Empty(t, p.run(peakWindow+10*time.Second))
+	p.setDemand(1400)
+	assert.NotEmpty(t, p.run(4*time.Second), "nearly all slots are taken")
+}
+
+// An evacuation: the hall's runners get no new work, and are needed again when it is revoked.
+func TestAnEvacuatedHallKeepsItsRunnersAndOthersGetMore(t *testing.T) {
+	p := settled(t, 360)
+	there := p.hall("hall-b").Spot.Present()
+	p.hall("hall-b").IsEvacuated = true
+	orders := p.run(5 * time.Second)
+	assert.Empty(t, ordersFor(orders, "hall-b", true))
+	assert.Empty(t, ordersFor(orders, "hall-b", false))
+	p.run(peakWindow)
+	assert.Equal(t, there, p.hall("hall-b").Spot.Present())
+	assert.GreaterOrEqual(t, p.present()-p.hall("hall-b").Spot.Present()-p.hall("hall-b").Ordinary.Present(), 60)
+}
+
+// An order that is undone, by a late call or by others, shows in the list.
+func TestAnUndoneOrderIsGivenAgain(t *testing.T) {
+	for name, listed := range map[string]int{"fewer": 2, "more": 60} {
+		t.Run(name, func(t *testing.T) {
+			p := settled(t, 360)
+			wanted := p.hall("hall-a").Spot.Present()
+			p.hall("hall-a").Spot.Ready = listed
+			p.run(testBoot + 4*time.Second)
+			assert.InDelta(t, wanted, p.hall("hall-a").Spot.Present(), 3)
+		})
+	}
+}
+
+// An order is executed late or never: it isn't repeated before its runners could be listed.
+func TestAnOrderIsNotRepeatedWhileItsRunnersBoot(t *testing.T) {
+	p := settled(t, 360)
+	p.losesBoots = true
+	p.setDemand(720)
+	p.run(4 * time.Second)
+	assert.Empty(t, p.run(testBoot-time.Second), "the last ones were given in the first seconds")
+	assert.NotEmpty(t, p.run(listDelay+2*time.Second))
+}
+
+// Boxes that are no longer heard count as busy as they were.
+func TestSilentBoxesKeepTheirRunners(t *testing.T) {
+	p := settled(t, 360)
+	for i := range p.view.Halls {
+		p.view.Halls[i].Demand = Demand{Running: 40, Silent: 80}
+	}
+	assert.Empty(t, p.run(peakWindow+10*time.Second))
+}
+
+// The demand of a hall is unknown: nothing is ordered away.
+func TestNothingIsOrderedAwayWithoutCounts(t *testing.T) {
+	p := settled(t, 360)
+	p.hall("hall-c").HasCounts, p.hall("hall-c").Demand = false, Demand{}
+	assert.Empty(t, p.run(peakWindow+10*time.Second))
+	for i := range p.view.Halls {
+		p.view.Halls[i].HasCounts = false
+	}
+	p.setDemand(2000)
+	assert.Empty(t, p.run(5*time.Second), "no counts at all")
+}
+
+// The store is down: the list is old, and nothing is ordered.
+func TestNothingIsOrderedWithoutAList(t *testing.T) {
+	p := settled(t, 360)
+	p.view.HasList = false
+	p.setDemand(1000)
+	assert.Empty(t, p.run(20*time.Second))
+}
+
+// The API gives no answer or rejects calls: it is asked again after pauses that grow.
+func TestAnUnansweredOrderIsGivenAgainAfterAPause(t *testing.T) {
+	for _, failure := range []error{willowwick.ErrThrottled, errors.New("no answer")} {
+		t.Run(fmt.Sprint(failure), func(t *testing.T) {
+			p := settled(t, 360)
+			p.reply = func(willowwick.RunnerOrder) error { return failure }
+			p.setDemand(720)
+			assert.LessOrEqual(t, len(p.run(8*time.Second)), 15)
+			p.reply = nil
+			p.run(maxPause + testBoot)
+			assert.GreaterOrEqual(t, p.present(), 110)
+		})
+	}
+}
+
+// Limits of a hall hold for both kinds together.
+func TestOrdersKeepTheLimits(t *testing.T) {
+	p := settled(t, 360)
+	p.view.Limits.Max = 25
+	p.setDemand(3000)
+	p.run(12 * time.Second)
+	for _, hall := range p.view.Halls {
+		assert.Equal(t, 25, hall.Ordinary.Present()+hall.Spot.Present())
+	}
+}
+
+// One hall only: the loss of its spot runners leaves ordinary ones for the demand at all slots.
+func TestASingleHallKeepsEnoughOrdinaryRunners(t *testing.T) {
+	p := newPlant(10, 50)
+	p.view.Halls = p.view.Halls[:1]
+	p.setDemand(360)
+	p.run(peakWindow + 15*time.Second)
+	assert.InDelta(t, 30, p.hall("hall-a").Ordinary.Present(), 3)
+}
--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -111,7 +111,7 @@
 		RetryBudget: route.RetryLimits{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow},
 		Releases:    exchange.ReleaseSettings{Session: bounds.SessionGap, Exposure: bounds.ExposureShare},
 		Grace:       bounds.Grace, Drain: bounds.Drain, ConfigApplyLimit: bounds.ConfigApply, UnreadyDelay: exchange.DefaultUnreadyDelay,
-		Regions: settings.Regions,
+		Regions: settings.Regions, RunnerUtilisation: o.runnerUtilisation,
 		Duties: exchange.DutySettings{
 			Assigned: settings.Duties.Assigned, CallsPerS: settings.Duties.CallsPerS, ChecksFencing: settings.Duties.ChecksFencing,
 			Lease: settings.Duties.Lease, UsageWindow: settings.Duties.UsageWindow, UsageDue: settings.Duties.UsageDue,
--- a/cmd/willowwickd/options.go
+++ b/cmd/willowwickd/options.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/autoscale"
 	"github.com/willowwick/willowwick/serve"
 )
 
@@ -47,6 +48,7 @@
 	checkOnly                                  bool
 	nodeFile                                   string
 	confidence, lateConfidence                 int
+	runnerUtilisation                          float64
 }
 
 func (o *options) register(flags *flag.FlagSet) {
@@ -75,6 +77,7 @@
 	flags.StringVar(&o.nodeFile, "node-file", "", "settings file of the users' platform; serves opaque requests there")
 	flags.IntVar(&o.confidence, "confidence", defaultConfidence, "confidence below which a small model's answer is replaced by the largest model's, 0 to 100")
 	flags.IntVar(&o.lateConfidence, "late-confidence", defaultLateConfidence, "the same, for requests that the largest model would answer after the route's goal")
+	flags.Float64Var(&o.runnerUtilisation, "runner-utilisation", autoscale.DefaultUtilisation, "share of the runners' slots to aim at where the fleet orders runners, above 0 and at most 1")
 	flags.BoolVar(&o.checkOnly, "check", false, "check the settings and exit")
 }
 
@@ -101,6 +104,9 @@
 			report("-%s must be from 0 to %d, is %d", name, maxConfidence, value)
 		}
 	}
+	if !(o.runnerUtilisation > 0 && o.runnerUtilisation <= 1) {
+		report("-runner-utilisation must be above 0 and at most 1, is %v", o.runnerUtilisation)
+	}
 	for name, address := range map[string]string{
 		"listen": o.listen, "peer-listen": o.peerListen, "admin-listen": o.adminListen, "peer-address": o.peerAddress,
 	} {
--- /dev/null
+++ b/exchange/demand.go
@@ -0,0 +1,86 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/autoscale"
+)
+
+// DemandRow is the demand on a service as boxes report it to each other.
+type DemandRow struct {
+	Service willowwick.ServiceID
+	Running int // requests at endpoints
+	Waiting int // requests that wait in boxes
+	Silent  int // both, of boxes that are no longer heard, when they last were
+}
+
+// demandRows returns this box's demand on the services whose runners the fleet orders.
+func (x *Router) demandRows() []DemandRow {
+	var rows []DemandRow
+	for _, service := range x.autoscaledServices() {
+		rows = append(rows, DemandRow{
+			Service: service.Name, Waiting: x.gate.WaitingFor(string(service.Name)),
+			Running: x.pool.InFlightWhere(service.Name, func(willowwick.Endpoint) bool { return true }),
+		})
+	}
+	return rows
+}
+
+// autoscaledServices returns the services whose runners the fleet orders; none unless the duty is assigned.
+func (x *Router) autoscaledServices() []willowwick.RoutedService {
+	t := x.table.Load()
+	if t == nil || !slices.Contains(x.settings.Duties.Assigned, willowwick.DutyScale) {
+		return nil
+	}
+	var services []willowwick.RoutedService
+	for _, service := range t.Services {
+		if service.Autoscaling != nil {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// addDemand returns the sum of two reports' demand; all of a box that is no longer heard counts as silent.
+func addDemand(rows, others []DemandRow, isLive bool) []DemandRow {
+	sum := slices.Clone(rows)
+	for _, row := range others {
+		if !isLive {
+			row = row.silent()
+		}
+		at := slices.IndexFunc(sum, func(known DemandRow) bool { return known.Service == row.Service })
+		if at < 0 {
+			sum = append(sum, row)
+			continue
+		}
+		sum[at].Running += row.Running
+		sum[at].Waiting += row.Waiting
+		sum[at].Silent += row.Silent
+	}
+	return sum
+}
+
+func (r DemandRow) silent() DemandRow {
+	return DemandRow{Service: r.Service, Silent: r.Running + r.Waiting + r.Silent}
+}
+
+// hallDemands returns the demand on a service by hall, without the halls that haven't reported.
+func (p *peers) hallDemands(now time.Time, service willowwick.ServiceID) map[willowwick.HallID]autoscale.Demand {
+	demands := map[willowwick.HallID]autoscale.Demand{}
+	for _, hall := range p.hallReports(now) {
+		age := time.Duration(hall.AgeMs) * time.Millisecond
+		if age > silentPeerRetention {
+			continue
+		}
+		var demand autoscale.Demand
+		for _, row := range addDemand(nil, hall.Report.Demand, age <= 2*peerLiveness) {
+			if row.Service == service {
+				demand = autoscale.Demand{Running: row.Running, Waiting: row.Waiting, Silent: row.Silent}
+			}
+		}
+		demands[hall.Hall] = demand
+	}
+	return demands
+}
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -139,3 +139,8 @@
 func (m *routerMetrics) countRetryDenied() {
 	m.retriesDenied.Inc()
 }
+
+// countOrder counts an order of runners by its outcome.
+func (m *routerMetrics) countOrder(isSpot bool, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_runner_orders_total{kind=%q,outcome=%q}", kindName(isSpot), outcome)).Inc()
+}
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -16,6 +16,7 @@
 		Evidence []EvidenceRow
 		Moves    []MoveRow
 		Kept     []sessionHash // sessions known to be on other releases than a roll-out's target
+		Demand   []DemandRow   // on the services whose runners the fleet orders
 	}
 
 	// HallReport is the sum of the reports of a hall's boxes.
@@ -92,6 +93,7 @@
 			Service: own.Status.Service, Target: own.Status.Target, Moved: own.Moved, OldInFlight: x.inFlightOutsideTarget(own.Status),
 		})
 	}
+	report.Demand = x.demandRows()
 	return report
 }
 
@@ -108,7 +110,7 @@
 
 // add returns the sum of two reports; the counts of a box that is gone remain, its current state does not.
 func (r Report) add(other Report, isLive bool) Report {
-	sum := Report{Boxes: r.Boxes, Evidence: slices.Clone(r.Evidence), Moves: slices.Clone(r.Moves), Kept: slices.Clone(r.Kept)}
+	sum := Report{Boxes: r.Boxes, Evidence: slices.Clone(r.Evidence), Moves: slices.Clone(r.Moves), Kept: slices.Clone(r.Kept), Demand: addDemand(r.Demand, other.Demand, isLive)}
 	for _, row := range other.Evidence {
 		at := slices.IndexFunc(sum.Evidence, func(e EvidenceRow) bool { return e.key() == row.key() })
 		if at < 0 {
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -62,6 +62,8 @@
 		ConfigApplyLimit time.Duration // a configuration is in force within this time after it was accepted
 		Regions          map[willowwick.HallID]willowwick.RegionID
 		Duties           DutySettings
+		// RunnerUtilisation is the share of the runners' slots to aim at when the fleet orders runners.
+		RunnerUtilisation float64
 	}
 
 	// DutySettings configure the calls that one box makes to the platform's API for the whole fleet.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -264,6 +264,16 @@
 	return total
 }
 
+// WaitingFor returns the number of requests that wait for slots of a kind of work.
+func (g *Gate) WaitingFor(work string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if q := g.queues[work]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
+
 // Done releases the slot and dispatches the next request.
 func (t *Ticket) Done(outcome route.Outcome) {
 	now := clock.Now()
