--- a/exchange/autoscale.go
+++ b/exchange/autoscale.go
@@ -31,7 +31,8 @@
 		router  *Router
 		holder  willowwick.DutyHolder
 		api     willowwick.DutyAPI
-		scalers map[willowwick.ServiceID]*autoscale.Scaler // empty on a box that isn't the holder; only run uses it
+		scalers map[willowwick.ServiceID]*autoscale.Scaler // empty on a box that isn't the holder; only work uses it
+		nextAt  time.Time                                  // of the next decisions; only work uses it
 
 		mu     sync.Mutex
 		counts map[runnerKey]runnerCount // for the metrics
@@ -50,27 +51,21 @@
 	}
 )
 
-// newAutoscaler returns nil unless the fleet orders runners.
 func newAutoscaler(x *Router, holder willowwick.DutyHolder, api willowwick.DutyAPI) *autoscaler {
-	if holder == nil || api == nil || !slices.Contains(x.settings.Duties.Assigned, willowwick.DutyScale) {
-		return nil
-	}
 	return &autoscaler{
 		router: x, holder: holder, api: api, scalers: map[willowwick.ServiceID]*autoscale.Scaler{}, counts: map[runnerKey]runnerCount{},
 	}
 }
 
-// run decides on orders and gives them until the context is done.
-func (a *autoscaler) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		now := clock.Now()
-		if a.holder.Holds(now) {
-			a.runOnce(ctx, now)
-		} else if len(a.scalers) > 0 {
-			// Orders of another holder make what this box knows of its own invalid.
-			a.scalers = map[willowwick.ServiceID]*autoscale.Scaler{}
-		}
-		sleep(ctx, autoscaleInterval)
+// work decides on orders and gives them, if this box holds the duties and the last decisions are long enough ago.
+func (a *autoscaler) work(ctx context.Context, now time.Time) {
+	switch {
+	case !a.holder.Holds(now):
+		// Orders of another holder make what this box knows of its own invalid.
+		clear(a.scalers)
+	case !now.Before(a.nextAt):
+		a.nextAt = now.Add(autoscaleInterval)
+		a.runOnce(ctx, now)
 	}
 }
 
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -81,6 +81,7 @@
 	x.peers, closePeers = newPeers(x)
 	x.hints = newHints(x, deps.Hints)
 	x.duties = newDuties(x, deps.DutyLog)
+	x.duties.addWorker(willowwick.DutyScale, newAutoscaler(x, x.duties, deps.DutyAPI).work)
 	return &Daemon{router: x, deps: deps, callers: newCallerListener(deps.Callers)}, func() {
 		closePeers()
 		closeRouter()
