Orders of runners: the first one waits until the list has not grown; growth is bounded; fewer runners in larger steps

The list of a fleet that has just started grows for a second: a trial ordered half of the 25 runners listed so far, was short of runners, took the queue for demand and ordered 170. Shares of the halls begin equal. A limit no longer turns spot runners into others.

--- a/autoscale/forecast.go
+++ b/autoscale/forecast.go
@@ -84,11 +84,11 @@
 	}
 	for i := range view.Halls {
 		hall := &view.Halls[i]
-		share := float64(hall.Demand.total()) / demand
-		if known, isKnown := f.shares[hall.ID]; isKnown {
-			share = known + (share-known)*weight(passed, shareTime)
+		known, isKnown := f.shares[hall.ID]
+		if !isKnown {
+			known = 1 / float64(len(view.Halls))
 		}
-		f.shares[hall.ID] = share
+		f.shares[hall.ID] = known + (float64(hall.Demand.total())/demand-known)*weight(passed, shareTime)
 	}
 }
 
--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -9,13 +9,23 @@
 
 const (
 	// DefaultUtilisation is the default of Settings.Utilisation.
-	DefaultUtilisation = 0.5
+	DefaultUtilisation = 0.65
 	// callPrice is the price of a call to the platform's API, in seconds of a runner at price 1.
 	callPrice = 0.9
 	// stayTime is how long runners that are ordered away are expected not to be needed.
 	stayTime = peakWindow
 	// upShare is the least change upwards, as a share of a hall's runners: smaller ones are borne by the utilisation.
 	upShare = 0.1
+	// savingFactor is how often an order of fewer runners must save the price of its call.
+	savingFactor = 3
+	// maxGrowth bounds the runners wanted to a multiple of those that took work lately: what waits while they are short is
+	// worked off once, and no measure of what comes after.
+	maxGrowth = 2
+	// usableTime is the time constant at which runners that are gone cease to count for maxGrowth.
+	usableTime = 20 * time.Second
+	// settleTime is how long the list must not have grown before the first order is based on it: runners that start
+	// together are listed one after the other.
+	settleTime = time.Second
 	// shortUtilisation is the utilisation above which runners are ordered also during a roll-out.
 	shortUtilisation = 0.9
 )
@@ -50,7 +60,11 @@
 		blocked    map[willowwick.HallID]*pause // spot runners of a hall
 		unanswered pause                        // all calls
 		coldTime   time.Duration
-		start      int     // runners wanted before the first request; 0 while not decided
+		usable     float64 // runners that took work lately
+		decidedAt  time.Time
+		start      int       // runners wanted before the first request; 0 while not decided
+		mostListed int       // runners, before the first request
+		grownAt    time.Time // when mostListed rose last
 		targets    targets // as last computed
 	}
 )
@@ -86,12 +100,13 @@
 	if !view.hasAnyCounts() {
 		return nil
 	}
+	s.noteUsable(now, &view)
 	s.forecast.add(now, &view, view.Limits.BootTime+s.coldTime)
 	if now.Before(s.unanswered.until) {
 		return nil
 	}
 	expected := s.forecast.demand()
-	wanted, isKnown := s.wanted(&view, expected)
+	wanted, isKnown := s.wanted(now, &view, expected)
 	if !isKnown {
 		return nil
 	}
@@ -103,16 +118,29 @@
 	return decisions
 }
 
+// noteUsable follows the number of runners that take work.
+func (s *Scaler) noteUsable(now time.Time, view *View) {
+	usable := float64(view.usable())
+	if !s.decidedAt.IsZero() {
+		s.usable += (usable - s.usable) * weight(now.Sub(s.decidedAt), usableTime)
+	}
+	s.usable, s.decidedAt = max(s.usable, usable), now
+}
+
 // wanted returns the number of runners that the fleet should have.
 //
 // Before the first request, it is a share of what is there, unless there are spot runners: those were ordered, so this
 // has been decided before.
-func (s *Scaler) wanted(view *View, expected float64) (runners int, isKnown bool) {
+func (s *Scaler) wanted(now time.Time, view *View, expected float64) (runners int, isKnown bool) {
 	if s.forecast.isBusy() {
-		return int(math.Ceil(expected / (float64(view.Slots) * s.settings.Utilisation))), true
+		wanted := int(math.Ceil(expected / (float64(view.Slots) * s.settings.Utilisation)))
+		return min(wanted, int(maxGrowth*s.usable)), true
 	}
-	if s.start == 0 && view.hasSpot() && !view.hasListedSpot() {
-		s.start = int(math.Ceil(startShare * float64(view.present())))
+	if present := view.present(); present > s.mostListed {
+		s.mostListed, s.grownAt = present, now
+	}
+	if s.start == 0 && view.hasSpot() && !view.hasListedSpot() && now.Sub(s.grownAt) >= settleTime {
+		s.start = int(math.Ceil(startShare * float64(s.mostListed)))
 	}
 	return s.start, s.start > 0
 }
@@ -171,7 +199,7 @@
 	if view.IsRolling || !view.hasAllCounts() || s.forecast.isBusy() && !s.forecast.isSettled(now) {
 		return false
 	}
-	if !isSpot && s.isBlocked(now, hall.ID) {
+	if !isSpot && s.isBlocked(now, hall.ID) || s.isUnderWay(now, view, hall, isSpot) {
 		return false
 	}
 	if s.forecast.isBusy() {
@@ -182,7 +210,12 @@
 	}
 	returns := view.Limits.BootTime + s.coldTime
 	saved := float64(fewer) * view.price(hall.ID, isSpot) * (stayTime - returns).Seconds()
-	return saved > callPrice
+	return saved > savingFactor*callPrice
+}
+
+// isUnderWay reports whether the list doesn't show the last order on a subject yet.
+func (s *Scaler) isUnderWay(now time.Time, view *View, hall *Hall, isSpot bool) bool {
+	return s.expected(now, view, hall, isSpot) != hall.runners(isSpot).Present()
 }
 
 // isFullWithout reports whether the other kind of a hall is complete, so that fewer of this one leave the target.
--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -162,6 +162,7 @@
 // Start with too many: the platform starts 47 ordinary runners in each hall, seconds before the first request.
 func TestTheFirstOrdersReplaceMostRunnersBySpotRunners(t *testing.T) {
 	p := newPlant(47, 0)
+	p.run(settleTime)
 	first := p.scaler.Decide(p.now, p.view)
 	require.Len(t, first, 3)
 	for _, order := range first {
@@ -366,6 +367,7 @@
 	p.run(12 * time.Second)
 	for _, hall := range p.view.Halls {
 		assert.Equal(t, 25, hall.Ordinary.Present()+hall.Spot.Present())
+		assert.LessOrEqual(t, hall.Ordinary.Present(), 4, "a limit makes no spot runners dearer")
 	}
 }
 
--- a/autoscale/targets.go
+++ b/autoscale/targets.go
@@ -66,7 +66,7 @@
 // keepAfterLoss turns spot runners into ordinary ones until what is left after the loss of any hall's spot runners runs
 // the demand with all its slots: the smaller models bear the rest.
 func (s *Scaler) keepAfterLoss(view *View, spread targets, wanted int) {
-	needed := int(math.Ceil(float64(wanted) * s.settings.Utilisation))
+	needed := int(math.Ceil(float64(min(wanted, spread.total())) * s.settings.Utilisation))
 	for _, hall := range view.byPrice() {
 		spot, ordinary := subject{hall.ID, true}, subject{hall.ID, false}
 		if short := needed - (spread.total() - spread[spot]); short > 0 {
