--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -129,20 +129,32 @@
 
 // wanted returns the number of runners that the fleet should have.
 //
-// Before the first request, it is a share of what is there, unless there are spot runners: those were ordered, so this
-// has been decided before.
+// Before the first request, it is a guess, unless there are spot runners: those were ordered, so this has been decided
+// before.
 func (s *Scaler) wanted(now time.Time, view *View, expected float64) (runners int, isKnown bool) {
 	if s.forecast.isBusy() {
 		wanted := int(math.Ceil(expected / (float64(view.Slots) * s.settings.Utilisation)))
 		return min(wanted, int(maxGrowth*s.usable)), true
 	}
-	if present := view.present(); present > s.mostListed {
+	if s.start == 0 && view.hasSpot() && !view.hasListedSpot() {
+		s.start = s.startFor(now, view)
+	}
+	return s.start, s.start > 0
+}
+
+// startFor returns the number of runners to have before the first request, or 0 while the list is not complete enough.
+func (s *Scaler) startFor(now time.Time, view *View) int {
+	present := view.present()
+	if present > s.mostListed {
 		s.mostListed, s.grownAt = present, now
 	}
-	if s.start == 0 && view.hasSpot() && !view.hasListedSpot() && now.Sub(s.grownAt) >= settleTime {
-		s.start = int(math.Ceil(startShare * float64(s.mostListed)))
+	if byLimits := int(math.Ceil(limitShare * float64(view.Limits.Max*len(view.Halls)))); present >= byLimits {
+		return byLimits
 	}
-	return s.start, s.start > 0
+	if now.Sub(s.grownAt) < settleTime {
+		return 0
+	}
+	return int(math.Ceil(startShare * float64(present)))
 }
 
 // compare returns the orders that turn what is there and on the way into the targets: first more, in the cheapest hall
--- a/autoscale/targets.go
+++ b/autoscale/targets.go
@@ -12,7 +12,9 @@
 const (
 	// ordinaryShare is the least share of ordinary runners in a hall, which remain when its spot runners go.
 	ordinaryShare = 0.1
-	// startShare is the share of the runners found at the start that is kept until the demand is known.
+	// limitShare and startShare tell how many runners are kept until the demand is known: a share of the limits of all halls
+	// together as soon as that many are listed, or else of those found at the start.
+	limitShare = 0.25
 	startShare = 0.5
 )
 
