--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -9,7 +9,7 @@
 
 const (
 	// DefaultUtilisation is the default of Settings.Utilisation.
-	DefaultUtilisation = 0.65
+	DefaultUtilisation = 0.75
 	// callPrice is the price of a call to the platform's API, in seconds of a runner at price 1.
 	callPrice = 0.9
 	// stayTime is how long runners that are ordered away are expected not to be needed.
@@ -65,7 +65,7 @@
 		start      int       // runners wanted before the first request; 0 while not decided
 		mostListed int       // runners, before the first request
 		grownAt    time.Time // when mostListed rose last
-		targets    targets // as last computed
+		targets    targets   // as last computed
 	}
 )
 
--- a/autoscale/targets.go
+++ b/autoscale/targets.go
@@ -11,7 +11,7 @@
 
 const (
 	// ordinaryShare is the least share of ordinary runners in a hall, which remain when its spot runners go.
-	ordinaryShare = 0.1
+	ordinaryShare = 0.04
 	// limitShare and startShare tell how many runners are kept until the demand is known: a share of the limits of all halls
 	// together as soon as that many are listed, or else of those found at the start.
 	limitShare = 0.25
