--- a/autoscale/forecast.go
+++ b/autoscale/forecast.go
@@ -18,6 +18,8 @@
 	slowTime = 4 * time.Second
 	// shareTime is the time constant of the shares of the halls.
 	shareTime = 8 * time.Second
+	// minShareDemand is the demand below which it says nothing on the halls' shares, as a share of the one expected.
+	minShareDemand = 0.25
 	// maxTrendFactor bounds the forecast to a multiple of the present demand.
 	maxTrendFactor = 1.25
 )
@@ -79,7 +81,7 @@
 	if f.shares == nil {
 		f.shares = map[willowwick.HallID]float64{}
 	}
-	if demand == 0 || !view.hasAllCounts() {
+	if demand == 0 || demand < minShareDemand*f.demand() || !view.hasAllCounts() {
 		return
 	}
 	for i := range view.Halls {
--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -276,6 +276,18 @@
 	assert.InDelta(t, 30, p.present(), 6, "ordinary runners for the demand at all slots")
 }
 
+// The demand ends: the last few requests are in one hall and move no runners there.
+func TestTheLastRequestsMoveNoRunnersToTheirHall(t *testing.T) {
+	p := settled(t, 360)
+	for i := range p.view.Halls {
+		p.view.Halls[i].Demand.Running = 0
+	}
+	p.hall("hall-a").Demand.Running = 3
+	for _, order := range p.run(2 * peakWindow) {
+		assert.Equal(t, ReasonSaving, order.Reason)
+	}
+}
+
 // A roll-out: the platform starts as many runners of the new release beside the old ones.
 func TestARollOutIsLeftAlone(t *testing.T) {
 	p := settled(t, 360)
