--- a/autoscale/targets.go
+++ b/autoscale/targets.go
@@ -12,6 +12,9 @@
 const (
 	// ordinaryShare is the least share of ordinary runners in a hall, which remain when its spot runners go.
 	ordinaryShare = 0.04
+	// lossShare is the part of the demand that must fit into all slots after the loss of a hall's spot runners: smaller
+	// models bear the rest until there are others.
+	lossShare = 0.8
 	// limitShare and startShare tell how many runners are kept until the demand is known: a share of the limits of all halls
 	// together as soon as that many are listed, or else of those found at the start.
 	limitShare = 0.25
@@ -66,9 +69,9 @@
 }
 
 // keepAfterLoss turns spot runners into ordinary ones until what is left after the loss of any hall's spot runners runs
-// the demand with all its slots: the smaller models bear the rest.
+// lossShare of the demand with all its slots.
 func (s *Scaler) keepAfterLoss(view *View, spread targets, wanted int) {
-	needed := int(math.Ceil(float64(min(wanted, spread.total())) * s.settings.Utilisation))
+	needed := int(math.Ceil(lossShare * float64(min(wanted, spread.total())) * s.settings.Utilisation))
 	for _, hall := range view.byPrice() {
 		spot, ordinary := subject{hall.ID, true}, subject{hall.ID, false}
 		if short := needed - (spread.total() - spread[spot]); short > 0 {
