--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -82,6 +82,7 @@
 	x.hints = newHints(x, deps.Hints)
 	x.duties = newDuties(x, deps.DutyLog)
 	x.duties.addWorker(willowwick.DutyUsage, x.usage.work(x.duties, deps.DutyAPI))
+	x.duties.addWorker(willowwick.DutyScale, newAutoscaler(x, x.duties, deps.DutyAPI).work)
 	return &Daemon{router: x, deps: deps, callers: newCallerListener(deps.Callers)}, func() {
 		closePeers()
 		closeRouter()
