Own interface: endpoints that were not reached don't count as attempts

Callers saw 503 (no_endpoint) though an endpoint still ran: a request gave up after four endpoints of the list that had just ended or drain. Such an endpoint has run nothing, so it now counts only the second time it isn't reached; sends still count, and repeats of them take from the retry budget.

--- a/serve/call.go
+++ b/serve/call.go
@@ -48,7 +48,7 @@
 	startedAt    time.Time
 	firstChunkAt time.Time
 	text         strings.Builder
-	attempts     int
+	attempts     int // sends, and connections to endpoints that had not been reached before
 	closed       bool
 	finished     bool // the answer is complete
 }
@@ -162,8 +162,10 @@
 		ticket.Done(route.OutcomeCancelled)
 		return nil
 	}
+	if !isNotTaken(err) || c.exclude[endpoint] {
+		c.attempts++
+	}
 	c.exclude[endpoint] = true
-	c.attempts++
 	needsBudget := false // whether a retry takes from the retry budget
 	switch {
 	case errors.Is(err, willowwick.ErrDraining):
@@ -193,6 +195,11 @@
 	return willowwick.NotRun(willowwick.CodeNoEndpoint, clock.Now().Add(gate.OverloadRetryDelay), "no endpoint accepted the request")
 }
 
+// isNotTaken reports whether an endpoint that failed a send was not reached or is draining, so that nothing was run.
+func isNotTaken(err error) bool {
+	return errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrDraining)
+}
+
 // interruptedRefusal returns the refusal for a call whose context has ended: its deadline has passed or its caller has
 // disconnected.
 func (c *resumableCall) interruptedRefusal() *willowwick.Refusal {
--- a/serve/services.go
+++ b/serve/services.go
@@ -38,6 +38,7 @@
 		call       willowwick.ServiceCall
 		trace      *Trace
 		repeatable bool
+		attempts   int // sends, and connections to endpoints that had not been reached before
 		sent       bool
 		exclude    map[willowwick.EndpointID]bool
 	}
@@ -183,7 +184,7 @@
 // send tries instances until one answers; a call that is not idempotent is
 // retried only if no part of it was sent.
 func (s *serviceRun) send(ctx context.Context) (*serviceReply, *willowwick.Refusal) {
-	for attempt := 1; ; attempt++ {
+	for {
 		ticket, refusal := s.daemon.gate.Enter(ctx, s.admission())
 		if refusal != nil {
 			return nil, s.correctRefusal(refusal)
@@ -193,7 +194,6 @@
 			return nil, refusal
 		}
 		if !s.daemon.obtainPermit(ctx, ticket, s.exclude) {
-			attempt--
 			continue
 		}
 		s.call.Endpoint, s.call.OnNotice = ticket.Endpoint, s.daemon.onNotice(ticket.Endpoint, s.request.ID)
@@ -207,7 +207,7 @@
 			}
 			return reply, nil
 		}
-		if refusal := s.handleError(ctx, ticket, err, attempt); refusal != nil {
+		if refusal := s.handleError(ctx, ticket, err); refusal != nil {
 			return nil, refusal
 		}
 		s.daemon.metrics.retries.Inc()
@@ -252,10 +252,13 @@
 }
 
 // handleError gives the slot back after a failed attempt. It returns nil if the call may be retried.
-func (s *serviceRun) handleError(ctx context.Context, ticket *gate.Ticket, err error, attempt int) *willowwick.Refusal {
+func (s *serviceRun) handleError(ctx context.Context, ticket *gate.Ticket, err error) *willowwick.Refusal {
 	s.trace.add("endpoint", "%s: %v", ticket.Endpoint.ID, err)
+	notSent := isNotTaken(err)
+	if !notSent || s.exclude[ticket.Endpoint.ID] {
+		s.attempts++
+	}
 	s.exclude[ticket.Endpoint.ID] = true
-	notSent := errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrDraining)
 	ticket.Done(route.OutcomeFailed)
 	s.daemon.recordFailure(ctx, s.content, ticket.Endpoint, ticket.Endpoint.Release, err)
 	s.sent = s.sent || !notSent
@@ -264,7 +267,7 @@
 		return willowwick.OutcomeUnknown(willowwick.CodeEndpointError, "the call was sent and its answer was lost; it may have taken effect, and is not retried")
 	case ctx.Err() != nil && s.sent:
 		return willowwick.Failed(willowwick.CodeDeadline, "the deadline passed before the service answered")
-	case attempt < maxAttempts && (notSent || s.daemon.retries.Take()):
+	case s.attempts < maxAttempts && (notSent || s.daemon.retries.Take()):
 		return nil
 	case s.sent:
 		return willowwick.Failed(willowwick.CodeEndpointError, "no instance answered")
