A stopping box of the own interface answers what arrives on its callers' connections

A call that arrived as http.Server.Shutdown closed its connection as idle got EOF: neither an answer nor a refusal. The exchange's listener, which closes an idle connection only before anything was read from it, now serves both (package wire). Over TLS, a connection on which only a handshake was read counts as idle after 5 s, and HTTP/2 is left to Shutdown.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +13,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -66,7 +66,7 @@
 	Daemon struct {
 		router  *Router
 		deps    Dependencies
-		callers *callerListener
+		callers *wire.CallerListener
 		servers []*http.Server
 		workers fleet.Workers
 		cancel  context.CancelFunc
@@ -80,7 +80,7 @@
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
 	x.hints = newHints(x, deps.Hints)
-	return &Daemon{router: x, deps: deps, callers: newCallerListener(deps.Callers)}, func() {
+	return &Daemon{router: x, deps: deps, callers: wire.NewCallerListener(deps.Callers)}, func() {
 		closePeers()
 		closeRouter()
 	}
@@ -137,9 +137,9 @@
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	if listener == d.callers {
-		server.Handler = d.callers.rejectRetired(handler)
-		server.ConnContext = d.callers.connContext
-		server.ConnState = d.callers.trackState
+		server.Handler = d.callers.RejectRetired(handler)
+		server.ConnContext = d.callers.ConnContext
+		server.ConnState = d.callers.TrackState
 	}
 	d.servers = append(d.servers, server)
 	d.workers.Go(func() {
@@ -180,22 +180,22 @@
 	x.refusesLate.Store(true)
 	// The listener stays open until awaitIdle returns: the load balancer uses boxes that are not ready where it
 	// has too few others. Idle connections stay open too: a request may be in transit on them.
-	awaitIdle(&d.callers.busyConns, limit)
+	awaitIdle(d.callers.Busy, limit)
 	if err := d.callers.Close(); err != nil {
 		slog.Debug("closing the listener for callers failed", "error", err)
 	}
 	ctx, cancel := clock.WithDeadline(context.Background(), limit)
 	defer cancel()
-	if left := d.callers.retire(ctx); left > 0 {
+	if left := d.callers.Retire(ctx, 0); left > 0 {
 		slog.Info("requests were still in progress at the end of the grace period", "requests", left)
 	}
 	slog.Info("planned stop ended", "ms", clock.Since(began).Milliseconds())
 }
 
 // awaitIdle waits until consecutive checks find no caller's connection with a request in progress, or until the limit.
-func awaitIdle(busy *atomic.Int64, limit time.Time) {
+func awaitIdle(busy func() int64, limit time.Time) {
 	for quiet := 0; quiet < idlePollsRequired && clock.Now().Before(limit); quiet++ {
-		if busy.Load() > 0 {
+		if busy() > 0 {
 			quiet = 0
 		}
 		time.Sleep(idlePollInterval)
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/rollout"
 	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -25,8 +26,6 @@
 	loadPollInterval   = 500 * time.Millisecond
 	loadTimeout        = time.Second
 	maxConcurrentPolls = 16
-	drainPollInterval  = 20 * time.Millisecond
-	leaveTimeout       = 4 * time.Second
 	readHeaderTimeout  = 10 * time.Second
 	maxHeaderBytes     = 64 << 10
 	withdrawalOrderTTL = 10 * time.Second
@@ -56,6 +55,7 @@
 		requestSlots       chan struct{}
 		activeConns        connTracker
 		callers            *http.Server
+		callerConns        *wire.CallerListener
 		admin              *http.Server
 		orderedWithdrawals map[withdrawalKey]bool
 
@@ -66,19 +66,6 @@
 		workers    fleet.Workers
 	}
 
-	// connTracker tracks the callers' HTTP/1 connections with an accepted request until the last byte of the answer is
-	// written.
-	//
-	// Running handlers don't show this: a handler returns before its last bytes are written. Nor does Server.Shutdown: it
-	// closes a connection as idle while it serves a request that was read together with the one before.
-	connTracker struct {
-		mu    sync.Mutex
-		conns map[net.Conn]bool
-	}
-
-	// callerConnKey is the context key of the connection that a request came in on.
-	callerConnKey struct{}
-
 	withdrawalKey struct {
 		endpoint willowwick.EndpointID
 		version  willowwick.VersionID
@@ -95,6 +82,7 @@
 		gate: gate.New(), learner: route.NewLearner(), limiter: route.NewAccountLimiter(),
 		retries: route.NewRetryBudget(), traces: newTraces(), rater: newRaterHealth(),
 		requestSlots: make(chan struct{}, settings.MaxRequests), orderedWithdrawals: map[withdrawalKey]bool{},
+		callerConns: wire.NewCallerListener(deps.Callers),
 	}
 	d.endpointNames.Store(&map[fleet.NameHash]willowwick.EndpointID{})
 	transport, closeTransport := fleet.NewTransport(settings.Key, deps.Dial, settings.PeerTLS)
@@ -120,11 +108,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.callers = d.newServer(d.trackConns(d.callerHandler()))
+	d.callers = d.newServer(d.callerConns.RejectRetired(d.trackConns(d.callerHandler())))
 	d.callers.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, callerConnKey{}, conn)
+		return context.WithValue(d.callerConns.ConnContext(ctx, conn), callerConnKey{}, conn)
+	}
+	d.callers.ConnState = func(conn net.Conn, state http.ConnState) {
+		d.callerConns.TrackState(conn, state)
+		d.activeConns.onStateChange(conn, state)
 	}
-	d.callers.ConnState = d.activeConns.onStateChange
 	d.callers.TLSConfig = d.settings.CallerTLS
 	d.admin = d.newServer(d.adminHandler())
 	d.workers.Go(func() { d.gate.Run(ctx) })
@@ -150,111 +141,18 @@
 
 func (d *Daemon) serveCallers() {
 	if d.settings.CallerTLS != nil {
-		serveUntilClosed(d.callers.ServeTLS(d.deps.Callers, "", ""))
+		serveUntilClosed(d.callers.ServeTLS(d.callerConns, "", ""))
 		return
 	}
-	serveUntilClosed(d.callers.Serve(d.deps.Callers))
+	serveUntilClosed(d.callers.Serve(d.callerConns))
 }
 
 func serveUntilClosed(err error) {
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		slog.Error("server stopped unexpectedly", "error", err)
 	}
 }
 
-// trackConns adds the connections of accepted requests to the tracker; once the box refuses new requests, it adds none.
-func (d *Daemon) trackConns(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := r.Context().Value(callerConnKey{}).(net.Conn)
-		// An HTTP/2 connection carries several requests, and Server.Shutdown waits for each of them.
-		if ok && r.ProtoMajor == 1 && !d.isRefusing() {
-			d.activeConns.add(conn)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-func (a *connTracker) add(conn net.Conn) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conns == nil {
-		a.conns = map[net.Conn]bool{}
-	}
-	a.conns[conn] = true
-}
-
-// onStateChange is the server's ConnState hook; it is called with one of these states once the answer is written.
-func (a *connTracker) onStateChange(conn net.Conn, state http.ConnState) {
-	if state != http.StateIdle && state != http.StateClosed && state != http.StateHijacked {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.conns, conn)
-}
-
-func (a *connTracker) count() int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return int64(len(a.conns))
-}
-
-// Drain prepares a planned stop: it reports not ready, then refuses new requests,
-// then finishes answers and hands over usage records. It returns when the daemon
-// may be stopped.
-func (d *Daemon) Drain(ctx context.Context) error {
-	ctx, cancel := clock.WithDeadline(ctx, clock.Now().Add(d.settings.DrainTimeout))
-	defer cancel()
-	slog.Info("planned stop began", "box", d.settings.Box)
-	d.notReady.Store(true)
-	d.leaveFleet(ctx)
-	pause(ctx, d.settings.DrainDelay)
-	d.refusing.Store(true)
-	if err := awaitAnswers(ctx, d.inFlight.Load); err != nil {
-		return err
-	}
-	// All usage is recorded by now, so the hand-over needn't wait for callers that read their answers slowly.
-	isHandedOver := d.node.Usage.HandOver(ctx)
-	if err := awaitAnswers(ctx, d.activeConns.count); err != nil {
-		return err
-	}
-	if err := d.callers.Shutdown(ctx); err != nil {
-		slog.Info("connections of callers were still open after draining", "error", err)
-	}
-	if !isHandedOver {
-		return errors.New("neither another box nor the log accepted the usage records")
-	}
-	slog.Info("planned stop ended", "box", d.settings.Box)
-	return nil
-}
-
-// awaitAnswers waits until no answer is in progress or the context is done.
-func awaitAnswers(ctx context.Context, inProgress func() int64) error {
-	for inProgress() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPollInterval)
-	}
-	if left := inProgress(); left > 0 {
-		return errors.Errorf("%d answers were still in progress when draining ended", left)
-	}
-	return nil
-}
-
-// leaveFleet hands over the claims and the lease within leaveTimeout, while the log is available.
-func (d *Daemon) leaveFleet(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	d.node.Drain(ctx)
-}
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (d *Daemon) isRefusing() bool {
 	return d.refusing.Load()
 }
--- a/serve/drain_test.go
+++ b/serve/drain_test.go
@@ -24,6 +24,7 @@
 	// slowReadDelay is the time until a slow caller reads its answer: longer than the server's own shutdown may take.
 	slowReadDelay = 20 * time.Second
 	drainDelay    = time.Second
+	callInterval  = 100 * time.Millisecond
 	// drainTimeout is the maximum duration of a planned stop.
 	drainTimeout = time.Minute
 )
@@ -132,6 +133,27 @@
 	})
 }
 
+// Guards against a stopping box that closes a connection as idle while the next call arrives on it: the call got neither
+// an answer nor a refusal.
+func TestDrainRefusesCallsOnConnectionsInUse(t *testing.T) {
+	runDrainScenario(t, func(s *drainScenario) {
+		awaitEnd := s.startDrain()
+		for began, isLast := time.Now(), false; !isLast; time.Sleep(callInterval) {
+			require.Less(t, time.Since(began), drainTimeout)
+			s.send(serviceCall("again"))
+			answer, err := http.ReadResponse(s.reader, nil)
+			require.NoError(t, err, "the call was neither answered nor refused")
+			_, err = io.Copy(io.Discard, answer.Body)
+			require.NoError(t, err)
+			isLast = answer.Close
+			if isLast {
+				assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+			}
+		}
+		awaitEnd()
+	})
+}
+
 func TestDrainTimesOutIfCallerNeverReads(t *testing.T) {
 	runDrainScenarioWith(t, 2*drainTimeout, func(s *drainScenario) {
 		s.send(serviceCall("never"))
--- /dev/null
+++ b/wire/callers.go
@@ -0,0 +1,235 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/willowwick/willowwick/clock"
+)
+
+const (
+	// connIdle: no request is on the connection.
+	connIdle connUse = iota
+	// connBusy: a request is on the connection, from its first byte on.
+	connBusy
+	// connRetired: this box has closed the connection and accepts nothing more from it.
+	connRetired
+	// connShared: the connection carries several requests at a time (HTTP/2), and http.Server.Shutdown waits for them.
+	connShared
+)
+
+const (
+	// retirePoll is how often a stopping box checks whether callers' connections are idle.
+	retirePoll = 10 * time.Millisecond
+	// handshakeLimit is the time after which a connection without a request is idle, whatever was read from it: the
+	// bytes belong to a TLS handshake.
+	handshakeLimit = 5 * time.Second
+)
+
+type (
+	connUse = int32
+
+	// callerConnKey is the context key of the caller's connection.
+	callerConnKey struct{}
+
+	// CallerListener tracks callers' connections and which of them have a request.
+	//
+	// net/http considers a connection idle until it has read a complete head, and would close it while a request
+	// arrives. The listener's ConnContext, TrackState and RejectRetired must be set on its server.
+	CallerListener struct {
+		net.Listener
+		busyConns atomic.Int64
+
+		mu      sync.Mutex
+		conns   map[*callerConn]bool
+		retired bool // new connections are closed unread
+	}
+
+	// callerConn is a caller's connection and its use.
+	callerConn struct {
+		net.Conn
+		listener    *CallerListener
+		use         atomic.Int32 // a connUse
+		hasRequests atomic.Bool  // a request has begun on it
+		acceptedAt  time.Time
+		idleSince   atomic.Int64 // nanoseconds since 1970
+	}
+)
+
+// NewCallerListener returns a listener that tracks the connections that it accepts.
+func NewCallerListener(listener net.Listener) *CallerListener {
+	return &CallerListener{Listener: listener, conns: map[*callerConn]bool{}}
+}
+
+// Accept implements net.Listener. A connection that was accepted while the listener was being closed may get here
+// only after the others were retired; it is closed unread, because nothing would wait for its request.
+func (l *CallerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: conn, listener: l, acceptedAt: clock.Now()}
+	c.idleSince.Store(c.acceptedAt.UnixNano())
+	if !l.register(c) {
+		c.closeUnread()
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// register reports whether requests may be accepted from a new connection; if so, retire waits for the connection.
+func (l *CallerListener) register(c *callerConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired {
+		return false
+	}
+	l.conns[c] = true
+	return true
+}
+
+// Busy returns the number of connections with a request.
+func (l *CallerListener) Busy() int64 {
+	return l.busyConns.Load()
+}
+
+// ConnContext is the server's ConnContext hook.
+func (l *CallerListener) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// RejectRetired passes on requests of connections that are not retired. The server may have read a request together
+// with the previous one: the connection then seems idle until the request gets here, and may have been retired.
+func (l *CallerListener) RejectRetired(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(callerConnKey{}).(net.Conn)
+		if c, ok := trackedConn(conn); ok && !c.acquire() {
+			slog.Info("request rejected, its connection was already closed", "target", r.RequestURI)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Read implements net.Conn; bytes that arrive while the connection is retired belong to a request that was never
+// accepted.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.acquire() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// acquire marks the connection as busy, and reports whether its request may proceed.
+func (c *callerConn) acquire() bool {
+	if c.use.CompareAndSwap(connIdle, connBusy) {
+		c.listener.busyConns.Add(1)
+	}
+	return c.use.Load() != connRetired
+}
+
+func (c *callerConn) closeUnread() {
+	if err := c.Conn.Close(); err != nil {
+		slog.Debug("close of a caller's connection failed", "error", err)
+	}
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	delete(c.listener.conns, c)
+	return c.Conn.Close()
+}
+
+// trackedConn returns the tracked connection beneath a server's connection, which may be one of TLS.
+func trackedConn(conn net.Conn) (*callerConn, bool) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	c, ok := conn.(*callerConn)
+	return c, ok
+}
+
+// TrackState is the server's ConnState hook; a connection is idle again once its answer was written.
+func (l *CallerListener) TrackState(conn net.Conn, state http.ConnState) {
+	c, ok := trackedConn(conn)
+	switch {
+	case !ok || state == http.StateNew:
+	case state == http.StateActive:
+		c.hasRequests.Store(true)
+		if secure, ok := conn.(*tls.Conn); ok && secure.ConnectionState().NegotiatedProtocol == "h2" {
+			l.leaveToServer(c)
+		}
+	default:
+		c.idleSince.Store(clock.Now().UnixNano())
+		if c.use.CompareAndSwap(connBusy, connIdle) {
+			l.busyConns.Add(-1)
+		}
+	}
+}
+
+// leaveToServer excepts a connection from retire.
+func (l *CallerListener) leaveToServer(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired {
+		return
+	}
+	delete(l.conns, c)
+	if c.use.Swap(connShared) == connBusy {
+		l.busyConns.Add(-1)
+	}
+}
+
+// Retire closes connections that have been idle for a time, each before another request can be read from it, and waits
+// for the others to become idle; it returns how many are left when the context ends. The listener must be closed before.
+func (l *CallerListener) Retire(ctx context.Context, idle time.Duration) int {
+	timer := time.NewTicker(retirePoll)
+	defer timer.Stop()
+	for {
+		left := l.retireIdle(clock.Now(), idle)
+		if left == 0 || ctx.Err() != nil {
+			return left
+		}
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// retireIdle closes the connections that have been idle for a time and returns how many are left.
+func (l *CallerListener) retireIdle(now time.Time, idle time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	for c := range l.conns {
+		if !c.retire(now, idle) {
+			continue
+		}
+		delete(l.conns, c)
+		c.closeUnread()
+	}
+	return len(l.conns)
+}
+
+// retire reports whether the connection is idle; if so, nothing more is read from it.
+func (c *callerConn) retire(now time.Time, idle time.Duration) bool {
+	if now.UnixNano()-c.idleSince.Load() >= int64(idle) && c.use.CompareAndSwap(connIdle, connRetired) {
+		return true
+	}
+	isHandshake := !c.hasRequests.Load() && now.Sub(c.acceptedAt) >= handshakeLimit
+	if isHandshake && c.use.CompareAndSwap(connBusy, connRetired) {
+		c.listener.busyConns.Add(-1)
+		return true
+	}
+	return false
+}
--- a/exchange/callers_test.go
+++ b/wire/callers_test.go
@@ -1,4 +1,4 @@
-package exchange
+package wire
 
 import (
 	"context"
@@ -33,10 +33,10 @@
 
 func (l *singleConnListener) Accept() (net.Conn, error) { return l.conn, nil }
 
-func acceptBlocked(t *testing.T) (*callerListener, *callerConn, chan struct{}) {
+func acceptBlocked(t *testing.T) (*CallerListener, *callerConn, chan struct{}) {
 	t.Helper()
 	release := make(chan struct{})
-	l := newCallerListener(&singleConnListener{conn: &blockedConn{release: release}})
+	l := NewCallerListener(&singleConnListener{conn: &blockedConn{release: release}})
 	conn, err := l.Accept()
 	require.NoError(t, err)
 	return l, conn.(*callerConn), release
@@ -51,7 +51,7 @@
 		assert.Zero(t, n)
 		read <- err
 	}()
-	assert.Zero(t, l.retire(t.Context()))
+	assert.Zero(t, l.Retire(t.Context(), 0))
 	close(release)
 	assert.ErrorIs(t, <-read, net.ErrClosed)
 	assert.Zero(t, l.busyConns.Load())
@@ -65,9 +65,9 @@
 	require.NotZero(t, n)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	assert.Equal(t, 1, l.retire(ended), "the busy connection is waited for until the context ends")
-	l.trackState(conn, http.StateIdle)
-	assert.Zero(t, l.retire(t.Context()))
+	assert.Equal(t, 1, l.Retire(ended, 0), "the busy connection is waited for until the context ends")
+	l.TrackState(conn, http.StateIdle)
+	assert.Zero(t, l.Retire(t.Context(), 0))
 }
 
 // Each answer that a stopping box has begun reaches its caller; other callers see a closed connection, and nothing
@@ -75,9 +75,9 @@
 func TestShutdownAnswersEachAcceptedRequest(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := newCallerListener(inner)
+	l := NewCallerListener(inner)
 	taken := make(chan struct{}, 1)
-	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: l.trackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: l.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		taken <- struct{}{}
 		time.Sleep(50 * time.Millisecond)
 		_, _ = io.WriteString(w, "whole")
@@ -97,6 +97,6 @@
 	}()
 	<-taken
 	require.NoError(t, l.Listener.Close())
-	assert.Zero(t, l.retire(t.Context()))
+	assert.Zero(t, l.Retire(t.Context(), 0))
 	assert.Equal(t, "whole", <-answer)
 }
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -1,4 +1,7 @@
 // Package wire sends HTTP/1.1 requests to endpoints over its own pool of persistent connections, and reports for each
 // failure whether the endpoint may have executed the request. Begin with Pool: its Open returns a Conn, which sends a
 // Message and receives an Answer.
+//
+// CallerListener is for the other side: it lets a server that stops close idle connections of callers without losing
+// a request that arrives at that moment.
 package wire
