--- a/serve/call.go
+++ b/serve/call.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	maxAttempts           = 4
 	firstChunkStallFactor = 3   // timeout of the first chunk as a multiple of the stall timeout
 	prefixBytes           = 256 // number of bytes that prefixHash hashes
 )
@@ -38,7 +37,7 @@
 	run          *run
 	ctx          context.Context
 	version      willowwick.VersionID
-	exclude      map[willowwick.EndpointID]bool // endpoints that failed or refused this call
+	attempts     attempts
 	ticket       *gate.Ticket
 	stream       willowwick.ChunkStream
 	release      func() // releases the stream; cancel cancels its context
@@ -48,7 +47,6 @@
 	startedAt    time.Time
 	firstChunkAt time.Time
 	text         strings.Builder
-	attempts     int // sends, and connections to endpoints that had not been reached before
 	closed       bool
 	finished     bool // the answer is complete
 }
@@ -69,7 +67,7 @@
 
 // open starts the answer of a version at some runner.
 func (r *run) open(ctx context.Context, version willowwick.VersionID) (*resumableCall, *willowwick.Refusal) {
-	c := &resumableCall{run: r, ctx: ctx, version: version, exclude: map[willowwick.EndpointID]bool{}, startedAt: clock.Now()}
+	c := &resumableCall{run: r, ctx: ctx, version: version, attempts: newAttempts(), startedAt: clock.Now()}
 	if refusal := c.connect(); refusal != nil {
 		return nil, refusal
 	}
@@ -79,6 +77,7 @@
 // connect opens the answer at some runner from the position reached.
 func (c *resumableCall) connect() *willowwick.Refusal {
 	for {
+		c.attempts.awaitNews(c.ctx)
 		if refusal := c.checkAllowed(); refusal != nil {
 			return refusal
 		}
@@ -89,7 +88,7 @@
 		if refusal != nil {
 			return refusal
 		}
-		if !c.run.daemon.obtainPermit(c.ctx, ticket, c.exclude) {
+		if !c.run.daemon.obtainPermit(c.ctx, ticket, c.attempts.exclude) {
 			continue
 		}
 		err := c.openAt(ticket)
@@ -120,7 +119,7 @@
 		Work: string(c.version), Account: r.request.Account, Weight: r.account.FairWeight(),
 		Cost: r.request.EstimatedTokens(), Deadline: r.request.Deadline,
 		Acquire: func(now time.Time) (*route.Slot, bool) {
-			return r.daemon.pool.AcquireVersion(now, c.version, r.prefix, c.exclude)
+			return r.daemon.pool.AcquireVersion(now, c.version, r.prefix, c.attempts.exclude)
 		},
 		Unavailable: func(now time.Time) (route.Shortage, bool) { return r.daemon.pool.VersionUnavailable(now, c.version) },
 	})
@@ -162,10 +161,7 @@
 		ticket.Done(route.OutcomeCancelled)
 		return nil
 	}
-	if !isNotTaken(err) || c.exclude[endpoint] {
-		c.attempts++
-	}
-	c.exclude[endpoint] = true
+	c.attempts.add(endpoint, err)
 	needsBudget := false // whether a retry takes from the retry budget
 	switch {
 	case errors.Is(err, willowwick.ErrDraining):
@@ -185,7 +181,7 @@
 		ticket.Done(route.OutcomeFailed)
 		c.recordFailure(ticket.Endpoint, err)
 	}
-	if c.attempts < maxAttempts && (!needsBudget || r.daemon.retries.Take()) {
+	if !c.attempts.areOver() && (!needsBudget || r.daemon.retries.Take()) {
 		r.daemon.metrics.retries.Inc()
 		return nil
 	}
@@ -195,11 +191,6 @@
 	return willowwick.NotRun(willowwick.CodeNoEndpoint, clock.Now().Add(gate.OverloadRetryDelay), "no endpoint accepted the request")
 }
 
-// isNotTaken reports whether an endpoint that failed a send was not reached or is draining, so that nothing was run.
-func isNotTaken(err error) bool {
-	return errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrDraining)
-}
-
 // interruptedRefusal returns the refusal for a call whose context has ended: its deadline has passed or its caller has
 // disconnected.
 func (c *resumableCall) interruptedRefusal() *willowwick.Refusal {
@@ -272,9 +263,9 @@
 		return c.interruptedRefusal()
 	}
 	r.daemon.metrics.resumes.Inc()
+	c.attempts.add(endpoint.ID, willowwick.ErrBroken)
 	c.recordFailure(endpoint, err)
-	c.attempts++
-	if c.attempts >= maxAttempts || !r.daemon.retries.Take() {
+	if c.attempts.areOver() || !r.daemon.retries.Take() {
 		return willowwick.Failed(willowwick.CodeCutOff, "the answer was cut off and could not be resumed")
 	}
 	if refusal := c.connect(); refusal != nil {
@@ -297,7 +288,7 @@
 	if c.ticket == nil {
 		return
 	}
-	c.exclude[c.ticket.Endpoint.ID] = outcome == route.OutcomeFailed
+	c.attempts.exclude[c.ticket.Endpoint.ID] = outcome == route.OutcomeFailed
 	c.cancel()
 	c.release()
 	c.ticket.Done(outcome)
--- a/serve/services.go
+++ b/serve/services.go
@@ -38,9 +38,8 @@
 		call       willowwick.ServiceCall
 		trace      *Trace
 		repeatable bool
-		attempts   int // sends, and connections to endpoints that had not been reached before
+		attempts   attempts
 		sent       bool
-		exclude    map[willowwick.EndpointID]bool
 	}
 
 	// serviceReply is the complete answer of a plain service.
@@ -126,7 +125,7 @@
 	repeatable := declared.IsRepeatable(r.Method, path)
 	return &serviceRun{
 		daemon: d, request: request, account: account, service: service, repeatable: repeatable,
-		exclude: map[willowwick.EndpointID]bool{},
+		attempts: newAttempts(),
 		content: &content{
 			poison: willowwick.PoisonRequest{Account: request.Account, Service: service, Host: r.Method, Target: r.URL.RequestURI()},
 			body:   func() []byte { return body },
@@ -185,6 +184,7 @@
 // retried only if no part of it was sent.
 func (s *serviceRun) send(ctx context.Context) (*serviceReply, *willowwick.Refusal) {
 	for {
+		s.attempts.awaitNews(ctx)
 		ticket, refusal := s.daemon.gate.Enter(ctx, s.admission())
 		if refusal != nil {
 			return nil, s.correctRefusal(refusal)
@@ -193,7 +193,7 @@
 			ticket.Done(route.OutcomeCancelled)
 			return nil, refusal
 		}
-		if !s.daemon.obtainPermit(ctx, ticket, s.exclude) {
+		if !s.daemon.obtainPermit(ctx, ticket, s.attempts.exclude) {
 			continue
 		}
 		s.call.Endpoint, s.call.OnNotice = ticket.Endpoint, s.daemon.onNotice(ticket.Endpoint, s.request.ID)
@@ -219,7 +219,7 @@
 		Work: servicePrefix + string(s.service), Account: s.request.Account, Weight: s.account.FairWeight(),
 		Cost: serviceCallCost, Deadline: s.request.Deadline,
 		Acquire: func(now time.Time) (*route.Slot, bool) {
-			return s.daemon.pool.AcquireService(now, s.service, s.exclude)
+			return s.daemon.pool.AcquireService(now, s.service, s.attempts.exclude)
 		},
 		Unavailable: func(now time.Time) (route.Shortage, bool) {
 			return s.daemon.pool.AllUnavailable(now, s.service, nil)
@@ -255,10 +255,7 @@
 func (s *serviceRun) handleError(ctx context.Context, ticket *gate.Ticket, err error) *willowwick.Refusal {
 	s.trace.add("endpoint", "%s: %v", ticket.Endpoint.ID, err)
 	notSent := isNotTaken(err)
-	if !notSent || s.exclude[ticket.Endpoint.ID] {
-		s.attempts++
-	}
-	s.exclude[ticket.Endpoint.ID] = true
+	s.attempts.add(ticket.Endpoint.ID, err)
 	ticket.Done(route.OutcomeFailed)
 	s.daemon.recordFailure(ctx, s.content, ticket.Endpoint, ticket.Endpoint.Release, err)
 	s.sent = s.sent || !notSent
@@ -267,7 +264,7 @@
 		return willowwick.OutcomeUnknown(willowwick.CodeEndpointError, "the call was sent and its answer was lost; it may have taken effect, and is not retried")
 	case ctx.Err() != nil && s.sent:
 		return willowwick.Failed(willowwick.CodeDeadline, "the deadline passed before the service answered")
-	case s.attempts < maxAttempts && (notSent || s.daemon.retries.Take()):
+	case !s.attempts.areOver() && (notSent || s.daemon.retries.Take()):
 		return nil
 	case s.sent:
 		return willowwick.Failed(willowwick.CodeEndpointError, "no instance answered")
