--- a/serve/services.go
+++ b/serve/services.go
@@ -38,8 +38,8 @@
 		call       willowwick.ServiceCall
 		trace      *Trace
 		repeatable bool
+		attempts   attempts
 		sent       bool
-		exclude    map[willowwick.EndpointID]bool
 	}
 
 	// serviceReply is the complete answer of a plain service.
@@ -125,7 +125,7 @@
 	repeatable := declared.IsRepeatable(r.Method, path)
 	return &serviceRun{
 		daemon: d, request: request, account: account, service: service, repeatable: repeatable,
-		exclude: map[willowwick.EndpointID]bool{},
+		attempts: newAttempts(),
 		content: &content{
 			poison: willowwick.PoisonRequest{Account: request.Account, Service: service, Host: r.Method, Target: r.URL.RequestURI()},
 			body:   func() []byte { return body },
@@ -183,7 +183,8 @@
 // send tries instances until one answers; a call that is not idempotent is
 // retried only if no part of it was sent.
 func (s *serviceRun) send(ctx context.Context) (*serviceReply, *willowwick.Refusal) {
-	for attempt := 1; ; attempt++ {
+	for {
+		s.attempts.awaitNews(ctx)
 		ticket, refusal := s.daemon.gate.Enter(ctx, s.admission())
 		if refusal != nil {
 			return nil, s.correctRefusal(refusal)
@@ -192,8 +193,7 @@
 			ticket.Done(route.OutcomeCancelled)
 			return nil, refusal
 		}
-		if !s.daemon.obtainPermit(ctx, ticket, s.exclude) {
-			attempt--
+		if !s.daemon.obtainPermit(ctx, ticket, s.attempts.exclude) {
 			continue
 		}
 		s.call.Endpoint, s.call.OnNotice = ticket.Endpoint, s.daemon.onNotice(ticket.Endpoint, s.request.ID)
@@ -207,7 +207,7 @@
 			}
 			return reply, nil
 		}
-		if refusal := s.handleError(ctx, ticket, err, attempt); refusal != nil {
+		if refusal := s.handleError(ctx, ticket, err); refusal != nil {
 			return nil, refusal
 		}
 		s.daemon.metrics.retries.Inc()
@@ -219,7 +219,7 @@
 		Work: servicePrefix + string(s.service), Account: s.request.Account, Weight: s.account.FairWeight(),
 		Cost: serviceCallCost, Deadline: s.request.Deadline,
 		Acquire: func(now time.Time) (*route.Slot, bool) {
-			return s.daemon.pool.AcquireService(now, s.service, s.exclude)
+			return s.daemon.pool.AcquireService(now, s.service, s.attempts.exclude)
 		},
 		Unavailable: func(now time.Time) (route.Shortage, bool) {
 			return s.daemon.pool.AllUnavailable(now, s.service, nil)
@@ -252,10 +252,10 @@
 }
 
 // handleError gives the slot back after a failed attempt. It returns nil if the call may be retried.
-func (s *serviceRun) handleError(ctx context.Context, ticket *gate.Ticket, err error, attempt int) *willowwick.Refusal {
+func (s *serviceRun) handleError(ctx context.Context, ticket *gate.Ticket, err error) *willowwick.Refusal {
 	s.trace.add("endpoint", "%s: %v", ticket.Endpoint.ID, err)
-	s.exclude[ticket.Endpoint.ID] = true
-	notSent := errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrDraining)
+	notSent := isNotTaken(err)
+	s.attempts.add(ticket.Endpoint.ID, err)
 	ticket.Done(route.OutcomeFailed)
 	s.daemon.recordFailure(ctx, s.content, ticket.Endpoint, ticket.Endpoint.Release, err)
 	s.sent = s.sent || !notSent
@@ -264,7 +264,7 @@
 		return willowwick.OutcomeUnknown(willowwick.CodeEndpointError, "the call was sent and its answer was lost; it may have taken effect, and is not retried")
 	case ctx.Err() != nil && s.sent:
 		return willowwick.Failed(willowwick.CodeDeadline, "the deadline passed before the service answered")
-	case attempt < maxAttempts && (notSent || s.daemon.retries.Take()):
+	case !s.attempts.areOver() && (notSent || s.daemon.retries.Take()):
 		return nil
 	case s.sent:
 		return willowwick.Failed(willowwick.CodeEndpointError, "no instance answered")
