Distance as one concept, and allowed regions

Endpoints of other regions have a penalty of their own; after misses a request leaves a region that has failed. Routes and accounts that name regions are served there only: each choice of an endpoint goes by the newest configuration, and a request without one in an allowed region is refused at once, as not run.

Without regions in the settings and in the configuration nothing changes.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -22,9 +22,6 @@
 	anyModel = "*"
 	// maxSends bounds how often one request is sent, including sends that no endpoint ran.
 	maxSends = 8
-	// maxMissesPerHall is the number of unreachable endpoints of one hall after which a request prefers other
-	// halls: a whole hall may fail at once, while its endpoints stay listed for some seconds.
-	maxMissesPerHall = 2
 	// queueWaitShare is the share of the goal that a request may wait for a slot; later, a refusal serves the
 	// caller better.
 	queueWaitShare = 0.25
@@ -70,8 +67,9 @@
 		sends           int       // all sends, whatever their result
 		runs            int       // endpoints that may have run the request
 		triedEndpoints  map[willowwick.EndpointID]bool
-		missesByHall    map[willowwick.HallID]int // endpoints of each hall that were not reached at their listed address; nil if none
-		lastEventID     string                    // ID of the newest event that the caller has received
+		regions         allowedRegions // by the newest configuration; see allowsHall
+		misses          misses
+		lastEventID     string // ID of the newest event that the caller has received
 		streamTiming    streamTiming
 		failure         *failedAnswer
 
@@ -121,7 +119,7 @@
 		return nil, x.unlessStale(refusal, t, arrived)
 	}
 	c.prepare()
-	c.yieldsToUrgent = x.shortages.mustYield(c.service, requestPriority(c.route, c.account), arrived)
+	c.yieldsToUrgent = x.shortages.mustYield(c.queueName(), requestPriority(c.route, c.account), arrived)
 	if refusal := c.refusePoison(arrived); refusal != nil {
 		return nil, refusal
 	}
@@ -272,11 +270,11 @@
 	}
 	work := c.work()
 	return c.router.gate.Enter(c.ctx, gate.Request{
-		Work: string(c.service), Account: c.accountName(), Weight: 1, Cost: c.cost(), Deadline: until,
+		Work: c.queueName(), Account: c.accountName(), Weight: 1, Cost: c.cost(), Deadline: until,
 		Acquire: func(now time.Time) (*route.Slot, bool) {
-			slot, known := c.acquireSlot(now, work, c.choice.allows)
+			slot, known := c.acquireSlot(now, work, c.allows)
 			if slot == nil && !known && c.choice.release != "" {
-				return c.acquireSlot(now, work, c.choice.allowsFallback)
+				return c.acquireSlot(now, work, c.allowsFallback)
 			}
 			return slot, known
 		},
@@ -284,7 +282,7 @@
 	})
 }
 
-// acquireSlot takes a slot at an allowed endpoint, preferring halls with fewer than maxMissesPerHall misses.
+// acquireSlot takes a slot at an allowed endpoint, preferring regions and halls with few misses.
 func (c *call) acquireSlot(now time.Time, work route.Work, allow func(willowwick.Endpoint) bool) (*route.Slot, bool) {
 	if c.avoidsLimitedEndpoints() {
 		allowed := allow
@@ -292,25 +290,15 @@
 			return allowed(endpoint) && !c.router.isLimited(now, endpoint)
 		}
 	}
-	if len(c.missesByHall) > 0 {
-		allowFewMisses := func(endpoint willowwick.Endpoint) bool {
-			return c.missesByHall[endpoint.Hall] < maxMissesPerHall && allow(endpoint)
-		}
-		if slot, _ := c.router.pool.AcquireAllowed(now, c.service, work, c.triedEndpoints, allowFewMisses); slot != nil {
+	for _, hasFewMisses := range c.misses.preferences() {
+		preferred := func(endpoint willowwick.Endpoint) bool { return hasFewMisses(endpoint.Hall) && allow(endpoint) }
+		if slot, _ := c.router.pool.AcquireAllowed(now, c.service, work, c.triedEndpoints, preferred); slot != nil {
 			return slot, true
 		}
 	}
 	return c.router.pool.AcquireAllowed(now, c.service, work, c.excludedEndpoints(now), allow)
 }
 
-// recordMiss counts an endpoint that was not reached at its listed address.
-func (c *call) recordMiss(endpoint willowwick.Endpoint) {
-	if c.missesByHall == nil {
-		c.missesByHall = map[willowwick.HallID]int{}
-	}
-	c.missesByHall[endpoint.Hall]++
-}
-
 // work describes the request's model and prompt for routes with prefix affinity; it is empty for other routes.
 func (c *call) work() route.Work {
 	if !c.route.Affinity {
--- a/exchange/era_test.go
+++ b/exchange/era_test.go
@@ -21,7 +21,7 @@
 type evacuatedHalls struct{ *evacuations }
 
 func newEvacuatedHalls() evacuatedHalls {
-	return evacuatedHalls{newEvacuations(route.NewPoolWith(route.NewHallFirst("hall-a", 1), route.PoolOptions{}))}
+	return evacuatedHalls{newEvacuations(route.NewPoolWith(route.NewHallFirst(willowwick.Topology{Hall: "hall-a"}, 1), route.PoolOptions{}))}
 }
 
 // applyRead applies a read of the store up to a position.
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -167,10 +167,10 @@
 // allowedEndpoints returns the filter for the request's endpoints, whatever their load: the chosen release if it
 // has endpoints, or the other releases.
 func (c *call) allowedEndpoints() func(willowwick.Endpoint) bool {
-	if c.router.pool.HasInService(c.service, c.choice.allows) {
-		return c.choice.allows
+	if c.router.pool.HasInService(c.service, c.allows) {
+		return c.allows
 	}
-	return c.choice.allowsFallback
+	return c.allowsFallback
 }
 
 // areAllUnavailable reports whether all endpoints that the request may use are rate-limited or in backoff, and
@@ -215,6 +215,6 @@
 // recordShortage records a request that was refused because all endpoints are rate-limited.
 func (c *call) recordShortage(refusal *willowwick.Refusal) {
 	if refusal.Code == willowwick.CodeRateLimited {
-		c.router.shortages.record(c.service, requestPriority(c.route, c.account), clock.Now())
+		c.router.shortages.record(c.queueName(), requestPriority(c.route, c.account), clock.Now())
 	}
 }
--- a/exchange/poison.go
+++ b/exchange/poison.go
@@ -32,7 +32,7 @@
 	}
 	x := c.router
 	if x.sync.isRolloutLeader() {
-		if release, isAllowed := x.poison.AllowTrial(c.describePoison(), x.usableReleases(c.service, now), now); isAllowed {
+		if release, isAllowed := x.poison.AllowTrial(c.describePoison(), c.usableReleases(now), now); isAllowed {
 			slog.Info("refused request is tried", "request", c.head.ID, "fingerprint", c.fingerprint().String(), "release", release)
 			x.peers.requestRound()
 			c.trialRelease = release
@@ -49,11 +49,12 @@
 	return c.trialRelease == "" && !poison.IsEmpty() && poison.Refuses(c.fingerprint())
 }
 
-// usableReleases returns the releases of a service's endpoints that may get requests.
-func (x *Router) usableReleases(service willowwick.ServiceID, now time.Time) []willowwick.ReleaseID {
+// usableReleases returns the releases of the endpoints that may get the request.
+func (c *call) usableReleases(now time.Time) []willowwick.ReleaseID {
 	var list []willowwick.ReleaseID
+	x := c.router
 	for _, endpoint := range x.pool.Endpoints() {
-		isUsed := endpoint.Service == service && !endpoint.Leaving && !x.releases.isRetired(service, endpoint.Release, now)
+		isUsed := endpoint.Service == c.service && !endpoint.Leaving && c.allowsHall(endpoint.Hall) && !x.releases.isRetired(c.service, endpoint.Release, now)
 		if isUsed && !slices.Contains(list, endpoint.Release) {
 			list = append(list, endpoint.Release)
 		}
--- /dev/null
+++ b/exchange/regions.go
@@ -0,0 +1,127 @@
+package exchange
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/willowwick/willowwick"
+)
+
+const (
+	// maxMissesPerHall is the number of unreachable endpoints of one hall after which a request prefers other
+	// halls: a whole hall may fail at once, while its endpoints stay listed for some seconds.
+	maxMissesPerHall = 2
+	// maxMissesPerRegion is the same for one region, so that a request leaves a region that has failed with most of
+	// its sends left.
+	maxMissesPerRegion = 3
+)
+
+type (
+	// allowedRegions are the regions in which a request may be served by its route and its client account; an empty list
+	// allows all.
+	allowedRegions struct {
+		of      *table // the configuration that names them
+		route   []willowwick.RegionID
+		account []willowwick.RegionID
+	}
+
+	// misses counts a request's endpoints that were not reached at their listed address.
+	misses struct {
+		topology willowwick.Topology
+		byHall   map[willowwick.HallID]int
+		byRegion map[willowwick.RegionID]int
+	}
+)
+
+// topology returns where the box is and in which regions the halls are.
+func (s Settings) topology() willowwick.Topology {
+	return willowwick.Topology{Hall: s.Hall, Regions: s.Regions}
+}
+
+// allows reports whether the request may be sent to the endpoint: its hall lies in an allowed region, and it has the
+// chosen release.
+func (c *call) allows(endpoint willowwick.Endpoint) bool {
+	return c.choice.allows(endpoint) && c.allowsHall(endpoint.Hall)
+}
+
+// allowsFallback is allows for a request for which no endpoint has the chosen release.
+func (c *call) allowsFallback(endpoint willowwick.Endpoint) bool {
+	return c.choice.allowsFallback(endpoint) && c.allowsHall(endpoint.Hall)
+}
+
+// allowsHall reports whether the newest configuration allows the request to be served in a hall.
+func (c *call) allowsHall(hall willowwick.HallID) bool {
+	allowed, topology := c.allowedRegions(), c.router.topology
+	return topology.IsIn(hall, allowed.route) && topology.IsIn(hall, allowed.account)
+}
+
+// allowedRegions returns the regions of the request by the newest configuration.
+func (c *call) allowedRegions() allowedRegions {
+	newest := c.router.table.Load()
+	if newest == nil || !newest.restrictsRegions {
+		return allowedRegions{}
+	}
+	if c.regions.of != newest {
+		c.regions = newest.regionsFor(c.route, c.account)
+	}
+	return c.regions
+}
+
+// regionsFor returns the regions in which a request may be served whose route and client account, nil if it has none, are
+// of this configuration or an older one. What this configuration lacks keeps its regions.
+func (t *table) regionsFor(route *willowwick.Route, account *willowwick.RoutedAccount) allowedRegions {
+	allowed := allowedRegions{of: t, route: route.Regions}
+	at := slices.IndexFunc(t.Routes, func(r willowwick.Route) bool { return r.Name == route.Name })
+	if at >= 0 {
+		allowed.route = t.Routes[at].Regions
+	}
+	if account == nil {
+		return allowed
+	}
+	allowed.account = account.Regions
+	at = slices.IndexFunc(t.Accounts, func(a willowwick.RoutedAccount) bool { return a.Name == account.Name })
+	if at >= 0 {
+		allowed.account = t.Accounts[at].Regions
+	}
+	return allowed
+}
+
+// queueName names the queue that the request waits in. Requests that may be served in some regions only have queues of
+// their own: they don't wait behind requests for other endpoints, nor those behind them.
+func (c *call) queueName() string {
+	if restriction := c.allowedRegions(); len(restriction.route) == 0 && len(restriction.account) == 0 {
+		return string(c.service)
+	}
+	var allowed []string
+	for hall, region := range c.router.topology.Regions {
+		if c.allowsHall(hall) && !slices.Contains(allowed, string(region)) {
+			allowed = append(allowed, string(region))
+		}
+	}
+	slices.Sort(allowed)
+	return string(c.service) + " in " + strings.Join(allowed, "+")
+}
+
+// record counts an endpoint of a hall.
+func (m *misses) record(topology willowwick.Topology, hall willowwick.HallID) {
+	if m.byHall == nil {
+		m.topology, m.byHall, m.byRegion = topology, map[willowwick.HallID]int{}, map[willowwick.RegionID]int{}
+	}
+	m.byHall[hall]++
+	m.byRegion[topology.Region(hall)]++
+}
+
+// preferences returns which halls a request prefers after its misses, the best choice first; none if there were no misses.
+func (m *misses) preferences() []func(willowwick.HallID) bool {
+	if len(m.byHall) == 0 {
+		return nil
+	}
+	hallHasFew := func(hall willowwick.HallID) bool { return m.byHall[hall] < maxMissesPerHall }
+	if !m.topology.HasRegions() {
+		return []func(willowwick.HallID) bool{hallHasFew}
+	}
+	regionHasFew := func(hall willowwick.HallID) bool {
+		return hallHasFew(hall) && m.byRegion[m.topology.Region(hall)] < maxMissesPerRegion
+	}
+	return []func(willowwick.HallID) bool{regionHasFew, hallHasFew}
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -56,11 +56,11 @@
 		LateConfidence   int
 		RetryBudget      route.RetryLimits
 		Releases         ReleaseSettings
-		Grace            time.Duration // time from the stop signal until the process is killed
-		UnreadyDelay     time.Duration // how long a stopping box waits for the load balancer to send callers elsewhere
-		Drain            time.Duration // a draining endpoint gets no requests later than this
-		ConfigApplyLimit time.Duration // a configuration is in force within this time after it was accepted
-		Regions          map[willowwick.HallID]willowwick.RegionID
+		Grace            time.Duration                             // time from the stop signal until the process is killed
+		UnreadyDelay     time.Duration                             // how long a stopping box waits for the load balancer to send callers elsewhere
+		Drain            time.Duration                             // a draining endpoint gets no requests later than this
+		ConfigApplyLimit time.Duration                             // a configuration is in force within this time after it was accepted
+		Regions          map[willowwick.HallID]willowwick.RegionID // of all halls; empty if there are no regions
 		Duties           DutySettings
 	}
 
@@ -77,6 +77,7 @@
 	// Router relays requests to endpoints without interpreting their bodies.
 	Router struct {
 		settings  Settings
+		topology  willowwick.Topology
 		codec     willowwick.HeaderCodec
 		table     atomic.Pointer[table]
 		pool      *route.Pool
@@ -112,9 +113,9 @@
 	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout})
 	limits := ratelimit.NewLedger()
 	x := &Router{
-		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
+		settings: settings, topology: settings.topology(), codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
 		poison: quarantine.New(), limits: limits, shortages: newShortages(),
-		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
+		pool: route.NewPoolWith(route.NewHallFirst(settings.topology(), settings.Seed), route.PoolOptions{
 			StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
 			Limits: limits,
 		}),
@@ -245,7 +246,7 @@
 // hasOtherEndpoint reports whether an endpoint of the service other than the given one may be tried.
 func (x *Router) hasOtherEndpoint(c *call, not willowwick.EndpointID) bool {
 	return x.pool.HasOpen(clock.Now(), c.service, func(endpoint willowwick.Endpoint) bool {
-		return endpoint.ID != not && !c.triedEndpoints[endpoint.ID] && c.choice.allows(endpoint)
+		return endpoint.ID != not && !c.triedEndpoints[endpoint.ID] && c.allows(endpoint)
 	})
 }
 
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -136,7 +136,7 @@
 	}
 	ticket.Done(s.outcome)
 	if s.missedEndpoint(result) {
-		c.recordMiss(ticket.Endpoint)
+		c.misses.record(c.router.topology, ticket.Endpoint.Hall)
 	}
 	if result.kind != answered {
 		c.triedEndpoints[ticket.Endpoint.ID] = true
@@ -202,9 +202,9 @@
 		s.outcome = route.OutcomeFailed
 		return sendResult{notSent, err}
 	}
-	if s.ticket.EndpointRefusesWork(clock.Now()) {
-		// A notice that arrived after the endpoint was chosen applies to this request too: getting a permit or a
-		// new connection takes time.
+	if s.ticket.EndpointRefusesWork(clock.Now()) || !s.allowsHall(s.ticket.Endpoint.Hall) {
+		// A notice or a configuration that arrived after the endpoint was chosen applies to this request too:
+		// getting a permit or a new connection takes time.
 		conn.Release("")
 		return sendResult{kind: withheld}
 	}
@@ -411,7 +411,7 @@
 	usual, _ := s.router.releases.typicalLatency(s.route.Name, largest)
 	expected := now.Sub(s.arrived) + usual
 	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
-	pressure := s.router.pool.Pressure(now, s.service, s.choice.allows)
+	pressure := s.router.pool.Pressure(now, s.service, s.allows)
 	crowding, backlog := pressure.Requests/crowdedRunnerRequests, float64(pressure.Backlog)/float64(crowdedBacklog)
 	weight := min(max(min(left/fullThresholdSlack, 2-crowding, 2-backlog), 0), 1)
 	return settings.LateConfidence + int(weight*float64(settings.Confidence-settings.LateConfidence))
--- a/exchange/shortage.go
+++ b/exchange/shortage.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/willowwick/willowwick"
 )
 
 const (
@@ -16,14 +14,14 @@
 )
 
 type (
-	// shortages tracks services whose endpoints are all rate-limited and took fewer requests than arrived. Their
+	// shortages tracks kinds of work whose endpoints are all rate-limited and took fewer requests than arrived. Their
 	// capacity then goes to the most urgent requests first.
 	shortages struct {
-		mu       sync.Mutex
-		services map[willowwick.ServiceID]*shortage
+		mu    sync.Mutex
+		works map[string]*shortage
 	}
 
-	// shortage is the shortage of one service.
+	// shortage is the shortage of one kind of work.
 	shortage struct {
 		rank   int       // of the most urgent request that was refused
 		until  time.Time // less urgent requests yield until then
@@ -32,17 +30,17 @@
 )
 
 func newShortages() *shortages {
-	return &shortages{services: map[willowwick.ServiceID]*shortage{}}
+	return &shortages{works: map[string]*shortage{}}
 }
 
 // record records a request that was refused because all endpoints are rate-limited.
-func (s *shortages) record(service willowwick.ServiceID, rank int, now time.Time) {
+func (s *shortages) record(work string, rank int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.services[service]
+	known := s.works[work]
 	if known == nil {
 		known = &shortage{}
-		s.services[service] = known
+		s.works[work] = known
 	}
 	if !now.Before(known.until) || rank <= known.rank {
 		known.rank, known.until = rank, now.Add(yieldDuration)
@@ -50,10 +48,10 @@
 }
 
 // mustYield reports whether a request leaves the capacity of rate-limited endpoints to more urgent ones.
-func (s *shortages) mustYield(service willowwick.ServiceID, rank int, now time.Time) bool {
+func (s *shortages) mustYield(work string, rank int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.services[service]
+	known := s.works[work]
 	if known == nil || !now.Before(known.until) || rank <= known.rank {
 		return false
 	}
--- a/exchange/table.go
+++ b/exchange/table.go
@@ -15,6 +15,8 @@
 	hosts    map[string][]*willowwick.Route       // by lower-case host; longest prefix first
 	accounts map[string]*willowwick.RoutedAccount // by key
 	packed   func() []byte                        // for other boxes; computed on first use
+	// restrictsRegions is true if a route or a client account names allowed regions.
+	restrictsRegions bool
 }
 
 func newTable(declared *willowwick.RoutingTable) *table {
@@ -26,6 +28,7 @@
 	}
 	for i := range declared.Routes {
 		route := &declared.Routes[i]
+		t.restrictsRegions = t.restrictsRegions || len(route.Regions) > 0
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
 	}
@@ -34,6 +37,7 @@
 	}
 	for i := range declared.Accounts {
 		account := &declared.Accounts[i]
+		t.restrictsRegions = t.restrictsRegions || len(account.Regions) > 0
 		for _, key := range account.Keys {
 			t.accounts[key] = account
 		}
--- a/region.go
+++ b/region.go
@@ -1,5 +1,7 @@
 package willowwick
 
+import "slices"
+
 // Distances between two halls, nearest first.
 const (
 	SameHall Distance = iota
@@ -34,12 +36,32 @@
 	return t.Regions[t.Hall]
 }
 
+// HasRegions reports whether the settings name more than one region.
+func (t Topology) HasRegions() bool {
+	for _, region := range t.Regions {
+		if region != t.OwnRegion() {
+			return t.OwnRegion() != ""
+		}
+	}
+	return false
+}
+
+// IsIn reports whether a hall lies in one of the given regions, or no regions are given. A hall whose region the settings
+// don't name lies in none.
+func (t Topology) IsIn(hall HallID, regions []RegionID) bool {
+	if len(regions) == 0 {
+		return true
+	}
+	region, known := t.Regions[hall]
+	return known && slices.Contains(regions, region)
+}
+
 // Distance returns how far a hall is from this box's hall.
 func (t Topology) Distance(hall HallID) Distance {
 	switch {
 	case hall == t.Hall:
 		return SameHall
-	case t.Region(hall) == t.OwnRegion():
+	case t.OwnRegion() == "" || t.Region(hall) == t.OwnRegion():
 		return SameRegion
 	default:
 		return OtherRegion
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -97,7 +97,7 @@
 func BenchmarkAcquire(b *testing.B) {
 	for _, runners := range []int{18, 140, 670, 2700} {
 		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
-			pool := NewPoolWith(NewHallFirst("hall0", 1), PoolOptions{StartLimit: 64, FallBackToEjected: true, SilentAfter: time.Second, Limits: ratelimit.NewLedger()})
+			pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "hall0"}, 1), PoolOptions{StartLimit: 64, FallBackToEjected: true, SilentAfter: time.Second, Limits: ratelimit.NewLedger()})
 			var endpoints []willowwick.Endpoint
 			for i := range runners {
 				endpoints = append(endpoints, willowwick.Endpoint{
--- a/route/cold_test.go
+++ b/route/cold_test.go
@@ -22,7 +22,7 @@
 // newColdPool returns a box's pool with one loaded warm endpoint and one idle cold endpoint, which would otherwise
 // get all work.
 func newColdPool(begin time.Time, boxes int) *Pool {
-	p := NewPoolWith(NewHallFirst("a", rand.Uint64()), PoolOptions{StartLimit: 64, QueueShare: 1})
+	p := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "a"}, rand.Uint64()), PoolOptions{StartLimit: 64, QueueShare: 1})
 	p.Update([]willowwick.Endpoint{
 		{ID: "warm", Service: "work", Hall: "a", Slots: 64},
 		{ID: "cold", Service: "work", Hall: "a", Slots: 64, ColdUntil: begin.Add(coldDuration)},
--- a/route/evacuation_test.go
+++ b/route/evacuation_test.go
@@ -13,7 +13,7 @@
 // the pressure.
 func TestEvacuatedHallGetsNoNewWork(t *testing.T) {
 	now := time.Unix(0, 0)
-	pool := NewPoolWith(NewHallFirst("a", 1), PoolOptions{StartLimit: 64, FallBackToEjected: true})
+	pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "a"}, 1), PoolOptions{StartLimit: 64, FallBackToEjected: true})
 	list := []willowwick.Endpoint{{ID: "own", Service: "s", Hall: "a"}, {ID: "other", Service: "s", Hall: "b"}}
 	pool.Update(list)
 	running, _ := pool.AcquireService(now, "s", nil)
--- a/route/hall.go
+++ b/route/hall.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// remoteHallPenalty is added to the score of endpoints in other halls: traffic between halls costs more than
+	// otherHallPenalty is added to the score of endpoints in other halls: traffic between halls costs more than
 	// waiting behind half of an endpoint's effective capacity.
-	remoteHallPenalty = 0.5
+	otherHallPenalty = 0.5
+	// otherRegionPenalty is added to the score of endpoints in other regions: their bytes cost four times as much as
+	// those between halls, but a request that would wait here for longer than most goals allow is worth them.
+	otherRegionPenalty = 1.25
 	// delayPerRequest is how much one running request delays the next one, since each token of a larger batch takes
 	// longer.
 	delayPerRequest = 40 * time.Millisecond
@@ -23,16 +26,21 @@
 	failureWeight = 3.0
 )
 
-// HallFirst picks the least loaded endpoint of its own hall, counting pending prefills; another hall's endpoint is
-// picked if its load is lower by more than remoteHallPenalty.
+// distancePenalties are added to the scores of endpoints by their distance.
+var distancePenalties = map[willowwick.Distance]float64{
+	willowwick.SameHall: 0, willowwick.SameRegion: otherHallPenalty, willowwick.OtherRegion: otherRegionPenalty,
+}
+
+// HallFirst picks the least loaded endpoint of its own hall, counting pending prefills; one farther away is picked if its
+// load is lower by more than the penalty of its distance.
 type HallFirst struct {
-	hall   willowwick.HallID
-	random *lockedRandom
+	topology willowwick.Topology
+	random   *lockedRandom
 }
 
-// NewHallFirst returns a picker for a box in a hall; the seed breaks ties.
-func NewHallFirst(hall willowwick.HallID, seed uint64) *HallFirst {
-	return &HallFirst{hall: hall, random: newLockedRandom(seed)}
+// NewHallFirst returns a picker for a box with the given topology; the seed breaks ties.
+func NewHallFirst(topology willowwick.Topology, seed uint64) *HallFirst {
+	return &HallFirst{topology: topology, random: newLockedRandom(seed)}
 }
 
 // Pick implements willowwick.Picker.
@@ -61,8 +69,5 @@
 	taken := max(float64(c.Load.Running+c.Load.Waiting+c.SentSinceReport), float64(c.InFlight))
 	taken += float64(c.QueueDelay+prefillWeight*c.PrefillTime) / float64(delayPerRequest)
 	score := taken/float64(min(max(c.Load.Slots, 1), maxEffectiveSlots)) + failureWeight*c.FailureRate
-	if c.Hall != p.hall {
-		score += remoteHallPenalty
-	}
-	return score
+	return score + distancePenalties[p.topology.Distance(c.Hall)]
 }
--- a/route/hall_test.go
+++ b/route/hall_test.go
@@ -15,7 +15,7 @@
 func (s fixedSet) At(index int) willowwick.Candidate { return s[index] }
 func (s fixedSet) Owner(uint64) int                  { return 0 }
 func pickOf(set fixedSet) int {
-	return NewHallFirst("here", 1).Pick(time.Time{}, set, 0)
+	return NewHallFirst(willowwick.Topology{Hall: "here"}, 1).Pick(time.Time{}, set, 0)
 }
 
 func load(running, slots int) willowwick.EndpointLoad {
@@ -50,3 +50,17 @@
 	assert.Equal(t, noCandidate, pickOf(fixedSet{closed}))
 	assert.Equal(t, noCandidate, pickOf(nil))
 }
+
+func pickFromNorth(set fixedSet) int {
+	topology := willowwick.Topology{Hall: "here", Regions: map[willowwick.HallID]willowwick.RegionID{"here": "north", "near": "north", "far": "south"}}
+	return NewHallFirst(topology, 1).Pick(time.Time{}, set, 0)
+}
+
+func TestOtherRegionIsPickedOnlyWhenTheOwnOneIsMuchBusier(t *testing.T) {
+	assert.Equal(t, 0, pickFromNorth(fixedSet{candidate("near", 6), candidate("far", 0)}), "another hall of the region is nearer")
+	assert.Equal(t, 0, pickFromNorth(fixedSet{candidate("here", 19), candidate("far", 0)}))
+	assert.Equal(t, 1, pickFromNorth(fixedSet{candidate("here", 21), candidate("far", 0)}))
+	closed := candidate("here", 0)
+	closed.IsAvailable = false
+	assert.Equal(t, 1, pickFromNorth(fixedSet{closed, candidate("far", 9)}))
+}
--- a/route/notice_test.go
+++ b/route/notice_test.go
@@ -12,7 +12,7 @@
 
 // newNoticePool returns a pool of endpoints of one service, and the first of them.
 func newNoticePool(seed uint64, ids ...willowwick.EndpointID) (*Pool, willowwick.Endpoint) {
-	pool := NewPoolWith(NewHallFirst("a", seed), PoolOptions{StartLimit: 64, LoadMaxAge: 1500 * time.Millisecond, FallBackToEjected: true, QueueShare: 1})
+	pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "a"}, seed), PoolOptions{StartLimit: 64, LoadMaxAge: 1500 * time.Millisecond, FallBackToEjected: true, QueueShare: 1})
 	var endpoints []willowwick.Endpoint
 	for _, id := range ids {
 		endpoints = append(endpoints, noticeEndpoint(id, 1))
--- a/route/prefill_test.go
+++ b/route/prefill_test.go
@@ -20,7 +20,7 @@
 // newPrefillPool returns a pool of runners in one hall whose prefill speed is known.
 func newPrefillPool(t *testing.T, names ...willowwick.EndpointID) *Pool {
 	t.Helper()
-	pool := NewPoolWith(NewHallFirst("h", 1), PoolOptions{StartLimit: 64})
+	pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "h"}, 1), PoolOptions{StartLimit: 64})
 	var list []willowwick.Endpoint
 	for _, name := range names {
 		list = append(list, willowwick.Endpoint{ID: name, Service: "s", Hall: "h"})
--- a/route/ratelimit_test.go
+++ b/route/ratelimit_test.go
@@ -14,7 +14,7 @@
 // permits until a time.
 func newLimitedPool(now, deniedUntil time.Time, all []willowwick.EndpointID, limited ...willowwick.EndpointID) *Pool {
 	ledger := ratelimit.NewLedger()
-	pool := NewPoolWith(NewHallFirst("a", 1), PoolOptions{StartLimit: 64, FallBackToEjected: true, Limits: ledger})
+	pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "a"}, 1), PoolOptions{StartLimit: 64, FallBackToEjected: true, Limits: ledger})
 	var endpoints []willowwick.Endpoint
 	for _, id := range all {
 		endpoints = append(endpoints, willowwick.Endpoint{ID: id, Hall: "a", Service: "work", Slots: 8})
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -218,7 +218,7 @@
 // A runner that stops responding looks idle, so it must be avoided before its requests fail.
 func TestSilentEndpointIsAvoidedBeforeItsRequestsFail(t *testing.T) {
 	now := time.Unix(0, 0)
-	pool := NewPoolWith(NewHallFirst("h", 1), PoolOptions{StartLimit: 64, FallBackToEjected: true, SilentAfter: 300 * time.Millisecond})
+	pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "h"}, 1), PoolOptions{StartLimit: 64, FallBackToEjected: true, SilentAfter: 300 * time.Millisecond})
 	pool.Update([]willowwick.Endpoint{{ID: "dead", Service: "s", Hall: "h"}, {ID: "live", Service: "s", Hall: "h"}})
 	var dead, live []*Slot
 	for len(dead) == 0 || len(live) == 0 {
@@ -242,7 +242,7 @@
 
 func TestEjectedEndpointIsProbedByOneRequestAndEjectedLonger(t *testing.T) {
 	now := time.Unix(0, 0)
-	pool := NewPoolWith(NewHallFirst("h", 1), PoolOptions{StartLimit: 64, SilentAfter: 300 * time.Millisecond})
+	pool := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "h"}, 1), PoolOptions{StartLimit: 64, SilentAfter: 300 * time.Millisecond})
 	pool.Update([]willowwick.Endpoint{{ID: "e", Service: "s", Hall: "h"}})
 	fail := func() {
 		slot, _ := pool.AcquireService(now, "s", nil)
@@ -275,7 +275,7 @@
 
 // A refused connection shows that nothing listens at the address, so later requests must not try it.
 func TestUnreachableEndpointIsEjectedAtOnce(t *testing.T) {
-	p := NewPoolWith(NewHallFirst("hall-a", 1), PoolOptions{FallBackToEjected: true})
+	p := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "hall-a"}, 1), PoolOptions{FallBackToEjected: true})
 	p.Update([]willowwick.Endpoint{
 		{ID: "crashed", Hall: "hall-a", Service: "work", Slots: 8}, {ID: "live", Hall: "hall-b", Service: "work", Slots: 8},
 	})
