One hub of each region exchanges gossip with the other regions

Each hub exchanged with the hubs of all halls, and each box sent the updates on its prompts to all halls. Now the first hub of a region that is not cut off from another region exchanges with that one; the others learn from it, and take its place. Another region gets the reports and ages of this region's halls only, and updates on prompts that were sent to its own endpoints. Permits are granted within each region, by its share of all boxes.

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -41,6 +42,7 @@
 		Progress      []ProgressRow
 		Verdicts      []verdictRow
 		Speeds        []route.SpeedRow
+		CutOff        []willowwick.RegionID // on a hub, the other regions that it has called in vain
 	}
 
 	// ProgressRow is the state of a roll-out as a box knows it.
@@ -109,12 +111,23 @@
 	}
 	if _, hasHub := p.hub(now); !hasHub {
 		digest.Halls = p.hallReports(now)
-		digest.Granter = p.granterOfHubs(now)
+		digest.Granter, digest.CutOff = p.granterOfHubs(now), p.cutOffRegions()
 	}
 	p.setGranting(now, digest.Granter == digest.Address)
 	return digest
 }
 
+// digestFor returns this box's digest for a box of a hall. Another region gets the reports of this one only, and not that
+// of this box, which is part of them.
+func (p *peers) digestFor(hall willowwick.HallID, now time.Time) Digest {
+	digest := p.ownDigest(now)
+	if p.isInOtherRegion(hall) {
+		digest.Own = Report{}
+		digest.Halls = slices.DeleteFunc(digest.Halls, func(report HallReport) bool { return p.isInOtherRegion(report.Hall) })
+	}
+	return digest
+}
+
 // applyPeerTable applies the configuration that a box sent, if there is one and it is newer.
 func (p *peers) applyPeerTable(table *willowwick.RoutingTable, packed []byte, from *Digest) {
 	if len(packed) > 0 && from.TableVersion > p.router.configVersion() {
--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -120,7 +120,7 @@
 // swapCallFor returns the call to the box at an address.
 func (p *peers) swapCallFor(address string, now time.Time) SwapCall {
 	call := SwapCall{
-		Digest: p.ownDigest(now), KnownSum: p.rosterSum(now), TakesChanges: true, WantsList: p.router.sync.wantsWholeList(address, now),
+		Digest: p.digestFor(p.hallOf(address), now), KnownSum: p.rosterSum(now), TakesChanges: true, WantsList: p.router.sync.wantsWholeList(address, now),
 	}
 	if version, takesPacked, hasDigest := p.configVersionOf(address); hasDigest {
 		call.Table, call.Packed = p.tableForPeer(version, takesPacked)
@@ -154,7 +154,7 @@
 	p := s.peers
 	p.receiveDigest(call.Digest, now)
 	p.applyPeerTable(call.Table, call.Packed, &call.Digest)
-	reply.Digest = p.ownDigest(now)
+	reply.Digest = p.digestFor(call.Digest.Hall, now)
 	reply.Table, reply.Packed = p.tableForPeer(call.Digest.TableVersion, call.Digest.TakesPacked)
 	reply.Endpoints = p.router.sync.listForPeer(call)
 	p.router.metrics.countListSent(reply.Endpoints)
@@ -167,7 +167,7 @@
 		p.requestRound()
 	}
 	if call.KnownSum == p.rosterSum(now) {
-		reply.HallAges = p.hallAges(now)
+		reply.HallAges = p.hallAgesFor(call.Digest.Hall, now)
 	} else {
 		reply.Known = p.rosterRows(now)
 	}
--- a/exchange/hints.go
+++ b/exchange/hints.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/route"
 )
@@ -76,10 +77,14 @@
 
 	// hint is a prefill update that waits to be sent.
 	hint struct {
-		row         hintRow
-		isForwarded bool // received from another hall; sent within this box's hall only
+		row   hintRow
+		hall  willowwick.HallID // of the endpoint; empty if the update was received
+		reach hintReach
 	}
 
+	// hintReach is to which boxes an update is sent.
+	hintReach uint8
+
 	// hintRow is a prefill update on the wire; the endpoint and the prompt parts are given by 32-bit halves of their
 	// hashes.
 	hintRow struct {
@@ -93,11 +98,22 @@
 	hintKind uint8
 )
 
+const (
+	// reachFleet: an update of this box goes to all boxes of its region, and to those of the endpoint's region.
+	reachFleet hintReach = iota
+	// reachRegion: an update from another region goes on to all boxes of this one.
+	reachRegion
+	// reachHall: an update from another hall goes on to the boxes of this one.
+	reachHall
+)
+
 const (
 	// hintFinal marks updates for the receiving box only.
 	hintFinal hintKind = iota
 	// hintForward marks updates that the receiver forwards to the other boxes of its hall.
 	hintForward
+	// hintForwardInRegion marks updates that the receiver forwards to the other boxes of its region.
+	hintForwardInRegion
 )
 
 func newHints(x *Router, conn net.PacketConn) *hints {
@@ -118,7 +134,7 @@
 		Micros: int32(min(max(update.Added.Microseconds(), math.MinInt32), math.MaxInt32)),
 	}
 	copy(row.Parts[:], update.Parts[max(len(update.Parts)-maxHintParts, 0):])
-	h.enqueue(hint{row: row})
+	h.enqueue(hint{row: row, hall: update.Hall})
 }
 
 // takeRowToken takes a token for an update from this box's share of maxRowsPerSecond, and reports whether there was
@@ -157,32 +173,54 @@
 		case first := <-h.queue:
 			near, far := h.router.peers.hintRecipients(clock.Now())
 			sleep(ctx, max(time.Duration(len(near))*hintPausePerBox, minHintPause))
-			own, forwarded := h.collect(first)
-			h.sendTo(near, hintFinal, append(forwarded, own...))
-			for _, hall := range far {
-				h.sendToHall(hall, own)
-			}
+			h.sendCollected(h.collect(first), near, far)
 		}
 	}
 }
 
-// collect returns the first update and those queued behind it, up to maxHintRows: this box's own, and those of
-// other halls that it forwards.
-func (h *hints) collect(first hint) (own, forwarded []hintRow) {
-	next, found := first, true
-	for found && len(own)+len(forwarded) < maxHintRows {
-		if next.isForwarded {
-			forwarded = append(forwarded, next.row)
+// sendCollected sends updates to the boxes of this box's hall, to the other halls of its region, and to the regions of
+// their endpoints. Boxes of other regions rarely send to an endpoint, so they do without what is sent there.
+func (h *hints) sendCollected(list []hint, near []netip.AddrPort, far map[willowwick.HallID][]netip.AddrPort) {
+	topology := h.router.topology
+	h.sendTo(near, hintFinal, hintRows(list, func(hint) bool { return true }))
+	regions := map[willowwick.RegionID][]netip.AddrPort{}
+	for hall, boxes := range far {
+		if topology.Distance(hall) == willowwick.OtherRegion {
+			regions[topology.Region(hall)] = append(regions[topology.Region(hall)], boxes...)
 		} else {
-			own = append(own, next.row)
+			h.sendToHall(boxes, hintRows(list, func(waiting hint) bool { return waiting.reach <= reachRegion }))
 		}
+	}
+	for region, boxes := range regions {
+		h.sendTo([]netip.AddrPort{h.chooseRelay(boxes)}, hintForwardInRegion, hintRows(list, func(waiting hint) bool {
+			return waiting.reach == reachFleet && topology.Region(waiting.hall) == region
+		}))
+	}
+}
+
+// hintRows returns the rows of the updates that go to some boxes.
+func hintRows(list []hint, goes func(hint) bool) []hintRow {
+	var rows []hintRow
+	for _, waiting := range list {
+		if goes(waiting) {
+			rows = append(rows, waiting.row)
+		}
+	}
+	return rows
+}
+
+// collect returns the first update and those queued behind it, up to maxHintRows.
+func (h *hints) collect(first hint) []hint {
+	list := []hint{first}
+	for len(list) < maxHintRows {
 		select {
-		case next = <-h.queue:
+		case next := <-h.queue:
+			list = append(list, next)
 		default:
-			found = false
+			return list
 		}
 	}
-	return own, forwarded
+	return list
 }
 
 // sendToHall sends updates to another hall: to all boxes of a small one, or to one box that forwards them.
@@ -265,8 +303,11 @@
 			}
 		}
 		h.router.pool.ApplyPrefillUpdate(now, update)
-		if kind == hintForward {
-			h.enqueue(hint{row: row, isForwarded: true})
+		switch kind {
+		case hintForward:
+			h.enqueue(hint{row: row, reach: reachHall})
+		case hintForwardInRegion:
+			h.enqueue(hint{row: row, reach: reachRegion})
 		}
 	}
 }
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -13,10 +13,15 @@
 
 // firstBox returns the first box of a hall in hub order among those that use accepts; the caller holds the lock.
 func (p *peers) firstBox(hall willowwick.HallID, use func(known *peer) bool) (KnownBox, bool) {
+	return p.firstBoxWhere(func(known *peer) bool { return known.box.Hall == hall && use(known) })
+}
+
+// firstBoxWhere returns the first box in hub order among those that use accepts; the caller holds the lock.
+func (p *peers) firstBoxWhere(use func(known *peer) bool) (KnownBox, bool) {
 	var first KnownBox
 	found := false
 	for _, known := range p.known {
-		if known.box.Hall == hall && use(known) && (!found || known.box.precedes(first)) {
+		if use(known) && (!found || known.box.precedes(first)) {
 			first, found = known.box, true
 		}
 	}
@@ -58,12 +63,16 @@
 	return p.firstBox(hall, func(known *peer) bool { return known.isLive(now) })
 }
 
-// hasUnreachableHall reports whether some known hall has no live box.
+// hasUnreachableHall reports whether some known hall has no live box, or, in another region, no recent report.
 func (p *peers) hasUnreachableHall(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, hall := range p.knownHalls() {
-		if _, found := p.firstLiveBox(hall, now); !found {
+		_, isReached := p.firstLiveBox(hall, now)
+		if p.isInOtherRegion(hall) {
+			isReached = now.Sub(p.otherHalls[hall].at) <= p.hallReportMaxAge()
+		}
+		if !isReached {
 			return true
 		}
 	}
@@ -123,8 +132,8 @@
 	return slices.Compact(targets)
 }
 
-// hubTargets returns the addresses that a hub exchanges gossip with: the hubs of the other halls, and some silent boxes
-// of all halls that would precede the hub of theirs. The caller holds the lock.
+// hubTargets returns the addresses that a hub exchanges gossip with: the hubs of the other halls of its region, some silent
+// boxes of its region that would precede the hub of their hall, and those of regionTargets. The caller holds the lock.
 func (p *peers) hubTargets(now time.Time) []string {
 	self := p.self()
 	var targets []string
@@ -133,22 +142,30 @@
 			targets = append(targets, p.probeCandidates(hall, self, now)...)
 			continue
 		}
+		if p.isInOtherRegion(hall) {
+			continue
+		}
 		hub, found := p.hallHub(hall, now)
 		if found {
 			targets = append(targets, hub.Address)
 		}
 		targets = append(targets, p.probeCandidates(hall, hub, now)...)
 	}
-	return targets
+	return append(targets, p.regionTargets(now)...)
 }
 
 // probeCandidates returns the addresses of a few silent boxes of a hall that would precede its hub, if it has one; the
 // hall is empty for boxes whose hall is not known. The caller holds the lock.
 func (p *peers) probeCandidates(hall willowwick.HallID, hub KnownBox, now time.Time) []string {
+	return p.probeCandidatesWhere(func(known *peer) bool { return known.box.Hall == hall }, hub, now)
+}
+
+// probeCandidatesWhere is probeCandidates for the boxes that isIn accepts; the caller holds the lock.
+func (p *peers) probeCandidatesWhere(isIn func(known *peer) bool, hub KnownBox, now time.Time) []string {
 	var silent []KnownBox
 	for _, known := range p.known {
 		isSilent := !known.isLive(now) && !now.Before(known.nextCallAt)
-		if known.box.Hall == hall && isSilent && (hub.Address == "" || known.box.precedes(hub)) {
+		if isIn(known) && isSilent && (hub.Address == "" || known.box.precedes(hub)) {
 			silent = append(silent, known.box)
 		}
 	}
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -39,6 +39,8 @@
 		heartbeats     uint64                         // of all endpoints so far
 		draining       map[willowwick.EndpointID]bool // endpoints that have ever reported that they are draining, which is final
 		incarnations   map[willowwick.EndpointID]willowwick.Incarnation
+		regions        map[willowwick.HallID]willowwick.RegionID // of the halls; nil if there are no regions
+		cuts           func(from, to *Router) bool               // a box can't call another one; nil for none
 		boxes          []*meshBox
 		byAddress      map[string]*meshBox
 		starts         int // of all boxes so far
@@ -47,6 +49,8 @@
 		messages       gobCounter
 		exchangedBytes int                    // of all gossip exchanges
 		parts          map[string]*gobCounter // the same by the kind of data; nil if not counted
+		regionBytes    int                    // of exchanges between regions
+		regionParts    map[string]*gobCounter // the same by the kind of data; nil if not counted
 		wholeLists     int                    // number of whole lists of endpoints that boxes sent each other
 	}
 
@@ -195,6 +199,7 @@
 // start begins an incarnation of a box, new or restarted.
 func (m *mesh) start(i, halls int) {
 	settings := testSettings()
+	settings.Regions = m.regions
 	settings.Hall, settings.Drain = willowwick.HallID(fmt.Sprint("hall-", i%halls)), meshDrain
 	settings.Box = willowwick.BoxID(fmt.Sprint("box-", i))
 	m.starts++
@@ -210,7 +215,7 @@
 	x.peers, _ = newPeers(x)
 	x.peers.askBox = func(_ context.Context, address string, call *ratelimit.Call) (reply ratelimit.Reply, err error) {
 		other := m.byAddress[address]
-		if other == nil || other.down || m.isCut && other.settings.Hall != settings.Hall {
+		if other == nil || other.down || m.isCutBetween(x, other.Router) {
 			return reply, errDown
 		}
 		err = (&rpcServer{peers: other.peers}).Permit(call, &reply)
@@ -300,7 +305,7 @@
 	}
 	defer box.peers.endExchange(address)
 	other := m.byAddress[address]
-	if other == nil || other.down || m.isCut && other.settings.Hall != box.settings.Hall {
+	if other == nil || other.down || m.isCutBetween(box.Router, other.Router) {
 		box.peers.noteCallFailure(address, errDown)
 		return
 	}
@@ -311,39 +316,56 @@
 		m.wholeLists++
 	}
 	box.peers.applyReply(&call, reply, now, now)
-	m.exchangedBytes += m.messages.add(t, call) + m.messages.add(t, reply)
+	bytes := m.messages.add(t, call) + m.messages.add(t, reply)
+	m.exchangedBytes += bytes
 	if m.parts != nil {
-		m.countParts(t, &call, &reply)
+		countParts(t, m.parts, &call, &reply)
+	}
+	if box.topology.Distance(other.settings.Hall) != willowwick.OtherRegion {
+		return
+	}
+	m.regionBytes += bytes
+	if m.regionParts != nil {
+		countParts(t, m.regionParts, &call, &reply)
 	}
 }
 
+// isCutBetween reports whether a box can't call another one.
+func (m *mesh) isCutBetween(from, to *Router) bool {
+	return m.isCut && from.settings.Hall != to.settings.Hall || m.cuts != nil && m.cuts(from, to)
+}
+
 // countParts adds the bytes of a gossip exchange by the kind of data.
-func (m *mesh) countParts(t *testing.T, call *SwapCall, reply *SwapReply) {
-	m.count(t, "digests", []Digest{call.Digest, reply.Digest})
-	m.count(t, "boxes", reply.Known)
-	m.count(t, "ages of halls", reply.HallAges)
-	m.count(t, "limits", []ratelimit.Updates{call.Limits, reply.Limits})
+func countParts(t *testing.T, parts map[string]*gobCounter, call *SwapCall, reply *SwapReply) {
+	count(t, parts, "digests", []Digest{call.Digest, reply.Digest})
+	count(t, parts, "boxes", reply.Known)
+	count(t, parts, "ages of halls", reply.HallAges)
+	count(t, parts, "limits", []ratelimit.Updates{call.Limits, reply.Limits})
 	switch {
 	case reply.Endpoints == nil:
 	case reply.Endpoints.Since == 0:
-		m.count(t, "whole lists", reply.Endpoints)
+		count(t, parts, "whole lists", reply.Endpoints)
 	default:
-		m.count(t, "changes of lists", reply.Endpoints)
+		count(t, parts, "changes of lists", reply.Endpoints)
 	}
 }
 
-func (m *mesh) count(t *testing.T, kind string, part any) {
-	if m.parts[kind] == nil {
-		m.parts[kind] = &gobCounter{}
+func count(t *testing.T, parts map[string]*gobCounter, kind string, part any) {
+	if parts[kind] == nil {
+		parts[kind] = &gobCounter{}
 	}
-	m.parts[kind].add(t, part)
+	parts[kind].add(t, part)
 }
 
 // partsText formats the bytes of gossip exchanges by the kind of data.
 func (m *mesh) partsText() string {
-	text := fmt.Sprintf("%d bytes", m.exchangedBytes)
-	for _, kind := range slices.Sorted(maps.Keys(m.parts)) {
-		text += fmt.Sprintf(", %s %d", kind, m.parts[kind].bytes)
+	return partsText(m.exchangedBytes, m.parts)
+}
+
+func partsText(total int, parts map[string]*gobCounter) string {
+	text := fmt.Sprintf("%d bytes", total)
+	for _, kind := range slices.Sorted(maps.Keys(parts)) {
+		text += fmt.Sprintf(", %s %d", kind, parts[kind].bytes)
 	}
 	return text
 }
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -28,8 +28,8 @@
 	// peers exchanges state with the other boxes.
 	//
 	// In each hall the first box in the order of KnownBox.precedes reads the store and exchanges digests with the
-	// readers of the other halls; the other boxes exchange with their reader, and read the store themselves once it is
-	// silent or cut off from the store.
+	// readers of the other halls of its region; the other boxes exchange with their reader, and read the store themselves
+	// once it is silent or cut off from the store. One reader of a region exchanges with one of each other region.
 	peers struct {
 		router    *Router
 		transport *fleet.Transport
@@ -45,6 +45,7 @@
 		mu         sync.Mutex
 		known      map[string]*peer // by address
 		otherHalls map[willowwick.HallID]receivedReport
+		links      map[willowwick.RegionID]*regionLink // to the other regions; of a hub
 	}
 
 	// rpcServer holds the methods that other boxes call.
@@ -63,6 +64,7 @@
 		limits: ratelimit.NewPeers(x.limits), granter: ratelimit.NewGranter(x.limits), roundRequested: make(chan struct{}, 1),
 		quarantine: quarantine.NewPeers(x.poison, x.settings.Boot),
 		known:      map[string]*peer{}, otherHalls: map[willowwick.HallID]receivedReport{},
+		links: map[willowwick.RegionID]*regionLink{},
 	}
 	p.askBox = p.callPermit
 	if len(x.settings.Seeds) > 0 {
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -27,10 +27,10 @@
 )
 
 // Permits to send to rate-limited endpoints are granted by one box, so that a limit holds for all boxes together. A box
-// asks the hub of its hall, which asks the granter: among the hubs that are in touch, the one that started first, so that
-// newly started boxes don't change it.
+// asks the hub of its hall, which asks the granter: among the hubs of its region that are in touch, the one that started
+// first, so that newly started boxes don't change it.
 //
-// Boxes in a network partition may have a granter on each side. Each grants the share of a limit that corresponds to the
+// Boxes in a network partition may have a granter on each side, and each region has one of its own. Each grants the share of a limit that corresponds to the
 // boxes that follow it, so that all shares together don't exceed the limit.
 
 // obtainPermit reports whether the request may be sent to the endpoint of its slot.
@@ -116,7 +116,7 @@
 	first, startedMs := p.self().Address, p.startedMs
 	for _, hall := range p.knownHalls() {
 		hub, found := p.hallHub(hall, now)
-		if !found || hall == p.router.settings.Hall {
+		if !found || hall == p.router.settings.Hall || p.isInOtherRegion(hall) {
 			continue
 		}
 		digest := &p.known[hub.Address].digest
@@ -139,7 +139,7 @@
 	hallFollows := map[willowwick.HallID]bool{}
 	for _, hall := range p.knownHalls() {
 		hub, found := p.hallHub(hall, now)
-		hallFollows[hall] = found && p.known[hub.Address].digest.Granter == p.self().Address
+		hallFollows[hall] = found && !p.isInOtherRegion(hall) && p.known[hub.Address].digest.Granter == p.self().Address
 	}
 	all, following := 1, 1
 	for _, known := range p.known {
--- /dev/null
+++ b/exchange/regions_fleet_test.go
@@ -0,0 +1,241 @@
+package exchange
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+)
+
+// regionMeshHalls is the number of halls of a mesh with regions, half of them in each.
+const regionMeshHalls = 6
+
+// newRegionMesh returns a mesh of two regions, whose boxes have not exchanged gossip yet.
+func newRegionMesh(boxes, endpoints int) *mesh {
+	m := newMesh(1, 0, regionMeshHalls, endpoints)
+	m.regions = map[willowwick.HallID]willowwick.RegionID{}
+	for i := range regionMeshHalls {
+		m.regions[willowwick.HallID(fmt.Sprint("hall-", i))] = willowwick.RegionID(fmt.Sprint("region-", i%2))
+	}
+	for i := range boxes {
+		m.start(i, regionMeshHalls)
+	}
+	return m
+}
+
+// What crosses between regions grows with what has changed, not with the number of boxes.
+func TestCalmRegionsExchangeLittle(t *testing.T) {
+	discardLogs(t)
+	const watched = 10 * time.Second
+	const perSecond = 20000 // bytes
+	for _, boxes := range []int{69, 295} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				m := newRegionMesh(boxes, 66)
+				m.run(t, 2*silentPeerRetention/3)
+				m.regionBytes, m.regionParts = 0, map[string]*gobCounter{}
+				m.run(t, watched)
+				t.Log("between regions: " + partsText(m.regionBytes, m.regionParts))
+				assert.Less(t, m.regionBytes, perSecond*int(watched.Seconds()))
+			})
+		})
+	}
+}
+
+// carriers returns the boxes of a region that carry gossip to the other one.
+func (m *mesh) carriers(region, other willowwick.RegionID) []*meshBox {
+	var list []*meshBox
+	for _, box := range m.boxes {
+		if box.down || box.topology.OwnRegion() != region {
+			continue
+		}
+		if _, hasHub := box.peers.hub(time.Now()); hasHub {
+			continue
+		}
+		box.peers.mu.Lock()
+		if box.peers.carries(other, time.Now()) {
+			list = append(list, box)
+		}
+		box.peers.mu.Unlock()
+	}
+	return list
+}
+
+// runUntil runs the mesh until all boxes accept a check, for at most a duration, and returns how long that took.
+func (m *mesh) runUntil(t *testing.T, limit time.Duration, check func(box *meshBox) bool) time.Duration {
+	began := time.Now()
+	isLeft := func(box *meshBox) bool { return !box.down && !check(box) }
+	for time.Since(began) < limit && slices.ContainsFunc(m.boxes, isLeft) {
+		m.run(t, meshStep)
+	}
+	return time.Since(began)
+}
+
+// All that boxes tell each other reaches the other region too, from any box to any box.
+func TestUpdatesOfAllKindsCrossRegions(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		const within = 3500 * time.Millisecond // five gossip exchanges, none of them urgent
+		m := newRegionMesh(24, 12)
+		m.run(t, 5*time.Second)
+		from, now := m.boxes[18], time.Now()
+		endpoint, at := meshEndpoint(0, regionMeshHalls), willowwick.Position(9)
+		request := willowwick.FingerprintOf(testAccount, "POST", testHost, "/stream/", []byte("x"))
+		from.setTable(testTable(2, onceRoute()), "test")
+		from.evacuations.declare(willowwick.Declarations{Snapshot: true, Next: at, Evacuations: []willowwick.Evacuation{{Hall: "hall-5", At: 8}}})
+		from.admissions.declare(willowwick.Declarations{Snapshot: true, Next: at, Admissions: []willowwick.Admission{{Request: request, At: 8}}})
+		from.pool.ApplyNotice(now, now, endpoint, willowwick.Notice{Draining: true})
+		from.limits.Observe(now, now, endpoint, willowwick.RateLimit{Rate: 5, IsSet: true})
+		from.poison.RecordCrash(willowwick.PoisonRequest{Request: request}, willowwick.EndpointCrash{Endpoint: endpoint.ID, Release: "v1", At: now})
+		sessions := 0
+		for ; len(from.releases.pinnedSessions(now)) == 0; sessions++ {
+			from.releases.choose("work", fmt.Sprint(sessions), now, now.Add(time.Minute))
+			from.releases.applyOrder(willowwick.ReleaseOrder{Service: "work", Target: "v2", Period: time.Minute, At: at}, 0, now)
+		}
+		from.releases.observe(observation{service: "work", release: "v1", route: "once"})
+		for what, check := range map[string]func(box *meshBox) bool{
+			"configuration": func(box *meshBox) bool { return box.configVersion() == 2 },
+			"evacuation":    func(box *meshBox) bool { return box.evacuations.count() == 1 },
+			"admission":     func(box *meshBox) bool { return len(box.admissions.set().Requests) == 1 },
+			"draining":      func(box *meshBox) bool { return box.pool.IsDraining(endpoint.ID) },
+			"rate limit":    func(box *meshBox) bool { return box.limits.Count() == 1 },
+			"quarantine":    func(box *meshBox) bool { return !box.poison.IsEmpty() },
+			"roll-out":      func(box *meshBox) bool { return len(box.releases.progressList(time.Now())) == 1 },
+			"sessions":      func(box *meshBox) bool { return len(box.peers.fleetReport(time.Now()).Kept) > 0 },
+			"evidence":      func(box *meshBox) bool { return len(box.peers.fleetReport(time.Now()).Evidence) == 1 },
+		} {
+			left := within - time.Since(now)
+			m.runUntil(t, left, check)
+			for _, box := range m.boxes {
+				assert.True(t, check(box), "%s on %s", what, box.settings.Box)
+			}
+		}
+	})
+}
+
+// One hub of each region exchanges with the other region, and when it is lost, suspended or cut off another one does.
+func TestAnotherHubTakesThePlaceOfTheRegionsHub(t *testing.T) {
+	discardLogs(t)
+	const within = 4 * time.Second // to put a configuration in force
+	for name, strike := range map[string]func(m *mesh, hub *meshBox){
+		"none":       func(*mesh, *meshBox) {},
+		"silent":     func(_ *mesh, hub *meshBox) { hub.down = true },
+		"cut off":    func(m *mesh, hub *meshBox) { m.cutFromRegions(hub, true, true) },
+		"can't call": func(m *mesh, hub *meshBox) { m.cutFromRegions(hub, true, false) },
+		"not called": func(m *mesh, hub *meshBox) { m.cutFromRegions(hub, false, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newRegionMesh(69, 12)
+				m.run(t, 10*time.Second)
+				hubs := m.carriers("region-0", "region-1")
+				require.Len(t, hubs, 1)
+				strike(m, hubs[0])
+				m.run(t, meshStep)
+				for i := len(m.boxes) - 1; ; i-- {
+					if m.boxes[i].topology.OwnRegion() == "region-0" {
+						m.boxes[i].setTable(testTable(2, onceRoute()), "test")
+						break
+					}
+				}
+				took := m.runUntil(t, 2*within, func(box *meshBox) bool { return box.configVersion() == 2 })
+				assert.LessOrEqual(t, took, within)
+				m.run(t, 5*time.Second)
+				assert.Len(t, m.carriers("region-0", "region-1"), 1)
+				live := len(m.boxes)
+				if hubs[0].down {
+					live--
+				}
+				m.regionBytes = 0
+				m.run(t, 5*time.Second)
+				assert.Less(t, m.regionBytes, 20000)
+				for _, box := range m.boxes {
+					assert.True(t, box.down || box.peers.fleetReport(time.Now()).Boxes == live, box.settings.Box)
+				}
+			})
+		})
+	}
+}
+
+// cutFromRegions makes calls of a box to other regions, or calls from there to it, fail.
+func (m *mesh) cutFromRegions(box *meshBox, calls, isCalled bool) {
+	m.cuts = func(from, to *Router) bool {
+		isBetween := from.topology.OwnRegion() != to.topology.OwnRegion()
+		return isBetween && (calls && from == box.Router || isCalled && to == box.Router)
+	}
+}
+
+// While the store refuses all boxes of a region, the other one tells it what has changed.
+func TestARegionWithoutTheStoreLearnsOfLeavingEndpoints(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newRegionMesh(69, 12)
+		m.run(t, 10*time.Second)
+		for _, box := range m.boxes {
+			box.isRefused = box.topology.OwnRegion() == "region-1"
+		}
+		m.run(t, 5*time.Second)
+		endpoint := meshEndpoint(0, regionMeshHalls)
+		endpoint.Leaving = true
+		m.store.put(endpoint)
+		took := m.runUntil(t, 2*meshDrain, func(box *meshBox) bool {
+			entry, _ := box.sync.listedEndpoint(endpoint.ID)
+			return entry.Leaving
+		})
+		assert.LessOrEqual(t, took, meshDrain)
+	})
+}
+
+// Boxes read the quarantine from the store while they may miss what another region has found, and only then.
+func TestALostRegionIsNoticed(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newRegionMesh(24, 12)
+		m.run(t, 10*time.Second)
+		for _, box := range m.boxes {
+			assert.False(t, m.missesARegion(box), box.settings.Box)
+		}
+		m.cuts = func(from, to *Router) bool { return from.topology.OwnRegion() != to.topology.OwnRegion() }
+		m.run(t, 10*time.Second)
+		for _, box := range m.boxes {
+			assert.True(t, m.missesARegion(box), box.settings.Box)
+		}
+		m.cuts = nil
+		m.run(t, 2*maxPeerRetry)
+		for _, box := range m.boxes {
+			assert.False(t, m.missesARegion(box), box.settings.Box)
+		}
+	})
+}
+
+// missesARegion reports whether the hub of a box has no recent reports of another region.
+func (m *mesh) missesARegion(box *meshBox) bool {
+	if hub, hasHub := box.peers.hub(time.Now()); hasHub {
+		box = m.byAddress[hub.Address]
+	}
+	return box.peers.hasUnreachableHall(time.Now())
+}
+
+// Each region grants the part of a limit that corresponds to its boxes.
+func TestRegionsGrantNoMoreThanTheLimitTogether(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newRegionMesh(30, 12)
+		m.run(t, 10*time.Second)
+		share, granters := 0.0, 0
+		for _, box := range m.boxes {
+			if box.peers.granterFor(time.Now()) == box.settings.Peers {
+				share += box.peers.grantedShare(time.Now())
+				granters++
+			}
+		}
+		assert.Equal(t, 2, granters)
+		assert.InDelta(t, 1, share, 0.001)
+	})
+}
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -54,7 +54,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, hall := range p.otherHalls {
-		total = total.add(hall.report, now.Sub(hall.at) <= 2*peerLiveness)
+		total = total.add(hall.report, now.Sub(hall.at) <= p.hallReportMaxAge())
 	}
 	return total
 }
--- a/exchange/roster.go
+++ b/exchange/roster.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,15 @@
 	return ages
 }
 
+// hallAgesFor returns hallAges for a box of a hall; another region gets those of this one only.
+func (p *peers) hallAgesFor(hall willowwick.HallID, now time.Time) []HallAge {
+	ages := p.hallAges(now)
+	if p.isInOtherRegion(hall) {
+		ages = slices.DeleteFunc(ages, func(age HallAge) bool { return p.isInOtherRegion(age.Hall) })
+	}
+	return ages
+}
+
 // renewLastSeen takes over the ages of another box with the same roster, as of the given time.
 func (p *peers) renewLastSeen(ages []HallAge, asOf time.Time) {
 	p.mu.Lock()
--- a/route/prefill.go
+++ b/route/prefill.go
@@ -41,10 +41,11 @@
 	// PrefillUpdate is a change of an endpoint's prefill queue that boxes send each other: a prompt that was sent to
 	// it, or a shift of the forecast of all that it has to read.
 	PrefillUpdate struct {
-		Endpoint uint32        // hash of its ID
-		Added    time.Duration // prefill time added, or the shift if IsShift
-		IsShift  bool          // Added shifts the whole forecast
-		Parts    []PartHash    // shared parts that it has cached from now on
+		Endpoint uint32            // hash of its ID
+		Hall     willowwick.HallID // of the endpoint; empty if another box sent the update
+		Added    time.Duration     // prefill time added, or the shift if IsShift
+		IsShift  bool              // Added shifts the whole forecast
+		Parts    []PartHash        // shared parts that it has cached from now on
 	}
 
 	// prefill holds what the prefill time of a request depends on at every endpoint of its service.
--- a/route/slot.go
+++ b/route/slot.go
@@ -104,7 +104,7 @@
 	prefillQueue.enqueue(now, s, prefillTime)
 	parts := s.estimator.hashes[:len(s.estimator.hashes)-1] // the last one is unique to the request
 	prefillQueue.markCached(now, parts)
-	return PrefillUpdate{Endpoint: uint32(s.member.hash), Added: prefillTime, Parts: parts}, true
+	return PrefillUpdate{Endpoint: uint32(s.member.hash), Hall: s.Endpoint.Hall, Added: prefillTime, Parts: parts}, true
 }
 
 // AnswerStarted records that the answer has begun, so the prompt is read, and returns the update for other boxes.
@@ -147,7 +147,7 @@
 	if by.Abs() < minReportedShift {
 		return PrefillUpdate{}, false
 	}
-	return PrefillUpdate{Endpoint: uint32(s.member.hash), Added: by, IsShift: true}, true
+	return PrefillUpdate{Endpoint: uint32(s.member.hash), Hall: s.Endpoint.Hall, Added: by, IsShift: true}, true
 }
 
 // MarkAlive records that data arrived from the endpoint.
