Requests and bytes by distance; content of restricted requests stays in allowed regions

A request that leaves its region says why in its last log line. Of a request that may be stored in some regions only, other boxes, the store and log lines get the route's prefix instead of the target, and no body is kept for the attribution of crashes.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -69,6 +69,7 @@
 		triedEndpoints  map[willowwick.EndpointID]bool
 		regions         allowedRegions // by the newest configuration; see allowsHall
 		misses          misses
+		leftRegionFor   string // why the last send went to another region; empty if it didn't
 		lastEventID     string // ID of the newest event that the caller has received
 		streamTiming    streamTiming
 		failure         *failedAnswer
@@ -434,6 +435,9 @@
 	if c.cascadeStage != noCascade {
 		attributes = append(attributes, "stage", c.cascadeStage+1, "stages", len(c.route.Models))
 	}
+	if c.leftRegionFor != leftNowhere {
+		attributes = append(attributes, "left_region", c.leftRegionFor)
+	}
 	slog.Info(what, attributes...)
 }
 
--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -21,7 +21,8 @@
 	maxPendingBreaks = 1024
 	// dropCrashWindow is how long after its answer was dropped a request may still have been running at its
 	// endpoint, and so have crashed it. maxPendingDrops limits how many such sends are kept. maxRetainedBody limits
-	// the size of the body kept with each; the fingerprint of a larger one is computed at once.
+	// the size of the body kept with each; the fingerprint of a larger one, and of a request that may be stored in some
+	// regions only, is computed at once.
 	dropCrashWindow = time.Second
 	maxPendingDrops = 256
 	maxRetainedBody = 64 << 10
@@ -185,7 +186,7 @@
 // dropped returns the record of a send whose answer is dropped now.
 func (s *send) dropped() droppedSend {
 	c, d := s.call, droppedSend{endpoint: s.ticket.Endpoint, at: clock.Now()}
-	if len(c.message.Body) > maxRetainedBody {
+	if len(c.message.Body) > maxRetainedBody || c.isRestricted() {
 		request := c.describePoison()
 		d.describePoison = func() willowwick.PoisonRequest { return request }
 	} else {
--- a/exchange/hints.go
+++ b/exchange/hints.go
@@ -182,7 +182,7 @@
 // their endpoints. Boxes of other regions rarely send to an endpoint, so they do without what is sent there.
 func (h *hints) sendCollected(list []hint, near []netip.AddrPort, far map[willowwick.HallID][]netip.AddrPort) {
 	topology := h.router.topology
-	h.sendTo(near, hintFinal, hintRows(list, func(hint) bool { return true }))
+	h.sendTo(near, willowwick.SameHall, hintFinal, hintRows(list, func(hint) bool { return true }))
 	regions := map[willowwick.RegionID][]netip.AddrPort{}
 	for hall, boxes := range far {
 		if topology.Distance(hall) == willowwick.OtherRegion {
@@ -192,7 +192,7 @@
 		}
 	}
 	for region, boxes := range regions {
-		h.sendTo([]netip.AddrPort{h.chooseRelay(boxes)}, hintForwardInRegion, hintRows(list, func(waiting hint) bool {
+		h.sendTo([]netip.AddrPort{h.chooseRelay(boxes)}, willowwick.OtherRegion, hintForwardInRegion, hintRows(list, func(waiting hint) bool {
 			return waiting.reach == reachFleet && topology.Region(waiting.hall) == region
 		}))
 	}
@@ -226,10 +226,10 @@
 // sendToHall sends updates to another hall: to all boxes of a small one, or to one box that forwards them.
 func (h *hints) sendToHall(hall []netip.AddrPort, rows []hintRow) {
 	if len(hall) <= maxDirectBoxes {
-		h.sendTo(hall, hintFinal, rows)
+		h.sendTo(hall, willowwick.SameRegion, hintFinal, rows)
 		return
 	}
-	h.sendTo([]netip.AddrPort{h.chooseRelay(hall)}, hintForward, rows)
+	h.sendTo([]netip.AddrPort{h.chooseRelay(hall)}, willowwick.SameRegion, hintForward, rows)
 }
 
 // chooseRelay returns a random box that is known to be alive, or any box if there is none.
@@ -246,7 +246,7 @@
 	return hall[start]
 }
 
-func (h *hints) sendTo(boxes []netip.AddrPort, kind hintKind, rows []hintRow) {
+func (h *hints) sendTo(boxes []netip.AddrPort, distance willowwick.Distance, kind hintKind, rows []hintRow) {
 	if len(boxes) == 0 || len(rows) == 0 {
 		return
 	}
@@ -261,6 +261,7 @@
 			continue
 		}
 		h.router.metrics.countHintSent()
+		h.router.metrics.distances.countGossip(distance, len(data))
 	}
 }
 
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -15,6 +15,7 @@
 	retriesDenied *metrics.Counter
 	hintsDropped  *metrics.Counter
 	hintsSent     *metrics.Counter
+	distances     distanceMetrics
 }
 
 func newRouterMetrics(x *Router) *routerMetrics {
@@ -24,6 +25,7 @@
 		retriesDenied: set.NewCounter("willowwick_repeats_denied_total"),
 		hintsDropped:  set.NewCounter("willowwick_hints_dropped_total"),
 		hintsSent:     set.NewCounter("willowwick_hint_datagrams_total"),
+		distances:     newDistanceMetrics(set, x.topology),
 	}
 	set.NewGauge("willowwick_requests_in_flight", func() float64 { return float64(x.inFlight.Load()) })
 	set.NewGauge("willowwick_requests_waiting", func() float64 { return float64(x.gate.WaitingCount()) })
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -57,7 +57,11 @@
 func newPeers(x *Router) (*peers, func()) {
 	dialer := net.Dialer{Timeout: gossipTimeout}
 	transport, closeTransport := fleet.NewTransport(x.settings.Key, func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return x.metrics.distances.counted(conn, x.topology.Distance(x.peers.hallOf(address))), nil
 	}, nil)
 	p := &peers{
 		router: x, transport: transport, startedAt: clock.Now(), startedMs: clock.TimeOfDay().UnixMilli(),
--- a/exchange/poison.go
+++ b/exchange/poison.go
@@ -69,10 +69,13 @@
 
 // describePoisonAs is describePoison with a given fingerprint.
 func (c *call) describePoisonAs(fingerprint willowwick.Fingerprint) willowwick.PoisonRequest {
-	return willowwick.PoisonRequest{
-		Request: fingerprint, Account: c.accountName(), Service: c.service, Host: c.message.Host,
-		Target: c.message.Target[:min(len(c.message.Target), maxTargetBytes)],
+	request := willowwick.PoisonRequest{Request: fingerprint, Account: c.accountName(), Service: c.service, Host: c.message.Host}
+	if c.isRestricted() {
+		request.Target = c.route.Prefix // the rest of the target is content, which stays in the allowed regions
+	} else {
+		request.Target = c.message.Target[:min(len(c.message.Target), maxTargetBytes)]
 	}
+	return request
 }
 
 // recordCrash records that an endpoint crashed while it had a request.
--- a/exchange/regions.go
+++ b/exchange/regions.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 
@@ -67,6 +68,26 @@
 	return c.regions
 }
 
+// isRestricted reports whether the request may be served, cached and stored in some regions only.
+func (c *call) isRestricted() bool {
+	allowed := c.allowedRegions()
+	return len(allowed.route) > 0 || len(allowed.account) > 0
+}
+
+// loggedTarget returns what a log line may hold of the target of a request that is refused on arrival: where a route or
+// a client account is restricted to some regions, the prefix of the request's route only, empty if it has none.
+func (x *Router) loggedTarget(r *http.Request) string {
+	t := x.table.Load()
+	if t == nil || !t.restrictsRegions {
+		return r.RequestURI
+	}
+	_, path := requestTarget(r)
+	if found := t.findRoute(r.Host, path); found != nil {
+		return found.Prefix
+	}
+	return ""
+}
+
 // regionsFor returns the regions in which a request may be served whose route and client account, nil if it has none, are
 // of this configuration or an older one. What this configuration lacks keeps its regions.
 func (t *table) regionsFor(route *willowwick.Route, account *willowwick.RoutedAccount) allowedRegions {
@@ -89,7 +110,7 @@
 // queueName names the queue that the request waits in. Requests that may be served in some regions only have queues of
 // their own: they don't wait behind requests for other endpoints, nor those behind them.
 func (c *call) queueName() string {
-	if restriction := c.allowedRegions(); len(restriction.route) == 0 && len(restriction.account) == 0 {
+	if !c.isRestricted() {
 		return string(c.service)
 	}
 	var allowed []string
--- a/exchange/regions_test.go
+++ b/exchange/regions_test.go
@@ -168,3 +168,41 @@
 	assert.Equal(t, []bool{false, false, true}, []bool{first("a"), first("b"), first("c")})
 	assert.Equal(t, []bool{false, true, true}, []bool{second("a"), second("b"), second("c")})
 }
+
+// Requests and bytes are counted by distance, and a request that leaves its region says why.
+func TestARequestThatLeavesItsRegionSaysWhy(t *testing.T) {
+	south := newRunner(t, "r2", answerText("south"))
+	routes := []willowwick.Route{onceRoute(), inRegions(retryRoute(), "south")}
+	s := startSite(t, newTestControl(testTable(1, routes...), southern(south)), regionSettings())
+	x := s.daemon.router
+	reply := s.do(t, http.MethodPost, "/once/", "id", "1234567")
+	require.Equal(t, "south", reply.body)
+	far := x.metrics.distances[willowwick.OtherRegion]
+	assert.EqualValues(t, 1, far.sends.Get())
+	assert.EqualValues(t, len("1234567")+len("south"), far.bytes.Get())
+	assert.Zero(t, x.metrics.distances[willowwick.SameHall].sends.Get())
+	for at, reason := range []string{leftNoEndpoint, leftForbidden} {
+		c := &call{router: x, service: "work", route: &x.table.Load().Routes[at]}
+		assert.Equal(t, reason, c.reasonToLeave(time.Now(), southern(south)))
+	}
+}
+
+// What boxes tell each other, write to the store and log of a request may leave the allowed regions.
+func TestContentOfARestrictedRequestStaysWithIt(t *testing.T) {
+	s := startSite(t, newTestControl(testTable(1, onceRoute(), inRegions(retryRoute(), "north"))), regionSettings())
+	x := s.daemon.router
+	require.Eventually(t, func() bool { return x.table.Load() != nil }, waitTimeout, time.Millisecond)
+	for at, prefix := range []string{"/once/", "/again/"} {
+		r := s.request(t, http.MethodPost, prefix+"name?of=ada", "id", "x")
+		r.RequestURI = prefix + "name?of=ada"
+		c := &call{router: x, service: "work", route: &x.table.Load().Routes[at]}
+		c.message.Target = r.RequestURI
+		told := c.describePoison().Target
+		if at == 0 {
+			assert.Equal(t, r.RequestURI, told)
+		} else {
+			assert.Equal(t, prefix, told)
+		}
+		assert.Equal(t, prefix, x.loggedTarget(r))
+	}
+}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -95,6 +95,7 @@
 		s.outcome = route.OutcomeFailed
 		return sendResult{broken, errors.Wrap(err, "read the body of the answer")}
 	}
+	s.router.metrics.distances.countAnswer(s.distance(), len(body))
 	s.observe(false)
 	s.outcome = route.OutcomeGood
 	if len(body) == maxBufferedBody {
@@ -114,7 +115,9 @@
 func (s *send) relayLarge(begin []byte) sendResult {
 	s.out.writeHead(s.answer.Status, s.answer.Header, s.answer.Length)
 	s.out.write(begin)
-	if _, err := io.Copy(s.out.writer, s.answer); err != nil {
+	copied, err := io.Copy(s.out.writer, s.answer)
+	s.router.metrics.distances.countAnswer(s.distance(), int(copied))
+	if err != nil {
 		s.outcome = route.OutcomeFailed
 		return sendResult{broken, errors.Wrap(err, "read the body of the answer")}
 	}
@@ -132,6 +135,7 @@
 		buffer = grow(buffer)
 		n, err := s.answer.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		s.router.metrics.distances.countAnswer(s.distance(), n)
 		s.ticket.MarkAlive(clock.Now())
 		whole := bytes.LastIndex(buffer, eventEnd) + len(eventEnd)
 		if whole >= len(eventEnd) {
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -159,7 +159,7 @@
 // logRefused writes the only log line of a request that was refused on arrival, with the ages of the configuration
 // and the list of endpoints that the refusal is based on.
 func (x *Router) logRefused(out *reply, r *http.Request, refusal *willowwick.Refusal, arrived time.Time) {
-	slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", r.RequestURI,
+	slog.Info("refused on arrival", "request", out.id, "host", r.Host, "target", x.loggedTarget(r),
 		"status", statusOf(refusal), "cause", refusal.Message, "config", x.configVersion(),
 		"config_age_ms", x.sync.configAge(arrived).Milliseconds(), "endpoints_age_ms", x.sync.endpointsAge(arrived).Milliseconds())
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -111,6 +111,7 @@
 // sendOnce sends the request to the ticket's endpoint and relays the answer.
 func (c *call) sendOnce(ticket *gate.Ticket) sendResult {
 	s := &send{call: c, ticket: ticket, outcome: route.OutcomeCancelled}
+	c.leftRegionFor = c.reasonToLeave(clock.Now(), ticket.Endpoint)
 	if c.cascadeStage != noCascade {
 		s.model = c.route.Models[c.cascadeStage]
 	}
@@ -220,6 +221,7 @@
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
+	s.router.metrics.distances.countSend(s.distance(), len(message.Body))
 	s.countUnwantedSend()
 	if s.route.Stream {
 		s.router.hints.publish(s.ticket.Sent(clock.Now()))
--- a/region.go
+++ b/region.go
@@ -23,6 +23,18 @@
 	}
 )
 
+// String implements fmt.Stringer.
+func (d Distance) String() string {
+	switch d {
+	case SameHall:
+		return "same hall"
+	case SameRegion:
+		return "same region"
+	default:
+		return "other region"
+	}
+}
+
 // Region returns the region of a hall; a hall that the settings don't name counts as one of this box's region.
 func (t Topology) Region(hall HallID) RegionID {
 	if region, known := t.Regions[hall]; known {
