--- a/exchange/send.go
+++ b/exchange/send.go
@@ -111,6 +111,7 @@
 // sendOnce sends the request to the ticket's endpoint and relays the answer.
 func (c *call) sendOnce(ticket *gate.Ticket) sendResult {
 	s := &send{call: c, ticket: ticket, outcome: route.OutcomeCancelled}
+	c.leftRegionFor = c.reasonToLeave(clock.Now(), ticket.Endpoint)
 	if c.cascadeStage != noCascade {
 		s.model = c.route.Models[c.cascadeStage]
 	}
@@ -136,7 +137,7 @@
 	}
 	ticket.Done(s.outcome)
 	if s.missedEndpoint(result) {
-		c.recordMiss(ticket.Endpoint)
+		c.misses.record(c.router.topology, ticket.Endpoint.Hall)
 	}
 	if result.kind != answered {
 		c.triedEndpoints[ticket.Endpoint.ID] = true
@@ -202,9 +203,9 @@
 		s.outcome = route.OutcomeFailed
 		return sendResult{notSent, err}
 	}
-	if s.ticket.EndpointRefusesWork(clock.Now()) {
-		// A notice that arrived after the endpoint was chosen applies to this request too: getting a permit or a
-		// new connection takes time.
+	if s.ticket.EndpointRefusesWork(clock.Now()) || !s.allowsHall(s.ticket.Endpoint.Hall) {
+		// A notice or a configuration that arrived after the endpoint was chosen applies to this request too:
+		// getting a permit or a new connection takes time.
 		conn.Release("")
 		return sendResult{kind: withheld}
 	}
@@ -220,6 +221,7 @@
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
+	s.router.metrics.distances.countSend(s.distance(), len(message.Body))
 	s.countUnwantedSend()
 	if s.route.Stream {
 		s.router.hints.publish(s.ticket.Sent(clock.Now()))
@@ -412,7 +414,7 @@
 	usual, _ := s.router.releases.typicalLatency(s.route.Name, largest)
 	expected := now.Sub(s.arrived) + usual
 	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
-	pressure := s.router.pool.Pressure(now, s.service, s.choice.allows)
+	pressure := s.router.pool.Pressure(now, s.service, s.allows)
 	crowding, backlog := pressure.Requests/crowdedRunnerRequests, float64(pressure.Backlog)/float64(crowdedBacklog)
 	weight := min(max(min(left/fullThresholdSlack, 2-crowding, 2-backlog), 0), 1)
 	return settings.LateConfidence + int(weight*float64(settings.Confidence-settings.LateConfidence))
