Lease: a grant names the former holders, so that a box that has just started and never held it calls at once

The random fleet found two faults on the way: an own renewal lost the list, and an answer to a join that was sent at the moment of leaving counted.

--- a/duty.go
+++ b/duty.go
@@ -42,6 +42,8 @@
 		Claim   uint64 `json:"claim"`   // tells the claims of one boot apart
 		// ActsAt is the holder's time of day before which it makes no calls.
 		ActsAt time.Time `json:"acts_at,omitzero"`
+		// Former are the holders before, the latest last, without repeats; only the latest few are kept.
+		Former []BoxID `json:"former,omitempty"`
 	}
 
 	// DutyState is what the store holds on the duties.
--- a/exchange/duties.go
+++ b/exchange/duties.go
@@ -16,6 +16,8 @@
 const (
 	// dutyInterval is how often the lease is checked, and how often the workers of the duties are called.
 	dutyInterval = 200 * time.Millisecond
+	// idleDutyInterval is how often the lease is checked on a box that can't hold it; an answer of the group wakes it.
+	idleDutyInterval = 2 * time.Second
 	// maxLeaseSteps bounds the calls to the store in a row: a conflict leads to a read and another write.
 	maxLeaseSteps = 6
 )
@@ -101,7 +103,11 @@
 func (d *duties) keepLease(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.advance(ctx)
-		wait, cancel := context.WithTimeout(ctx, dutyInterval)
+		interval := idleDutyInterval
+		if d.isCandidate() {
+			interval = dutyInterval
+		}
+		wait, cancel := context.WithTimeout(ctx, interval)
 		select {
 		case <-wait.Done():
 		case <-d.changed:
@@ -110,6 +116,12 @@
 	}
 }
 
+func (d *duties) isCandidate() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lease.IsCandidate(clock.Now())
+}
+
 // advance takes the steps that the lease asks for until there are none, or one fails.
 func (d *duties) advance(ctx context.Context) {
 	d.storeMu.Lock()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -14,6 +15,8 @@
 	actingMargin = 200 * time.Millisecond
 	// lateCallLimit is how long after it was sent an unanswered call is expected to be executed at the latest.
 	lateCallLimit = 15 * time.Second
+	// maxFormer is the number of former holders that a grant names.
+	maxFormer = 12
 	// storeCallLimit is how long a write to the store is expected to take at most.
 	storeCallLimit = time.Second
 	// storeRetryPause is the time between a failed call to the store and the next one.
@@ -78,7 +81,7 @@
 		// The candidate.
 		since       time.Time // this box has been the candidate since then
 		validUntil  time.Time // and is until then; zero if it isn't
-		joinedAfter time.Time // answers to joins that were sent before don't count
+		joinedAfter time.Time // answers to joins that were sent until then don't count
 		asideUntil  time.Time // this box leaves the lease to others until then
 
 		// The topic.
@@ -90,13 +93,14 @@
 		// Own grants.
 		holds       bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
 		token       willowwick.FencingToken
-		claim       uint64           // of the last grant that was written here; 0 if none was
-		claimEra    willowwick.Era   // of that grant
-		former      willowwick.BoxID // holder before that grant
-		neverHeld   bool             // as of that grant, no process of this box had held the lease
-		resumedFrom time.Time        // from when it may call if a former process of this box wrote the grant before; else zero
-		outdated    bool             // a higher token is needed
-		actsAt      time.Time        // no calls before
+		granted     willowwick.DutyLease // the last one that was written here, whether for certain or not
+		claim       uint64               // of it; 0 if there is none
+		claimEra    willowwick.Era       // of that grant
+		former      willowwick.BoxID     // holder before that grant
+		neverHeld   bool                 // as of that grant, no process of this box had held the lease
+		resumedFrom time.Time            // from when it may call if a former process of this box wrote the grant before; else zero
+		outdated    bool                 // a higher token is needed
+		actsAt      time.Time            // no calls before
 
 		// Calls.
 		spent        map[willowwick.DutySubject]willowwick.FencingToken // highest token that can't be used again
@@ -117,7 +121,7 @@
 func (l *Lease) Joined(sentAt time.Time, isLeader bool, now time.Time) {
 	l.expire(now)
 	switch {
-	case l.stopped || now.Before(l.asideUntil) || sentAt.Before(l.joinedAfter):
+	case l.stopped || now.Before(l.asideUntil) || !sentAt.After(l.joinedAfter):
 	case !isLeader:
 		l.lose("another box leads the group")
 	default:
@@ -209,12 +213,14 @@
 	grant = l.settings.Self
 	grant.Claim = l.claim
 	grant.ActsAt = l.actsAt
+	grant.Former = l.formerHolders()
 	if !l.holds {
 		// The wait begins once the write is answered.
 		if grant.ActsAt = l.mayActFrom(now); grant.ActsAt.After(now) {
 			grant.ActsAt = grant.ActsAt.Add(storeCallLimit)
 		}
 	}
+	l.granted = grant
 	return grant, l.known.End
 }
 
@@ -225,8 +231,7 @@
 		return // it lapsed meanwhile; the topic is read again before the next call
 	}
 	l.hold(token, now)
-	grant := l.settings.Self
-	grant.Claim = l.claim
+	grant := l.granted
 	l.known = willowwick.DutyState{Lease: &grant, Token: token, End: token + 1}
 }
 
@@ -266,13 +271,23 @@
 	}
 }
 
-// hasNeverHeld reports whether the topic shows that no process of this box has held the lease before: it holds no grant, or
-// its first record is the newest grant and another box's. A store that came back from a copy may lack earlier ones.
+// hasNeverHeld reports whether the topic shows that no process of this box has held the lease before. A store that came back
+// from a copy may lack grants.
 func (l *Lease) hasNeverHeld() bool {
-	if l.known.Lease == nil {
-		return l.known.End.Era() == 0
+	holders := l.formerHolders()
+	return l.known.End.Era() == 0 && len(holders) < maxFormer && !slices.Contains(holders, l.settings.Self.Holder)
+}
+
+// formerHolders returns the boxes that have held the lease up to the newest grant, the latest last: all of them if they are
+// fewer than maxFormer.
+func (l *Lease) formerHolders() []willowwick.BoxID {
+	newest := l.known.Lease
+	if newest == nil {
+		return nil
 	}
-	return l.known.Token == 0 && l.known.Lease.Holder != l.settings.Self.Holder
+	holders := slices.DeleteFunc(slices.Clone(newest.Former), func(box willowwick.BoxID) bool { return box == newest.Holder })
+	holders = append(holders, newest.Holder)
+	return holders[max(len(holders)-maxFormer, 0):]
 }
 
 // ownActsAt returns from when a former process of this box would have called under the newest grant: no other box has held
