--- a/lease/lease.go
+++ b/lease/lease.go
@@ -26,7 +26,7 @@
 	noCapacityReadAge = 5 * time.Second
 	// stepAsideAfter and stepAsideCalls are for how long and how often calls must have got no answer, without one that got
 	// one, until the box lets another one try.
-	stepAsideAfter = 4 * time.Second
+	stepAsideAfter = 6 * time.Second
 	stepAsideCalls = 3
 	// asideTime is for how long a box that stepped aside doesn't become the candidate.
 	asideTime = 8 * time.Second
@@ -182,7 +182,8 @@
 	switch {
 	case !l.isRead:
 	case isOwn && state.Token == l.token && !l.actsAt.IsZero():
-		l.holds = true // nobody else has held it since
+		// Nobody else has held it since.
+		l.holds, l.why = true, "the newest grant is still this box's"
 	case isOwn && (!l.holds || state.Token > l.token):
 		l.hold(state.Token, now)
 	case isOwn || !l.holds:
