--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -41,14 +41,13 @@
 	coverage := Coverage{}
 	var lost time.Duration
 	for box, starts := range byBox {
-		starts = startsWithin(starts, begin, end)
-		if len(starts) == 0 {
+		known := l.coverageOf(starts, begin, end)
+		if !known.mayHaveCounted {
 			continue
 		}
 		coverage.Boxes++
-		boxLost, isMissing := l.lostTime(starts, begin, end)
-		lost += boxLost
-		if isMissing {
+		lost += known.lost
+		if known.isMissing {
 			coverage.Missing = append(coverage.Missing, box)
 		}
 	}
@@ -62,43 +61,50 @@
 	return coverage
 }
 
-// startsWithin returns the starts of one box that may have counted in a window, in order of time.
-func startsWithin(starts []*origin, begin, end time.Time) []*origin {
-	slices.SortFunc(starts, func(a, b *origin) int { return a.since.Compare(b.since) })
-	var within []*origin
-	for i, o := range starts {
-		isLast := i == len(starts)-1
-		mayCount := isLast && !o.ended && begin.Sub(o.until) < silentTime
-		if o.since.Before(end) && (o.until.After(begin) || mayCount) {
-			within = append(within, o)
-		}
-	}
-	return within
+// boxCoverage is how much of a window is known of one box.
+type boxCoverage struct {
+	mayHaveCounted bool
+	isMissing      bool // may still tell
+	lost           time.Duration
 }
 
-// lostTime returns for how much of a window a box may have counted what is not known here, and whether it may still
-// tell; the caller holds the lock.
-func (l *Ledger) lostTime(starts []*origin, begin, end time.Time) (lost time.Duration, isMissing bool) {
+// coverageOf returns how much of a window is known of a box with these starts; the caller holds the lock.
+func (l *Ledger) coverageOf(starts []*origin, begin, end time.Time) boxCoverage {
+	slices.SortFunc(starts, func(a, b *origin) int { return a.since.Compare(b.since) })
+	var known boxCoverage
 	// Of the time before its first known start, nothing is known of a box unless this hub would have been told then.
-	if first := starts[0].since; first.After(begin) && l.collectingSince.After(begin) {
-		lost += first.Sub(begin)
+	if l.collectingSince.After(begin) {
+		known.lost = overlap(begin, starts[0].since, begin, end)
+		known.mayHaveCounted = known.lost > 0
 	}
 	for i, o := range starts {
-		if !o.until.Before(end) || o.ended {
-			continue
+		if !o.since.Before(end) {
+			break
 		}
-		if i < len(starts)-1 {
-			lost += min(restartLoss, starts[i+1].since.Sub(o.until))
-			continue
+		known.mayHaveCounted = known.mayHaveCounted || o.until.After(begin)
+		switch isLast := i == len(starts)-1; {
+		case o.ended || !o.until.Before(end):
+		case !isLast:
+			lostUntil := earlier(o.until.Add(restartLoss), starts[i+1].since)
+			known.lost += overlap(o.until, lostUntil, begin, end)
+		case begin.Sub(o.until) < silentTime:
+			known.mayHaveCounted, known.isMissing = true, true
+			known.lost += overlap(o.until, end, begin, end)
 		}
-		isMissing = true
-		lost += end.Sub(later(o.until, begin))
 	}
-	return max(lost, 0), isMissing
+	return known
+}
+
+// overlap returns for how long a time lies within a window.
+func overlap(from, until, begin, end time.Time) time.Duration {
+	if from.Before(begin) {
+		from = begin
+	}
+	return max(earlier(until, end).Sub(from), 0)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
 		return a
 	}
 	return b
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -168,6 +168,38 @@
 	assert.InDelta(t, restartLoss.Seconds()/testSettings.Window.Seconds()/9, lost, 1e-9)
 }
 
+// A box that is started again after the window has ended can't tell of the window any more.
+func TestABoxStartedAgainAfterTheWindowIsNotMissing(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runTo(testSettings.End(f.window).Add(-time.Second))
+	f.boxes[5].down = true
+	f.runFor(3 * time.Second)
+	f.start(f.boxes[5])
+	f.runFor(3 * round)
+	f.requireCounts(t, f.boxes[0], 0)
+	lost := f.coverage(f.boxes[0]).Lost
+	assert.InDelta(t, restartLoss.Seconds()/testSettings.Window.Seconds()/9, lost, 0.01)
+}
+
+// A start that nobody knows of any more may have counted in a window before the box was started again.
+func TestTheWindowBeforeABoxWasStartedAgainIsLostIfNobodyKnows(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runTo(testSettings.End(f.window).Add(-time.Second))
+	for _, b := range f.boxes {
+		if b != f.boxes[8] {
+			b.down = true
+		}
+	}
+	f.runFor(2 * time.Second)
+	for _, b := range f.boxes {
+		if b.down {
+			f.start(b)
+		}
+	}
+	f.runFor(4 * round)
+	assert.Greater(t, f.coverage(f.boxes[0]).Lost, 0.5)
+}
+
 func TestABoxThatDoesNotComeBackIsMissing(t *testing.T) {
 	f := newTestFleet(9, 3)
 	f.count(f.boxes[5], 7)
