--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -24,6 +24,8 @@
 //     declared_set.go.
 //   - Quarantine keeps poison requests, which crash the endpoints that run them, from being sent again. See poison.go,
 //     crash.go and package quarantine.
+//   - Usage is the number of requests of each client account that began to run in a window of time. The box that holds
+//     the lease on the duties reports it. See usage.go and package usage.
 //
 // Further parts are roll-outs of releases (release.go, choice.go, evidence.go), permits for rate-limited endpoints
 // (permits.go), and UDP datagrams on prompts that other boxes have just sent (hints.go).
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -154,7 +154,7 @@
 		if lateness > 0 {
 			metrics.countUsageReport("late")
 		}
-		slog.Info("usage report sent", append(attributes, "requests", report.Total(), "accounts", len(report.Counts), "failed_sends", step.Sends)...)
+		slog.Info("usage report sent", append(append(attributes, "requests", report.Total(), "accounts", len(report.Counts), "failed_sends", step.Sends), coverage...)...)
 	case step.Coverage.Boxes == 0:
 		metrics.countUsageReport("unknown")
 	default:
