--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -58,11 +58,16 @@
 	if u == nil {
 		return nil
 	}
-	_, hasHub := p.hub(now)
+	u.noteHub(now)
+	return u.ledger.Message(address, clock.TimeOfDay())
+}
+
+// noteHub records whether this box is the hub of its hall.
+func (u *usageReports) noteHub(now time.Time) {
+	_, hasHub := u.router.peers.hub(now)
 	timeOfDay := clock.TimeOfDay()
 	u.ledger.SetHub(!hasHub, timeOfDay)
 	u.ledger.Forget(timeOfDay)
-	return u.ledger.Message(address, timeOfDay)
 }
 
 // receiveUsage applies the counts of another box; a box of an earlier release sends none.
@@ -105,6 +110,7 @@
 		return nil
 	}
 	return func(ctx context.Context, now time.Time) {
+		u.noteHub(now) // a box that is alone has no gossip exchanges
 		for holder.Holds(now) && u.step(ctx, holder, api) {
 			now = clock.Now()
 		}
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -89,3 +90,58 @@
 	}
 	return total
 }
+
+// testHolder holds the lease, stores reports and notes those that are sent.
+type testHolder struct {
+	willowwick.DutyAPI
+	stored []willowwick.UsageReport
+	sent   []willowwick.UsageReport
+	err    error // of a write to the store
+}
+
+func (h *testHolder) Holds(time.Time) bool { return true }
+
+func (h *testHolder) Call(ctx context.Context, _ willowwick.DutySubject, call func(context.Context, willowwick.BoxID, willowwick.FencingToken) error) error {
+	return call(ctx, "box-1", 1)
+}
+
+func (h *testHolder) WriteUsageReport(_ context.Context, report willowwick.UsageReport) error {
+	if h.err == nil {
+		h.stored = append(h.stored, report)
+	}
+	return h.err
+}
+
+func (h *testHolder) UsageReports() []willowwick.UsageReport { return h.stored }
+
+func (h *testHolder) ReportUsage(_ context.Context, _ willowwick.BoxID, _ willowwick.FencingToken, report willowwick.UsageReport) error {
+	h.sent = append(h.sent, report)
+	return nil
+}
+
+// A fleet of one box reports what it ran; nothing that could not be stored.
+func TestTheHolderReportsWhatEndpointsRan(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	settings := testSettings()
+	settings.Duties = usageDuty
+	settings.Duties.UsageWindow, settings.Duties.UsageDue = 300*time.Millisecond, 400*time.Millisecond
+	s := startSite(t, newTestControl(testTable(1, retryRoute()), r.endpoint("v1")), settings)
+	holder := &testHolder{err: errDown}
+	work := s.daemon.router.usage.work(holder, holder)
+	work(t.Context(), clock.Now())
+	time.Sleep(settings.Duties.UsageWindow) // of the window in which the box started, not all is known
+	for n := range 3 {
+		s.do(t, http.MethodGet, "/again/", fmt.Sprint("id-", n), "")
+	}
+	reported := func() int {
+		work(t.Context(), clock.Now())
+		total := 0
+		for _, report := range holder.sent {
+			total += report.Counts[testAccount]
+		}
+		return total
+	}
+	assert.Never(t, func() bool { return reported() > 0 }, 2*settings.Duties.UsageWindow, 20*time.Millisecond)
+	holder.err = nil
+	assert.Eventually(t, func() bool { return reported() == 3 }, waitTimeout, 20*time.Millisecond)
+}
--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -17,9 +17,9 @@
 
 // Coverage is how much of a window is known.
 type Coverage struct {
-	Boxes   int                // that are known to have counted in the window
+	Boxes   int                // that have told of the window
 	Missing []willowwick.BoxID // may still tell of the window
-	Unknown int                // boxes of the fleet that have told nothing at all
+	Unknown int                // boxes of the fleet that have told nothing of the window, but may have counted
 	Lost    float64            // share of the boxes' time in the window whose counts are not known
 }
 
@@ -42,18 +42,21 @@
 	var lost time.Duration
 	for box, starts := range byBox {
 		known := l.coverageOf(starts, begin, end)
-		if !known.mayHaveCounted {
-			continue
+		switch {
+		case known.hasTold:
+			coverage.Boxes++
+		case known.lost > 0:
+			coverage.Unknown++
 		}
-		coverage.Boxes++
 		lost += known.lost
 		if known.isMissing {
 			coverage.Missing = append(coverage.Missing, box)
 		}
 	}
 	slices.Sort(coverage.Missing)
-	coverage.Unknown = max(fleet-len(byBox), 0)
-	lost += time.Duration(coverage.Unknown) * l.settings.Window
+	silent := max(fleet-len(byBox), 0)
+	coverage.Unknown += silent
+	lost += time.Duration(silent) * l.settings.Window
 	coverage.Lost = 1
 	if all := coverage.Boxes + coverage.Unknown; coverage.Boxes > 0 && !l.collectingSince.IsZero() {
 		coverage.Lost = lost.Seconds() / (float64(all) * l.settings.Window.Seconds())
@@ -63,9 +66,9 @@
 
 // boxCoverage is how much of a window is known of one box.
 type boxCoverage struct {
-	mayHaveCounted bool
-	isMissing      bool // may still tell
-	lost           time.Duration
+	hasTold   bool
+	isMissing bool // may still tell
+	lost      time.Duration
 }
 
 // coverageOf returns how much of a window is known of a box with these starts; the caller holds the lock.
@@ -75,20 +78,19 @@
 	// Of the time before its first known start, nothing is known of a box unless this hub would have been told then.
 	if l.collectingSince.After(begin) {
 		known.lost = overlap(begin, starts[0].since, begin, end)
-		known.mayHaveCounted = known.lost > 0
 	}
 	for i, o := range starts {
 		if !o.since.Before(end) {
 			break
 		}
-		known.mayHaveCounted = known.mayHaveCounted || o.until.After(begin)
+		known.hasTold = known.hasTold || o.until.After(begin)
 		switch isLast := i == len(starts)-1; {
 		case o.ended || !o.until.Before(end):
 		case !isLast:
 			lostUntil := earlier(o.until.Add(restartLoss), starts[i+1].since)
 			known.lost += overlap(o.until, lostUntil, begin, end)
 		case begin.Sub(o.until) < silentTime:
-			known.mayHaveCounted, known.isMissing = true, true
+			known.isMissing = true
 			known.lost += overlap(o.until, end, begin, end)
 		}
 	}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -197,7 +197,10 @@
 		}
 	}
 	f.runFor(4 * round)
-	assert.Greater(t, f.coverage(f.boxes[0]).Lost, 0.5)
+	coverage := f.coverage(f.boxes[0])
+	assert.Equal(t, 1, coverage.Boxes)
+	assert.Equal(t, 8, coverage.Unknown)
+	assert.Greater(t, coverage.Lost, 0.5)
 }
 
 func TestABoxThatDoesNotComeBackIsMissing(t *testing.T) {
