Usage: what a box forgot is told to it again; fewer rows are looked at for a message

A start of a box that was cut off for longer than windows are kept was forgotten by hubs that were never told its name again, so its later counts were lost there.

--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -41,6 +41,7 @@
 		// box is no hub.
 		collectingSince time.Time
 		written         willowwick.UsageWindow // newest window that may have a stored report; 0 if none
+		forgotten       willowwick.UsageWindow // windows before it were dropped
 		acknowledged    willowwick.UsageWindow // newest window whose report the platform is known to have; 0 if none
 	}
 
@@ -66,12 +67,18 @@
 		since   time.Time // when it began to count
 		until   time.Time // up to where its counts are known completely
 		ended   bool      // it stopped as planned and counts no more
-		counts  map[willowwick.UsageWindow]map[willowwick.AccountID]count
+		counts  map[willowwick.UsageWindow]*windowCounts
 		namedAt revision // when box, hall and since were learnt
 		stateAt revision // when until and ended changed enough to be told
 		countAt revision // when a count changed last
 	}
 
+	// windowCounts are the counts of one window.
+	windowCounts struct {
+		rows map[willowwick.AccountID]count
+		at   revision // when one changed last
+	}
+
 	// count is the number of an account's requests in a window.
 	count struct {
 		requests int
@@ -115,7 +122,7 @@
 }
 
 func newOrigin(key originKey) *origin {
-	return &origin{key: key, counts: map[willowwick.UsageWindow]map[willowwick.AccountID]count{}}
+	return &origin{key: key, counts: map[willowwick.UsageWindow]*windowCounts{}}
 }
 
 func keyOf(boot willowwick.BootID) originKey {
@@ -132,25 +139,32 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	window := l.settings.WindowAt(at)
-	l.setCount(l.own, window, account, l.own.counts[window][account].requests+1)
+	l.setCount(l.own, window, account, l.own.count(window, account)+1)
+}
+
+func (o *origin) count(window willowwick.UsageWindow, name willowwick.AccountID) int {
+	if counts := o.counts[window]; counts != nil {
+		return counts.rows[name].requests
+	}
+	return 0
 }
 
 // setCount sets a higher count; the caller holds the lock.
 func (l *Ledger) setCount(o *origin, window willowwick.UsageWindow, name willowwick.AccountID, requests int) {
-	rows := o.counts[window]
-	if requests <= rows[name].requests {
+	if requests <= o.count(window, name) {
 		return
 	}
-	if rows == nil {
-		rows = map[willowwick.AccountID]count{}
-		o.counts[window] = rows
+	counts := o.counts[window]
+	if counts == nil {
+		counts = &windowCounts{rows: map[willowwick.AccountID]count{}}
+		o.counts[window] = counts
 	}
 	l.revision++
 	if l.accounts[name] == nil {
 		l.accounts[name] = &account{name, len(l.accounts), l.revision}
 	}
-	rows[name] = count{requests, l.revision}
-	o.countAt = l.revision
+	counts.rows[name] = count{requests, l.revision}
+	counts.at, o.countAt = l.revision, l.revision
 }
 
 // advance sets up to where an origin's counts are known; the caller holds the lock.
@@ -202,6 +216,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	oldest := l.settings.oldest(now)
+	if oldest <= l.forgotten {
+		return
+	}
+	l.forgotten = oldest
 	for key, o := range l.origins {
 		for window := range o.counts {
 			if window < oldest {
@@ -220,8 +238,10 @@
 	defer l.mu.Unlock()
 	total := map[willowwick.AccountID]int{}
 	for _, o := range l.origins {
-		for account, row := range o.counts[window] {
-			total[account] += row.requests
+		if counts := o.counts[window]; counts != nil {
+			for name, row := range counts.rows {
+				total[name] += row.requests
+			}
 		}
 	}
 	return total
--- a/usage/telling.go
+++ b/usage/telling.go
@@ -89,7 +89,10 @@
 		return nil
 	}
 	isUnderstood := l.merge(&m, peer)
-	if isUnderstood && m.from <= peer.received {
+	switch {
+	case !isUnderstood:
+		peer.received = 0 // the other box tells everything again
+	case m.from <= peer.received:
 		peer.received = max(peer.received, m.to)
 	}
 	tellsAll := m.from == 0 && m.isHub && !m.collectingSince.IsZero()
@@ -100,7 +103,7 @@
 }
 
 // merge applies the updates of a message, and reports whether it understood them all: what an index means may have been
-// told in a message that was lost. The caller holds the lock.
+// told in a message that was lost, and this box may have forgotten the origin. The caller holds the lock.
 func (l *Ledger) merge(m *message, peer *peerState) bool {
 	for _, named := range m.accounts {
 		peer.accounts[named.index] = named.name
@@ -112,9 +115,9 @@
 			l.addOrigin(update)
 		}
 		key, isKnown := peer.origins[update.index]
-		isUnderstood = isUnderstood && isKnown
-		// This box may have forgotten the origin, and knows better what it counted itself.
-		if o := l.origins[key]; o != nil && o != l.own {
+		o := l.origins[key]
+		isUnderstood = isUnderstood && isKnown && o != nil
+		if o != nil && o != l.own {
 			isUnderstood = l.mergeOrigin(o, update, peer) && isUnderstood
 		}
 	}
@@ -163,8 +166,11 @@
 	update := originUpdate{key: o.key, index: o.index, isNamed: o.namedAt > after, hasState: o.stateAt > after, ended: o.ended, until: o.until}
 	update.box, update.hall, update.since = o.box, o.hall, o.since
 	if o.countAt > after {
-		for window, rows := range o.counts {
-			for name, row := range rows {
+		for window, counts := range o.counts {
+			if counts.at <= after {
+				continue
+			}
+			for name, row := range counts.rows {
 				if row.at > after {
 					update.rows = append(update.rows, countRow{window, accounts[name].index, row.requests})
 				}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -91,6 +91,7 @@
 		}
 		hub := f.hubOf(b.hall, b)
 		b.SetHub(hub == b, f.timeOf(b))
+		b.Forget(f.timeOf(b))
 		if hub != b {
 			f.exchange(t, b, hub)
 			continue
@@ -239,6 +240,21 @@
 	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
 }
 
+// A box that was cut off for so long that the hubs forgot it is told of anew.
+func TestABoxThatIsBackAfterLongCountsAgain(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.boxes[5].cut = true
+	f.runFor(testSettings.Due + outageTime + 3*testSettings.Window)
+	f.boxes[5].cut = false
+	f.runFor(3 * round)
+	f.count(f.boxes[5], 4)
+	f.window = testSettings.WindowAt(f.now)
+	f.runFor(4 * round)
+	for _, hub := range f.boxes[:3] {
+		assert.Equal(t, 4, hub.Counts(f.window)["a"])
+	}
+}
+
 // The boxes of a hall tell its next hub all that they counted, and the other hubs tell it what boxes that are gone did.
 func TestCountsSurviveTheEndOfAHub(t *testing.T) {
 	f := newTestFleet(9, 3)
