--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -17,21 +17,26 @@
 
 var usageDuty = DutySettings{Assigned: []willowwick.DutyID{willowwick.DutyUsage}, UsageWindow: testUsageWindow, UsageDue: 10 * time.Second, UsageOff: 0.05}
 
-// countUsage counts a request of one of the accounts on each box, and lets the boxes exchange gossip, for a duration.
-func (m *mesh) countUsage(t *testing.T, pause, duration time.Duration) {
+// countUsage counts a request of one of the accounts on each box, and lets the boxes exchange gossip, for a duration. It
+// returns the number of requests by window.
+func (m *mesh) countUsage(t *testing.T, pause, duration time.Duration) map[willowwick.UsageWindow]int {
 	const accounts = 24
+	requests := map[willowwick.UsageWindow]int{}
 	for until := time.Now().Add(duration); time.Now().Before(until); {
 		for _, box := range m.boxes {
 			if box.usage != nil {
 				box.usage.ledger.Count(willowwick.AccountID(fmt.Sprintf("acct%03d", m.random.IntN(accounts))), clock.TimeOfDay())
+				requests[box.usage.settings.WindowAt(clock.TimeOfDay())]++
 			}
 		}
 		m.run(t, pause)
 	}
+	return requests
 }
 
-// Of 24 accounts and 7 requests a second on each box, a box sends some 350 bytes a second, each exchange counted once.
-func TestUsageCostsFewBytes(t *testing.T) {
+// Of 24 accounts and 5 requests a second on each box, a box sends some 350 bytes a second, each exchange counted once,
+// and soon after the end of a window the hubs know all counts.
+func TestUsageIsKnownSoonAtFewBytes(t *testing.T) {
 	const perBox = 400 // bytes a second
 	const watched = 2 * testUsageWindow
 	const pause = 150 * time.Millisecond // between two requests of a box
@@ -43,10 +48,19 @@
 		}
 		m.countUsage(t, pause, testUsageWindow)
 		m.parts = map[string]*gobCounter{}
-		m.countUsage(t, pause, watched)
+		requests := m.countUsage(t, pause, watched)
 		bytes := m.parts["usage"].bytes / size.boxes / int(watched.Seconds())
 		t.Logf("%d bytes a second for each box", bytes)
 		assert.Less(t, bytes, perBox)
+		m.run(t, testUsageWindow+1500*time.Millisecond)
+		for _, box := range m.boxes {
+			if _, hasHub := box.peers.hub(time.Now()); hasHub {
+				continue
+			}
+			window := box.usage.settings.WindowAt(time.Now()) - 1
+			assert.True(t, box.usage.ledger.Coverage(window, size.boxes, time.Now()).IsComplete())
+			assert.Equal(t, requests[window-1], willowwick.UsageReport{Counts: box.usage.ledger.Counts(window - 1)}.Total())
+		}
 	})
 }
 
