--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -28,7 +28,8 @@
 	return c.Boxes > 0 && len(c.Missing) == 0 && c.Unknown == 0
 }
 
-// Coverage returns how much of a window is known, nothing on a box that is no hub; fleet is the number of boxes that gossip knows, this one included.
+// Coverage returns how much of a window is known, nothing on a box that is no hub; fleet is the number of boxes that
+// gossip knows, this one included.
 func (l *Ledger) Coverage(window willowwick.UsageWindow, fleet int, now time.Time) Coverage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
