Usage: a failed send or write is tried again after 0.3 s; only the first of failures in a row is logged

With pauses that doubled to 2 s beside those of the lease, a report that the API could have taken 1.4 s before it was due was not sent then, and the holder was killed.

--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -29,6 +29,7 @@
 	ledger   *usage.Ledger
 	reporter *usage.Reporter
 	router   *Router
+	fails    bool // the last write or send failed
 }
 
 // newUsageReports returns nil if the fleet does not report usage.
@@ -149,7 +150,11 @@
 		"boxes", step.Coverage.Boxes, "missing", step.Coverage.Missing[:min(len(step.Coverage.Missing), maxMissingLogged)],
 		"unknown", step.Coverage.Unknown, "lost", step.Coverage.Lost,
 	}
+	failedBefore := u.fails
+	u.fails = err != nil
 	switch {
+	case err != nil && failedBefore:
+		metrics.countUsageReport("failed")
 	case err != nil:
 		metrics.countUsageReport("failed")
 		slog.Info("usage report failed", append(attributes, "stored", step.Kind == usage.SendReport, "error", err)...)
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -11,9 +11,9 @@
 	// waitShare is the share of the time to the due date for which a report waits for boxes that have not told: a box
 	// that was cut off for some seconds may still tell, and the rest suffices for a store or an API that fails at first.
 	waitShare = 0.75
-	// minPause and maxPause bound the pause after a failed send or write; it doubles with each.
-	minPause = 300 * time.Millisecond
-	maxPause = 2 * time.Second
+	// retryPause is the pause after a failed send or write. The holder of the lease makes longer ones where the API fails
+	// for long.
+	retryPause = 300 * time.Millisecond
 )
 
 // What the holder does next.
@@ -46,14 +46,9 @@
 		// offered are the reports that this box tried to store: a write without an answer may have stored it.
 		offered map[willowwick.UsageWindow]Step
 		sends   map[willowwick.UsageWindow]int
-		writing backoff
-		sending backoff
-	}
-
-	// backoff is the pause after consecutive failures.
-	backoff struct {
-		failures int
-		until    time.Time
+		// writeAt and sendAt are when the next write and send may be tried after a failed one.
+		writeAt time.Time
+		sendAt  time.Time
 	}
 )
 
@@ -74,12 +69,12 @@
 		r.ledger.NoteWritten(report.Window)
 	}
 	r.forget(now)
-	if report, found := r.firstUnsent(stored, now); found && !now.Before(r.sending.until) {
+	if report, found := r.firstUnsent(stored, now); found && !now.Before(r.sendAt) {
 		return Step{SendReport, report, r.offered[report.Window].Coverage, r.sends[report.Window]}, true
 	}
 	written, _ := r.ledger.reported()
 	window := max(written, r.skipped, r.settings.oldest(now)) + 1
-	if now.Before(r.writing.until) || now.Before(r.settings.End(window).Add(settleTime)) {
+	if now.Before(r.writeAt) || now.Before(r.settings.End(window).Add(settleTime)) {
 		return Step{}, false
 	}
 	if offered, isOffered := r.offered[window]; isOffered {
@@ -122,10 +117,11 @@
 
 // NoteStored records the outcome of storing a report.
 func (r *Reporter) NoteStored(window willowwick.UsageWindow, err error, now time.Time) {
-	r.writing.note(err, now)
 	if err == nil {
 		r.ledger.NoteWritten(window)
+		return
 	}
+	r.writeAt = now.Add(retryPause)
 	if errors.Is(err, willowwick.ErrNotHolder) {
 		delete(r.offered, window) // nothing was written
 	}
@@ -133,24 +129,14 @@
 
 // NoteSent records the outcome of sending a report.
 func (r *Reporter) NoteSent(window willowwick.UsageWindow, err error, now time.Time) {
-	r.sends[window]++
-	r.sending.note(err, now)
-	if err == nil {
-		r.ledger.NoteAcknowledged(window)
+	if !errors.Is(err, willowwick.ErrThrottled) && !errors.Is(err, willowwick.ErrNotHolder) {
+		r.sends[window]++
 	}
-}
-
-func (b *backoff) note(err error, now time.Time) {
 	if err == nil {
-		*b = backoff{}
+		r.ledger.NoteAcknowledged(window)
 		return
 	}
-	pause := minPause
-	for range b.failures {
-		pause = min(2*pause, maxPause)
-	}
-	b.failures++
-	b.until = now.Add(pause)
+	r.sendAt = now.Add(retryPause)
 }
 
 // forget drops what is kept of windows that are not reported any more.
--- a/usage/reporter_test.go
+++ b/usage/reporter_test.go
@@ -165,6 +165,20 @@
 	assert.Len(t, h.sent, 2)
 }
 
+// An API that answers again shortly before a report is due gets it in time.
+func TestASendIsTriedAgainSoonAfterManyFailures(t *testing.T) {
+	f := newTestFleet(6, 2)
+	h := newTestHolder(f, f.boxes[0])
+	h.runUntil(-time.Second)
+	h.sendErr = errDown
+	h.runUntil(testSettings.Due - time.Second)
+	h.sendErr = nil
+	f.now = f.now.Add(retryPause)
+	h.work()
+	_, sent := h.countOf(f.window)
+	assert.True(t, sent)
+}
+
 // While a box is missing, the report waits; then it is sent if the box can't have counted much.
 func TestAMissingBoxIsWaitedForUntilShortlyBeforeTheReportIsDue(t *testing.T) {
 	const few, many = 6, 30
