--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -29,6 +29,7 @@
 	ledger   *usage.Ledger
 	reporter *usage.Reporter
 	router   *Router
+	fails    bool // the last write or send failed
 }
 
 // newUsageReports returns nil if the fleet does not report usage.
@@ -58,11 +59,16 @@
 	if u == nil {
 		return nil
 	}
-	_, hasHub := p.hub(now)
+	u.noteHub(now)
+	return u.ledger.Message(address, clock.TimeOfDay())
+}
+
+// noteHub records whether this box is the hub of its hall.
+func (u *usageReports) noteHub(now time.Time) {
+	_, hasHub := u.router.peers.hub(now)
 	timeOfDay := clock.TimeOfDay()
 	u.ledger.SetHub(!hasHub, timeOfDay)
 	u.ledger.Forget(timeOfDay)
-	return u.ledger.Message(address, timeOfDay)
 }
 
 // receiveUsage applies the counts of another box; a box of an earlier release sends none.
@@ -105,6 +111,7 @@
 		return nil
 	}
 	return func(ctx context.Context, now time.Time) {
+		u.noteHub(now) // a box that is alone has no gossip exchanges
 		for holder.Holds(now) && u.step(ctx, holder, api) {
 			now = clock.Now()
 		}
@@ -143,7 +150,11 @@
 		"boxes", step.Coverage.Boxes, "missing", step.Coverage.Missing[:min(len(step.Coverage.Missing), maxMissingLogged)],
 		"unknown", step.Coverage.Unknown, "lost", step.Coverage.Lost,
 	}
+	failedBefore := u.fails
+	u.fails = err != nil
 	switch {
+	case err != nil && failedBefore:
+		metrics.countUsageReport("failed")
 	case err != nil:
 		metrics.countUsageReport("failed")
 		slog.Info("usage report failed", append(attributes, "stored", step.Kind == usage.SendReport, "error", err)...)
@@ -154,7 +165,7 @@
 		if lateness > 0 {
 			metrics.countUsageReport("late")
 		}
-		slog.Info("usage report sent", append(attributes, "requests", report.Total(), "accounts", len(report.Counts), "failed_sends", step.Sends)...)
+		slog.Info("usage report sent", append(append(attributes, "requests", report.Total(), "accounts", len(report.Counts), "failed_sends", step.Sends), coverage...)...)
 	case step.Coverage.Boxes == 0:
 		metrics.countUsageReport("unknown")
 	default:
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -16,21 +17,26 @@
 
 var usageDuty = DutySettings{Assigned: []willowwick.DutyID{willowwick.DutyUsage}, UsageWindow: testUsageWindow, UsageDue: 10 * time.Second, UsageOff: 0.05}
 
-// countUsage counts a request of one of the accounts on each box, and lets the boxes exchange gossip, for a duration.
-func (m *mesh) countUsage(t *testing.T, pause, duration time.Duration) {
+// countUsage counts a request of one of the accounts on each box, and lets the boxes exchange gossip, for a duration. It
+// returns the number of requests by window.
+func (m *mesh) countUsage(t *testing.T, pause, duration time.Duration) map[willowwick.UsageWindow]int {
 	const accounts = 24
+	requests := map[willowwick.UsageWindow]int{}
 	for until := time.Now().Add(duration); time.Now().Before(until); {
 		for _, box := range m.boxes {
 			if box.usage != nil {
 				box.usage.ledger.Count(willowwick.AccountID(fmt.Sprintf("acct%03d", m.random.IntN(accounts))), clock.TimeOfDay())
+				requests[box.usage.settings.WindowAt(clock.TimeOfDay())]++
 			}
 		}
 		m.run(t, pause)
 	}
+	return requests
 }
 
-// Of 24 accounts and 7 requests a second on each box, a box sends some 350 bytes a second, each exchange counted once.
-func TestUsageCostsFewBytes(t *testing.T) {
+// Of 24 accounts and 5 requests a second on each box, a box sends some 350 bytes a second, each exchange counted once,
+// and soon after the end of a window the hubs know all counts.
+func TestUsageIsKnownSoonAtFewBytes(t *testing.T) {
 	const perBox = 400 // bytes a second
 	const watched = 2 * testUsageWindow
 	const pause = 150 * time.Millisecond // between two requests of a box
@@ -42,10 +48,19 @@
 		}
 		m.countUsage(t, pause, testUsageWindow)
 		m.parts = map[string]*gobCounter{}
-		m.countUsage(t, pause, watched)
+		requests := m.countUsage(t, pause, watched)
 		bytes := m.parts["usage"].bytes / size.boxes / int(watched.Seconds())
 		t.Logf("%d bytes a second for each box", bytes)
 		assert.Less(t, bytes, perBox)
+		m.run(t, testUsageWindow+1500*time.Millisecond)
+		for _, box := range m.boxes {
+			if _, hasHub := box.peers.hub(time.Now()); hasHub {
+				continue
+			}
+			window := box.usage.settings.WindowAt(time.Now()) - 1
+			assert.True(t, box.usage.ledger.Coverage(window, size.boxes, time.Now()).IsComplete())
+			assert.Equal(t, requests[window-1], willowwick.UsageReport{Counts: box.usage.ledger.Counts(window - 1)}.Total())
+		}
 	})
 }
 
@@ -89,3 +104,58 @@
 	}
 	return total
 }
+
+// testHolder holds the lease, stores reports and notes those that are sent.
+type testHolder struct {
+	willowwick.DutyAPI
+	stored []willowwick.UsageReport
+	sent   []willowwick.UsageReport
+	err    error // of a write to the store
+}
+
+func (h *testHolder) Holds(time.Time) bool { return true }
+
+func (h *testHolder) Call(ctx context.Context, _ willowwick.DutySubject, call func(context.Context, willowwick.BoxID, willowwick.FencingToken) error) error {
+	return call(ctx, "box-1", 1)
+}
+
+func (h *testHolder) WriteUsageReport(_ context.Context, report willowwick.UsageReport) error {
+	if h.err == nil {
+		h.stored = append(h.stored, report)
+	}
+	return h.err
+}
+
+func (h *testHolder) UsageReports() []willowwick.UsageReport { return h.stored }
+
+func (h *testHolder) ReportUsage(_ context.Context, _ willowwick.BoxID, _ willowwick.FencingToken, report willowwick.UsageReport) error {
+	h.sent = append(h.sent, report)
+	return nil
+}
+
+// A fleet of one box reports what it ran; nothing that could not be stored.
+func TestTheHolderReportsWhatEndpointsRan(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	settings := testSettings()
+	settings.Duties = usageDuty
+	settings.Duties.UsageWindow, settings.Duties.UsageDue = 300*time.Millisecond, 400*time.Millisecond
+	s := startSite(t, newTestControl(testTable(1, retryRoute()), r.endpoint("v1")), settings)
+	holder := &testHolder{err: errDown}
+	work := s.daemon.router.usage.work(holder, holder)
+	work(t.Context(), clock.Now())
+	time.Sleep(settings.Duties.UsageWindow) // of the window in which the box started, not all is known
+	for n := range 3 {
+		s.do(t, http.MethodGet, "/again/", fmt.Sprint("id-", n), "")
+	}
+	reported := func() int {
+		work(t.Context(), clock.Now())
+		total := 0
+		for _, report := range holder.sent {
+			total += report.Counts[testAccount]
+		}
+		return total
+	}
+	assert.Never(t, func() bool { return reported() > 0 }, 2*settings.Duties.UsageWindow, 20*time.Millisecond)
+	holder.err = nil
+	assert.Eventually(t, func() bool { return reported() == 3 }, waitTimeout, 20*time.Millisecond)
+}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -91,6 +91,7 @@
 		}
 		hub := f.hubOf(b.hall, b)
 		b.SetHub(hub == b, f.timeOf(b))
+		b.Forget(f.timeOf(b))
 		if hub != b {
 			f.exchange(t, b, hub)
 			continue
@@ -168,6 +169,41 @@
 	assert.InDelta(t, restartLoss.Seconds()/testSettings.Window.Seconds()/9, lost, 1e-9)
 }
 
+// A box that is started again after the window has ended can't tell of the window any more.
+func TestABoxStartedAgainAfterTheWindowIsNotMissing(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runTo(testSettings.End(f.window).Add(-time.Second))
+	f.boxes[5].down = true
+	f.runFor(3 * time.Second)
+	f.start(f.boxes[5])
+	f.runFor(3 * round)
+	f.requireCounts(t, f.boxes[0], 0)
+	lost := f.coverage(f.boxes[0]).Lost
+	assert.InDelta(t, restartLoss.Seconds()/testSettings.Window.Seconds()/9, lost, 0.01)
+}
+
+// A start that nobody knows of any more may have counted in a window before the box was started again.
+func TestTheWindowBeforeABoxWasStartedAgainIsLostIfNobodyKnows(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.runTo(testSettings.End(f.window).Add(-time.Second))
+	for _, b := range f.boxes {
+		if b != f.boxes[8] {
+			b.down = true
+		}
+	}
+	f.runFor(2 * time.Second)
+	for _, b := range f.boxes {
+		if b.down {
+			f.start(b)
+		}
+	}
+	f.runFor(4 * round)
+	coverage := f.coverage(f.boxes[0])
+	assert.Equal(t, 1, coverage.Boxes)
+	assert.Equal(t, 8, coverage.Unknown)
+	assert.Greater(t, coverage.Lost, 0.5)
+}
+
 func TestABoxThatDoesNotComeBackIsMissing(t *testing.T) {
 	f := newTestFleet(9, 3)
 	f.count(f.boxes[5], 7)
@@ -204,6 +240,21 @@
 	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
 }
 
+// A box that was cut off for so long that the hubs forgot it is told of anew.
+func TestABoxThatIsBackAfterLongCountsAgain(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.boxes[5].cut = true
+	f.runFor(testSettings.Due + outageTime + 3*testSettings.Window)
+	f.boxes[5].cut = false
+	f.runFor(3 * round)
+	f.count(f.boxes[5], 4)
+	f.window = testSettings.WindowAt(f.now)
+	f.runFor(4 * round)
+	for _, hub := range f.boxes[:3] {
+		assert.Equal(t, 4, hub.Counts(f.window)["a"])
+	}
+}
+
 // The boxes of a hall tell its next hub all that they counted, and the other hubs tell it what boxes that are gone did.
 func TestCountsSurviveTheEndOfAHub(t *testing.T) {
 	f := newTestFleet(9, 3)
