--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -89,8 +89,13 @@
 	}
 }
 
-// Decide returns the orders to give now, in this order. It decides nothing while the list of endpoints or the demand is
-// unknown.
+// Takes reports whether the decision takes runners away.
+func (d *Decision) Takes() bool {
+	return d.Runners < d.Before
+}
+
+// Decide returns the orders to give now, in this order; once one isn't accepted, those that take runners away must not be
+// given. It decides nothing while the list of endpoints or the demand is unknown.
 func (s *Scaler) Decide(now time.Time, view View) []Decision {
 	if !view.HasList || len(view.Halls) == 0 || view.Slots <= 0 || view.present() == 0 {
 		return nil
@@ -148,7 +153,8 @@
 	if present > s.mostListed {
 		s.mostListed, s.grownAt = present, now
 	}
-	if byLimits := int(math.Ceil(limitShare * float64(view.Limits.Max*len(view.Halls)))); present >= byLimits {
+	byLimits := int(math.Ceil(limitShare * float64(view.Limits.Max*len(view.Halls))))
+	if float64(byLimits)*view.Limits.SpotPrice <= float64(present) {
 		return byLimits
 	}
 	if now.Sub(s.grownAt) < settleTime {
@@ -158,7 +164,7 @@
 }
 
 // compare returns the orders that turn what is there and on the way into the targets: first more, in the cheapest hall
-// first, then fewer.
+// first, then fewer, which are not to be given if one of the former isn't accepted.
 func (s *Scaler) compare(now time.Time, view *View) []Decision {
 	var more, fewer []Decision
 	for _, hall := range view.byPrice() {
@@ -184,11 +190,7 @@
 			}
 		}
 	}
-	if len(more) > 0 {
-		// Runners go only once others are accepted in their place.
-		return more
-	}
-	return fewer
+	return append(more, fewer...)
 }
 
 // isWorthMore reports whether a hall should get more runners of a kind.
--- a/autoscale/targets.go
+++ b/autoscale/targets.go
@@ -16,7 +16,7 @@
 	// models bear the rest until there are others.
 	lossShare = 0.8
 	// limitShare and startShare tell how many runners are kept until the demand is known: a share of the limits of all halls
-	// together as soon as that many are listed, or else of those found at the start.
+	// together where so many spot runners cost no more than those listed, or else of those found at the start.
 	limitShare = 0.25
 	startShare = 0.5
 )
--- a/exchange/autoscale.go
+++ b/exchange/autoscale.go
@@ -79,11 +79,22 @@
 		view := a.router.autoscaleView(now, &service)
 		decisions := scaler.Decide(now, view)
 		a.keepCounts(now, scaler, view)
-		for _, decision := range decisions {
-			if err := a.give(ctx, scaler, decision); errors.Is(err, willowwick.ErrNotHolder) || errors.Is(err, willowwick.ErrFenced) {
-				return
-			}
+		a.giveAll(ctx, scaler, decisions)
+	}
+}
+
+// giveAll sends orders; once one isn't accepted, none that takes runners away.
+func (a *autoscaler) giveAll(ctx context.Context, scaler *autoscale.Scaler, decisions []autoscale.Decision) {
+	allAccepted := true
+	for _, decision := range decisions {
+		if decision.Takes() && !allAccepted {
+			return
+		}
+		err := a.give(ctx, scaler, decision)
+		if errors.Is(err, willowwick.ErrNotHolder) || errors.Is(err, willowwick.ErrFenced) {
+			return
 		}
+		allAccepted = allAccepted && err == nil
 	}
 }
 
