--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -23,9 +23,6 @@
 	maxGrowth = 2
 	// usableTime is the time constant at which runners that are gone cease to count for maxGrowth.
 	usableTime = 20 * time.Second
-	// settleTime is how long the list must not have grown before the first order is based on it: runners that start
-	// together are listed one after the other.
-	settleTime = time.Second
 	// shortUtilisation is the utilisation above which runners are ordered also during a roll-out.
 	shortUtilisation = 0.9
 )
@@ -157,7 +154,8 @@
 	if float64(byLimits)*view.Limits.SpotPrice <= float64(present) {
 		return byLimits
 	}
-	if now.Sub(s.grownAt) < settleTime {
+	// Runners that start together are listed one after the other, and those that a former holder ordered after their boot.
+	if now.Sub(s.grownAt) < view.Limits.BootTime+listDelay {
 		return 0
 	}
 	return int(math.Ceil(startShare * float64(present)))
@@ -213,6 +211,9 @@
 	if view.IsRolling || !view.hasAllCounts() || s.forecast.isBusy() && !s.forecast.isSettled(now) {
 		return false
 	}
+	if isSpot && !s.forecast.isBusy() {
+		return false // they were ordered for a demand that this box may not know
+	}
 	if !isSpot && s.isBlocked(now, hall.ID) || s.isUnderWay(now, view, hall, isSpot) {
 		return false
 	}
