--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -14,8 +15,15 @@
 	actingMargin = 200 * time.Millisecond
 	// lateCallLimit is how long after it was sent an unanswered call is expected to be executed at the latest.
 	lateCallLimit = 15 * time.Second
+	// maxFormer is the number of former holders that a grant names.
+	maxFormer = 12
+	// storeCallLimit is how long a write to the store is expected to take at most.
+	storeCallLimit = time.Second
 	// storeRetryPause is the time between a failed call to the store and the next one.
 	storeRetryPause = 250 * time.Millisecond
+	// noCapacityReadAge is the age of the last read of the topic from which an order of runners that were not available makes the
+	// box read it again: it may have been rejected for its token.
+	noCapacityReadAge = 5 * time.Second
 	// stepAsideAfter and stepAsideCalls are for how long and how often calls must have got no answer, without one that got
 	// one, until the box lets another one try.
 	stepAsideAfter = 4 * time.Second
@@ -40,11 +48,12 @@
 
 // Outcomes of a call.
 const (
-	OutcomeUnknown  Outcome = iota // it may be executed now or later
-	OutcomeNotSent                 // the API was not reached
-	OutcomeRejected                // the API rejected it for its load; it isn't executed
-	OutcomeFenced                  // the API has seen a higher token on the subject
-	OutcomeAnswered                // it was executed, or rejected for what it asks
+	OutcomeUnknown    Outcome = iota // it may be executed now or later
+	OutcomeNotSent                   // the API was not reached
+	OutcomeRejected                  // the API rejected it for its load; it isn't executed
+	OutcomeFenced                    // the API has seen a higher token on the subject
+	OutcomeNoCapacity                // the API has no such runners, or has seen a higher token
+	OutcomeAnswered                  // it was executed
 )
 
 type (
@@ -72,22 +81,26 @@
 		// The candidate.
 		since       time.Time // this box has been the candidate since then
 		validUntil  time.Time // and is until then; zero if it isn't
-		joinedAfter time.Time // answers to joins that were sent before don't count
+		joinedAfter time.Time // answers to joins that were sent until then don't count
 		asideUntil  time.Time // this box leaves the lease to others until then
 
 		// The topic.
 		isRead  bool                 // known is from this time as the candidate, and nothing suggests that it is outdated
 		known   willowwick.DutyState // without reports
+		readAt  time.Time            // when known was read
 		retryAt time.Time            // no call to the store before
 
 		// Own grants.
-		holds    bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
-		token    willowwick.FencingToken
-		claim    uint64           // of the last grant that was written here; 0 if none was
-		claimEra willowwick.Era   // of that grant
-		former   willowwick.BoxID // holder before that grant
-		outdated bool             // a higher token is needed
-		actsAt   time.Time        // no calls before
+		holds       bool // the newest grant is this box's, and it has been the candidate since it read or wrote that
+		token       willowwick.FencingToken
+		granted     willowwick.DutyLease // the last one that was written here, whether for certain or not
+		claim       uint64               // of it; 0 if there is none
+		claimEra    willowwick.Era       // of that grant
+		former      willowwick.BoxID     // holder before that grant
+		neverHeld   bool                 // as of that grant, no process of this box had held the lease
+		resumedFrom time.Time            // from when it may call if a former process of this box wrote the grant before; else zero
+		outdated    bool                 // a higher token is needed
+		actsAt      time.Time            // no calls before
 
 		// Calls.
 		spent        map[willowwick.DutySubject]willowwick.FencingToken // highest token that can't be used again
@@ -108,7 +121,7 @@
 func (l *Lease) Joined(sentAt time.Time, isLeader bool, now time.Time) {
 	l.expire(now)
 	switch {
-	case l.stopped || now.Before(l.asideUntil) || sentAt.Before(l.joinedAfter):
+	case l.stopped || now.Before(l.asideUntil) || !sentAt.After(l.joinedAfter):
 	case !isLeader:
 		l.lose("another box leads the group")
 	default:
@@ -163,11 +176,13 @@
 // Read records what the topic held; began is when the read began.
 func (l *Lease) Read(state willowwick.DutyState, began, now time.Time) {
 	l.expire(now)
-	l.known, l.known.Reports = state, nil
+	l.known, l.known.Reports, l.readAt = state, nil, now
 	l.isRead = now.Before(l.validUntil) && !began.Before(l.since)
 	isOwn := l.isOwn(state)
 	switch {
 	case !l.isRead:
+	case isOwn && state.Token == l.token && !l.actsAt.IsZero():
+		l.holds = true // nobody else has held it since
 	case isOwn && (!l.holds || state.Token > l.token):
 		l.hold(state.Token, now)
 	case isOwn || !l.holds:
@@ -184,15 +199,28 @@
 	l.retryAt = now.Add(storeRetryPause)
 }
 
-// BeginGrant returns the grant to write, and the end of the topic that is the condition of the write.
-func (l *Lease) BeginGrant() (grant willowwick.DutyLease, end willowwick.Position) {
+// BeginGrant returns the grant to write, and the end of the topic that is the condition of the write. The time in the grant
+// is of the caller's clock.
+func (l *Lease) BeginGrant(now time.Time) (grant willowwick.DutyLease, end willowwick.Position) {
 	l.claim++
 	l.claimEra = l.known.End.Era()
+	if !l.holds {
+		l.neverHeld, l.resumedFrom = l.hasNeverHeld(), l.ownActsAt(now)
+	}
 	if l.known.Lease != nil {
 		l.former = l.known.Lease.Holder
 	}
 	grant = l.settings.Self
 	grant.Claim = l.claim
+	grant.ActsAt = l.actsAt
+	grant.Former = l.formerHolders()
+	if !l.holds {
+		// The wait begins once the write is answered.
+		if grant.ActsAt = l.mayActFrom(now); grant.ActsAt.After(now) {
+			grant.ActsAt = grant.ActsAt.Add(storeCallLimit)
+		}
+	}
+	l.granted = grant
 	return grant, l.known.End
 }
 
@@ -203,8 +231,7 @@
 		return // it lapsed meanwhile; the topic is read again before the next call
 	}
 	l.hold(token, now)
-	grant := l.settings.Self
-	grant.Claim = l.claim
+	grant := l.granted
 	l.known = willowwick.DutyState{Lease: &grant, Token: token, End: token + 1}
 }
 
@@ -233,7 +260,9 @@
 	switch {
 	case l.running > 0, !l.unknownAt.IsZero() && now.Before(l.unknownAt.Add(memory)):
 		return returned
-	case l.known.Lease != nil && now.Before(l.startedAt.Add(memory)) && !l.isFirstHolderOther():
+	case !l.resumedFrom.IsZero():
+		return l.resumedFrom
+	case now.Before(l.startedAt.Add(memory)) && !l.neverHeld:
 		return returned // a former process of this box may have called
 	case !l.answeredAt.IsZero() && now.Before(l.answeredAt.Add(l.settings.Lease+actingMargin)):
 		return l.answeredAt.Add(l.settings.Lease + actingMargin)
@@ -242,9 +271,41 @@
 	}
 }
 
-// isFirstHolderOther reports whether the newest grant is the topic's first record, and another box's.
-func (l *Lease) isFirstHolderOther() bool {
-	return l.known.Token == 0 && l.known.Lease.Holder != l.settings.Self.Holder
+// hasNeverHeld reports whether the topic shows that no process of this box has held the lease before. A store that came back
+// from a copy may lack grants.
+func (l *Lease) hasNeverHeld() bool {
+	holders := l.formerHolders()
+	return l.known.End.Era() == 0 && len(holders) < maxFormer && !slices.Contains(holders, l.settings.Self.Holder)
+}
+
+// formerHolders returns the boxes that have held the lease up to the newest grant, the latest last: all of them if they are
+// fewer than maxFormer.
+func (l *Lease) formerHolders() []willowwick.BoxID {
+	newest := l.known.Lease
+	if newest == nil {
+		return nil
+	}
+	holders := slices.DeleteFunc(slices.Clone(newest.Former), func(box willowwick.BoxID) bool { return box == newest.Holder })
+	holders = append(holders, newest.Holder)
+	return holders[max(len(holders)-maxFormer, 0):]
+}
+
+// ownActsAt returns from when a former process of this box would have called under the newest grant: no other box has held
+// the lease since. It is zero if the newest grant is another box's, or if the store may lack later ones.
+func (l *Lease) ownActsAt(now time.Time) time.Time {
+	newest := l.known.Lease
+	if newest == nil || newest.Holder != l.settings.Self.Holder || newest.ActsAt.IsZero() || l.known.Token.Era() > 0 {
+		return time.Time{}
+	}
+	latest := now.Add(l.settings.Lease + actingMargin)
+	switch {
+	case newest.ActsAt.Before(now):
+		return now
+	case newest.ActsAt.After(latest):
+		return latest
+	default:
+		return newest.ActsAt
+	}
 }
 
 // isOwn reports whether the newest grant was written by this process in the current era.
