--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -16,6 +16,8 @@
 	stayTime = peakWindow
 	// upShare is the least change upwards, as a share of a hall's runners: smaller ones are borne by the utilisation.
 	upShare = 0.1
+	// exchangeTime is how long the demand must be known before ordinary runners are taken in exchange for spot runners.
+	exchangeTime = 4 * time.Second
 	// savingFactor is how often an order of fewer runners must save the price of its call.
 	savingFactor = 3
 	// maxGrowth bounds the runners wanted to a multiple of those that took work lately: what waits while they are short is
@@ -23,7 +25,7 @@
 	maxGrowth = 2
 	// usableTime is the time constant at which runners that are gone cease to count for maxGrowth.
 	usableTime = 20 * time.Second
-	// shortUtilisation is the utilisation above which runners are ordered also during a roll-out.
+	// shortUtilisation is the utilisation above which ordinary runners are ordered also during a roll-out.
 	shortUtilisation = 0.9
 )
 
@@ -179,7 +181,7 @@
 				Present:     hall.runners(isSpot).Present(), Before: before,
 			}
 			switch {
-			case target > before && s.isWorthMore(now, view, hall, target-before):
+			case target > before && s.isWorthMore(now, view, hall, isSpot, target-before):
 				decision.Reason = s.reasonForMore(hall, isSpot, before)
 				more = append(more, decision)
 			case target < before && s.isWorthFewer(now, view, hall, isSpot, before-target):
@@ -191,12 +193,16 @@
 	return append(more, fewer...)
 }
 
-// isWorthMore reports whether a hall should get more runners of a kind.
-func (s *Scaler) isWorthMore(now time.Time, view *View, hall *Hall, more int) bool {
-	if view.IsRolling && !s.isShort(view) {
+// isWorthMore reports whether a hall should get more runners of a kind. In a roll-out those of the new release are ordinary
+// ones, and spot runners that are ordered are of the old one, which needs them while it has most of the work.
+func (s *Scaler) isWorthMore(now time.Time, view *View, hall *Hall, isSpot bool, more int) bool {
+	if view.IsRolling && !isSpot && !s.isShort(view) {
 		return false
 	}
-	before := s.expected(now, view, hall, false) + s.expected(now, view, hall, true)
+	before := s.expected(now, view, hall, isSpot)
+	if !view.IsRolling {
+		before += s.expected(now, view, hall, !isSpot)
+	}
 	return float64(more) >= upShare*float64(before) || before == 0
 }
 
@@ -208,26 +214,33 @@
 // isWorthFewer reports whether fewer runners of a kind save more than the call and their likely return cost, and whether
 // nothing speaks against it: a roll-out, unknown demand, or other runners that are still on the way.
 func (s *Scaler) isWorthFewer(now time.Time, view *View, hall *Hall, isSpot bool, fewer int) bool {
-	if view.IsRolling || !view.hasAllCounts() || s.forecast.isBusy() && !s.forecast.isSettled(now) {
+	if view.IsRolling || !view.hasAllCounts() || s.isUnderWay(now, view, hall, isSpot) {
 		return false
 	}
-	if isSpot && !s.forecast.isBusy() {
+	switch {
+	case !s.forecast.isBusy() && isSpot:
 		return false // they were ordered for a demand that this box may not know
-	}
-	if !isSpot && s.isBlocked(now, hall.ID) || s.isUnderWay(now, view, hall, isSpot) {
+	case !isSpot && s.isBlocked(now, hall.ID):
+		return false
+	case s.forecast.isBusy() && !s.mayTake(now, hall, isSpot, fewer):
 		return false
-	}
-	if s.forecast.isBusy() {
-		ready := hall.Ordinary.Ready + hall.Spot.Ready
-		if ready-fewer < s.targets.hall(hall.ID) && !s.isFullWithout(hall, isSpot) {
-			return false
-		}
 	}
 	returns := view.Limits.BootTime + s.coldTime
 	saved := float64(fewer) * view.price(hall.ID, isSpot) * (stayTime - returns).Seconds()
 	return saved > savingFactor*callPrice
 }
 
+// mayTake reports whether enough runners that take work are left. Before the peaks of the demand are known, ordinary runners
+// are taken only in exchange for spot runners.
+func (s *Scaler) mayTake(now time.Time, hall *Hall, isSpot bool, fewer int) bool {
+	isEnough := hall.Ordinary.Ready+hall.Spot.Ready-fewer >= s.targets.hall(hall.ID)
+	if !s.forecast.isSettled(now) {
+		isExchange := !isSpot && hall.Spot.Ready <= s.targets[subject{hall.ID, true}]
+		return isEnough && isExchange && now.Sub(s.forecast.busyAt) >= exchangeTime
+	}
+	return isEnough || s.isFullWithout(hall, isSpot)
+}
+
 // isUnderWay reports whether the list doesn't show the last order on a subject yet.
 func (s *Scaler) isUnderWay(now time.Time, view *View, hall *Hall, isSpot bool) bool {
 	return s.expected(now, view, hall, isSpot) != hall.runners(isSpot).Present()
