--- a/cmd/willowwickd/options_test.go
+++ b/cmd/willowwickd/options_test.go
@@ -19,3 +19,11 @@
 		assert.Equal(t, 1, bytes.Count(out.Bytes(), []byte("\n")), format)
 	}
 }
+
+func TestRunnerUtilisationIsChecked(t *testing.T) {
+	for value, problems := range map[string]int{"0.5": 0, "1": 0, "0": 1, "1.1": 1, "NaN": 1} {
+		o, err := parseOptions([]string{"-node-file", "settings", "-key", "0123456789abcdef", "-runner-utilisation", value})
+		assert.NoError(t, err)
+		assert.Len(t, o.check(), problems, value)
+	}
+}
