--- a/exchange/autoscale_test.go
+++ b/exchange/autoscale_test.go
@@ -126,3 +126,22 @@
 	assert.Equal(t, 2*time.Second, view.ColdTime)
 	assert.False(t, view.IsRolling)
 }
+
+// The platform stops the old release's runners at the end of a roll-out, and the list shows it later.
+func TestRunnersOfARetiredReleaseCountAsDraining(t *testing.T) {
+	s := scaledSite(t, willowwick.DutyScale)
+	x := s.daemon.router
+	now := clock.Now()
+	x.releases.applyOrder(willowwick.ReleaseOrder{Service: "work", Target: "v2", Period: time.Minute, At: 7}, 0, now)
+	x.pool.Update([]willowwick.Endpoint{
+		{ID: "old", Hall: "hall-a", Service: "work", Release: "v1", Slots: 8, Spot: true},
+		{ID: "new", Hall: "hall-a", Service: "work", Release: "v2", Slots: 8},
+	})
+	service := x.autoscaledServices()[0]
+	assert.True(t, x.autoscaleView(now, &service).IsRolling)
+	x.releases.applyStatus(willowwick.ReleaseStatus{Service: "work", Target: "v2", State: willowwick.ReleaseCompleted}, true, "test")
+	view := x.autoscaleView(now, &service)
+	assert.False(t, view.IsRolling)
+	assert.Equal(t, autoscale.Runners{Draining: 1}, view.Halls[0].Spot)
+	assert.Equal(t, autoscale.Runners{Ready: 1}, view.Halls[0].Ordinary)
+}
