--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -56,6 +56,7 @@
 		settings   Settings
 		forecast   forecast
 		standing   map[subject]*standing
+		listed     map[subject]int              // runners that aren't draining, as last seen
 		blocked    map[willowwick.HallID]*pause // spot runners of a hall
 		unanswered pause                        // all calls
 		coldTime   time.Duration
@@ -78,7 +79,7 @@
 
 // New returns a scaler that knows nothing yet.
 func New(settings Settings) *Scaler {
-	return &Scaler{settings: settings, standing: map[subject]*standing{}, blocked: map[willowwick.HallID]*pause{}}
+	return &Scaler{settings: settings, standing: map[subject]*standing{}, listed: map[subject]int{}, blocked: map[willowwick.HallID]*pause{}}
 }
 
 // Targets calls use with the runners wanted in each hall, of each kind, as last decided.
--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -139,7 +139,7 @@
 // loseSpot makes a hall's spot runners drain, and rejects orders for more there.
 func (p *plant) loseSpot(hall willowwick.HallID) {
 	spot := &p.hall(hall).Spot
-	*spot = Runners{Draining: spot.Present(), Taken: spot.Present()}
+	*spot = Runners{Draining: spot.Present()}
 	p.reject(hall)
 }
 
@@ -272,6 +272,17 @@
 	assert.LessOrEqual(t, p.present(), before+4)
 }
 
+// A hall's spot runners are taken away while more of them boot there.
+func TestLostSpotRunnersAreNoticedWhileOthersBoot(t *testing.T) {
+	p := settled(t, 360)
+	p.setDemand(500)
+	require.NotEmpty(t, ordersFor(p.run(time.Second), "hall-b", true))
+	p.loseSpot("hall-b")
+	before := p.scaler.expected(p.now, &p.view, p.hall("hall-a"), true)
+	p.run(time.Second)
+	assert.GreaterOrEqual(t, p.scaler.expected(p.now, &p.view, p.hall("hall-a"), true), before+8)
+}
+
 // No spot runners anywhere: they are asked for less and less often, and others are ordered only for what would exceed
 // all slots.
 func TestOrdinaryRunnersAreOrderedOnlyForWhatExceedsAllSlots(t *testing.T) {
@@ -347,7 +358,7 @@
 	for i := range p.view.Halls {
 		hall := &p.view.Halls[i]
 		hall.Ordinary.Ready = 20
-		hall.Spot = Runners{Draining: hall.Spot.Present(), Taken: hall.Spot.Present()}
+		hall.Spot = Runners{Draining: hall.Spot.Present()}
 	}
 	p.run(time.Second)
 	for i := range p.view.Halls {
--- a/autoscale/standing.go
+++ b/autoscale/standing.go
@@ -22,6 +22,7 @@
 	// standing is the last order on a subject.
 	standing struct {
 		runners   int
+		listed    int // when it was given
 		at        time.Time
 		isReached bool      // the list has shown that number
 		missingAt time.Time // since when the list shows fewer again; zero if it doesn't
@@ -45,7 +46,7 @@
 	at := subject{order.Hall, order.Spot}
 	switch {
 	case err == nil:
-		s.standing[at] = &standing{runners: order.Runners, at: now}
+		s.standing[at] = &standing{runners: order.Runners, listed: s.listed[at], at: now}
 		s.unanswered = pause{}
 		if order.Spot {
 			delete(s.blocked, order.Hall)
@@ -81,23 +82,30 @@
 	for i := range view.Halls {
 		hall := &view.Halls[i]
 		for _, isSpot := range []bool{false, true} {
+			s.listed[subject{hall.ID, isSpot}] = hall.runners(isSpot).Present()
 			if order := s.standing[subject{hall.ID, isSpot}]; order != nil {
 				order.observe(now, hall.runners(isSpot))
 			}
 		}
 	}
-	if hall := view.hallThatLosesSpot(); hall != nil && !s.isBlocked(now, hall.ID) {
+	if hall := view.hallThatLosesSpot(); hall != nil && !s.isBlocked(now, hall.ID) && !s.wantsNoSpot(hall) {
 		s.block(now, hall.ID)
 	}
 }
 
-// hallThatLosesSpot returns the only hall whose spot runners are all being taken away, or nil. In several halls at once
-// it is the end of a roll-out, which stops the old release.
+// wantsNoSpot reports whether a hall's spot runners drain since none were ordered.
+func (s *Scaler) wantsNoSpot(hall *Hall) bool {
+	order := s.standing[subject{hall.ID, true}]
+	return order != nil && order.runners == 0
+}
+
+// hallThatLosesSpot returns the only hall whose spot runners all drain, or nil. In several halls at once it is the end of a
+// roll-out, which stops the old release.
 func (v *View) hallThatLosesSpot() *Hall {
 	var losing *Hall
 	for i := range v.Halls {
 		hall := &v.Halls[i]
-		if hall.Spot.Taken == 0 || hall.Spot.Present() > 0 {
+		if hall.Spot.Draining == 0 || hall.Spot.Present() > 0 {
 			continue
 		}
 		if losing != nil {
@@ -126,7 +134,8 @@
 		return listed.Present()
 	}
 	if now.Before(order.at.Add(view.Limits.BootTime+listDelay)) && !order.isReached {
-		return order.runners
+		// Those that were there can be lost before the new ones are.
+		return min(order.runners, listed.Present()+max(order.runners-order.listed, 0))
 	}
 	isLost := order.isReached && listed.Draining == 0 && now.Before(order.missingAt.Add(lossDelay))
 	if isLost {
--- a/autoscale/view.go
+++ b/autoscale/view.go
@@ -40,7 +40,6 @@
 		Ready    int
 		Cold     int // take few requests so far
 		Draining int // get no new work
-		Taken    int // those of Draining that the platform takes away at a known time
 	}
 )
 
--- a/exchange/autoscale.go
+++ b/exchange/autoscale.go
@@ -184,9 +184,6 @@
 	switch {
 	case endpoint.Leaving:
 		runners.Draining++
-		if !endpoint.LeavesAt.IsZero() {
-			runners.Taken++
-		}
 	case now.Before(endpoint.ColdUntil):
 		runners.Cold++
 	default:
