Requests leave endpoints that are about to end, shortly before

All runners that the platform may take away can go at once, seconds after they say so, and whatever runs there broke at the same moment. A request that may run again (streams that can be resumed, streams without an event, repeatable requests without an answer) now leaves such an endpoint before: at its own moment of the time left, so that not all leave at once, with the old run stopped first, and only if another endpoint is open, the retry budget allows it (it costs the one repeat that the end would cost) and the answer isn't likely to end by itself. The time left is passed on between boxes as the cold time is, and the earliest that was read holds. Only for services whose endpoints the fleet orders.

Without the decision the three tests named BeforeItEnds fail, without its conditions the three named Stays; go test -race passes.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -84,6 +84,7 @@
 		firstEventAt time.Time     // zero before the first event, and for answers that are not streams
 		lastEventAt  time.Time     // the newest event
 		longestGap   time.Duration // between two successive events
+		events       int
 	}
 
 	// failedAnswer is a complete answer of an endpoint with a status of 500 or more.
--- a/exchange/list_gossip.go
+++ b/exchange/list_gossip.go
@@ -131,6 +131,9 @@
 			if !endpoint.ColdUntil.IsZero() {
 				list.Endpoints[i].ColdUntil = now.Add(endpoint.ColdUntil.Sub(list.Told))
 			}
+			if !endpoint.LeavesAt.IsZero() {
+				list.Endpoints[i].LeavesAt = now.Add(endpoint.LeavesAt.Sub(list.Told))
+			}
 		}
 		s.applyChanges(willowwick.EndpointChanges{
 			Snapshot: list.Since == 0, Present: list.Endpoints, Gone: list.Gone, Next: max(s.readTo, list.Next),
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -187,6 +187,10 @@
 	}
 	// Draining is final: an entry that arrives later and says otherwise was written before.
 	endpoint.Leaving = endpoint.Leaving || old.Leaving
+	// The time left counts from the read of the entry, so the first that was read is the closest.
+	if isEarlier(old.LeavesAt, endpoint.LeavesAt) {
+		endpoint.LeavesAt = old.LeavesAt
+	}
 	// Boxes that received the lapse of the entry drop the endpoint unless they receive its return.
 	if !known || !s.isAdvertised(endpoint.ID) || !isSameEntry(old, endpoint) {
 		s.noteChange(endpoint.ID)
@@ -195,6 +199,9 @@
 		slog.Info("endpoint listed", "endpoint", endpoint.ID, "service", endpoint.Service, "hall", endpoint.Hall,
 			"address", endpoint.Address, "release", endpoint.Release, "leaving", endpoint.Leaving, "offset", at)
 	}
+	if old.LeavesAt.IsZero() && !endpoint.LeavesAt.IsZero() {
+		s.departing = append(s.departing, endpoint)
+	}
 	s.listed[endpoint.ID] = endpoint
 	delete(s.lapsed, endpoint.ID)
 }
@@ -223,10 +230,16 @@
 	}
 }
 
+// isEarlier reports whether a time is set and not after the other one, which may be unset.
+func isEarlier(at, other time.Time) bool {
+	return !at.IsZero() && (other.IsZero() || at.Before(other))
+}
+
 // isSameEntry reports whether two entries of an endpoint are equivalent.
 func isSameEntry(a, b willowwick.Endpoint) bool {
 	isSame := a.Address == b.Address && a.Service == b.Service && a.Release == b.Release && a.Leaving == b.Leaving
 	isSame = isSame && a.Incarnation == b.Incarnation
+	isSame = isSame && a.LeavesAt.IsZero() == b.LeavesAt.IsZero()
 	return isSame && !route.IsColdAgain(a.ColdUntil, b.ColdUntil)
 }
 
@@ -263,4 +276,8 @@
 		list = append(list, endpoint)
 	}
 	s.router.pool.Update(list)
+	if len(s.departing) > 0 {
+		s.router.departures.announce(s.departing, clock.Now())
+		s.departing = nil
+	}
 }
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -71,6 +71,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_sends_total{outcome=%q}", sendKindNames[kind])).Inc()
 }
 
+// countDeparture counts a send whose endpoint was about to end.
+func (m *routerMetrics) countDeparture(kind sendKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_sends_at_departing_endpoints_total{outcome=%q}", sendKindNames[kind])).Inc()
+}
+
 func (m *routerMetrics) countAnswer(route *willowwick.Route, took time.Duration) {
 	m.countOutcome("answered")
 	m.set.GetOrCreateHistogram(fmt.Sprintf("willowwick_answer_seconds{route=%q}", route.Name)).Update(took.Seconds())
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -166,7 +166,13 @@
 		stallAt = earliest(stallAt, clock.Now().Add(scale(s.route.GapGoal, stallGapFactor)))
 	}
 	for {
-		err := s.answer.Await(stallAt)
+		if s.mustDepart(clock.Now()) {
+			return errDeparted
+		}
+		err := s.answer.Await(s.waitUntil(stallAt))
+		if errors.Is(err, wire.ErrSilent) && clock.Now().Before(stallAt) {
+			continue
+		}
 		if !errors.Is(err, wire.ErrSilent) || !stallAt.Before(s.deadline) {
 			return err
 		}
@@ -193,7 +199,7 @@
 		s.observe(false)
 		s.out.writeHead(s.answer.Status, s.answer.Header, -1)
 	}
-	s.streamTiming.recordEvent(clock.Now())
+	s.recordEvents(events, clock.Now())
 	if id := newestEventID(events); id != "" {
 		s.lastEventID = id
 	}
@@ -204,6 +210,16 @@
 	return true
 }
 
+func (s *send) recordEvents(events []byte, now time.Time) {
+	if s.events == 0 {
+		s.firstEventAt = now
+	}
+	count := bytes.Count(events, eventEnd)
+	s.events += count
+	s.streamTiming.recordEvent(now)
+	s.streamTiming.events += count
+}
+
 // newestEventID returns the ID of the last event that has one.
 func newestEventID(events []byte) string {
 	at := bytes.LastIndex(events, idField)
@@ -247,6 +263,7 @@
 // delivered counts and logs an answer that was sent to the caller completely.
 func (s *send) delivered() {
 	took := clock.Since(s.arrived)
+	s.recordLength(clock.Now())
 	s.router.metrics.countAnswer(s.route, took)
 	s.recordHarmless(clock.Now())
 	ahead, reading := s.ticket.Forecast()
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -91,6 +91,8 @@
 		limits    *ratelimit.Ledger
 		shortages *shortages
 
+		departures *departures
+
 		evacuations *evacuations
 		admissions  *admissions
 
@@ -113,7 +115,7 @@
 	limits := ratelimit.NewLedger()
 	x := &Router{
 		settings: settings, codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
-		poison: quarantine.New(), limits: limits, shortages: newShortages(),
+		poison: quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.Hall, settings.Seed), route.PoolOptions{
 			StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
 			Limits: limits,
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -39,6 +39,8 @@
 	escalated
 	// withheld: the endpoint stopped taking requests after it was chosen, and the request was not sent.
 	withheld
+	// moved: the endpoint is about to end, and the request was taken elsewhere.
+	moved
 )
 
 const (
@@ -83,12 +85,16 @@
 		model      willowwick.ModelID // overrides the caller's model; empty to leave it
 		outcome    route.Outcome
 		crashed    bool // the connection broke because the endpoint crashed
+
+		departure    departureWatch
+		firstEventAt time.Time // zero before the first event of this send
+		events       int       // received of this send
 	}
 )
 
 var sendKindNames = map[sendKind]string{
 	answered: "answered", callerLeft: "caller left", notSent: "not sent", unreached: "unreached", notRun: "not run",
-	silent: "silent", broken: "broken", failed: "failed", abandoned: "abandoned", escalated: "escalated", withheld: "withheld",
+	silent: "silent", broken: "broken", failed: "failed", abandoned: "abandoned", escalated: "escalated", withheld: "withheld", moved: "moved",
 }
 
 // refusal returns the refusal for a request that is not retried after this send.
@@ -143,6 +149,7 @@
 		c.logSend(s, result)
 	}
 	c.router.metrics.countSend(result.kind)
+	s.countDeparture(result)
 	return result
 }
 
@@ -202,17 +209,21 @@
 		s.outcome = route.OutcomeFailed
 		return sendResult{notSent, err}
 	}
+	s.conn = conn
+	stopWatching := s.router.departures.watch(s)
 	if s.ticket.EndpointRefusesWork(clock.Now()) {
 		// A notice that arrived after the endpoint was chosen applies to this request too: getting a permit or a
 		// new connection takes time.
+		stopWatching()
+		s.conn = nil
 		conn.Release("")
 		return sendResult{kind: withheld}
 	}
-	s.conn = conn
 	// When the request ends, by its deadline or its caller, the endpoint's work ends too.
 	stop := context.AfterFunc(s.ctx, conn.Close)
 	defer stop()
 	defer s.releaseConn()
+	defer stopWatching()
 	message := s.message
 	message.Header = s.encodeHeader()
 	if err := conn.Send(&message); err != nil {
@@ -266,9 +277,15 @@
 func (s *send) receive() error {
 	silentAt := s.overdueAt()
 	for {
-		answer, err := s.conn.Receive(s.message.Method, silentAt, s.deadline, s.answersRequest)
+		answer, err := s.conn.Receive(s.message.Method, s.waitUntil(silentAt), s.deadline, s.answersRequest)
+		now := clock.Now()
+		if errors.Is(err, wire.ErrSilent) && s.mustDepart(now) {
+			return errDeparted
+		}
+		if errors.Is(err, wire.ErrSilent) && now.Before(silentAt) {
+			continue
+		}
 		if errors.Is(err, wire.ErrSilent) && silentAt.Before(s.deadline) {
-			now := clock.Now()
 			if s.shouldTryAnother(now) {
 				return err
 			}
@@ -325,6 +342,10 @@
 	if errors.Is(err, wire.ErrSilent) {
 		return sendResult{silent, err}
 	}
+	if errors.Is(err, errDeparted) {
+		s.outcome = route.OutcomeCancelled
+		return sendResult{moved, err}
+	}
 	return sendResult{broken, err}
 }
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -11,7 +11,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
-	"github.com/willowwick/willowwick/clock"
 )
 
 const (
@@ -161,18 +160,12 @@
 }
 
 func (c *Conn) receiveHead(method string, silentAt, deadline time.Time) (*Answer, error) {
-	if err := c.conn.SetReadDeadline(clock.SystemTime(silentAt)); err != nil {
-		return nil, errors.Wrap(willowwick.ErrBroken, err.Error())
-	}
-	if _, err := c.reader.Peek(1); err != nil {
-		if isTimeout(err) {
+	if err := c.awaitByte(silentAt, deadline); err != nil {
+		if errors.Is(err, ErrSilent) {
 			return nil, ErrSilent
 		}
 		return nil, errors.Wrap(willowwick.ErrBroken, "read answer: "+err.Error())
 	}
-	if err := c.conn.SetReadDeadline(clock.SystemTime(deadline)); err != nil {
-		return nil, errors.Wrap(willowwick.ErrBroken, err.Error())
-	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, errors.Wrap(willowwick.ErrBroken, "read answer head: "+err.Error())
@@ -205,15 +198,10 @@
 	if a.conn.reader.Buffered() > 0 || a.Length >= 0 && a.bodyRead >= a.Length {
 		return nil
 	}
-	if err := a.conn.conn.SetReadDeadline(clock.SystemTime(until)); err != nil {
-		return errors.Wrap(willowwick.ErrBroken, err.Error())
-	}
-	_, err := a.conn.reader.Peek(1)
-	if isTimeout(err) {
+	if err := a.conn.awaitByte(until, a.deadline); errors.Is(err, ErrSilent) {
 		return ErrSilent
 	}
-	// Read reports any other error, including the end of the connection.
-	return errors.Wrap(a.conn.conn.SetReadDeadline(clock.SystemTime(a.deadline)), "set read deadline")
+	return nil // Read reports any other error, including the end of the connection
 }
 
 // Done returns the connection to the pool after a complete answer, and closes it otherwise.
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -69,6 +69,7 @@
 		idleDeadline time.Time  // when the endpoint may close the idle connection
 		idleSince    time.Time  // when it was last released
 		writeResult  chan error // receives the result of a write that runs concurrently; nil if there is none
+		interrupt    interrupt
 	}
 )
 
