--- a/exchange/router.go
+++ b/exchange/router.go
@@ -97,6 +97,8 @@
 		shortages *shortages
 		duties    *duties // nil if the fleet has none
 
+		departures *departures
+
 		evacuations *evacuations
 		admissions  *admissions
 		usage       *usageReports // nil if the fleet doesn't report usage
@@ -120,7 +122,7 @@
 	limits := ratelimit.NewLedger()
 	x := &Router{
 		settings: settings, topology: settings.topology(), codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
-		poison: quarantine.New(), limits: limits, shortages: newShortages(),
+		poison: quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.topology(), settings.Seed), route.PoolOptions{
 			StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
 			Limits: limits,
