One box of each region reads the store for it

Each hall had a reader; calls to the store are priced, and those of one region cross the link. The readers of a region's halls take over what the first of them has read.

--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -67,7 +67,7 @@
 	if _, hasHub := p.hub(now); !hasHub && p.isSearchingForHub(now) {
 		return hubSearchInterval
 	}
-	return p.gossipPeriod()
+	return p.router.gossipPeriod()
 }
 
 // isSearchingForHub reports whether the box has just started and may not have found the hub of its hall yet.
@@ -77,8 +77,8 @@
 
 // gossipPeriod returns an interval short enough for a reader's data to reach its hall well before the other boxes stop
 // relying on it.
-func (p *peers) gossipPeriod() time.Duration {
-	return min(gossipInterval, scale(p.router.settings.Drain, gossipDrainShare))
+func (x *Router) gossipPeriod() time.Duration {
+	return min(gossipInterval, scale(x.settings.Drain, gossipDrainShare))
 }
 
 // beginExchange marks an exchange with a box as in progress, and returns false if the previous one is not over or the
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -28,7 +28,7 @@
 	return first, found
 }
 
-// reader returns the digest of the box that reads the store for this one, and false if this box reads it itself.
+// reader returns the digest of the reader of this box's hall, and false if that is this box itself.
 func (p *peers) reader(now time.Time) (Digest, bool) {
 	reads := p.reachesStore(now)
 	p.mu.Lock()
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -30,7 +30,7 @@
 	sleep(ctx, hubSearchTime)
 	for ctx.Err() == nil {
 		now := clock.Now()
-		_, hasReader := s.router.peers.reader(now)
+		_, hasReader := s.router.peers.storeReader(now)
 		switch {
 		case s.maySkipCalls(now):
 			// A call would fail; the group has dropped this box by then, or does so now.
@@ -64,13 +64,12 @@
 	return now
 }
 
-// leaveGroup leaves the group at once, so that another member can become the leader, since another box of the hall
-// reads the store.
+// leaveGroup leaves the group at once, so that another member can become the leader, since another box reads the store.
 func (s *syncer) leaveGroup(ctx context.Context, member string) {
 	if !s.isMember {
 		return
 	}
-	s.setLeader(false, "another box of the hall reads the store")
+	s.setLeader(false, "another box reads the store")
 	if err := s.control.Leave(ctx, member); err != nil {
 		slog.Info("leaving the group failed; the membership expires", "error", err)
 	}
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -75,7 +75,7 @@
 
 // mustReadList reports whether this box has to read the list of endpoints now.
 func (s *syncer) mustReadList(now time.Time) bool {
-	limit := scale(s.router.settings.Drain, listReadShare)
+	limit := s.listReadInterval()
 	if s.hasReader(now) {
 		if s.mustKeepReading(endpointsRead, now) {
 			return true
@@ -87,6 +87,16 @@
 	return s.endpointsAge(now) > limit
 }
 
+// listReadInterval returns the age of the list at which it is read again. Where one box reads for a region, its data takes
+// one more gossip exchange to all boxes.
+func (s *syncer) listReadInterval() time.Duration {
+	interval := scale(s.router.settings.Drain, listReadShare)
+	if s.router.readsForRegion() {
+		interval -= s.router.gossipPeriod()
+	}
+	return interval
+}
+
 // hasLapsedEntries reports whether entries have lapsed that may come back.
 func (s *syncer) hasLapsedEntries() bool {
 	s.mu.Lock()
--- a/exchange/regions_fleet_test.go
+++ b/exchange/regions_fleet_test.go
@@ -239,3 +239,110 @@
 		assert.InDelta(t, 1, share, 0.001)
 	})
 }
+
+// eachRegionMesh runs a test in virtual time for fleets of two regions.
+func eachRegionMesh(t *testing.T, test func(t *testing.T, m *mesh)) {
+	discardLogs(t)
+	for _, boxes := range []int{12, 69} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				m := newRegionMesh(boxes, 66)
+				m.run(t, 10*time.Second)
+				test(t, m)
+			})
+		})
+	}
+}
+
+// Guards against a reader in each hall: calls to the store are priced, and half of them cross the link between regions.
+func TestOneBoxOfARegionReadsTheStore(t *testing.T) {
+	eachRegionMesh(t, func(t *testing.T, m *mesh) {
+		for _, box := range m.boxes {
+			box.reads = 0
+		}
+		m.run(t, 10*time.Second)
+		readers, reads := 0, 0
+		for _, box := range m.boxes {
+			reads += box.reads
+			if box.reads > 0 {
+				readers++
+			}
+		}
+		t.Log(reads, "reads")
+		assert.Equal(t, 2, readers)
+	})
+}
+
+// While the store refuses a third of the boxes, readers among them, a draining endpoint is known in time on the others.
+func TestALeavingEndpointIsKnownInTimeWithOneReaderOfARegion(t *testing.T) {
+	eachRegionMesh(t, func(t *testing.T, m *mesh) {
+		const trials, refusedPercent = 3, 35
+		worst := time.Duration(0)
+		for trial := range trials {
+			for _, box := range m.boxes {
+				box.isRefused = m.random.IntN(100) < refusedPercent
+			}
+			m.run(t, time.Duration(m.random.IntN(int(meshDrain))))
+			worst = max(worst, m.drain(t, meshEndpoint(trial, regionMeshHalls)))
+		}
+		t.Log("took", worst)
+		assert.LessOrEqual(t, worst, meshDrain*3/4)
+	})
+}
+
+// See TestALostReadLeavesTimeToPutAConfigurationInForce; there is one gossip exchange more.
+func TestALostReadOfARegionsReaderLeavesTime(t *testing.T) {
+	for _, inForce := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, time.Minute} {
+		settings := regionSettings()
+		settings.ConfigApplyLimit, settings.Drain = inForce, meshDrain
+		x, closeRouter := newRouter(settings, testCodec{})
+		x.sync = newSyncer(x, nil)
+		exchanges := x.gossipPeriod()
+		if x.readsForRegion() {
+			exchanges *= 2
+		}
+		assert.Equal(t, inForce >= 4*time.Second, x.readsForRegion())
+		assert.LessOrEqual(t, x.sync.longPollLimit()+responseHeaderTimeout+minReadRetry+exchanges, inForce)
+		closeRouter()
+	}
+}
+
+// The reader of a region is lost as an endpoint begins to drain.
+func TestALeavingEndpointIsKnownInTimeThoughTheRegionsReaderIsLost(t *testing.T) {
+	eachRegionMesh(t, func(t *testing.T, m *mesh) {
+		var reader *meshBox
+		for _, box := range m.boxes {
+			if reader == nil || box.reads > reader.reads {
+				reader = box
+			}
+		}
+		reader.down = true
+		endpoint := meshEndpoint(0, regionMeshHalls)
+		endpoint.Leaving = true
+		m.store.put(endpoint)
+		took := m.runUntil(t, 2*meshDrain, func(box *meshBox) bool {
+			entry, _ := box.sync.listedEndpoint(endpoint.ID)
+			return entry.Leaving
+		})
+		t.Log("took", took)
+		assert.LessOrEqual(t, took, meshDrain*3/4)
+	})
+}
+
+// Without failures no box may consider its configuration stale.
+func TestNoConfigurationIsStaleWithOneReaderOfARegion(t *testing.T) {
+	eachRegionMesh(t, func(t *testing.T, m *mesh) {
+		m.readsConfig = true
+		m.run(t, 5*time.Second)
+		oldest := time.Duration(0)
+		for range 100 {
+			m.run(t, meshStep)
+			for _, box := range m.boxes {
+				oldest = max(oldest, box.sync.configAge(time.Now()))
+			}
+		}
+		t.Log("oldest", oldest, "of", m.boxes[0].settings.ConfigApplyLimit)
+		assert.Less(t, oldest, m.boxes[0].settings.ConfigApplyLimit)
+	})
+}
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -192,7 +192,12 @@
 // longPollLimit returns how long the store may hold a read of the declarations while nothing changes. A read that was
 // lost is noticed after this time, which leaves enough of ConfigApplyLimit to read the change.
 func (s *syncer) longPollLimit() time.Duration {
-	return min(scale(s.router.settings.ConfigApplyLimit, longPollShare), maxLongPoll)
+	limit := min(scale(s.router.settings.ConfigApplyLimit, longPollShare), maxLongPoll)
+	if s.router.readsForRegion() {
+		// The age of a configuration is at most twice the limit and the time of the exchanges, of which there is one more.
+		limit -= s.router.gossipPeriod() / 2
+	}
+	return limit
 }
 
 // pauseAfterFailure records a failed read, waits before the next one, and returns how long it waited.
@@ -209,7 +214,7 @@
 func (s *syncer) nextRetryPause(pause time.Duration, now time.Time) time.Duration {
 	next := min(max(2*pause, minReadRetry), maxReadRetry)
 	if !s.router.peers.hasPredecessor(now) {
-		if _, hasReader := s.router.peers.reader(now); hasReader {
+		if _, hasReader := s.router.peers.storeReader(now); hasReader {
 			return min(max(2*pause, minReadRetry), maxHubReadRetry)
 		}
 		return next
@@ -230,9 +235,9 @@
 	return s.isReadFailing(kind) && !s.router.peers.hasPredecessor(now)
 }
 
-// hasReader reports whether another box of the hall reads the store for this one.
+// hasReader reports whether another box of the hall or the region reads the store for this one.
 func (s *syncer) hasReader(now time.Time) bool {
-	reader, found := s.router.peers.reader(now)
+	reader, found := s.router.peers.storeReader(now)
 	found = found && s.router.table.Load() != nil && s.hasEndpointList()
 	address := ""
 	if found {
