--- a/route/hall.go
+++ b/route/hall.go
@@ -10,9 +10,9 @@
 	// otherHallPenalty is added to the score of endpoints in other halls: traffic between halls costs more than
 	// waiting behind half of an endpoint's effective capacity.
 	otherHallPenalty = 0.5
-	// otherRegionPenalty is added to the score of endpoints in other regions: their bytes cost four times as much as
-	// those between halls, but a request that would wait here for longer than most goals allow is worth them.
-	otherRegionPenalty = 1.25
+	// otherRegionPenalty is added to the score of endpoints in other regions: their bytes cost several times as much as
+	// those between halls, but a request that would wait here for most of its goal is worth them.
+	otherRegionPenalty = 1.0
 	// delayPerRequest is how much one running request delays the next one, since each token of a larger batch takes
 	// longer.
 	delayPerRequest = 40 * time.Millisecond
