Waits for news of roll-outs allow for the way between regions; no race over the regions of a dropped answer

A later order took a completed release out of use after two seconds, in which its completion may not have come from another region yet. The distance of an endpoint is looked up only where there are regions.

--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -171,7 +171,7 @@
 	switch {
 	case known && seen.target == m.order.Target:
 		choice.useTarget = true
-	case m.elapsedShare(now) < canaryEnd && (known || r.pinnedElsewhere[hash] || now.Sub(m.startedAt) < sessionSyncDelay):
+	case m.elapsedShare(now) < canaryEnd && (known || r.pinnedElsewhere[hash] || now.Sub(m.startedAt) < sessionSyncDelay+r.regionDelay):
 		choice.useTarget = false
 	default:
 		// A session whose target has no endpoints runs on the other releases, and stays there.
--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -190,7 +190,11 @@
 		request := c.describePoison()
 		d.describePoison = func() willowwick.PoisonRequest { return request }
 	} else {
-		d.describePoison = func() willowwick.PoisonRequest { return c.describePoisonAs(c.computeFingerprint()) }
+		request := c.describePoisonAs(willowwick.Fingerprint{}) // the function may run in another goroutine than the call
+		d.describePoison = func() willowwick.PoisonRequest {
+			request.Request = c.computeFingerprint()
+			return request
+		}
 	}
 	return d
 }
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -41,6 +41,7 @@
 		lateness        map[latencyKey]*route.Lateness
 		sessions        map[string]sessionRecord
 
+		regionDelay    time.Duration                                    // time that updates from other regions take beyond those of this one
 		era            willowwick.Era                                   // the newest era of an order
 		restoredAt     time.Time                                        // until then, orders may be ones that the operator writes again
 		deferredOrders map[willowwick.ServiceID]willowwick.ReleaseOrder // applied at restoredAt if still the newest
@@ -108,7 +109,7 @@
 	}
 	if m != nil && m.state == willowwick.ReleaseRunning {
 		// Only one release is tried at a time: the sessions on the previous target return to the other releases.
-		r.verdicts.supersede(releaseKey{order.Service, m.order.Target}, now)
+		r.verdicts.supersede(releaseKey{order.Service, m.order.Target}, now.Add(supersedeDelay+r.regionDelay))
 	}
 	delete(r.verdicts, releaseKey{order.Service, order.Target})
 	r.rollouts[order.Service] = &rolloutState{
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -125,6 +125,9 @@
 	x.admissions = newAdmissions(x.poison)
 	x.crashes = newCrashDetector(x)
 	x.releases = newReleases(settings.Releases, x.hasRelease)
+	if x.topology.HasRegions() {
+		x.releases.regionDelay = (regionReportHops - hallReportHops) * x.gossipPeriod()
+	}
 	x.metrics = newRouterMetrics(x)
 	return x, closeConns
 }
--- a/exchange/verdicts.go
+++ b/exchange/verdicts.go
@@ -16,7 +16,7 @@
 )
 
 // supersedeDelay is how long a release stays in use after a later order, while an update may arrive that its roll-out
-// was completed: digests reach all boxes within two gossip exchanges.
+// was completed: digests reach all boxes of a region within two gossip exchanges.
 const supersedeDelay = 2 * time.Second
 
 type (
@@ -44,10 +44,11 @@
 	v[key] = datedVerdict{verdict: what}
 }
 
-// supersede records that a later order replaced the one to a release; a known outcome takes precedence.
-func (v verdicts) supersede(key releaseKey, now time.Time) {
+// supersede records that a later order replaced the one to a release, which applies from a time on; a known outcome takes
+// precedence.
+func (v verdicts) supersede(key releaseKey, from time.Time) {
 	if _, known := v[key]; !known {
-		v[key] = datedVerdict{superseded, now.Add(supersedeDelay)}
+		v[key] = datedVerdict{superseded, from}
 	}
 }
 
--- a/route/hall.go
+++ b/route/hall.go
@@ -26,21 +26,17 @@
 	failureWeight = 3.0
 )
 
-// distancePenalties are added to the scores of endpoints by their distance.
-var distancePenalties = map[willowwick.Distance]float64{
-	willowwick.SameHall: 0, willowwick.SameRegion: otherHallPenalty, willowwick.OtherRegion: otherRegionPenalty,
-}
-
 // HallFirst picks the least loaded endpoint of its own hall, counting pending prefills; one farther away is picked if its
 // load is lower by more than the penalty of its distance.
 type HallFirst struct {
-	topology willowwick.Topology
-	random   *lockedRandom
+	topology   willowwick.Topology
+	hasRegions bool
+	random     *lockedRandom
 }
 
 // NewHallFirst returns a picker for a box with the given topology; the seed breaks ties.
 func NewHallFirst(topology willowwick.Topology, seed uint64) *HallFirst {
-	return &HallFirst{topology: topology, random: newLockedRandom(seed)}
+	return &HallFirst{topology: topology, hasRegions: topology.HasRegions(), random: newLockedRandom(seed)}
 }
 
 // Pick implements willowwick.Picker.
@@ -69,5 +65,17 @@
 	taken := max(float64(c.Load.Running+c.Load.Waiting+c.SentSinceReport), float64(c.InFlight))
 	taken += float64(c.QueueDelay+prefillWeight*c.PrefillTime) / float64(delayPerRequest)
 	score := taken/float64(min(max(c.Load.Slots, 1), maxEffectiveSlots)) + failureWeight*c.FailureRate
-	return score + distancePenalties[p.topology.Distance(c.Hall)]
+	return score + p.penalty(c.Hall)
+}
+
+// penalty returns what is added to the scores of a hall's endpoints.
+func (p *HallFirst) penalty(hall willowwick.HallID) float64 {
+	switch {
+	case hall == p.topology.Hall:
+		return 0
+	case p.hasRegions && p.topology.Distance(hall) == willowwick.OtherRegion:
+		return otherRegionPenalty
+	default:
+		return otherHallPenalty
+	}
 }
