--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -30,7 +30,7 @@
 	sleep(ctx, hubSearchTime)
 	for ctx.Err() == nil {
 		now := clock.Now()
-		_, hasReader := s.router.peers.reader(now)
+		_, hasReader := s.router.peers.storeReader(now)
 		switch {
 		case s.maySkipCalls(now):
 			// A call would fail; the group has dropped this box by then, or does so now.
@@ -38,7 +38,7 @@
 		case s.router.duties.mustStayOut(now):
 			s.leaveGroup(ctx, member, "another box should take the duties")
 		case hasReader:
-			s.leaveGroup(ctx, member, "another box of the hall reads the store")
+			s.leaveGroup(ctx, member, "another box reads the store")
 		default:
 			listedAt = s.joinGroup(ctx, member, listedAt)
 		}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -134,6 +134,9 @@
 	x.crashes = newCrashDetector(x)
 	x.releases = newReleases(settings.Releases, x.hasRelease)
 	x.usage = newUsageReports(x)
+	if x.topology.HasRegions() {
+		x.releases.regionDelay = (regionReportHops - hallReportHops) * x.gossipPeriod()
+	}
 	x.metrics = newRouterMetrics(x)
 	return x, closeConns
 }
