Boxes ask endpoints that drain at short notice when they end

Each box that has requests at such an endpoint asks it once, with 0.5 s to answer. The time left is then by the box's own clock. Endpoints that the platform doesn't take away at short notice are never asked.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -52,7 +52,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	daemon, closeDaemon := exchange.New(o.exchangeSettings(settings), exchange.Dependencies{
-		Control: control, Codec: platform.Codec{}, Counters: set,
+		Control: control, Codec: platform.Codec{}, Counters: set, Reports: platform.NewReports(),
 		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints,
 	})
 	defer closeDaemon()
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -58,6 +58,8 @@
 		// DutyLog and DutyAPI serve the fleet's duties; nil if Settings.Duties assigns none.
 		DutyLog willowwick.DutyLog
 		DutyAPI willowwick.DutyAPI
+		// Reports tells when endpoints end whose entries don't; nil if nothing does.
+		Reports willowwick.EndpointReports
 		// Counters are exposed beside the daemon's own metrics.
 		Counters *metrics.Set
 	}
@@ -77,11 +79,13 @@
 func New(settings Settings, deps Dependencies) (*Daemon, func()) {
 	x, closeRouter := newRouter(settings, deps.Codec)
 	x.sync = newSyncer(x, deps.Control)
+	x.departures.reports = deps.Reports
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
 	x.hints = newHints(x, deps.Hints)
 	return &Daemon{router: x, deps: deps, callers: wire.NewCallerListener(deps.Callers)}, func() {
 		closePeers()
+		x.departures.workers.Close()
 		closeRouter()
 	}
 }
--- a/exchange/departure.go
+++ b/exchange/departure.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -10,11 +11,16 @@
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/route"
 )
 
-// departurePoll is how often a request that should leave its endpoint, but has nowhere to go, looks again.
-const departurePoll = 100 * time.Millisecond
+const (
+	// departurePoll is how often a request that should leave its endpoint, but has nowhere to go, looks again.
+	departurePoll = 100 * time.Millisecond
+	// reportTimeout bounds a question to an endpoint that is about to end.
+	reportTimeout = 500 * time.Millisecond
+)
 
 var errDeparted = errors.New("the endpoint is about to end")
 
@@ -22,6 +28,8 @@
 	// departures tells the requests at an endpoint when it is about to end.
 	departures struct {
 		lengths *route.AnswerLengths
+		reports willowwick.EndpointReports // nil if nothing tells more than the entries
+		workers fleet.Workers
 
 		mu    sync.Mutex
 		sends map[willowwick.EndpointID]map[*send]bool // at endpoints that the fleet orders
@@ -52,18 +60,57 @@
 
 // announce tells the requests at endpoints that are about to end, and logs which these are.
 func (d *departures) announce(leaving []willowwick.Endpoint, now time.Time) {
-	groups := map[departingGroup][]time.Time{}
+	logDepartures(leaving)
 	for _, endpoint := range leaving {
-		group := departingGroup{endpoint.Hall, endpoint.Service, endpoint.Spot}
-		groups[group] = append(groups[group], endpoint.LeavesAt)
 		d.notify(endpoint.ID, &departureNotice{now, endpoint.LeavesAt})
 	}
-	for group, ends := range groups {
-		slog.Info("endpoints announced their end", "hall", group.hall, "service", group.service, "spot", group.isSpot,
-			"endpoints", len(ends), "ms_left", ends[0].Sub(now).Milliseconds())
+}
+
+// logDepartures logs how many endpoints of each hall leave.
+func logDepartures(leaving []willowwick.Endpoint) {
+	counts := map[departingGroup]int{}
+	for _, endpoint := range leaving {
+		counts[departingGroup{endpoint.Hall, endpoint.Service, endpoint.Spot}]++
+	}
+	for group, count := range counts {
+		slog.Info("endpoints leave at short notice", "hall", group.hall, "service", group.service, "spot", group.isSpot, "endpoints", count)
+	}
+}
+
+// ask asks endpoints that are draining at short notice when they end, if this box has requests there: the entry doesn't
+// say it.
+func (d *departures) ask(draining []willowwick.Endpoint) {
+	logDepartures(draining)
+	if d.reports == nil {
+		return
+	}
+	for _, endpoint := range draining {
+		if d.hasRequests(endpoint.ID) {
+			d.workers.Go(func() { d.askOne(endpoint) })
+		}
+	}
+}
+
+func (d *departures) askOne(endpoint willowwick.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	left, isKnown, err := d.reports.TimeLeft(ctx, endpoint)
+	if err != nil {
+		slog.Info("endpoint doesn't tell when it ends", "endpoint", endpoint.ID, "error", err.Error())
+		return
+	}
+	if isKnown {
+		now := clock.Now()
+		d.notify(endpoint.ID, &departureNotice{now, now.Add(left)})
 	}
 }
 
+func (d *departures) hasRequests(endpoint willowwick.EndpointID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.sends[endpoint]) > 0
+}
+
 func (d *departures) notify(endpoint willowwick.EndpointID, notice *departureNotice) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/exchange/departure_test.go
+++ b/exchange/departure_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"testing"
@@ -26,6 +27,8 @@
 	began     chan struct{}  // receives when the leaving endpoint has the request
 	stoppedAt chan time.Time // receives when it sees that the request was cancelled
 	resumedAt chan time.Time // receives when the other one gets the request
+
+	isEndReported bool // the end is not in the entry
 }
 
 // newDepartingSite starts the endpoints; the first one answers by the handler.
@@ -43,6 +46,7 @@
 	table := testTable(1, onceRoute(), retryRoute(), streamRoute())
 	table.Services[0].Autoscaling = &willowwick.Autoscaling{Min: 1, Max: 2}
 	d.site = startSite(t, newTestControl(table, d.endpoint), settings)
+	d.daemon.router.departures.reports = timeLeft(departureNoticeTime)
 	return d
 }
 
@@ -59,7 +63,10 @@
 	<-d.began
 	leavesAt = time.Now().Add(departureNoticeTime)
 	d.control.change(func() {
-		d.endpoint.Leaving, d.endpoint.LeavesAt = true, leavesAt
+		d.endpoint.Leaving = true
+		if !d.isEndReported {
+			d.endpoint.LeavesAt = leavesAt
+		}
 		d.control.endpoints["r1"], d.control.endpoints["r2"] = d.endpoint, other.endpoint("v1")
 	})
 	return leavesAt
@@ -111,6 +118,23 @@
 	d.assertMoved(t, leavesAt)
 }
 
+// timeLeft is what an endpoint says in its report.
+type timeLeft time.Duration
+
+func (left timeLeft) TimeLeft(context.Context, willowwick.Endpoint) (time.Duration, bool, error) {
+	return time.Duration(left), true, nil
+}
+
+// An entry may only say that the endpoint is draining; the endpoint itself tells how long.
+func TestStreamLeavesEndpointThatTellsItsEndInItsReport(t *testing.T) {
+	t.Parallel()
+	d := newDepartingSite(t, testSettings(), sendSlowEvents(1000))
+	d.isEndReported = true
+	reply, leavesAt := d.ask(t, "/stream/")
+	assert.Equal(t, http.StatusOK, reply.status)
+	d.assertMoved(t, leavesAt)
+}
+
 func TestStreamWithoutEventLeavesEndpointBeforeItEnds(t *testing.T) {
 	t.Parallel()
 	d := newDepartingSite(t, testSettings(), answerNothing)
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -202,6 +202,9 @@
 	if old.LeavesAt.IsZero() && !endpoint.LeavesAt.IsZero() {
 		s.departing = append(s.departing, endpoint)
 	}
+	if endpoint.Spot && endpoint.Leaving && !old.Leaving && endpoint.LeavesAt.IsZero() {
+		s.draining = append(s.draining, endpoint)
+	}
 	s.listed[endpoint.ID] = endpoint
 	delete(s.lapsed, endpoint.ID)
 }
@@ -280,4 +283,8 @@
 		s.router.departures.announce(s.departing, clock.Now())
 		s.departing = nil
 	}
+	if len(s.draining) > 0 {
+		s.router.departures.ask(s.draining)
+		s.draining = nil
+	}
 }
--- a/platform.go
+++ b/platform.go
@@ -60,6 +60,12 @@
 	List(ctx context.Context, known string) (listing Listing, changed bool, err error)
 }
 
+// EndpointReports asks endpoints about themselves.
+type EndpointReports interface {
+	// TimeLeft returns the time until a draining endpoint ends; isKnown is false if it doesn't say.
+	TimeLeft(ctx context.Context, endpoint Endpoint) (left time.Duration, isKnown bool, err error)
+}
+
 // RatingRequest asks the rater for the quality of one answer.
 type RatingRequest struct {
 	Request RequestID `json:"request"`
