--- a/autoscale/standing.go
+++ b/autoscale/standing.go
@@ -15,7 +15,7 @@
 	lossDelay = 1500 * time.Millisecond
 	// minPause and maxPause bound the pause after an order that wasn't executed; it doubles with each.
 	minPause = time.Second
-	maxPause = 8 * time.Second
+	maxPause = 4 * time.Second
 )
 
 type (
