Orders of runners: runners of a retired release count while they are listed

Taken back: an order given 80 ms after the end of a roll-out brought spot runners of the old release, which were stopped; they were ordered again 7 s later. The test now holds the reverse.

--- a/exchange/autoscale.go
+++ b/exchange/autoscale.go
@@ -156,7 +156,6 @@
 		if endpoint.Service != service.Name {
 			continue
 		}
-		endpoint.Leaving = endpoint.Leaving || x.releases.isRetired(service.Name, endpoint.Release, now)
 		countRunner(now, hallOf(endpoint.Hall), &endpoint)
 		view.Slots = max(view.Slots, endpoint.Slots)
 		view.ColdTime = max(view.ColdTime, endpoint.ColdUntil.Sub(now))
