--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -198,10 +198,10 @@
 func TestASecondHolderKeepsWhatTheFirstOrdered(t *testing.T) {
 	p := newPlant(47, 0)
 	p.run(testStep)
-	require.Equal(t, 3, p.present(), "the rest boots")
+	require.Equal(t, 6, p.present(), "two ordinary ones in each hall; the rest boots")
 	p.scaler = New(Settings{Utilisation: 0.5})
 	assert.Empty(t, p.run(14*time.Second))
-	assert.GreaterOrEqual(t, p.present(), 70)
+	assert.GreaterOrEqual(t, p.present(), 98)
 }
 
 // Start with too many, no spot runners to be had: the ordinary ones stay.
--- a/autoscale/targets.go
+++ b/autoscale/targets.go
@@ -17,7 +17,7 @@
 	lossShare = 0.8
 	// limitShare and startShare tell how many runners are kept until the demand is known: a share of the limits of all halls
 	// together where so many spot runners cost no more than those listed, or else of those found at the start.
-	limitShare = 0.25
+	limitShare = 0.35
 	startShare = 0.5
 )
 
