Split package platform by matter

Change: platform/store is the client of the platform's store (store.Client), with the counters of its calls; platform/api holds the clients that don't use the store (api.Duties, formerly platform.DutyAPI, and api.Reports). Records, settings, headers, Control and DutyLog stay in platform. Behaviour is unchanged. Tests moved with their code.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick/exchange"
 	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/platform/api"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -52,13 +53,13 @@
 		return errors.Wrap(err, "listen")
 	}
 	deps := exchange.Dependencies{
-		Control: control, Codec: platform.Codec{}, Counters: set, Reports: platform.NewReports(),
+		Control: control, Codec: platform.Codec{}, Counters: set, Reports: api.NewReports(),
 		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints,
 	}
 	if len(settings.Duties.Assigned) > 0 {
-		api, closeAPI := platform.NewDutyAPI(settings)
-		defer closeAPI()
-		deps.DutyLog, deps.DutyAPI = control.DutyLog(), api
+		duties, closeDuties := api.NewDuties(settings.Duties.APIAddress)
+		defer closeDuties()
+		deps.DutyLog, deps.DutyAPI = control.DutyLog(), duties
 	}
 	daemon, closeDaemon := exchange.New(o.exchangeSettings(settings), deps)
 	defer closeDaemon()
--- a/exchange/duties_test.go
+++ b/exchange/duties_test.go
@@ -16,6 +16,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/platform/api"
 	"github.com/willowwick/willowwick/standin"
 )
 
@@ -37,7 +38,7 @@
 
 	dutyBox struct {
 		daemon   *Daemon
-		api      *platform.DutyAPI
+		api      *api.Duties
 		stop     func()
 		cutStore atomic.Bool
 		cutAPI   atomic.Bool
@@ -86,10 +87,10 @@
 func (f *dutyFleet) startBox(t *testing.T, number int, seeds []string, assigned []willowwick.DutyID) *dutyBox {
 	box := &dutyBox{}
 	platformSettings := platform.Settings{
-		StoreAddress: serveCut(t, &box.cutStore, f.countCalls()), GroupTTL: time.Second, Duties: platform.Duties{APIAddress: serveCut(t, &box.cutAPI, f.api)},
+		StoreAddress: serveCut(t, &box.cutStore, f.countCalls()), GroupTTL: time.Second,
 	}
 	control, closeControl := platform.NewControl(platformSettings, metrics.NewSet())
-	api, closeAPI := platform.NewDutyAPI(platformSettings)
+	duties, closeDuties := api.NewDuties(serveCut(t, &box.cutAPI, f.api))
 	settings := testSettings()
 	settings.Box = willowwick.BoxID(fmt.Sprintf("box-%d", number))
 	settings.Boot, settings.Hall = willowwick.BootID(settings.Box+"-boot"), willowwick.HallID(fmt.Sprintf("hall-%d", number))
@@ -98,15 +99,15 @@
 	callers, ready, peers, figures := listen(t), listen(t), listen(t), listen(t)
 	settings.Peers = peers.Addr().String()
 	daemon, closeDaemon := New(settings, Dependencies{
-		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures, DutyLog: control.DutyLog(), DutyAPI: api,
+		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures, DutyLog: control.DutyLog(), DutyAPI: duties,
 	})
-	box.daemon, box.api = daemon, api
+	box.daemon, box.api = daemon, duties
 	daemon.router.duties.addWorker(willowwick.DutyScale, box.orderRunners)
 	box.stop = daemon.Start()
 	t.Cleanup(func() {
 		box.stop()
 		closeDaemon()
-		closeAPI()
+		closeDuties()
 		closeControl()
 	})
 	return box
