--- a/duty.go
+++ b/duty.go
@@ -14,7 +14,7 @@
 )
 
 var (
-	// ErrFenced means that the receiver has seen an order or a call with a higher fence for the same subject.
+	// ErrFenced means that the receiver has seen a higher fencing token on the same subject.
 	ErrFenced = errors.New("a higher fencing token was used")
 	// ErrNoCapacity means that the platform has no runners of the ordered kind in that hall now.
 	ErrNoCapacity = errors.New("no runners of this kind are available now")
@@ -39,8 +39,8 @@
 		Holder  BoxID  `json:"holder"`
 		Boot    BootID `json:"boot"`
 		Address string `json:"address"` // host:port under which other boxes reach the holder
-		Claim   uint64 `json:"claim"`   // tells the claims of one boot apart
-		// ActsAt is the holder's time of day before which it makes no calls.
+		Claim   uint64 `json:"claim"`   // numbers the grants that one start of the holder tries to write
+		// ActsAt is the time of day, by the holder's clock, before which it makes no calls.
 		ActsAt time.Time `json:"acts_at,omitzero"`
 		// Former are the holders before, the latest last, without repeats; only the latest few are kept.
 		Former []BoxID `json:"former,omitempty"`
--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -32,5 +32,6 @@
 //     the lease on the duties reports it. See usage.go and package usage.
 //
 // Further parts are roll-outs of releases (release.go, choice.go, evidence.go), permits for rate-limited endpoints
-// (permits.go), and UDP datagrams on prompts that other boxes have just sent (hints.go).
+// (permits.go), requests that leave endpoints which are about to end (departure.go), and UDP datagrams on prompts that
+// other boxes have just sent (hints.go).
 package exchange
--- a/exchange/duties.go
+++ b/exchange/duties.go
@@ -16,20 +16,22 @@
 const (
 	// dutyInterval is how often the lease is checked, and how often the workers of the duties are called.
 	dutyInterval = 200 * time.Millisecond
-	// idleDutyInterval is how often the lease is checked on a box that can't hold it; an answer of the group wakes it.
+	// idleDutyInterval is how often the lease is checked on a box that isn't the candidate, unless wakeLease asks for it before.
 	idleDutyInterval = 2 * time.Second
 	// maxLeaseSteps bounds the calls to the store in a row: a conflict leads to a read and another write.
 	maxLeaseSteps = 6
+	// maxKnownReports bounds the reports that a box keeps; the store holds fewer.
+	maxKnownReports = 64
 )
 
 type (
 	// duties holds the lease on the duties, or waits for it, and makes the calls. It implements willowwick.DutyHolder.
 	duties struct {
-		router   *Router
-		log      willowwick.DutyLog
-		workers  []dutyWorker
-		assigned []willowwick.DutyID
-		changed  chan struct{} // wakes the worker of the lease
+		router    *Router
+		log       willowwick.DutyLog
+		workers   []dutyWorker
+		assigned  []willowwick.DutyID
+		wakeLease chan struct{} // wakes keepLease
 
 		storeMu sync.Mutex // held during calls to the topic of the duties
 
@@ -53,9 +55,6 @@
 	dutyReports map[willowwick.UsageWindow]willowwick.UsageReport
 )
 
-// maxKnownReports bounds the reports that a box keeps; the store holds fewer.
-const maxKnownReports = 64
-
 // newDuties returns nil, which does nothing, if the fleet has no duties.
 func newDuties(x *Router, log willowwick.DutyLog) *duties {
 	s := x.settings
@@ -64,7 +63,7 @@
 	}
 	now := clock.Now()
 	d := &duties{
-		router: x, log: log, assigned: s.Duties.Assigned, changed: make(chan struct{}, 1),
+		router: x, log: log, assigned: s.Duties.Assigned, wakeLease: make(chan struct{}, 1),
 		lease: lease.New(lease.Settings{
 			Self:  willowwick.DutyLease{Holder: s.Box, Boot: s.Boot, Address: s.Peers},
 			Lease: s.Duties.Lease, MemberTTL: s.Duties.MemberTTL,
@@ -110,7 +109,7 @@
 		wait, cancel := context.WithTimeout(ctx, interval)
 		select {
 		case <-wait.Done():
-		case <-d.changed:
+		case <-d.wakeLease:
 		}
 		cancel()
 	}
@@ -129,7 +128,7 @@
 	for range maxLeaseSteps {
 		d.mu.Lock()
 		step := d.lease.Next(clock.Now())
-		d.noteHolder()
+		d.logHolderChange()
 		d.mu.Unlock()
 		switch step {
 		case lease.StepRead:
@@ -148,7 +147,7 @@
 	state, err := d.log.ReadDuties(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	defer d.noteHolder()
+	defer d.logHolderChange()
 	if err != nil {
 		slog.Info("reading the lease on the duties failed", "error", err)
 		d.lease.ReadFailed(clock.Now())
@@ -156,6 +155,7 @@
 	}
 	d.reports.add(state.Reports...)
 	if state.Lease != nil && !state.Lease.ActsAt.IsZero() {
+		// From the time of day, as stored, to this process's clock.
 		state.Lease.ActsAt = clock.Now().Add(state.Lease.ActsAt.Sub(clock.TimeOfDay()))
 	}
 	d.lease.Read(state, began, clock.Now())
@@ -167,11 +167,12 @@
 	now := clock.Now()
 	grant, end := d.lease.BeginGrant(now)
 	d.mu.Unlock()
+	// From this process's clock to the time of day, as stored.
 	grant.ActsAt = clock.TimeOfDay().Add(grant.ActsAt.Sub(now)).UTC().Round(time.Millisecond)
 	token, err := d.log.WriteLease(ctx, grant, end)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	defer d.noteHolder()
+	defer d.logHolderChange()
 	if err != nil {
 		d.router.metrics.countDutyGrant("failed")
 		slog.Info("writing the lease on the duties failed", "after", end, "claim", grant.Claim, "error", err)
@@ -182,8 +183,8 @@
 	d.lease.Granted(token, clock.Now())
 }
 
-// noteHolder logs a change of the holder; the caller holds the lock.
-func (d *duties) noteHolder() {
+// logHolderChange logs whether this box took or gave up the lease since the last call; the caller holds the lock.
+func (d *duties) logHolderChange() {
 	now := clock.Now()
 	holds := d.lease.HoldsGrant(now)
 	if holds == d.isHolder {
@@ -218,34 +219,36 @@
 	d.update(func(time.Time) { d.lease.Stop() })
 }
 
-// mustStayOut reports whether this box has to stay out of the group, so that another one takes the lease.
+// mustStayOut reports whether this box has to stay out of the group, so that another one takes the lease. It steps down first
+// if it has not reached the API for long and another hall has a live box.
 func (d *duties) mustStayOut(now time.Time) bool {
 	if d == nil {
 		return false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lease.ShouldStepAside(now) && d.router.peers.hasOtherHall(now) {
-		d.lease.StepAside(now)
-		d.noteHolder()
+	if d.lease.ShouldStepDown(now) && d.router.peers.hasOtherLiveHall(now) {
+		d.lease.StepDown(now)
+		d.logHolderChange()
 	}
-	return d.lease.IsAside(now)
+	return d.lease.HasSteppedDown(now)
 }
 
+// update changes the lease, and wakes keepLease if that has to act on it.
 func (d *duties) update(change func(now time.Time)) {
 	if d == nil {
 		return
 	}
 	d.mu.Lock()
 	change(clock.Now())
-	d.noteHolder()
+	d.logHolderChange()
 	mustAct := d.lease.Next(clock.Now()) != lease.StepNone
 	d.mu.Unlock()
 	if !mustAct {
 		return
 	}
 	select {
-	case d.changed <- struct{}{}:
+	case d.wakeLease <- struct{}{}:
 	default:
 	}
 }
--- a/exchange/duties_test.go
+++ b/exchange/duties_test.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// holder waits until a box other than the given one has made some calls and holds the lease, and returns it.
-func (f *dutyFleet) holder(t *testing.T, other *dutyBox) *dutyBox {
+// awaitHolder waits until a box other than the given one has made some calls and holds the lease, and returns it.
+func (f *dutyFleet) awaitHolder(t *testing.T, other *dutyBox) *dutyBox {
 	var holder *dutyBox
 	orders := map[*dutyBox]int64{}
 	for _, box := range f.boxes {
@@ -164,9 +164,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			f := newDutyFleet(t, 3, willowwick.DutyScale)
-			first := f.holder(t, nil)
+			first := f.awaitHolder(t, nil)
 			c.harm(f, first)
-			second := f.holder(t, first)
+			second := f.awaitHolder(t, first)
 			assert.Less(t, first.daemon.router.duties.lease.Token(), second.daemon.router.duties.lease.Token())
 			if c.name == "planned stop" {
 				assert.False(t, first.daemon.router.duties.Holds(clock.Now()))
@@ -175,7 +175,7 @@
 			first.cutStore.Store(false)
 			first.cutAPI.Store(false)
 			time.Sleep(2 * testLease)
-			f.holder(t, nil)
+			f.awaitHolder(t, nil)
 		})
 	}
 }
@@ -184,20 +184,20 @@
 func TestLeaderThatLosesTheLeadReleasesIt(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 3, willowwick.DutyScale)
-	first := f.holder(t, nil)
+	first := f.awaitHolder(t, nil)
 	time.Sleep(2 * joinInterval) // all are members
 	owner := f.store.PartOwner("willowwick")
 	f.store.MovePart("willowwick")
 	require.Eventually(t, func() bool { return !first.daemon.router.duties.Holds(clock.Now()) }, waitTimeout, 5*time.Millisecond)
 	require.Eventually(t, func() bool { return f.store.PartOwner("willowwick") != owner }, joinInterval*9/10, 5*time.Millisecond)
-	f.holder(t, first)
+	f.awaitHolder(t, first)
 }
 
 // The API executes an order of the holder late, after newer ones: only the newest counts.
 func TestLateOrderIsFenced(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 1, willowwick.DutyScale)
-	holder := f.holder(t, nil)
+	holder := f.awaitHolder(t, nil)
 	f.api.SetFaults(standin.DutyFaults{DroppedAnswers: 2, LateBy: time.Second})
 	orders := holder.order.Load()
 	require.Eventually(t, func() bool { return holder.order.Load() > orders+3 }, takeoverTimeout, 5*time.Millisecond)
@@ -211,18 +211,18 @@
 	t.Parallel()
 	f := newDutyFleet(t, 2, willowwick.DutyScale)
 	f.store.SaveBackup()
-	f.holder(t, nil)
+	f.awaitHolder(t, nil)
 	f.store.RestoreBackup()
 	time.Sleep(time.Second)
-	holder := f.holder(t, nil)
+	holder := f.awaitHolder(t, nil)
 	require.Eventually(t, func() bool { return holder.daemon.router.duties.lease.Token().Era() == 1 }, waitTimeout, 5*time.Millisecond)
-	f.holder(t, nil)
+	f.awaitHolder(t, nil)
 }
 
 func TestCalmHolderMakesNoCallsToTheStoreForTheDuties(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 1, willowwick.DutyScale)
-	f.holder(t, nil)
+	f.awaitHolder(t, nil)
 	calls := f.calls.Load()
 	assert.Equal(t, int64(2), calls, "a read and a grant")
 	time.Sleep(3 * time.Second)
@@ -241,7 +241,7 @@
 func TestUsageReportIsStoredOnce(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 2, willowwick.DutyScale)
-	first, ctx := f.holder(t, nil), context.Background()
+	first, ctx := f.awaitHolder(t, nil), context.Background()
 	d := first.daemon.router.duties
 	report := willowwick.UsageReport{Window: 7, Counts: map[willowwick.AccountID]int{"ada": 3}}
 	// The write is done, its answer is lost.
@@ -255,7 +255,7 @@
 
 	// The next holder has read it.
 	first.stop()
-	second := f.holder(t, first).daemon.router.duties
+	second := f.awaitHolder(t, first).daemon.router.duties
 	assert.Equal(t, []willowwick.UsageReport{report}, second.UsageReports())
 	require.ErrorIs(t, second.WriteUsageReport(ctx, other), willowwick.ErrConflict)
 	require.ErrorIs(t, d.WriteUsageReport(ctx, willowwick.UsageReport{Window: 8}), willowwick.ErrNotHolder)
--- a/exchange/duty_calls.go
+++ b/exchange/duty_calls.go
@@ -14,15 +14,16 @@
 
 // Call implements willowwick.DutyHolder. It returns ErrThrottled without a call while the API takes none.
 func (d *duties) Call(
-	ctx context.Context, subject willowwick.DutySubject, call func(ctx context.Context, holder willowwick.BoxID, token willowwick.FencingToken) error,
+	ctx context.Context, subject willowwick.DutySubject,
+	call func(ctx context.Context, holder willowwick.BoxID, token willowwick.FencingToken) error,
 ) error {
 	if !d.Holds(clock.Now()) {
 		return willowwick.ErrNotHolder
 	}
-	running := d.subject(subject)
+	running := d.subjectMutex(subject)
 	running.Lock()
 	defer running.Unlock()
-	if err := d.awaitTurn(ctx); err != nil {
+	if err := d.awaitRateLimit(ctx); err != nil {
 		return err
 	}
 	token, err := d.beginCall(ctx, subject)
@@ -38,7 +39,8 @@
 	return d.endCall(ctx, subject, token, err)
 }
 
-func (d *duties) subject(subject willowwick.DutySubject) *sync.Mutex {
+// subjectMutex returns the mutex that is held during a call on a subject.
+func (d *duties) subjectMutex(subject willowwick.DutySubject) *sync.Mutex {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	running := d.subjects[subject]
@@ -49,8 +51,8 @@
 	return running
 }
 
-// awaitTurn waits until the rate limit allows another call.
-func (d *duties) awaitTurn(ctx context.Context) error {
+// awaitRateLimit waits until the rate limit allows another call, or returns ErrThrottled while calls are paused.
+func (d *duties) awaitRateLimit(ctx context.Context) error {
 	for {
 		d.mu.Lock()
 		now := clock.Now()
@@ -80,6 +82,8 @@
 	return token, nil
 }
 
+// tryBegin returns the token for a call if the current grant allows one, and otherwise makes the lease ask for a new grant if
+// that is needed.
 func (d *duties) tryBegin(subject willowwick.DutySubject) (willowwick.FencingToken, lease.Verdict) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -90,7 +94,8 @@
 	return token, verdict
 }
 
-// endCall records the outcome of a call, and returns its error.
+// endCall records the outcome of a call, and returns its error. The API answers a call with no capacity and a fenced one alike,
+// so it reads the lease again to tell them apart.
 func (d *duties) endCall(ctx context.Context, subject willowwick.DutySubject, token willowwick.FencingToken, err error) error {
 	outcome := dutyOutcome(err)
 	d.router.metrics.countDutyCall(outcome.String())
@@ -125,7 +130,7 @@
 func dutyOutcome(err error) lease.Outcome {
 	switch {
 	case err == nil:
-		return lease.OutcomeAnswered
+		return lease.OutcomeExecuted
 	case errors.Is(err, willowwick.ErrNoCapacity):
 		return lease.OutcomeNoCapacity
 	case errors.Is(err, willowwick.ErrFenced):
@@ -159,12 +164,12 @@
 		case !holds:
 			return willowwick.ErrNotHolder
 		}
-		next, err := d.log.WriteUsageReport(ctx, report, end)
-		d.endWrite(report, next, err)
+		newEnd, err := d.log.WriteUsageReport(ctx, report, end)
+		d.endWrite(report, newEnd, err)
 		if !errors.Is(err, willowwick.ErrConflict) {
 			return err
 		}
-		d.read(ctx) // an earlier write without an answer, or another holder
+		d.read(ctx) // the topic has grown by an earlier write without an answer, or by another holder
 	}
 	return errors.Wrapf(willowwick.ErrConflict, "usage report of window %d", report.Window)
 }
@@ -174,7 +179,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
-		d.lease.Outdated()
+		d.lease.RequireRead()
 		return
 	}
 	d.reports.add(report)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -23,7 +23,7 @@
 func newTestLease(box string, startedAt time.Time) *Lease {
 	return New(Settings{
 		Self:  willowwick.DutyLease{Holder: willowwick.BoxID(box), Boot: willowwick.BootID("boot of " + box)},
-		Lease: worldLease, MemberTTL: worldTTL,
+		Lease: simulatedLease, MemberTTL: simulatedTTL,
 	}, startedAt)
 }
 
@@ -78,10 +78,10 @@
 func TestReturningHolderWaits(t *testing.T) {
 	l := newTestLease("a", at(0))
 	take(t, l, willowwick.DutyState{}, at(100))
-	l.EndCall(testSubject, mustCall(t, l, at(200)), OutcomeAnswered, at(210))
+	l.EndCall(testSubject, mustCall(t, l, at(200)), OutcomeExecuted, at(210))
 	l.Joined(at(1000), false, at(1010))
 	assert.False(t, l.Holds(at(1010)))
-	// Started less than a while ago: a call of a former process could still be executed.
+	// It has just started: a call of a former process could still be executed.
 	state := otherGrant(7)
 	state.Lease.Former = []willowwick.BoxID{"a"}
 	take(t, l, state, at(2000))
@@ -93,7 +93,7 @@
 	late := newTestLease("a", at(-60_000))
 	take(t, late, otherGrant(7), at(0))
 	assert.True(t, late.Holds(at(0)), "it has not held the lease")
-	late.EndCall(testSubject, mustCall(t, late, at(0)), OutcomeAnswered, at(10))
+	late.EndCall(testSubject, mustCall(t, late, at(0)), OutcomeExecuted, at(10))
 	late.Left("test", at(100))
 	take(t, late, otherGrant(9), at(2000))
 	assert.False(t, late.Holds(at(3100)))
@@ -273,7 +273,7 @@
 func TestStoreBackFromACopy(t *testing.T) {
 	l := newTestLease("a", at(0))
 	first := take(t, l, willowwick.DutyState{End: 5}, at(100))
-	l.EndCall(testSubject, mustCall(t, l, at(150)), OutcomeAnswered, at(160))
+	l.EndCall(testSubject, mustCall(t, l, at(150)), OutcomeExecuted, at(160))
 	l.NoteEra(1)
 	assert.False(t, l.Holds(at(200)))
 	require.Equal(t, StepRead, l.Next(at(200)))
@@ -294,20 +294,20 @@
 	assert.False(t, l.Holds(at(110)))
 	l.Joined(at(120), true, at(130))
 	assert.Equal(t, StepNone, l.Next(at(130)))
-	assert.True(t, l.IsAside(at(130)))
+	assert.True(t, l.HasSteppedDown(at(130)))
 }
 
-func TestUnreachableAPIMakesTheBoxStepAside(t *testing.T) {
+func TestUnreachableAPIMakesTheBoxStepDown(t *testing.T) {
 	l := newTestLease("a", at(0))
 	now := 100
 	take(t, l, willowwick.DutyState{}, at(now))
-	for ; !l.ShouldStepAside(at(now)); now += 500 {
+	for ; !l.ShouldStepDown(at(now)); now += 500 {
 		require.Less(t, now, 10_000)
 		l.Joined(at(now), true, at(now))
 		l.EndCall(testSubject, mustCall(t, l, at(now)), OutcomeNotSent, at(now))
 	}
 	assert.GreaterOrEqual(t, now, 6000)
-	l.StepAside(at(now))
+	l.StepDown(at(now))
 	l.Joined(at(now+1000), true, at(now+1000))
 	assert.False(t, l.IsCandidate(at(now+1000)))
 	l.Joined(at(now+9000), true, at(now+9000))
@@ -317,66 +317,67 @@
 // A fleet under random faults keeps the rules, and has a holder again once they are over.
 func TestFleetKeepsTheRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 4)
-		w.pass(2 * time.Second)
-		pick := func(t *rapid.T) *worldBox {
+		f := newSimulatedFleet(t, 4)
+		f.pass(2 * time.Second)
+		pick := func(t *rapid.T) *simulatedBox {
 			if leader := rapid.IntRange(0, 1).Draw(t, "leader"); leader == 1 {
-				for _, box := range w.boxes {
-					if box.id == w.owner {
+				for _, box := range f.boxes {
+					if box.id == f.owner {
 						return box
 					}
 				}
 			}
-			return rapid.SampledFrom(w.boxes).Draw(t, "box")
+			return rapid.SampledFrom(f.boxes).Draw(t, "box")
 		}
-		pass := func(t *rapid.T) { w.pass(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * worldTick) }
+		pass := func(t *rapid.T) { f.pass(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * simulatedTick) }
 		t.Repeat(map[string]func(*rapid.T){
+			// Listed more than once, so that time passes more often than anything else happens.
 			"pass":  pass,
 			"pass2": pass,
 			"pass3": pass,
 			"freeze": func(t *rapid.T) {
-				pick(t).frozenTo = w.now.Add(time.Duration(rapid.IntRange(1, 80).Draw(t, "frozen")) * 100 * time.Millisecond)
+				pick(t).suspendedUntil = f.now.Add(time.Duration(rapid.IntRange(1, 80).Draw(t, "frozen")) * 100 * time.Millisecond)
 			},
 			"kill": func(t *rapid.T) {
 				box := pick(t)
-				box.offTo = w.now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "off")) * 100 * time.Millisecond)
+				box.offUntil = f.now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "off")) * 100 * time.Millisecond)
 			},
 			"kill all": func(*rapid.T) {
-				for _, box := range w.boxes {
-					box.offTo = w.now.Add(time.Second)
+				for _, box := range f.boxes {
+					box.offUntil = f.now.Add(time.Second)
 				}
 			},
 			"stop": func(t *rapid.T) {
 				box := pick(t)
 				box.lease.Stop()
-				w.leave(box.id)
-				box.offTo = w.now.Add(time.Second)
+				f.leave(box.id)
+				box.offUntil = f.now.Add(time.Second)
 			},
 			"leave": func(t *rapid.T) {
 				box := pick(t)
-				box.lease.Left("test", w.now)
-				w.leave(box.id)
+				box.lease.Left("test", f.now)
+				f.leave(box.id)
 			},
 			"cut store": func(t *rapid.T) { box := pick(t); box.cutStore = !box.cutStore },
 			"cut api":   func(t *rapid.T) { box := pick(t); box.cutAPI = !box.cutAPI },
-			"store":     func(*rapid.T) { w.isDown = !w.isDown },
-			"api":       func(*rapid.T) { w.apiDown = !w.apiDown },
+			"store":     func(*rapid.T) { f.storeDown = !f.storeDown },
+			"api":       func(*rapid.T) { f.apiDown = !f.apiDown },
 			"rebalance": func(t *rapid.T) {
-				if box := pick(t); !w.joinedAt[box.id].IsZero() {
-					w.wanted = box.id
-					w.generation++
+				if box := pick(t); !f.joinedAt[box.id].IsZero() {
+					f.wanted = box.id
+					f.generation++
 				}
 			},
-			"copy":    func(*rapid.T) { w.copied = w.topic },
-			"restore": func(*rapid.T) { w.restore() },
+			"copy":    func(*rapid.T) { f.copied = f.topic },
+			"restore": func(*rapid.T) { f.restore() },
 		})
-		w.isDown, w.apiDown, w.isCalm = false, false, true
-		for _, box := range w.boxes {
+		f.storeDown, f.apiDown, f.isCalm = false, false, true
+		for _, box := range f.boxes {
 			box.cutStore, box.cutAPI = false, false
 		}
-		w.pass(20 * time.Second)
-		calls := len(w.executed)
-		w.pass(10 * time.Second)
-		require.Greater(t, len(w.executed), calls+20, "duties are done again")
+		f.pass(20 * time.Second)
+		calls := len(f.executed)
+		f.pass(10 * time.Second)
+		require.Greater(t, len(f.executed), calls+20, "duties are done again")
 	})
 }
--- a/lease/pace_test.go
+++ b/lease/pace_test.go
@@ -40,7 +40,7 @@
 	}
 	assert.True(t, p.IsPaused(at(2900)))
 	assert.False(t, p.IsPaused(at(3000)))
-	p.Ended(OutcomeAnswered, at(3000))
+	p.Ended(OutcomeExecuted, at(3000))
 	p.Ended(OutcomeUnknown, at(3000))
 	assert.False(t, p.IsPaused(at(3001)))
 	p.Ended(OutcomeRejected, at(4000))
--- a/standin/duty_api.go
+++ b/standin/duty_api.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// usageSubject is the subject of all usage reports.
+const usageSubject = "usage"
+
 type (
 	// DutyFaults are the faults that a DutyAPI injects.
 	DutyFaults struct {
@@ -33,7 +36,8 @@
 	// DutyAPI stands in for the platform's API: it takes usage reports and orders of runners from the holder of the duties.
 	//
 	// It rejects calls whose token is lower than one seen on the subject, when they are executed, and records what holders must
-	// never do: use one token for a subject, report a window twice with different counts, or take turns within the lease.
+	// never do: share a token on a subject, report a window twice with different counts, or call again within the lease after
+	// another holder has called.
 	DutyAPI struct {
 		lease time.Duration
 
@@ -57,7 +61,7 @@
 	}
 )
 
-// NewDutyAPI returns an API whose holders must not return within the lease.
+// NewDutyAPI returns an API; within the lease, no holder may call again after another one has.
 func NewDutyAPI(lease time.Duration) *DutyAPI {
 	return &DutyAPI{
 		lease: lease, tokens: map[string]uint64{}, senders: map[string]map[uint64]string{}, reports: map[int64]map[string]int{},
@@ -72,7 +76,7 @@
 	a.faults = faults
 }
 
-// Violations returns what holders did and must not do.
+// Violations describes what holders did that they must never do.
 func (a *DutyAPI) Violations() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -115,7 +119,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	call := DutyCall{Subject: "usage", Holder: r.Header.Get("Lease-Holder"), Token: token, Arrived: time.Now()}
+	call := DutyCall{Subject: usageSubject, Holder: r.Header.Get("Lease-Holder"), Token: token, Arrived: time.Now()}
 	if r.URL.Path != "/usage" {
 		call.Subject = request.Service + "/" + request.Hall
 	}
@@ -138,7 +142,7 @@
 	case a.faults.Throttled:
 		return http.StatusTooManyRequests, "too many calls"
 	}
-	a.noteSender(call)
+	a.checkSender(call)
 	if a.faults.DroppedAnswers > 0 {
 		a.faults.DroppedAnswers--
 		time.AfterFunc(a.faults.LateBy, func() {
@@ -151,15 +155,15 @@
 	return a.execute(call, request)
 }
 
-// noteSender records that a token was used, whether the call is executed or not.
-func (a *DutyAPI) noteSender(call DutyCall) {
+// checkSender checks that one holder alone uses a token on a subject, whether the call is executed or not.
+func (a *DutyAPI) checkSender(call DutyCall) {
 	if a.senders[call.Subject] == nil {
 		a.senders[call.Subject] = map[uint64]string{}
 	}
 	former, used := a.senders[call.Subject][call.Token]
 	a.senders[call.Subject][call.Token] = call.Holder
 	if used && former != call.Holder {
-		a.violate("token %d of %s was used by %s and %s", call.Token, call.Subject, former, call.Holder)
+		a.addViolation("token %d of %s was used by %s and %s", call.Token, call.Subject, former, call.Holder)
 	}
 }
 
@@ -171,21 +175,21 @@
 	if request.Spot && a.faults.NoSpot {
 		return http.StatusConflict, "none to be had"
 	}
-	a.noteTurn(call)
+	a.checkReturn(call)
 	a.executed = append(a.executed, call)
-	if call.Subject != "usage" {
+	if call.Subject != usageSubject {
 		a.runners[runnerKey(request.Service, request.Hall, request.Spot)] = request.Desired
 		return http.StatusOK, ""
 	}
 	if former, reported := a.reports[request.Window]; reported && !maps.Equal(former, request.Counts) {
-		a.violate("window %d was reported with %v and %v", request.Window, former, request.Counts)
+		a.addViolation("window %d was reported with %v and %v", request.Window, former, request.Counts)
 	}
 	a.reports[request.Window] = request.Counts
 	return http.StatusOK, ""
 }
 
-// noteTurn records a call of a holder that has called within the lease, and another one since.
-func (a *DutyAPI) noteTurn(call DutyCall) {
+// checkReturn checks that the holder hasn't called within the lease before another one called.
+func (a *DutyAPI) checkReturn(call DutyCall) {
 	other := ""
 	for i := len(a.executed) - 1; i >= 0; i-- {
 		former := a.executed[i]
@@ -195,12 +199,12 @@
 		if former.Holder != call.Holder {
 			other = former.Holder
 		} else if other != "" {
-			a.violate("%s called between two calls of %s within the lease", other, call.Holder)
+			a.addViolation("%s called between two calls of %s within the lease", other, call.Holder)
 			return
 		}
 	}
 }
 
-func (a *DutyAPI) violate(format string, args ...any) {
+func (a *DutyAPI) addViolation(format string, args ...any) {
 	a.violations = append(a.violations, fmt.Sprintf(format, args...))
 }
