serve, wire, exchange, cmd: plain names and comments; logic that stood twice stands once

mayRunElsewhere, wire.CallerConn, listenAll and DutyCall replace copies; runNode and the check of options are split. The updates that attempts wait for are no longer called news. Behaviour is unchanged.

--- a/cmd/e2e/duties_test.go
+++ b/cmd/e2e/duties_test.go
@@ -13,11 +13,11 @@
 	"github.com/willowwick/willowwick/standin"
 )
 
-// takeoverTimeout covers the end of a membership and the start of a box.
+// takeoverTimeout bounds the time until another process has the lease: a membership expires, or a box starts.
 const takeoverTimeout = 15 * time.Second
 
-// dutyBoxes starts two boxes in each of three halls, whose settings assign a duty.
-func dutyBoxes(t *testing.T) *testSite {
+// newDutySite starts two boxes in each of three halls, whose settings assign a duty.
+func newDutySite(t *testing.T) *testSite {
 	s := newTestSite(t, 0)
 	seeds := "seeds="
 	for i := range 6 {
@@ -54,8 +54,8 @@
 }
 
 func TestLeaseOnTheDutiesMovesBetweenRealDaemons(t *testing.T) {
-	s := dutyBoxes(t)
-	time.Sleep(3 * time.Second) // all readers are members
+	s := newDutySite(t)
+	time.Sleep(3 * time.Second) // until all readers are members
 	suspended, first := s.awaitGrant(t, "")
 	require.NoError(t, suspended.command.Process.Signal(syscall.SIGSTOP))
 	stopped, second := s.awaitGrant(t, first.Boot)
--- a/cmd/willowwickd/main.go
+++ b/cmd/willowwickd/main.go
@@ -89,13 +89,9 @@
 // buildDaemon opens the listeners and creates the daemon and its clients. The returned function closes the daemon and the
 // clients.
 func buildDaemon(o *options) (*serve.Daemon, func(), error) {
-	var listeners [3]net.Listener
-	for i, address := range []string{o.listen, o.peerListen, o.adminListen} {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, nil, errors.Wrap(err, "listen")
-		}
-		listeners[i] = listener
+	listeners, err := listenAll(o.listen, o.peerListen, o.adminListen)
+	if err != nil {
+		return nil, nil, err
 	}
 	callerTLS, peerTLS, err := o.tlsConfigs()
 	if err != nil {
@@ -120,6 +116,18 @@
 	}, nil
 }
 
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
 // newBootID returns a random id for this start of the daemon.
 func newBootID() willowwick.BootID {
 	raw := make([]byte, bootIDBytes)
--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -41,34 +41,47 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	set := metrics.NewSet()
 	set.NewGauge("willowwick_log_lines_dropped", func() float64 { return float64(logs.Dropped()) })
-	control, closeControl := platform.NewControl(settings, set)
-	defer closeControl()
-	listeners, err := listenAll(settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress)
+	daemon, closeDaemon, err := buildNode(o, settings, set)
 	if err != nil {
 		return err
 	}
+	defer closeDaemon()
+	stop := daemon.Start()
+	defer stop()
+	slog.Info("daemon started", "hall", settings.Hall, "callers", settings.CallerAddress, "peers", settings.PeerAddress,
+		"metrics", settings.MetricsAddress, "store", settings.StoreAddress, "confidence", o.confidence)
+	waitForStop(signals, o.nodeFile)
+	daemon.Drain()
+	return nil
+}
+
+// buildNode opens the listeners and creates the daemon and its clients. The returned function closes the daemon and the
+// clients.
+func buildNode(o *options, settings platform.Settings, set *metrics.Set) (*exchange.Daemon, func(), error) {
+	listeners, err := listenAll(settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress)
+	if err != nil {
+		return nil, nil, err
+	}
 	hints, err := net.ListenPacket("udp", settings.PeerAddress)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return nil, nil, errors.Wrap(err, "listen")
 	}
+	control, closeControl := platform.NewControl(settings, set)
+	closeAPI := func() {}
 	deps := exchange.Dependencies{
 		Control: control, Codec: platform.Codec{}, Counters: set, Reports: platform.NewReports(),
 		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints,
 	}
 	if len(settings.Duties.Assigned) > 0 {
-		api, closeAPI := platform.NewDutyAPI(settings)
-		defer closeAPI()
-		deps.DutyLog, deps.DutyAPI = control.DutyLog(), api
+		deps.DutyLog = control.DutyLog()
+		deps.DutyAPI, closeAPI = platform.NewDutyAPI(settings)
 	}
 	daemon, closeDaemon := exchange.New(o.exchangeSettings(settings), deps)
-	defer closeDaemon()
-	stop := daemon.Start()
-	defer stop()
-	slog.Info("daemon started", "hall", settings.Hall, "callers", settings.CallerAddress, "peers", settings.PeerAddress,
-		"metrics", settings.MetricsAddress, "store", settings.StoreAddress, "confidence", o.confidence)
-	waitForStop(signals, o.nodeFile)
-	daemon.Drain()
-	return nil
+	return daemon, func() {
+		closeDaemon()
+		closeAPI()
+		closeControl()
+	}, nil
 }
 
 // limitResources keeps the process within the cores and the memory that the platform gives it.
@@ -95,18 +108,6 @@
 	slog.Info("settings file read again; what it changes takes effect at the next start", "callers", settings.CallerAddress, "error", err)
 }
 
-func listenAll(addresses ...string) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, errors.Wrap(err, "listen")
-		}
-		listeners = append(listeners, listener)
-	}
-	return listeners, nil
-}
-
 // exchangeSettings combines the options with the platform's settings file; the seed is derived from the box's name.
 func (o *options) exchangeSettings(settings platform.Settings) exchange.Settings {
 	seed := sha256.Sum256([]byte(settings.Box))
--- a/cmd/willowwickd/options.go
+++ b/cmd/willowwickd/options.go
@@ -31,25 +31,32 @@
 	defaultLateConfidence = 15
 )
 
-// options holds the settings from flags and environment variables.
-type options struct {
-	box, hall                                  string
-	listen, peerListen, adminListen            string
-	peerAddress                                string
-	platform                                   string
-	key                                        string
-	tlsCert, tlsKey                            string
-	peerCert, peerKey, peerCA                  string
-	maxBody                                    int64
-	maxRequests                                int
-	drainDelay, drainTimeout                   time.Duration
-	slowFirstToken, slowTokenGap, stallTimeout time.Duration
-	logLevel, logFormat                        string
-	checkOnly                                  bool
-	nodeFile                                   string
-	confidence, lateConfidence                 int
-	runnerUtilisation                          float64
-}
+type (
+	// options holds the settings from flags and environment variables.
+	options struct {
+		box, hall                                  string
+		listen, peerListen, adminListen            string
+		peerAddress                                string
+		platform                                   string
+		key                                        string
+		tlsCert, tlsKey                            string
+		peerCert, peerKey, peerCA                  string
+		maxBody                                    int64
+		maxRequests                                int
+		drainDelay, drainTimeout                   time.Duration
+		slowFirstToken, slowTokenGap, stallTimeout time.Duration
+		logLevel, logFormat                        string
+		checkOnly                                  bool
+		nodeFile                                   string
+		confidence, lateConfidence                 int
+		runnerUtilisation                          float64
+	}
+
+	// problems collects what is wrong with the settings.
+	problems struct {
+		texts []string
+	}
+)
 
 func (o *options) register(flags *flag.FlagSet) {
 	flags.StringVar(&o.box, "box", "", "name of this box, as the platform lists it")
@@ -83,59 +90,74 @@
 
 // check returns all problems of the settings.
 func (o *options) check() []string {
-	var problems []string
-	report := func(format string, args ...any) {
-		problems = append(problems, fmt.Sprintf(format, args...))
+	found := &problems{}
+	o.checkRequired(found)
+	o.checkNumbers(found)
+	o.checkAddresses(found)
+	if len(o.key) < minKeyLength {
+		found.add("-key (or %s) must have at least %d characters, has %d", envName("key"), minKeyLength, len(o.key))
 	}
-	required := func(name, value, example string) {
-		if value == "" {
-			report("-%s (or %s) must be set, for example %s", name, envName(name), example)
-		}
+	if _, err := o.level(); err != nil {
+		found.add("-log-level must be debug, info, warn or error, is %q", o.logLevel)
 	}
-	if o.nodeFile == "" {
-		// With -node-file, the platform's settings file provides these.
-		required("box", o.box, "box-a1")
-		required("hall", o.hall, "hall-a")
-		required("peer-address", o.peerAddress, "10.0.0.5:8081")
-		required("platform", o.platform, "http://10.0.0.1:9000")
+	if o.logFormat != formatText && o.logFormat != formatJSON {
+		found.add("-log-format must be text or json, is %q", o.logFormat)
 	}
+	if _, _, err := o.tlsConfigs(); err != nil {
+		found.add("%v", err)
+	}
+	return found.texts
+}
+
+func (p *problems) add(format string, args ...any) {
+	p.texts = append(p.texts, fmt.Sprintf(format, args...))
+}
+
+// checkRequired checks that the settings which the platform's settings file doesn't provide are given.
+func (o *options) checkRequired(found *problems) {
+	if o.nodeFile != "" {
+		return
+	}
+	for _, required := range []struct{ name, value, example string }{
+		{"box", o.box, "box-a1"},
+		{"hall", o.hall, "hall-a"},
+		{"peer-address", o.peerAddress, "10.0.0.5:8081"},
+		{"platform", o.platform, "http://10.0.0.1:9000"},
+	} {
+		if required.value == "" {
+			found.add("-%s (or %s) must be set, for example %s", required.name, envName(required.name), required.example)
+		}
+	}
+}
+
+func (o *options) checkNumbers(found *problems) {
 	for name, value := range map[string]int{"confidence": o.confidence, "late-confidence": o.lateConfidence} {
 		if value < 0 || value > maxConfidence {
-			report("-%s must be from 0 to %d, is %d", name, maxConfidence, value)
+			found.add("-%s must be from 0 to %d, is %d", name, maxConfidence, value)
 		}
 	}
 	if !(o.runnerUtilisation > 0 && o.runnerUtilisation <= 1) {
-		report("-runner-utilisation must be above 0 and at most 1, is %v", o.runnerUtilisation)
+		found.add("-runner-utilisation must be above 0 and at most 1, is %v", o.runnerUtilisation)
+	}
+	if o.maxBody <= 0 || o.maxRequests <= 0 {
+		found.add("-max-body and -max-requests must be above 0, are %d and %d", o.maxBody, o.maxRequests)
+	}
+	if o.drainDelay <= 0 || o.drainTimeout <= 0 || o.slowFirstToken <= 0 || o.slowTokenGap <= 0 || o.stallTimeout <= 0 {
+		found.add("-drain-wait, -drain-limit, -slow-first, -slow-between and -stall must be above 0")
 	}
+}
+
+func (o *options) checkAddresses(found *problems) {
 	for name, address := range map[string]string{
 		"listen": o.listen, "peer-listen": o.peerListen, "admin-listen": o.adminListen, "peer-address": o.peerAddress,
 	} {
 		if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
-			report("-%s must be host:port, is %q", name, address)
+			found.add("-%s must be host:port, is %q", name, address)
 		}
 	}
 	if parsed, err := url.Parse(o.platform); o.platform != "" && (err != nil || parsed.Host == "") {
-		report("-platform must be a URL such as http://10.0.0.1:9000, is %q", o.platform)
-	}
-	if len(o.key) < minKeyLength {
-		report("-key (or %s) must have at least %d characters, has %d", envName("key"), minKeyLength, len(o.key))
-	}
-	if _, err := o.level(); err != nil {
-		report("-log-level must be debug, info, warn or error, is %q", o.logLevel)
-	}
-	if o.logFormat != formatText && o.logFormat != formatJSON {
-		report("-log-format must be text or json, is %q", o.logFormat)
-	}
-	if o.maxBody <= 0 || o.maxRequests <= 0 {
-		report("-max-body and -max-requests must be above 0, are %d and %d", o.maxBody, o.maxRequests)
-	}
-	if o.drainDelay <= 0 || o.drainTimeout <= 0 || o.slowFirstToken <= 0 || o.slowTokenGap <= 0 || o.stallTimeout <= 0 {
-		report("-drain-wait, -drain-limit, -slow-first, -slow-between and -stall must be above 0")
-	}
-	if _, _, err := o.tlsConfigs(); err != nil {
-		report("%v", err)
+		found.add("-platform must be a URL such as http://10.0.0.1:9000, is %q", o.platform)
 	}
-	return problems
 }
 
 func envName(name string) string {
--- a/duty.go
+++ b/duty.go
@@ -79,13 +79,16 @@
 	// DutySubject names what the platform compares fencing tokens on: all usage reports together, or a service in a hall.
 	DutySubject string
 
+	// DutyCall makes one call to a DutyAPI for the holder, with its fencing token.
+	DutyCall func(ctx context.Context, holder BoxID, token FencingToken) error
+
 	// DutyHolder makes the calls of the duties on the box that holds the lease.
 	DutyHolder interface {
 		// Holds reports whether this box may make calls now.
 		Holds(now time.Time) bool
 		// Call makes one call on a subject, or returns ErrNotHolder. If the outcome of the previous call on the subject is
 		// unknown, it takes a new token first, so that the previous call can't be executed after this one.
-		Call(ctx context.Context, subject DutySubject, call func(ctx context.Context, holder BoxID, token FencingToken) error) error
+		Call(ctx context.Context, subject DutySubject, call DutyCall) error
 		// WriteUsageReport stores a report; only a stored one may be sent, also by later holders.
 		WriteUsageReport(ctx context.Context, report UsageReport) error
 		// UsageReports returns the stored reports as this box knows them.
@@ -112,7 +115,7 @@
 	// Autoscaling are the limits and prices within which the fleet orders the runners of a service.
 	Autoscaling struct {
 		Min        int           // runners of a hall, of both kinds together
-		Max        int           // see Min
+		Max        int           // of a hall, of both kinds together
 		BootTime   time.Duration // from an order until its runners take requests
 		SpotPrice  float64       // of a spot runner, as a share of another runner's price; 0 if there are none
 		HallPrices map[HallID]float64
--- a/exchange/autoscale_test.go
+++ b/exchange/autoscale_test.go
@@ -26,9 +26,7 @@
 
 func (f *fakeDuties) Holds(time.Time) bool { return f.holds }
 
-func (f *fakeDuties) Call(
-	ctx context.Context, subject willowwick.DutySubject, call func(context.Context, willowwick.BoxID, willowwick.FencingToken) error,
-) error {
+func (f *fakeDuties) Call(ctx context.Context, subject willowwick.DutySubject, call willowwick.DutyCall) error {
 	f.subjects = append(f.subjects, subject)
 	return call(ctx, "box", 1)
 }
--- a/exchange/departure.go
+++ b/exchange/departure.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// departurePoll is how often a request that should leave its endpoint, but has nowhere to go, looks again.
+	// departurePoll is how often a request that should leave its endpoint, but can't yet, tries again.
 	departurePoll = 100 * time.Millisecond
-	// reportTimeout bounds a question to an endpoint that is about to end.
+	// reportTimeout bounds a call that asks an endpoint how long it has left.
 	reportTimeout = 500 * time.Millisecond
 )
 
@@ -28,11 +28,11 @@
 	// departures tells the requests at an endpoint when it is about to end.
 	departures struct {
 		lengths *route.AnswerLengths
-		reports willowwick.EndpointReports // nil if nothing tells more than the entries
+		reports willowwick.EndpointReports // nil if endpoints can't be asked how long they have left
 		workers fleet.Workers
 
 		mu    sync.Mutex
-		sends map[willowwick.EndpointID]map[*send]bool // at endpoints that the fleet orders
+		sends map[willowwick.EndpointID]map[*send]bool // in progress, at endpoints that the fleet orders
 	}
 
 	// departureNotice says when an endpoint ends.
@@ -41,7 +41,7 @@
 		leavesAt time.Time
 	}
 
-	// departingGroup is a set of endpoints whose end is announced together.
+	// departingGroup is a set of endpoints whose departure is logged in one line.
 	departingGroup struct {
 		hall    willowwick.HallID
 		service willowwick.ServiceID
@@ -58,8 +58,8 @@
 	return &departures{lengths: route.NewAnswerLengths(), sends: map[willowwick.EndpointID]map[*send]bool{}}
 }
 
-// announce tells the requests at endpoints that are about to end, and logs which these are.
-func (d *departures) announce(leaving []willowwick.Endpoint, now time.Time) {
+// notifyLeaving notifies the requests at endpoints whose entries say when they end, and logs how many endpoints these are.
+func (d *departures) notifyLeaving(leaving []willowwick.Endpoint, now time.Time) {
 	logDepartures(leaving)
 	for _, endpoint := range leaving {
 		d.notify(endpoint.ID, &departureNotice{now, endpoint.LeavesAt})
@@ -77,21 +77,21 @@
 	}
 }
 
-// ask asks endpoints that are draining at short notice when they end, if this box has requests there: the entry doesn't
-// say it.
-func (d *departures) ask(draining []willowwick.Endpoint) {
+// notifyDraining does the same for endpoints whose entries don't say when they end: it asks those at which this box has
+// requests.
+func (d *departures) notifyDraining(draining []willowwick.Endpoint) {
 	logDepartures(draining)
 	if d.reports == nil {
 		return
 	}
 	for _, endpoint := range draining {
 		if d.hasRequests(endpoint.ID) {
-			d.workers.Go(func() { d.askOne(endpoint) })
+			d.workers.Go(func() { d.askTimeLeft(endpoint) })
 		}
 	}
 }
 
-func (d *departures) askOne(endpoint willowwick.Endpoint) {
+func (d *departures) askTimeLeft(endpoint willowwick.Endpoint) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
 	left, isKnown, err := d.reports.TimeLeft(ctx, endpoint)
@@ -120,7 +120,7 @@
 	}
 }
 
-// watch registers a send, which has its connection, until the returned function is called.
+// watch registers a send, which must have its connection, for notices until the returned function is called.
 func (d *departures) watch(s *send) (stop func()) {
 	if !s.table.ordersEndpoints(s.service) {
 		return func() {}
@@ -151,7 +151,7 @@
 	return false
 }
 
-// departAt returns when the request should leave its endpoint.
+// departAt returns when the request should leave its endpoint. Requests are spread over the time left by the hash of their ids.
 func (s *send) departAt(notice *departureNotice) time.Time {
 	share := float64(xxhash.Sum64String(string(s.head.ID))>>11) / (1 << 53)
 	return route.DepartureTime(notice.knownAt, notice.leavesAt, share)
@@ -171,8 +171,8 @@
 	return earliest(until, latest(s.departAt(notice), now.Add(departurePoll)))
 }
 
-// mustDepart reports whether the request leaves its endpoint now, because that is about to end, and the answer is not
-// likely to end before. It costs the repeat that the end of the endpoint would cost.
+// mustDepart reports whether the request leaves its endpoint now, because that is about to end and the answer is not likely
+// to end before. Leaving counts as a retry, as does the end of the endpoint.
 func (s *send) mustDepart(now time.Time) bool {
 	notice := s.departure.notice.Load()
 	if notice == nil || now.Before(s.departAt(notice)) {
@@ -181,10 +181,15 @@
 	if s.router.departures.lengths.IsLikelyDone(s.route.Name, s.model, s.progress(), notice.leavesAt) {
 		return false
 	}
+	return s.mayRunElsewhere(now)
+}
+
+// mayRunElsewhere reports whether the request may run once more, at another endpoint, and the retry budget would allow it.
+func (s *send) mayRunElsewhere(now time.Time) bool {
 	return s.allowsAnotherRun() && s.router.hasRetryBudget(s.call, now) && s.router.hasOtherEndpoint(s.call, s.ticket.Endpoint.ID)
 }
 
-// progress returns how far the answer is.
+// progress returns the progress of the answer.
 func (s *send) progress() route.AnswerProgress {
 	progress := route.AnswerProgress{
 		SentAt: s.sentAt, FirstEventAt: s.firstEventAt, SendEvents: s.events, AllEvents: s.streamTiming.events,
--- a/exchange/duty_calls.go
+++ b/exchange/duty_calls.go
@@ -13,10 +13,7 @@
 )
 
 // Call implements willowwick.DutyHolder. It returns ErrThrottled without a call while the API takes none.
-func (d *duties) Call(
-	ctx context.Context, subject willowwick.DutySubject,
-	call func(ctx context.Context, holder willowwick.BoxID, token willowwick.FencingToken) error,
-) error {
+func (d *duties) Call(ctx context.Context, subject willowwick.DutySubject, call willowwick.DutyCall) error {
 	if !d.Holds(clock.Now()) {
 		return willowwick.ErrNotHolder
 	}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -11,17 +11,17 @@
 // fleet start at once, more calls would take CPU time from the requests of callers.
 const maxProbesPerRound = 2
 
-// firstBox returns the first box of a hall in hub order among those that use accepts; the caller holds the lock.
-func (p *peers) firstBox(hall willowwick.HallID, use func(known *peer) bool) (KnownBox, bool) {
-	return p.firstBoxWhere(func(known *peer) bool { return known.box.Hall == hall && use(known) })
+// firstBox returns the first box of a hall in hub order among those that isEligible accepts; the caller holds the lock.
+func (p *peers) firstBox(hall willowwick.HallID, isEligible func(known *peer) bool) (KnownBox, bool) {
+	return p.firstBoxWhere(func(known *peer) bool { return known.box.Hall == hall && isEligible(known) })
 }
 
-// firstBoxWhere returns the first box in hub order among those that use accepts; the caller holds the lock.
-func (p *peers) firstBoxWhere(use func(known *peer) bool) (KnownBox, bool) {
+// firstBoxWhere returns the first box in hub order among those that isEligible accepts; the caller holds the lock.
+func (p *peers) firstBoxWhere(isEligible func(known *peer) bool) (KnownBox, bool) {
 	var first KnownBox
 	found := false
 	for _, known := range p.known {
-		if use(known) && (!found || known.box.precedes(first)) {
+		if isEligible(known) && (!found || known.box.precedes(first)) {
 			first, found = known.box, true
 		}
 	}
@@ -79,8 +79,8 @@
 	return false
 }
 
-// hasOtherHall reports whether another hall has a live box.
-func (p *peers) hasOtherHall(now time.Time) bool {
+// hasOtherLiveHall reports whether another hall has a live box.
+func (p *peers) hasOtherLiveHall(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, hall := range p.knownHalls() {
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -33,7 +33,7 @@
 		_, hasReader := s.router.peers.storeReader(now)
 		switch {
 		case s.maySkipCalls(now):
-			// A call would fail; the group has dropped this box by then, or does so now.
+			// A join would fail, and the group drops this box unless it already has.
 			s.setLeader(false, "the store is not reached")
 		case s.router.duties.mustStayOut(now):
 			s.leaveGroup(ctx, member, "another box should take the duties")
@@ -58,7 +58,7 @@
 	}
 	s.isMember = true
 	if s.router.duties != nil && s.isRolloutLeader() && !membership.IsLeader {
-		// The part goes to its new owner once this box has joined with the new generation.
+		// The group makes its new owner the leader once this box, the former leader, has joined with the new generation.
 		s.generation = membership.Generation
 		s.setLeader(false, "answer of the group")
 		s.router.duties.noteJoin(sent, false)
--- a/exchange/listing.go
+++ b/exchange/listing.go
@@ -290,11 +290,11 @@
 	}
 	s.router.pool.Update(list)
 	if len(s.departing) > 0 {
-		s.router.departures.announce(s.departing, clock.Now())
+		s.router.departures.notifyLeaving(s.departing, clock.Now())
 		s.departing = nil
 	}
 	if len(s.draining) > 0 {
-		s.router.departures.ask(s.draining)
+		s.router.departures.notifyDraining(s.draining)
 		s.draining = nil
 	}
 }
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -191,7 +191,7 @@
 // the endpoint makes progress with other requests it may still finish this one, so one run must then be left in
 // reserve: the next endpoint may fail.
 func (s *send) mayResumeElsewhere(now time.Time) bool {
-	if !s.allowsAnotherRun() || !s.router.hasRetryBudget(s.call, now) || !s.router.hasOtherEndpoint(s.call, s.ticket.Endpoint.ID) {
+	if !s.mayRunElsewhere(now) {
 		return false
 	}
 	return s.runs+1 < s.route.MaxRuns || s.ticket.IsSilent(now)
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -330,7 +330,7 @@
 
 // shouldTryAnother reports whether the request leaves a silent endpoint for another.
 func (s *send) shouldTryAnother(now time.Time) bool {
-	if !s.allowsAnotherRun() || !s.router.hasRetryBudget(s.call, now) || !s.router.hasOtherEndpoint(s.call, s.ticket.Endpoint.ID) {
+	if !s.mayRunElsewhere(now) {
 		return false
 	}
 	overdueAt := s.overdueAt()
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -115,7 +115,7 @@
 
 func (h *testHolder) Holds(time.Time) bool { return true }
 
-func (h *testHolder) Call(ctx context.Context, _ willowwick.DutySubject, call func(context.Context, willowwick.BoxID, willowwick.FencingToken) error) error {
+func (h *testHolder) Call(ctx context.Context, _ willowwick.DutySubject, call willowwick.DutyCall) error {
 	return call(ctx, "box-1", 1)
 }
 
--- a/lab/ended_runners_test.go
+++ b/lab/ended_runners_test.go
@@ -8,7 +8,7 @@
 	"github.com/willowwick/willowwick"
 )
 
-// Guards against a request that is refused after some runners of the list that have just ended, though one still runs.
+// Guards against a request that is refused after attempts at runners that have just crashed, though one still runs.
 func TestRequestFindsTheOneRunnerThatStillRuns(t *testing.T) {
 	withTestFleet(t, 3, func(s *testFleet) {
 		for range 9 {
@@ -23,7 +23,7 @@
 	})
 }
 
-// Guards against the same for a call to a plain service.
+// Guards against a call to a plain service that is refused after attempts at instances that are gone, though one still runs.
 func TestCallFindsTheOneInstanceThatStillRuns(t *testing.T) {
 	withTestFleet(t, 3, func(s *testFleet) {
 		for i := range 60 {
--- a/route/departure.go
+++ b/route/departure.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	// departureMargin is how long before an endpoint ends the last answers leave it: the time left is known from an entry
-	// that was written some time ago.
+	// departureMargin is how long before an endpoint ends the last answers leave it; the end is known only roughly.
 	departureMargin = 400 * time.Millisecond
-	// lengthStep is the weight of one answer in the usual length.
-	lengthStep = 0.1
-	// longAnswerFactor is the multiple of the usual time that nearly all answers stay below before their pace is known.
+	// observationWeight is the weight of one answer in the moving average of lengths.
+	observationWeight = 0.1
+	// longAnswerFactor is the multiple of the usual time within which an answer whose pace is not known yet is expected to end.
 	longAnswerFactor = 1.25
 )
 
@@ -59,8 +58,8 @@
 		l.usual[kind] = answerLength{took.Seconds(), float64(events)}
 		return
 	}
-	known.seconds += lengthStep * (took.Seconds() - known.seconds)
-	known.events += lengthStep * (float64(events) - known.events)
+	known.seconds += observationWeight * (took.Seconds() - known.seconds)
+	known.events += observationWeight * (float64(events) - known.events)
 	l.usual[kind] = known
 }
 
@@ -76,7 +75,7 @@
 	return progress.expectedEnd(usual).Before(before)
 }
 
-// expectedEnd returns when the answer ends at the pace of its events, or before there are some when it usually ends.
+// expectedEnd returns when the answer ends at the pace of its events, or by the usual time while fewer than two have come.
 func (p AnswerProgress) expectedEnd(usual answerLength) time.Time {
 	if p.SendEvents < 2 {
 		return p.SentAt.Add(seconds(longAnswerFactor * usual.seconds))
@@ -91,7 +90,7 @@
 }
 
 // DepartureTime returns when an answer leaves an endpoint that ends at leavesAt, which became known at knownAt. The share,
-// from 0 to 1, is the answer's own: answers with different shares leave at different times.
+// from 0 to 1, of the time left passes before; different shares spread the answers over that time.
 func DepartureTime(knownAt, leavesAt time.Time, share float64) time.Time {
 	window := max(leavesAt.Add(-departureMargin).Sub(knownAt), 0)
 	return knownAt.Add(time.Duration(share * float64(window)))
--- a/serve/attempts.go
+++ b/serve/attempts.go
@@ -9,25 +9,25 @@
 )
 
 const (
-	// maxAttempts is the number of endpoints after which a request that may have run is not tried elsewhere.
+	// maxAttempts is the number of attempts after which a request is not tried again; attempts says which ones count.
 	maxAttempts = 4
-	// suspiciousMisses is the number of unreachable endpoints after which the request itself may have ended them.
-	suspiciousMisses = 3
-	// quarantineNewsDelay is the time within which another box has told of a request that ends endpoints: it reports
-	// once a second.
-	quarantineNewsDelay = 1200 * time.Millisecond
+	// suspectMisses is the number of unreachable endpoints from which the request is suspected to have crashed them.
+	suspectMisses = 3
+	// quarantineUpdateDelay is the time within which this box gets the updates on poison requests of other boxes, which send
+	// them once a second.
+	quarantineUpdateDelay = 1200 * time.Millisecond
 )
 
 // attempts counts the attempts of one request.
 //
-// Endpoints of the list that have just ended or are draining cost a request nothing until it may have run: one that
-// still runs may be left. A request that has run counts them, because it may be what ended them.
+// The first attempt at an endpoint that is not reached or draining doesn't count, since another endpoint may still run. Once
+// the request may have run, endpoints that were not reached count too, because the request may have crashed them.
 type attempts struct {
 	exclude    map[willowwick.EndpointID]bool // endpoints that failed or refused the request
-	sends      int                            // also to endpoints that were missed before
-	misses     int                            // endpoints that were not reached
+	sends      int                            // failed attempts that count in any case
+	misses     int                            // endpoints that were not reached at the first attempt
 	mayHaveRun bool
-	hasWaited  bool
+	hasWaited  bool // awaitUpdates has waited
 }
 
 func newAttempts() attempts {
@@ -48,22 +48,22 @@
 	}
 }
 
-// areOver reports whether the request isn't tried again.
-func (a *attempts) areOver() bool {
+// areExhausted reports whether the request must not be tried again.
+func (a *attempts) areExhausted() bool {
 	if a.mayHaveRun {
 		return a.sends+a.misses >= maxAttempts
 	}
 	return a.sends >= maxAttempts
 }
 
-// awaitNews waits, once, for news from other boxes after suspiciousMisses, so that one of the last endpoints is not
-// given a request that has ended the others.
-func (a *attempts) awaitNews(ctx context.Context) {
-	if a.misses < suspiciousMisses || a.hasWaited {
+// awaitUpdates waits, once, for updates from other boxes after suspectMisses, so that a poison request that has crashed many
+// endpoints isn't sent to the others too.
+func (a *attempts) awaitUpdates(ctx context.Context) {
+	if a.misses < suspectMisses || a.hasWaited {
 		return
 	}
 	a.hasWaited = true
-	pause(ctx, quarantineNewsDelay)
+	pause(ctx, quarantineUpdateDelay)
 }
 
 // isNotTaken reports whether an endpoint that failed a send was not reached or is draining, so that nothing was run.
--- a/serve/call.go
+++ b/serve/call.go
@@ -77,7 +77,7 @@
 // connect opens the answer at some runner from the position reached.
 func (c *resumableCall) connect() *willowwick.Refusal {
 	for {
-		c.attempts.awaitNews(c.ctx)
+		c.attempts.awaitUpdates(c.ctx)
 		if refusal := c.checkAllowed(); refusal != nil {
 			return refusal
 		}
@@ -181,7 +181,7 @@
 		ticket.Done(route.OutcomeFailed)
 		c.recordFailure(ticket.Endpoint, err)
 	}
-	if !c.attempts.areOver() && (!needsBudget || r.daemon.retries.Take()) {
+	if !c.attempts.areExhausted() && (!needsBudget || r.daemon.retries.Take()) {
 		r.daemon.metrics.retries.Inc()
 		return nil
 	}
@@ -265,7 +265,7 @@
 	r.daemon.metrics.resumes.Inc()
 	c.attempts.add(endpoint.ID, willowwick.ErrBroken)
 	c.recordFailure(endpoint, err)
-	if c.attempts.areOver() || !r.daemon.retries.Take() {
+	if c.attempts.areExhausted() || !r.daemon.retries.Take() {
 		return willowwick.Failed(willowwick.CodeCutOff, "the answer was cut off and could not be resumed")
 	}
 	if refusal := c.connect(); refusal != nil {
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -109,9 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.callers = d.newServer(d.callerConns.RejectRetired(d.trackConns(d.callerHandler())))
-	d.callers.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(d.callerConns.ConnContext(ctx, conn), callerConnKey{}, conn)
-	}
+	d.callers.ConnContext = d.callerConns.ConnContext
 	d.callers.ConnState = func(conn net.Conn, state http.ConnState) {
 		d.callerConns.TrackState(conn, state)
 		d.activeConns.onStateChange(conn, state)
--- a/serve/drain.go
+++ b/serve/drain.go
@@ -10,33 +10,30 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
 	drainPollInterval = 20 * time.Millisecond
-	idleBeforeClose   = 200 * time.Millisecond // a connection of a caller that is in use gets the next request sooner
-	leaveTimeout      = 4 * time.Second
+	// idleBeforeClose is how long a caller's connection must be idle before it is closed at a planned stop.
+	idleBeforeClose = 200 * time.Millisecond
+	// leaveTimeout bounds the hand-over of claims and lease.
+	leaveTimeout = 4 * time.Second
 )
 
-type (
-	// connTracker tracks the callers' HTTP/1 connections with an accepted request until the last byte of the answer is
-	// written.
-	//
-	// Running handlers don't show this: a handler returns before its last bytes are written.
-	connTracker struct {
-		mu    sync.Mutex
-		conns map[net.Conn]bool
-	}
-
-	// callerConnKey is the context key of the connection that a request came in on.
-	callerConnKey struct{}
-)
+// connTracker tracks the callers' HTTP/1 connections with an accepted request until the last byte of the answer is written.
+//
+// Running handlers don't show this: a handler returns before its last bytes are written.
+type connTracker struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
 
 // trackConns adds the connections of accepted requests to the tracker. Once the box refuses new requests, it adds none and
 // asks callers to open another connection for their next request.
 func (d *Daemon) trackConns(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, ok := r.Context().Value(callerConnKey{}).(net.Conn)
+		conn, ok := wire.CallerConn(r)
 		// An HTTP/2 connection carries several requests, and Server.Shutdown waits for each of them.
 		if ok && r.ProtoMajor == 1 && !d.isRefusing() {
 			d.activeConns.add(conn)
@@ -100,8 +97,8 @@
 	return nil
 }
 
-// closeCallers closes the callers' listener and connections. Requests that arrive meanwhile are refused first; a
-// connection on which none arrives for idleBeforeClose is taken for idle.
+// closeCallers closes the callers' listener, and each connection once no request has arrived on it for idleBeforeClose;
+// requests that arrive meanwhile are refused.
 func (d *Daemon) closeCallers(ctx context.Context) {
 	pause(ctx, idleBeforeClose)
 	if err := d.callerConns.Close(); err != nil {
--- a/serve/services.go
+++ b/serve/services.go
@@ -184,7 +184,7 @@
 // retried only if no part of it was sent.
 func (s *serviceRun) send(ctx context.Context) (*serviceReply, *willowwick.Refusal) {
 	for {
-		s.attempts.awaitNews(ctx)
+		s.attempts.awaitUpdates(ctx)
 		ticket, refusal := s.daemon.gate.Enter(ctx, s.admission())
 		if refusal != nil {
 			return nil, s.correctRefusal(refusal)
@@ -254,17 +254,17 @@
 // handleError gives the slot back after a failed attempt. It returns nil if the call may be retried.
 func (s *serviceRun) handleError(ctx context.Context, ticket *gate.Ticket, err error) *willowwick.Refusal {
 	s.trace.add("endpoint", "%s: %v", ticket.Endpoint.ID, err)
-	notSent := isNotTaken(err)
+	notTaken := isNotTaken(err)
 	s.attempts.add(ticket.Endpoint.ID, err)
 	ticket.Done(route.OutcomeFailed)
 	s.daemon.recordFailure(ctx, s.content, ticket.Endpoint, ticket.Endpoint.Release, err)
-	s.sent = s.sent || !notSent
+	s.sent = s.sent || !notTaken
 	switch {
-	case !notSent && !s.repeatable:
+	case !notTaken && !s.repeatable:
 		return willowwick.OutcomeUnknown(willowwick.CodeEndpointError, "the call was sent and its answer was lost; it may have taken effect, and is not retried")
 	case ctx.Err() != nil && s.sent:
 		return willowwick.Failed(willowwick.CodeDeadline, "the deadline passed before the service answered")
-	case !s.attempts.areOver() && (notSent || s.daemon.retries.Take()):
+	case !s.attempts.areExhausted() && (notTaken || s.daemon.retries.Take()):
 		return nil
 	case s.sent:
 		return willowwick.Failed(willowwick.CodeEndpointError, "no instance answered")
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -22,13 +22,11 @@
 	connRetired
 	// connShared: the connection carries several requests at a time (HTTP/2), and http.Server.Shutdown waits for them.
 	connShared
-)
 
-const (
 	// retirePoll is how often a stopping box checks whether callers' connections are idle.
 	retirePoll = 10 * time.Millisecond
-	// handshakeLimit is the time after which a connection without a request is idle, whatever was read from it: the
-	// bytes belong to a TLS handshake.
+	// handshakeLimit is the time after which a connection that never had a request is idle, although bytes were read from it:
+	// they belong to a TLS handshake.
 	handshakeLimit = 5 * time.Second
 )
 
@@ -99,6 +97,12 @@
 	return l.busyConns.Load()
 }
 
+// CallerConn returns the server's connection that a request came in on; it needs the ConnContext hook.
+func CallerConn(r *http.Request) (net.Conn, bool) {
+	conn, ok := r.Context().Value(callerConnKey{}).(net.Conn)
+	return conn, ok
+}
+
 // ConnContext is the server's ConnContext hook.
 func (l *CallerListener) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, callerConnKey{}, conn)
@@ -108,7 +112,7 @@
 // with the previous one: the connection then seems idle until the request gets here, and may have been retired.
 func (l *CallerListener) RejectRetired(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _ := r.Context().Value(callerConnKey{}).(net.Conn)
+		conn, _ := CallerConn(r)
 		if c, ok := trackedConn(conn); ok && !c.acquire() {
 			slog.Info("request rejected, its connection was already closed", "target", r.RequestURI)
 			panic(http.ErrAbortHandler)
@@ -176,7 +180,7 @@
 	}
 }
 
-// leaveToServer excepts a connection from retire.
+// leaveToServer makes http.Server.Shutdown, instead of Retire, wait for a connection.
 func (l *CallerListener) leaveToServer(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -189,30 +193,30 @@
 	}
 }
 
-// Retire closes connections that have been idle for a time, each before another request can be read from it, and waits
+// Retire closes connections that have been idle for minIdle, each before another request can be read from it, and waits
 // for the others to become idle; it returns how many are left when the context ends. The listener must be closed before.
-func (l *CallerListener) Retire(ctx context.Context, idle time.Duration) int {
-	timer := time.NewTicker(retirePoll)
-	defer timer.Stop()
+func (l *CallerListener) Retire(ctx context.Context, minIdle time.Duration) int {
+	ticker := time.NewTicker(retirePoll)
+	defer ticker.Stop()
 	for {
-		left := l.retireIdle(clock.Now(), idle)
+		left := l.retireIdle(clock.Now(), minIdle)
 		if left == 0 || ctx.Err() != nil {
 			return left
 		}
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 		}
 	}
 }
 
-// retireIdle closes the connections that have been idle for a time and returns how many are left.
-func (l *CallerListener) retireIdle(now time.Time, idle time.Duration) int {
+// retireIdle closes the connections that have been idle for minIdle and returns how many are left.
+func (l *CallerListener) retireIdle(now time.Time, minIdle time.Duration) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
 	for c := range l.conns {
-		if !c.retire(now, idle) {
+		if !c.retire(now, minIdle) {
 			continue
 		}
 		delete(l.conns, c)
@@ -221,9 +225,10 @@
 	return len(l.conns)
 }
 
-// retire reports whether the connection is idle; if so, nothing more is read from it.
-func (c *callerConn) retire(now time.Time, idle time.Duration) bool {
-	if now.UnixNano()-c.idleSince.Load() >= int64(idle) && c.use.CompareAndSwap(connIdle, connRetired) {
+// retire retires the connection if it has been idle for minIdle or is still in a handshake after handshakeLimit, and reports
+// whether it did; if so, nothing more is read from it.
+func (c *callerConn) retire(now time.Time, minIdle time.Duration) bool {
+	if now.UnixNano()-c.idleSince.Load() >= int64(minIdle) && c.use.CompareAndSwap(connIdle, connRetired) {
 		return true
 	}
 	isHandshake := !c.hasRequests.Load() && now.Sub(c.acceptedAt) >= handshakeLimit
--- a/wire/interrupt.go
+++ b/wire/interrupt.go
@@ -8,7 +8,7 @@
 	"github.com/willowwick/willowwick/clock"
 )
 
-// interrupt is how another goroutine ends the wait of a connection's reader.
+// interrupt is the state by which another goroutine ends the wait of a connection's reader.
 type interrupt struct {
 	mu          sync.Mutex
 	isWaiting   bool
