--- a/serve/drain.go
+++ b/serve/drain.go
@@ -15,7 +15,8 @@
 
 const (
 	drainPollInterval = 20 * time.Millisecond
-	// idleBeforeClose is how long a caller's connection must be idle before it is closed at a planned stop.
+	// idleBeforeClose is how long a caller's connection must be idle before it is closed at a planned stop; one that is in use
+	// gets its next request sooner.
 	idleBeforeClose = 200 * time.Millisecond
 	// leaveTimeout bounds the hand-over of claims and lease.
 	leaveTimeout = 4 * time.Second
