--- a/autoscale/doc.go
+++ b/autoscale/doc.go
@@ -5,6 +5,6 @@
 // same unit, requests in progress: a runner runs as many at once as it has slots, and [Settings.Utilisation] is the share
 // of the slots to aim at. A runner that is slower holds its requests longer, so speeds need no model of their own.
 //
-// Begin with scaler.go; forecast.go is the demand, targets.go the numbers by hall and kind, standing.go what became of
-// earlier orders.
+// Begin with scaler.go; forecast.go estimates the demand, targets.go computes the runners wanted by hall and kind, and
+// orders.go follows earlier orders.
 package autoscale
--- a/autoscale/forecast.go
+++ b/autoscale/forecast.go
@@ -8,17 +8,16 @@
 )
 
 const (
-	// peakWindow is how far back the demand counts for what is kept: longer than the waves of a busy minute, and long
-	// enough for what a runner costs meanwhile to exceed what a new one costs until it takes work.
+	// peakWindow is for how long a peak of the demand counts.
 	peakWindow = 15 * time.Second
-	// peakSlot is the length of the parts of peakWindow whose peaks are kept.
-	peakSlot = time.Second
-	// fastTime and slowTime are the time constants of the two averages whose difference is the trend.
-	fastTime = time.Second
-	slowTime = 4 * time.Second
-	// shareTime is the time constant of the shares of the halls.
+	// peakInterval is the length of time of which one peak is kept.
+	peakInterval = time.Second
+	// fastMeanTime and slowTime are the time constants of the two averages whose difference is the trend.
+	fastMeanTime = time.Second
+	slowMeanTime = 4 * time.Second
+	// shareTime is the time constant of the averages of the halls' shares.
 	shareTime = 8 * time.Second
-	// minShareDemand is the demand below which it says nothing on the halls' shares, as a share of the one expected.
+	// minShareDemand is the least demand from which shares of halls are computed, as a share of the expected demand.
 	minShareDemand = 0.25
 	// maxTrendFactor bounds the forecast to a multiple of the present demand.
 	maxTrendFactor = 1.25
@@ -27,16 +26,15 @@
 type (
 	// forecast estimates the demand at the time when runners that are ordered now take work.
 	forecast struct {
-		firstAt time.Time // of the first sample; zero if there is none
-		lastAt  time.Time
-		busyAt  time.Time // of the first sample with demand; zero if there is none
-		fast    float64
-		slow    float64
-		peaks   []peak // newest last
-		shares  map[willowwick.HallID]float64
+		lastAt   time.Time // of the newest sample; zero if there is none
+		busyAt   time.Time // of the first sample with demand; zero if there is none
+		fastMean float64
+		slowMean float64
+		peaks    []peak // newest last
+		shares   map[willowwick.HallID]float64
 	}
 
-	// peak is the highest expected demand in a part of the window.
+	// peak is the highest demand that was expected during a peakInterval.
 	peak struct {
 		from   time.Time
 		demand float64
@@ -45,28 +43,28 @@
 
 // add records the demand of a view; lead is the time until runners that are ordered now take work.
 func (f *forecast) add(now time.Time, view *View, lead time.Duration) {
-	demand := float64(view.sum().total())
-	if f.firstAt.IsZero() {
-		f.firstAt, f.lastAt, f.fast, f.slow = now, now, demand, demand
+	demand := float64(view.demand().total())
+	if f.lastAt.IsZero() {
+		f.lastAt, f.fastMean, f.slowMean = now, demand, demand
 	}
 	passed := now.Sub(f.lastAt)
 	f.lastAt = now
-	f.fast += (demand - f.fast) * weight(passed, fastTime)
-	f.slow += (demand - f.slow) * weight(passed, slowTime)
+	f.fastMean += (demand - f.fastMean) * weight(passed, fastMeanTime)
+	f.slowMean += (demand - f.slowMean) * weight(passed, slowMeanTime)
 	if f.busyAt.IsZero() && demand > 0 {
 		f.busyAt = now
 	}
-	f.addPeak(now, f.ahead(lead))
+	f.addPeak(now, f.extrapolate(lead))
 	f.addShares(passed, view, demand)
 }
 
-// weight returns the weight of a sample after a pause in an average with a time constant.
+// weight returns the weight of a new sample in an exponential moving average; passed is the time since the last sample.
 func weight(passed, constant time.Duration) float64 {
 	return 1 - math.Exp(-passed.Seconds()/constant.Seconds())
 }
 
 func (f *forecast) addPeak(now time.Time, demand float64) {
-	if n := len(f.peaks); n > 0 && now.Sub(f.peaks[n-1].from) < peakSlot {
+	if n := len(f.peaks); n > 0 && now.Sub(f.peaks[n-1].from) < peakInterval {
 		f.peaks[n-1].demand = max(f.peaks[n-1].demand, demand)
 	} else {
 		f.peaks = append(f.peaks, peak{now, demand})
@@ -76,7 +74,7 @@
 	}
 }
 
-// addShares follows the halls' shares of the demand, those of evacuated halls included: their boxes still have callers.
+// addShares updates the halls' shares of the demand; evacuated halls are included, since their boxes still have callers.
 func (f *forecast) addShares(passed time.Duration, view *View, demand float64) {
 	if f.shares == nil {
 		f.shares = map[willowwick.HallID]float64{}
@@ -104,10 +102,10 @@
 	return f.isBusy() && now.Sub(f.busyAt) >= peakWindow
 }
 
-// ahead returns the demand after the lead time by the present trend, if it rises.
-func (f *forecast) ahead(lead time.Duration) float64 {
-	trend := max(f.fast-f.slow, 0) / (slowTime - fastTime).Seconds()
-	return min(f.fast+trend*lead.Seconds(), maxTrendFactor*f.fast)
+// extrapolate returns the demand expected after the lead time: it follows a rising trend, and ignores a falling one.
+func (f *forecast) extrapolate(lead time.Duration) float64 {
+	trend := max(f.fastMean-f.slowMean, 0) / (slowMeanTime - fastMeanTime).Seconds()
+	return min(f.fastMean+trend*lead.Seconds(), maxTrendFactor*f.fastMean)
 }
 
 // demand returns the requests in progress to provide for: the highest that was expected within the window.
@@ -119,22 +117,18 @@
 	return expected
 }
 
-// share returns a hall's share of the demand; equal shares while nothing is known.
+// share returns a hall's share of the demand; all halls have equal shares while nothing is known.
 func (f *forecast) share(view *View, hall *Hall) float64 {
 	var total float64
+	halls := 0
 	for i := range view.Halls {
 		if !view.Halls[i].IsEvacuated {
 			total += f.shares[view.Halls[i].ID]
+			halls++
 		}
 	}
 	if total > 0 {
 		return f.shares[hall.ID] / total
 	}
-	halls := 0
-	for i := range view.Halls {
-		if !view.Halls[i].IsEvacuated {
-			halls++
-		}
-	}
 	return 1 / float64(max(halls, 1))
 }
--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -22,28 +22,28 @@
 var testHalls = []willowwick.HallID{"hall-a", "hall-b", "hall-c"}
 
 type (
-	// plant executes orders as the platform does: runners appear after their boot time, and drain at once.
-	plant struct {
+	// fakePlatform executes orders as the platform does: runners appear after their boot time, and drain at once.
+	fakePlatform struct {
 		scaler *Scaler
 		now    time.Time
 		view   View
 		orders []Decision
-		boots  []plantBoot
+		boots  []pendingBoot
 		// losesBoots makes the runners of accepted orders never appear.
 		losesBoots bool
 		// reply decides what becomes of an order; nil accepts all.
 		reply func(order willowwick.RunnerOrder) error
 	}
 
-	plantBoot struct {
+	pendingBoot struct {
 		order willowwick.RunnerOrder
 		at    time.Time
 	}
 )
 
-// newPlant returns three halls with the given runners of both kinds in each.
-func newPlant(ordinary, spot int) *plant {
-	p := &plant{
+// newFakePlatform returns three halls with the given runners of both kinds in each.
+func newFakePlatform(ordinary, spot int) *fakePlatform {
+	p := &fakePlatform{
 		scaler: New(Settings{Utilisation: 0.5}), now: time.Unix(1000, 0),
 		view: View{
 			Service: "work", Slots: 12, ColdTime: testCold, HasList: true,
@@ -59,9 +59,9 @@
 	return p
 }
 
-// settled returns a plant whose demand has been the same for long enough to know its peaks.
-func settled(t *testing.T, demand int) *plant {
-	p := newPlant(3, 17)
+// settled returns a fakePlatform whose demand has been the same for long enough to know its peaks.
+func settled(t *testing.T, demand int) *fakePlatform {
+	p := newFakePlatform(3, 17)
 	p.setDemand(demand)
 	p.run(peakWindow + 10*time.Second)
 	require.InDelta(t, float64(demand)/12/0.5, p.present(), 6, "runners for the demand")
@@ -69,22 +69,22 @@
 	return p
 }
 
-func (p *plant) setDemand(requests int) {
+func (p *fakePlatform) setDemand(requests int) {
 	for i := range p.view.Halls {
 		p.view.Halls[i].Demand.Running = requests / len(p.view.Halls)
 	}
 }
 
-func (p *plant) present() int { return p.view.present() }
+func (p *fakePlatform) present() int { return p.view.present() }
 
 // run lets time pass in steps and returns the orders given.
-func (p *plant) run(duration time.Duration) []Decision {
+func (p *fakePlatform) run(duration time.Duration) []Decision {
 	from := len(p.orders)
 	for end := p.now.Add(duration); p.now.Before(end); p.now = p.now.Add(testStep) {
 		p.finishBoots()
 		allAccepted := true
 		for _, decision := range p.scaler.Decide(p.now, p.view) {
-			if decision.Takes() && !allAccepted {
+			if decision.IsReduction() && !allAccepted {
 				break
 			}
 			p.orders = append(p.orders, decision)
@@ -96,23 +96,23 @@
 	return p.orders[from:]
 }
 
-func (p *plant) execute(order willowwick.RunnerOrder) error {
+func (p *fakePlatform) execute(order willowwick.RunnerOrder) error {
 	if p.reply != nil {
 		if err := p.reply(order); err != nil {
 			return err
 		}
 	}
-	isSame := func(boot plantBoot) bool { return boot.order.Hall == order.Hall && boot.order.Spot == order.Spot }
+	isSame := func(boot pendingBoot) bool { return boot.order.Hall == order.Hall && boot.order.Spot == order.Spot }
 	if runners := p.runners(order.Hall, order.Spot); order.Runners < runners.Present() {
 		runners.Ready = order.Runners
 		p.boots = slices.DeleteFunc(p.boots, isSame)
 	} else if !p.losesBoots {
-		p.boots = append(p.boots, plantBoot{order, p.now.Add(testBoot)})
+		p.boots = append(p.boots, pendingBoot{order, p.now.Add(testBoot)})
 	}
 	return nil
 }
 
-func (p *plant) finishBoots() {
+func (p *fakePlatform) finishBoots() {
 	for len(p.boots) > 0 && !p.now.Before(p.boots[0].at) {
 		order := p.boots[0].order
 		p.runners(order.Hall, order.Spot).Ready = order.Runners
@@ -120,7 +120,7 @@
 	}
 }
 
-func (p *plant) hall(id willowwick.HallID) *Hall {
+func (p *fakePlatform) hall(id willowwick.HallID) *Hall {
 	for i := range p.view.Halls {
 		if p.view.Halls[i].ID == id {
 			return &p.view.Halls[i]
@@ -129,7 +129,7 @@
 	panic("no such hall")
 }
 
-func (p *plant) runners(id willowwick.HallID, isSpot bool) *Runners {
+func (p *fakePlatform) runners(id willowwick.HallID, isSpot bool) *Runners {
 	if isSpot {
 		return &p.hall(id).Spot
 	}
@@ -137,13 +137,13 @@
 }
 
 // loseSpot makes a hall's spot runners drain, and rejects orders for more there.
-func (p *plant) loseSpot(hall willowwick.HallID) {
+func (p *fakePlatform) loseSpot(hall willowwick.HallID) {
 	spot := &p.hall(hall).Spot
 	*spot = Runners{Draining: spot.Present()}
 	p.reject(hall)
 }
 
-func (p *plant) reject(halls ...willowwick.HallID) {
+func (p *fakePlatform) reject(halls ...willowwick.HallID) {
 	p.reply = func(order willowwick.RunnerOrder) error {
 		for _, hall := range halls {
 			if order.Spot && order.Hall == hall {
@@ -166,7 +166,7 @@
 
 // Start with too many: the platform starts 47 ordinary runners in each hall, seconds before the first request.
 func TestTheFirstOrdersReplaceMostRunnersBySpotRunners(t *testing.T) {
-	p := newPlant(47, 0)
+	p := newFakePlatform(47, 0)
 	first := p.run(testStep)
 	require.Len(t, first, 6)
 	for i, order := range first {
@@ -174,7 +174,7 @@
 		assert.Equal(t, ReasonStart, order.Reason)
 	}
 	p.run(7 * time.Second)
-	assert.InDelta(t, limitShare*3*94, p.present(), 4)
+	assert.InDelta(t, initialLimitShare*3*94, p.present(), 4)
 	for _, hall := range p.view.Halls {
 		assert.LessOrEqual(t, hall.Ordinary.Present(), 3)
 		assert.GreaterOrEqual(t, hall.Ordinary.Present(), 1)
@@ -184,19 +184,19 @@
 
 // Start with too many, but far fewer than the limits: the list is complete once it has stopped growing.
 func TestTheFirstOrdersWaitForTheListWhereLimitsAreFarAway(t *testing.T) {
-	p := newPlant(2, 0)
+	p := newFakePlatform(2, 0)
 	assert.Empty(t, p.run(800*time.Millisecond))
 	for i := range p.view.Halls {
 		p.view.Halls[i].Ordinary.Ready = 5
 	}
 	assert.Empty(t, p.run(testBoot+listDelay))
 	p.run(2 * testBoot)
-	assert.InDelta(t, startShare*15, p.present(), 3)
+	assert.InDelta(t, initialListedShare*15, p.present(), 3)
 }
 
 // The duties change hands right after the first orders, whose spot runners are not listed yet.
 func TestASecondHolderKeepsWhatTheFirstOrdered(t *testing.T) {
-	p := newPlant(47, 0)
+	p := newFakePlatform(47, 0)
 	p.run(testStep)
 	require.Equal(t, 6, p.present(), "two ordinary ones in each hall; the rest boots")
 	p.scaler = New(Settings{Utilisation: 0.5})
@@ -206,7 +206,7 @@
 
 // Start with too many, no spot runners to be had: the ordinary ones stay.
 func TestOrdinaryRunnersStayWhereNoSpotRunnersAreAccepted(t *testing.T) {
-	p := newPlant(47, 0)
+	p := newFakePlatform(47, 0)
 	p.reject(testHalls...)
 	p.run(3 * time.Second)
 	assert.GreaterOrEqual(t, p.present(), 71)
@@ -214,7 +214,7 @@
 
 // All boxes start again in the middle of a day: spot runners show that runners were ordered before.
 func TestANewHolderOrdersNothingBeforeItKnowsTheDemand(t *testing.T) {
-	p := newPlant(3, 17)
+	p := newFakePlatform(3, 17)
 	assert.Empty(t, p.run(20*time.Second))
 	p.setDemand(60)
 	assert.Empty(t, p.run(peakWindow-time.Second), "less than the window of peaks is known")
@@ -348,7 +348,7 @@
 
 // The duties change hands after a roll-out has left ordinary runners only: they are exchanged without waiting for peaks.
 func TestANewHolderExchangesOrdinaryRunnersAfterARollOut(t *testing.T) {
-	p := newPlant(21, 0)
+	p := newFakePlatform(21, 0)
 	p.setDemand(360)
 	p.run(testBoot + testCold + 2*time.Second)
 	for _, hall := range p.view.Halls {
@@ -391,7 +391,7 @@
 	p.run(peakWindow)
 	assert.Equal(t, there, p.hall("hall-b").Spot.Present())
 	elsewhere := p.present() - p.hall("hall-b").Spot.Present() - p.hall("hall-b").Ordinary.Present()
-	assert.GreaterOrEqual(t, float64(elsewhere), 60*(1-upShare))
+	assert.GreaterOrEqual(t, float64(elsewhere), 60*(1-minIncreaseShare))
 }
 
 // An order that is undone, by a late call or by others, shows in the list.
@@ -475,16 +475,16 @@
 
 // One hall only: the loss of its spot runners leaves ordinary ones for most of the demand at all slots.
 func TestASingleHallKeepsEnoughOrdinaryRunners(t *testing.T) {
-	p := newPlant(10, 50)
+	p := newFakePlatform(10, 50)
 	p.view.Halls = p.view.Halls[:1]
 	p.setDemand(360)
 	p.run(peakWindow + 15*time.Second)
-	assert.InDelta(t, lossShare*30, p.hall("hall-a").Ordinary.Present(), 3)
+	assert.InDelta(t, minShareAfterLoss*30, p.hall("hall-a").Ordinary.Present(), 3)
 }
 
 // Three halls are enough for the loss of one's spot runners, also at the default utilisation.
 func TestThreeHallsNeedFewOrdinaryRunners(t *testing.T) {
-	p := newPlant(3, 17)
+	p := newFakePlatform(3, 17)
 	p.scaler = New(Settings{Utilisation: DefaultUtilisation})
 	p.setDemand(360)
 	p.run(peakWindow + 15*time.Second)
--- a/exchange/autoscale.go
+++ b/exchange/autoscale.go
@@ -16,13 +16,12 @@
 )
 
 const (
-	// autoscaleInterval is how often the holder of the duties decides on orders of runners: as often as boxes report
-	// their demand.
-	autoscaleInterval = 400 * time.Millisecond
-	// orderTimeout is the timeout of one order.
+	// decisionInterval is the time between decisions on orders of runners; boxes report their demand as often.
+	decisionInterval = 400 * time.Millisecond
+	// orderTimeout bounds the call that sends one order.
 	orderTimeout = time.Second
-	// orderRetention is how long an order counts as wanted in the metrics after the last decision.
-	orderRetention = 5 * time.Second
+	// countRetention is how long after the last decision the metrics show its counts.
+	countRetention = 5 * time.Second
 )
 
 type (
@@ -45,6 +44,7 @@
 		isSpot  bool
 	}
 
+	// runnerCount is the number of runners for one runnerKey at the last decision.
 	runnerCount struct {
 		wanted, present int
 		at              time.Time
@@ -61,10 +61,10 @@
 func (a *autoscaler) work(ctx context.Context, now time.Time) {
 	switch {
 	case !a.holder.Holds(now):
-		// Orders of another holder make what this box knows of its own invalid.
+		// Another holder may give orders, which replace this box's.
 		clear(a.scalers)
 	case !now.Before(a.nextAt):
-		a.nextAt = now.Add(autoscaleInterval)
+		a.nextAt = now.Add(decisionInterval)
 		a.runOnce(ctx, now)
 	}
 }
@@ -78,19 +78,19 @@
 		}
 		view := a.router.autoscaleView(now, &service)
 		decisions := scaler.Decide(now, view)
-		a.keepCounts(now, scaler, view)
-		a.giveAll(ctx, scaler, decisions)
+		a.recordCounts(now, scaler, view)
+		a.sendOrders(ctx, scaler, decisions)
 	}
 }
 
-// giveAll sends orders; once one isn't accepted, none that takes runners away.
-func (a *autoscaler) giveAll(ctx context.Context, scaler *autoscale.Scaler, decisions []autoscale.Decision) {
+// sendOrders sends orders in turn; once one isn't accepted, it sends no reduction.
+func (a *autoscaler) sendOrders(ctx context.Context, scaler *autoscale.Scaler, decisions []autoscale.Decision) {
 	allAccepted := true
 	for _, decision := range decisions {
-		if decision.Takes() && !allAccepted {
+		if decision.IsReduction() && !allAccepted {
 			return
 		}
-		err := a.give(ctx, scaler, decision)
+		err := a.sendOrder(ctx, scaler, decision)
 		if errors.Is(err, willowwick.ErrNotHolder) || errors.Is(err, willowwick.ErrFenced) {
 			return
 		}
@@ -98,8 +98,8 @@
 	}
 }
 
-// give sends one order and tells the scaler what became of it.
-func (a *autoscaler) give(ctx context.Context, scaler *autoscale.Scaler, decision autoscale.Decision) error {
+// sendOrder sends one order and tells the scaler what became of it.
+func (a *autoscaler) sendOrder(ctx context.Context, scaler *autoscale.Scaler, decision autoscale.Decision) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	order := decision.RunnerOrder
@@ -117,7 +117,7 @@
 	return err
 }
 
-// orderOutcome names what became of an order in logs and metrics.
+// orderOutcome returns the name in logs and metrics of what became of an order.
 func orderOutcome(err error) string {
 	switch {
 	case err == nil:
@@ -142,21 +142,37 @@
 		HasList: x.sync.endpointsAge(now) <= x.maxStoreDataAge(), IsRolling: x.releases.isRolling(service.Name),
 	}
 	halls := map[willowwick.HallID]*autoscale.Hall{}
-	hallOf := func(id willowwick.HallID) *autoscale.Hall {
-		if halls[id] == nil {
-			halls[id] = &autoscale.Hall{ID: id, IsEvacuated: x.evacuations.includes(id), HasCounts: !x.peers.hasBoxes(id)}
-		}
-		return halls[id]
+	for id := range service.Autoscaling.HallPrices {
+		x.viewHall(halls, id)
+	}
+	x.addRunners(now, &view, halls)
+	for id, demand := range x.peers.hallDemands(now, service.Name) {
+		hall := x.viewHall(halls, id)
+		hall.HasCounts, hall.Demand = true, demand
+	}
+	for _, id := range slices.Sorted(maps.Keys(halls)) {
+		view.Halls = append(view.Halls, *halls[id])
 	}
-	for hall := range service.Autoscaling.HallPrices {
-		hallOf(hall)
+	return view
+}
+
+// viewHall returns a hall of a view, which it adds if it is missing. A hall without boxes has no demand to report.
+func (x *Router) viewHall(halls map[willowwick.HallID]*autoscale.Hall, id willowwick.HallID) *autoscale.Hall {
+	if halls[id] == nil {
+		halls[id] = &autoscale.Hall{ID: id, IsEvacuated: x.evacuations.includes(id), HasCounts: !x.peers.hasBoxes(id)}
 	}
+	return halls[id]
+}
+
+// addRunners adds the listed runners of the view's service to the view and its halls. Runners of more than one release
+// show that a roll-out is under way.
+func (x *Router) addRunners(now time.Time, view *autoscale.View, halls map[willowwick.HallID]*autoscale.Hall) {
 	releases := map[willowwick.ReleaseID]bool{}
 	for _, endpoint := range x.pool.Endpoints() {
-		if endpoint.Service != service.Name {
+		if endpoint.Service != view.Service {
 			continue
 		}
-		countRunner(now, hallOf(endpoint.Hall), &endpoint)
+		countRunner(now, x.viewHall(halls, endpoint.Hall), &endpoint)
 		view.Slots = max(view.Slots, endpoint.Slots)
 		view.ColdTime = max(view.ColdTime, endpoint.ColdUntil.Sub(now))
 		if !endpoint.Leaving {
@@ -164,14 +180,6 @@
 		}
 	}
 	view.IsRolling = view.IsRolling || len(releases) > 1
-	for id, demand := range x.peers.hallDemands(now, service.Name) {
-		hall := hallOf(id)
-		hall.HasCounts, hall.Demand = true, demand
-	}
-	for _, id := range slices.Sorted(maps.Keys(halls)) {
-		view.Halls = append(view.Halls, *halls[id])
-	}
-	return view
 }
 
 // countRunner counts a runner in its hall.
@@ -207,12 +215,12 @@
 func (r *releases) isRolling(service willowwick.ServiceID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.rollouts[service]
-	return m != nil && m.state == willowwick.ReleaseRunning
+	rollout := r.rollouts[service]
+	return rollout != nil && rollout.state == willowwick.ReleaseRunning
 }
 
-// keepCounts keeps the runners wanted and there for the metrics.
-func (a *autoscaler) keepCounts(now time.Time, scaler *autoscale.Scaler, view autoscale.View) {
+// recordCounts records the numbers of runners wanted and present for the metrics.
+func (a *autoscaler) recordCounts(now time.Time, scaler *autoscale.Scaler, view autoscale.View) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, hall := range view.Halls {
@@ -230,30 +238,30 @@
 	})
 }
 
-// registerGauges exposes the numbers of a service, hall and kind; the caller holds the lock.
+// registerGauges adds the gauges of a service, hall and kind unless they exist; the caller holds the lock.
 func (a *autoscaler) registerGauges(key runnerKey) {
 	if _, isKnown := a.counts[key]; isKnown {
 		return
 	}
 	labels := fmt.Sprintf("{service=%q,hall=%q,kind=%q}", key.service, key.hall, kindName(key.isSpot))
 	gauge := func(name string, value func(runnerCount) int) {
-		a.router.metrics.set.GetOrCreateGauge(name+labels, func() float64 { return float64(value(a.countOf(key))) })
+		a.router.metrics.set.GetOrCreateGauge(name+labels, func() float64 { return float64(value(a.recentCount(key))) })
 	}
 	gauge("willowwick_runners_wanted", func(count runnerCount) int { return count.wanted })
 	gauge("willowwick_runners_present", func(count runnerCount) int { return count.present })
 }
 
-// countOf returns the numbers for the metrics; both are 0 on a box that isn't the holder.
-func (a *autoscaler) countOf(key runnerKey) runnerCount {
+// recentCount returns the counts for the metrics; they are 0 if the last decision is older than countRetention.
+func (a *autoscaler) recentCount(key runnerKey) runnerCount {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if count := a.counts[key]; clock.Since(count.at) <= orderRetention {
+	if count := a.counts[key]; clock.Since(count.at) <= countRetention {
 		return count
 	}
 	return runnerCount{}
 }
 
-// kindName names a kind of runners in metrics.
+// kindName returns the name of a kind of runners in metrics.
 func kindName(isSpot bool) string {
 	if isSpot {
 		return "spot"
--- a/exchange/demand.go
+++ b/exchange/demand.go
@@ -13,7 +13,7 @@
 	Service willowwick.ServiceID
 	Running int // requests at endpoints
 	Waiting int // requests that wait in boxes
-	Silent  int // both, of boxes that are no longer heard, when they last were
+	Silent  int // both, of boxes that have fallen silent, as they last reported
 }
 
 // demandRows returns this box's demand on the services whose runners the fleet orders.
@@ -43,12 +43,12 @@
 	return services
 }
 
-// addDemand returns the sum of two reports' demand; all of a box that is no longer heard counts as silent.
+// addDemand returns the sum of two reports' demand; the others' demand counts as silent if they aren't live.
 func addDemand(rows, others []DemandRow, isLive bool) []DemandRow {
 	sum := slices.Clone(rows)
 	for _, row := range others {
 		if !isLive {
-			row = row.silent()
+			row = row.asSilent()
 		}
 		at := slices.IndexFunc(sum, func(known DemandRow) bool { return known.Service == row.Service })
 		if at < 0 {
@@ -62,7 +62,8 @@
 	return sum
 }
 
-func (r DemandRow) silent() DemandRow {
+// asSilent returns the row with all its demand counted as silent.
+func (r DemandRow) asSilent() DemandRow {
 	return DemandRow{Service: r.Service, Silent: r.Running + r.Waiting + r.Silent}
 }
 
@@ -75,7 +76,7 @@
 			continue
 		}
 		var demand autoscale.Demand
-		for _, row := range addDemand(nil, hall.Report.Demand, age <= 2*peerLiveness) {
+		for _, row := range addDemand(nil, hall.Report.Demand, age <= hallReportHops*peerLiveness) {
 			if row.Service == service {
 				demand = autoscale.Demand{Running: row.Running, Waiting: row.Waiting, Silent: row.Silent}
 			}
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -42,7 +42,7 @@
 		Progress      []ProgressRow
 		Verdicts      []verdictRow
 		Speeds        []route.SpeedRow
-		CutOff        []willowwick.RegionID // on a hub, the other regions that it has called in vain
+		CutOff        []willowwick.RegionID // on a hub, the other regions that it is cut off from
 	}
 
 	// ProgressRow is the state of a roll-out as a box knows it.
--- a/exchange/distances.go
+++ b/exchange/distances.go
@@ -9,13 +9,15 @@
 	"github.com/willowwick/willowwick"
 )
 
-// Reasons why a request is sent to another region.
+// Reasons why a request is sent to another region, for logs.
 const (
+	// leftNowhere means that the request stays in this region.
 	leftNowhere    = ""
 	leftForbidden  = "not allowed in this region"
 	leftNoEndpoint = "no endpoint in service in this region"
 	leftNoneOpen   = "no endpoint open in this region"
-	leftLater      = "later in this region"
+	// leftLater means that an endpoint of this region would answer later.
+	leftLater = "later in this region"
 )
 
 type (
@@ -73,8 +75,8 @@
 	}
 }
 
-// counted returns a connection to another box whose bytes are counted.
-func (m distanceMetrics) counted(conn net.Conn, distance willowwick.Distance) net.Conn {
+// countConn returns a connection that counts the bytes exchanged with another box.
+func (m distanceMetrics) countConn(conn net.Conn, distance willowwick.Distance) net.Conn {
 	if counters, isCounted := m[distance]; isCounted {
 		return &countedConn{conn, counters.gossip}
 	}
@@ -95,7 +97,7 @@
 	return n, err
 }
 
-// distance returns how far the endpoint of the send is.
+// distance returns how far away the endpoint of the send is.
 func (s *send) distance() willowwick.Distance {
 	return s.router.topology.Distance(s.ticket.Endpoint.Hall)
 }
--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -12,7 +12,7 @@
 //     (KnownBox.precedes) that reaches the store.
 //   - The hub of a hall is the box that the others of the hall exchange gossip with: its reader, or the first live box
 //     while none reaches the store. Gossip between halls goes through their hubs. See hub.go.
-//   - Where the settings name regions, one hub of a region, its carrier, exchanges gossip with the others
+//   - Where the settings name regions, one hub of a region, its gateway, exchanges gossip with the others
 //     (region_hub.go), and one reader reads the store for the readers of the region's halls (region_reader.go).
 //   - A gossip exchange is one call of the RPC Swap: caller and peer send each other their digests and what the other
 //     one lacks, such as a newer configuration or list of endpoints. See gossip.go.
--- a/exchange/hints.go
+++ b/exchange/hints.go
@@ -82,7 +82,7 @@
 		reach hintReach
 	}
 
-	// hintReach is to which boxes an update is sent.
+	// hintReach tells to which boxes an update is sent; a greater one is narrower.
 	hintReach uint8
 
 	// hintRow is a prefill update on the wire; the endpoint and the prompt parts are given by 32-bit halves of their
@@ -99,11 +99,11 @@
 )
 
 const (
-	// reachFleet: an update of this box goes to all boxes of its region, and to those of the endpoint's region.
-	reachFleet hintReach = iota
-	// reachRegion: an update from another region goes on to all boxes of this one.
+	// reachEndpointRegion: an update of this box goes to all boxes of its region and of the endpoint's region.
+	reachEndpointRegion hintReach = iota
+	// reachRegion: an update from another region is forwarded to all boxes of this one.
 	reachRegion
-	// reachHall: an update from another hall goes on to the boxes of this one.
+	// reachHall: an update from another hall is forwarded to the boxes of this one.
 	reachHall
 )
 
@@ -171,20 +171,20 @@
 		case <-ctx.Done():
 			return
 		case first := <-h.queue:
-			near, far := h.router.peers.hintRecipients(clock.Now())
-			sleep(ctx, max(time.Duration(len(near))*hintPausePerBox, minHintPause))
-			h.sendCollected(h.collect(first), near, far)
+			ownHall, otherHalls := h.router.peers.hintRecipients(clock.Now())
+			sleep(ctx, max(time.Duration(len(ownHall))*hintPausePerBox, minHintPause))
+			h.sendCollected(h.collect(first), ownHall, otherHalls)
 		}
 	}
 }
 
 // sendCollected sends updates to the boxes of this box's hall, to the other halls of its region, and to the regions of
-// their endpoints. Boxes of other regions rarely send to an endpoint, so they do without what is sent there.
-func (h *hints) sendCollected(list []hint, near []netip.AddrPort, far map[willowwick.HallID][]netip.AddrPort) {
+// their endpoints: boxes of the other regions rarely send to an endpoint.
+func (h *hints) sendCollected(list []hint, ownHall []netip.AddrPort, otherHalls map[willowwick.HallID][]netip.AddrPort) {
 	topology := h.router.topology
-	h.sendTo(near, willowwick.SameHall, hintFinal, hintRows(list, func(hint) bool { return true }))
+	h.sendTo(ownHall, willowwick.SameHall, hintFinal, hintRows(list, func(hint) bool { return true }))
 	regions := map[willowwick.RegionID][]netip.AddrPort{}
-	for hall, boxes := range far {
+	for hall, boxes := range otherHalls {
 		if topology.Distance(hall) == willowwick.OtherRegion {
 			regions[topology.Region(hall)] = append(regions[topology.Region(hall)], boxes...)
 		} else {
@@ -193,16 +193,16 @@
 	}
 	for region, boxes := range regions {
 		h.sendTo([]netip.AddrPort{h.chooseRelay(boxes)}, willowwick.OtherRegion, hintForwardInRegion, hintRows(list, func(waiting hint) bool {
-			return waiting.reach == reachFleet && topology.Region(waiting.hall) == region
+			return waiting.reach == reachEndpointRegion && topology.Region(waiting.hall) == region
 		}))
 	}
 }
 
-// hintRows returns the rows of the updates that go to some boxes.
-func hintRows(list []hint, goes func(hint) bool) []hintRow {
+// hintRows returns the rows of the updates that use accepts.
+func hintRows(list []hint, use func(hint) bool) []hintRow {
 	var rows []hintRow
 	for _, waiting := range list {
-		if goes(waiting) {
+		if use(waiting) {
 			rows = append(rows, waiting.row)
 		}
 	}
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -55,7 +55,14 @@
 
 // hallReader returns the first of a hall's live boxes that reach the store; the caller holds the lock.
 func (p *peers) hallReader(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
-	return p.firstBox(hall, func(known *peer) bool { return known.isLive(now) && !p.isCutOffFromStore(known, now) })
+	return p.readerWhere(func(known *peer) bool { return known.box.Hall == hall }, now)
+}
+
+// readerWhere returns the first live box that reaches the store among those that isIn accepts; the caller holds the lock.
+func (p *peers) readerWhere(isIn func(known *peer) bool, now time.Time) (KnownBox, bool) {
+	return p.firstBoxWhere(func(known *peer) bool {
+		return isIn(known) && known.isLive(now) && !p.isCutOffFromStore(known, now)
+	})
 }
 
 // firstLiveBox returns the first of a hall's live boxes; the caller holds the lock.
@@ -120,10 +127,16 @@
 
 // hallHub returns the hub of another hall; the caller holds the lock.
 func (p *peers) hallHub(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
-	if reader, found := p.hallReader(hall, now); found {
+	return p.hubWhere(func(known *peer) bool { return known.box.Hall == hall }, now)
+}
+
+// hubWhere returns the reader among the boxes that isIn accepts, or the first live one while none reaches the store; the
+// caller holds the lock.
+func (p *peers) hubWhere(isIn func(known *peer) bool, now time.Time) (KnownBox, bool) {
+	if reader, found := p.readerWhere(isIn, now); found {
 		return reader, true
 	}
-	return p.firstLiveBox(hall, now)
+	return p.firstBoxWhere(func(known *peer) bool { return isIn(known) && known.isLive(now) })
 }
 
 // exchangeTargets returns the addresses of the boxes to exchange gossip with now: the hall's hub, on a hub those of the
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -153,10 +153,10 @@
 
 // hintRecipients returns the addresses of the boxes that were seen recently: those of this box's hall, and those of
 // each other hall.
-func (p *peers) hintRecipients(now time.Time) (near []netip.AddrPort, far map[willowwick.HallID][]netip.AddrPort) {
+func (p *peers) hintRecipients(now time.Time) (ownHall []netip.AddrPort, otherHalls map[willowwick.HallID][]netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	far = map[willowwick.HallID][]netip.AddrPort{}
+	otherHalls = map[willowwick.HallID][]netip.AddrPort{}
 	for _, known := range p.known {
 		if known.box.Hall == "" || !known.isRetained(now) {
 			continue
@@ -167,12 +167,12 @@
 			continue
 		}
 		if known.box.Hall == p.router.settings.Hall {
-			near = append(near, address)
+			ownHall = append(ownHall, address)
 		} else {
-			far[known.box.Hall] = append(far[known.box.Hall], address)
+			otherHalls[known.box.Hall] = append(otherHalls[known.box.Hall], address)
 		}
 	}
-	return near, far
+	return ownHall, otherHalls
 }
 
 // configVersionOf returns the configuration version that a box last reported and whether it accepts packed
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return x.metrics.distances.counted(conn, x.topology.Distance(x.peers.hallOf(address))), nil
+		return x.metrics.distances.countConn(conn, x.topology.Distance(x.peers.hallOf(address))), nil
 	}, nil)
 	p := &peers{
 		router: x, transport: transport, startedAt: clock.Now(), startedMs: clock.TimeOfDay().UnixMilli(),
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -30,8 +30,8 @@
 // asks the hub of its hall, which asks the granter: among the hubs of its region that are in touch, the one that started
 // first, so that newly started boxes don't change it.
 //
-// Boxes in a network partition may have a granter on each side, and each region has one of its own. Each grants the share of a limit that corresponds to the
-// boxes that follow it, so that all shares together don't exceed the limit.
+// Each region has a granter of its own, and boxes in a network partition may have one on each side. Each grants the share
+// of a limit that corresponds to the boxes that follow it, so that all shares together don't exceed the limit.
 
 // obtainPermit reports whether the request may be sent to the endpoint of its slot.
 func (c *call) obtainPermit(ticket *gate.Ticket) bool {
--- a/exchange/poison.go
+++ b/exchange/poison.go
@@ -54,8 +54,9 @@
 	var list []willowwick.ReleaseID
 	x := c.router
 	for _, endpoint := range x.pool.Endpoints() {
-		isUsed := endpoint.Service == c.service && !endpoint.Leaving && c.allowsHall(endpoint.Hall) && !x.releases.isRetired(c.service, endpoint.Release, now)
-		if isUsed && !slices.Contains(list, endpoint.Release) {
+		isUsable := endpoint.Service == c.service && !endpoint.Leaving && c.allowsHall(endpoint.Hall) &&
+			!x.releases.isRetired(c.service, endpoint.Release, now)
+		if isUsable && !slices.Contains(list, endpoint.Release) {
 			list = append(list, endpoint.Release)
 		}
 	}
--- a/exchange/region_hub.go
+++ b/exchange/region_hub.go
@@ -8,22 +8,23 @@
 	"github.com/willowwick/willowwick"
 )
 
-// Between regions, gossip goes through one hub of each: the first hub of the region in hub order that is not cut off from
-// the other region. The other hubs of the region pass on what it has learnt, and take its place in hub order.
+// Between two regions, gossip goes through one hub of each, its gateway to the other region: the first hub of the region in
+// hub order that is not cut off from the other region. It spreads what it learns by gossip within its region.
 
 const (
-	// regionSearchTime is how long a hub searches for a live box of another region before another hub of its own region
-	// takes its place, after those boxes have been silent for peerLiveness.
+	// regionSearchTime is how long a gateway searches for a live box of another region before it counts as cut off.
 	regionSearchTime = time.Second
-	// hallReportHops is the number of gossip exchanges after which the report of a hall of the same region is known to
-	// all boxes, and regionReportHops the same between regions.
-	hallReportHops, regionReportHops = 2, 4
+	// hallReportHops is the number of gossip exchanges after which the report of a hall is known to all boxes of its
+	// region.
+	hallReportHops = 2
+	// regionReportHops is the same for all boxes of all regions.
+	regionReportHops = 4
 )
 
 // regionLink is what a hub knows of its way to another region.
 type regionLink struct {
-	searchingSince time.Time // zero while a box there is live, and on a hub that doesn't have to search
-	isCutOff       bool      // no box was live for regionSearchTime
+	searchingSince time.Time // zero while a box there is live, and on a hub that does not search for one
+	isCutOff       bool      // no box there was live for regionSearchTime
 }
 
 // isInOtherRegion reports whether a hall lies in another region than this box.
@@ -50,23 +51,18 @@
 }
 
 // regionTargets returns the addresses that a hub exchanges gossip with in other regions: the hub of each region, and some
-// silent boxes that would precede it. A hub that is cut off from a region goes on searching while another one carries.
-// The caller holds the lock.
+// silent boxes that would precede it. A hub that is cut off from a region goes on searching while another one is the
+// gateway. The caller holds the lock.
 func (p *peers) regionTargets(now time.Time) []string {
 	var targets []string
 	for _, region := range p.otherRegions() {
 		isThere := func(known *peer) bool {
 			return known.box.Hall != "" && p.router.topology.Region(known.box.Hall) == region
 		}
-		hub, found := p.firstBoxWhere(func(known *peer) bool {
-			return isThere(known) && known.isLive(now) && !p.isCutOffFromStore(known, now)
-		})
-		if !found {
-			hub, found = p.firstBoxWhere(func(known *peer) bool { return isThere(known) && known.isLive(now) })
-		}
-		carries := p.carries(region, now)
-		link := p.updateLink(region, carries, found, now)
-		if !carries && !link.isCutOff {
+		hub, found := p.hubWhere(isThere, now)
+		isGateway := p.isGatewayTo(region, now)
+		link := p.updateLink(region, isGateway, found, now)
+		if !isGateway && !link.isCutOff {
 			continue
 		}
 		if found {
@@ -88,9 +84,9 @@
 	return regions
 }
 
-// carries reports whether this hub is the one of its region that exchanges gossip with another region: the first that is
-// not cut off from it, or the first of all if each is. The caller holds the lock.
-func (p *peers) carries(region willowwick.RegionID, now time.Time) bool {
+// isGatewayTo reports whether this hub is its region's gateway to another region: the first hub that is not cut off from
+// it, or the first of all if each is. The caller holds the lock.
+func (p *peers) isGatewayTo(region willowwick.RegionID, now time.Time) bool {
 	self := p.self()
 	isCutOff := p.links[region] != nil && p.links[region].isCutOff
 	isFirst := true
@@ -113,9 +109,8 @@
 	return isFirst
 }
 
-// updateLink records whether a box of another region is live, which this hub carries gossip to or not. The caller holds
-// the lock.
-func (p *peers) updateLink(region willowwick.RegionID, carries, isReached bool, now time.Time) *regionLink {
+// updateLink records whether a box of another region is live, and returns the link to it. The caller holds the lock.
+func (p *peers) updateLink(region willowwick.RegionID, isGateway, isReached bool, now time.Time) *regionLink {
 	link := p.links[region]
 	if link == nil {
 		link = &regionLink{}
@@ -127,18 +122,18 @@
 			slog.Info("region is reached", "region", region)
 		}
 		*link = regionLink{}
-	case carries && link.searchingSince.IsZero():
+	case isGateway && link.searchingSince.IsZero():
 		link.searchingSince = now
-	case carries && !link.isCutOff && now.Sub(link.searchingSince) > regionSearchTime:
+	case isGateway && !link.isCutOff && now.Sub(link.searchingSince) > regionSearchTime:
 		link.isCutOff = true
 		slog.Info("region is not reached", "region", region, "ms", now.Sub(link.searchingSince).Milliseconds())
-	case !carries && !link.isCutOff:
+	case !isGateway && !link.isCutOff:
 		link.searchingSince = time.Time{}
 	}
 	return link
 }
 
-// cutOffRegions lists the regions that this hub has called in vain.
+// cutOffRegions lists the regions that this hub is cut off from.
 func (p *peers) cutOffRegions() []willowwick.RegionID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/exchange/region_reader.go
+++ b/exchange/region_reader.go
@@ -10,14 +10,14 @@
 // of its halls. These take over what it has read, and read themselves once it is silent or cut off from the store, as the
 // boxes of a hall do with theirs.
 
-// minReadGossip is the least length of the intervals of reads, in gossip periods, at which one box reads for a region: the
-// intervals are shortened, so that data is no older, and calls to the store have to become fewer all the same.
-const minReadGossip = 2
+// minReadPeriods is the least interval between reads, in gossip periods, at which one box reads for a region: the interval
+// is shortened by the time of one more gossip exchange, so a shorter one would save no reads.
+const minReadPeriods = 2
 
 // readsForRegion reports whether one box reads the store for a region, not for a hall only.
 func (x *Router) readsForRegion() bool {
 	listRead, longPoll := scale(x.settings.Drain, listReadShare), scale(x.settings.ConfigApplyLimit, longPollShare)
-	return x.topology.HasRegions() && min(listRead, longPoll) >= minReadGossip*x.gossipPeriod()
+	return x.topology.HasRegions() && min(listRead, longPoll) >= minReadPeriods*x.gossipPeriod()
 }
 
 // storeReader returns the digest of the box that reads the store for this one: the reader of its hall, or on that box the
@@ -29,10 +29,9 @@
 	reads := p.reachesStore(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reader, found := p.firstBoxWhere(func(known *peer) bool {
-		isNear := p.router.topology.Distance(known.box.Hall) == willowwick.SameRegion && known.box.Hall != ""
-		return isNear && known.isLive(now) && !p.isCutOffFromStore(known, now)
-	})
+	reader, found := p.readerWhere(func(known *peer) bool {
+		return known.box.Hall != "" && p.router.topology.Distance(known.box.Hall) == willowwick.SameRegion
+	}, now)
 	if !found || reads && p.self().precedes(reader) {
 		return Digest{}, false
 	}
--- a/exchange/regions.go
+++ b/exchange/regions.go
@@ -21,7 +21,7 @@
 	// allowedRegions are the regions in which a request may be served by its route and its client account; an empty list
 	// allows all.
 	allowedRegions struct {
-		of      *table // the configuration that names them
+		table   *table // the configuration that names them
 		route   []willowwick.RegionID
 		account []willowwick.RegionID
 	}
@@ -62,7 +62,7 @@
 	if newest == nil || !newest.restrictsRegions {
 		return allowedRegions{}
 	}
-	if c.regions.of != newest {
+	if c.regions.table != newest {
 		c.regions = newest.regionsFor(c.route, c.account)
 	}
 	return c.regions
@@ -74,8 +74,8 @@
 	return len(allowed.route) > 0 || len(allowed.account) > 0
 }
 
-// loggedTarget returns what a log line may hold of the target of a request that is refused on arrival: where a route or
-// a client account is restricted to some regions, the prefix of the request's route only, empty if it has none.
+// loggedTarget returns what is logged of the target of a request that is refused on arrival. If any route or client
+// account is restricted to some regions, that is only the prefix of the request's route, or nothing if it has no route.
 func (x *Router) loggedTarget(r *http.Request) string {
 	t := x.table.Load()
 	if t == nil || !t.restrictsRegions {
@@ -88,10 +88,10 @@
 	return ""
 }
 
-// regionsFor returns the regions in which a request may be served whose route and client account, nil if it has none, are
-// of this configuration or an older one. What this configuration lacks keeps its regions.
+// regionsFor returns the regions in which a request may be served. Its route and its client account, nil if it has none,
+// may be of an older configuration; if this one lacks them, their regions apply unchanged.
 func (t *table) regionsFor(route *willowwick.Route, account *willowwick.RoutedAccount) allowedRegions {
-	allowed := allowedRegions{of: t, route: route.Regions}
+	allowed := allowedRegions{table: t, route: route.Regions}
 	at := slices.IndexFunc(t.Routes, func(r willowwick.Route) bool { return r.Name == route.Name })
 	if at >= 0 {
 		allowed.route = t.Routes[at].Regions
@@ -107,8 +107,8 @@
 	return allowed
 }
 
-// queueName names the queue that the request waits in. Requests that may be served in some regions only have queues of
-// their own: they don't wait behind requests for other endpoints, nor those behind them.
+// queueName names the queue that the request waits in. Each set of allowed regions has a queue of its own, so that requests
+// don't wait behind those for other endpoints.
 func (c *call) queueName() string {
 	if !c.isRestricted() {
 		return string(c.service)
@@ -123,7 +123,7 @@
 	return string(c.service) + " in " + strings.Join(allowed, "+")
 }
 
-// record counts an endpoint of a hall.
+// record counts an endpoint of a hall that was not reached.
 func (m *misses) record(topology willowwick.Topology, hall willowwick.HallID) {
 	if m.byHall == nil {
 		m.topology, m.byHall, m.byRegion = topology, map[willowwick.HallID]int{}, map[willowwick.RegionID]int{}
--- a/exchange/regions_fleet_test.go
+++ b/exchange/regions_fleet_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// carriers returns the boxes of a region that carry gossip to the other one.
-func (m *mesh) carriers(region, other willowwick.RegionID) []*meshBox {
+// gateways returns the boxes of a region that are its gateway to the other one.
+func (m *mesh) gateways(region, other willowwick.RegionID) []*meshBox {
 	var list []*meshBox
 	for _, box := range m.boxes {
 		if box.down || box.topology.OwnRegion() != region {
@@ -59,7 +59,7 @@
 			continue
 		}
 		box.peers.mu.Lock()
-		if box.peers.carries(other, time.Now()) {
+		if box.peers.isGatewayTo(other, time.Now()) {
 			list = append(list, box)
 		}
 		box.peers.mu.Unlock()
@@ -134,7 +134,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				m := newRegionMesh(69, 12)
 				m.run(t, 10*time.Second)
-				hubs := m.carriers("region-0", "region-1")
+				hubs := m.gateways("region-0", "region-1")
 				require.Len(t, hubs, 1)
 				strike(m, hubs[0])
 				m.run(t, meshStep)
@@ -147,7 +147,7 @@
 				took := m.runUntil(t, 2*within, func(box *meshBox) bool { return box.configVersion() == 2 })
 				assert.LessOrEqual(t, took, within)
 				m.run(t, 5*time.Second)
-				assert.Len(t, m.carriers("region-0", "region-1"), 1)
+				assert.Len(t, m.gateways("region-0", "region-1"), 1)
 				live := len(m.boxes)
 				if hubs[0].down {
 					live--
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -110,7 +110,10 @@
 
 // add returns the sum of two reports; the counts of a box that is gone remain, its current state does not.
 func (r Report) add(other Report, isLive bool) Report {
-	sum := Report{Boxes: r.Boxes, Evidence: slices.Clone(r.Evidence), Moves: slices.Clone(r.Moves), Kept: slices.Clone(r.Kept), Demand: addDemand(r.Demand, other.Demand, isLive)}
+	sum := Report{
+		Boxes: r.Boxes, Evidence: slices.Clone(r.Evidence), Moves: slices.Clone(r.Moves), Kept: slices.Clone(r.Kept),
+		Demand: addDemand(r.Demand, other.Demand, isLive),
+	}
 	for _, row := range other.Evidence {
 		at := slices.IndexFunc(sum.Evidence, func(e EvidenceRow) bool { return e.key() == row.key() })
 		if at < 0 {
--- a/exchange/shortage.go
+++ b/exchange/shortage.go
@@ -14,14 +14,14 @@
 )
 
 type (
-	// shortages tracks kinds of work whose endpoints are all rate-limited and took fewer requests than arrived. Their
+	// shortages tracks queues whose endpoints are all rate-limited and took fewer requests than arrived. Their
 	// capacity then goes to the most urgent requests first.
 	shortages struct {
-		mu    sync.Mutex
-		works map[string]*shortage
+		mu      sync.Mutex
+		byQueue map[string]*shortage
 	}
 
-	// shortage is the shortage of one kind of work.
+	// shortage is the shortage of one queue.
 	shortage struct {
 		rank   int       // of the most urgent request that was refused
 		until  time.Time // less urgent requests yield until then
@@ -30,17 +30,17 @@
 )
 
 func newShortages() *shortages {
-	return &shortages{works: map[string]*shortage{}}
+	return &shortages{byQueue: map[string]*shortage{}}
 }
 
 // record records a request that was refused because all endpoints are rate-limited.
-func (s *shortages) record(work string, rank int, now time.Time) {
+func (s *shortages) record(queue string, rank int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.works[work]
+	known := s.byQueue[queue]
 	if known == nil {
 		known = &shortage{}
-		s.works[work] = known
+		s.byQueue[queue] = known
 	}
 	if !now.Before(known.until) || rank <= known.rank {
 		known.rank, known.until = rank, now.Add(yieldDuration)
@@ -48,10 +48,10 @@
 }
 
 // mustYield reports whether a request leaves the capacity of rate-limited endpoints to more urgent ones.
-func (s *shortages) mustYield(work string, rank int, now time.Time) bool {
+func (s *shortages) mustYield(queue string, rank int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.works[work]
+	known := s.byQueue[queue]
 	if known == nil || !now.Before(known.until) || rank <= known.rank {
 		return false
 	}
--- a/region.go
+++ b/region.go
@@ -48,7 +48,7 @@
 	return t.Regions[t.Hall]
 }
 
-// HasRegions reports whether the settings name more than one region.
+// HasRegions reports whether the settings name a region for this box's hall, and another region.
 func (t Topology) HasRegions() bool {
 	for _, region := range t.Regions {
 		if region != t.OwnRegion() {
--- a/route/hall.go
+++ b/route/hall.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// otherHallPenalty is added to the score of endpoints in other halls: traffic between halls costs more than
-	// waiting behind half of an endpoint's effective capacity.
+	// otherHallPenalty is added to the score of endpoints in other halls of the region, as a share of their effective
+	// capacity.
 	otherHallPenalty = 0.5
-	// otherRegionPenalty is added to the score of endpoints in other regions: their bytes cost several times as much as
-	// those between halls, but a request that would wait here for most of its goal is worth them.
+	// otherRegionPenalty is the same for other regions, to which traffic costs more.
 	otherRegionPenalty = 1.0
 	// delayPerRequest is how much one running request delays the next one, since each token of a larger batch takes
 	// longer.
@@ -68,7 +67,7 @@
 	return score + p.penalty(c.Hall)
 }
 
-// penalty returns what is added to the scores of a hall's endpoints.
+// penalty returns what the distance of a hall adds to the scores of its endpoints.
 func (p *HallFirst) penalty(hall willowwick.HallID) float64 {
 	switch {
 	case hall == p.topology.Hall:
--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// restartLoss is the most that a box which was started again may have counted and not told: two gossip rounds.
+	// restartLoss is for how long before its end a start of a box may have counted what it has not told: two gossip rounds.
 	restartLoss = time.Second
-	// silentTime is how long a box that says nothing is taken to be cut off, and maybe serving; then it is taken to be
-	// gone.
+	// silentTime is how long a silent box counts as cut off, and may still serve; after that, it counts as gone.
 	silentTime = 30 * time.Second
 )
 
@@ -55,9 +54,9 @@
 		}
 	}
 	slices.Sort(coverage.Missing)
-	silent := max(fleet-len(byBox), 0)
-	coverage.Unknown += silent
-	lost += time.Duration(silent) * l.settings.Window
+	withoutCounts := max(fleet-len(byBox), 0)
+	coverage.Unknown += withoutCounts
+	lost += time.Duration(withoutCounts) * l.settings.Window
 	coverage.Lost = 1
 	if all := coverage.Boxes + coverage.Unknown; coverage.Boxes > 0 && !l.collectingSince.IsZero() {
 		coverage.Lost = lost.Seconds() / (float64(all) * l.settings.Window.Seconds())
@@ -68,15 +67,15 @@
 // boxCoverage is how much of a window is known of one box.
 type boxCoverage struct {
 	hasTold   bool
-	isMissing bool // may still tell
-	lost      time.Duration
+	isMissing bool          // may still tell
+	lost      time.Duration // time in the window whose counts are not known
 }
 
 // coverageOf returns how much of a window is known of a box with these starts; the caller holds the lock.
 func (l *Ledger) coverageOf(starts []*origin, begin, end time.Time) boxCoverage {
 	slices.SortFunc(starts, func(a, b *origin) int { return a.since.Compare(b.since) })
 	var known boxCoverage
-	// Of the time before its first known start, nothing is known of a box unless this hub would have been told then.
+	// A hub that began to collect after the window's beginning can't know of starts before the first one known to it.
 	if l.collectingSince.After(begin) {
 		known.lost = overlap(begin, starts[0].since, begin, end)
 	}
@@ -86,7 +85,7 @@
 		}
 		known.hasTold = known.hasTold || o.until.After(begin)
 		switch isLast := i == len(starts)-1; {
-		case o.ended || !o.until.Before(end):
+		case o.ended || !o.until.Before(end): // all its counts are known
 		case !isLast:
 			lostUntil := earlier(o.until.Add(restartLoss), starts[i+1].since)
 			known.lost += overlap(o.until, lostUntil, begin, end)
@@ -98,7 +97,7 @@
 	return known
 }
 
-// overlap returns for how long a time lies within a window.
+// overlap returns how long the time from one point to another lies within a window.
 func overlap(from, until, begin, end time.Time) time.Duration {
 	if from.Before(begin) {
 		from = begin
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// settleTime is how long after the beginning of an answer it may be counted: a box with a fifth of a core may delay
-	// the goroutine.
+	// settleTime is how long after the beginning of an answer its request may still be counted.
 	settleTime = 50 * time.Millisecond
-	// outageTime is how long after its due time a window is kept for a report that could not be written or sent.
+	// outageTime is how long a window is kept after its due time, for a report that could not be written or sent before.
 	outageTime = 30 * time.Second
 )
 
@@ -37,8 +36,8 @@
 		// revision counts the changes of this ledger, so that each is told once to each box.
 		revision revision
 		peers    map[string]*peerState // by address
-		// collectingSince is since when this hub, or one that told it everything, has been told by all boxes; zero if this
-		// box is no hub.
+		// collectingSince is since when all boxes have told their counts to this hub, or to another hub that told it
+		// everything; zero if this box is no hub.
 		collectingSince time.Time
 		written         willowwick.UsageWindow // newest window that may have a stored report; 0 if none
 		forgotten       willowwick.UsageWindow // windows before it were dropped
@@ -82,7 +81,7 @@
 	// count is the number of an account's requests in a window.
 	count struct {
 		requests int
-		at       revision
+		at       revision // when it changed last
 	}
 )
 
@@ -149,7 +148,7 @@
 	return 0
 }
 
-// setCount sets a higher count; the caller holds the lock.
+// setCount sets a count unless the known one is at least as high; the caller holds the lock.
 func (l *Ledger) setCount(o *origin, window willowwick.UsageWindow, name willowwick.AccountID, requests int) {
 	if requests <= o.count(window, name) {
 		return
@@ -167,7 +166,8 @@
 	counts.at, o.countAt = l.revision, l.revision
 }
 
-// advance sets up to where an origin's counts are known; the caller holds the lock.
+// advance sets up to where an origin's counts are known. The change is told only if it ends a window or counts have
+// changed; the caller holds the lock.
 func (l *Ledger) advance(o *origin, until time.Time) {
 	if !until.After(o.until) {
 		return
@@ -195,8 +195,8 @@
 	l.end(l.own)
 }
 
-// SetHub records whether this box is the hub of its hall, which the others of the hall tell their counts. A new hub
-// lets the other hubs tell it everything again.
+// SetHub records whether this box is the hub of its hall, to which the others of the hall tell their counts. A new hub
+// gets everything from the other boxes again.
 func (l *Ledger) SetHub(isHub bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -254,8 +254,8 @@
 	l.written = max(l.written, window)
 }
 
-// NoteRestored records that the store was restored from a copy, which may lack reports that were sent: of windows that
-// have ended by now, no report is stored that the store does not hold.
+// NoteRestored records that the store was restored from a copy, which may lack reports that were sent. No more reports are
+// written of the windows up to the present one, since they might be sent twice.
 func (l *Ledger) NoteRestored(now time.Time) {
 	l.NoteWritten(l.settings.WindowAt(now))
 }
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -8,15 +8,14 @@
 )
 
 const (
-	// waitShare is the share of the time to the due date for which a report waits for boxes that have not told: a box
-	// that was cut off for some seconds may still tell, and the rest suffices for a store or an API that fails at first.
+	// waitShare is the share of the time until it is due for which a report waits for boxes that have not told; the rest
+	// is left for retries of writes and sends.
 	waitShare = 0.75
-	// retryPause is the pause after a failed send or write. The holder of the lease makes longer ones where the API fails
-	// for long.
+	// retryPause is the pause after a failed send or write.
 	retryPause = 300 * time.Millisecond
 )
 
-// What the holder does next.
+// Kinds of steps.
 const (
 	// WriteReport stores a report.
 	WriteReport StepKind = iota + 1
@@ -27,10 +26,10 @@
 )
 
 type (
-	// StepKind is what the holder of the lease does next.
+	// StepKind is the kind of a Step.
 	StepKind int
 
-	// Step is one step of the holder of the lease.
+	// Step is what the holder of the lease on the duties does next.
 	Step struct {
 		Kind     StepKind
 		Report   willowwick.UsageReport
@@ -38,7 +37,7 @@
 		Sends    int      // number of sends of the report by this box so far
 	}
 
-	// Reporter decides what the holder of the lease does; one goroutine uses it.
+	// Reporter decides what the holder of the lease does next. It is not safe for concurrent use.
 	Reporter struct {
 		settings Settings
 		ledger   *Ledger
@@ -62,8 +61,8 @@
 // Next returns what the holder does now, and false if nothing; stored are the stored reports, fleet is the number of
 // boxes that gossip knows.
 //
-// Windows are stored in their order: of a window at or before the newest stored one, no other report is ever stored, so
-// that a window has one report at most though the store keeps only the last ones.
+// Reports are stored in the order of their windows, and none at or before the newest stored one: so a window gets no second
+// report, although the store keeps only the last ones.
 func (r *Reporter) Next(stored []willowwick.UsageReport, fleet int, now time.Time) (Step, bool) {
 	for _, report := range stored {
 		r.ledger.NoteWritten(report.Window)
