--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	testStep = 400 * time.Millisecond
-	testBoot = 4 * time.Second
-	testCold = 3 * time.Second
+	testStep        = 400 * time.Millisecond
+	testBoot        = 4 * time.Second
+	testCold        = 3 * time.Second
+	testSlots       = 12 // of a runner
+	testUtilisation = 0.5
 )
 
 var testHalls = []willowwick.HallID{"hall-a", "hall-b", "hall-c"}
@@ -41,12 +43,12 @@
 	}
 )
 
-// newFakePlatform returns three halls with the given runners of both kinds in each.
+// newFakePlatform returns a platform of three halls with the given runners of both kinds in each.
 func newFakePlatform(ordinary, spot int) *fakePlatform {
 	p := &fakePlatform{
-		scaler: New(Settings{Utilisation: 0.5}), now: time.Unix(1000, 0),
+		scaler: New(Settings{Utilisation: testUtilisation}), now: time.Unix(1000, 0),
 		view: View{
-			Service: "work", Slots: 12, ColdTime: testCold, HasList: true,
+			Service: "work", Slots: testSlots, ColdTime: testCold, HasList: true,
 			Limits: willowwick.Autoscaling{
 				Min: 1, Max: 94, BootTime: testBoot, SpotPrice: 0.22,
 				HallPrices: map[willowwick.HallID]float64{"hall-a": 1, "hall-b": 0.8, "hall-c": 1.25},
@@ -59,12 +61,12 @@
 	return p
 }
 
-// settled returns a fakePlatform whose demand has been the same for long enough to know its peaks.
-func settled(t *testing.T, demand int) *fakePlatform {
+// newSettledPlatform returns a platform whose demand has been the same for long enough to know its peaks.
+func newSettledPlatform(t *testing.T, demand int) *fakePlatform {
 	p := newFakePlatform(3, 17)
 	p.setDemand(demand)
 	p.run(peakWindow + 10*time.Second)
-	require.InDelta(t, float64(demand)/12/0.5, p.present(), 6, "runners for the demand")
+	require.InDelta(t, float64(demand)/testSlots/testUtilisation, p.present(), 6, "runners for the demand")
 	p.orders = nil
 	return p
 }
@@ -199,7 +201,7 @@
 	p := newFakePlatform(47, 0)
 	p.run(testStep)
 	require.Equal(t, 6, p.present(), "two ordinary ones in each hall; the rest boots")
-	p.scaler = New(Settings{Utilisation: 0.5})
+	p.scaler = New(Settings{Utilisation: testUtilisation})
 	assert.Empty(t, p.run(14*time.Second))
 	assert.GreaterOrEqual(t, p.present(), 98)
 }
@@ -223,7 +225,7 @@
 
 // Wave: the demand swings by 27 % in 11 s. Runners are kept for its peaks.
 func TestAWaveIsNotFollowedDownwards(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	var orders int
 	for second := range 66 {
 		p.setDemand(int(360 * (1 + 0.27*math.Sin(2*math.Pi*float64(second)/11))))
@@ -233,14 +235,14 @@
 				assert.NotEqual(t, ReasonSaving, order.Reason, "second %d: %+v", second, order)
 			}
 		}
-		assert.GreaterOrEqual(t, p.present()*12, 457)
+		assert.GreaterOrEqual(t, p.present()*testSlots, 457)
 	}
 	assert.LessOrEqual(t, orders, 9)
 }
 
 // Burst: the demand doubles within a second.
 func TestABurstIsOrderedForWithinASecond(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.setDemand(720)
 	orders := p.run(1200 * time.Millisecond)
 	require.NotEmpty(t, orders)
@@ -256,7 +258,7 @@
 
 // A hall's spot runners are taken away: what is missing is ordered in the others at once.
 func TestLostSpotRunnersAreOrderedInOtherHalls(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	before := p.present()
 	p.loseSpot("hall-b")
 	orders := p.run(500 * time.Millisecond)
@@ -276,7 +278,7 @@
 func TestLostSpotRunnersAreNoticedWhileOthersBoot(t *testing.T) {
 	for name, left := range map[string]Runners{"draining": {Draining: 17}, "gone": {}} {
 		t.Run(name, func(t *testing.T) {
-			p := settled(t, 360)
+			p := newSettledPlatform(t, 360)
 			p.setDemand(500)
 			require.NotEmpty(t, ordersFor(p.run(3*time.Second), "hall-b", true))
 			p.loseSpot("hall-b")
@@ -291,7 +293,7 @@
 // No spot runners anywhere: they are asked for less and less often, and others are ordered only for what would exceed
 // all slots.
 func TestOrdinaryRunnersAreOrderedOnlyForWhatExceedsAllSlots(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.loseSpot("hall-b")
 	p.reject(testHalls...)
 	orders := p.run(9 * time.Second)
@@ -308,7 +310,7 @@
 
 // The demand ends: the last few requests are in one hall and move no runners there.
 func TestTheLastRequestsMoveNoRunnersToTheirHall(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	for i := range p.view.Halls {
 		p.view.Halls[i].Demand.Running = 0
 	}
@@ -320,7 +322,7 @@
 
 // A roll-out: the platform starts as many runners of the new release beside the old ones.
 func TestARollOutIsLeftAlone(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.view.IsRolling = true
 	for i := range p.view.Halls {
 		hall := &p.view.Halls[i]
@@ -334,7 +336,7 @@
 
 // A hall's spot runners are taken away in a roll-out: the old release, which still has most of the work, gets others.
 func TestSpotRunnersLostInARollOutAreOrderedInOtherHalls(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.view.IsRolling = true
 	for i := range p.view.Halls {
 		p.view.Halls[i].Ordinary.Ready += 20
@@ -359,7 +361,7 @@
 
 // A roll-out ends: the old release stops in all halls at once, and with it all spot runners.
 func TestTheEndOfARollOutIsNoLossOfAHallsSpotRunners(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	for i := range p.view.Halls {
 		hall := &p.view.Halls[i]
 		hall.Ordinary.Ready = 20
@@ -382,7 +384,7 @@
 
 // An evacuation: the hall's runners get no new work, and are needed again when it is revoked.
 func TestAnEvacuatedHallKeepsItsRunnersAndOthersGetMore(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	there := p.hall("hall-b").Spot.Present()
 	p.hall("hall-b").IsEvacuated = true
 	orders := p.run(5 * time.Second)
@@ -398,7 +400,7 @@
 func TestAnUndoneOrderIsGivenAgain(t *testing.T) {
 	for name, listed := range map[string]int{"fewer": 2, "more": 60} {
 		t.Run(name, func(t *testing.T) {
-			p := settled(t, 360)
+			p := newSettledPlatform(t, 360)
 			wanted := p.hall("hall-a").Spot.Present()
 			p.hall("hall-a").Spot.Ready = listed
 			p.run(testBoot + 4*time.Second)
@@ -409,7 +411,7 @@
 
 // An order is executed late or never: it isn't repeated before its runners could be listed.
 func TestAnOrderIsNotRepeatedWhileItsRunnersBoot(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.losesBoots = true
 	p.setDemand(720)
 	p.run(4 * time.Second)
@@ -419,7 +421,7 @@
 
 // Boxes that are no longer heard count as busy as they were.
 func TestSilentBoxesKeepTheirRunners(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	for i := range p.view.Halls {
 		p.view.Halls[i].Demand = Demand{Running: 40, Silent: 80}
 	}
@@ -428,7 +430,7 @@
 
 // The demand of a hall is unknown: nothing is ordered away.
 func TestNothingIsOrderedAwayWithoutCounts(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.hall("hall-c").HasCounts, p.hall("hall-c").Demand = false, Demand{}
 	assert.Empty(t, p.run(peakWindow+10*time.Second))
 	for i := range p.view.Halls {
@@ -440,7 +442,7 @@
 
 // The store is down: the list is old, and nothing is ordered.
 func TestNothingIsOrderedWithoutAList(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.view.HasList = false
 	p.setDemand(1000)
 	assert.Empty(t, p.run(20*time.Second))
@@ -450,7 +452,7 @@
 func TestAnUnansweredOrderIsGivenAgainAfterAPause(t *testing.T) {
 	for _, failure := range []error{willowwick.ErrThrottled, errors.New("no answer")} {
 		t.Run(fmt.Sprint(failure), func(t *testing.T) {
-			p := settled(t, 360)
+			p := newSettledPlatform(t, 360)
 			p.reply = func(willowwick.RunnerOrder) error { return failure }
 			p.setDemand(720)
 			assert.LessOrEqual(t, len(p.run(8*time.Second)), 15)
@@ -463,7 +465,7 @@
 
 // Limits of a hall hold for both kinds together.
 func TestOrdersKeepTheLimits(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.view.Limits.Max = 25
 	p.setDemand(3000)
 	p.run(12 * time.Second)
--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -21,8 +21,8 @@
 //   - The roster is the set of known boxes, which boxes compare by a checksum. See roster.go.
 //   - The group is the list of members in the store, which the readers of all halls join. One member is the leader, which
 //     writes the states of roll-outs. See lead.go.
-//   - A duty is a kind of call to the platform's API that one box makes for the whole fleet: the leader of the group, while it
-//     holds the lease on the duties. See duties.go, duty_calls.go and package lease.
+//   - A duty is a kind of call to the platform's API that one box makes for the whole fleet: the leader of the group,
+//     while it holds the lease on the duties. See duties.go, duty_calls.go and package lease.
 //   - An era is the time between two restores of the store from a copy (a backup). The copy may lack the last
 //     declarations, so boxes keep them for restoreTime while the operator writes them again. See era.go and
 //     declared_set.go.
@@ -32,5 +32,6 @@
 //     the lease on the duties reports it. See usage.go and package usage.
 //
 // Further parts are roll-outs of releases (release.go, choice.go, evidence.go), permits for rate-limited endpoints
-// (permits.go), and UDP datagrams on prompts that other boxes have just sent (hints.go).
+// (permits.go), orders of runners (autoscale.go, demand.go and package autoscale), the regions in which a request may be
+// served (regions.go), and UDP datagrams on prompts that other boxes have just sent (hints.go).
 package exchange
