Soak plays duties of one box

TestSoakDuties gives real daemons both duties before the stand-in of the platform's API, with faults of the API (down, silent, 429, answers lost and calls executed late) and of each box's link to it beside kills, suspensions, planned stops and faults of the store. It checks that the stand-in saw no violation, that a call arrives within 6 s after the faults, the counts of reports, and the limits of orders.

--- a/cmd/e2e/soak_box_test.go
+++ b/cmd/e2e/soak_box_test.go
@@ -47,6 +47,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.incarnation != nil {
+		if signal == syscall.SIGKILL {
+			b.kills.begin()()
+		}
 		_ = b.incarnation.process.Signal(signal) // it may just have exited
 	}
 }
--- a/cmd/e2e/soak_plan_test.go
+++ b/cmd/e2e/soak_plan_test.go
@@ -25,6 +25,7 @@
 		random *rand.Rand
 		length time.Duration
 		events []event
+		ended  time.Time // when the last event had ended
 
 		storeOutages   intervals // the store was unavailable, or connections of all boxes to it were lost
 		endpointFaults intervals // endpoints or their links failed
@@ -65,6 +66,7 @@
 		running.Go(e.run)
 	}
 	running.Wait()
+	p.ended = time.Now()
 }
 
 func (p *faultPlan) drawBox() *soakBox { return p.site.boxes[p.random.IntN(len(p.site.boxes))] }
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -45,6 +45,7 @@
 		routesKept int               // number of newest versions whose routes a configuration contains; 0: all
 		keysKept   int               // number of newest versions whose keys it contains; 0: all
 		onPoison   func(*soakRunner) // crashes a runner that runs the poison request; nil in soaks without one
+		dutyAPI    *standin.DutyAPI  // takes the calls of the duties; nil in soaks without them
 
 		mu       sync.Mutex
 		runners  []*soakRunner
@@ -55,12 +56,14 @@
 	soakBox struct {
 		*siteBox
 		storeLink        *link
+		apiLink          *link // to the API of the duties; nil in soaks without them
 		isStopping       atomic.Bool
 		supervisionEnded chan struct{}
 
 		outages      intervals // unplanned faults of the box or its link to the store
 		freezes      intervals // the outages during which the daemon was suspended
 		plannedStops intervals // shutdowns by SIGTERM
+		kills        intervals // moments at which the daemon was killed
 
 		mu          sync.Mutex
 		incarnation *daemonIncarnation // nil if no daemon is running
@@ -94,7 +97,10 @@
 // startSoakSite starts the boxes and endpoints of a site.
 func startSoakSite(s *soakSite, boxes, halls, runners int) *soakSite {
 	t := s.t
-	address := serveStandin(t, s.store)
+	address, apiAddress := serveStandin(t, s.store), ""
+	if s.dutyAPI != nil {
+		apiAddress = serveStandin(t, s.dutyAPI)
+	}
 	s.writeConfig()
 	for i := range runners {
 		s.addRunner(fmt.Sprint("llm-", i), "llm", "v1")
@@ -102,7 +108,7 @@
 	}
 	var seeds []string
 	for i := range boxes {
-		box := newSoakBox(t, i, i%halls, newLink(t, address), seeds)
+		box := newSoakBox(t, i, i%halls, newLink(t, address), apiAddress, seeds)
 		seeds = append(seeds, box.peerAddress)
 		s.boxes = append(s.boxes, box)
 	}
@@ -120,12 +126,19 @@
 	return s
 }
 
-// newSoakBox writes the settings of a box whose seeds are the boxes created before it.
-func newSoakBox(t *testing.T, number, hall int, storeLink *link, seeds []string) *soakBox {
-	settings := newSiteBox(t, number, storeLink.listenAddress,
+// newSoakBox writes the settings of a box whose seeds are the boxes created before it; it has duties if there is an API.
+func newSoakBox(t *testing.T, number, hall int, storeLink *link, apiAddress string, seeds []string) *soakBox {
+	fields := []string{
 		fmt.Sprintf("bounds.drain-ms=%d", drainLimit.Milliseconds()), fmt.Sprintf("bounds.grace-s=%d", int(shutdownGrace.Seconds())),
-		fmt.Sprintf("zone=hall-%c", 'a'+rune(hall)), "zones.hall-b=region", "seeds="+strings.Join(seeds, ","))
-	return &soakBox{siteBox: settings, storeLink: storeLink, supervisionEnded: make(chan struct{})}
+		fmt.Sprintf("zone=hall-%c", 'a'+rune(hall)), "zones.hall-b=region", "seeds=" + strings.Join(seeds, ","),
+	}
+	box := &soakBox{storeLink: storeLink, supervisionEnded: make(chan struct{})}
+	if apiAddress != "" {
+		box.apiLink = newLink(t, apiAddress)
+		fields = append(fields, dutyFields(box.apiLink.listenAddress)...)
+	}
+	box.siteBox = newSiteBox(t, number, storeLink.listenAddress, fields...)
+	return box
 }
 
 // serveStandin serves a stand-in on loopback until the test ends.
@@ -244,6 +257,11 @@
 	for n := firstKept(version, s.keysKept); n <= version; n++ {
 		keys = append(keys, versionKey(n))
 	}
+	if s.dutyAPI != nil {
+		services, _ := config["services"].([]any)
+		app, _ := services[1].(map[string]any)
+		app["autoscale"] = map[string]any{"min": minRunners, "max": maxRunners, "boot-s": 1}
+	}
 	config["tenants"] = []any{map[string]any{"name": "lab", "api-keys": keys}}
 	require.NoError(s.t, s.store.Put("keyed.op", "config", config))
 	s.versions = append(s.versions, time.Now())
--- a/standin/duty_api.go
+++ b/standin/duty_api.go
@@ -28,6 +28,7 @@
 		Holder  string // sender's name
 		Token   uint64
 		Arrived time.Time
+		Runners int // ordered number; 0 in usage reports
 	}
 
 	// DutyAPI stands in for the platform's API: it takes usage reports and orders of runners from the holder of the duties.
@@ -117,7 +118,7 @@
 	}
 	call := DutyCall{Subject: "usage", Holder: r.Header.Get("Lease-Holder"), Token: token, Arrived: time.Now()}
 	if r.URL.Path != "/usage" {
-		call.Subject = request.Service + "/" + request.Hall
+		call.Subject, call.Runners = request.Service+"/"+request.Hall, request.Desired
 	}
 	status, text := a.handle(call, request)
 	if status == 0 {
