--- a/cmd/e2e/soak_duties_test.go
+++ b/cmd/e2e/soak_duties_test.go
@@ -1,25 +1,30 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/standin"
 )
 
 const (
 	// dutyLease, usageWindow, usageDue and usageTolerance are settings of the boxes: a holder must not return within the
 	// lease, and a report is due usageDue after the end of its window.
-	dutyLease      = time.Second
-	usageWindow    = 2 * time.Second
-	usageDue       = 4 * time.Second
+	dutyLease      = 3 * time.Second
+	usageWindow    = time.Second
+	usageDue       = 3 * time.Second
 	usageTolerance = 0.05
 	// maxUntoldTime is the longest time before a kill whose counts are lost with the process.
 	maxUntoldTime = time.Second
+	// takeoverTime is about the time until another box has the lease.
+	takeoverTime = 1200 * time.Millisecond
 	// minRunners and maxRunners are the limits of the orders of runners for a service in a hall.
 	minRunners, maxRunners = 2, 5
 	// lateExecutionSpread is the longest time by which calls without an answer are executed late.
@@ -52,7 +57,7 @@
 func newDutyPlan(site *soakSite, seed uint64, length time.Duration) *faultPlan {
 	p := &faultPlan{site: site, random: rand.New(rand.NewPCG(seed, seed+6)), length: length}
 	kinds := []func(time.Duration){
-		p.failAPI, p.failAPI, p.disruptAPILink, p.kill, p.terminate, p.freeze, p.disruptStoreLink, p.takeStoreDown, p.loseStoreReplies,
+		p.failAPI, p.failAPI, p.strikeHolderTwice, p.strikeHolderTwice, p.disruptAPILink, p.kill, p.terminate, p.freeze, p.disruptStoreLink, p.takeStoreDown, p.loseStoreReplies,
 		p.silenceStoreConns, p.loseStoreCalls, p.compactStore, p.crashEndpoint, p.drainEndpoint, p.reconfigure,
 	}
 	for at := 500 * time.Millisecond; at < length; at += time.Duration(100+p.random.IntN(900)) * time.Millisecond {
@@ -85,6 +90,61 @@
 	p.add(at, "API link of "+box.name+" "+name, run)
 }
 
+// strikeHolderTwice strikes the holder, and then the next one, so that the lease may return to the first within its time.
+func (p *faultPlan) strikeHolderTwice(at time.Duration) {
+	p.strikeHolder(at)
+	p.strikeHolder(at + takeoverTime + time.Duration(p.random.Int64N(int64(takeoverTime))))
+}
+
+// strikeHolder suspends, stops, kills, or cuts from the store or the API the box that was granted the lease last.
+func (p *faultPlan) strikeHolder(at time.Duration) {
+	how, duration := p.random.IntN(5), p.drawDuration()
+	name := []string{"suspended ", "cut from the store ", "cut from the API ", "killed ", "stopped "}[how]
+	p.add(at, fmt.Sprint("holder is ", name, duration), func() {
+		box := p.site.lastHolder()
+		if box == nil {
+			return
+		}
+		if how == 4 {
+			defer box.plannedStops.begin()()
+		} else {
+			defer box.outages.begin()()
+		}
+		switch how {
+		case 0:
+			defer box.freezes.begin()()
+			box.signal(syscall.SIGSTOP)
+			defer box.signal(syscall.SIGCONT)
+		case 1:
+			box.storeLink.set(linkToClientBlocked)
+			defer box.storeLink.set(linkClear)
+		case 2:
+			box.apiLink.set(linkToClientBlocked)
+			defer box.apiLink.set(linkClear)
+		case 3:
+			box.signal(syscall.SIGKILL)
+			defer box.awaitReady()
+		default:
+			box.signal(syscall.SIGTERM)
+			defer box.awaitReady()
+		}
+		time.Sleep(duration)
+	})
+}
+
+// lastHolder returns the box that was granted the lease on the duties last, or nil if none was.
+func (s *soakSite) lastHolder() *soakBox {
+	data, _ := s.store.Get("keyed.willowwick.duties", "lease")
+	var grant willowwick.DutyLease
+	_ = json.Unmarshal(data, &grant) // without a grant, no box has its name
+	for _, box := range s.boxes {
+		if box.name == string(grant.Holder) {
+			return box
+		}
+	}
+	return nil
+}
+
 // checkHolders checks that no holder broke a rule of the duties, and that one makes calls within recoveryTime after the
 // faults.
 func checkHolders(c *checker, _ []*soakRequest) {
@@ -148,7 +208,7 @@
 	return least, most
 }
 
-// checkOrders checks that the fleet orders runners, and stays within the limits.
+// checkOrders checks that all orders of runners are within the limits.
 func checkOrders(c *checker, _ []*soakRequest) {
 	orders := 0
 	for _, call := range c.site.dutyAPI.Executed() {
