--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -274,6 +274,24 @@
 	}
 }
 
+// The only hub of a fleet tells nobody what it counts, so a window in which it counted is not known once it was started again.
+func TestTheWindowOfAnOnlyHubThatWasStartedAgainIsLost(t *testing.T) {
+	f := newTestFleet(3, 1)
+	first, second := f.boxes[0], f.boxes[1]
+	f.boxes[0], f.boxes[1] = second, first
+	f.runFor(3 * round) // the second is the hub, the first tells it
+	f.boxes[0], f.boxes[1] = first, second
+	f.window++
+	f.runTo(testSettings.Begin(f.window))
+	f.count(first, 7)
+	f.runTo(testSettings.End(f.window).Add(round))
+	f.boxes[0], f.boxes[1] = second, first
+	f.start(first)
+	f.runFor(4 * round)
+	require.Zero(t, second.Counts(f.window)["a"])
+	require.Greater(t, f.coverage(second).Lost, testSettings.Tolerance)
+}
+
 // A box that was a hub before and becomes one again has missed what was told meanwhile.
 func TestABoxThatIsAHubAgainIsToldEverything(t *testing.T) {
 	f := newTestFleet(9, 3)
