Counts and demand of all halls reach the holder across regions

Cause: hubs told other hubs only what their own hall counted, and between regions one hub of each exchanges: counts of the other halls never arrived. The demand of another region's halls counted as silent from an age that its report may have after four exchanges; requests waiting for some regions were no demand at all; and a holder that the API doesn't answer stepped aside for a hall whose boxes don't join the group.

Change: a hub that hears another region tells it its region's counts, and passes on to the hubs of its region what it learns, by a revision of its own for each hub, so that a new relay tells what the former one did not. Demand uses the age limit of the other reports, queues of restricted requests count for their service, and stepping aside needs a candidate who can join.

Without regions rules and messages are as before.

--- a/exchange/demand.go
+++ b/exchange/demand.go
@@ -21,7 +21,7 @@
 	var rows []DemandRow
 	for _, service := range x.autoscaledServices() {
 		rows = append(rows, DemandRow{
-			Service: service.Name, Waiting: x.gate.WaitingFor(string(service.Name)),
+			Service: service.Name, Waiting: x.gate.WaitingWhere(func(queue string) bool { return isQueueOf(queue, service.Name) }),
 			Running: x.pool.InFlightWhere(service.Name, func(willowwick.Endpoint) bool { return true }),
 		})
 	}
@@ -75,7 +75,7 @@
 			continue
 		}
 		var demand autoscale.Demand
-		for _, row := range addDemand(nil, hall.Report.Demand, age <= 2*peerLiveness) {
+		for _, row := range addDemand(nil, hall.Report.Demand, age <= p.hallReportMaxAge()) {
 			if row.Service == service {
 				demand = autoscale.Demand{Running: row.Running, Waiting: row.Waiting, Silent: row.Silent}
 			}
--- a/exchange/duties.go
+++ b/exchange/duties.go
@@ -225,7 +225,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lease.ShouldStepAside(now) && d.router.peers.hasOtherHall(now) {
+	if d.lease.ShouldStepAside(now) && d.router.peers.hasOtherCandidate(now) {
 		d.lease.StepAside(now)
 		d.noteHolder()
 	}
--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -140,7 +140,7 @@
 	p.applyPeerTable(reply.Table, reply.Packed, &reply.Digest)
 	p.router.sync.noteConfigFromPeer(&reply.Digest, now)
 	p.router.sync.applyPeerList(reply, now)
-	p.receiveUsage(reply.Digest.Address, reply.Usage)
+	p.receiveUsage(reply.Digest.Address, reply.Digest.Hall, reply.Usage)
 	quarantineChanged := p.quarantine.HandleAnswer(call.Harm, reply.Harm, reply.Digest.Address, reply.Digest.Boot, now)
 	if quarantineChanged {
 		p.router.crashes.countDroppedAtCrash()
@@ -156,7 +156,7 @@
 	p := s.peers
 	p.receiveDigest(call.Digest, now)
 	p.applyPeerTable(call.Table, call.Packed, &call.Digest)
-	p.receiveUsage(call.Digest.Address, call.Usage)
+	p.receiveUsage(call.Digest.Address, call.Digest.Hall, call.Usage)
 	reply.Digest = p.digestFor(call.Digest.Hall, now)
 	reply.Usage = p.usageMessage(call.Digest.Address, now)
 	reply.Table, reply.Packed = p.tableForPeer(call.Digest.TableVersion, call.Digest.TakesPacked)
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -79,11 +79,18 @@
 	return false
 }
 
-// hasOtherHall reports whether another hall has a live box.
-func (p *peers) hasOtherHall(now time.Time) bool {
+// hasOtherCandidate reports whether a box elsewhere can take the lease: another hall has a live box or, if one box reads
+// the store for a region and only such boxes join the group, another region has a recent report.
+func (p *peers) hasOtherCandidate(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, hall := range p.knownHalls() {
+		if p.router.readsForRegion() {
+			if report, found := p.otherHalls[hall]; found && p.isInOtherRegion(hall) && now.Sub(report.at) <= p.hallReportMaxAge() {
+				return true
+			}
+			continue
+		}
 		if _, found := p.firstLiveBox(hall, now); found && hall != p.router.settings.Hall {
 			return true
 		}
--- a/exchange/region_hub.go
+++ b/exchange/region_hub.go
@@ -31,6 +31,21 @@
 	return p.router.topology.Distance(hall) == willowwick.OtherRegion
 }
 
+// hearsOtherRegion reports whether a box of another region is live, which only those that exchange gossip with it know.
+func (p *peers) hearsOtherRegion(now time.Time) bool {
+	if !p.router.topology.HasRegions() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.known {
+		if known.box.Hall != "" && p.isInOtherRegion(known.box.Hall) && known.isLive(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // hallReportMaxAge returns up to which age the report of another hall counts as its present state.
 func (p *peers) hallReportMaxAge() time.Duration {
 	if p.router.topology.HasRegions() {
--- a/exchange/regions.go
+++ b/exchange/regions.go
@@ -15,6 +15,8 @@
 	// maxMissesPerRegion is the same for one region, so that a request leaves a region that has failed with most of
 	// its sends left.
 	maxMissesPerRegion = 3
+	// restrictedQueueInfix separates the service from the allowed regions in the name of a queue.
+	restrictedQueueInfix = " in "
 )
 
 type (
@@ -120,7 +122,13 @@
 		}
 	}
 	slices.Sort(allowed)
-	return string(c.service) + " in " + strings.Join(allowed, "+")
+	return string(c.service) + restrictedQueueInfix + strings.Join(allowed, "+")
+}
+
+// isQueueOf reports whether requests for a service wait in the queue of a name, which queueName returned.
+func isQueueOf(queue string, service willowwick.ServiceID) bool {
+	name, _, _ := strings.Cut(queue, restrictedQueueInfix)
+	return name == string(service)
 }
 
 // record counts an endpoint of a hall.
--- a/exchange/regions_fleet_test.go
+++ b/exchange/regions_fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/route"
 )
 
 // regionMeshHalls is the number of halls of a mesh with regions, half of them in each.
@@ -222,6 +223,131 @@
 	return box.peers.hasUnreachableHall(time.Now())
 }
 
+// newDutyRegionMesh returns a mesh of two regions that counts usage and reports the demand on its service, on which each
+// box runs one request.
+func newDutyRegionMesh(t *testing.T, boxes int) *mesh {
+	m := newRegionMesh(0, 24)
+	m.duties = usageDuty
+	m.duties.Assigned = []willowwick.DutyID{willowwick.DutyUsage, willowwick.DutyScale}
+	for i := range boxes {
+		m.start(i, regionMeshHalls)
+	}
+	m.run(t, 5*time.Second)
+	table := testTable(2, onceRoute())
+	table.Services[0].Autoscaling = &willowwick.Autoscaling{Min: 1, Max: 9}
+	for _, box := range m.boxes {
+		box.setTable(table, "test")
+		slot, _ := box.pool.AcquireAllowed(time.Now(), "work", route.Work{}, nil, func(willowwick.Endpoint) bool { return true })
+		require.NotNil(t, slot)
+	}
+	m.run(t, 5*time.Second)
+	return m
+}
+
+// hubs returns the boxes that are the hubs of their halls.
+func (m *mesh) hubs() []*meshBox {
+	return slices.DeleteFunc(slices.Clone(m.boxes), func(box *meshBox) bool {
+		_, hasHub := box.peers.hub(time.Now())
+		return box.down || hasHub
+	})
+}
+
+// The hubs of all halls know what all boxes count and run soon, though one hub of each region exchanges with the other
+// region, also after that one is killed.
+func TestDutiesKnowAllHallsOfAllRegions(t *testing.T) {
+	discardLogs(t)
+	for _, lost := range []willowwick.RegionID{"", "region-0", "region-1"} {
+		t.Run("lost hub of "+string(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newDutyRegionMesh(t, 24)
+				window := m.boxes[0].usage.settings.WindowAt(time.Now()) + 1
+				m.run(t, time.Until(m.boxes[0].usage.settings.Begin(window)))
+				requests := m.countUsage(t, 150*time.Millisecond, 1500*time.Millisecond)[window]
+				live := len(m.boxes)
+				if lost != "" {
+					m.run(t, time.Second) // the hub tells all that it counted
+					m.carriers(lost, map[willowwick.RegionID]willowwick.RegionID{"region-0": "region-1", "region-1": "region-0"}[lost])[0].down = true
+					live--
+				}
+				requests += m.countUsage(t, 150*time.Millisecond, 1500*time.Millisecond)[window]
+				end := m.boxes[0].usage.settings.End(window)
+				m.run(t, time.Until(end)+2500*time.Millisecond)
+				hubs := m.hubs()
+				assert.Len(t, hubs, regionMeshHalls)
+				for _, hub := range hubs {
+					coverage := hub.usage.ledger.Coverage(window, len(m.boxes), time.Now())
+					assert.Equal(t, lost == "", coverage.IsComplete(), "%s: %+v", hub.settings.Box, coverage)
+					assert.Len(t, coverage.Missing, len(m.boxes)-live, "%s: %+v", hub.settings.Box, coverage)
+					assert.Zero(t, coverage.Unknown)
+					assert.Equal(t, requests, willowwick.UsageReport{Counts: hub.usage.ledger.Counts(window)}.Total(), hub.settings.Box)
+				}
+				m.run(t, time.Second) // the next hub's first reports lack boxes that it has not heard yet
+				for range 40 {
+					m.run(t, meshStep)
+					for _, hub := range m.hubs() {
+						assertDemands(t, hub, live)
+					}
+				}
+			})
+		})
+	}
+}
+
+// assertDemands checks that a hub knows of the requests that a number of live boxes run.
+func assertDemands(t *testing.T, hub *meshBox, running int) {
+	for _, hall := range hub.autoscaleView(time.Now(), &hub.autoscaledServices()[0]).Halls {
+		assert.True(t, hall.HasCounts, "%s of %s", hall.ID, hub.settings.Box)
+		running -= hall.Demand.Running
+	}
+	assert.Zero(t, running, hub.settings.Box)
+}
+
+// Reports of halls of another region are older by two gossip exchanges, and as present as others in a fleet without regions.
+func TestDemandOfAnotherRegionIsNotSilentForItsAge(t *testing.T) {
+	for age, isPresent := range map[time.Duration]bool{regionReportHops * peerLiveness: true, regionReportHops*peerLiveness + time.Second: false} {
+		settings := regionSettings()
+		x, closeRouter := newRouter(settings, testCodec{})
+		x.peers, _ = newPeers(x)
+		x.sync = newSyncer(x, nil)
+		now := time.Now()
+		x.peers.mergeHallReports([]HallReport{{
+			Hall: "far", AgeMs: age.Milliseconds(), Report: Report{Demand: []DemandRow{{Service: "work", Running: 3}}},
+		}}, now)
+		assert.Equal(t, isPresent, x.peers.hallDemands(now, "work")["far"].Running == 3)
+		closeRouter()
+	}
+}
+
+// Counts cross the link between regions once, and as changes only.
+func TestUsageCrossesRegionsOnce(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		const perBox = 150 // bytes a second
+		const watched = 10 * time.Second
+		m := newDutyRegionMesh(t, 69)
+		m.countUsage(t, 150*time.Millisecond, 5*time.Second)
+		m.regionParts = map[string]*gobCounter{}
+		m.countUsage(t, 150*time.Millisecond, watched)
+		bytes := m.regionParts["usage"].bytes / len(m.boxes) / int(watched.Seconds())
+		t.Log(bytes, "bytes a second for each box")
+		assert.Less(t, bytes, perBox)
+	})
+}
+
+// A holder that the API doesn't answer keeps the lease if the other region, whose reader alone could take it, is lost.
+func TestTheLeaseIsLeftToAnotherRegionOnlyIfItIsThere(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newRegionMesh(24, 12)
+		m.run(t, 5*time.Second)
+		holder := m.boxes[0]
+		assert.True(t, holder.peers.hasOtherCandidate(time.Now()))
+		m.cuts = func(from, to *Router) bool { return from.topology.OwnRegion() != to.topology.OwnRegion() }
+		m.run(t, 10*time.Second)
+		assert.False(t, holder.peers.hasOtherCandidate(time.Now()))
+	})
+}
+
 // Each region grants the part of a limit that corresponds to its boxes.
 func TestRegionsGrantNoMoreThanTheLimitTogether(t *testing.T) {
 	discardLogs(t)
--- a/exchange/regions_test.go
+++ b/exchange/regions_test.go
@@ -149,6 +149,7 @@
 	for i := range x.table.Load().Routes {
 		c := &call{router: x, service: "work", route: &x.table.Load().Routes[i]}
 		names = append(names, c.queueName())
+		assert.True(t, isQueueOf(c.queueName(), c.service), "its requests count as demand on the service")
 	}
 	assert.Equal(t, []string{"work", "work in north+south", "work in "}, names)
 }
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	settings := usage.Settings{Window: duties.UsageWindow, Due: duties.UsageDue, Tolerance: duties.UsageOff}
-	ledger := usage.NewLedger(settings, x.settings.Box, x.settings.Boot, x.settings.Hall, clock.TimeOfDay())
+	ledger := usage.NewLedger(settings, x.settings.Box, x.settings.Boot, x.settings.topology(), clock.TimeOfDay())
 	return &usageReports{settings: settings, ledger: ledger, reporter: usage.NewReporter(settings, ledger), router: x}
 }
 
@@ -63,20 +63,21 @@
 	return u.ledger.Message(address, clock.TimeOfDay())
 }
 
-// noteHub records whether this box is the hub of its hall.
+// noteHub records whether this box is the hub of its hall, and whether it exchanges gossip with another region.
 func (u *usageReports) noteHub(now time.Time) {
 	_, hasHub := u.router.peers.hub(now)
 	timeOfDay := clock.TimeOfDay()
 	u.ledger.SetHub(!hasHub, timeOfDay)
+	u.ledger.SetRelay(!hasHub && u.router.peers.hearsOtherRegion(now))
 	u.ledger.Forget(timeOfDay)
 }
 
 // receiveUsage applies the counts of another box; a box of an earlier release sends none.
-func (p *peers) receiveUsage(address string, data []byte) {
+func (p *peers) receiveUsage(address string, hall willowwick.HallID, data []byte) {
 	if p.router.usage == nil || len(data) == 0 {
 		return
 	}
-	if err := p.router.usage.ledger.Receive(address, data); err != nil {
+	if err := p.router.usage.ledger.Receive(address, hall, data); err != nil {
 		slog.Warn("usage counts could not be read", "address", address, "error", err)
 	}
 }
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -24,7 +24,7 @@
 	requests := map[willowwick.UsageWindow]int{}
 	for until := time.Now().Add(duration); time.Now().Before(until); {
 		for _, box := range m.boxes {
-			if box.usage != nil {
+			if box.usage != nil && !box.down {
 				box.usage.ledger.Count(willowwick.AccountID(fmt.Sprintf("acct%03d", m.random.IntN(accounts))), clock.TimeOfDay())
 				requests[box.usage.settings.WindowAt(clock.TimeOfDay())]++
 			}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -264,14 +264,17 @@
 	return total
 }
 
-// WaitingFor returns the number of requests that wait for slots of a kind of work.
-func (g *Gate) WaitingFor(work string) int {
+// WaitingWhere returns the number of requests that wait for slots of the kinds of work for which counts returns true.
+func (g *Gate) WaitingWhere(counts func(work string) bool) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if q := g.queues[work]; q != nil {
-		return q.Len()
+	total := 0
+	for work, q := range g.queues {
+		if counts(work) {
+			total += q.Len()
+		}
 	}
-	return 0
+	return total
 }
 
 // Done releases the slot and dispatches the next request.
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -27,6 +27,7 @@
 	// Ledger holds what each start of each box has counted. It may be used by several goroutines.
 	Ledger struct {
 		settings Settings
+		topology willowwick.Topology
 
 		mu       sync.Mutex
 		own      *origin
@@ -40,9 +41,12 @@
 		// collectingSince is since when this hub, or one that told it everything, has been told by all boxes; zero if this
 		// box is no hub.
 		collectingSince time.Time
-		written         willowwick.UsageWindow // newest window that may have a stored report; 0 if none
-		forgotten       willowwick.UsageWindow // windows before it were dropped
-		acknowledged    willowwick.UsageWindow // newest window whose report the platform is known to have; 0 if none
+		// relaysSince is the revision since which this hub passes on to the hubs of its region what it learns of another
+		// one; 0 while it does not.
+		relaysSince  revision
+		written      willowwick.UsageWindow // newest window that may have a stored report; 0 if none
+		forgotten    willowwick.UsageWindow // windows before it were dropped
+		acknowledged willowwick.UsageWindow // newest window whose report the platform is known to have; 0 if none
 	}
 
 	// revision is a position in the changes of one ledger.
@@ -111,12 +115,12 @@
 	return s.WindowAt(now.Add(-s.Due - outageTime))
 }
 
-// NewLedger returns the ledger of a box that begins to count now.
-func NewLedger(settings Settings, box willowwick.BoxID, boot willowwick.BootID, hall willowwick.HallID, now time.Time) *Ledger {
+// NewLedger returns the ledger of a box that begins to count now, in the hall of the topology.
+func NewLedger(settings Settings, box willowwick.BoxID, boot willowwick.BootID, topology willowwick.Topology, now time.Time) *Ledger {
 	own := newOrigin(keyOf(boot))
-	own.box, own.hall, own.since, own.until, own.namedAt, own.stateAt = box, hall, now, now, 1, 1
+	own.box, own.hall, own.since, own.until, own.namedAt, own.stateAt = box, topology.Hall, now, now, 1, 1
 	return &Ledger{
-		settings: settings, own: own, origins: map[originKey]*origin{own.key: own}, nextOrigin: 1,
+		settings: settings, topology: topology, own: own, origins: map[originKey]*origin{own.key: own}, nextOrigin: 1,
 		accounts: map[willowwick.AccountID]*account{}, revision: 1, peers: map[string]*peerState{},
 	}
 }
@@ -211,6 +215,20 @@
 	}
 }
 
+// SetRelay records whether this box is a hub that exchanges gossip with another region.
+func (l *Ledger) SetRelay(relays bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !relays:
+		l.relaysSince = 0
+	case l.relaysSince == 0:
+		// No other box has confirmed this revision.
+		l.revision++
+		l.relaysSince = l.revision
+	}
+}
+
 // Forget drops windows that are not reported any more, and starts of boxes that have been silent for that long.
 func (l *Ledger) Forget(now time.Time) {
 	l.mu.Lock()
--- a/usage/telling.go
+++ b/usage/telling.go
@@ -13,7 +13,9 @@
 type peerState struct {
 	key      originKey // of the other box's start
 	isHub    bool
-	told     revision // up to where the other box has this ledger
+	hall     willowwick.HallID
+	told     revision // up to where the other box has this ledger, but for what only a hub that relays tells
+	relayed  revision // up to where the other box has what this ledger holds of other regions
 	received revision // up to where this box has the other's ledger
 	// accounts and origins are what the other box's indices mean.
 	accounts map[int]willowwick.AccountID
@@ -24,8 +26,19 @@
 	return &peerState{key: key, accounts: map[int]willowwick.AccountID{}, origins: map[int]originKey{}}
 }
 
+// confirm records up to where the other box has this ledger, of which now is the newest revision and which relays since
+// another one, 0 if it does not.
+func (p *peerState) confirm(confirmed, now, relaysSince revision) {
+	p.told = min(confirmed, now)
+	if relaysSince > 0 && p.told >= relaysSince {
+		p.relayed = p.told
+	}
+	p.relayed = min(p.relayed, p.told)
+}
+
 // Message returns what this box tells the box at an address: on a hub the hubs of other halls what the boxes of its hall
-// counted, elsewhere the hub what this box counted; only what has changed since the other box confirmed.
+// counted, elsewhere the hub what this box counted; only what has changed since the other box confirmed. Between regions a
+// hub tells what its region counted, and passes on to the hubs of its region what it learns of another one.
 func (l *Ledger) Message(address string, now time.Time) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -49,14 +62,29 @@
 		}
 	}
 	for _, o := range l.sortedOrigins() {
-		// A box that has nothing yet gets all; later, each hall's hub tells of its own hall.
-		if peer.told == 0 || o.hall == l.own.hall {
-			m.addChanges(o, peer.told, l.accounts)
+		if after, isTold := l.toldOf(o, peer); isTold {
+			m.addChanges(o, after, l.accounts)
 		}
 	}
 	return m.encode(l.settings)
 }
 
+// toldOf returns up to where a box has what this ledger holds of an origin, and whether this box tells it of the origin. A
+// box that has nothing yet gets all; later, each hall's hub tells of its own hall. The caller holds the lock.
+func (l *Ledger) toldOf(o *origin, peer *peerState) (revision, bool) {
+	isHub, topology := !l.collectingSince.IsZero(), l.topology
+	switch {
+	case peer.told == 0 || o.hall == l.own.hall:
+		return peer.told, true
+	case !isHub || !topology.HasRegions():
+		return 0, false
+	case topology.Distance(peer.hall) == willowwick.OtherRegion:
+		return peer.told, topology.Distance(o.hall) != willowwick.OtherRegion
+	default:
+		return peer.relayed, l.relaysSince > 0 && topology.Distance(o.hall) == willowwick.OtherRegion
+	}
+}
+
 // sortedOrigins returns the origins in a fixed order; the caller holds the lock.
 func (l *Ledger) sortedOrigins() []*origin {
 	list := make([]*origin, 0, len(l.origins))
@@ -67,8 +95,8 @@
 	return list
 }
 
-// Receive applies what the box at an address told.
-func (l *Ledger) Receive(address string, data []byte) error {
+// Receive applies what the box at an address, in a hall, told.
+func (l *Ledger) Receive(address string, hall willowwick.HallID, data []byte) error {
 	m, err := decodeMessage(data, l.settings)
 	if err != nil {
 		return errors.Wrap(err, "usage counts of another box")
@@ -80,9 +108,9 @@
 		peer = newPeerState(m.sender)
 		l.peers[address] = peer
 	}
-	peer.isHub = m.isHub
+	peer.isHub, peer.hall = m.isHub, hall
 	if m.confirms == l.own.key {
-		peer.told = min(m.confirmed, l.revision)
+		peer.confirm(m.confirmed, l.revision, l.relaysSince)
 	}
 	l.written, l.acknowledged = max(l.written, m.written), max(l.acknowledged, m.acknowledged)
 	if !m.tells {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -17,12 +17,13 @@
 type (
 	// testFleet is a fleet whose hubs tell each other by function calls, and the time.
 	testFleet struct {
-		now    time.Time
-		begin  time.Time // of the window in which the test counts
-		window willowwick.UsageWindow
-		boxes  []*testBox
-		starts int
-		truth  map[willowwick.UsageWindow]int // requests of the account "a"
+		now     time.Time
+		regions map[willowwick.HallID]willowwick.RegionID // of the halls; nil if there are no regions
+		begin   time.Time                                 // of the window in which the test counts
+		window  willowwick.UsageWindow
+		boxes   []*testBox
+		starts  int
+		truth   map[willowwick.UsageWindow]int // requests of the account "a"
 	}
 
 	testBox struct {
@@ -55,7 +56,7 @@
 func (f *testFleet) start(b *testBox) {
 	f.starts++
 	b.down = false
-	b.Ledger = NewLedger(testSettings, b.name, willowwick.BootID(fmt.Sprint("boot-", f.starts)), b.hall, f.timeOf(b))
+	b.Ledger = NewLedger(testSettings, b.name, willowwick.BootID(fmt.Sprint("boot-", f.starts)), willowwick.Topology{Hall: b.hall, Regions: f.regions}, f.timeOf(b))
 }
 
 func (f *testFleet) timeOf(b *testBox) time.Time {
@@ -108,8 +109,8 @@
 	if t == nil {
 		t = &testing.T{}
 	}
-	require.NoError(t, to.Receive(from.address, from.Message(to.address, f.timeOf(from))))
-	require.NoError(t, from.Receive(to.address, to.Message(from.address, f.timeOf(to))))
+	require.NoError(t, to.Receive(from.address, from.hall, from.Message(to.address, f.timeOf(from))))
+	require.NoError(t, from.Receive(to.address, to.hall, to.Message(from.address, f.timeOf(to))))
 }
 
 // runTo gossips until a time.
