--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -62,7 +62,7 @@
 		// The list of endpoints.
 		listed            map[willowwick.EndpointID]willowwick.Endpoint
 		departing         []willowwick.Endpoint               // of listed, those that announced their end since the last publishList
-		draining          []willowwick.Endpoint               // those that may go at short notice, and have not announced when
+		draining          []willowwick.Endpoint               // of listed, spot endpoints that have begun to drain since then and have not announced when they end
 		lapsed            map[willowwick.EndpointID]time.Time // until when an entry that is gone still counts
 		removed           map[willowwick.EndpointID]removedEntry
 		incarnations      map[willowwick.EndpointID]endpointIncarnations
