--- a/exchange/regions.go
+++ b/exchange/regions.go
@@ -127,8 +127,7 @@
 
 // isQueueOf reports whether requests for a service wait in the queue of a name, which queueName returned.
 func isQueueOf(queue string, service willowwick.ServiceID) bool {
-	name, _, _ := strings.Cut(queue, restrictedQueueInfix)
-	return name == string(service)
+	return queue == string(service) || strings.HasPrefix(queue, string(service)+restrictedQueueInfix)
 }
 
 // record counts an endpoint of a hall.
