--- a/usage/telling.go
+++ b/usage/telling.go
@@ -25,7 +25,8 @@
 }
 
 // Message returns what this box tells the box at an address: on a hub the hubs of other halls what the boxes of its hall
-// counted, elsewhere the hub what this box counted; only what has changed since the other box confirmed.
+// counted, elsewhere the hub what this box counted; only what has changed since the other box confirmed. A hub that knows
+// no other one tells the boxes of its hall what it counted itself, so that this survives its end.
 func (l *Ledger) Message(address string, now time.Time) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -39,8 +40,12 @@
 		return m.encode(l.settings)
 	}
 	m.confirms, m.confirmed = peer.key, peer.received
-	if isHub && !peer.isHub {
-		return m.encode(l.settings)
+	tellsOnlyOwn := isHub && !peer.isHub
+	if tellsOnlyOwn {
+		if l.knowsOtherHub() {
+			return m.encode(l.settings)
+		}
+		m.collectingSince = now // the other box does not learn what this one was told
 	}
 	m.tells, m.from, m.to = true, peer.told, l.revision
 	for _, known := range l.accounts {
@@ -50,13 +55,24 @@
 	}
 	for _, o := range l.sortedOrigins() {
 		// A box that has nothing yet gets all; later, each hall's hub tells of its own hall.
-		if peer.told == 0 || o.hall == l.own.hall {
+		isTold := peer.told == 0 || o.hall == l.own.hall
+		if o.key != peer.key && (o == l.own || !tellsOnlyOwn && isTold) {
 			m.addChanges(o, peer.told, l.accounts)
 		}
 	}
 	return m.encode(l.settings)
 }
 
+// knowsOtherHub reports whether another hub is told what this one counts; the caller holds the lock.
+func (l *Ledger) knowsOtherHub() bool {
+	for _, peer := range l.peers {
+		if peer.isHub {
+			return true
+		}
+	}
+	return false
+}
+
 // sortedOrigins returns the origins in a fixed order; the caller holds the lock.
 func (l *Ledger) sortedOrigins() []*origin {
 	list := make([]*origin, 0, len(l.origins))
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -274,8 +274,8 @@
 	}
 }
 
-// The only hub of a fleet tells nobody what it counts, so a window in which it counted is not known once it was started again.
-func TestTheWindowOfAnOnlyHubThatWasStartedAgainIsLost(t *testing.T) {
+// The only hub of a fleet has no other one to tell: the next hub knows its counts all the same.
+func TestCountsOfAnOnlyHubThatWasStartedAgainAreKnown(t *testing.T) {
 	f := newTestFleet(3, 1)
 	first, second := f.boxes[0], f.boxes[1]
 	f.boxes[0], f.boxes[1] = second, first
@@ -288,8 +288,8 @@
 	f.boxes[0], f.boxes[1] = second, first
 	f.start(first)
 	f.runFor(4 * round)
-	require.Zero(t, second.Counts(f.window)["a"])
-	require.Greater(t, f.coverage(second).Lost, testSettings.Tolerance)
+	f.requireCounts(t, second, 7)
+	require.Zero(t, f.coverage(second).Lost)
 }
 
 // A box that was a hub before and becomes one again has missed what was told meanwhile.
