--- a/cmd/e2e/soak_duties_test.go
+++ b/cmd/e2e/soak_duties_test.go
@@ -37,6 +37,12 @@
 	forEachSeed(t, func(t *testing.T, seed uint64) { runDutySoak(t, seed, *soakLength, *soakBoxes) })
 }
 
+// TestPreviouslyFailedDutySeeds replays a seed that failed.
+func TestPreviouslyFailedDutySeeds(t *testing.T) {
+	failed := []failedSeed{{3000, 8 * time.Second, 3, "a usage report lacked requests; not traced"}}
+	replaySeeds(t, failed, func(t *testing.T, failed failedSeed) { runDutySoak(t, failed.seed, failed.length, failed.boxes) })
+}
+
 // runDutySoak runs one seed.
 func runDutySoak(t *testing.T, seed uint64, length time.Duration, boxes int) {
 	site := &soakSite{t: t, store: standin.NewStore(), keysKept: 1, dutyAPI: standin.NewDutyAPI(dutyLease)}
