--- a/usage/telling.go
+++ b/usage/telling.go
@@ -52,8 +52,11 @@
 		return m.encode(l.settings)
 	}
 	m.confirms, m.confirmed = peer.key, peer.received
-	if isHub && !peer.isHub && l.knowsOtherHub() {
-		return m.encode(l.settings)
+	if isHub && !peer.isHub {
+		if l.knowsOtherHub() {
+			return m.encode(l.settings)
+		}
+		m.collectingSince = now // the other box isn't told what this one was told
 	}
 	m.tells, m.from, m.to = true, peer.told, l.revision
 	for _, known := range l.accounts {
