--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -272,6 +272,19 @@
 	assert.LessOrEqual(t, p.present(), before+4)
 }
 
+// A hall has no more spot runners when the demand grows: the others get those that it lacks.
+func TestSpotRunnersThatAHallLacksAreOrderedInOtherHalls(t *testing.T) {
+	p := settled(t, 360)
+	p.reject("hall-b")
+	p.setDemand(720)
+	p.run(testBoot + 8*time.Second)
+	withLack := p.present()
+	p = settled(t, 360)
+	p.setDemand(720)
+	p.run(testBoot + 8*time.Second)
+	assert.InDelta(t, p.present(), withLack, 4)
+}
+
 // A hall's spot runners are taken away while more of them boot there; the list shows them draining, or no more.
 func TestLostSpotRunnersAreNoticedWhileOthersBoot(t *testing.T) {
 	for name, left := range map[string]Runners{"draining": {Draining: 17}, "gone": {}} {
--- a/exchange/regions_test.go
+++ b/exchange/regions_test.go
@@ -101,6 +101,18 @@
 	requireClosed(t, gone, waitTimeout, "the endpoint's work ends with the request")
 }
 
+// A configuration that comes into force between the choice of an endpoint and the send holds for that request.
+func TestRequestIsWithheldWhenChosenEndpointIsForbidden(t *testing.T) {
+	north := newRunner(t, "r1", answerText("north"))
+	s := startSite(t, newTestControl(testTable(1, onceRoute()), north.endpoint("v1")), regionSettings())
+	c, _ := s.newCall(t, "/once/", "meanwhile")
+	ticket, refusal := c.awaitTicket()
+	require.Nil(t, refusal)
+	s.daemon.router.setTable(testTable(2, inRegions(onceRoute(), "south")), "test")
+	assert.Equal(t, withheld, c.sendOnce(ticket).kind)
+	assert.Empty(t, north.requests())
+}
+
 func TestNextSendGoesByTheNewestConfiguration(t *testing.T) {
 	isInForce := make(chan struct{})
 	north := newRunner(t, "r1", func(w http.ResponseWriter, request *http.Request) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -266,6 +266,7 @@
 	assert.NotEqual(t, grant.Claim, again.Claim)
 	// The first one was done in between: a conflict, after which the topic shows it.
 	l.GrantFailed(true, at(420))
+	require.Equal(t, StepRead, l.Next(at(420)), "the same write would conflict again")
 	l.Read(willowwick.DutyState{Lease: &grant, End: 1}, at(420), at(430))
 	assert.True(t, l.Holds(at(430)))
 }
--- a/serve/drain_test.go
+++ b/serve/drain_test.go
@@ -136,22 +136,29 @@
 // Guards against a stopping box that closes a connection as idle while the next call arrives on it: the call got neither
 // an answer nor a refusal.
 func TestDrainRefusesCallsOnConnectionsInUse(t *testing.T) {
-	runDrainScenario(t, func(s *drainScenario) {
-		awaitEnd := s.startDrain()
-		for began, isLast := time.Now(), false; !isLast; time.Sleep(callInterval) {
-			require.Less(t, time.Since(began), drainTimeout)
-			s.send(serviceCall("again"))
-			answer, err := http.ReadResponse(s.reader, nil)
-			require.NoError(t, err, "the call was neither answered nor refused")
-			_, err = io.Copy(io.Discard, answer.Body)
-			require.NoError(t, err)
-			isLast = answer.Close
-			if isLast {
-				assert.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
-			}
+	// Calls come when the box begins to refuse them, or between.
+	for _, offset := range []time.Duration{0, callInterval / 2} {
+		runDrainScenario(t, func(s *drainScenario) { s.callUntilRefused(offset) })
+	}
+}
+
+// callUntilRefused calls a box that is stopping until it closes the connection, from the given time on after the stop began.
+func (s *drainScenario) callUntilRefused(offset time.Duration) {
+	awaitEnd := s.startDrain()
+	time.Sleep(offset)
+	for began, isLast := time.Now(), false; !isLast; time.Sleep(callInterval) {
+		require.Less(s.t, time.Since(began), drainTimeout)
+		s.send(serviceCall("again"))
+		answer, err := http.ReadResponse(s.reader, nil)
+		require.NoError(s.t, err, "the call was neither answered nor refused")
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(s.t, err)
+		isLast = answer.Close
+		if isLast {
+			assert.Equal(s.t, http.StatusServiceUnavailable, answer.StatusCode)
 		}
-		awaitEnd()
-	})
+	}
+	awaitEnd()
 }
 
 func TestDrainTimesOutIfCallerNeverReads(t *testing.T) {
--- a/wire/callers_test.go
+++ b/wire/callers_test.go
@@ -70,6 +70,18 @@
 	assert.Zero(t, l.Retire(t.Context(), 0))
 }
 
+// A connection that was just in use gets its next request soon, which a stopping box refuses.
+func TestConnectionIsRetiredOnlyOnceIdleForATime(t *testing.T) {
+	l, conn, release := acceptBlocked(t)
+	close(release)
+	_, err := conn.Read(make([]byte, 64))
+	require.NoError(t, err)
+	l.TrackState(conn, http.StateIdle)
+	idleSince := time.Unix(0, conn.idleSince.Load())
+	assert.Equal(t, 1, l.retireIdle(idleSince.Add(time.Second-time.Nanosecond), time.Second))
+	assert.Zero(t, l.retireIdle(idleSince.Add(time.Second), time.Second))
+}
+
 // Each answer that a stopping box has begun reaches its caller; other callers see a closed connection, and nothing
 // of their requests was run.
 func TestShutdownAnswersEachAcceptedRequest(t *testing.T) {
