--- a/autoscale/scaler_test.go
+++ b/autoscale/scaler_test.go
@@ -276,12 +276,12 @@
 
 // A hall has no more spot runners when the demand grows: the others get those that it lacks.
 func TestSpotRunnersThatAHallLacksAreOrderedInOtherHalls(t *testing.T) {
-	p := settled(t, 360)
+	p := newSettledPlatform(t, 360)
 	p.reject("hall-b")
 	p.setDemand(720)
 	p.run(testBoot + 8*time.Second)
 	withLack := p.present()
-	p = settled(t, 360)
+	p = newSettledPlatform(t, 360)
 	p.setDemand(720)
 	p.run(testBoot + 8*time.Second)
 	assert.InDelta(t, p.present(), withLack, 4)
--- a/exchange/regions_fleet_test.go
+++ b/exchange/regions_fleet_test.go
@@ -132,7 +132,7 @@
 		"not called": func(m *mesh, hub *meshBox) { m.cutFromRegions(hub, false, true) },
 		// No hub finds another one of the other region.
 		"cut off as is the other region's": func(m *mesh, hub *meshBox) {
-			otherHub := m.carriers("region-1", "region-0")[0]
+			otherHub := m.gateways("region-1", "region-0")[0]
 			m.cuts = func(from, to *Router) bool {
 				isHubs := from == hub.Router || to == hub.Router || from == otherHub.Router || to == otherHub.Router
 				return isHubs && from.topology.OwnRegion() != to.topology.OwnRegion()
