--- a/exchange/duties_test.go
+++ b/exchange/duties_test.go
@@ -16,6 +16,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/platform"
+	"github.com/willowwick/willowwick/platform/api"
 	"github.com/willowwick/willowwick/standin"
 )
 
@@ -37,7 +38,7 @@
 
 	dutyBox struct {
 		daemon   *Daemon
-		api      *platform.DutyAPI
+		api      *api.Duties
 		stop     func()
 		cutStore atomic.Bool
 		cutAPI   atomic.Bool
@@ -86,10 +87,10 @@
 func (f *dutyFleet) startBox(t *testing.T, number int, seeds []string, assigned []willowwick.DutyID) *dutyBox {
 	box := &dutyBox{}
 	platformSettings := platform.Settings{
-		StoreAddress: serveCut(t, &box.cutStore, f.countCalls()), GroupTTL: time.Second, Duties: platform.Duties{APIAddress: serveCut(t, &box.cutAPI, f.api)},
+		StoreAddress: serveCut(t, &box.cutStore, f.countCalls()), GroupTTL: time.Second,
 	}
 	control, closeControl := platform.NewControl(platformSettings, metrics.NewSet())
-	api, closeAPI := platform.NewDutyAPI(platformSettings)
+	duties, closeDuties := api.NewDuties(serveCut(t, &box.cutAPI, f.api))
 	settings := testSettings()
 	settings.Box = willowwick.BoxID(fmt.Sprintf("box-%d", number))
 	settings.Boot, settings.Hall = willowwick.BootID(settings.Box+"-boot"), willowwick.HallID(fmt.Sprintf("hall-%d", number))
@@ -98,15 +99,15 @@
 	callers, ready, peers, figures := listen(t), listen(t), listen(t), listen(t)
 	settings.Peers = peers.Addr().String()
 	daemon, closeDaemon := New(settings, Dependencies{
-		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures, DutyLog: control.DutyLog(), DutyAPI: api,
+		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures, DutyLog: control.DutyLog(), DutyAPI: duties,
 	})
-	box.daemon, box.api = daemon, api
+	box.daemon, box.api = daemon, duties
 	daemon.router.duties.addWorker(willowwick.DutyScale, box.orderRunners)
 	box.stop = daemon.Start()
 	t.Cleanup(func() {
 		box.stop()
 		closeDaemon()
-		closeAPI()
+		closeDuties()
 		closeControl()
 	})
 	return box
@@ -127,8 +128,8 @@
 	}
 }
 
-// holder waits until a box other than the given one has made some calls and holds the lease, and returns it.
-func (f *dutyFleet) holder(t *testing.T, other *dutyBox) *dutyBox {
+// awaitHolder waits until a box other than the given one has made some calls and holds the lease, and returns it.
+func (f *dutyFleet) awaitHolder(t *testing.T, other *dutyBox) *dutyBox {
 	var holder *dutyBox
 	orders := map[*dutyBox]int64{}
 	for _, box := range f.boxes {
@@ -164,9 +165,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			f := newDutyFleet(t, 3, willowwick.DutyScale)
-			first := f.holder(t, nil)
+			first := f.awaitHolder(t, nil)
 			c.harm(f, first)
-			second := f.holder(t, first)
+			second := f.awaitHolder(t, first)
 			assert.Less(t, first.daemon.router.duties.lease.Token(), second.daemon.router.duties.lease.Token())
 			if c.name == "planned stop" {
 				assert.False(t, first.daemon.router.duties.Holds(clock.Now()))
@@ -175,7 +176,7 @@
 			first.cutStore.Store(false)
 			first.cutAPI.Store(false)
 			time.Sleep(2 * testLease)
-			f.holder(t, nil)
+			f.awaitHolder(t, nil)
 		})
 	}
 }
@@ -184,20 +185,20 @@
 func TestLeaderThatLosesTheLeadReleasesIt(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 3, willowwick.DutyScale)
-	first := f.holder(t, nil)
+	first := f.awaitHolder(t, nil)
 	time.Sleep(2 * joinInterval) // all are members
 	owner := f.store.PartOwner("willowwick")
 	f.store.MovePart("willowwick")
 	require.Eventually(t, func() bool { return !first.daemon.router.duties.Holds(clock.Now()) }, waitTimeout, 5*time.Millisecond)
 	require.Eventually(t, func() bool { return f.store.PartOwner("willowwick") != owner }, joinInterval*9/10, 5*time.Millisecond)
-	f.holder(t, first)
+	f.awaitHolder(t, first)
 }
 
 // The API executes an order of the holder late, after newer ones: only the newest counts.
 func TestLateOrderIsFenced(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 1, willowwick.DutyScale)
-	holder := f.holder(t, nil)
+	holder := f.awaitHolder(t, nil)
 	f.api.SetFaults(standin.DutyFaults{DroppedAnswers: 2, LateBy: time.Second})
 	orders := holder.order.Load()
 	require.Eventually(t, func() bool { return holder.order.Load() > orders+3 }, takeoverTimeout, 5*time.Millisecond)
@@ -211,18 +212,18 @@
 	t.Parallel()
 	f := newDutyFleet(t, 2, willowwick.DutyScale)
 	f.store.SaveBackup()
-	f.holder(t, nil)
+	f.awaitHolder(t, nil)
 	f.store.RestoreBackup()
 	time.Sleep(time.Second)
-	holder := f.holder(t, nil)
+	holder := f.awaitHolder(t, nil)
 	require.Eventually(t, func() bool { return holder.daemon.router.duties.lease.Token().Era() == 1 }, waitTimeout, 5*time.Millisecond)
-	f.holder(t, nil)
+	f.awaitHolder(t, nil)
 }
 
 func TestCalmHolderMakesNoCallsToTheStoreForTheDuties(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 1, willowwick.DutyScale)
-	f.holder(t, nil)
+	f.awaitHolder(t, nil)
 	calls := f.calls.Load()
 	assert.Equal(t, int64(2), calls, "a read and a grant")
 	time.Sleep(3 * time.Second)
@@ -241,7 +242,7 @@
 func TestUsageReportIsStoredOnce(t *testing.T) {
 	t.Parallel()
 	f := newDutyFleet(t, 2, willowwick.DutyScale)
-	first, ctx := f.holder(t, nil), context.Background()
+	first, ctx := f.awaitHolder(t, nil), context.Background()
 	d := first.daemon.router.duties
 	report := willowwick.UsageReport{Window: 7, Counts: map[willowwick.AccountID]int{"ada": 3}}
 	// The write is done, its answer is lost.
@@ -255,7 +256,7 @@
 
 	// The next holder has read it.
 	first.stop()
-	second := f.holder(t, first).daemon.router.duties
+	second := f.awaitHolder(t, first).daemon.router.duties
 	assert.Equal(t, []willowwick.UsageReport{report}, second.UsageReports())
 	require.ErrorIs(t, second.WriteUsageReport(ctx, other), willowwick.ErrConflict)
 	require.ErrorIs(t, d.WriteUsageReport(ctx, willowwick.UsageReport{Window: 8}), willowwick.ErrNotHolder)
