--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -55,7 +55,14 @@
 
 // hallReader returns the first of a hall's live boxes that reach the store; the caller holds the lock.
 func (p *peers) hallReader(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
-	return p.firstBox(hall, func(known *peer) bool { return known.isLive(now) && !p.isCutOffFromStore(known, now) })
+	return p.readerWhere(func(known *peer) bool { return known.box.Hall == hall }, now)
+}
+
+// readerWhere returns the first live box that reaches the store among those that isIn accepts; the caller holds the lock.
+func (p *peers) readerWhere(isIn func(known *peer) bool, now time.Time) (KnownBox, bool) {
+	return p.firstBoxWhere(func(known *peer) bool {
+		return isIn(known) && known.isLive(now) && !p.isCutOffFromStore(known, now)
+	})
 }
 
 // firstLiveBox returns the first of a hall's live boxes; the caller holds the lock.
@@ -79,11 +86,18 @@
 	return false
 }
 
-// hasOtherLiveHall reports whether another hall has a live box.
-func (p *peers) hasOtherLiveHall(now time.Time) bool {
+// hasOtherCandidate reports whether a box elsewhere can take the lease: another hall has a live box or, if one box reads
+// the store for a region and only such boxes join the group, another region has a recent report.
+func (p *peers) hasOtherCandidate(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, hall := range p.knownHalls() {
+		if p.router.readsForRegion() {
+			if report, found := p.otherHalls[hall]; found && p.isInOtherRegion(hall) && now.Sub(report.at) <= p.hallReportMaxAge() {
+				return true
+			}
+			continue
+		}
 		if _, found := p.firstLiveBox(hall, now); found && hall != p.router.settings.Hall {
 			return true
 		}
@@ -120,10 +134,16 @@
 
 // hallHub returns the hub of another hall; the caller holds the lock.
 func (p *peers) hallHub(hall willowwick.HallID, now time.Time) (KnownBox, bool) {
-	if reader, found := p.hallReader(hall, now); found {
+	return p.hubWhere(func(known *peer) bool { return known.box.Hall == hall }, now)
+}
+
+// hubWhere returns the reader among the boxes that isIn accepts, or the first live one while none reaches the store; the
+// caller holds the lock.
+func (p *peers) hubWhere(isIn func(known *peer) bool, now time.Time) (KnownBox, bool) {
+	if reader, found := p.readerWhere(isIn, now); found {
 		return reader, true
 	}
-	return p.firstLiveBox(hall, now)
+	return p.firstBoxWhere(func(known *peer) bool { return isIn(known) && known.isLive(now) })
 }
 
 // exchangeTargets returns the addresses of the boxes to exchange gossip with now: the hall's hub, on a hub those of the
