--- a/usage/message.go
+++ b/usage/message.go
@@ -233,22 +233,23 @@
 
 func (d *decoder) uint() uint64 {
 	value, size := binary.Uvarint(d.data)
-	if size <= 0 {
-		d.fail()
-		return 0
-	}
-	d.data = d.data[size:]
+	d.skipVarint(size)
 	return value
 }
 
 func (d *decoder) int() int64 {
 	value, size := binary.Varint(d.data)
+	d.skipVarint(size)
+	return value
+}
+
+// skipVarint skips a varint of a size; without one, the size is 0 or less and the value 0.
+func (d *decoder) skipVarint(size int) {
 	if size <= 0 {
 		d.fail()
-		return 0
+		return
 	}
 	d.data = d.data[size:]
-	return value
 }
 
 // length reads a number of items or bytes that follow; each has at least one byte.
