Duties: the exchange takes no setting that nothing reads

ChecksFencing was handed to the exchange and read nowhere. The settings file is checked for it as before. Build, vet, linter and tests of usage, lease, proofs, platform and cmd/willowwickd pass with the race detector.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -121,7 +121,7 @@
 		Grace:       bounds.Grace, Drain: bounds.Drain, ConfigApplyLimit: bounds.ConfigApply, UnreadyDelay: exchange.DefaultUnreadyDelay,
 		Regions: settings.Regions, RunnerUtilisation: o.runnerUtilisation,
 		Duties: exchange.DutySettings{
-			Assigned: settings.Duties.Assigned, CallsPerS: settings.Duties.CallsPerS, ChecksFencing: settings.Duties.ChecksFencing,
+			Assigned: settings.Duties.Assigned, CallsPerS: settings.Duties.CallsPerS,
 			Lease: settings.Duties.Lease, MemberTTL: settings.MemberTTL(), UsageWindow: settings.Duties.UsageWindow, UsageDue: settings.Duties.UsageDue,
 			UsageOff: settings.Duties.UsageOff,
 		},
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -68,14 +68,13 @@
 
 	// DutySettings configure the calls that one box makes to the platform's API for the whole fleet.
 	DutySettings struct {
-		Assigned      []willowwick.DutyID // duties of the fleet; empty if it has none
-		CallsPerS     float64             // calls per second that the API takes from all boxes together; 0 if unlimited
-		ChecksFencing bool                // the API rejects calls with a lower fencing token than seen before
-		Lease         time.Duration       // a box that gave up the duties doesn't take them back within this
-		MemberTTL     time.Duration       // the group drops a member that sent nothing for this long
-		UsageWindow   time.Duration       // length of a window of usage
-		UsageDue      time.Duration       // from the end of a window until its report is due
-		UsageOff      float64             // share by which a report may be off
+		Assigned    []willowwick.DutyID // duties of the fleet; empty if it has none
+		CallsPerS   float64             // calls per second that the API takes from all boxes together; 0 if unlimited
+		Lease       time.Duration       // a box that gave up the duties doesn't take them back within this
+		MemberTTL   time.Duration       // the group drops a member that sent nothing for this long
+		UsageWindow time.Duration       // length of a window of usage
+		UsageDue    time.Duration       // from the end of a window until its report is due
+		UsageOff    float64             // share by which a report may be off
 	}
 
 	// Router relays requests to endpoints without interpreting their bodies.
