Own interface: boxes tell each other at once of endpoints that ended

Callers saw 503 for ordinary prompts after one prompt had ended all runners of a model. Cause: news of ends went with the ordinary exchange of digests, once a second with one box of the hall and one of another at random. A box that sees an end, or learns of one, now tells up to eight live boxes at once, at most every 50 ms.

--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -106,7 +106,7 @@
 	n.recordContact(clock.Now())
 	n.mergeDigests(clock.Now(), reply.Digests, reply.Halls)
 	n.limitPeers.HandleAnswer(reply.Limits, with.Peer, now)
-	n.quarantinePeers.HandleAnswer(args.Harm, reply.Harm, with.Peer, reply.Boot, clock.Now())
+	n.mergeCrashAnswer(args.Harm, reply.Harm, with.Peer, reply.Boot)
 	n.syncOffset(callCtx, with.Peer, reply.Offset, reply.ConfirmMs)
 	if len(reply.Want) > 0 {
 		_ = n.Transport.Call(callCtx, with.Peer, rpcName+".Push", PushArgs{Digests: n.Table.Select(reply.Want)}, &Nothing{})
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -72,6 +72,7 @@
 		Limits     *ratelimit.Ledger  // rate limits of endpoints
 
 		quarantinePeers *quarantine.Peers
+		crashesLearnt   chan struct{} // wakes runCrashRounds
 		limitPeers      *ratelimit.Peers
 		granter         *ratelimit.Granter // grants permits to all boxes while this box holds the lease
 		localGranter    *ratelimit.Granter // grants this box permits from its equal share while no leader does
@@ -105,6 +106,8 @@
 		Lease:      NewLease(settings.Self),
 		Quarantine: quarantine.New(),
 		Limits:     ratelimit.NewLedger(),
+
+		crashesLearnt: make(chan struct{}, 1),
 	}
 	n.limitPeers = ratelimit.NewPeers(n.Limits)
 	n.granter, n.localGranter = ratelimit.NewGranter(n.Limits), ratelimit.NewGranter(n.Limits)
@@ -128,6 +131,7 @@
 	n.workers.Go(func() { n.runPeriodically(ctx, n.followLog) })
 	n.workers.Go(func() { n.runPeriodically(ctx, n.followList) })
 	n.workers.Go(func() { n.runPeriodically(ctx, n.gossip) })
+	n.workers.Go(func() { n.runCrashRounds(ctx) })
 	n.workers.Go(func() { n.runPeriodically(ctx, n.runLease) })
 	n.workers.Go(func() { n.runPeriodically(ctx, n.sweep) })
 	n.workers.Go(func() { n.Usage.Run(ctx) })
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -51,7 +51,7 @@
 	}
 	reply.ConfirmMs = n.msSinceConfirmed(now)
 	reply.Boot = n.Self.Boot
-	reply.Harm, _ = n.quarantinePeers.Answer(args.Harm, args.Peer, now)
+	reply.Harm = n.answerCrashes(args.Harm, args.Peer)
 	reply.Limits, _ = n.limitPeers.Answer(args.Limits, args.Peer, now)
 	return nil
 }
--- a/lab/poison_test.go
+++ b/lab/poison_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/standin"
 )
 
@@ -53,3 +54,35 @@
 	require.NoError(t, s.startRunner(len(s.Runners)))
 	time.Sleep(5 * time.Second)
 }
+
+// Guards against boxes that send a request to one more runner because news of the runners that it ended reaches them late.
+func TestPromptThatCrashedRunnersIsRefusedByAllBoxesWithinMoments(t *testing.T) {
+	withTestFleet(t, 30, func(s *testFleet) {
+		for range 3 {
+			s.addRunner(t)
+		}
+		for _, runner := range s.Runners {
+			runner.SetFaults(func(faults *standin.EngineFaults) { faults.CrashOn = poisonPrompt })
+		}
+		for range quarantine.RefuseAfterCrashes {
+			s.ask(0, Chat{Prompt: poisonPrompt})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for box := range s.Boxes {
+			reply := s.ask(box, Chat{Prompt: poisonPrompt})
+			assert.Contains(t, reply.Detail, string(willowwick.CodePoison), "box %d", box)
+		}
+		assert.Equal(t, quarantine.RefuseAfterCrashes, s.crashedRunners())
+	})
+}
+
+// crashedRunners returns how many runners have crashed.
+func (s *testFleet) crashedRunners() int {
+	crashed := 0
+	for _, runner := range s.Runners {
+		if runner.HasCrashed() {
+			crashed++
+		}
+	}
+	return crashed
+}
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -71,7 +71,7 @@
 		return true
 	}
 	c.fingerprint()
-	return d.node.Quarantine.RecordCrash(c.poison, willowwick.EndpointCrash{Endpoint: endpoint.ID, Release: release, At: clock.Now()})
+	return d.node.RecordCrash(c.poison, willowwick.EndpointCrash{Endpoint: endpoint.ID, Release: release, At: clock.Now()})
 }
 
 // recordCompleted records that an endpoint has answered the request completely.
