Urgent rounds reach boxes with which an exchange is under way

What boxes tell each other at once (ends of endpoints, limits, endpoints that leave, last counts) waited for the next ordinary round, 0.5 s, when an exchange was under way: a round passes over such a box, and the request for it was used up. A box that was passed over is called again as soon as the exchange under way is over, it alone.

--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -30,27 +30,34 @@
 
 // run exchanges digests until the context is done; a box that doesn't answer delays no other one.
 func (p *peers) run(ctx context.Context) {
+	isUrgent := false
 	for ctx.Err() == nil {
 		now := clock.Now()
 		for _, address := range p.exchangeTargets(now) {
-			if p.beginExchange(address, now) {
+			switch {
+			case p.beginExchange(address, now):
 				go p.exchangeWith(ctx, address)
+			case isUrgent:
+				p.repeatExchange(address)
 			}
 		}
 		p.forgetSilentPeers(now)
 		sleep(ctx, minGossipInterval)
-		p.awaitNextRound(ctx, now.Add(p.roundPause(now)))
+		isUrgent = p.awaitNextRound(ctx, now.Add(p.roundPause(now)))
 	}
 }
 
-// awaitNextRound waits until the time of the next round or an urgent update.
-func (p *peers) awaitNextRound(ctx context.Context, at time.Time) {
+// awaitNextRound waits until the time of the next round or an urgent update, and reports whether there is one.
+func (p *peers) awaitNextRound(ctx context.Context, at time.Time) (isUrgent bool) {
 	timer := time.NewTimer(clock.Until(at))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-p.roundRequested:
+		return true
 	case <-timer.C:
+		return false
 	}
 }
 
@@ -94,17 +101,39 @@
 	return true
 }
 
-func (p *peers) endExchange(address string) {
+// repeatExchange makes the exchange under way with a box be followed by another one: what is urgent may have come after
+// its call was made.
+func (p *peers) repeatExchange(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known := p.known[address]; known != nil {
-		known.isExchanging = false
+		known.mustRepeat = known.isExchanging
+	}
+}
+
+// endExchange ends the exchange with a box, unless it must be repeated.
+func (p *peers) endExchange(address string) (mustRepeat bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	if known == nil {
+		return false
 	}
+	known.isExchanging = known.mustRepeat && known.failures == 0
+	known.mustRepeat = false
+	return known.isExchanging
 }
 
-// exchangeWith sends this box's digest to another box and applies its reply.
+// exchangeWith exchanges digests with a box until nothing urgent is left.
 func (p *peers) exchangeWith(ctx context.Context, address string) {
-	defer p.endExchange(address)
+	p.exchangeOnce(ctx, address)
+	for p.endExchange(address) {
+		p.exchangeOnce(ctx, address)
+	}
+}
+
+// exchangeOnce sends this box's digest to another box and applies its reply.
+func (p *peers) exchangeOnce(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
 	defer cancel()
 	call := p.swapCallFor(address, clock.Now())
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -52,6 +52,7 @@
 		lastCallAt   time.Time
 		failures     int  // consecutive failed calls
 		isExchanging bool // a call is in progress
+		mustRepeat   bool // once that call is over, because of an urgent update
 	}
 )
 
