Limits: a box that asks again for a permit is counted once

Callers of a fleet of few boxes saw refusals though a limited endpoint took more: boxes left part of its limit. Cause: a denied box waits by the number of boxes that ask, and one that had asked before was counted twice; two boxes waited as three would. TestABoxThatAsksAgainIsCountedOnce failed before (0.999 s where 0.75 s is the most).

--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -97,7 +97,7 @@
 	b.permits -= float64(granted)
 	retryDelay := time.Duration(0)
 	if granted == 0 {
-		retryDelay = b.retryDelay(now, perSecond)
+		retryDelay = b.retryDelay(call.Box, now, perSecond)
 	}
 	b.askers[call.Box] = now.Add(retryDelay + askerTTL)
 	return Reply{Row: row, Permits: granted, RetryMs: retryDelay.Milliseconds()}
@@ -125,14 +125,15 @@
 
 // retryDelay returns the delay until a box that got no permit asks again: the time until there is a permit, plus a
 // random delay such that all asking boxes together make about asksPerPermit calls for each permit.
-func (b *bucket) retryDelay(now time.Time, perSecond float64) time.Duration {
+func (b *bucket) retryDelay(asking willowwick.BoxID, now time.Time, perSecond float64) time.Duration {
 	askers := 1
 	for box, until := range b.askers {
-		if now.After(until) {
+		switch {
+		case now.After(until):
 			delete(b.askers, box)
-			continue
+		case box != asking:
+			askers++
 		}
-		askers++
 	}
 	missing := cappedSeconds((1 - b.permits) / perSecond)
 	spread := cappedSeconds(2 * float64(askers) / (asksPerPermit * perSecond))
--- a/ratelimit/granter_test.go
+++ b/ratelimit/granter_test.go
@@ -88,3 +88,26 @@
 	got := countGranted(g, 1, start.Add(takeoverDelay), 100*time.Second, 1)
 	assert.InDelta(t, 10, got, 3, "probed at the minimum rate")
 }
+
+// longestRetry returns the longest delay of a box that asks for permits again and again while there are none.
+func longestRetry(t *testing.T, rate willowwick.PerSecond) time.Duration {
+	start := time.Now()
+	g, _ := newActiveGranter(start, rate)
+	at := start.Add(takeoverDelay)
+	for g.Answer(callFrom("b1", 1), 1, at).Permits > 0 {
+		continue
+	}
+	longest := time.Duration(0)
+	for range 1000 {
+		reply := g.Answer(callFrom("b1", 1), 1, at)
+		require.Zero(t, reply.Permits)
+		longest = max(longest, time.Duration(reply.RetryMs)*time.Millisecond)
+	}
+	return longest
+}
+
+// Guards against a box that counts among the others that ask, because it asked before: two boxes waited as three would.
+func TestABoxThatAsksAgainIsCountedOnce(t *testing.T) {
+	const rate = 2
+	assert.LessOrEqual(t, longestRetry(t, rate), time.Second/rate+2*time.Second/(asksPerPermit*rate))
+}
