Limits: the wait for a permit is shortened when the rate rises

An endpoint that took more again was left idle by a small fleet for up to half a minute: a denied box kept the wait that had been computed for the low rate. It is shortened in proportion now, whether an answer or another box tells of the higher rate. TestTheWaitForAPermitIsShortenedWhenTheRateRises failed before (15 s too late).

--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -100,7 +100,9 @@
 		return false
 	case reported.IsSet && (known == nil || !known.isReported() || known.rate != reported.Rate):
 		known = l.ensureLimit(endpoint.ID, endpoint.Incarnation)
+		former := known.rate
 		known.rate, known.reportedAt = reported.Rate, now
+		known.shortenWait(former, now)
 		known.log(endpoint.ID, "answer")
 		return true
 	case !reported.IsSet && known != nil && known.isReported() && sentAt.After(known.reportedAt):
@@ -176,6 +178,14 @@
 	return known.hasPermit(now) || !now.Before(known.nextAsk())
 }
 
+// shortenWait shortens the wait for the next call, which was computed for a former rate, in proportion to a higher one.
+func (k *limit) shortenWait(former willowwick.PerSecond, now time.Time) {
+	if wait := k.nextAskAt.Sub(now); wait > 0 && k.rate > former {
+		share := float64(max(former, minRate)) / float64(max(k.rate, minRate))
+		k.nextAskAt = now.Add(time.Duration(float64(wait) * share))
+	}
+}
+
 func (k *limit) hasPermit(now time.Time) bool {
 	return k.permits > 0 && now.Before(k.usableUntil)
 }
--- a/ratelimit/ledger_test.go
+++ b/ratelimit/ledger_test.go
@@ -138,3 +138,26 @@
 	assert.False(t, isLimited)
 	assert.Equal(t, willowwick.PermitNotNeeded, l.Acquire(now, endpoint.ID))
 }
+
+// Guards against an endpoint that stays idle for half a minute after its rate has risen, since the boxes wait as they had
+// to at the low one.
+func TestTheWaitForAPermitIsShortenedWhenTheRateRises(t *testing.T) {
+	const low, high, wait = 0.5, 8, 16 * time.Second
+	now := time.Now()
+	for name, learn := range map[string]func(l *Ledger){
+		"answer": func(l *Ledger) { l.Observe(now.Add(time.Second), now, endpoint, limitOf(high)) },
+		"peer": func(l *Ledger) {
+			l.Merge(Updates{Rows: []Row{{Endpoint: endpoint.ID, Rate: high, EndedMs: neverMs}}}, "peer", now.Add(time.Second))
+		},
+	} {
+		l := NewLedger()
+		l.Observe(now, now, endpoint, limitOf(low))
+		assert.Equal(t, willowwick.PermitRequired, l.Acquire(now, endpoint.ID))
+		call := l.NewCall(now, endpoint.ID, "b1")
+		assert.False(t, l.HandleReply(now, now, endpoint.ID, Reply{Row: call.Row, RetryMs: (wait + time.Second).Milliseconds()}))
+		learn(l)
+		at, isLimited := l.NextAt(now.Add(time.Second), endpoint.ID)
+		assert.True(t, isLimited)
+		assert.WithinDuration(t, now.Add(time.Second+wait/(high/low)), at, 10*time.Millisecond, name)
+	}
+}
--- a/ratelimit/updates.go
+++ b/ratelimit/updates.go
@@ -121,6 +121,7 @@
 	known = l.ensureLimit(row.Endpoint, row.Incarnation)
 	before := *known
 	known.mergeRate(row.Rate, sentAt.Add(-time.Duration(row.NamedMs)*time.Millisecond))
+	known.shortenWait(before.rate, sentAt)
 	if row.EndedMs >= 0 {
 		if at := sentAt.Add(-time.Duration(row.EndedMs) * time.Millisecond); at.After(known.endedAt) {
 			known.endedAt = at
