Limits: at a low rate boxes ask for permits more often

At 0.5 requests a second two boxes sent 2 in 8 s now and then, of 4. Cause: boxes that are denied spread their calls so that there are four for each permit; at a low rate a permit lies idle for up to 2 s, and a bucket keeps only 1.6 of them. Boxes together make at least four calls a second now, as many as at 1 request a second before. TestALowRateIsAskedForSoonAfterAPermitIsThere failed before (3.998 s where 3 s is the most).

--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -17,6 +17,8 @@
 	burstWindow  = 250 * time.Millisecond
 	// asksPerPermit is the target number of calls for each permit; with fewer, permits lie idle until somebody asks.
 	asksPerPermit = 4
+	// minAsksPerSecond is the target number of calls a second at a low rate, where those per permit are too far apart.
+	minAsksPerSecond = 4.0
 	// maxRetryDelay bounds the delay between calls of one box, so that boxes notice what others need.
 	maxRetryDelay = 30 * time.Second
 	// askerTTL is how long after its retry delay a box still counts as asking.
@@ -124,7 +126,7 @@
 }
 
 // retryDelay returns the delay until a box that got no permit asks again: the time until there is a permit, plus a
-// random delay such that all asking boxes together make about asksPerPermit calls for each permit.
+// random delay such that all asking boxes together make about asksPerPermit calls for each permit, or minAsksPerSecond.
 func (b *bucket) retryDelay(asking willowwick.BoxID, now time.Time, perSecond float64) time.Duration {
 	askers := 1
 	for box, until := range b.askers {
@@ -136,7 +138,7 @@
 		}
 	}
 	missing := cappedSeconds((1 - b.permits) / perSecond)
-	spread := cappedSeconds(2 * float64(askers) / (asksPerPermit * perSecond))
+	spread := cappedSeconds(2 * float64(askers) / max(asksPerPermit*perSecond, minAsksPerSecond))
 	return min(missing+randomDelay(spread), maxRetryDelay)
 }
 
--- a/ratelimit/granter_test.go
+++ b/ratelimit/granter_test.go
@@ -111,3 +111,9 @@
 	const rate = 2
 	assert.LessOrEqual(t, longestRetry(t, rate), time.Second/rate+2*time.Second/(asksPerPermit*rate))
 }
+
+// Guards against permits that lie idle at a low rate until one of few boxes asks.
+func TestALowRateIsAskedForSoonAfterAPermitIsThere(t *testing.T) {
+	const rate = 0.5
+	assert.LessOrEqual(t, longestRetry(t, rate), 3*time.Second)
+}
