Gossip: a caller names boxes that the other one's roster lacks

A hub that had just started did not learn of a box that another box of its hall knew: a reply lists what the replying box knows, but a call told nothing. So usage reports left such a box out, and shares of limits were too large. A caller names up to eight boxes that the other one's roster lacked in its last reply. TestAStartedHubLearnsOfBoxesFromThoseThatCallIt failed before (2 boxes of 3).

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -58,6 +58,7 @@
 		Table        *willowwick.RoutingTable // for a box of an earlier release
 		Packed       []byte                   // the configuration for all others
 		KnownSum     uint64                   // checksum of the caller's roster
+		Known        []KnownRow               // some boxes of the caller's roster that the peer's lacked in its last reply
 		TakesChanges bool                     // accepts changes of the list of endpoints; a box of an earlier release accepts whole lists only
 		WantsList    bool                     // requests a whole list, since its own differs from the peer's last digest
 		Harm         quarantine.Call
--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -149,7 +149,8 @@
 // swapCallFor returns the call to the box at an address.
 func (p *peers) swapCallFor(address string, now time.Time) SwapCall {
 	call := SwapCall{
-		Digest: p.digestFor(p.hallOf(address), now), KnownSum: p.rosterSum(now), TakesChanges: true, WantsList: p.router.sync.wantsWholeList(address, now),
+		Digest: p.digestFor(p.hallOf(address), now), KnownSum: p.rosterSum(now), Known: p.rowsLackedBy(address, now),
+		TakesChanges: true, WantsList: p.router.sync.wantsWholeList(address, now),
 	}
 	if version, takesPacked, hasDigest := p.configVersionOf(address); hasDigest {
 		call.Table, call.Packed = p.tableForPeer(version, takesPacked)
@@ -165,6 +166,7 @@
 	reply.Digest.addTransitTime(now.Sub(sent))
 	p.receiveDigest(reply.Digest, now)
 	p.noteKnownRows(reply.Known, sent)
+	p.noteLacked(reply.Digest.Address, reply.Known, now)
 	p.renewLastSeen(reply.HallAges, sent)
 	p.applyPeerTable(reply.Table, reply.Packed, &reply.Digest)
 	p.router.sync.noteConfigFromPeer(&reply.Digest, now)
@@ -184,6 +186,7 @@
 	now := clock.Now()
 	p := s.peers
 	p.receiveDigest(call.Digest, now)
+	p.noteKnownRows(call.Known, now)
 	p.applyPeerTable(call.Table, call.Packed, &call.Digest)
 	p.receiveUsage(call.Digest.Address, call.Digest.Hall, call.Usage)
 	reply.Digest = p.digestFor(call.Digest.Hall, now)
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -50,9 +50,10 @@
 		namedAt      time.Time // last time that the box itself, the group or another box named it
 		nextCallAt   time.Time // backoff after failures
 		lastCallAt   time.Time
-		failures     int  // consecutive failed calls
-		isExchanging bool // a call is in progress
-		mustRepeat   bool // once that call is over, because of an urgent update
+		failures     int      // consecutive failed calls
+		isExchanging bool     // a call is in progress
+		mustRepeat   bool     // once that call is over, because of an urgent update
+		lacks        []string // addresses of boxes that its roster lacked in its last reply, maxToldRows at most
 	}
 )
 
--- a/exchange/mesh_fleet_test.go
+++ b/exchange/mesh_fleet_test.go
@@ -213,3 +213,19 @@
 		}
 	})
 }
+
+// Guards against a hub that has just started and does not learn of a box that another box of its hall knows: a reply tells
+// the caller what the hub knows, but the call told the hub nothing.
+func TestAStartedHubLearnsOfBoxesFromThoseThatCallIt(t *testing.T) {
+	discardLogs(t)
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(1, 3, 1, 4)
+		m.run(t, 5*time.Second)
+		m.start(0, 1)
+		hub, cut := m.boxes[0], m.boxes[2]
+		clear(hub.peers.known) // it has no seeds
+		m.cuts = func(from, to *Router) bool { return from == cut.Router || to == cut.Router }
+		m.run(t, 2*time.Second)
+		assert.Equal(t, 3, hub.peers.fleetSize())
+	})
+}
--- a/exchange/roster.go
+++ b/exchange/roster.go
@@ -16,6 +16,9 @@
 //
 // Without the ages of halls entries would expire one by one, and each would cause the whole roster to be sent.
 
+// maxToldRows bounds the boxes that a caller names: all boxes of a hall call a hub that has just started.
+const maxToldRows = 8
+
 // sum returns the box's term of the roster's checksum.
 func (b KnownBox) sum() uint64 {
 	return xxhash.Sum64String(memberName(b))
@@ -57,6 +60,45 @@
 	return rows
 }
 
+// noteLacked notes some of the boxes that the roster of another box lacks; it sends none if it equals this one's.
+func (p *peers) noteLacked(address string, rows []KnownRow, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.known[address]
+	if peer == nil {
+		return
+	}
+	peer.lacks = nil
+	if len(rows) == 0 {
+		return
+	}
+	isThere := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		isThere[row.Address] = true
+	}
+	for other, known := range p.known {
+		if len(peer.lacks) < maxToldRows && !isThere[other] && known.isInRoster(now) {
+			peer.lacks = append(peer.lacks, other)
+		}
+	}
+}
+
+// rowsLackedBy returns the boxes that a box's roster lacked in its last reply.
+func (p *peers) rowsLackedBy(address string, now time.Time) (rows []KnownRow) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.known[address]
+	if peer == nil {
+		return nil
+	}
+	for _, other := range peer.lacks {
+		if known := p.known[other]; known != nil && known.isInRoster(now) {
+			rows = append(rows, known.box.knownRow(now.Sub(known.lastSeen())))
+		}
+	}
+	return rows
+}
+
 // hallAges returns how recently the boxes of each hall were seen.
 func (p *peers) hallAges(now time.Time) []HallAge {
 	p.mu.Lock()
