Usage: a holder that has just started does not take the boxes it has met for the fleet

Accounts were billed too little: windows were reported with two thirds of their requests, with nothing said to be missing. Cause: a holder that had just started counted the boxes that it had met. A window from before this hub collected, or one that told it everything, is reported only with such a list. TestABoxThatTheHolderHasNotMetIsNotLeftOut and TestAWindowBeforeTheHoldersStartIsNotReportedWithoutAList failed before.

--- a/duty.go
+++ b/duty.go
@@ -102,6 +102,8 @@
 	UsageReport struct {
 		Window UsageWindow       `json:"window"`
 		Counts map[AccountID]int `json:"counts"`
+		// Boxes are those whose counts it holds and that go on counting, for holders that have not heard of them.
+		Boxes []BoxID `json:"boxes,omitempty"`
 	}
 
 	// RunnerOrder orders the number of runners of one kind in a hall.
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -149,7 +149,8 @@
 	attributes := []any{"window", report.Window, "begin", u.settings.Begin(report.Window).UTC(), "to_due_ms", -lateness.Milliseconds()}
 	coverage := []any{
 		"boxes", step.Coverage.Boxes, "missing", step.Coverage.Missing[:min(len(step.Coverage.Missing), maxMissingLogged)],
-		"unknown", step.Coverage.Unknown, "lost", step.Coverage.Lost,
+		"unknown", step.Coverage.Unknown, "lost", step.Coverage.Lost, "fleet", u.router.peers.fleetSize(),
+		"up_ms", clock.Since(u.router.peers.startedAt).Milliseconds(),
 	}
 	failedBefore := u.fails
 	u.fails = err != nil
--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -17,9 +17,11 @@
 // Coverage is how much of a window is known.
 type Coverage struct {
 	Boxes   int                // that have told of the window
+	Serving []willowwick.BoxID // of those, the ones that have not stopped as planned since
 	Missing []willowwick.BoxID // may still tell of the window
 	Unknown int                // boxes of the fleet that have told nothing of the window, but may have counted
 	Lost    float64            // share of the boxes' time in the window whose counts are not known
+	IsWhole bool               // this hub, or one that told it everything, has collected since the window's beginning
 }
 
 // IsComplete reports whether nothing more will be told.
@@ -28,8 +30,8 @@
 }
 
 // Coverage returns how much of a window is known, nothing on a box that is no hub; fleet is the number of boxes that
-// gossip knows, this one included.
-func (l *Ledger) Coverage(window willowwick.UsageWindow, fleet int, now time.Time) Coverage {
+// gossip knows, this one included, and former are boxes that counted shortly before, according to the stored reports.
+func (l *Ledger) Coverage(window willowwick.UsageWindow, fleet int, now time.Time, former ...willowwick.BoxID) Coverage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(l.own, now.Add(-settleTime))
@@ -38,13 +40,17 @@
 	for _, o := range l.origins {
 		byBox[o.box] = append(byBox[o.box], o)
 	}
-	coverage := Coverage{}
+	isHub := !l.collectingSince.IsZero()
+	coverage := Coverage{IsWhole: isHub && !l.collectingSince.After(begin)}
 	var lost time.Duration
 	for box, starts := range byBox {
 		known := l.coverageOf(starts, begin, end)
 		switch {
 		case known.hasTold:
 			coverage.Boxes++
+			if !starts[len(starts)-1].ended {
+				coverage.Serving = append(coverage.Serving, box)
+			}
 		case known.lost > 0:
 			coverage.Unknown++
 		}
@@ -54,11 +60,18 @@
 		}
 	}
 	slices.Sort(coverage.Missing)
-	withoutCounts := max(fleet-len(byBox), 0)
+	slices.Sort(coverage.Serving)
+	notHeard := 0
+	for _, box := range former {
+		if byBox[box] == nil {
+			notHeard++
+		}
+	}
+	withoutCounts := max(fleet-len(byBox), notHeard)
 	coverage.Unknown += withoutCounts
 	lost += time.Duration(withoutCounts) * l.settings.Window
 	coverage.Lost = 1
-	if all := coverage.Boxes + coverage.Unknown; coverage.Boxes > 0 && !l.collectingSince.IsZero() {
+	if all := coverage.Boxes + coverage.Unknown; coverage.Boxes > 0 && isHub {
 		coverage.Lost = lost.Seconds() / (float64(all) * l.settings.Window.Seconds())
 	}
 	return coverage
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,17 +80,32 @@
 	if offered, isOffered := r.offered[window]; isOffered {
 		return offered, true
 	}
-	return r.decide(window, fleet, now)
+	return r.decide(window, fleet, r.formerBoxes(stored, window), now)
 }
 
-// decide returns whether a window is reported or skipped, and false as long as boxes may still tell.
-func (r *Reporter) decide(window willowwick.UsageWindow, fleet int, now time.Time) (Step, bool) {
-	coverage := r.ledger.Coverage(window, fleet, now)
-	isKnown := coverage.Lost <= r.settings.Tolerance
+// formerBoxes returns the boxes that have counted within silentTime before a window, according to the stored reports. A
+// holder that has just started may not have heard of them, though they serve.
+func (r *Reporter) formerBoxes(stored []willowwick.UsageReport, window willowwick.UsageWindow) []willowwick.BoxID {
+	var boxes []willowwick.BoxID
+	for _, report := range stored {
+		if r.settings.Begin(window).Sub(r.settings.End(report.Window)) < silentTime {
+			boxes = append(boxes, report.Boxes...)
+		}
+	}
+	slices.Sort(boxes)
+	return slices.Compact(boxes)
+}
+
+// decide returns whether a window is reported or skipped, and false as long as boxes may still tell. Which boxes served in
+// it is known from having collected since its beginning, or from the former boxes, which counted shortly before.
+func (r *Reporter) decide(window willowwick.UsageWindow, fleet int, former []willowwick.BoxID, now time.Time) (Step, bool) {
+	coverage := r.ledger.Coverage(window, fleet, now, former...)
+	isKnown := coverage.Lost <= r.settings.Tolerance && (coverage.IsWhole || len(former) > 0)
 	mayWait := now.Before(r.settings.End(window).Add(time.Duration(waitShare * float64(r.settings.Due))))
 	switch {
 	case isKnown && (coverage.IsComplete() || !mayWait):
-		step := Step{Kind: WriteReport, Report: willowwick.UsageReport{Window: window, Counts: r.ledger.Counts(window)}, Coverage: coverage}
+		report := willowwick.UsageReport{Window: window, Counts: r.ledger.Counts(window), Boxes: coverage.Serving}
+		step := Step{Kind: WriteReport, Report: report, Coverage: coverage}
 		r.offered[window] = step
 		return step, true
 	case mayWait:
--- a/usage/reporter_test.go
+++ b/usage/reporter_test.go
@@ -223,3 +223,53 @@
 	_, sent = h.countOf(f.window + 2)
 	assert.True(t, sent)
 }
+
+// Guards against a holder that has just started and takes the boxes that it has met for the whole fleet.
+func TestABoxThatTheHolderHasNotMetIsNotLeftOut(t *testing.T) {
+	f := newTestFleet(3, 1)
+	first := newTestHolder(f, f.boxes[0])
+	first.runUntil(2 * time.Second)
+	first.requireSent(t, 0)
+	unmet := f.boxes[2]
+	unmet.cut = true
+	f.start(f.boxes[0])
+	h := newTestHolder(f, f.boxes[0])
+	h.stored = first.stored
+	met := *f
+	met.boxes = f.boxes[:2]
+	h.fleet = &met
+	met.window = testSettings.WindowAt(f.now) + 1
+	for met.now.Before(testSettings.End(met.window).Add(testSettings.Due)) {
+		for _, b := range f.boxes {
+			b.Count("a", met.now)
+		}
+		met.gossip(t)
+		h.work()
+	}
+	_, sent := h.countOf(met.window)
+	assert.False(t, sent, "its counts are not known")
+	for met.now.Before(testSettings.End(f.window).Add(silentTime + 4*testSettings.Window)) {
+		met.gossip(t)
+		h.work()
+	}
+	_, sent = h.countOf(testSettings.WindowAt(met.now) - 2)
+	assert.True(t, sent, "a box that is gone does not stop the reports")
+}
+
+// Guards against a holder that started after the window and takes the boxes that it has met for those that served in it.
+func TestAWindowBeforeTheHoldersStartIsNotReportedWithoutAList(t *testing.T) {
+	f := newTestFleet(3, 1)
+	f.runTo(testSettings.Begin(f.window))
+	for _, b := range f.boxes {
+		f.count(b, 20)
+	}
+	f.runTo(testSettings.End(f.window).Add(round))
+	f.boxes[2].cut = true
+	f.start(f.boxes[0])
+	met := *f
+	met.boxes = f.boxes[:2]
+	h := newTestHolder(&met, f.boxes[0])
+	h.runUntil(testSettings.Due + testSettings.Window)
+	_, sent := h.countOf(f.window)
+	assert.False(t, sent)
+}
