Usage: a new hub waits until the boxes that serve have told it

Accounts were billed too little, five windows in a row: a box that had become the hub reported 40 ms later. All that it knew of another box was a start that had stopped as planned; its next start, 7 s old, had told the hub before, and was not counted. For 2 s after it has become a hub a box decides nothing: no report, and no window is given up. TestABoxThatStartedAgainUnderTheFormerHubIsNotLeftOut failed before.

--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -12,6 +12,9 @@
 	restartLoss = time.Second
 	// silentTime is how long a silent box counts as cut off, and may still serve; after that, it counts as gone.
 	silentTime = 30 * time.Second
+	// hearTime is how long after a box has become the hub of its hall a box that serves may take to tell it: it notices
+	// that the former hub is silent, and gossips.
+	hearTime = 2 * time.Second
 )
 
 // Coverage is how much of a window is known.
@@ -22,11 +25,12 @@
 	Unknown int                // boxes of the fleet that have told nothing of the window, but may have counted
 	Lost    float64            // share of the boxes' time in the window whose counts are not known
 	IsWhole bool               // this hub, or one that told it everything, has collected since the window's beginning
+	IsNew   bool               // this box became a hub a moment ago: boxes that serve may have told only the hub before it
 }
 
 // IsComplete reports whether nothing more will be told.
 func (c Coverage) IsComplete() bool {
-	return c.Boxes > 0 && len(c.Missing) == 0 && c.Unknown == 0
+	return c.Boxes > 0 && len(c.Missing) == 0 && c.Unknown == 0 && !c.IsNew
 }
 
 // Coverage returns how much of a window is known, nothing on a box that is no hub; fleet is the number of boxes that
@@ -41,7 +45,7 @@
 		byBox[o.box] = append(byBox[o.box], o)
 	}
 	isHub := !l.collectingSince.IsZero()
-	coverage := Coverage{IsWhole: isHub && !l.collectingSince.After(begin)}
+	coverage := Coverage{IsNew: isHub && now.Before(l.hubSince.Add(hearTime)), IsWhole: isHub && !l.collectingSince.After(begin)}
 	var lost time.Duration
 	for box, starts := range byBox {
 		known := l.coverageOf(starts, begin, end)
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -40,6 +40,7 @@
 		// collectingSince is since when all boxes have told their counts to this hub, or to another hub that told it
 		// everything; zero if this box is no hub.
 		collectingSince time.Time
+		hubSince        time.Time // when this box last became a hub
 		// relaysSince is the revision since which this hub passes on to the hubs of its region what it learns of another
 		// one; 0 while it does not.
 		relaysSince  revision
@@ -208,7 +209,7 @@
 	case !isHub:
 		l.collectingSince = time.Time{}
 	case l.collectingSince.IsZero():
-		l.collectingSince = now
+		l.collectingSince, l.hubSince = now, now
 		for _, peer := range l.peers {
 			peer.received = 0
 		}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -101,7 +101,7 @@
 func (r *Reporter) decide(window willowwick.UsageWindow, fleet int, former []willowwick.BoxID, now time.Time) (Step, bool) {
 	coverage := r.ledger.Coverage(window, fleet, now, former...)
 	isKnown := coverage.Lost <= r.settings.Tolerance && (coverage.IsWhole || len(former) > 0)
-	mayWait := now.Before(r.settings.End(window).Add(time.Duration(waitShare * float64(r.settings.Due))))
+	mayWait := coverage.IsNew || now.Before(r.settings.End(window).Add(time.Duration(waitShare*float64(r.settings.Due))))
 	switch {
 	case isKnown && (coverage.IsComplete() || !mayWait):
 		report := willowwick.UsageReport{Window: window, Counts: r.ledger.Counts(window), Boxes: coverage.Serving}
--- a/usage/reporter_test.go
+++ b/usage/reporter_test.go
@@ -256,6 +256,37 @@
 	assert.True(t, sent, "a box that is gone does not stop the reports")
 }
 
+// Guards against a new hub that takes a box for gone because its former start stopped as planned, though its present one
+// told the hub before.
+func TestABoxThatStartedAgainUnderTheFormerHubIsNotLeftOut(t *testing.T) {
+	f := newTestFleet(3, 1)
+	former, next, again := f.boxes[0], f.boxes[1], f.boxes[2]
+	f.boxes = []*testBox{next, former, again}
+	again.EndOwn()
+	f.runFor(2 * round)
+	f.boxes = []*testBox{former, next, again}
+	f.start(again)
+	f.runFor(2 * round)
+	f.window = testSettings.WindowAt(f.now) + 1
+	for f.now.Before(testSettings.End(f.window).Add(round)) {
+		for _, b := range f.boxes {
+			f.count(b, 1)
+		}
+		f.gossip(t)
+	}
+	former.EndOwn()
+	f.runFor(round)
+	former.down, again.cut = true, true // the next hub is told at its second round
+	h := newTestHolder(f, next)
+	h.stored = []willowwick.UsageReport{{Window: f.window - 1, Boxes: []willowwick.BoxID{former.name, next.name, again.name}}}
+	h.runUntil(f.now.Add(round).Sub(testSettings.End(f.window)))
+	_, sent := h.countOf(f.window)
+	assert.False(t, sent, "the counts of a box that serves are not known")
+	again.cut = false
+	h.runUntil(testSettings.Due)
+	h.requireSent(t, f.truth[f.window])
+}
+
 // Guards against a holder that started after the window and takes the boxes that it has met for those that served in it.
 func TestAWindowBeforeTheHoldersStartIsNotReportedWithoutAList(t *testing.T) {
 	f := newTestFleet(3, 1)
