--- a/exchange/roster.go
+++ b/exchange/roster.go
@@ -60,7 +60,7 @@
 	return rows
 }
 
-// noteLacked notes some of the boxes that the roster of another box lacks; it sends none if it equals this one's.
+// noteLacked notes some of the boxes that the roster of another box lacks; the rows are empty if it equals this one's.
 func (p *peers) noteLacked(address string, rows []KnownRow, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// crashFanout is how many boxes hear of a crash from each box that has just learnt of it. A small fleet hears of it
-	// in one step; in a large one, where each box passes it on, all but a few in ten thousand in four.
+	// crashFanout is how many boxes hear of a crash from each box that has just learnt of it: all of a small fleet. In a
+	// large one each passes it on; the few that are left out hear of it with the next gossip exchange.
 	crashFanout = 8
 	// minCrashRound is the minimum time between two rounds of a box, which bounds its calls however many endpoints crash.
 	minCrashRound = 50 * time.Millisecond
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -97,7 +97,8 @@
 }
 
 // decide returns whether a window is reported or skipped, and false as long as boxes may still tell. Which boxes served in
-// it is known from having collected since its beginning, or from the former boxes, which counted shortly before.
+// the window is known if this box has collected since its beginning, or if stored reports name the boxes that counted
+// shortly before.
 func (r *Reporter) decide(window willowwick.UsageWindow, fleet int, former []willowwick.BoxID, now time.Time) (Step, bool) {
 	coverage := r.ledger.Coverage(window, fleet, now, former...)
 	isKnown := coverage.Lost <= r.settings.Tolerance && (coverage.IsWhole || len(former) > 0)
