Usage: a silent box counts as gone only on evidence

Callers saw: client accounts were billed for 40 of 60 requests of a window in which a box was cut off from its hub and served on, whether it was killed afterwards or stayed cut off for over 30 s. The report's line said that nothing was missing.

Cause: two rules took a box for gone without evidence. A start that ended was taken to have counted for one second at most after its last word, and a silent box counted as gone after 30 s.

Change: what tells them apart is now asked for. Nothing listens at the address of a box that was killed: hubs call silent boxes of their hall, and a refused connection says by when a start was gone. And a box that the others alone don't hear reaches the store and joins the group: one that has been silent for 30 s is gone if the holder hears every member. Hubs tell each other both. Without either a box stays missing. A box that tells all its counts tells by that up to when they are complete.

The package's fake fleet calls boxes that are down, as real hubs do; no check of a test changed.

--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -138,9 +138,9 @@
 	defer cancel()
 	call := p.swapCallFor(address, clock.Now())
 	var reply SwapReply
-	sent := clock.Now()
+	sent, sentAt := clock.Now(), clock.TimeOfDay()
 	if err := p.transport.Call(ctx, address, rpcSwapMethod, &call, &reply); err != nil {
-		p.noteCallFailure(address, err)
+		p.noteCallFailure(address, sentAt, err)
 		return
 	}
 	p.applyReply(&call, reply, sent, clock.Now())
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -172,6 +172,7 @@
 	for _, hall := range p.knownHalls() {
 		if hall == self.Hall {
 			targets = append(targets, p.probeCandidates(hall, self, now)...)
+			targets = append(targets, p.silentFollowers(now)...)
 			continue
 		}
 		if p.isInOtherRegion(hall) {
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -189,8 +189,10 @@
 	return known.digest.TableVersion, known.digest.TakesPacked, true
 }
 
-// noteCallFailure records a failed call and schedules the next one; it logs the first of consecutive failures.
-func (p *peers) noteCallFailure(address string, err error) {
+// noteCallFailure records a failed call that was sent at a time of day, and schedules the next one; it logs the first of
+// consecutive failures.
+func (p *peers) noteCallFailure(address string, sentAt time.Time, err error) {
+	p.noteUsageRefusal(address, sentAt, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[address]
--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -94,9 +94,12 @@
 		slog.Info("listing the group failed", "error", err)
 		return
 	}
+	boxes := make([]KnownBox, 0, len(members))
 	for _, member := range members {
+		boxes = append(boxes, parseMemberName(member))
 		s.router.peers.noteBox(parseMemberName(member), now)
 	}
+	s.router.usage.noteMembers(boxes, now)
 }
 
 // memberName encodes a box's address, hall and link bandwidth as its name in the group.
--- a/exchange/mesh_test.go
+++ b/exchange/mesh_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 	meshBox struct {
 		*Router
 		down           bool
+		refusesCalls   bool      // while it is down: nothing listens at its address
 		isRefused      bool      // by the store
 		reads          int       // of the list that the store answered
 		nextRead       time.Time // of the list
@@ -311,7 +313,11 @@
 	defer box.peers.endExchange(address)
 	other := m.byAddress[address]
 	if other == nil || other.down || m.isCutBetween(box.Router, other.Router) {
-		box.peers.noteCallFailure(address, errDown)
+		err := errDown
+		if other != nil && other.refusesCalls {
+			err = syscall.ECONNREFUSED
+		}
+		box.peers.noteCallFailure(address, now, err)
 		return
 	}
 	call := box.peers.swapCallFor(address, now)
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -5,8 +5,10 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/usage"
@@ -39,7 +41,8 @@
 		return nil
 	}
 	settings := usage.Settings{Window: duties.UsageWindow, Due: duties.UsageDue, Tolerance: duties.UsageOff}
-	ledger := usage.NewLedger(settings, x.settings.Box, x.settings.Boot, x.settings.topology(), clock.TimeOfDay())
+	start := usage.Start{Box: x.settings.Box, Boot: x.settings.Boot, Address: x.settings.Peers}
+	ledger := usage.NewLedger(settings, start, x.settings.topology(), clock.TimeOfDay())
 	return &usageReports{settings: settings, ledger: ledger, reporter: usage.NewReporter(settings, ledger), router: x}
 }
 
@@ -88,6 +91,48 @@
 	}
 }
 
+// silentFollowers returns the addresses of some silent boxes that would follow this hub, if the fleet reports usage: they
+// may be cut off on their way here only, or nothing may listen there any more. The caller holds the lock.
+func (p *peers) silentFollowers(now time.Time) []string {
+	if p.router.usage == nil {
+		return nil
+	}
+	self := p.self()
+	isFollower := func(known *peer) bool { return known.box.Hall == self.Hall && self.precedes(known.box) }
+	return p.probeCandidatesWhere(isFollower, KnownBox{}, now)
+}
+
+// noteUsageRefusal records that nothing listened at the address of a box, if a call failed for that.
+func (p *peers) noteUsageRefusal(address string, at time.Time, err error) {
+	if p.router.usage != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		p.router.usage.ledger.NoteRefused(address, at)
+	}
+}
+
+// noteMembers records which boxes were in the group, of which each is one that reaches the store and that no other box
+// reads for. If this box hears all of them, boxes that have been silent for long don't serve.
+func (u *usageReports) noteMembers(members []KnownBox, now time.Time) {
+	if u == nil {
+		return
+	}
+	for _, member := range members {
+		if !u.router.peers.hears(member.Address, now) {
+			return
+		}
+	}
+	if gone := u.ledger.NoteSilence(clock.TimeOfDay()); len(gone) > 0 {
+		slog.Info("silent boxes count as gone: the group lacks them", "boxes", gone[:min(len(gone), maxMissingLogged)], "count", len(gone))
+	}
+}
+
+// hears reports whether the address is this box's or that of a live box.
+func (p *peers) hears(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[address]
+	return address == p.router.settings.Peers || known != nil && known.isLive(now)
+}
+
 // noteRestored records that the store was restored from a copy.
 func (u *usageReports) noteRestored() {
 	if u != nil {
--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// restartLoss is for how long before its end a start of a box may have counted what it has not told: two gossip rounds.
+	// restartLoss is for how long at least a start of a box that is gone may have counted what it has not told: two gossip
+	// rounds.
 	restartLoss = time.Second
-	// silentTime is how long a silent box counts as cut off, and may still serve; after that, it counts as gone.
+	// silentTime is how long a silent box may be cut off before NoteSilence takes it for gone.
 	silentTime = 30 * time.Second
 	// hearTime is how long after a box has become the hub of its hall a box that serves may take to tell it: it notices
 	// that the former hub is silent, and gossips.
@@ -40,14 +41,15 @@
 	defer l.mu.Unlock()
 	l.advance(l.own, now.Add(-settleTime))
 	begin, end := l.settings.Begin(window), l.settings.End(window)
-	byBox := map[willowwick.BoxID][]*origin{}
-	for _, o := range l.origins {
-		byBox[o.box] = append(byBox[o.box], o)
-	}
+	byBox := l.startsByBox()
 	isHub := !l.collectingSince.IsZero()
-	coverage := Coverage{IsNew: isHub && now.Before(l.hubSince.Add(hearTime)), IsWhole: isHub && !l.collectingSince.After(begin)}
+	coverage := Coverage{IsNew: l.isNewHub(now), IsWhole: isHub && !l.collectingSince.After(begin)}
 	var lost time.Duration
+	heard := 0 // boxes that gossip may still know
 	for box, starts := range byBox {
+		if l.settings.WindowAt(starts[len(starts)-1].until) >= l.settings.oldest(now) {
+			heard++
+		}
 		known := l.coverageOf(starts, begin, end)
 		switch {
 		case known.hasTold:
@@ -71,7 +73,7 @@
 			notHeard++
 		}
 	}
-	withoutCounts := max(fleet-len(byBox), notHeard)
+	withoutCounts := max(fleet-heard, notHeard)
 	coverage.Unknown += withoutCounts
 	lost += time.Duration(withoutCounts) * l.settings.Window
 	coverage.Lost = 1
@@ -88,9 +90,9 @@
 	lost      time.Duration // time in the window whose counts are not known
 }
 
-// coverageOf returns how much of a window is known of a box with these starts; the caller holds the lock.
+// coverageOf returns how much of a window is known of a box with these starts, the earliest first; the caller holds the
+// lock.
 func (l *Ledger) coverageOf(starts []*origin, begin, end time.Time) boxCoverage {
-	slices.SortFunc(starts, func(a, b *origin) int { return a.since.Compare(b.since) })
 	var known boxCoverage
 	// A hub that began to collect after the window's beginning can't know of starts before the first one known to it.
 	if l.collectingSince.After(begin) {
@@ -104,9 +106,10 @@
 		switch isLast := i == len(starts)-1; {
 		case o.ended || !o.until.Before(end): // all its counts are known
 		case !isLast:
-			lostUntil := earlier(o.until.Add(restartLoss), starts[i+1].since)
-			known.lost += overlap(o.until, lostUntil, begin, end)
-		case begin.Sub(o.until) < silentTime:
+			known.lost += overlap(o.until, earlier(o.mayCountUntil(), starts[i+1].since), begin, end)
+		case o.isGone() && begin.Sub(o.until) >= silentTime:
+			known.lost += overlap(o.until, o.mayCountUntil(), begin, end)
+		default:
 			known.isMissing = true
 			known.lost += overlap(o.until, end, begin, end)
 		}
@@ -128,3 +131,10 @@
 	}
 	return b
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,13 @@
 		Tolerance float64       // share of the boxes' time in a window whose counts a report may lack
 	}
 
+	// Start is one start of a box.
+	Start struct {
+		Box     willowwick.BoxID
+		Boot    willowwick.BootID
+		Address string // host:port under which other boxes call the box
+	}
+
 	// Ledger holds what each start of each box has counted. It may be used by several goroutines.
 	Ledger struct {
 		settings Settings
@@ -37,6 +45,7 @@
 		// revision counts the changes of this ledger, so that each is told once to each box.
 		revision revision
 		peers    map[string]*peerState // by address
+		refused  map[string]time.Time  // since when nothing listened at an address, as far as is known
 		// collectingSince is since when all boxes have told their counts to this hub, or to another hub that told it
 		// everything; zero if this box is no hub.
 		collectingSince time.Time
@@ -71,9 +80,11 @@
 		since   time.Time // when it began to count
 		until   time.Time // up to where its counts are known completely
 		ended   bool      // it stopped as planned and counts no more
+		address string    // of its box, under which other boxes call it; empty if an earlier release told of it
+		goneBy  time.Time // it had ended by then, as others found; zero if that is not known
 		counts  map[willowwick.UsageWindow]*windowCounts
 		namedAt revision // when box, hall and since were learnt
-		stateAt revision // when until and ended changed enough to be told
+		stateAt revision // when until, ended and goneBy changed enough to be told
 		countAt revision // when a count changed last
 	}
 
@@ -115,13 +126,14 @@
 	return s.WindowAt(now.Add(-s.Due - outageTime))
 }
 
-// NewLedger returns the ledger of a box that begins to count now, in the hall of the topology.
-func NewLedger(settings Settings, box willowwick.BoxID, boot willowwick.BootID, topology willowwick.Topology, now time.Time) *Ledger {
-	own := newOrigin(keyOf(boot))
-	own.box, own.hall, own.since, own.until, own.namedAt, own.stateAt = box, topology.Hall, now, now, 1, 1
+// NewLedger returns the ledger of a start of a box that begins to count now, in the hall of the topology.
+func NewLedger(settings Settings, start Start, topology willowwick.Topology, now time.Time) *Ledger {
+	own := newOrigin(keyOf(start.Boot))
+	own.box, own.address, own.hall, own.since, own.until, own.namedAt, own.stateAt = start.Box, start.Address, topology.Hall, now, now, 1, 1
 	return &Ledger{
 		settings: settings, topology: topology, own: own, origins: map[originKey]*origin{own.key: own}, nextOrigin: 1,
 		accounts: map[willowwick.AccountID]*account{}, revision: 1, peers: map[string]*peerState{},
+		refused: map[string]time.Time{},
 	}
 }
 
@@ -230,7 +242,7 @@
 	}
 }
 
-// Forget drops windows that are not reported any more, and starts of boxes that have been silent for that long.
+// Forget drops windows that are not reported any more, and starts of boxes that can't have counted since.
 func (l *Ledger) Forget(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -239,18 +251,41 @@
 		return
 	}
 	l.forgotten = oldest
-	for key, o := range l.origins {
-		for window := range o.counts {
-			if window < oldest {
-				delete(o.counts, window)
+	l.forgetRefusals(l.settings.Begin(oldest))
+	for _, starts := range l.startsByBox() {
+		for i, o := range starts {
+			for window := range o.counts {
+				if window < oldest {
+					delete(o.counts, window)
+				}
+			}
+			isLast := i == len(starts)-1
+			if isLast && (o == l.own || !o.ended && !o.isGone()) {
+				continue
+			}
+			lastCount := o.mayCountUntil()
+			if !isLast {
+				lastCount = earlier(lastCount, starts[i+1].since)
+			}
+			if l.settings.WindowAt(lastCount) < oldest {
+				delete(l.origins, o.key)
 			}
 		}
-		if o != l.own && l.settings.WindowAt(o.until) < oldest {
-			delete(l.origins, key)
-		}
 	}
 }
 
+// startsByBox returns the known starts of each box, the earliest first; the caller holds the lock.
+func (l *Ledger) startsByBox() map[willowwick.BoxID][]*origin {
+	byBox := map[willowwick.BoxID][]*origin{}
+	for _, o := range l.origins {
+		byBox[o.box] = append(byBox[o.box], o)
+	}
+	for _, starts := range byBox {
+		slices.SortFunc(starts, func(a, b *origin) int { return a.since.Compare(b.since) })
+	}
+	return byBox
+}
+
 // Counts returns the sum of all boxes' counts in a window.
 func (l *Ledger) Counts(window willowwick.UsageWindow) map[willowwick.AccountID]int {
 	l.mu.Lock()
--- a/usage/message.go
+++ b/usage/message.go
@@ -25,6 +25,12 @@
 	flagEnded
 )
 
+// Flags of what follows after the updates.
+const (
+	flagAddress = 1 << iota
+	flagGone
+)
+
 type (
 	// message is what one box tells another.
 	//
@@ -58,7 +64,8 @@
 		requests int
 	}
 
-	// originUpdate is what changed of one start of a box.
+	// originUpdate is what changed of one start of a box. Address and goneBy follow after all updates, where an earlier
+	// release reads nothing.
 	originUpdate struct {
 		index    int
 		isNamed  bool // has key, box, hall and since
@@ -69,6 +76,8 @@
 		hall     willowwick.HallID
 		since    time.Time
 		until    time.Time
+		address  string
+		goneBy   time.Time // zero if it is not known to be gone
 		rows     []countRow
 	}
 
@@ -109,9 +118,28 @@
 	for i := range m.origins {
 		e.addUpdate(&m.origins[i], m.at, base)
 	}
+	for i := range m.origins {
+		e.addWhereabouts(&m.origins[i], i, m.at)
+	}
 	return e.data
 }
 
+// addWhereabouts adds the address of an update and by when its start was gone, if it has one of them.
+func (e *encoder) addWhereabouts(u *originUpdate, position int, at time.Time) {
+	flags := flagOf(u.isNamed && u.address != "", flagAddress) | flagOf(u.hasState && !u.goneBy.IsZero(), flagGone)
+	if flags == 0 {
+		return
+	}
+	e.addUint(uint64(position))
+	e.data = append(e.data, flags)
+	if flags&flagAddress != 0 {
+		e.addName(u.address)
+	}
+	if flags&flagGone != 0 {
+		e.addAge(at, u.goneBy)
+	}
+}
+
 func (e *encoder) addUpdate(u *originUpdate, at time.Time, base willowwick.UsageWindow) {
 	e.addUint(uint64(u.index))
 	e.data = append(e.data, flagOf(u.isNamed, flagNamed)|flagOf(u.hasState, flagState)|flagOf(u.ended, flagEnded))
@@ -185,9 +213,28 @@
 	for range d.length() {
 		m.origins = append(m.origins, d.update(m.at, base))
 	}
+	for len(d.data) > 0 {
+		d.whereabouts(m.origins, m.at)
+	}
 	return m, d.err
 }
 
+// whereabouts reads the address of one of the updates and by when its start was gone.
+func (d *decoder) whereabouts(updates []originUpdate, at time.Time) {
+	position, flags := d.uint(), d.byte()
+	if position >= uint64(len(updates)) {
+		d.fail()
+		return
+	}
+	u := &updates[position]
+	if flags&flagAddress != 0 {
+		u.address = d.name()
+	}
+	if flags&flagGone != 0 {
+		u.goneBy = d.moment(at)
+	}
+}
+
 func (d *decoder) update(at time.Time, base willowwick.UsageWindow) originUpdate {
 	u := originUpdate{index: int(d.uint())}
 	flags := d.byte()
--- a/usage/telling.go
+++ b/usage/telling.go
@@ -124,6 +124,7 @@
 		l.peers[address] = peer
 	}
 	peer.isHub, peer.hall = m.isHub, hall
+	delete(l.refused, address)
 	if m.confirms == l.own.key {
 		peer.confirm(m.confirmed, l.revision, l.relaysSince)
 	}
@@ -137,6 +138,9 @@
 		peer.received = 0 // the other box tells everything again
 	case m.from <= peer.received:
 		peer.received = max(peer.received, m.to)
+		if sender := l.origins[m.sender]; sender != nil {
+			l.advance(sender, m.at.Add(-settleTime)) // it told all that it counted up to then
+		}
 	}
 	tellsAll := m.from == 0 && m.isHub && !m.collectingSince.IsZero()
 	if tellsAll && m.collectingSince.Before(l.collectingSince) {
@@ -174,7 +178,8 @@
 	}
 	l.revision++
 	o := newOrigin(update.key)
-	o.box, o.hall, o.since, o.until, o.namedAt, o.index = update.box, update.hall, update.since, update.since, l.revision, l.nextOrigin
+	o.box, o.hall, o.since, o.until, o.address = update.box, update.hall, update.since, update.since, update.address
+	o.namedAt, o.index = l.revision, l.nextOrigin
 	l.nextOrigin++
 	l.origins[update.key] = o
 }
@@ -193,6 +198,10 @@
 		if update.ended {
 			l.end(o)
 		}
+		if !update.goneBy.IsZero() {
+			l.setGone(o, update.goneBy)
+		}
+		l.applyRefusal(o)
 	}
 	return true
 }
@@ -207,7 +216,10 @@
 // addChanges adds what changed of an origin after a revision.
 func (m *message) addChanges(o *origin, after revision, accounts map[willowwick.AccountID]*account) {
 	update := originUpdate{key: o.key, index: o.index, isNamed: o.namedAt > after, hasState: o.stateAt > after, ended: o.ended, until: o.until}
-	update.box, update.hall, update.since = o.box, o.hall, o.since
+	update.box, update.hall, update.since, update.address = o.box, o.hall, o.since, o.address
+	if o.isGone() {
+		update.goneBy = o.goneBy
+	}
 	if o.countAt > after {
 		for window, counts := range o.counts {
 			if counts.at <= after {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -56,7 +56,7 @@
 func (f *testFleet) start(b *testBox) {
 	f.starts++
 	b.down = false
-	b.Ledger = NewLedger(testSettings, b.name, willowwick.BootID(fmt.Sprint("boot-", f.starts)), willowwick.Topology{Hall: b.hall, Regions: f.regions}, f.timeOf(b))
+	b.Ledger = NewLedger(testSettings, Start{b.name, willowwick.BootID(fmt.Sprint("boot-", f.starts)), b.address}, willowwick.Topology{Hall: b.hall, Regions: f.regions}, f.timeOf(b))
 }
 
 func (f *testFleet) timeOf(b *testBox) time.Time {
@@ -93,6 +93,7 @@
 		hub := f.hubOf(b.hall, b)
 		b.SetHub(hub == b, f.timeOf(b))
 		b.Forget(f.timeOf(b))
+		f.callSilentBoxes(b, hub)
 		if hub != b {
 			f.exchange(t, b, hub)
 			continue
@@ -105,6 +106,16 @@
 	}
 }
 
+// callSilentBoxes lets a hub call the boxes of its hall that are down: nothing listens there, while a call of a box that
+// is cut off gets no answer.
+func (f *testFleet) callSilentBoxes(from, hub *testBox) {
+	for _, other := range f.boxes {
+		if other.down && other.hall == from.hall && from == hub && !from.cut {
+			from.NoteRefused(other.address, f.timeOf(from))
+		}
+	}
+}
+
 func (f *testFleet) exchange(t *testing.T, from, to *testBox) {
 	if t == nil {
 		t = &testing.T{}
