A denied permit does not begin a request's wait in the queue anew

Callers saw: refusals beyond a limit that came after 150 ms and more where a few are usual.

Cause: the wait in the queue ended a quarter of the goal after it began, and began anew after each denied permit (up to three).

Evidence: TestWaitsOfARequestThatIsDeniedPermitsAreBoundedTogether, 160 ms where 135 are allowed, 5 of 5 runs before; a trial with a line for each step of slow refusals (docs/incidents/2026-12-03-late-refusals.md).

Change: the first wait before a send sets until when the request may wait there at all. Waits for permits are as they were.

After: that test, unchanged, 5 of 5 runs; slowest refusal that waited in the queue after a denied permit 107 ms (161 before) with 16 processes at once. TestRequestsBeyondRateLimitAreRefusedAtOnce there: 9 of 32 runs fail (14 of 32 before), none of 44 at 7 and 10 at once, before or after. What is left is the machine that stands still: the client saw 272 and 171 ms where the router took 115 and 118.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -63,6 +63,7 @@
 
 		yieldsToUrgent  bool      // leaves the capacity of rate-limited endpoints to more urgent requests
 		permitDenials   int       // permits that this request was denied
+		queueUntil      time.Time // end of the wait in the queue before the next send; zero after each send
 		lastSendEndedAt time.Time // zero before the first send has ended
 		sends           int       // all sends, whatever their result
 		runs            int       // endpoints that may have run the request
@@ -246,6 +247,7 @@
 			continue
 		}
 		c.sends++
+		c.queueUntil = time.Time{}
 		result := c.sendOnce(ticket)
 		c.lastSendEndedAt = clock.Now()
 		if result.kind == answered || result.kind == callerLeft {
@@ -267,13 +269,10 @@
 	// Roll-outs may have started or ended since the previous send.
 	c.choice = c.router.releases.choose(c.service, c.sessionKey(), now, c.deadline)
 	c.choice.onlyRelease = c.trialRelease
-	until := c.deadline
-	if c.sends == 0 || c.hasOnlyUnavailableLeft(now) || c.areNoneAvailable(now) {
-		until = earliest(until, now.Add(scale(c.route.Goal, queueWaitShare)))
-	}
+	c.limitQueueWait(now)
 	work := c.work()
 	return c.router.gate.Enter(c.ctx, gate.Request{
-		Work: c.queueName(), Account: c.accountName(), Weight: 1, Cost: c.cost(), Deadline: until,
+		Work: c.queueName(), Account: c.accountName(), Weight: 1, Cost: c.cost(), Deadline: c.queueUntil,
 		Acquire: func(now time.Time) (*route.Slot, bool) {
 			slot, known := c.acquireSlot(now, work, c.allows)
 			if slot == nil && !known && c.choice.release != "" {
@@ -285,6 +284,17 @@
 	})
 }
 
+// limitQueueWait sets until when the request may wait in the queue. A request that is denied a permit waits on no longer
+// than it might have without.
+func (c *call) limitQueueWait(now time.Time) {
+	if c.queueUntil.IsZero() {
+		c.queueUntil = c.deadline
+	}
+	if c.queueUntil.Equal(c.deadline) && (c.sends == 0 || c.hasOnlyUnavailableLeft(now) || c.areNoneAvailable(now)) {
+		c.queueUntil = earliest(c.deadline, now.Add(scale(c.route.Goal, queueWaitShare)))
+	}
+}
+
 // acquireSlot takes a slot at an allowed endpoint, preferring regions and halls with few misses.
 func (c *call) acquireSlot(now time.Time, work route.Work, allow func(willowwick.Endpoint) bool) (*route.Slot, bool) {
 	if c.avoidsLimitedEndpoints() {
