Own interface: a runner that lacks a version is no failed run, but news

Callers saw: 502 for some moments after a withdrawal, from boxes that had not read it, though nothing had run and the model had a successor.

Cause: a runner's 404 for a version that it doesn't have was taken for a run that failed: no successor, a retry from the budget, evidence against the version, and the box learnt nothing.

Evidence: TestBoxThatHasNotHeardOfAWithdrawalAnswersByAnotherVersion lets the runners drop a version as its withdrawal is written: 502 from all three boxes, 3 of 3 runs before. TestVersionThatNoRunnerHasIsRefusedAsNotRun: 502 where 503 not_run is true, 3 of 3.

Change: the refusal has an error of its own and counts as not run.

--- a/errors.go
+++ b/errors.go
@@ -8,6 +8,9 @@
 	ErrNotSent = errors.New("nothing was sent")
 	// ErrDraining means that the endpoint refused the call because it is draining.
 	ErrDraining = errors.New("endpoint is draining")
+	// ErrVersionNotLoaded means that the endpoint refused the call because it doesn't have the version: it was started
+	// without it, or has dropped it since it was withdrawn.
+	ErrVersionNotLoaded = errors.New("endpoint does not have the version")
 	// ErrBusy means that the endpoint refused the call because all its slots are taken.
 	ErrBusy = errors.New("endpoint is full")
 	// ErrBroken means that an answer has a gap, a wrong request id or no end.
--- a/remote/engine.go
+++ b/remote/engine.go
@@ -178,6 +178,8 @@
 		return willowwick.ErrDraining
 	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
 		return willowwick.ErrBusy
+	case response.StatusCode == http.StatusNotFound:
+		return errors.Wrap(willowwick.ErrVersionNotLoaded, errorText(response.Body))
 	default:
 		return errors.Errorf("runner: %s: %s", response.Status, errorText(response.Body))
 	}
--- a/serve/attempts.go
+++ b/serve/attempts.go
@@ -66,7 +66,8 @@
 	pause(ctx, quarantineUpdateDelay)
 }
 
-// isNotTaken reports whether an endpoint that failed a send was not reached or is draining, so that nothing was run.
+// isNotTaken reports whether an endpoint that failed a send was not reached, is draining or lacks the version, so that
+// nothing was run.
 func isNotTaken(err error) bool {
-	return errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrDraining)
+	return errors.Is(err, willowwick.ErrNotSent) || errors.Is(err, willowwick.ErrDraining) || errors.Is(err, willowwick.ErrVersionNotLoaded)
 }
--- a/serve/call.go
+++ b/serve/call.go
@@ -47,6 +47,7 @@
 	startedAt    time.Time
 	firstChunkAt time.Time
 	text         strings.Builder
+	isLacking    bool // some runner did not have the version
 	closed       bool
 	finished     bool // the answer is complete
 }
@@ -86,7 +87,7 @@
 		}
 		ticket, refusal := c.acquireSlot()
 		if refusal != nil {
-			return refusal
+			return c.correctIfLacking(refusal)
 		}
 		if !c.run.daemon.obtainPermit(c.ctx, ticket, c.attempts.exclude) {
 			continue
@@ -166,6 +167,9 @@
 	switch {
 	case errors.Is(err, willowwick.ErrDraining):
 		ticket.Done(route.OutcomeCancelled)
+	case errors.Is(err, willowwick.ErrVersionNotLoaded):
+		ticket.Done(route.OutcomeCancelled)
+		c.handleLackingVersion(ticket.Endpoint, err)
 	case errors.Is(err, willowwick.ErrNotSent):
 		ticket.Done(route.OutcomeFailed)
 	case errors.Is(err, willowwick.ErrBusy):
@@ -188,7 +192,25 @@
 	if r.sent {
 		return willowwick.Failed(willowwick.CodeEndpointError, "no endpoint gave a complete answer of version %q", c.version)
 	}
-	return willowwick.NotRun(willowwick.CodeNoEndpoint, clock.Now().Add(gate.OverloadRetryDelay), "no endpoint accepted the request")
+	return c.correctIfLacking(willowwick.NotRun(willowwick.CodeNoEndpoint, clock.Now().Add(gate.OverloadRetryDelay), "no endpoint accepted the request"))
+}
+
+// handleLackingVersion learns whether the version was withdrawn, which runners may know before this box. If not, the
+// refusal is evidence against the version.
+func (c *resumableCall) handleLackingVersion(endpoint willowwick.Endpoint, err error) {
+	c.isLacking = true
+	c.run.daemon.config.refresh(c.ctx)
+	if c.checkAllowed() == nil {
+		c.recordFailure(endpoint, err)
+	}
+}
+
+// correctIfLacking returns the refusal of a request that found no runner: for another reason if runners lack the version.
+func (c *resumableCall) correctIfLacking(refusal *willowwick.Refusal) *willowwick.Refusal {
+	if !c.isLacking || refusal.Code != willowwick.CodeNoEndpoint {
+		return refusal
+	}
+	return willowwick.NotRun(willowwick.CodeNoVersion, clock.Now().Add(gate.OverloadRetryDelay), "no endpoint has version %q", c.version)
 }
 
 // interruptedRefusal returns the refusal for a call whose context has ended: its deadline has passed or its caller has
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -45,6 +45,7 @@
 		sessions       *sessions
 		traces         *traces
 		versionWatcher *versionWatcher
+		config         *configRefresher
 		rater          *raterHealth
 		metrics        *daemonMetrics
 
@@ -96,6 +97,7 @@
 	d.pool = route.NewPoolWith(route.NewPowerOfTwo(settings.Hall, true, seed), route.PoolOptions{Limits: d.node.Limits})
 	d.sessions = newSessions(settings.Key, d.node)
 	d.versionWatcher = newVersionWatcher(d)
+	d.config = newConfigRefresher(d.node.Follower)
 	d.metrics = newDaemonMetrics(d)
 	return d, closeTransport
 }
