A box without seeds learns of the others as it starts

Without seeds a box learns of others from the group alone, and it asked for the members only after it had searched for a hub for 1.5 s. What it served until then no hub knew of, so a usage report could lack it.

Evidence: logs of the soak of duties: started at 57.7 s, in touch with the hub at 59.3 s, the window that ended at 58.0 s reported at 58.6 s without it. With seeds nothing changes; without, one call to the store at the start.

--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -27,6 +27,9 @@
 func (s *syncer) maintainMembership(ctx context.Context) {
 	member := memberName(s.router.peers.self())
 	var listedAt time.Time
+	if len(s.router.settings.Seeds) == 0 {
+		s.listMembers(ctx, clock.Now()) // nothing else names other boxes
+	}
 	sleep(ctx, hubSearchTime)
 	for ctx.Err() == nil {
 		now := clock.Now()
