A box in a planned stop is no hub any more

Callers saw: no usage report and no order of runners for up to 8 s around the planned stop of one box.

Cause: a box that stops stayed the hub and reader of its hall while it was in touch. The others left the group for their reader, but a box that stops takes no duties, so nobody had the lease until it was started again, and then it had to wait for the lease's time.

Change: a box says in its digest, at once, that it is stopping; one that isn't comes before it in hub order.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -180,6 +180,7 @@
 	x := d.router
 	slog.Info("planned stop began", "in_flight", x.inFlight.Load(), "grace_ms", x.settings.Grace.Milliseconds())
 	x.stopping.Store(true)
+	x.peers.requestRound() // another box becomes the hub at once
 	x.duties.giveUp()
 	d.leaveGroup()
 	limit := began.Add(x.settings.Grace - exitMargin)
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -23,6 +23,7 @@
 		Hall          willowwick.HallID
 		Address       string
 		LinkMbps      int
+		IsStopping    bool   // during its planned stop
 		StartedMs     int64  // Unix milliseconds; 0 from a box of an earlier release
 		Granter       string // on a hub, the address of the box that it considers the granter of permits
 		TableVersion  uint64
@@ -82,7 +83,7 @@
 
 // knownBox returns the box that sent the digest.
 func (d *Digest) knownBox() KnownBox {
-	return KnownBox{Address: d.Address, Hall: d.Hall, LinkMbps: d.LinkMbps}
+	return KnownBox{Address: d.Address, Hall: d.Hall, LinkMbps: d.LinkMbps, IsStopping: d.IsStopping}
 }
 
 // addTransitTime adds the time that the digest may have been in transit to the ages of the store's data in it.
@@ -102,7 +103,7 @@
 	configAge := max(x.sync.configAge(now).Milliseconds(), 1)
 	digest := Digest{
 		Box: x.settings.Box, Boot: x.settings.Boot, Hall: x.settings.Hall, Address: x.settings.Peers,
-		LinkMbps: x.settings.LinkMbps, StartedMs: p.startedMs, TableVersion: x.configVersion(), TakesPacked: true, ConfigAgeMs: configAge,
+		LinkMbps: x.settings.LinkMbps, IsStopping: x.stopping.Load(), StartedMs: p.startedMs, TableVersion: x.configVersion(), TakesPacked: true, ConfigAgeMs: configAge,
 		StoreAgeMs: x.sync.endpointsAge(now).Milliseconds(), ReadAgeMs: min(x.sync.storeReadAge(now), maxReportedAge).Milliseconds(),
 		Evacuated: x.evacuations.set(), Admitted: x.admissions.set(), Leaving: x.pool.DrainingNotInEntries(),
 		Own: p.ownReport(), Verdicts: x.releases.verdictRows(now), Speeds: x.pool.Speeds(),
--- a/exchange/hub.go
+++ b/exchange/hub.go
@@ -198,8 +198,10 @@
 	var silent []KnownBox
 	for _, known := range p.known {
 		isSilent := !known.isLive(now) && !now.Before(known.nextCallAt)
-		if isIn(known) && isSilent && (hub.Address == "" || known.box.precedes(hub)) {
-			silent = append(silent, known.box)
+		candidate := known.box
+		candidate.IsStopping = false // it may have been started again
+		if isIn(known) && isSilent && (hub.Address == "" || candidate.precedes(hub)) {
+			silent = append(silent, candidate)
 		}
 	}
 	slices.SortFunc(silent, p.compareLastCalls)
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -25,6 +25,8 @@
 		Address  string
 		Hall     willowwick.HallID
 		LinkMbps int // 0 if unknown
+		// IsStopping is set during a planned stop, as the box itself said last.
+		IsStopping bool
 	}
 
 	// KnownRow is an entry of the roster that boxes send each other.
@@ -57,9 +59,13 @@
 	}
 )
 
-// precedes reports whether a box comes before another in hub order: the one with the wider link, since a hub forwards
-// large data to all the others, and of equal ones the one with the lower address.
+// precedes reports whether a box comes before another in hub order: the one that is not stopping, since a box that stops
+// takes no duties and soon tells nothing; else the one with the wider link, since a hub forwards large data to all the
+// others; and of equal ones the one with the lower address.
 func (b KnownBox) precedes(other KnownBox) bool {
+	if b.IsStopping != other.IsStopping {
+		return other.IsStopping
+	}
 	if b.LinkMbps != other.LinkMbps {
 		return b.LinkMbps > other.LinkMbps
 	}
@@ -84,7 +90,7 @@
 // self returns this box as the others know it.
 func (p *peers) self() KnownBox {
 	settings := p.router.settings
-	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps}
+	return KnownBox{Address: settings.Peers, Hall: settings.Hall, LinkMbps: settings.LinkMbps, IsStopping: p.router.stopping.Load()}
 }
 
 // noteBox records a box named by the settings, the group or another box, and when it was known to exist.
@@ -100,6 +106,7 @@
 		p.known[box.Address] = known
 	}
 	if box.Hall != "" || known.box.Address == "" {
+		box.IsStopping = known.box.IsStopping
 		known.box, known.sum = box, box.sum()
 	}
 	known.namedAt = latest(known.namedAt, at)
@@ -128,6 +135,7 @@
 		slog.Info("box is reached", "peer", digest.Box, "hall", digest.Hall, "address", digest.Address)
 	}
 	known.digest, known.heardAt, known.failures = digest, now, 0
+	known.box.IsStopping = digest.IsStopping
 	p.mergeHallReports(digest.Halls, now)
 	p.mu.Unlock()
 	p.router.sync.noteEra(max(digest.EndpointsRead, digest.Evacuated.AsOf), now, "peer "+string(digest.Box))
