--- a/exchange/regions_fleet_test.go
+++ b/exchange/regions_fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/usage"
 )
 
 // regionMeshHalls is the number of halls of a mesh with regions, half of them in each.
@@ -283,7 +284,7 @@
 				hubs := m.hubs()
 				assert.Len(t, hubs, regionMeshHalls)
 				for _, hub := range hubs {
-					coverage := hub.usage.ledger.Coverage(window, len(m.boxes), time.Now())
+					coverage := hub.usage.ledger.Coverage(window, usage.Fleet{Size: len(m.boxes)}, time.Now())
 					assert.Equal(t, lost == "", coverage.IsComplete(), "%s: %+v", hub.settings.Box, coverage)
 					assert.Len(t, coverage.Missing, len(m.boxes)-live, "%s: %+v", hub.settings.Box, coverage)
 					assert.Zero(t, coverage.Unknown)
--- a/exchange/usage_silent_test.go
+++ b/exchange/usage_silent_test.go
@@ -32,7 +32,7 @@
 			}
 		}
 		window := hub.usage.settings.WindowAt(time.Now()) - 2
-		coverage = hub.usage.ledger.Coverage(window, hub.peers.fleetSize(), time.Now())
+		coverage = hub.usage.ledger.Coverage(window, usage.Fleet{Size: hub.peers.fleetSize()}, time.Now())
 	})
 	return coverage
 }
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/usage"
 )
 
 const testUsageWindow = 5 * time.Second
@@ -58,7 +59,7 @@
 				continue
 			}
 			window := box.usage.settings.WindowAt(time.Now()) - 1
-			assert.True(t, box.usage.ledger.Coverage(window, size.boxes, time.Now()).IsComplete())
+			assert.True(t, box.usage.ledger.Coverage(window, usage.Fleet{Size: size.boxes}, time.Now()).IsComplete())
 			assert.Equal(t, requests[window-1], willowwick.UsageReport{Counts: box.usage.ledger.Counts(window - 1)}.Total())
 		}
 	})
--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -18,6 +18,12 @@
 	hearTime = 2 * time.Second
 )
 
+// Fleet is what is known of the boxes of a fleet apart from what they have told.
+type Fleet struct {
+	Size   int                // boxes that gossip knows, this one included
+	Former []willowwick.BoxID // boxes that counted shortly before, according to the stored reports
+}
+
 // Coverage is how much of a window is known.
 type Coverage struct {
 	Boxes   int                // that have told of the window
@@ -34,58 +40,69 @@
 	return c.Boxes > 0 && len(c.Missing) == 0 && c.Unknown == 0 && !c.IsNew
 }
 
-// Coverage returns how much of a window is known, nothing on a box that is no hub; fleet is the number of boxes that
-// gossip knows, this one included, and former are boxes that counted shortly before, according to the stored reports.
-func (l *Ledger) Coverage(window willowwick.UsageWindow, fleet int, now time.Time, former ...willowwick.BoxID) Coverage {
+// Coverage returns how much of a window is known, nothing on a box that is no hub.
+func (l *Ledger) Coverage(window willowwick.UsageWindow, fleet Fleet, now time.Time) Coverage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(l.own, now.Add(-settleTime))
 	begin, end := l.settings.Begin(window), l.settings.End(window)
 	byBox := l.startsByBox()
 	isHub := !l.collectingSince.IsZero()
-	coverage := Coverage{IsNew: l.isNewHub(now), IsWhole: isHub && !l.collectingSince.After(begin)}
+	coverage := Coverage{IsNew: l.isNewHub(now), IsWhole: isHub && !l.collectingSince.After(begin), Lost: 1}
 	var lost time.Duration
-	heard := 0 // boxes that gossip may still know
 	for box, starts := range byBox {
-		if l.settings.WindowAt(starts[len(starts)-1].until) >= l.settings.oldest(now) {
-			heard++
-		}
 		known := l.coverageOf(starts, begin, end)
-		switch {
-		case known.hasTold:
-			coverage.Boxes++
-			if !starts[len(starts)-1].ended {
-				coverage.Serving = append(coverage.Serving, box)
-			}
-		case known.lost > 0:
-			coverage.Unknown++
-		}
+		coverage.add(box, known)
 		lost += known.lost
-		if known.isMissing {
-			coverage.Missing = append(coverage.Missing, box)
-		}
 	}
 	slices.Sort(coverage.Missing)
 	slices.Sort(coverage.Serving)
-	notHeard := 0
-	for _, box := range former {
-		if byBox[box] == nil {
-			notHeard++
-		}
-	}
-	withoutCounts := max(fleet-heard, notHeard)
-	coverage.Unknown += withoutCounts
-	lost += time.Duration(withoutCounts) * l.settings.Window
-	coverage.Lost = 1
+	untold := l.countUntold(byBox, fleet, now)
+	coverage.Unknown += untold
+	lost += time.Duration(untold) * l.settings.Window
 	if all := coverage.Boxes + coverage.Unknown; coverage.Boxes > 0 && isHub {
 		coverage.Lost = lost.Seconds() / (float64(all) * l.settings.Window.Seconds())
 	}
 	return coverage
 }
 
+// add adds what is known of a box.
+func (c *Coverage) add(box willowwick.BoxID, known boxCoverage) {
+	switch {
+	case known.hasTold:
+		c.Boxes++
+		if !known.hasEnded {
+			c.Serving = append(c.Serving, box)
+		}
+	case known.lost > 0:
+		c.Unknown++
+	}
+	if known.isMissing {
+		c.Missing = append(c.Missing, box)
+	}
+}
+
+// countUntold returns the number of boxes of the fleet that have told nothing at all; the caller holds the lock.
+func (l *Ledger) countUntold(byBox map[willowwick.BoxID][]*origin, fleet Fleet, now time.Time) int {
+	known := 0 // to gossip, of those that have told
+	for _, starts := range byBox {
+		if l.settings.WindowAt(starts[len(starts)-1].until) >= l.settings.oldest(now) {
+			known++
+		}
+	}
+	formerUntold := 0
+	for _, box := range fleet.Former {
+		if byBox[box] == nil {
+			formerUntold++
+		}
+	}
+	return max(fleet.Size-known, formerUntold)
+}
+
 // boxCoverage is how much of a window is known of one box.
 type boxCoverage struct {
 	hasTold   bool
+	hasEnded  bool          // its last start stopped as planned
 	isMissing bool          // may still tell
 	lost      time.Duration // time in the window whose counts are not known
 }
@@ -93,7 +110,7 @@
 // coverageOf returns how much of a window is known of a box with these starts, the earliest first; the caller holds the
 // lock.
 func (l *Ledger) coverageOf(starts []*origin, begin, end time.Time) boxCoverage {
-	var known boxCoverage
+	known := boxCoverage{hasEnded: starts[len(starts)-1].ended}
 	// A hub that began to collect after the window's beginning can't know of starts before the first one known to it.
 	if l.collectingSince.After(begin) {
 		known.lost = overlap(begin, starts[0].since, begin, end)
--- a/usage/message.go
+++ b/usage/message.go
@@ -119,13 +119,13 @@
 		e.addUpdate(&m.origins[i], m.at, base)
 	}
 	for i := range m.origins {
-		e.addWhereabouts(&m.origins[i], i, m.at)
+		e.addPresence(&m.origins[i], i, m.at)
 	}
 	return e.data
 }
 
-// addWhereabouts adds the address of an update and by when its start was gone, if it has one of them.
-func (e *encoder) addWhereabouts(u *originUpdate, position int, at time.Time) {
+// addPresence adds the address of an update and by when its start was gone, if it has one of them.
+func (e *encoder) addPresence(u *originUpdate, position int, at time.Time) {
 	flags := flagOf(u.isNamed && u.address != "", flagAddress) | flagOf(u.hasState && !u.goneBy.IsZero(), flagGone)
 	if flags == 0 {
 		return
@@ -214,13 +214,13 @@
 		m.origins = append(m.origins, d.update(m.at, base))
 	}
 	for len(d.data) > 0 {
-		d.whereabouts(m.origins, m.at)
+		d.presence(m.origins, m.at)
 	}
 	return m, d.err
 }
 
-// whereabouts reads the address of one of the updates and by when its start was gone.
-func (d *decoder) whereabouts(updates []originUpdate, at time.Time) {
+// presence reads the address of one of the updates and by when its start was gone.
+func (d *decoder) presence(updates []originUpdate, at time.Time) {
 	position, flags := d.uint(), d.byte()
 	if position >= uint64(len(updates)) {
 		d.fail()
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -80,7 +80,7 @@
 	if offered, isOffered := r.offered[window]; isOffered {
 		return offered, true
 	}
-	return r.decide(window, fleet, r.formerBoxes(stored, window), now)
+	return r.decide(window, Fleet{fleet, r.formerBoxes(stored, window)}, now)
 }
 
 // formerBoxes returns the boxes that have counted within silentTime before a window, according to the stored reports. A
@@ -99,9 +99,9 @@
 // decide returns whether a window is reported or skipped, and false as long as boxes may still tell. Which boxes served in
 // the window is known if this box has collected since its beginning, or if stored reports name the boxes that counted
 // shortly before.
-func (r *Reporter) decide(window willowwick.UsageWindow, fleet int, former []willowwick.BoxID, now time.Time) (Step, bool) {
-	coverage := r.ledger.Coverage(window, fleet, now, former...)
-	isKnown := coverage.Lost <= r.settings.Tolerance && (coverage.IsWhole || len(former) > 0)
+func (r *Reporter) decide(window willowwick.UsageWindow, fleet Fleet, now time.Time) (Step, bool) {
+	coverage := r.ledger.Coverage(window, fleet, now)
+	isKnown := coverage.Lost <= r.settings.Tolerance && (coverage.IsWhole || len(fleet.Former) > 0)
 	mayWait := coverage.IsNew || now.Before(r.settings.End(window).Add(time.Duration(waitShare*float64(r.settings.Due))))
 	switch {
 	case isKnown && (coverage.IsComplete() || !mayWait):
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -138,7 +138,7 @@
 
 // coverage returns what a box knows of the window.
 func (f *testFleet) coverage(b *testBox) Coverage {
-	return b.Coverage(f.window, len(f.boxes), f.timeOf(b))
+	return b.Coverage(f.window, Fleet{Size: len(f.boxes)}, f.timeOf(b))
 }
 
 // requireCounts checks the count of a box for the window, and that it knows nothing more to come.
@@ -393,7 +393,7 @@
 func TestABoxThatToldNothingIsUnknown(t *testing.T) {
 	f := newTestFleet(9, 3)
 	f.runTo(testSettings.End(f.window).Add(4 * round))
-	coverage := f.boxes[0].Coverage(f.window, 10, f.now)
+	coverage := f.boxes[0].Coverage(f.window, Fleet{Size: 10}, f.now)
 	assert.Equal(t, 1, coverage.Unknown)
 	assert.InDelta(t, 0.1, coverage.Lost, 1e-9)
 }
