--- a/exchange/freshness.go
+++ b/exchange/freshness.go
@@ -108,6 +108,13 @@
 	slog.Info("store is reached again", "read", kind.String(), "away_ms", now.Sub(s.lastFailureAt).Milliseconds(), "held_read_ms", s.longPollDuration(now).Milliseconds())
 }
 
+// failedSince reports whether a read has failed since a time.
+func (s *syncer) failedSince(since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastFailureAt.After(since)
+}
+
 // noteFailure records that a read of a kind failed. It doesn't cancel a running read of the other kind, which has
 // timeouts of its own and whose answer may be arriving.
 func (s *syncer) noteFailure(kind readKind, now time.Time, err error) {
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -23,6 +23,8 @@
 	lastTellTime = 3 * minGossipInterval
 	// maxMissingLogged bounds how many missing boxes a log line names.
 	maxMissingLogged = 10
+	// rejoinTime is how long after an outage of the store boxes that are cut off may take to be in the group again.
+	rejoinTime = 10 * time.Second
 )
 
 // usageReports counts what client accounts use, and reports it while this box holds the lease on the duties.
@@ -110,9 +112,10 @@
 }
 
 // noteMembers records which boxes were in the group, of which each is one that reaches the store and that no other box
-// reads for. If this box hears all of them, boxes that have been silent for long don't serve.
+// reads for. If this box hears all of them, boxes that have been silent for long don't serve; after an outage of the store,
+// the group may lack some that do.
 func (u *usageReports) noteMembers(members []KnownBox, now time.Time) {
-	if u == nil {
+	if u == nil || u.router.sync.failedSince(now.Add(-rejoinTime)) {
 		return
 	}
 	for _, member := range members {
--- a/exchange/usage_silent_test.go
+++ b/exchange/usage_silent_test.go
@@ -57,6 +57,14 @@
 	assert.InDelta(t, 0.25, coverage.Lost, 0.01)
 }
 
+// Guards against a report without the counts of a box that is cut off and not in the group again after an outage of the store.
+func TestASilentBoxIsMissingAfterAnOutageOfTheStore(t *testing.T) {
+	coverage := silentFleet(t, func(m *mesh, silent *meshBox) {
+		silent.down, m.isAway = true, true // reads fail until now
+	})
+	assert.Len(t, coverage.Missing, 1)
+}
+
 // Guards against reports that end for good with a box that is gone: nobody hears of a machine without power, and nothing
 // listens at the address of a box that was killed.
 func TestABoxThatIsGoneIsNotMissing(t *testing.T) {
