Transport: a closed connection is replaced before it is used; a reply isn't read after a failed call

Now a connection that the peer has closed is noticed when a read of it fails, and replaced before the next call; nothing is sent twice. Ask returns the zero value after an error; the same was in two places of fleet.

--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/ratelimit"
 	"github.com/willowwick/willowwick/route"
@@ -67,9 +68,8 @@
 }
 
 // callPermit calls the box at an address over its connection.
-func (p *peers) callPermit(ctx context.Context, address string, call *ratelimit.Call) (reply ratelimit.Reply, err error) {
-	err = p.transport.Call(ctx, address, rpcPermit, call, &reply)
-	return reply, err
+func (p *peers) callPermit(ctx context.Context, address string, call *ratelimit.Call) (ratelimit.Reply, error) {
+	return fleet.Ask[ratelimit.Reply](ctx, p.transport, address, rpcPermit, call)
 }
 
 // Permit answers a box that asks for permits, forwarding the call if another box is the granter.
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -267,9 +267,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply PutReply
-	err := n.Transport.Call(callCtx, replica.Peer, rpcName+".Put", args, &reply)
-	return reply, err
+	return Ask[PutReply](callCtx, n.Transport, replica.Peer, rpcName+".Put", args)
 }
 
 func (n *Node) dropAt(ctx context.Context, replicas []config.Member, args DropArgs) {
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -48,9 +48,8 @@
 		n.localGranter.SetGranting(now, true)
 		return n.localGranter.Answer(call, 1/float64(n.fleetSize()), now), nil
 	}
-	reply, err := ratelimit.AskWithin(ctx, permitWait, callTimeout, func(ctx context.Context) (reply ratelimit.Reply, err error) {
-		err = n.Transport.Call(ctx, holder.Peer, rpcName+".Permit", call, &reply)
-		return reply, err
+	reply, err := ratelimit.AskWithin(ctx, permitWait, callTimeout, func(ctx context.Context) (ratelimit.Reply, error) {
+		return Ask[ratelimit.Reply](ctx, n.Transport, holder.Peer, rpcName+".Permit", call)
 	})
 	if err == nil {
 		n.recordGrant(clock.Now())
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -62,6 +62,7 @@
 	// peerClient calls another daemon over one connection.
 	peerClient struct {
 		*rpc.Client
+		conn         *peerConn
 		idleDeadline time.Time // when the connection has been idle too long for another call; guarded by the transport's lock
 	}
 
@@ -72,6 +73,7 @@
 		raw         net.Conn // underlying connection, without TLS
 		transport   *Transport
 		hasTimeouts bool
+		isClosed    atomic.Bool // a read has failed: the peer has closed it, or this side
 	}
 )
 
@@ -194,16 +196,6 @@
 // Call invokes a method of the daemon at the address and returns at the latest when the context ends. After an error,
 // args and reply may still be in use for a moment.
 func (t *Transport) Call(ctx context.Context, address, method string, args, reply any) error {
-	err := t.callOnce(ctx, address, method, args, reply)
-	if errors.Is(err, rpc.ErrShutdown) {
-		// The daemon has closed the connection while it was idle, and nothing was sent.
-		err = t.callOnce(ctx, address, method, args, reply)
-	}
-	return err
-}
-
-// callOnce is Call without a new connection in place of one that was found closed.
-func (t *Transport) callOnce(ctx context.Context, address, method string, args, reply any) error {
 	client, err := t.client(ctx, address)
 	if err != nil {
 		return err
@@ -227,6 +219,16 @@
 	}
 }
 
+// Ask invokes a method as Call does and returns its reply, the zero value after an error: a late reply may still be written
+// to the one that the method was called with.
+func Ask[Reply any](ctx context.Context, t *Transport, address, method string, args any) (Reply, error) {
+	reply := new(Reply)
+	if err := t.Call(ctx, address, method, args, reply); err != nil {
+		return *new(Reply), err
+	}
+	return *reply, nil
+}
+
 // client returns the open connection to the address, or dials a new one.
 func (t *Transport) client(ctx context.Context, address string) (*peerClient, error) {
 	if client := t.idleClient(address, clock.Now()); client != nil {
@@ -236,7 +238,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
-	client := &peerClient{Client: rpc.NewClient(conn), idleDeadline: clock.Now().Add(idleTimeout)}
+	client := &peerClient{Client: rpc.NewClient(conn), conn: conn, idleDeadline: clock.Now().Add(idleTimeout)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
@@ -252,7 +254,7 @@
 }
 
 // idleClient returns the open connection to the address and extends its idle deadline; it returns nil if there is
-// none or it has expired.
+// none, or if it has expired or the peer has closed it.
 func (t *Transport) idleClient(address string, now time.Time) *peerClient {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -260,7 +262,7 @@
 	if client == nil {
 		return nil
 	}
-	if now.After(client.idleDeadline) {
+	if now.After(client.idleDeadline) || client.conn.isClosed.Load() {
 		delete(t.clients, address)
 		_ = client.Close()
 		return nil
@@ -312,6 +314,7 @@
 	if err != nil && c.hasTimeouts {
 		slog.Debug("peer connection closed", "peer", c.RemoteAddr().String(), "error", err)
 		// net/rpc leaves a client's connection open until the next call on it.
+		c.isClosed.Store(true)
 		_ = c.Close()
 	}
 	return n, err
--- a/fleet/transport_test.go
+++ b/fleet/transport_test.go
@@ -319,3 +319,18 @@
 		})
 	})
 }
+
+// Guards against a data race: a call that had timed out returned the reply that was still being written.
+func TestAskReturnsNoReplyThatMayStillBeWritten(t *testing.T) {
+	withStallableLink(t, nil, func(caller, _ *Transport, _ *stallableLink) {
+		requireCallSucceeds(t, caller)
+		for n := range 3000 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(10+n%300)*time.Microsecond)
+			reply, err := Ask[[]byte](ctx, caller, "box", "Test.Echo", []byte("hello"))
+			cancel()
+			if err != nil {
+				assert.Empty(t, reply)
+			}
+		}
+	})
+}
