A successor is chosen once; a member's name is read once

No change of behaviour: tests of serve, those of versions and sessions in lab, and of the group in exchange pass.

--- a/exchange/lead.go
+++ b/exchange/lead.go
@@ -99,8 +99,9 @@
 	}
 	boxes := make([]KnownBox, 0, len(members))
 	for _, member := range members {
-		boxes = append(boxes, parseMemberName(member))
-		s.router.peers.noteBox(parseMemberName(member), now)
+		box := parseMemberName(member)
+		boxes = append(boxes, box)
+		s.router.peers.noteBox(box, now)
 	}
 	s.router.usage.noteMembers(boxes, now)
 }
--- a/serve/cascade.go
+++ b/serve/cascade.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
@@ -74,7 +73,11 @@
 // chooseVersion picks the version of a model and pins the request's session to it.
 func (r *run) chooseVersion(ctx context.Context, model willowwick.ModelID) (willowwick.VersionID, *willowwick.Refusal) {
 	now := clock.Now()
-	query := r.versionQuery(model, now)
+	query := route.VersionQuery{
+		Account: r.request.Account, Model: model, Seed: string(r.request.ID), Pinned: r.token.Versions[model],
+		Confirmed: r.daemon.node.IsConfigCurrent(now), Exclude: r.plan.Exclude, Now: now,
+		Stopped: r.daemon.versionWatcher.isBad, HeldBack: r.daemon.versionWatcher.isStopped,
+	}
 	// This is the newest configuration, not the one from before the request waited.
 	revision := r.daemon.node.Follower.Revision()
 	if r.request.Session == "" {
@@ -107,15 +110,6 @@
 	return version, nil
 }
 
-// versionQuery returns the query for the version of a model that answers a request without a session.
-func (r *run) versionQuery(model willowwick.ModelID, now time.Time) route.VersionQuery {
-	return route.VersionQuery{
-		Account: r.request.Account, Model: model, Seed: string(r.request.ID), Pinned: r.token.Versions[model],
-		Confirmed: r.daemon.node.IsConfigCurrent(now), Exclude: r.plan.Exclude, Now: now,
-		Stopped: r.daemon.versionWatcher.isBad, HeldBack: r.daemon.versionWatcher.isStopped,
-	}
-}
-
 // chooseVerdict decides whether to skip, try or trust a cheaper stage.
 func (r *run) chooseVerdict(version willowwick.VersionID, next willowwick.ModelID) route.Verdict {
 	strong, ok := r.revision.Settled(next)
@@ -222,26 +216,23 @@
 	if refusal == nil || r.sent || refusal.Code != willowwick.CodeNoVersion {
 		return answer, refusal
 	}
-	isUsable := r.daemon.node.Follower.Revision().IsUsable(r.request.Account, version)
-	if isUsable && !r.excludeVersion(model, version) {
+	isLacking := r.daemon.node.Follower.Revision().IsUsable(r.request.Account, version)
+	hasSession := r.request.Session != "" || r.token.Versions[model] != ""
+	if isLacking && hasSession {
 		return nil, refusal
 	}
+	if isLacking {
+		r.plan.Exclude = append(slices.Clone(r.plan.Exclude), version)
+	}
 	successor, none := r.chooseVersion(ctx, model)
-	if none != nil {
+	switch {
+	case none == nil:
+		return r.stream(ctx, successor)
+	case isLacking:
+		return nil, refusal
+	default:
 		return nil, none
 	}
-	return r.stream(ctx, successor)
-}
-
-// excludeVersion makes the request use no version that no runner has, and reports false if there is no other one or the
-// request's session stays on it.
-func (r *run) excludeVersion(model willowwick.ModelID, version willowwick.VersionID) bool {
-	if r.request.Session != "" || r.token.Versions[model] != "" {
-		return false
-	}
-	r.plan.Exclude = append(slices.Clone(r.plan.Exclude), version)
-	_, none := route.ChooseVersion(r.daemon.node.Follower.Revision(), r.versionQuery(model, clock.Now()))
-	return none == nil
 }
 
 func (c *stageAnswer) text() string {
