A rejected request does not begin its wait in the queue anew

Callers saw a refusal after up to eight waits of a quarter of the goal each: an endpoint that rejects a request with a short backoff was waited for, rejected it again, and was waited for again. A denied permit no longer did that; a rejection still did, since each send began a new wait.

The short waits of a request that nothing has run end together now, and begin anew only once an endpoint may have run it.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -64,6 +64,7 @@
 		yieldsToUrgent  bool      // leaves the capacity of rate-limited endpoints to more urgent requests
 		permitDenials   int       // permits that this request was denied
 		queueUntil      time.Time // end of the wait in the queue before the next send; zero after each send
+		shortWaitUntil  time.Time // end of all short waits in the queue; zero before the first and after each run
 		lastSendEndedAt time.Time // zero before the first send has ended
 		sends           int       // all sends, whatever their result
 		runs            int       // endpoints that may have run the request
@@ -247,9 +248,9 @@
 			continue
 		}
 		c.sends++
-		c.queueUntil = time.Time{}
 		result := c.sendOnce(ticket)
 		c.lastSendEndedAt = clock.Now()
+		c.resetQueueWait()
 		if result.kind == answered || result.kind == callerLeft {
 			return
 		}
@@ -284,14 +285,26 @@
 	})
 }
 
-// limitQueueWait sets until when the request may wait in the queue. A request that is denied a permit waits on no longer
-// than it might have without.
+// limitQueueWait sets until when the request may wait in the queue. The short waits of a request that nothing has run
+// end together: neither a denied permit nor an endpoint's rejection begins them anew.
 func (c *call) limitQueueWait(now time.Time) {
 	if c.queueUntil.IsZero() {
 		c.queueUntil = c.deadline
 	}
 	if c.queueUntil.Equal(c.deadline) && (c.sends == 0 || c.hasOnlyUnavailableLeft(now) || c.areNoneAvailable(now)) {
-		c.queueUntil = earliest(c.deadline, now.Add(scale(c.route.Goal, queueWaitShare)))
+		if c.shortWaitUntil.IsZero() {
+			c.shortWaitUntil = now.Add(scale(c.route.Goal, queueWaitShare))
+		}
+		c.queueUntil = earliest(c.deadline, c.shortWaitUntil)
+	}
+}
+
+// resetQueueWait allows a new wait in the queue after a send; short waits begin anew only if an endpoint may have run
+// the request.
+func (c *call) resetQueueWait() {
+	c.queueUntil = time.Time{}
+	if c.runs > 0 {
+		c.shortWaitUntil = time.Time{}
 	}
 }
 
--- a/exchange/late_refusal_test.go
+++ b/exchange/late_refusal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,5 +50,23 @@
 	})
 }
 
+// Guards against a refusal that comes late, since a request that an endpoint rejects with a short backoff waits for the end
+// of the backoff anew each time.
+func TestWaitsOfARequestThatEndpointsRejectAreBoundedTogether(t *testing.T) {
+	const backoff = 20 * time.Millisecond
+	for range 5 {
+		r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("T-Not-Run", "1")
+			w.Header().Set("T-Rest", strconv.FormatFloat(backoff.Seconds(), 'f', 3, 64))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		s := newSite(t, r.endpoint("v1"))
+		reply := s.do(t, http.MethodPost, "/again/", "rejected", "x")
+		assert.Equal(t, http.StatusServiceUnavailable, reply.status)
+		allowed := int(scale(retryRoute().Goal, queueWaitShare) / backoff)
+		assert.LessOrEqual(t, len(r.requests()), 1+allowed, "sends, each but the first after a wait of %s", backoff)
+	}
+}
+
 // deny gives a slot back for which no permit was granted.
 func deny(ticket *gate.Ticket) { ticket.Done(route.OutcomeCancelled) }
