A permit that comes late serves another request

Callers saw refusals for 250 to 500 ms at an endpoint whose limit had room, after a request that waited for a permit had been refused or its caller had disconnected before the reply came.

Cause: the reply was dropped with its request, and a wait that is cut short counted as a call without a reply. The reply is applied to the box's knowledge of the limit now, unless another call has overtaken it. A box that passes a call on leaves it to the asking box how long to wait. The own interface goes by the same code.

--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -56,32 +56,48 @@
 	return true
 }
 
-// requestPermit asks the granter for permits; it waits at most permitTimeout for a slow box.
+// requestPermit asks the granter for permits; it waits at most permitTimeout for a slow box. Permits that come later serve
+// other requests.
 func (p *peers) requestPermit(ctx context.Context, call ratelimit.Call, now time.Time) (ratelimit.Reply, error) {
 	address := p.granterFor(now)
 	if address == p.self().Address {
 		return p.grant(call, now), nil
 	}
-	return ratelimit.AskWithin(ctx, permitTimeout, gossipTimeout, func(ctx context.Context) (ratelimit.Reply, error) {
-		return p.askBox(ctx, address, &call)
+	ask := func() (ratelimit.Reply, error) { return p.askGranter(address, &call) }
+	return ratelimit.AskWithin(ctx, permitTimeout, ask, func(late ratelimit.Reply) {
+		p.router.metrics.countPermitAsked("late")
+		p.router.limits.HandleLateReply(clock.Now(), now, call.Row.Endpoint, late)
 	})
 }
 
+// askGranter calls the box at an address for permits.
+func (p *peers) askGranter(address string, call *ratelimit.Call) (ratelimit.Reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), gossipTimeout)
+	defer cancel()
+	return p.askBox(ctx, address, call)
+}
+
 // callPermit calls the box at an address over its connection.
 func (p *peers) callPermit(ctx context.Context, address string, call *ratelimit.Call) (ratelimit.Reply, error) {
 	return fleet.Ask[ratelimit.Reply](ctx, p.transport, address, rpcPermit, call)
 }
 
-// Permit answers a box that asks for permits, forwarding the call if another box is the granter.
+// Permit answers a box that asks for permits, forwarding the call if another box is the granter. The asking box itself
+// decides how long it waits.
 func (s *rpcServer) Permit(call *ratelimit.Call, reply *ratelimit.Reply) error {
 	p, now := s.peers, clock.Now()
-	if call.IsPassedOn && p.granterFor(now) != p.self().Address {
+	address := p.granterFor(now)
+	if address == p.self().Address {
+		*reply = p.grant(*call, now)
+		return nil
+	}
+	if call.IsPassedOn {
 		return errors.New("this box does not grant permits")
 	}
 	forwarded := *call
 	forwarded.IsPassedOn = true
 	var err error
-	*reply, err = p.requestPermit(context.Background(), forwarded, now)
+	*reply, err = p.askGranter(address, &forwarded)
 	return err
 }
 
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -48,8 +48,14 @@
 		n.localGranter.SetGranting(now, true)
 		return n.localGranter.Answer(call, 1/float64(n.fleetSize()), now), nil
 	}
-	reply, err := ratelimit.AskWithin(ctx, permitWait, callTimeout, func(ctx context.Context) (ratelimit.Reply, error) {
+	ask := func() (ratelimit.Reply, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
 		return Ask[ratelimit.Reply](ctx, n.Transport, holder.Peer, rpcName+".Permit", call)
+	}
+	reply, err := ratelimit.AskWithin(ctx, permitWait, ask, func(late ratelimit.Reply) {
+		n.recordGrant(clock.Now())
+		n.Limits.HandleLateReply(clock.Now(), now, call.Row.Endpoint, late)
 	})
 	if err == nil {
 		n.recordGrant(clock.Now())
--- a/ratelimit/ledger.go
+++ b/ratelimit/ledger.go
@@ -320,8 +320,7 @@
 		return true // the endpoint is gone or has restarted
 	}
 	known.askingUntil = time.Time{}
-	known.nextAskAt = now.Add(time.Duration(reply.RetryMs) * time.Millisecond)
-	known.permits, known.usableUntil = reply.Permits, askedAt.Add(permitTTL)
+	known.applyReply(now, askedAt, reply)
 	if _, isLimited := known.rateAt(now); !isLimited {
 		return true
 	}
@@ -333,6 +332,23 @@
 	return true
 }
 
+// HandleLateReply applies the reply to a call whose request no longer waits for it: its permits serve other requests. It
+// ignores a reply that another call has overtaken.
+func (l *Ledger) HandleLateReply(now, askedAt time.Time, endpoint willowwick.EndpointID, reply Reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mergeRow(reply.Row, "grant", now)
+	if known := l.limits[endpoint]; known != nil && known.askedAt.Equal(askedAt) {
+		known.applyReply(now, askedAt, reply)
+	}
+}
+
+// applyReply takes over the permits of a reply, and the time of the next call.
+func (k *limit) applyReply(now, askedAt time.Time, reply Reply) {
+	k.nextAskAt = now.Add(time.Duration(reply.RetryMs) * time.Millisecond)
+	k.permits, k.usableUntil = reply.Permits, askedAt.Add(permitTTL)
+}
+
 // HandleNoReply records that a call got no reply; the next one waits for a random delay.
 func (l *Ledger) HandleNoReply(now time.Time, endpoint willowwick.EndpointID) {
 	l.mu.Lock()
--- a/ratelimit/peers.go
+++ b/ratelimit/peers.go
@@ -57,17 +57,20 @@
 	err   error
 }
 
-// AskWithin asks another box for permits and waits no longer than limit. The call itself goes on for up to longest:
-// cancelling it would close a connection that other calls share.
-func AskWithin(
-	ctx context.Context, limit, longest time.Duration, ask func(ctx context.Context) (Reply, error),
-) (Reply, error) {
-	results := make(chan callResult, 1)
+// AskWithin waits for the reply to a call for permits, until the limit has passed or the context has ended. The call goes
+// on nevertheless, since cancelling it would close a connection that other calls share; late gets its reply then.
+func AskWithin(ctx context.Context, limit time.Duration, ask func() (Reply, error), late func(Reply)) (Reply, error) {
+	results, left := make(chan callResult), make(chan struct{})
+	defer close(left)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), longest)
-		defer cancel()
-		reply, err := ask(ctx)
-		results <- callResult{reply, err}
+		reply, err := ask()
+		select {
+		case results <- callResult{reply, err}:
+		case <-left:
+			if err == nil {
+				late(reply)
+			}
+		}
 	}()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
