Test: the crashes of the request that a restarted fleet refuses are too far apart for a trial

TestPoisonRequestIsRefusedAfterFleetRestart failed once, beside load: a fourth endpoint ended. Traced: the test's three crashes lay within a second, so they might have had another cause (a failed rack), and the box gives such a request a trial 2 s after the last of them, as it is meant to; the restart alone takes most of these 2 s.

The case is allowed, so the test's crashes are 600 ms apart now, over a second in all: no trial is due, however long the restart takes, and the check (no further run) is as it was.

--- a/exchange/harm_fleet_test.go
+++ b/exchange/harm_fleet_test.go
@@ -148,14 +148,17 @@
 }
 
 // The memory of all boxes is lost when they lose power. The refused requests are in the store, from where each box
-// that reads it restores them.
+// that reads it restores them. The crashes are too far apart for a common cause other than the request, so that it gets no
+// trial, however long the restart takes.
 func TestPoisonRequestIsRefusedAfterFleetRestart(t *testing.T) {
 	t.Parallel()
-	const boxes = 3
+	const boxes, repeatInterval = 3, 600 * time.Millisecond
 	h, sites := newPoisonSite(t, boxes, 6)
+	h.allowOneRun(t, sites)
 	for i := 0; !sites[0].refusesPoison(); i++ {
 		require.Less(t, i, 40, "a request that crashes endpoints is refused")
 		sites[i%boxes].do(t, http.MethodPost, "/stream/", fmt.Sprint("harmful-", i), poisonBody)
+		time.Sleep(repeatInterval)
 	}
 	require.Eventually(t, func() bool {
 		h.control.mu.Lock()
@@ -178,6 +181,16 @@
 	assert.Equal(t, events(1), other.body)
 }
 
+// allowOneRun makes the route of the poison request run it at one endpoint for each arrival.
+func (h *poisonSite) allowOneRun(t *testing.T, sites []*site) {
+	stream := streamRoute()
+	stream.MaxRuns = 1
+	h.control.change(func() { h.control.table = testTable(2, stream) })
+	for _, s := range sites {
+		require.Eventually(t, func() bool { return s.daemon.router.configVersion() == 2 }, waitTimeout, 5*time.Millisecond)
+	}
+}
+
 // refusesPoison reports whether the box refuses the poison body.
 func (s *site) refusesPoison() bool {
 	return s.daemon.router.poison.Refuses(willowwick.FingerprintOf(testAccount, http.MethodPost, testHost, "/stream/", []byte(poisonBody)))
