A box that hands over its usage records takes none of others

Bills lacked answers after two boxes of the own product ended their planned stops at once while the log was down: each gave its records to the other, reported that it may end, and both ended. A box went on taking records of others after it had handed over its own.

From the hand-over on, a box refuses to hold; the other one asks a third box, or reports that it did not hand over.

--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -58,18 +58,18 @@
 	// response ends, and appended in batches by this box or, if it crashes, by the second box. It may be appended more
 	// than once; Ledger counts it once.
 	Usage struct {
-		log        willowwick.Log
-		replicator UsageReplicator
-		boot       willowwick.BootID
-		fleetSize  func() int
-		mu         sync.Mutex
-		seq        uint64
-		own        map[uint64]*ownRecord // by sequence number; not on the log yet
-		ownOrder   []uint64
-		held       map[recordKey]heldRecord // records of other boxes
-		wake       chan struct{}            // wakes runReplication
-		wasFull    bool                     // state last logged
-		draining   bool                     // a planned stop has begun, so held records are due at once
+		log         willowwick.Log
+		replicator  UsageReplicator
+		boot        willowwick.BootID
+		fleetSize   func() int
+		mu          sync.Mutex
+		seq         uint64
+		own         map[uint64]*ownRecord // by sequence number; not on the log yet
+		ownOrder    []uint64
+		held        map[recordKey]heldRecord // records of other boxes
+		wake        chan struct{}            // wakes runReplication
+		wasFull     bool                     // state last logged
+		handingOver bool                     // a planned stop hands all records over, so held ones are due at once
 
 		unreplicated uint64 // records that only this box had when their response ended
 	}
@@ -93,8 +93,12 @@
 	}
 )
 
-// ErrUsageFull is returned when no more usage records are accepted until the log accepts appends again.
-var ErrUsageFull = errors.New("usage record backlog is full")
+var (
+	// ErrUsageFull is returned when no more usage records are accepted until the log accepts appends again.
+	ErrUsageFull = errors.New("usage record backlog is full")
+	// ErrUsageHandedOver is returned by a box that is about to end, and hands its own records to another box.
+	ErrUsageHandedOver = errors.New("the box is about to end and holds no usage records of others")
+)
 
 // NewUsage returns an empty Usage; fleetSize returns the number of boxes in the fleet.
 func NewUsage(log willowwick.Log, replicator UsageReplicator, boot willowwick.BootID, fleetSize func() int) *Usage {
@@ -287,7 +291,7 @@
 // into the memory of another box. It returns false if the context ended first.
 func (u *Usage) HandOver(ctx context.Context) bool {
 	u.mu.Lock()
-	u.draining = true
+	u.handingOver = true
 	u.mu.Unlock()
 	for ctx.Err() == nil {
 		if u.AppendNow(ctx) || u.transferAll(ctx) {
@@ -320,7 +324,7 @@
 }
 
 // dueRecords returns a batch of own records and of held records that their owner hasn't appended within
-// heldAppendDelay; while draining, of all held records.
+// heldAppendDelay; during a hand-over, of all held records.
 func (u *Usage) dueRecords(now time.Time) []willowwick.UsageRecord {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -331,7 +335,7 @@
 		}
 	}
 	for _, held := range u.held {
-		if (u.draining || !now.Before(held.appendAt)) && len(records) < maxBatchRecords {
+		if (u.handingOver || !now.Before(held.appendAt)) && len(records) < maxBatchRecords {
 			records = append(records, held.record)
 		}
 	}
@@ -364,10 +368,14 @@
 	}
 }
 
-// Hold stores records that another box sent, as their replica.
+// Hold stores records that another box sent, as their replica. A box that hands over its own records takes none: what
+// comes later would end with it.
 func (u *Usage) Hold(now time.Time, args HoldArgs) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.handingOver {
+		return ErrUsageHandedOver
+	}
 	if u.isFull() {
 		return ErrUsageFull
 	}
--- a/fleet/usage_test.go
+++ b/fleet/usage_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 )
@@ -23,6 +25,22 @@
 	noReplicator struct{}
 )
 
+// replicatorTo replicates to one other box.
+type replicatorTo struct{ other *Usage }
+
+func (r *replicatorTo) Hold(_ context.Context, args HoldArgs) (bool, error) {
+	return false, r.other.Hold(time.Now(), args)
+}
+
+func (*replicatorTo) Settle(context.Context, SettleArgs) {}
+
+// unavailableLog accepts nothing.
+type unavailableLog struct{ fakeLog }
+
+func (*unavailableLog) Append(context.Context, willowwick.StreamID, []byte) (willowwick.Offset, error) {
+	return 0, errors.New("the log is unavailable")
+}
+
 var errTooManyAppends = errors.New("the same records are appended endlessly")
 
 func (l *countingLog) Append(ctx context.Context, stream willowwick.StreamID, data []byte) (willowwick.Offset, error) {
@@ -80,6 +98,31 @@
 	}
 }
 
+// Guards against bills that are lost: two boxes that stopped at once while the log was down handed their records to each
+// other, and both ended.
+func TestABoxThatStopsHoldsNoRecordsOfOthers(t *testing.T) {
+	toSecond, toFirst := &replicatorTo{}, &replicatorTo{}
+	first := NewUsage(&unavailableLog{}, toSecond, "box1.1", func() int { return 2 })
+	second := NewUsage(&unavailableLog{}, toFirst, "box2.1", func() int { return 2 })
+	toSecond.other, toFirst.other = second, first
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, usage := range []*Usage{first, second} {
+		usage.Record(gone, willowwick.UsageRecord{Cost: 1}) // the canceled context skips the wait for replication
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 4*holdRetryInterval)
+	defer cancel()
+	var isFirstDone, isSecondDone bool
+	var stops sync.WaitGroup
+	stops.Go(func() { isFirstDone = first.HandOver(ctx) })
+	stops.Go(func() { isSecondDone = second.HandOver(ctx) })
+	stops.Wait()
+	assert.False(t, isFirstDone && isSecondDone, "the records of both are with a box that ends")
+	if isFirstDone || isSecondDone { // one was asked before its own stop, and knows that it did not hand over
+		assert.Len(t, map[bool]*Usage{true: second, false: first}[isFirstDone].allRecords(), 2)
+	}
+}
+
 // TestHeldRecordsAreAppendedOnceAfterDelay checks that records of another box are held, and appended once
 // heldAppendDelay has passed.
 func TestHeldRecordsAreAppendedOnceAfterDelay(t *testing.T) {
