Less urgent requests get a steady share of what limited endpoints take

While all endpoints of a service are limited, less urgent requests are to get a quarter of their capacity.

After two sends of the most urgent kind the others do not yield until one of them is sent.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -247,6 +247,7 @@
 			c.permitDenials++
 			continue
 		}
+		c.recordLimitedSend(ticket)
 		c.sends++
 		result := c.sendOnce(ticket)
 		c.lastSendEndedAt = clock.Now()
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -228,6 +228,13 @@
 	return c.yieldsToUrgent || c.permitDenials >= maxPermitDenials
 }
 
+// recordLimitedSend records a send to a rate-limited endpoint.
+func (c *call) recordLimitedSend(ticket *gate.Ticket) {
+	if c.router.isLimited(clock.Now(), ticket.Endpoint) {
+		c.router.shortages.recordSend(c.queueName(), requestPriority(c.route, c.account))
+	}
+}
+
 // recordShortage records a request that was refused because all endpoints are rate-limited.
 func (c *call) recordShortage(refusal *willowwick.Refusal) {
 	if refusal.Code == willowwick.CodeRateLimited {
--- a/exchange/shortage.go
+++ b/exchange/shortage.go
@@ -8,9 +8,9 @@
 const (
 	// yieldDuration is how long less urgent requests yield after a request was refused because of rate limits.
 	yieldDuration = time.Second
-	// noYieldEvery is the number of less urgent requests of which one does not yield, so that no kind of request
-	// starves.
-	noYieldEvery = 3
+	// urgentSendsPerTurn is the number of sends of the most urgent requests after which less urgent ones do not yield
+	// until one of them is sent, so that no kind of request starves.
+	urgentSendsPerTurn = 2
 )
 
 type (
@@ -23,9 +23,9 @@
 
 	// shortage is the shortage of one queue.
 	shortage struct {
-		rank   int       // of the most urgent request that was refused
-		until  time.Time // less urgent requests yield until then
-		checks int       // calls of mustYield that counted
+		rank        int       // of the most urgent request that was refused
+		until       time.Time // less urgent requests yield until then
+		urgentSends int       // since a less urgent request was sent
 	}
 )
 
@@ -47,6 +47,20 @@
 	}
 }
 
+// recordSend records a request that is sent to a rate-limited endpoint.
+func (s *shortages) recordSend(queue string, rank int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.byQueue[queue]
+	switch {
+	case known == nil:
+	case rank <= known.rank:
+		known.urgentSends++
+	default:
+		known.urgentSends = 0
+	}
+}
+
 // mustYield reports whether a request leaves the capacity of rate-limited endpoints to more urgent ones.
 func (s *shortages) mustYield(queue string, rank int, now time.Time) bool {
 	s.mu.Lock()
@@ -55,6 +69,5 @@
 	if known == nil || !now.Before(known.until) || rank <= known.rank {
 		return false
 	}
-	known.checks++
-	return known.checks%noYieldEvery != 0
+	return known.urgentSends < urgentSendsPerTurn
 }
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -17,7 +17,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 	n.Lease.Observe(now, n.Follower.Revision().Lease)
-	if record, due := n.Lease.Claim(now, n.claimRank(now)); due && !n.isDraining() && n.Follower.Revision().Offset+1 > 0 {
+	if record, due := n.Lease.Claim(now, n.claimRank(now)); due && !n.isDraining() {
 		if err := appendRecord(callCtx, n.Log, record); err == nil {
 			_ = n.Follower.ReadLog(callCtx)
 		}
