--- a/cmd/e2e/soak_limits_test.go
+++ b/cmd/e2e/soak_limits_test.go
@@ -57,7 +57,7 @@
 // runLimitSoak runs one seed.
 func runLimitSoak(t *testing.T, seed uint64, length time.Duration, boxes int) {
 	l := &limits{}
-	site := newSoakSite(t, boxes, hallCount(seed), runnersPerService)
+	site := newSoakSite(t, boxes, hallCount(seed), runnerCount(boxes))
 	plan := newLimitPlan(site, l, seed, max(length, minLimitLength))
 	// Requests wait and fail at endpoints that accept no more, as they do at broken ones.
 	defer plan.endpointFaults.begin()()
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -26,8 +26,9 @@
 	recoveryRequests = 15
 	// recoveryTimeout is the deadline of each of them; the boxes have no other load then.
 	recoveryTimeout = 4 * time.Second
-	// runnersPerService is the initial number of endpoints of each service.
-	runnersPerService = 3
+	// runnersPerService is the initial number of endpoints of each service for few boxes, and boxesPerRunner the number of
+	// boxes beyond which there are more, so that the callers of all boxes do not fill them.
+	runnersPerService, boxesPerRunner = 3, 3
 	// maxHalls is the largest number of halls over which the boxes are spread.
 	maxHalls = 2
 )
@@ -130,10 +131,13 @@
 
 // runSoak runs one seed.
 func runSoak(t *testing.T, seed uint64, length time.Duration, boxes int) soakResult {
-	site := newSoakSite(t, boxes, hallCount(seed), runnersPerService)
+	site := newSoakSite(t, boxes, hallCount(seed), runnerCount(boxes))
 	return runPlan(site, newFaultPlan(site, seed, length), seed, site.drawAny)
 }
 
+// runnerCount returns the initial number of endpoints of each service.
+func runnerCount(boxes int) int { return max(runnersPerService, boxes/boxesPerRunner) }
+
 // hallCount returns the number of halls of a seed. One box of each hall reads the store; with a single hall, no other box
 // makes up for its failed reads.
 func hallCount(seed uint64) int { return 1 + int(seed%maxHalls) }
