Transport: a connection that is closed before a read's deadline is set counts as closed

A read set its deadline first, and returned early if that failed because the connection had just been closed; only a failed read after it marked the connection. Both mark it now.

--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -304,6 +304,18 @@
 
 // Read implements io.Reader; it fails if nothing is received for readTimeout.
 func (c *peerConn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err != nil && c.hasTimeouts {
+		slog.Debug("peer connection closed", "peer", c.RemoteAddr().String(), "error", err)
+		// net/rpc leaves a client's connection open until the next call on it.
+		c.isClosed.Store(true)
+		_ = c.Close()
+	}
+	return n, err
+}
+
+// read reads within readTimeout. A connection that is closed already may fail before the read, when the deadline is set.
+func (c *peerConn) read(p []byte) (int, error) {
 	if c.hasTimeouts {
 		if err := c.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return 0, err
@@ -311,12 +323,6 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.transport.Received.Add(uint64(n))
-	if err != nil && c.hasTimeouts {
-		slog.Debug("peer connection closed", "peer", c.RemoteAddr().String(), "error", err)
-		// net/rpc leaves a client's connection open until the next call on it.
-		c.isClosed.Store(true)
-		_ = c.Close()
-	}
 	return n, err
 }
 
