--- a/exchange/send.go
+++ b/exchange/send.go
@@ -192,6 +192,9 @@
 		// The fingerprint finds earlier sends of the same content under other request IDs.
 		more = []any{"fingerprint", c.fingerprint().String(), "endpoint_ended", s.crashed}
 	}
+	if s.answer != nil {
+		more = append(more, "framing", s.answer.Framing)
+	}
 	slog.Info("send ended", append(more, "request", c.head.ID, "outcome", sendKindNames[result.kind], "cause", cause,
 		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
 		"confidence", s.answerHead.Confidence, "running", s.answerHead.Load.Running, "waiting", s.answerHead.Load.Waiting,
--- a/wire/message.go
+++ b/wire/message.go
@@ -14,6 +14,13 @@
 )
 
 const (
+	// FramedByLength: the head names the length of the body.
+	FramedByLength Framing = "length"
+	// FramedByChunks: the body comes in chunks, and a last one ends it.
+	FramedByChunks Framing = "chunks"
+	// FramedByClose: the body ends with its connection.
+	FramedByClose Framing = "close"
+
 	// maxInlineBody is the size of the largest body that is written before the answer is read: it fits into any send
 	// window.
 	maxInlineBody = 2 << 10
@@ -34,11 +41,15 @@
 		HasBody bool // the caller sent a body, possibly an empty one
 	}
 
+	// Framing is what tells the end of an answer's body.
+	Framing string
+
 	// Answer is the head of an endpoint's answer and a reader of its body.
 	Answer struct {
 		Status     int
 		Header     http.Header
 		Length     int64 // length of the body; -1 if unknown
+		Framing    Framing
 		body       io.ReadCloser
 		conn       *Conn
 		bodyRead   int64 // bytes of the body read so far
@@ -171,13 +182,24 @@
 		return nil, errors.Wrap(willowwick.ErrBroken, "read answer head: "+err.Error())
 	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framingOf(response),
 		body: response.Body, conn: c, closesConn: response.Close, deadline: deadline,
 		// Read it now: the header may be stripped before the answer ends, since it concerns this connection only.
 		keepAlive: response.Header.Get("Keep-Alive"),
 	}, nil
 }
 
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0 || response.Body == http.NoBody:
+		return FramedByLength
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	default:
+		return FramedByClose
+	}
+}
+
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
