--- a/wire/pool.go
+++ b/wire/pool.go
@@ -128,7 +128,7 @@
 		return nil, err
 	}
 	p.updateStats(func(s *Stats) { s.Dialed++ })
-	c := &Conn{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), address: address}
+	c := newConn(p, conn, address)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		if c.raw, err = tcp.SyscallConn(); err != nil {
 			_ = conn.Close()
@@ -138,6 +138,10 @@
 	return c, nil
 }
 
+func newConn(p *Pool, conn net.Conn, address string) *Conn {
+	return &Conn{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), address: address}
+}
+
 // IsListening dials the address to check whether anything still listens there; known is false if that couldn't be
 // determined. A connection that is established is kept for the next request.
 func (p *Pool) IsListening(ctx context.Context, address string) (listens, known bool) {
