Connections: a fault that one call received is reported to the next

Callers saw an answer that had been broken off as if it were complete. The system reports a reset, or a machine that is gone, once, to whichever call comes first, and an orderly end afterwards; an answer with neither length nor chunks that ends in order is complete. Four calls took the report and dropped it: the wait for bytes before each read of a stream, that wait when it was interrupted, the write of the request that runs beside the reading, and the wait again when the machine was gone, whose error is a timeout and counted as silence.

A connection keeps the first fault now and reports it in place of an orderly end, after a write that is under way has ended; only an error of a call's own deadline is silence.

--- a/wire/interrupt.go
+++ b/wire/interrupt.go
@@ -38,7 +38,7 @@
 	}
 	wasInterrupted, deadlineErr := c.endWait(deadline)
 	switch {
-	case isTimeout(err), isInterrupted, wasInterrupted && err != nil:
+	case isDeadlineError(err), isInterrupted, wasInterrupted && err != nil:
 		return ErrSilent
 	case err != nil:
 		return err
--- a/wire/message.go
+++ b/wire/message.go
@@ -96,16 +96,10 @@
 	if len(m.Body) <= maxInlineBody {
 		_, err := c.conn.Write(buffer.Bytes())
 		buffers.Put(buffer)
-		c.writeResult = nil
+		c.write = nil
 		return errors.Wrap(err, "send")
 	}
-	written := make(chan error, 1)
-	c.writeResult = written
-	go func() {
-		_, err := c.conn.Write(buffer.Bytes())
-		buffers.Put(buffer)
-		written <- err
-	}()
+	c.write = startWrite(c.conn, buffer.Bytes(), func() { buffers.Put(buffer) })
 	return nil
 }
 
@@ -133,20 +127,6 @@
 	buffer.Write(m.Body)
 }
 
-// wasWritten reports whether the whole request has been written.
-func (c *Conn) wasWritten() bool {
-	if c.writeResult == nil {
-		return true
-	}
-	select {
-	case err := <-c.writeResult:
-		c.writeResult = nil
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // Receive reads the head of the answer that belongs to the request, skipping answers to earlier requests.
 //
 // It returns ErrSilent if no byte is received before silentAt; it may then be called again.
@@ -200,11 +180,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // Read implements io.Reader over the body; it returns io.EOF after the complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
@@ -223,7 +198,7 @@
 	if err := a.conn.awaitByte(until, a.deadline); errors.Is(err, ErrSilent) {
 		return ErrSilent
 	}
-	return nil // Read reports any other error, including the end of the connection
+	return nil // Read reports any other error: the connection keeps it
 }
 
 // Done returns the connection to the pool after a complete answer, and closes it otherwise.
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -66,9 +66,9 @@
 		raw          syscall.RawConn
 		reader       *bufio.Reader
 		address      string
-		idleDeadline time.Time  // when the endpoint may close the idle connection
-		idleSince    time.Time  // when it was last released
-		writeResult  chan error // receives the result of a write that runs concurrently; nil if there is none
+		idleDeadline time.Time     // when the endpoint may close the idle connection
+		idleSince    time.Time     // when it was last released
+		write        *pendingWrite // nil if no write runs concurrently
 		interrupt    interrupt
 	}
 )
@@ -139,7 +139,8 @@
 }
 
 func newConn(p *Pool, conn net.Conn, address string) *Conn {
-	return &Conn{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), address: address}
+	kept := KeepFaults(conn)
+	return &Conn{pool: p, conn: kept, reader: bufio.NewReaderSize(kept, readBufferSize), address: address}
 }
 
 // IsListening dials the address to check whether anything still listens there; known is false if that couldn't be
@@ -266,7 +267,7 @@
 func (c *Conn) Release(keepAlive string) {
 	c.idleSince = clock.Now()
 	c.idleDeadline = c.idleSince.Add(parseIdleTime(keepAlive))
-	if err := c.conn.SetDeadline(time.Time{}); err != nil || c.reader.Buffered() > 0 || !c.wasWritten() {
+	if err := c.conn.SetDeadline(time.Time{}); err != nil || c.reader.Buffered() > 0 || !c.write.succeeded() {
 		c.Close()
 		return
 	}
