--- a/remote/client.go
+++ b/remote/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -57,13 +58,28 @@
 
 func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         keepFaults(dial),
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 }
 
+// keepFaults returns a function that dials connections that keep their faults; without it, an answer that ends with its
+// connection could look complete after a reset. A nil dial is the usual one.
+func keepFaults(dial DialFunc) DialFunc {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return wire.KeepFaults(conn), nil
+	}
+}
+
 // Append implements willowwick.Log.
 func (c *Client) Append(ctx context.Context, stream willowwick.StreamID, data []byte) (willowwick.Offset, error) {
 	var answer appendResponse
