Router: an answer that ends with its connection is checked for a crash of its endpoint

Callers saw a stream that had been broken off as if it were complete. The system closes the connections of a process that was killed in order, so that an answer with neither length nor chunks looks complete wherever it broke off; only a stream that ends inside an event was broken off for certain. Before such an answer counts as complete, the router asks what it asks of each broken one: whether anything still listens at the endpoint's address, or its next entry names another incarnation. If nothing listens, a stream goes on elsewhere and a plain answer is retried where it may be, and is a failure where it may not. Endpoints that are draining, or no longer listed, may have been stopped as planned: their answers count as complete.

--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -25,6 +25,8 @@
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
+
+	errCrashedAtEnd = errors.New("the answer ended with its connection, and its endpoint has crashed")
 )
 
 // reply is the answer to one caller.
@@ -91,6 +93,9 @@
 // relayWhole reads the complete answer before it sends the head, so that a broken answer can still be retried.
 func (s *send) relayWhole() sendResult {
 	body, err := io.ReadAll(io.LimitReader(s.answer, maxBufferedBody))
+	if err == nil && len(body) < maxBufferedBody {
+		err = s.confirmEnd()
+	}
 	if err != nil {
 		s.outcome = route.OutcomeFailed
 		return sendResult{broken, errors.Wrap(err, "read the body of the answer")}
@@ -117,6 +122,9 @@
 	s.out.write(begin)
 	copied, err := io.Copy(s.out.writer, s.answer)
 	s.router.metrics.distances.countAnswer(s.distance(), int(copied))
+	if err == nil {
+		err = s.confirmEnd()
+	}
 	if err != nil {
 		s.outcome = route.OutcomeFailed
 		return sendResult{broken, errors.Wrap(err, "read the body of the answer")}
@@ -245,6 +253,9 @@
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return s.streamBroken(errors.New("the stream ended with an incomplete event"))
 	}
+	if err := s.confirmEnd(); err != nil {
+		return s.streamBroken(err)
+	}
 	if !s.out.headSent {
 		s.observe(false)
 		s.out.writeHead(s.answer.Status, s.answer.Header, -1)
@@ -254,6 +265,15 @@
 	return sendResult{kind: answered}
 }
 
+// confirmEnd returns an error if an answer that ended with its connection may lack its rest, because its endpoint has
+// crashed: the system closes the connections of a process that was killed in order.
+func (s *send) confirmEnd() error {
+	if s.answer.Framing == wire.FramedByClose && s.router.crashes.hasCrashed(s.ctx, s.ticket.Endpoint, clock.Now()) {
+		return errCrashedAtEnd
+	}
+	return nil
+}
+
 func (s *send) streamBroken(err error) sendResult {
 	return s.unanswered(errors.Wrap(err, "stream"))
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -396,6 +396,9 @@
 	s.outcome = route.OutcomeError
 	body, err := io.ReadAll(io.LimitReader(s.answer, maxBufferedBody))
 	s.observe(true)
+	if err == nil {
+		err = s.confirmEnd()
+	}
 	if err != nil {
 		return sendResult{broken, errors.Wrap(err, "read the endpoint's error answer")}
 	}
