Router: an aborted answer is reset for a caller without chunks

Callers of HTTP/1.0 saw a stream that couldn't be finished as if it were complete: without chunks, the orderly end of the connection is the end of the answer, and that is how the server ends an aborted handler. Such a connection is reset now.

--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -31,6 +31,7 @@
 
 // reply is the answer to one caller.
 type reply struct {
+	request    *http.Request // the caller's
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	codec      willowwick.HeaderCodec
@@ -85,9 +86,9 @@
 	}
 }
 
-// abort closes the connection, so that the caller sees that the answer is incomplete.
+// abort breaks the answer off, so that the caller sees that it is incomplete.
 func (r *reply) abort() {
-	panic(http.ErrAbortHandler)
+	wire.AbortAnswer(r.request)
 }
 
 // relayWhole reads the complete answer before it sends the head, so that a broken answer can still be retried.
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -148,7 +148,7 @@
 	if x.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	out := &reply{writer: w, controller: http.NewResponseController(w), codec: x.codec}
+	out := &reply{request: r, writer: w, controller: http.NewResponseController(w), codec: x.codec}
 	x.awaitWarm(r)
 	c, refusal := x.acceptCall(out, r, arrived)
 	if refusal != nil {
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -103,6 +103,29 @@
 	return conn, ok
 }
 
+// AbortAnswer ends a handler whose answer can't be finished, so that the caller sees that it is incomplete.
+//
+// To a caller without chunks, the orderly end of its connection is the end of the answer: its connection is reset.
+func AbortAnswer(r *http.Request) {
+	if conn, found := CallerConn(r); found && !r.ProtoAtLeast(1, 1) {
+		resetAtClose(conn)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetAtClose makes the close of a caller's connection a reset.
+func resetAtClose(conn net.Conn) {
+	c, ok := trackedConn(conn)
+	if !ok {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			slog.Info("a caller's connection can't be reset: it may take a broken answer for complete", "error", err)
+		}
+	}
+}
+
 // ConnContext is the server's ConnContext hook.
 func (l *CallerListener) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, callerConnKey{}, conn)
