Router: an error answer that is too large to keep is not passed on in part

Callers saw the first 256 KiB of an endpoint's longer error answer as the whole of it: the router reads that much to pass it on later, and named its own count as the length. Such an answer counts as broken now: a repeatable request is retried, the others get a 502 without the endpoint's signature. The new test failed before (500 with 262,144 bytes).

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -117,6 +117,19 @@
 	assert.Equal(t, "r1", reply.header.Get("T-Seal"))
 }
 
+// An error answer larger than the router keeps was cut, and passed on as if it were whole.
+func TestErrorAnswerThatIsTooLargeToKeepIsNotPassedOnInPart(t *testing.T) {
+	r := newRunner(t, "r1", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedBody))
+	})
+	s := newSite(t, r.endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/once/", "id", "x")
+	assert.Equal(t, http.StatusBadGateway, reply.status)
+	assert.Empty(t, reply.header.Get("T-Seal"))
+	assert.Less(t, len(reply.body), maxBufferedBody)
+}
+
 // newSilentRunner returns a runner that never answers, and a channel that is closed once its request has ended.
 func newSilentRunner(t *testing.T) (*runner, chan struct{}) {
 	left := make(chan struct{})
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -396,7 +396,10 @@
 	s.outcome = route.OutcomeError
 	body, err := io.ReadAll(io.LimitReader(s.answer, maxBufferedBody))
 	s.observe(true)
-	if err == nil {
+	switch {
+	case err == nil && len(body) == maxBufferedBody:
+		err = errors.Errorf("it has %d bytes or more", maxBufferedBody)
+	case err == nil:
 		err = s.confirmEnd()
 	}
 	if err != nil {
