Router: a large answer that is no stream is not continued by a stream

After an answer of a resumable route that was no stream, and too large to be buffered, had broken off, the request was sent again, and the events that the next endpoint made were appended to it. The new test failed before: two sends, and events behind the first part. An answer that was begun as a plain one is broken off now.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -321,7 +321,7 @@
 
 // allowsAnotherRun reports whether one more endpoint may run the request.
 func (c *call) allowsAnotherRun() bool {
-	if c.out.headSent && !c.route.Resumable {
+	if c.out.headSent && (!c.route.Resumable || c.out.isPlain) {
 		return false
 	}
 	return c.route.Repeatable && c.runs < c.route.MaxRuns
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -130,6 +131,27 @@
 	assert.Less(t, len(reply.body), maxBufferedBody)
 }
 
+// After a large answer that was no stream had broken off, a stream's events from another endpoint were appended to it.
+func TestLargeAnswerThatBreaksOffIsNotContinuedByAStream(t *testing.T) {
+	var answers atomic.Int64
+	breaking := func(w http.ResponseWriter, request *http.Request) {
+		if answers.Add(1) > 1 {
+			streamEvents(w, request, 3)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(4*maxBufferedBody))
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedBody))
+		_ = http.NewResponseController(w).Flush()
+		hangUp(w)
+	}
+	s := newSite(t, newRunner(t, "r1", breaking).endpoint("v1"), newRunner(t, "r2", breaking).endpoint("v1"))
+	reply := s.do(t, http.MethodPost, "/stream/", "id", "x")
+	assert.Error(t, reply.err)
+	assert.NotContains(t, reply.body, "id: 1")
+	assert.Equal(t, int64(1), answers.Load())
+}
+
 // newSilentRunner returns a runner that never answers, and a channel that is closed once its request has ended.
 func newSilentRunner(t *testing.T) (*runner, chan struct{}) {
 	left := make(chan struct{})
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -37,6 +37,7 @@
 	codec      willowwick.HeaderCodec
 	id         willowwick.RequestID
 	headSent   bool // the status line and headers were sent
+	isPlain    bool // the answer that was begun is no stream, whose events could come from several sends
 }
 
 // writeHead sends the status and the endpoint's headers; a negative length sends none.
@@ -119,6 +120,7 @@
 
 // relayLarge relays an answer that is too large to be buffered.
 func (s *send) relayLarge(begin []byte) sendResult {
+	s.out.isPlain = true
 	s.out.writeHead(s.answer.Status, s.answer.Header, s.answer.Length)
 	s.out.write(begin)
 	copied, err := io.Copy(s.out.writer, s.answer)
