Soak: endpoints that answer with neither length nor chunks

TestSoakUnframed: all endpoints answer so; some break their streams off at each place of an event, by a reset, or in order inside an event, or crash like a process that is killed, beside kills, stops and freezes of boxes, and silent connections.

--- a/cmd/e2e/soak_link_test.go
+++ b/cmd/e2e/soak_link_test.go
@@ -44,6 +44,7 @@
 		listenAddress string
 		serverAddress string
 		close         func() // stops accepting and resets open connections, as if the server were gone
+		refuse        func() // stops accepting; open connections go on
 
 		mu     sync.Mutex
 		state  linkState
@@ -82,8 +83,9 @@
 			go l.proxy(conn)
 		}
 	}()
+	l.refuse = func() { _ = listener.Close() }
 	l.close = func() {
-		_ = listener.Close()
+		l.refuse()
 		l.set(linkReset)
 		l.resetOpen(func(*linkConn) bool { return true })
 	}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -35,6 +35,11 @@
 		FailEvery  int // every nth answer is a 500; 0 for none
 		BreakAfter int // streams break off after this many events; 0 for never
 		Full       bool
+		// Unframed answers have neither a length nor chunks. Those that break off send BreakInside bytes of the next event
+		// before, and then end in order or by a reset.
+		Unframed      bool
+		BreakInside   int
+		BreaksInOrder bool
 	}
 
 	// BatchRunner stands in for a runner of the users' platform; it maintains its entry in a Store.
@@ -194,6 +199,17 @@
 
 // ServeHTTP implements http.Handler.
 func (b *BatchRunner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	faults := b.faults
+	b.mu.Unlock()
+	if faults.Unframed {
+		serveUnframed(w, r, faults.BreaksInOrder, b.serve)
+		return
+	}
+	b.serve(w, r)
+}
+
+func (b *BatchRunner) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -278,6 +294,10 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for number := from + 1; number <= b.settings.Events; number++ {
 		if faults.BreakAfter > 0 && from == 0 && number > faults.BreakAfter {
+			part := BatchEvent(r.Header.Get("Attempt-Id"), number)[:faults.BreakInside]
+			if _, err := io.WriteString(w, part); err != nil {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := io.WriteString(w, BatchEvent(r.Header.Get("Attempt-Id"), number)); err != nil {
