Sight: whether a box reaches any endpoint

A box that is cut off from all endpoints logged each failed send, and nothing that told this from endpoints that are gone.

--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -48,6 +48,12 @@
 		_, resting := x.pool.CountNotices(clock.Now())
 		return float64(resting)
 	})
+	set.NewGauge("willowwick_cut_off_from_endpoints", func() float64 {
+		if x.reach.isCutOff() {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("willowwick_grants_permits", func() float64 {
 		if x.peers.granter.IsGranting() {
 			return 1
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -91,6 +91,7 @@
 		peers     *peers
 		hints     *hints
 		crashes   *crashDetector
+		reach     *reach
 		poison    *quarantine.Ledger
 		limits    *ratelimit.Ledger
 		shortages *shortages
@@ -117,10 +118,9 @@
 
 // newRouter returns a router without configuration, and a function that closes its connections.
 func newRouter(settings Settings, codec willowwick.HeaderCodec) (*Router, func()) {
-	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout})
 	limits := ratelimit.NewLedger()
 	x := &Router{
-		settings: settings, topology: settings.topology(), codec: codec, conns: conns, gate: gate.New(), warm: make(chan struct{}),
+		settings: settings, topology: settings.topology(), codec: codec, gate: gate.New(), warm: make(chan struct{}),
 		poison: quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
 		pool: route.NewPoolWith(route.NewHallFirst(settings.topology(), settings.Seed), route.PoolOptions{
 			StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
@@ -128,6 +128,9 @@
 		}),
 		retryBudgets: map[willowwick.ServiceID]*route.WindowedRetryBudget{},
 	}
+	x.reach = newReach(x)
+	var closeConns func()
+	x.conns, closeConns = wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout, OnDial: x.reach.noteDial})
 	x.evacuations = newEvacuations(x.pool)
 	x.admissions = newAdmissions(x.poison)
 	x.crashes = newCrashDetector(x)
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -135,6 +135,7 @@
 	}
 	if s.receivedNothing(result) {
 		c.router.conns.CloseIdleBefore(ticket.Endpoint.Address, s.sentAt)
+		c.router.reach.noteMiss(ticket.Endpoint.Address)
 	}
 	if result.kind == silent {
 		c.router.hints.publish(ticket.TimedOut(clock.Now()))
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -38,6 +38,8 @@
 	Settings struct {
 		DialTimeout time.Duration // maximum time to establish a connection
 		AckTimeout  time.Duration // maximum time that sent bytes may stay unacknowledged
+		// OnDial is called after each attempt to open a connection that its caller didn't give up; nil for none.
+		OnDial func(address string, err error)
 	}
 
 	// Stats counts the connections and skipped answers of a pool.
@@ -124,6 +126,9 @@
 // dial opens a new connection to the address.
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	if p.settings.OnDial != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		p.settings.OnDial(address, err)
+	}
 	if err != nil {
 		return nil, err
 	}
