--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -55,6 +55,10 @@
 		Peers   net.Listener
 		Metrics net.Listener
 		Hints   net.PacketConn // datagrams between boxes, at the address of Peers; nil for none
+		// PassedOn takes the requests that other boxes pass on; nil if this box takes none.
+		PassedOn net.Listener
+		// DialEndpoint opens connections to endpoints; nil for the usual way.
+		DialEndpoint wire.DialFunc
 		// DutyLog and DutyAPI serve the fleet's duties; nil if Settings.Duties assigns none.
 		DutyLog willowwick.DutyLog
 		DutyAPI willowwick.DutyAPI
@@ -77,7 +81,7 @@
 
 // New returns a daemon that is not running yet, and a function that closes its connections.
 func New(settings Settings, deps Dependencies) (*Daemon, func()) {
-	x, closeRouter := newRouter(settings, deps.Codec)
+	x, closeRouter := newRouterWith(settings, deps.Codec, deps.DialEndpoint)
 	x.sync = newSyncer(x, deps.Control)
 	x.departures.reports = deps.Reports
 	var closePeers func()
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -118,6 +118,11 @@
 
 // newRouter returns a router without configuration, and a function that closes its connections.
 func newRouter(settings Settings, codec willowwick.HeaderCodec) (*Router, func()) {
+	return newRouterWith(settings, codec, nil)
+}
+
+// newRouterWith is newRouter with a function that opens connections to endpoints, nil for the usual one.
+func newRouterWith(settings Settings, codec willowwick.HeaderCodec, dial wire.DialFunc) (*Router, func()) {
 	limits := ratelimit.NewLedger()
 	x := &Router{
 		settings: settings, topology: settings.topology(), codec: codec, gate: gate.New(), warm: make(chan struct{}),
@@ -130,7 +135,7 @@
 	}
 	x.reach = newReach(x)
 	var closeConns func()
-	x.conns, closeConns = wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout, OnDial: x.reach.noteDial})
+	x.conns, closeConns = wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout, OnDial: x.reach.noteDial, Dial: dial})
 	x.evacuations = newEvacuations(x.pool)
 	x.admissions = newAdmissions(x.poison)
 	x.crashes = newCrashDetector(x)
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -409,12 +410,18 @@
 }
 
 func startSite(t *testing.T, control siteControl, settings Settings) *site {
+	return startSiteOver(t, control, settings, nil)
+}
+
+// startSiteOver starts a site that opens connections to endpoints in its own way.
+func startSiteOver(t *testing.T, control siteControl, settings Settings, dial wire.DialFunc) *site {
 	callers, ready, peers, figures := listen(t), listen(t), listen(t), listen(t)
 	settings.Peers = peers.Addr().String()
 	hints, err := net.ListenPacket("udp", settings.Peers)
 	require.NoError(t, err)
 	daemon, closeDaemon := New(settings, Dependencies{
 		Control: control, Codec: testCodec{}, Callers: callers, Ready: ready, Peers: peers, Metrics: figures, Hints: hints,
+		PassedOn: listen(t), DialEndpoint: dial,
 	})
 	stop := daemon.Start()
 	s := &site{control: control.base(), daemon: daemon, url: "http://" + callers.Addr().String(), client: &http.Client{Transport: &http.Transport{}}, stop: stop, closeDaemon: closeDaemon}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -34,12 +34,17 @@
 )
 
 type (
-	// Settings holds the timeouts of connections.
+	// DialFunc opens a network connection.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// Settings holds the timeouts of connections, and how they are opened.
 	Settings struct {
 		DialTimeout time.Duration // maximum time to establish a connection
 		AckTimeout  time.Duration // maximum time that sent bytes may stay unacknowledged
 		// OnDial is called after each attempt to open a connection that its caller didn't give up; nil for none.
 		OnDial func(address string, err error)
+		// Dial opens the connections; nil for the usual way.
+		Dial DialFunc
 	}
 
 	// Stats counts the connections and skipped answers of a pool.
@@ -53,7 +58,6 @@
 	// Pool is a pool of connections to endpoints.
 	Pool struct {
 		settings Settings
-		dialer   net.Dialer
 
 		mu     sync.Mutex
 		idle   map[string][]*Conn
@@ -78,14 +82,20 @@
 // NewPool returns an empty pool and a function that closes its connections.
 func NewPool(settings Settings) (*Pool, func()) {
 	p := &Pool{settings: settings, idle: map[string][]*Conn{}}
-	p.dialer = net.Dialer{
-		Timeout: settings.DialTimeout,
+	if p.settings.Dial == nil {
+		p.settings.Dial = p.newDialer().DialContext
+	}
+	return p, p.close
+}
+
+func (p *Pool) newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: p.settings.DialTimeout,
 		Control: p.setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
-	return p, p.close
 }
 
 // setUserTimeout limits how long sent bytes may stay unacknowledged before the connection fails.
@@ -125,7 +135,7 @@
 
 // dial opens a new connection to the address.
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, err := p.settings.Dial(ctx, "tcp", address)
 	if p.settings.OnDial != nil && !errors.Is(ctx.Err(), context.Canceled) {
 		p.settings.OnDial(address, err)
 	}
