--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -15,19 +15,7 @@
 	"github.com/willowwick/willowwick/wire"
 )
 
-const (
-	// streamReadBytes is the initial size of the buffer of a stream.
-	streamReadBytes = 8 << 10
-	// maxEventBytes limits the size of an incomplete event.
-	maxEventBytes = 1 << 20
-)
-
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-
-	errCrashedAtEnd = errors.New("the answer ended with its connection, and its endpoint has crashed")
-)
+var errCrashedAtEnd = errors.New("the answer ended with its connection, and its endpoint has crashed")
 
 // reply is the answer to one caller.
 type reply struct {
@@ -108,22 +96,32 @@
 	if len(body) == maxBufferedBody {
 		return s.relayLarge(body)
 	}
-	length := int64(len(body))
-	if s.message.Method == http.MethodHead {
-		length = s.answer.Length
-	}
-	s.out.writeHead(s.answer.Status, s.answer.Header, length)
-	s.out.write(body)
+	s.writeWhole(s.answer, body)
 	s.delivered()
 	return sendResult{kind: answered}
 }
 
+// writeWhole sends a complete answer to the caller.
+func (c *call) writeWhole(answer *wire.Answer, body []byte) {
+	length := int64(len(body))
+	if c.message.Method == http.MethodHead {
+		length = answer.Length
+	}
+	c.out.writeHead(answer.Status, answer.Header, length)
+	c.out.write(body)
+}
+
+// writeLarge sends the begin of an answer to the caller, and the rest as it arrives.
+func (c *call) writeLarge(answer *wire.Answer, begin []byte) (copied int64, err error) {
+	c.out.isPlain = true
+	c.out.writeHead(answer.Status, answer.Header, answer.Length)
+	c.out.write(begin)
+	return io.Copy(c.out.writer, answer)
+}
+
 // relayLarge relays an answer that is too large to be buffered.
 func (s *send) relayLarge(begin []byte) sendResult {
-	s.out.isPlain = true
-	s.out.writeHead(s.answer.Status, s.answer.Header, s.answer.Length)
-	s.out.write(begin)
-	copied, err := io.Copy(s.out.writer, s.answer)
+	copied, err := s.writeLarge(s.answer, begin)
 	s.router.metrics.distances.countAnswer(s.distance(), int(copied))
 	if err == nil {
 		err = s.confirmEnd()
@@ -138,40 +136,34 @@
 
 // relayStream relays complete events as they arrive.
 func (s *send) relayStream() sendResult {
-	buffer := make([]byte, 0, streamReadBytes)
-	for {
-		if err := s.awaitEvents(); err != nil {
-			return s.streamBroken(err)
-		}
-		buffer = grow(buffer)
-		n, err := s.answer.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		s.router.metrics.distances.countAnswer(s.distance(), n)
-		s.ticket.MarkAlive(clock.Now())
-		whole := bytes.LastIndex(buffer, eventEnd) + len(eventEnd)
-		if whole >= len(eventEnd) {
-			if !s.relayEvents(buffer[:whole]) {
-				return s.callerDisconnected()
-			}
-			buffer = buffer[:copy(buffer, buffer[whole:])]
-		}
-		switch {
-		case err == io.EOF:
-			return s.endStream(buffer)
-		case err != nil:
-			return s.streamBroken(err)
-		case len(buffer) > maxEventBytes:
-			return s.streamBroken(errors.New("an event exceeds the maximum size"))
-		}
+	err := readEvents(s.readStream, s.relayEvents)
+	if err == nil {
+		err = s.confirmEnd()
+	}
+	switch {
+	case errors.Is(err, errCallerLeft):
+		return s.callerDisconnected()
+	case err != nil:
+		return s.unanswered(errors.Wrap(err, "stream"))
 	}
+	if !s.out.headSent {
+		s.observe(false)
+		s.out.writeHead(s.answer.Status, s.answer.Header, -1)
+	}
+	s.outcome = route.OutcomeGood
+	s.delivered()
+	return sendResult{kind: answered}
 }
 
-// grow ensures room for a read of at least half of streamReadBytes.
-func grow(buffer []byte) []byte {
-	if cap(buffer)-len(buffer) >= streamReadBytes/2 {
-		return buffer
+// readStream waits for bytes of the stream and reads them.
+func (s *send) readStream(p []byte) (int, error) {
+	if err := s.awaitEvents(); err != nil {
+		return 0, err
 	}
-	return append(make([]byte, 0, 2*cap(buffer)), buffer...)
+	n, err := s.answer.Read(p)
+	s.router.metrics.distances.countAnswer(s.distance(), n)
+	s.ticket.MarkAlive(clock.Now())
+	return n, err
 }
 
 // awaitEvents waits for bytes of the stream; it gives up a silent endpoint if the stream may be resumed elsewhere.
@@ -212,60 +204,30 @@
 func (s *send) relayEvents(events []byte) bool {
 	if !s.out.headSent {
 		s.observe(false)
-		s.out.writeHead(s.answer.Status, s.answer.Header, -1)
-	}
-	s.recordEvents(events, clock.Now())
-	if id := newestEventID(events); id != "" {
-		s.lastEventID = id
 	}
-	if !s.out.write(events) {
-		return false
-	}
-	s.out.flush()
-	return true
-}
-
-func (s *send) recordEvents(events []byte, now time.Time) {
+	now := clock.Now()
 	if s.events == 0 {
 		s.firstEventAt = now
 	}
-	count := bytes.Count(events, eventEnd)
-	s.events += count
-	s.streamTiming.recordEvent(now)
-	s.streamTiming.events += count
+	s.events += bytes.Count(events, eventEnd)
+	return s.writeEvents(s.answer, events, now)
 }
 
-// newestEventID returns the ID of the last event that has one.
-func newestEventID(events []byte) string {
-	at := bytes.LastIndex(events, idField)
-	for at > 0 && events[at-1] != '\n' {
-		at = bytes.LastIndex(events[:at], idField)
-	}
-	if at < 0 {
-		return ""
+// writeEvents sends complete events of an answer to the caller, and the head before the first of them.
+func (c *call) writeEvents(answer *wire.Answer, events []byte, now time.Time) bool {
+	if !c.out.headSent {
+		c.out.writeHead(answer.Status, answer.Header, -1)
 	}
-	line := events[at+len(idField):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	return string(bytes.TrimSpace(line))
-}
-
-// endStream ends a stream after its last byte; an incomplete event at the end means that it broke off.
-func (s *send) endStream(rest []byte) sendResult {
-	if len(bytes.TrimSpace(rest)) > 0 {
-		return s.streamBroken(errors.New("the stream ended with an incomplete event"))
-	}
-	if err := s.confirmEnd(); err != nil {
-		return s.streamBroken(err)
+	c.streamTiming.recordEvent(now)
+	c.streamTiming.events += bytes.Count(events, eventEnd)
+	if id := newestEventID(events); id != "" {
+		c.lastEventID = id
 	}
-	if !s.out.headSent {
-		s.observe(false)
-		s.out.writeHead(s.answer.Status, s.answer.Header, -1)
+	if !c.out.write(events) {
+		return false
 	}
-	s.outcome = route.OutcomeGood
-	s.delivered()
-	return sendResult{kind: answered}
+	c.out.flush()
+	return true
 }
 
 // confirmEnd returns an error if an answer that ended with its connection may lack its rest, because its endpoint has
@@ -277,10 +239,6 @@
 	return nil
 }
 
-func (s *send) streamBroken(err error) sendResult {
-	return s.unanswered(errors.Wrap(err, "stream"))
-}
-
 func (s *send) callerDisconnected() sendResult {
 	s.router.metrics.countOutcome("caller_left")
 	s.logCompletion("caller left", 0, "event", s.lastEventID)
