Router: a box that reaches no endpoint passes requests on to one that does

Callers of boxes that had lost their links to all endpoints were refused, or waited until their deadlines, while the other boxes served theirs: each such box tried one endpoint after the other, half a second for each connection that wasn't opened. No request ever passed from one box to another.

Such a box now asks some others of its region, by RPC, whether they take requests, and sends each request to the one with the fewest of its own, over HTTP and as the caller sent it. That box handles it like one of its own callers' requests: permits, retries, usage, sessions, quarantine and evidence count there, once; what was counted for the retry budget before isn't counted again. The answer returns unchanged, streams event by event; a caller that leaves ends the request there too. A request is passed on once; a box that stops, or is itself cut off, doesn't take it, and says so before it reads anything into it. A promise that nothing ran is dropped if an earlier send may have. If no box takes the request, the box goes on as before.

Readiness stays as it is: kept connections don't heed it, and with most of a hall cut off the balancer uses all boxes again.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -59,7 +59,7 @@
 // buildNode opens the listeners and creates the daemon and its clients. The returned function closes the daemon and the
 // clients.
 func buildNode(o *options, settings platform.Settings, set *metrics.Set) (*exchange.Daemon, func(), error) {
-	listeners, err := listenAll(settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress)
+	listeners, err := listenAll(settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress, settings.PassedOnAddress)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -71,7 +71,7 @@
 	closeAPI := func() {}
 	deps := exchange.Dependencies{
 		Control: control, Codec: platform.Codec{}, Counters: set, Reports: api.NewReports(),
-		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints,
+		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints, PassedOn: listeners[4],
 	}
 	if len(settings.Duties.Assigned) > 0 {
 		deps.DutyLog = control.DutyLog()
--- a/exchange.go
+++ b/exchange.go
@@ -53,6 +53,9 @@
 		DecodeRequest(header http.Header, arrived time.Time) (RequestHead, error)
 		// EncodeRequest removes the headers that callers may not set and adds those of the router.
 		EncodeRequest(header http.Header, send ForwardHead, now time.Time)
+		// EncodePassedOn sets what changes in a caller's headers when another box handles the request: the time left, and the
+		// last event that the caller has, if any.
+		EncodePassedOn(header http.Header, resumeAfter string, deadline, now time.Time)
 		// DecodeAnswer reads the status and the headers of an endpoint's answer.
 		DecodeAnswer(status int, header http.Header, at time.Time) AnswerHead
 		// EncodeOwnAnswer adds the request id to an answer that the router itself gives.
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -52,6 +52,9 @@
 		account *willowwick.RoutedAccount
 		service willowwick.ServiceID
 
+		origin           passedOn
+		isRequestCounted bool // for the retry budget
+
 		arrived      time.Time
 		deadline     time.Time
 		cascadeStage int // index in the route's models, or noCascade
@@ -108,8 +111,9 @@
 	c := &call{
 		router: x, out: out, head: head, table: t, arrived: arrived, cascadeStage: noCascade,
 		message:        wire.Message{Method: r.Method, Target: target, Host: r.Host, Header: r.Header},
-		triedEndpoints: map[willowwick.EndpointID]bool{}, lastEventID: head.ResumeAfter,
+		triedEndpoints: map[willowwick.EndpointID]bool{}, lastEventID: head.ResumeAfter, origin: originOf(r),
 	}
+	c.isRequestCounted = c.origin.isCounted
 	if refusal := c.resolveRoute(path); refusal != nil {
 		return nil, x.unlessStale(refusal, t, arrived)
 	}
@@ -212,7 +216,14 @@
 	wire.StripHopHeaders(c.message.Header)
 	delete(c.message.Header, "Content-Length")
 	delete(c.message.Header, "Expect")
-	c.router.retryBudget(c.service).Request(c.arrived)
+}
+
+// countRequest counts the request for the retry budget, once and at one box.
+func (c *call) countRequest() {
+	if !c.isRequestCounted {
+		c.isRequestCounted = true
+		c.router.retryBudget(c.service).Request(c.arrived)
+	}
 }
 
 // sessionKey returns the key by which requests stay on one release: the session, or the request ID if there is
@@ -227,6 +238,10 @@
 // run sends the request until it is answered or cannot be retried.
 func (c *call) run() {
 	for {
+		if c.mustPassOn() && c.passOn() {
+			return
+		}
+		c.countRequest()
 		ticket, refusal := c.awaitTicket()
 		if refusal != nil {
 			c.recordShortage(refusal)
--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -84,6 +84,9 @@
 	x, closeRouter := newRouterWith(settings, deps.Codec, deps.DialEndpoint)
 	x.sync = newSyncer(x, deps.Control)
 	x.departures.reports = deps.Reports
+	if deps.PassedOn != nil {
+		x.offers.address = deps.PassedOn.Addr().String()
+	}
 	var closePeers func()
 	x.peers, closePeers = newPeers(x)
 	x.hints = newHints(x, deps.Hints)
@@ -104,6 +107,9 @@
 	d.cancel = cancel
 	x := d.router
 	d.serve(d.callers, x)
+	if d.deps.PassedOn != nil {
+		d.serve(d.deps.PassedOn, x.offers)
+	}
 	d.serve(d.deps.Ready, http.HandlerFunc(d.serveReady))
 	d.serve(d.deps.Metrics, http.HandlerFunc(d.serveMetrics))
 	d.workers.Go(func() {
@@ -193,7 +199,7 @@
 	x.refusesLate.Store(true)
 	// The listener stays open until awaitIdle returns: the load balancer uses boxes that are not ready where it
 	// has too few others. Idle connections stay open too: a request may be in transit on them.
-	awaitIdle(d.callers.Busy, limit)
+	awaitIdle(func() int64 { return max(d.callers.Busy(), x.inFlight.Load()) }, limit)
 	if err := d.callers.Close(); err != nil {
 		slog.Debug("closing the listener for callers failed", "error", err)
 	}
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -93,6 +93,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_refusals_total{kind=%q,code=%q}", refusal.Kind, refusal.Code)).Inc()
 }
 
+func (m *routerMetrics) countPassedOn(kind sendKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("willowwick_requests_passed_on_total{outcome=%q}", sendKindNames[kind])).Inc()
+}
+
 func (m *routerMetrics) countHintDropped() {
 	m.hintsDropped.Inc()
 }
--- /dev/null
+++ b/exchange/offers.go
@@ -0,0 +1,233 @@
+package exchange
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/fleet"
+	"github.com/willowwick/willowwick/wire"
+)
+
+const (
+	// rpcOffer is the RPC method that asks a box whether it takes requests of another one.
+	rpcOffer = rpcServiceName + ".Offer"
+	// offerTTL is how long an offer, or the lack of one, counts.
+	offerTTL = time.Second
+	// offerTimeout bounds the call that asks for an offer.
+	offerTimeout = 200 * time.Millisecond
+	// wantedOffers is the number of boxes among which a box divides the requests that it passes on, and maxOfferCalls the
+	// number that one request or one round asks.
+	wantedOffers  = 4
+	maxOfferCalls = 6
+	// usualLinkMbps is the bandwidth up to which a box with a faster link gets more requests.
+	usualLinkMbps = 100
+)
+
+type (
+	// OfferCall asks a box whether it takes requests of another one.
+	OfferCall struct {
+		Box willowwick.BoxID
+	}
+
+	// OfferReply says where a box takes requests of others; it takes none now if Address is empty.
+	OfferReply struct {
+		Address string // host:port
+		Token   string // goes with each of these requests: only boxes can have asked
+	}
+
+	// offers keeps which boxes take requests of this one, and takes those of others.
+	offers struct {
+		router  *Router
+		conns   *wire.Pool
+		token   string // of this box
+		address string // where this box takes requests; empty if it takes none
+
+		mu    sync.Mutex
+		known map[string]*offer // by the box's address
+	}
+
+	// target is the box that a request is passed on to.
+	target struct {
+		box   KnownBox
+		reply OfferReply
+	}
+
+	// offer is what a box replied last.
+	offer struct {
+		target
+		validUntil time.Time
+		isAsked    bool // a call is in progress
+		inFlight   int  // requests passed on to the box now
+	}
+)
+
+func newOffers(x *Router) (*offers, func()) {
+	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: offerTimeout, AckTimeout: unackedTimeout})
+	return &offers{router: x, conns: conns, token: rand.Text(), known: map[string]*offer{}}, closeConns
+}
+
+// Offer answers a box that asks whether this one takes its requests.
+func (s *rpcServer) Offer(_ *OfferCall, reply *OfferReply) error {
+	*reply = s.peers.router.offers.own()
+	return nil
+}
+
+// own returns this box's offer. A box that is about to stop, or is itself cut off, takes no requests.
+func (o *offers) own() OfferReply {
+	x := o.router
+	if isReady, _ := x.ready(); !isReady || x.reach.isCutOff() {
+		return OfferReply{}
+	}
+	return OfferReply{Address: o.address, Token: o.token}
+}
+
+// take returns the box that a request is passed on to, among those in halls that allows accepts and that were not tried; false
+// if no box takes it. The caller must call release.
+func (o *offers) take(ctx context.Context, allows func(willowwick.HallID) bool, tried map[string]bool) (target, bool) {
+	for range maxOfferCalls {
+		if taken, found := o.takeValid(clock.Now(), allows, tried); found {
+			return taken, true
+		}
+		if !o.askOne(ctx, allows) {
+			break
+		}
+	}
+	return target{}, false
+}
+
+// takeValid returns the valid offer with the fewest requests for its link.
+func (o *offers) takeValid(now time.Time, allows func(willowwick.HallID) bool, tried map[string]bool) (target, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var best *offer
+	for address, each := range o.known {
+		if !tried[address] && each.isUsable(now) && allows(each.box.Hall) && (best == nil || each.load() < best.load()) {
+			best = each
+		}
+	}
+	if best == nil {
+		return target{}, false
+	}
+	best.inFlight++
+	return best.target, true
+}
+
+func (f *offer) isUsable(now time.Time) bool {
+	return f.reply.Address != "" && now.Before(f.validUntil)
+}
+
+// load is the number of requests at the box, with one more, for the speed of its link.
+func (f *offer) load() float64 {
+	mbps := f.box.LinkMbps
+	if mbps <= 0 || mbps > usualLinkMbps {
+		mbps = usualLinkMbps
+	}
+	return float64(f.inFlight+1) / float64(mbps)
+}
+
+// release ends a request at a box. A box that wasn't reached, or didn't take the request, gets no other one for a while.
+func (o *offers) release(taken target, hasTaken bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.known[taken.box.Address] // kept while requests are in flight
+	known.inFlight--
+	if !hasTaken {
+		known.reply, known.validUntil = OfferReply{}, clock.Now().Add(offerTTL)
+	}
+}
+
+// refresh asks boxes until enough offers are valid for some time; it is called again and again while this box is cut off.
+func (o *offers) refresh(ctx context.Context) {
+	later := clock.Now().Add(offerTTL / 2)
+	anywhere := func(willowwick.HallID) bool { return true }
+	for range maxOfferCalls {
+		if o.countUsable(later) >= wantedOffers || !o.askOne(ctx, anywhere) {
+			return
+		}
+	}
+}
+
+func (o *offers) countUsable(at time.Time) (count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, each := range o.known {
+		if each.isUsable(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// askOne asks a box that is not known to refuse; it reports whether there was one.
+func (o *offers) askOne(ctx context.Context, allows func(willowwick.HallID) bool) bool {
+	box, found := o.drawUnasked(clock.Now(), allows)
+	if !found {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	reply, err := fleet.Ask[OfferReply](ctx, o.router.peers.transport, box.Address, rpcOffer, &OfferCall{Box: o.router.settings.Box})
+	if err != nil {
+		slog.Info("a box gave no answer whether it takes requests", "peer", box.Address, "error", err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	asked := o.known[box.Address] // kept while it is asked
+	asked.isAsked, asked.reply, asked.validUntil = false, reply, clock.Now().Add(offerTTL)
+	return true
+}
+
+// drawUnasked draws a box of this region that may be asked now: its last offer is about to end, or it has made none lately.
+func (o *offers) drawUnasked(now time.Time, allows func(willowwick.HallID) bool) (KnownBox, bool) {
+	boxes := o.router.peers.boxesOfRegion(now)
+	mathrand.Shuffle(len(boxes), func(i, j int) { boxes[i], boxes[j] = boxes[j], boxes[i] })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.forgetOthers(boxes)
+	for _, box := range boxes {
+		known := o.known[box.Address]
+		if known == nil {
+			known = &offer{}
+			o.known[box.Address] = known
+		}
+		known.box = box
+		mayAsk := !now.Before(known.validUntil) || known.isUsable(now) && !known.isUsable(now.Add(offerTTL/2))
+		if allows(box.Hall) && !known.isAsked && mayAsk {
+			known.isAsked = true
+			return box, true
+		}
+	}
+	return KnownBox{}, false
+}
+
+// forgetOthers drops the offers of boxes that are gone; the caller holds the lock.
+func (o *offers) forgetOthers(boxes []KnownBox) {
+	isThere := make(map[string]bool, len(boxes))
+	for _, box := range boxes {
+		isThere[box.Address] = true
+	}
+	for address, each := range o.known {
+		if !isThere[address] && !each.isAsked && each.inFlight == 0 {
+			delete(o.known, address)
+		}
+	}
+}
+
+// boxesOfRegion lists the known boxes of this region that aren't stopping, without this one.
+func (p *peers) boxesOfRegion(now time.Time) []KnownBox {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var boxes []KnownBox
+	for _, known := range p.known {
+		if known.isInRoster(now) && !known.box.IsStopping && !p.isInOtherRegion(known.box.Hall) {
+			boxes = append(boxes, known.box)
+		}
+	}
+	return boxes
+}
--- a/exchange/reach.go
+++ b/exchange/reach.go
@@ -89,6 +89,7 @@
 			return
 		}
 		for r.update(r.check(ctx)); r.isCutOff() && ctx.Err() == nil; r.update(r.check(ctx)) {
+			r.router.offers.refresh(ctx)
 			sleep(ctx, reachCheckInterval)
 		}
 		sleep(ctx, reachCheckPause)
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -89,6 +89,7 @@
 		releases  *releases
 		sync      *syncer
 		peers     *peers
+		offers    *offers
 		hints     *hints
 		crashes   *crashDetector
 		reach     *reach
@@ -145,7 +146,12 @@
 		x.releases.regionDelay = (regionReportHops - hallReportHops) * x.gossipPeriod()
 	}
 	x.metrics = newRouterMetrics(x)
-	return x, closeConns
+	var closeOffers func()
+	x.offers, closeOffers = newOffers(x)
+	return x, func() {
+		closeConns()
+		closeOffers()
+	}
 }
 
 // ServeHTTP implements http.Handler.
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -65,6 +65,13 @@
 	}
 }
 
+func (testCodec) EncodePassedOn(header http.Header, resumeAfter string, deadline, now time.Time) {
+	header.Set("T-Left", strconv.FormatInt(deadline.Sub(now).Milliseconds(), 10))
+	if resumeAfter != "" {
+		header.Set("T-Resume", resumeAfter)
+	}
+}
+
 func (testCodec) DecodeAnswer(status int, header http.Header, at time.Time) willowwick.AnswerHead {
 	head := willowwick.AnswerHead{
 		Request: willowwick.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
