Crash checks: a refused connection says nothing while no other endpoint is reached

A box that was cut off took the refused connection for the end of the endpoint, told the other boxes so, and counted it against the request. A check that finds nothing listening now dials some other listed endpoints that aren't known to have crashed: if there are such and none is reached, the state of the endpoint is unknown. Nor does a box that is cut off tell others that its requests timed out.

--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -127,13 +127,13 @@
 	}
 }
 
-// probe runs the check; an endpoint whose state remains unknown counts as alive. It continues if the caller of its
+// probe runs the check; an endpoint whose state remains unknown counts as alive, also if this box may be cut off from all. It continues if the caller of its
 // request disconnects: other requests wait for the result, and without it would be sent to one more endpoint.
 func (e *crashDetector) probe(ctx context.Context, check *crashCheck, address string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), quarantine.CrashCheckTimeout)
 	defer cancel()
 	listens, known := e.router.conns.IsListening(ctx, address)
-	check.crashed = known && !listens
+	check.crashed = known && !listens && e.router.reach.reachesOther(ctx, address)
 	close(check.done)
 }
 
--- a/exchange/reach.go
+++ b/exchange/reach.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,15 +97,29 @@
 	}
 }
 
-// check dials some endpoints and reports whether any was reached; connections are kept for requests. Without endpoints there
-// is nothing to be cut off from.
+// check reports whether an endpoint is reached; connections are kept for requests.
 func (r *reach) check(ctx context.Context) bool {
-	endpoints := r.drawEndpoints()
+	ctx, cancel := context.WithTimeout(ctx, reachCheckTimeout)
+	defer cancel()
+	return r.reachesAny(ctx, r.router.pool.Endpoints())
+}
+
+// reachesOther reports whether an endpoint is reached other than the one at the address, and those that have crashed.
+func (r *reach) reachesOther(ctx context.Context, address string) bool {
+	others := slices.DeleteFunc(r.router.pool.Endpoints(), func(endpoint willowwick.Endpoint) bool {
+		_, hasCrashed := r.router.poison.CrashTime(endpoint.ID, endpoint.Incarnation)
+		return hasCrashed || endpoint.Address == address
+	})
+	return r.reachesAny(ctx, others)
+}
+
+// reachesAny dials up to reachCheckSize of the endpoints and reports whether one was reached; it is true if there is none.
+func (r *reach) reachesAny(ctx context.Context, endpoints []willowwick.Endpoint) bool {
+	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
+	endpoints = endpoints[:min(len(endpoints), reachCheckSize)]
 	if len(endpoints) == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, reachCheckTimeout)
-	defer cancel()
 	results := make(chan bool, len(endpoints))
 	for _, endpoint := range endpoints {
 		go func() {
@@ -120,13 +135,6 @@
 	return false
 }
 
-// drawEndpoints returns up to reachCheckSize of the listed endpoints.
-func (r *reach) drawEndpoints() []willowwick.Endpoint {
-	endpoints := r.router.pool.Endpoints()
-	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
-	return endpoints[:min(len(endpoints), reachCheckSize)]
-}
-
 // update applies the result of a check.
 func (r *reach) update(isReached bool) {
 	if r.cutOff.Swap(!isReached) == !isReached {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -137,7 +137,7 @@
 		c.router.conns.CloseIdleBefore(ticket.Endpoint.Address, s.sentAt)
 		c.router.reach.noteMiss(ticket.Endpoint.Address)
 	}
-	if result.kind == silent {
+	if result.kind == silent && !c.router.reach.isCutOff() {
 		c.router.hints.publish(ticket.TimedOut(clock.Now()))
 	} else {
 		c.router.hints.publish(ticket.Cancelled(clock.Now()))
