--- /dev/null
+++ b/exchange/pass_on_ends_test.go
@@ -0,0 +1,161 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// callerLeftWithin is how soon an endpoint's work ends after its caller has left.
+const callerLeftWithin = 500 * time.Millisecond
+
+// cutOffNow cuts the box off, which it notices at once.
+func (c *cutSite) cutOffNow(t *testing.T) {
+	c.network.cut(cutReset)
+	c.daemon.router.reach.noteMiss("r1")
+	c.daemon.router.reach.noteMiss("r2")
+	require.Eventually(t, c.daemon.router.reach.isCutOff, waitTimeout, time.Millisecond)
+}
+
+// handleAll replaces the handler of all runners.
+func (c *cutSite) handleAll(handler http.HandlerFunc) {
+	for _, r := range c.runners {
+		r.handle(handler)
+	}
+}
+
+// A request that is passed on goes no further, also if the other box reaches no endpoint either.
+func TestRequestIsPassedOnOnce(t *testing.T) {
+	c := newCutSite(t, 1)
+	other := c.others[0].daemon.router
+	c.cutOffNow(t)
+	c.requireServed(t, "one box cut off")
+	other.reach.update(false)
+	defer other.reach.update(true)
+	reply := c.do(t, http.MethodPost, "/once/", "id", "x")
+	assert.Equal(t, http.StatusServiceUnavailable, reply.status)
+	assert.NotEmpty(t, reply.header.Get("Retry-After"))
+	assert.Empty(t, reply.header.Get(headerNotTaken))
+	assert.Zero(t, c.runsOf("id"))
+}
+
+// The end of a passed-on request must reach the endpoint as that of any other.
+func TestCallerThatLeavesEndsItsRequestThatWasPassedOn(t *testing.T) {
+	for _, path := range []string{"/again/", "/stream/"} {
+		c := newCutSite(t, 1)
+		c.cutOffNow(t)
+		started, ended := make(chan struct{}, 1), make(chan struct{})
+		c.handleAll(func(_ http.ResponseWriter, r *http.Request) {
+			started <- struct{}{}
+			<-r.Context().Done()
+			close(ended)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			if response, err := c.client.Do(c.request(t, http.MethodPost, path, "id", "x").WithContext(ctx)); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+		<-started
+		cancel()
+		requireClosed(t, ended, callerLeftWithin, "the request went on at the endpoint")
+	}
+}
+
+// A box that takes requests of another one is killed: a stream goes on through a third.
+func TestStreamThatWasPassedOnGoesOnWhenThatBoxIsKilled(t *testing.T) {
+	const last = 5
+	c := newCutSite(t, 2)
+	c.cutOffNow(t)
+	started := make(chan struct{}, 4)
+	c.handleAll(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("T-Resume") == "" {
+			streamEvents(w, r, 2)
+			started <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
+		streamEvents(w, r, last)
+	})
+	replies := make(chan siteReply, 1)
+	go func() { replies <- c.do(t, http.MethodPost, "/stream/", "id", "x") }()
+	<-started
+	c.killTaker(t)
+	reply := <-replies
+	assert.NoError(t, reply.err)
+	assert.Equal(t, events(last), reply.body)
+}
+
+// A box that takes requests of another one is killed: what may run once is not sent again.
+func TestUnrepeatableRequestThatWasPassedOnIsNotSentAgainWhenThatBoxIsKilled(t *testing.T) {
+	c := newCutSite(t, 2)
+	c.cutOffNow(t)
+	started := make(chan struct{}, 4)
+	c.handleAll(func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+	})
+	replies := make(chan siteReply, 1)
+	go func() { replies <- c.do(t, http.MethodPost, "/once/", "id", "x") }()
+	<-started
+	c.killTaker(t)
+	assert.Equal(t, http.StatusBadGateway, (<-replies).status)
+	assert.Equal(t, 1, c.runsOf("id"))
+}
+
+// killTaker ends the box that has the request of the one that is cut off.
+func (c *cutSite) killTaker(t *testing.T) {
+	for _, other := range c.others {
+		if other.daemon.router.inFlight.Load() > 0 {
+			other.stop()
+			return
+		}
+	}
+	require.Fail(t, "no box has the request")
+}
+
+// The promise of the other box that nothing ran must not cover a send that came before.
+func TestRefusalOfAPassedOnRequestThatMayHaveRunPromisesNothing(t *testing.T) {
+	c := newCutSite(t, 1)
+	started := make(chan struct{}, 1)
+	c.handleAll(func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-r.Context().Done()
+	})
+	replies := make(chan siteReply, 1)
+	go func() { replies <- c.do(t, http.MethodPost, "/again/", "id", "x") }()
+	<-started
+	c.handleAll(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	c.daemon.router.reach.update(false)
+	c.network.cut(cutReset)
+	assert.Equal(t, http.StatusBadGateway, (<-replies).status)
+}
+
+// A planned stop of a box waits for the requests that others have passed on to it.
+func TestPlannedStopWaitsForRequestsThatWerePassedOn(t *testing.T) {
+	c := newCutSite(t, 1)
+	c.cutOffNow(t)
+	started := make(chan struct{}, 1)
+	c.handleAll(func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		time.Sleep(testSettings().UnreadyDelay + 200*time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	replies := make(chan siteReply, 1)
+	go func() { replies <- c.do(t, http.MethodPost, "/once/", "id", "x") }()
+	<-started
+	other := c.others[0]
+	other.daemon.Drain()
+	other.stop()
+	reply := <-replies
+	assert.Equal(t, http.StatusOK, reply.status)
+	assert.Equal(t, "ok", reply.body)
+}
