Pool: a box forgets the failures that it measured while it was cut off

After a cut, callers of the box were refused for seconds: each failed send had lowered the number of requests that the box gives an endpoint at a time, down to one, and ejected it. The failures were the box's. They are forgotten once an endpoint is reached again. Test: of 24 requests at once right after a cut 21 were refused, none is now.

--- a/exchange/pass_on_test.go
+++ b/exchange/pass_on_test.go
@@ -127,3 +127,30 @@
 	suspected, _ := c.daemon.router.poison.Counts()
 	assert.Zero(t, suspected)
 }
+
+// What a box measured of endpoints while it was cut off held back its requests after the cut: it refused callers for seconds.
+func TestBoxThatWasCutOffUsesAllSlotsAfterwards(t *testing.T) {
+	const atOnce = 24
+	c := newCutSite(t, 1)
+	c.network.cut(cutReset)
+	for range 30 {
+		c.do(t, http.MethodGet, "/again/", "meanwhile", "")
+		c.daemon.router.reach.update(true) // as before the box notices
+	}
+	c.network.cut(cutNowhere)
+	c.daemon.router.reach.update(false)
+	c.daemon.router.reach.noteMiss("r1")
+	c.daemon.router.reach.noteMiss("r2")
+	require.Eventually(t, func() bool { return !c.daemon.router.reach.isCutOff() }, waitTimeout, time.Millisecond)
+	c.handleAll(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		answerText("ok")(w, r)
+	})
+	statuses := make(chan int)
+	for i := range atOnce {
+		go func() { statuses <- c.do(t, http.MethodPost, "/once/", fmt.Sprint(i), "x").status }()
+	}
+	for range atOnce {
+		assert.Equal(t, http.StatusOK, <-statuses)
+	}
+}
--- a/exchange/reach.go
+++ b/exchange/reach.go
@@ -141,6 +141,7 @@
 		return
 	}
 	if isReached {
+		r.router.pool.ForgetFailures()
 		slog.Info("endpoints are reached again from this box")
 		return
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -167,6 +167,16 @@
 	set.members = append(set.members, m)
 }
 
+// ForgetFailures drops what failed requests told of the endpoints: the fault was not theirs.
+func (p *Pool) ForgetFailures() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.endpoints {
+		m.failures, m.ejectedUntil, m.isProbing, m.lastFailureRate = 0, time.Time{}, false, 0
+		m.limit = max(m.limit, p.options.StartLimit)
+	}
+}
+
 // Report applies a load report, unless it is older than the last one.
 func (p *Pool) Report(load willowwick.EndpointLoad) {
 	p.mu.Lock()
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -292,3 +292,22 @@
 	slot, _ = p.AcquireAllowed(now, "work", Work{}, map[willowwick.EndpointID]bool{"live": true}, every)
 	require.Equal(t, willowwick.EndpointID("crashed"), slot.Endpoint.ID, "the last endpoint is still tried")
 }
+
+// An endpoint whose failures are forgotten gets as many requests as a new one.
+func TestEndpointGetsRequestsAgainOnceItsFailuresAreForgotten(t *testing.T) {
+	const limit = 8
+	p := NewPoolWith(NewHallFirst(willowwick.Topology{Hall: "hall-a"}, 1), PoolOptions{StartLimit: limit})
+	p.Update([]willowwick.Endpoint{{ID: "e", Hall: "hall-a", Service: "work", Slots: limit}})
+	now := time.Now()
+	every := func(willowwick.Endpoint) bool { return true }
+	for range 2 {
+		slot, _ := p.AcquireAllowed(now, "work", Work{}, nil, every)
+		require.NotNil(t, slot)
+		slot.Release(now, OutcomeUnreachable)
+		p.ForgetFailures()
+	}
+	for range limit {
+		slot, _ := p.AcquireAllowed(now, "work", Work{}, nil, every)
+		require.NotNil(t, slot)
+	}
+}
