Router: an endpoint can't say that a box took no request

An endpoint that set the header by which a box refuses a request that is passed on would have caused a second run: the test saw the request run more than once. The header is removed from answers of endpoints.

--- a/exchange/pass_on_ends_test.go
+++ b/exchange/pass_on_ends_test.go
@@ -159,3 +159,16 @@
 	assert.Equal(t, http.StatusOK, reply.status)
 	assert.Equal(t, "ok", reply.body)
 }
+
+// An endpoint that sets the header by which a box says that it took no request must not cause a second run.
+func TestEndpointCannotSayThatABoxTookNoRequest(t *testing.T) {
+	c := newCutSite(t, 2)
+	c.cutOffNow(t)
+	c.handleAll(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerNotTaken, "1")
+		_, _ = io.WriteString(w, "ok")
+	})
+	reply := c.do(t, http.MethodPost, "/once/", "id", "x")
+	assert.Equal(t, http.StatusOK, reply.status)
+	assert.Equal(t, 1, c.runsOf("id"))
+}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -31,6 +31,7 @@
 // writeHead sends the status and the endpoint's headers; a negative length sends none.
 func (r *reply) writeHead(status int, header http.Header, length int64) {
 	wire.StripHopHeaders(header)
+	delete(header, headerNotTaken) // endpoints don't speak for boxes
 	own := r.writer.Header()
 	for name, values := range header {
 		if name != "Content-Length" && name != "Date" {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -207,10 +207,9 @@
 	closeAll(conns)
 }
 
-// CloseIdleBefore closes the idle connections to an address whose were released before the given time. Callers
-// at which a request the time at which they sent a request that got no answer. these connections may have stalled as well, and each
-// of that request,
-// and each stalled connection could cost another request.
+// CloseIdleBefore closes the idle connections to an address that were released before the given time. Callers pass the time at
+// which they sent a request that got no answer: these connections may have stalled as well, and each stalled connection could
+// cost another request.
 func (p *Pool) CloseIdleBefore(address string, sent time.Time) {
 	p.closeIdleWhere(func(at string, c *Conn) bool { return at == address && c.idleSince.Before(sent) })
 }
@@ -276,9 +275,8 @@
 	return err == nil && hasNoData
 }
 
-// Release returns the connection to the pool after a complete answer, with the value of the answer's Keep-Alive header,
-// or closes it if it can't be reused; keepAlive is
-// the Keep-Alive header of the answer.
+// Release returns the connection to the pool after a complete answer, or closes it if it can't be reused; keepAlive is the value
+// of the answer's Keep-Alive header.
 func (c *Conn) Release(keepAlive string) {
 	c.idleSince = clock.Now()
 	c.idleDeadline = c.idleSince.Add(parseIdleTime(keepAlive))
