Passing on: a request waits for an offer that another request has asked for

A request that came while other requests were asking all boxes whether they take any found no offer and nobody to ask, and was refused.

--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -48,8 +48,9 @@
 		token   string // of this box
 		address string // where this box takes requests; empty if it takes none
 
-		mu    sync.Mutex
-		known map[string]*offer // by the box's address
+		mu       sync.Mutex
+		known    map[string]*offer // by the box's address
+		answered chan struct{}     // closed, and replaced, at the end of each call that asks
 	}
 
 	// target is the box that a request is passed on to.
@@ -69,7 +70,7 @@
 
 func newOffers(x *Router) (*offers, func()) {
 	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: offerTimeout, AckTimeout: unackedTimeout})
-	return &offers{router: x, conns: conns, token: rand.Text(), known: map[string]*offer{}}, closeConns
+	return &offers{router: x, conns: conns, token: rand.Text(), known: map[string]*offer{}, answered: make(chan struct{})}, closeConns
 }
 
 // Offer answers a box that asks whether this one takes its requests.
@@ -94,13 +95,32 @@
 		if taken, found := o.takeValid(clock.Now(), allows, tried); found {
 			return taken, true
 		}
-		if !o.askOne(ctx, allows) {
+		if !o.askOne(ctx, allows) && !o.awaitAnswer(ctx) {
 			break
 		}
 	}
 	return target{}, false
 }
 
+// awaitAnswer waits for the end of a call that another request has begun; it returns false if there is none.
+func (o *offers) awaitAnswer(ctx context.Context) bool {
+	o.mu.Lock()
+	answered, isAsking := o.answered, false
+	for _, each := range o.known {
+		isAsking = isAsking || each.isAsked
+	}
+	o.mu.Unlock()
+	if !isAsking {
+		return false
+	}
+	select {
+	case <-answered:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // takeValid returns the valid offer with the fewest requests for its link.
 func (o *offers) takeValid(now time.Time, allows func(willowwick.HallID) bool, tried map[string]bool) (target, bool) {
 	o.mu.Lock()
@@ -176,11 +196,18 @@
 	if err != nil {
 		slog.Info("a box gave no answer whether it takes requests", "peer", box.Address, "error", err)
 	}
+	o.noteReply(box.Address, reply)
+	return true
+}
+
+// noteReply records the reply of a box that was asked; it is empty if there was none.
+func (o *offers) noteReply(address string, reply OfferReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	asked := o.known[box.Address] // kept while it is asked
+	asked := o.known[address] // kept while it is asked
 	asked.isAsked, asked.reply, asked.validUntil = false, reply, clock.Now().Add(offerTTL)
-	return true
+	close(o.answered)
+	o.answered = make(chan struct{})
 }
 
 // drawUnasked draws a box of this region that may be asked now: its last offer is about to end, or it has made none lately.
--- a/exchange/pass_on_test.go
+++ b/exchange/pass_on_test.go
@@ -154,3 +154,18 @@
 		assert.Equal(t, http.StatusOK, <-statuses)
 	}
 }
+
+// A request that came while other requests were asking all boxes whether they take any was refused.
+func TestRequestWaitsForAnOfferThatIsUnderWay(t *testing.T) {
+	c := newCutSite(t, 1)
+	c.cutOffNow(t)
+	c.requireServed(t, "cut off")
+	offers, address := c.daemon.router.offers, c.others[0].daemon.router.settings.Peers
+	offers.mu.Lock()
+	each := offers.known[address]
+	reply := each.reply
+	each.isAsked, each.reply, each.validUntil = true, OfferReply{}, time.Time{}
+	offers.mu.Unlock()
+	time.AfterFunc(50*time.Millisecond, func() { offers.noteReply(address, reply) })
+	assert.Equal(t, http.StatusOK, c.do(t, http.MethodPost, "/once/", "id", "x").status)
+}
