--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -19,8 +19,8 @@
 	rpcOffer = rpcServiceName + ".Offer"
 	// offerTTL is how long an offer, or the lack of one, counts.
 	offerTTL = time.Second
-	// offerTimeout bounds the call that asks for an offer.
-	offerTimeout = 200 * time.Millisecond
+	// offerTimeout bounds the call that asks for an offer: a box with a fifth of a core may take some tenths of a second.
+	offerTimeout = 400 * time.Millisecond
 	// wantedOffers is the number of boxes among which a box divides the requests that it passes on, and maxOfferCalls the
 	// number that one request or one round asks.
 	wantedOffers  = 4
@@ -69,7 +69,7 @@
 )
 
 func newOffers(x *Router) (*offers, func()) {
-	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: offerTimeout, AckTimeout: unackedTimeout})
+	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout})
 	return &offers{router: x, conns: conns, token: rand.Text(), known: map[string]*offer{}, answered: make(chan struct{})}, closeConns
 }
 
--- a/exchange/reach.go
+++ b/exchange/reach.go
@@ -83,6 +83,8 @@
 
 // run checks whether endpoints are reached when that is in doubt, and while none is, until the context is done.
 func (r *reach) run(ctx context.Context) {
+	var refreshing sync.WaitGroup
+	defer refreshing.Wait()
 	for ctx.Err() == nil {
 		select {
 		case <-r.suspected:
@@ -90,7 +92,7 @@
 			return
 		}
 		for r.update(r.check(ctx)); r.isCutOff() && ctx.Err() == nil; r.update(r.check(ctx)) {
-			r.router.offers.refresh(ctx)
+			refreshing.Go(func() { r.router.offers.refresh(ctx) })
 			sleep(ctx, reachCheckInterval)
 		}
 		sleep(ctx, reachCheckPause)
