--- a/exchange/doc.go
+++ b/exchange/doc.go
@@ -31,6 +31,8 @@
 //   - Usage is the number of requests of each client account that began to run in a window of time. The box that holds
 //     the lease on the duties reports it. See usage.go and package usage.
 //
+// A box that reaches no endpoint (reach.go) passes its callers' requests on to boxes that do (offers.go, pass_on.go).
+//
 // Further parts are roll-outs of releases (release.go, choice.go, evidence.go), permits for rate-limited endpoints
 // (permits.go), orders of runners (autoscale.go, demand.go and package autoscale), the regions in which a request may be
 // served (regions.go), requests that leave endpoints which are about to end (departure.go), and UDP datagrams on prompts
--- a/wire/message.go
+++ b/wire/message.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// FramedByLength: the head names the length of the body.
+	// FramedByLength means that the head names the length of the body.
 	FramedByLength Framing = "length"
-	// FramedByChunks: the body comes in chunks, and a last one ends it.
+	// FramedByChunks means that the body comes in chunks, and a last one ends it.
 	FramedByChunks Framing = "chunks"
-	// FramedByClose: the body ends with its connection.
+	// FramedByClose means that the body ends with its connection.
 	FramedByClose Framing = "close"
 
 	// maxInlineBody is the size of the largest body that is written before the answer is read: it fits into any send
