Passing on: a box asks few others at a time whether they take requests

If all endpoints are gone, every box is cut off by its own view and none takes requests: each request asked up to six boxes, and in a large fleet each box all others within a second. Twelve calls a second are the bound now.

--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -22,9 +22,11 @@
 	// offerTimeout bounds the call that asks for an offer: a box with a fifth of a core may take some tenths of a second.
 	offerTimeout = 400 * time.Millisecond
 	// wantedOffers is the number of boxes among which a box divides the requests that it passes on, and maxOfferCalls the
-	// number that one request or one round asks.
-	wantedOffers  = 4
-	maxOfferCalls = 6
+	// number that one request or one round asks. maxCallsPerTTL bounds what all ask within offerTTL: if all endpoints are gone,
+	// each box asks the others, and none takes requests.
+	wantedOffers   = 4
+	maxOfferCalls  = 6
+	maxCallsPerTTL = 12
 	// usualLinkMbps is the bandwidth up to which a box with a faster link gets more requests.
 	usualLinkMbps = 100
 )
@@ -51,6 +53,7 @@
 		mu       sync.Mutex
 		known    map[string]*offer // by the box's address
 		answered chan struct{}     // closed, and replaced, at the end of each call that asks
+		recent   []time.Time       // when the last maxCallsPerTTL calls that ask were made, oldest first
 	}
 
 	// target is the box that a request is passed on to.
@@ -217,6 +220,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.forgetOthers(boxes)
+	if len(o.recent) >= maxCallsPerTTL && now.Sub(o.recent[0]) < offerTTL {
+		return KnownBox{}, false
+	}
 	for _, box := range boxes {
 		known := o.known[box.Address]
 		if known == nil {
@@ -227,6 +233,7 @@
 		mayAsk := !now.Before(known.validUntil) || known.isUsable(now) && !known.isUsable(now.Add(offerTTL/2))
 		if allows(box.Hall) && !known.isAsked && mayAsk {
 			known.isAsked = true
+			o.recent = append(o.recent[max(0, len(o.recent)-maxCallsPerTTL+1):], now)
 			return box, true
 		}
 	}
