Crash checks: endpoints that no box reaches are gone

While no other endpoint was reached, a refused connection never counted as a crash, also where all endpoints had crashed at once: a request that ends every endpoint was sent again. The box now asks up to two others whether they take requests: only if one does, so that it reaches endpoints, the box may be cut off. A new test has all endpoints crash at a box among others.

--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), quarantine.CrashCheckTimeout)
 	defer cancel()
 	listens, known := e.router.conns.IsListening(ctx, address)
-	check.crashed = known && !listens && e.router.reach.reachesOther(ctx, address)
+	check.crashed = known && !listens && !e.router.isSingledOut(ctx, address)
 	close(check.done)
 }
 
--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -27,6 +27,8 @@
 	wantedOffers   = 4
 	maxOfferCalls  = 6
 	maxCallsPerTTL = 12
+	// maxCrashChecks is the number of boxes that a check for a crash asks.
+	maxCrashChecks = 2
 	// usualLinkMbps is the bandwidth up to which a box with a faster link gets more requests.
 	usualLinkMbps = 100
 )
@@ -102,7 +104,7 @@
 			break
 		}
 	}
-	return target{}, false
+	return o.takeValid(clock.Now(), allows, tried) // an answer may have come just before
 }
 
 // awaitAnswer waits for the end of a call that another request has begun; it returns false if there is none.
@@ -124,6 +126,21 @@
 	}
 }
 
+// areMade reports whether another box takes requests, so that it reaches endpoints.
+func (o *offers) areMade(ctx context.Context) bool {
+	ctx = context.WithoutCancel(ctx)
+	anywhere := func(willowwick.HallID) bool { return true }
+	for range maxCrashChecks {
+		if o.countUsable(clock.Now()) > 0 {
+			return true
+		}
+		if !o.askOne(ctx, anywhere) && !o.awaitAnswer(ctx) {
+			break
+		}
+	}
+	return o.countUsable(clock.Now()) > 0
+}
+
 // takeValid returns the valid offer with the fewest requests for its link.
 func (o *offers) takeValid(now time.Time, allows func(willowwick.HallID) bool, tried map[string]bool) (target, bool) {
 	o.mu.Lock()
--- a/exchange/pass_on_test.go
+++ b/exchange/pass_on_test.go
@@ -169,3 +169,23 @@
 	time.AfterFunc(50*time.Millisecond, func() { offers.noteReply(address, reply) })
 	assert.Equal(t, http.StatusOK, c.do(t, http.MethodPost, "/once/", "id", "x").status)
 }
+
+// While all boxes were cut off by their own view, because the endpoints had crashed, no crash counted.
+func TestCrashesOfAllEndpointsCountAtABoxAmongOthers(t *testing.T) {
+	c := newCutSite(t, 1)
+	c.others[0].daemon.router.reach.update(false)
+	started := make(chan struct{}, 1)
+	c.handleAll(func(_ http.ResponseWriter, request *http.Request) {
+		started <- struct{}{}
+		<-request.Context().Done()
+	})
+	replies := make(chan siteReply)
+	go func() { replies <- c.do(t, http.MethodPost, "/once/", "id", "x") }()
+	<-started
+	for _, r := range c.runners {
+		r.crash()
+	}
+	assert.Equal(t, http.StatusBadGateway, (<-replies).status)
+	suspected, _ := c.daemon.router.poison.Counts()
+	assert.Equal(t, 1, suspected)
+}
--- a/exchange/reach.go
+++ b/exchange/reach.go
@@ -115,6 +115,12 @@
 	return r.reachesAny(ctx, others)
 }
 
+// isSingledOut reports whether this box may be cut off from all endpoints, not only from the one at the address: it reaches no
+// other, and another box does. If no other box reaches one either, the endpoints are gone.
+func (x *Router) isSingledOut(ctx context.Context, address string) bool {
+	return !x.reach.reachesOther(ctx, address) && x.offers.areMade(ctx)
+}
+
 // reachesAny dials up to reachCheckSize of the endpoints and reports whether one was reached; it is true if there is none.
 func (r *reach) reachesAny(ctx context.Context, endpoints []willowwick.Endpoint) bool {
 	rand.Shuffle(len(endpoints), func(i, j int) { endpoints[i], endpoints[j] = endpoints[j], endpoints[i] })
