Sight: which parts of prompts the requests had whose endpoints crashed

The log named each broken send's whole content only, so that nobody could see that requests of different content had a part in common. It now has the fingerprints of the shared parts, by which crashes of one part add up, and how many events had come.

--- a/exchange.go
+++ b/exchange.go
@@ -65,5 +65,13 @@
 	}
 )
 
+// SharedParts returns the parts of the prompt that other requests may have too: all but the last.
+func (h RequestHead) SharedParts() []PromptPart {
+	if len(h.Prompt) == 0 {
+		return nil
+	}
+	return h.Prompt[:len(h.Prompt)-1]
+}
+
 // NoConfidence is the confidence of an answer that reports none.
 const NoConfidence = -1
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -190,8 +190,11 @@
 	ahead, reading := s.ticket.Forecast()
 	var more []any
 	if result.kind == broken {
-		// The fingerprint finds earlier sends of the same content under other request IDs.
-		more = []any{"fingerprint", c.fingerprint().String(), "endpoint_ended", s.crashed}
+		// The fingerprints find earlier sends of the same content, or with the same parts, under other request IDs.
+		more = []any{
+			"fingerprint", c.fingerprint().String(), "parts", fingerprintTexts(c.partFingerprints()),
+			"endpoint_ended", s.crashed, "events", s.events,
+		}
 	}
 	if s.answer != nil {
 		more = append(more, "framing", s.answer.Framing)
@@ -203,6 +206,14 @@
 		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
 }
 
+func fingerprintTexts(list []willowwick.Fingerprint) []string {
+	texts := make([]string, len(list))
+	for i, fingerprint := range list {
+		texts[i] = fingerprint.String()
+	}
+	return texts
+}
+
 func (s *send) do() sendResult {
 	s.sentAt = clock.Now()
 	conn, err := s.router.conns.Open(s.ctx, s.ticket.Endpoint.Address)
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -40,6 +40,9 @@
 		ID: willowwick.RequestID(header.Get("T-Id")), Key: header.Get("T-Key"), Session: willowwick.SessionID(header.Get("T-Session")),
 		Model: willowwick.ModelID(header.Get("T-Model")), ResumeAfter: header.Get("T-Resume"),
 	}
+	for _, part := range strings.FieldsFunc(header.Get("T-Prompt"), func(r rune) bool { return r == ',' }) {
+		head.Prompt = append(head.Prompt, willowwick.PromptPart{ID: part, Tokens: 100})
+	}
 	if text := header.Get("T-Left"); text != "" {
 		ms, err := strconv.Atoi(text)
 		if err != nil {
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -10,11 +10,16 @@
 	"github.com/pkg/errors"
 )
 
-// fingerprintBytes is the length of a fingerprint: forging the fingerprint of another client account's request takes 2^128
-// tries.
-const fingerprintBytes = 16
+const (
+	// fingerprintBytes is the length of a fingerprint: forging the fingerprint of another client account's request takes 2^128
+	// tries.
+	fingerprintBytes = 16
+	// partLabel sets fingerprints of parts of prompts apart from those of whole requests.
+	partLabel = "part of a prompt"
+)
 
-// Fingerprint identifies all requests of a client account that have the same target and body, whatever their ids.
+// Fingerprint identifies all requests of a client account that have the same target and body, whatever their ids, or all
+// whose prompts share a part.
 //
 // It is a truncated SHA-256, so that no caller can craft a request with the fingerprint of somebody else's.
 type Fingerprint [fingerprintBytes]byte
@@ -29,6 +34,16 @@
 	return Fingerprint(sum.Sum(nil))
 }
 
+// PartFingerprint returns the fingerprint of a part of a prompt, which is that of all requests of the client account to the
+// service whose prompts have the part. An empty account stands for all of them.
+func PartFingerprint(account AccountID, service ServiceID, part string) Fingerprint {
+	sum := sha256.New()
+	for _, field := range []string{partLabel, string(account), string(service), part} {
+		writeLengthPrefixed(sum, field)
+	}
+	return Fingerprint(sum.Sum(nil))
+}
+
 // writeLengthPrefixed hashes a text with its length, so that different lists of texts never hash the same bytes.
 func writeLengthPrefixed(sum hash.Hash, text string) {
 	var size [8]byte
