--- /dev/null
+++ b/exchange/part_test.go
@@ -0,0 +1,272 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// deadlyPart is the part of a prompt under which an endpoint crashes soon after it has begun the answer.
+	deadlyPart = "deadly"
+	// partCrashDelay is the time from the begin of such an answer to the crash, partReturnDelay the time until the endpoint is
+	// replaced.
+	partCrashDelay  = 60 * time.Millisecond
+	partReturnDelay = time.Second
+	// partCrashes is the number of crashes after which, partGrace later, at most partSlack requests with the part may still be
+	// sent. From twice partGrace after it, sound requests must be served at least soundShare as often as before.
+	partCrashes = 5
+	partGrace   = 3 * time.Second
+	partSlack   = 3
+	soundShare  = 0.5
+)
+
+type (
+	// partSite is a service whose endpoints crash when they answer a prompt with one part, and are replaced.
+	partSite struct {
+		control   *testControl
+		sites     []*site
+		hasEvents bool // endpoints send an event before they crash
+
+		mu      sync.Mutex
+		next    int
+		live    map[string]*runner
+		crashes []time.Time // under the part
+		runs    []time.Time // when an endpoint received a request with it
+	}
+
+	// soundCounts counts the sound requests of a time, and those served.
+	soundCounts struct {
+		sent, served atomic.Int64
+	}
+)
+
+// newPartSite starts boxes of one hall with such a service.
+func newPartSite(t *testing.T, boxes, endpoints int, hasEvents bool) *partSite {
+	control, sites := newHall(t, boxes)
+	h := &partSite{control: control, sites: sites, hasEvents: hasEvents, live: map[string]*runner{}}
+	control.change(func() { control.table = testTable(2, onceRoute(), retryRoute(), streamRoute()) })
+	for range endpoints {
+		h.addRunner(t)
+	}
+	for _, s := range sites {
+		require.Eventually(t, func() bool {
+			return len(s.daemon.router.pool.Endpoints()) == endpoints && s.daemon.router.configVersion() == 2
+		}, waitTimeout, 10*time.Millisecond)
+	}
+	return h
+}
+
+func (h *partSite) addRunner(t *testing.T) {
+	h.mu.Lock()
+	h.next++
+	id := fmt.Sprint("r", h.next)
+	h.mu.Unlock()
+	var self *runner
+	self = newRunner(t, id, func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.Header.Get("T-Prompt"), deadlyPart) {
+			answerSlowly(w, r)
+			return
+		}
+		h.mu.Lock()
+		h.runs = append(h.runs, time.Now())
+		h.mu.Unlock()
+		if h.hasEvents {
+			streamEvents(w, r, 1)
+		}
+		time.Sleep(partCrashDelay)
+		if h.crash(t, id) {
+			h.mu.Lock()
+			h.crashes = append(h.crashes, time.Now())
+			h.mu.Unlock()
+		}
+	})
+	h.mu.Lock()
+	h.live[id] = self
+	h.mu.Unlock()
+	h.control.change(func() { h.control.endpoints[self.id] = self.endpoint("v1") })
+}
+
+// answerSlowly sends some events with pauses between them.
+func answerSlowly(w http.ResponseWriter, r *http.Request) {
+	for id := range 5 {
+		if r.Context().Err() != nil {
+			return
+		}
+		streamEvents(w, r, id+1)
+		r.Header.Set("T-Resume", fmt.Sprint(id+1))
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// crash ends an endpoint, unless it has ended, and replaces it later.
+func (h *partSite) crash(t *testing.T, id string) bool {
+	h.mu.Lock()
+	self := h.live[id]
+	delete(h.live, id)
+	h.mu.Unlock()
+	if self == nil {
+		return false
+	}
+	self.crash()
+	time.AfterFunc(partReturnDelay, func() {
+		h.control.change(func() { delete(h.control.endpoints, self.id) })
+		if t.Context().Err() == nil {
+			h.addRunner(t)
+		}
+	})
+	return true
+}
+
+// crashAny ends an endpoint for a reason of its own.
+func (h *partSite) crashAny(t *testing.T) {
+	h.mu.Lock()
+	id := ""
+	for id = range h.live {
+		break
+	}
+	h.mu.Unlock()
+	h.crash(t, id)
+}
+
+// fifthCrash returns when the fifth endpoint crashed under the part, if it has.
+func (h *partSite) fifthCrash() (at time.Time, hasCome bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.crashes) < partCrashes {
+		return time.Time{}, false
+	}
+	return h.crashes[partCrashes-1], true
+}
+
+// lateRuns counts the requests with the part that were received too late after the fifth crash.
+func (h *partSite) lateRuns() (late int) {
+	fifth, hasCome := h.fifthCrash()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, at := range h.runs {
+		if hasCome && at.Sub(fifth) > partGrace {
+			late++
+		}
+	}
+	return late
+}
+
+// sendSound sends a request without the part, and counts it.
+func (h *partSite) sendSound(t *testing.T, path, prompt string, number int, counts *soundCounts) {
+	reply := h.sites[number%len(h.sites)].do(t, http.MethodPost, path, fmt.Sprint("sound-", number), fmt.Sprint("sound body ", number),
+		"T-Prompt", fmt.Sprintf("%s,own-%d", prompt, number))
+	counts.sent.Add(1)
+	if reply.body == events(5) {
+		counts.served.Add(1)
+	}
+}
+
+// play sends sound requests all the time, and others with the part from a second on, all different from each other, until some
+// seconds after the fifth crash under the part. It returns the sound requests before that and after the time of grace.
+func (h *partSite) play(t *testing.T, path, sound, deadly string) (before, after *soundCounts) {
+	before, after = &soundCounts{}, &soundCounts{}
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	begin := time.Now()
+	end := begin.Add(12 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		now := time.Now()
+		fifth, hasCome := h.fifthCrash()
+		counts := &soundCounts{} // requests in between are not judged
+		switch {
+		case now.Sub(begin) < time.Second:
+			counts = before
+		case hasCome && now.Sub(fifth) > 2*partGrace:
+			counts = after
+		}
+		callers.Go(func() { h.sendSound(t, path, sound, i, counts) })
+		if i%2 == 0 && now.Sub(begin) > time.Second {
+			callers.Go(func() {
+				h.sites[i/2%len(h.sites)].do(t, http.MethodPost, path, fmt.Sprint("deadly-", i), fmt.Sprint("body ", i),
+					"T-Prompt", fmt.Sprintf("%s,own-deadly-%d", deadly, i))
+			})
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return before, after
+}
+
+// Guards against requests that share one part of their prompts, and nothing else, crashing one endpoint after the other.
+func TestPartThatCrashesEndpointsIsRefusedByAllBoxes(t *testing.T) {
+	for name, test := range map[string]struct {
+		path, sound, deadly string
+		hasEvents           bool
+	}{
+		"no repeats, second part":             {"/once/", "first,second", "first,deadly", false},
+		"stream, second part, after an event": {"/stream/", "first,second", "first,deadly", true},
+		"two runs, first part":                {"/again/", "first,second", "deadly,second", false},
+		"stream, third part":                  {"/stream/", "first,second,third", "first,second,deadly", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newPartSite(t, 4, 24, test.hasEvents)
+			before, after := h.play(t, test.path, test.sound, test.deadly)
+			h.requireContained(t, before, after)
+		})
+	}
+}
+
+// requireContained checks what is left of the part's crashes after the time of grace.
+func (h *partSite) requireContained(t *testing.T, before, after *soundCounts) {
+	late := h.lateRuns()
+	t.Logf("%d endpoints crashed under the part, %d late sends, sound requests served: %d of %d before, %d of %d after",
+		len(h.crashes), late, before.served.Load(), before.sent.Load(), after.served.Load(), after.sent.Load())
+	assert.LessOrEqual(t, late, partSlack)
+	require.NotZero(t, after.sent.Load())
+	assert.GreaterOrEqual(t, share(after), soundShare*share(before))
+}
+
+// share returns the share of the requests that were served.
+func share(counts *soundCounts) float64 {
+	return float64(counts.served.Load()) / float64(counts.sent.Load())
+}
+
+// Guards against a part that crashes endpoints hiding behind endpoints that crash for another reason.
+func TestPartIsFoundWhileEndpointsCrashForAnotherReason(t *testing.T) {
+	t.Parallel()
+	h := newPartSite(t, 4, 24, true)
+	for i := range 6 {
+		time.AfterFunc(time.Second+time.Duration(i)*200*time.Millisecond, func() { h.crashAny(t) })
+	}
+	before, after := h.play(t, "/stream/", "first,second", "first,deadly")
+	h.requireContained(t, before, after)
+}
+
+// Guards against parts that many requests share being refused because endpoints crash for another reason.
+func TestPartsOfSoundRequestsAreSentWhenEndpointsCrashForAnotherReason(t *testing.T) {
+	t.Parallel()
+	const ends, pause = 8, 200 * time.Millisecond
+	h := newPartSite(t, 4, 24, false)
+	for i := range ends {
+		time.AfterFunc(time.Duration(i)*pause, func() { h.crashAny(t) })
+	}
+	counts := &soundCounts{}
+	var callers sync.WaitGroup
+	for i, begin := 0, time.Now(); time.Since(begin) < 10*time.Second; i++ {
+		each := &soundCounts{}
+		if time.Since(begin) > (partCrashes-1)*pause+2*partGrace {
+			each = counts
+		}
+		callers.Go(func() { h.sendSound(t, "/stream/", "first,second", i, each) })
+		time.Sleep(25 * time.Millisecond)
+	}
+	callers.Wait()
+	assert.Equal(t, counts.sent.Load(), counts.served.Load())
+	for _, s := range h.sites {
+		_, refused := s.daemon.router.poison.Counts()
+		assert.Zero(t, refused)
+	}
+}
