Quarantine: a part of prompts that crashes endpoints is found and refused, whatever else a prompt holds

Cause: crashes counted against whole requests alone. Requests that share only a part of their prompts never added up: each was new to the ledger and had three endpoints of its own. A request that had passed the check also wasn't asked again while it waited for a permit or a connection.

The part that accounts for most crashes is refused, and its crashes count against no other. Parts that endpoints have answered are weighed last: each box keeps when it saw that. It is asked once more when a connection is there. Why it works: a harmful part has every crash and no answer, also in a storm in which hardly any answer comes to its end; sound ones have been answered before or are answered elsewhere.

--- a/exchange.go
+++ b/exchange.go
@@ -65,12 +65,13 @@
 	}
 )
 
-// SharedParts returns the parts of the prompt that other requests may have too: all but the last.
-func (h RequestHead) SharedParts() []PromptPart {
-	if len(h.Prompt) == 0 {
-		return nil
+// SharedParts returns the ids of the parts of the prompt that other requests may have too: all but the last.
+func (h RequestHead) SharedParts() []string {
+	var ids []string
+	for i := range len(h.Prompt) - 1 {
+		ids = append(ids, h.Prompt[i].ID)
 	}
-	return h.Prompt[:len(h.Prompt)-1]
+	return ids
 }
 
 // NoConfidence is the confidence of an answer that reports none.
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -76,9 +76,9 @@
 		streamTiming    streamTiming
 		failure         *failedAnswer
 
-		contentHash  *willowwick.Fingerprint  // computed on first use; nil before
-		partHashes   []willowwick.Fingerprint // of the shared parts of the prompt; computed on first use
-		trialRelease willowwick.ReleaseID     // the only release a poison request is tried on; empty for other requests
+		contentHash  *willowwick.Fingerprint      // computed on first use; nil before
+		partHashes   *willowwick.PartFingerprints // of the prompt; computed on first use
+		trialRelease willowwick.ReleaseID         // the only release a poison request is tried on; empty for other requests
 	}
 
 	// streamTiming records when the events of a stream were sent to the caller.
@@ -315,15 +315,13 @@
 	return willowwick.FingerprintOf(c.accountName(), c.message.Method, c.message.Host, c.message.Target, c.message.Body)
 }
 
-// partFingerprints returns the fingerprints of the parts that the prompt may share with other requests of the account.
-func (c *call) partFingerprints() []willowwick.Fingerprint {
-	if shared := c.head.SharedParts(); len(c.partHashes) != len(shared) {
-		c.partHashes = make([]willowwick.Fingerprint, len(shared))
-		for i, part := range shared {
-			c.partHashes[i] = willowwick.PartFingerprint(c.accountName(), c.service, part.ID)
-		}
+// partFingerprints returns the fingerprints of the parts that the prompt may share with others.
+func (c *call) partFingerprints() willowwick.PartFingerprints {
+	if c.partHashes == nil {
+		hashes := willowwick.PartFingerprintsOf(c.accountName(), c.service, c.head.SharedParts())
+		c.partHashes = &hashes
 	}
-	return c.partHashes
+	return *c.partHashes
 }
 
 func (c *call) cost() willowwick.Tokens {
--- a/exchange/harm_fleet_test.go
+++ b/exchange/harm_fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
 )
 
 const (
@@ -27,6 +28,7 @@
 		*mesh
 		name    string
 		request willowwick.PoisonRequest
+		parts   []string // of the prompt of each arrival; if there are any, no two arrivals have the same content
 		pending []poisonSend
 		sent    []time.Time
 		crashes []time.Time
@@ -35,9 +37,10 @@
 
 	// poisonSend is a send of the request that crashes its endpoint at a given time.
 	poisonSend struct {
-		box  *meshBox
-		at   time.Time
-		left int // later sends of this arrival
+		box     *meshBox
+		request willowwick.PoisonRequest
+		at      time.Time
+		left    int // later sends of this arrival
 	}
 )
 
@@ -59,18 +62,34 @@
 		}
 		h.next = now.Add(poisonInterval)
 		if box := boxes[h.random.IntN(len(boxes))]; !box.down {
-			h.send(box, now, poisonSendsPerArrival)
+			h.send(box, h.arrival(), now, poisonSendsPerArrival)
 		}
 	}
 }
 
-// send sends the request from a box, unless the box refuses it.
-func (h *poisonMesh) send(box *meshBox, now time.Time, left int) {
-	if left == 0 || box.poison.Refuses(h.request.Request) {
+// arrival returns the request of the next arrival.
+func (h *poisonMesh) arrival() willowwick.PoisonRequest {
+	request := h.request
+	if len(h.parts) > 0 {
+		body := fmt.Sprint(h.name, " of ", h.next)
+		request.Request = willowwick.FingerprintOf(testAccount, "POST", testHost, "/stream/", []byte(body))
+		request.Parts = willowwick.PartFingerprintsOf(testAccount, "work", h.parts)
+	}
+	return request
+}
+
+// isRefused reports whether a box refuses a request.
+func (h *poisonMesh) isRefused(box *meshBox, request willowwick.PoisonRequest) bool {
+	return box.poison.Refuses(request.Request) || box.poison.RefusesParts(request.Parts)
+}
+
+// send sends a request from a box, unless the box refuses it.
+func (h *poisonMesh) send(box *meshBox, request willowwick.PoisonRequest, now time.Time, left int) {
+	if left == 0 || h.isRefused(box, request) {
 		return
 	}
 	h.sent = append(h.sent, now)
-	h.pending = append(h.pending, poisonSend{box, now.Add(poisonRunTime), left - 1})
+	h.pending = append(h.pending, poisonSend{box, request, now.Add(poisonRunTime), left - 1})
 }
 
 // crashDue crashes the endpoints that are due.
@@ -84,10 +103,10 @@
 			continue
 		}
 		h.crashes = append(h.crashes, now)
-		s.box.poison.RecordCrash(h.request, willowwick.EndpointCrash{
+		s.box.poison.RecordCrash(s.request, willowwick.EndpointCrash{
 			Endpoint: willowwick.EndpointID(fmt.Sprint(h.name, "-", len(h.crashes))), Release: "v1", At: now,
 		})
-		h.send(s.box, now, s.left)
+		h.send(s.box, s.request, now, s.left)
 	}
 	h.pending = append(h.pending, pending...)
 }
@@ -105,7 +124,7 @@
 
 func (h *poisonMesh) requireRefused(t *testing.T) {
 	for _, box := range h.boxes {
-		require.True(t, box.down || box.poison.Refuses(h.request.Request), "%s refuses the request", box.settings.Box)
+		require.True(t, box.down || h.isRefused(box, h.arrival()), "%s refuses the request", box.settings.Box)
 	}
 }
 
@@ -129,6 +148,39 @@
 	})
 }
 
+// Guards against boxes that go on sending prompts with a part that crashes endpoints because each of them saw only some crashes,
+// at any fleet size, and against refusals of the parts beside it.
+func TestPartIsRefusedByAllBoxesInTime(t *testing.T) {
+	eachMeshSize(t, func(t *testing.T, size meshSize) {
+		m := newMesh(1, size.boxes, size.halls, size.endpoints)
+		m.run(t, 3*time.Second)
+		for _, fault := range []string{"none", "store unavailable"} {
+			m.isAway = fault == "store unavailable"
+			h := newPoisonMesh(m, fault)
+			h.parts = []string{"shared", "part of " + fault}
+			shared := willowwick.PartFingerprintsOf(testAccount, "work", h.parts[:1])
+			m.boxes[0].poison.RecordRun(shared, quarantine.Run{Endpoint: "e", BeganAt: time.Now().Add(-time.Second)}, time.Now())
+			h.play(t, partGrace+5*time.Second, m.boxes...) // the fifth crash happens within two seconds
+			assert.LessOrEqual(t, h.lateAfter(partCrashes, partGrace), partSlack, "late sends, fault: %s", fault)
+			h.requireRefused(t)
+			for _, box := range m.boxes {
+				assert.False(t, box.poison.RefusesParts(shared), "%s refuses a part that endpoints answer", box.settings.Box)
+			}
+			t.Logf("fault %s: %d crashes, %d late sends", fault, len(h.crashes), h.lateAfter(partCrashes, partGrace))
+		}
+	})
+}
+
+// lateAfter counts the sends that began too late after a number of crashes.
+func (h *poisonMesh) lateAfter(crashes int, grace time.Duration) (late int) {
+	for _, at := range h.sent {
+		if len(h.crashes) >= crashes && at.Sub(h.crashes[crashes-1]) > grace {
+			late++
+		}
+	}
+	return late
+}
+
 // Boxes that restart one after the other learn from the others which requests are refused.
 func TestRestartedBoxesRefusePoisonRequest(t *testing.T) {
 	discardLogs(t)
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -68,6 +68,14 @@
 		_, refused := x.poison.Counts()
 		return float64(refused)
 	})
+	set.NewGauge("willowwick_prompt_parts_suspected", func() float64 {
+		suspected, _ := x.poison.CountParts()
+		return float64(suspected)
+	})
+	set.NewGauge("willowwick_prompt_parts_quarantined", func() float64 {
+		_, refused := x.poison.CountParts()
+		return float64(refused)
+	})
 	return m
 }
 
--- a/exchange/part_test.go
+++ b/exchange/part_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,11 +20,11 @@
 	partCrashDelay  = 60 * time.Millisecond
 	partReturnDelay = time.Second
 	// partCrashes is the number of crashes after which, partGrace later, at most partSlack requests with the part may still be
-	// sent. From twice partGrace after it, sound requests must be served at least soundShare as often as before.
-	partCrashes = 5
-	partGrace   = 3 * time.Second
-	partSlack   = 3
-	soundShare  = 0.5
+	// sent. From twice partGrace after it, sound requests must be served at least minSoundShare as often as before.
+	partCrashes   = 5
+	partGrace     = 3 * time.Second
+	partSlack     = 3
+	minSoundShare = 0.5
 )
 
 type (
@@ -38,13 +37,15 @@
 		mu      sync.Mutex
 		next    int
 		live    map[string]*runner
+		sound   []soundRequest
 		crashes []time.Time // under the part
 		runs    []time.Time // when an endpoint received a request with it
 	}
 
-	// soundCounts counts the sound requests of a time, and those served.
-	soundCounts struct {
-		sent, served atomic.Int64
+	// soundRequest is a request without the part.
+	soundRequest struct {
+		sentAt   time.Time
+		isServed bool
 	}
 )
 
@@ -136,59 +137,56 @@
 	h.crash(t, id)
 }
 
-// fifthCrash returns when the fifth endpoint crashed under the part, if it has.
-func (h *partSite) fifthCrash() (at time.Time, hasCome bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if len(h.crashes) < partCrashes {
-		return time.Time{}, false
-	}
-	return h.crashes[partCrashes-1], true
+// referenceCrash returns when the fifth endpoint crashed under the part, or the last if there were fewer.
+func (h *partSite) referenceCrash() time.Time {
+	return h.crashes[min(len(h.crashes), partCrashes)-1]
 }
 
 // lateRuns counts the requests with the part that were received too late after the fifth crash.
 func (h *partSite) lateRuns() (late int) {
-	fifth, hasCome := h.fifthCrash()
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	for _, at := range h.runs {
-		if hasCome && at.Sub(fifth) > partGrace {
+		if len(h.crashes) >= partCrashes && at.Sub(h.referenceCrash()) > partGrace {
 			late++
 		}
 	}
 	return late
 }
 
-// sendSound sends a request without the part, and counts it.
-func (h *partSite) sendSound(t *testing.T, path, prompt string, number int, counts *soundCounts) {
+// sendSound sends a request without the part.
+func (h *partSite) sendSound(t *testing.T, path, prompt string, number int) {
+	sentAt := time.Now()
 	reply := h.sites[number%len(h.sites)].do(t, http.MethodPost, path, fmt.Sprint("sound-", number), fmt.Sprint("sound body ", number),
 		"T-Prompt", fmt.Sprintf("%s,own-%d", prompt, number))
-	counts.sent.Add(1)
-	if reply.body == events(5) {
-		counts.served.Add(1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sound = append(h.sound, soundRequest{sentAt, reply.body == events(5)})
+}
+
+// soundShare returns the share of the sound requests sent in a time that were served.
+func (h *partSite) soundShare(t *testing.T, from, to time.Time) float64 {
+	sent, served := 0, 0
+	for _, request := range h.sound {
+		if request.sentAt.Before(from) || request.sentAt.After(to) {
+			continue
+		}
+		sent++
+		if request.isServed {
+			served++
+		}
 	}
+	t.Logf("%d of %d sound requests served", served, sent)
+	require.GreaterOrEqual(t, sent, 20)
+	return float64(served) / float64(sent)
 }
 
-// play sends sound requests all the time, and others with the part from a second on, all different from each other, until some
-// seconds after the fifth crash under the part. It returns the sound requests before that and after the time of grace.
-func (h *partSite) play(t *testing.T, path, sound, deadly string) (before, after *soundCounts) {
-	before, after = &soundCounts{}, &soundCounts{}
+// play sends sound requests all the time, and others with the part from a second on, all different from each other.
+func (h *partSite) play(t *testing.T, path, sound, deadly string) (begin time.Time) {
 	var callers sync.WaitGroup
 	defer callers.Wait()
-	begin := time.Now()
-	end := begin.Add(12 * time.Second)
-	for i := 0; time.Now().Before(end); i++ {
-		now := time.Now()
-		fifth, hasCome := h.fifthCrash()
-		counts := &soundCounts{} // requests in between are not judged
-		switch {
-		case now.Sub(begin) < time.Second:
-			counts = before
-		case hasCome && now.Sub(fifth) > 2*partGrace:
-			counts = after
-		}
-		callers.Go(func() { h.sendSound(t, path, sound, i, counts) })
-		if i%2 == 0 && now.Sub(begin) > time.Second {
+	begin = time.Now()
+	for i := 0; time.Since(begin) < 12*time.Second; i++ {
+		callers.Go(func() { h.sendSound(t, path, sound, i) })
+		if i%2 == 0 && time.Since(begin) > time.Second {
 			callers.Go(func() {
 				h.sites[i/2%len(h.sites)].do(t, http.MethodPost, path, fmt.Sprint("deadly-", i), fmt.Sprint("body ", i),
 					"T-Prompt", fmt.Sprintf("%s,own-deadly-%d", deadly, i))
@@ -196,7 +194,7 @@
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
-	return before, after
+	return begin
 }
 
 // Guards against requests that share one part of their prompts, and nothing else, crashing one endpoint after the other.
@@ -213,25 +211,22 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newPartSite(t, 4, 24, test.hasEvents)
-			before, after := h.play(t, test.path, test.sound, test.deadly)
-			h.requireContained(t, before, after)
+			h.requireContained(t, h.play(t, test.path, test.sound, test.deadly))
 		})
 	}
 }
 
 // requireContained checks what is left of the part's crashes after the time of grace.
-func (h *partSite) requireContained(t *testing.T, before, after *soundCounts) {
+func (h *partSite) requireContained(t *testing.T, begin time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	require.NotEmpty(t, h.crashes)
 	late := h.lateRuns()
-	t.Logf("%d endpoints crashed under the part, %d late sends, sound requests served: %d of %d before, %d of %d after",
-		len(h.crashes), late, before.served.Load(), before.sent.Load(), after.served.Load(), after.sent.Load())
+	t.Logf("%d endpoints crashed under the part, %d late sends", len(h.crashes), late)
 	assert.LessOrEqual(t, late, partSlack)
-	require.NotZero(t, after.sent.Load())
-	assert.GreaterOrEqual(t, share(after), soundShare*share(before))
-}
-
-// share returns the share of the requests that were served.
-func share(counts *soundCounts) float64 {
-	return float64(counts.served.Load()) / float64(counts.sent.Load())
+	before := h.soundShare(t, begin, begin.Add(time.Second))
+	after := h.soundShare(t, h.referenceCrash().Add(2*partGrace), time.Now())
+	assert.GreaterOrEqual(t, after, minSoundShare*before)
 }
 
 // Guards against a part that crashes endpoints hiding behind endpoints that crash for another reason.
@@ -241,8 +236,7 @@
 	for i := range 6 {
 		time.AfterFunc(time.Second+time.Duration(i)*200*time.Millisecond, func() { h.crashAny(t) })
 	}
-	before, after := h.play(t, "/stream/", "first,second", "first,deadly")
-	h.requireContained(t, before, after)
+	h.requireContained(t, h.play(t, "/stream/", "first,second", "first,deadly"))
 }
 
 // Guards against parts that many requests share being refused because endpoints crash for another reason.
@@ -253,20 +247,17 @@
 	for i := range ends {
 		time.AfterFunc(time.Duration(i)*pause, func() { h.crashAny(t) })
 	}
-	counts := &soundCounts{}
 	var callers sync.WaitGroup
-	for i, begin := 0, time.Now(); time.Since(begin) < 10*time.Second; i++ {
-		each := &soundCounts{}
-		if time.Since(begin) > (partCrashes-1)*pause+2*partGrace {
-			each = counts
-		}
-		callers.Go(func() { h.sendSound(t, "/stream/", "first,second", i, each) })
+	begin := time.Now()
+	for i := 0; time.Since(begin) < 10*time.Second; i++ {
+		callers.Go(func() { h.sendSound(t, "/stream/", "first,second", i) })
 		time.Sleep(25 * time.Millisecond)
 	}
 	callers.Wait()
-	assert.Equal(t, counts.sent.Load(), counts.served.Load())
+	fifth := begin.Add((partCrashes - 1) * pause)
+	assert.InDelta(t, 1, h.soundShare(t, fifth.Add(2*partGrace), time.Now()), 0)
 	for _, s := range h.sites {
-		_, refused := s.daemon.router.poison.Counts()
+		_, refused := s.daemon.router.poison.CountParts()
 		assert.Zero(t, refused)
 	}
 }
--- a/exchange/poison.go
+++ b/exchange/poison.go
@@ -42,11 +42,14 @@
 	return quarantine.Refusal()
 }
 
-// isPoison reports whether the request must not be sent to any endpoint. The fingerprint is computed only while
+// isPoison reports whether the request must not be sent to any endpoint. The fingerprints are computed only while
 // some request is suspected.
 func (c *call) isPoison() bool {
 	poison := c.router.poison
-	return c.trialRelease == "" && !poison.IsEmpty() && poison.Refuses(c.fingerprint())
+	if c.trialRelease != "" || poison.IsEmpty() {
+		return false
+	}
+	return poison.Refuses(c.fingerprint()) || poison.RefusesParts(c.partFingerprints())
 }
 
 // usableReleases returns the releases of the endpoints that may get the request.
@@ -70,7 +73,7 @@
 
 // describePoisonAs is describePoison with a given fingerprint.
 func (c *call) describePoisonAs(fingerprint willowwick.Fingerprint) willowwick.PoisonRequest {
-	request := willowwick.PoisonRequest{Request: fingerprint, Account: c.accountName(), Service: c.service, Host: c.message.Host}
+	request := willowwick.PoisonRequest{Request: fingerprint, Account: c.accountName(), Service: c.service, Host: c.message.Host, Parts: c.partFingerprints()}
 	if c.isRestricted() {
 		request.Target = c.route.Prefix // the rest of the target is content, which stays in the allowed regions
 	} else {
@@ -91,9 +94,33 @@
 
 // recordHarmless records that an endpoint has answered the request completely.
 func (s *send) recordHarmless(now time.Time) {
-	if quarantine.IsCompletedRun(s.answer.Status) && !s.router.poison.IsEmpty() {
+	if !quarantine.IsCompletedRun(s.answer.Status) {
+		return
+	}
+	if !s.router.poison.IsEmpty() {
 		s.router.poison.RecordAnswer(s.fingerprint(), now)
 	}
+	if s.isHarmless {
+		return
+	}
+	run := s.observedRun()
+	if run.BeganAt.IsZero() {
+		run.BeganAt = now
+	}
+	s.router.poison.RecordRun(s.partFingerprints(), run, now)
+}
+
+// recordProgress records that an endpoint goes on answering, which it does not if a part of the prompt crashes it.
+func (s *send) recordProgress(now time.Time) {
+	if run := s.observedRun(); !s.isHarmless && run.IsHarmless(now) {
+		s.isHarmless = true
+		s.router.poison.RecordRun(s.partFingerprints(), run, now)
+	}
+}
+
+// observedRun describes the run of the request at the endpoint.
+func (s *send) observedRun() quarantine.Run {
+	return quarantine.Run{Endpoint: s.ticket.Endpoint.ID, Incarnation: s.ticket.Endpoint.Incarnation, BeganAt: s.firstEventAt}
 }
 
 // runPoisonSync keeps the poison requests in the store up to date until the context ends: all boxes may lose power
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -211,6 +211,7 @@
 		s.firstEventAt = now
 	}
 	s.events += bytes.Count(events, eventEnd)
+	s.recordProgress(now)
 	return s.writeEvents(s.answer, events, now)
 }
 
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -89,6 +89,7 @@
 		departure    departureWatch
 		firstEventAt time.Time // zero before the first event of this send
 		events       int       // received of this send
+		isHarmless   bool      // the answer has gone on, which is recorded
 	}
 )
 
@@ -173,6 +174,9 @@
 // checkForCrash finds out whether the endpoint crashed while it had the request.
 func (s *send) checkForCrash() {
 	broken := brokenSend{request: s.describePoison(), endpoint: s.ticket.Endpoint, at: clock.Now()}
+	if s.observedRun().IsHarmless(broken.at) {
+		broken.request.Parts = willowwick.PartFingerprints{}
+	}
 	s.crashed = s.router.crashes.hasCrashed(s.ctx, broken.endpoint, broken.at)
 	if s.crashed {
 		s.router.recordCrash(broken)
@@ -192,7 +196,7 @@
 	if result.kind == broken {
 		// The fingerprints find earlier sends of the same content, or with the same parts, under other request IDs.
 		more = []any{
-			"fingerprint", c.fingerprint().String(), "parts", fingerprintTexts(c.partFingerprints()),
+			"fingerprint", c.fingerprint().String(), "parts", fingerprintTexts(c.partFingerprints().OfAll),
 			"endpoint_ended", s.crashed, "events", s.events,
 		}
 	}
@@ -227,8 +231,8 @@
 	}
 	s.conn = conn
 	stopWatching := s.router.departures.watch(s)
-	if s.ticket.EndpointRefusesWork(clock.Now()) || !s.allowsHall(s.ticket.Endpoint.Hall) {
-		// A notice or a configuration that arrived after the endpoint was chosen applies to this request too:
+	if s.ticket.EndpointRefusesWork(clock.Now()) || !s.allowsHall(s.ticket.Endpoint.Hall) || s.isPoison() {
+		// What arrived after the endpoint was chosen applies to this request too, be it a notice, a configuration or a crash:
 		// getting a permit or a new connection takes time.
 		stopWatching()
 		s.conn = nil
--- a/fingerprint.go
+++ b/fingerprint.go
@@ -34,9 +34,20 @@
 	return Fingerprint(sum.Sum(nil))
 }
 
-// PartFingerprint returns the fingerprint of a part of a prompt, which is that of all requests of the client account to the
-// service whose prompts have the part. An empty account stands for all of them.
-func PartFingerprint(account AccountID, service ServiceID, part string) Fingerprint {
+// PartFingerprintsOf returns the fingerprints of parts of a prompt, by their ids.
+func PartFingerprintsOf(account AccountID, service ServiceID, parts []string) PartFingerprints {
+	var prints PartFingerprints
+	for _, part := range parts {
+		prints.OfAll = append(prints.OfAll, partFingerprint("", service, part))
+		if account != "" {
+			prints.OfAccount = append(prints.OfAccount, partFingerprint(account, service, part))
+		}
+	}
+	return prints
+}
+
+// partFingerprint returns the fingerprint of a part of a prompt; an empty account stands for all of them.
+func partFingerprint(account AccountID, service ServiceID, part string) Fingerprint {
 	sum := sha256.New()
 	for _, field := range []string{partLabel, string(account), string(service), part} {
 		writeLengthPrefixed(sum, field)
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -16,6 +14,9 @@
 	// RefuseAfterCrashes is how many endpoints must crash under a request, without a complete answer since, before it
 	// is refused. Operators allow three; an endpoint that crashes for another reason takes innocent requests with it.
 	RefuseAfterCrashes = 3
+	// refuseAnsweredPartAfterCrashes is the same for a part of prompts that endpoints have answered: many sound requests may have
+	// it, and all of them are at work where endpoints crash for a reason of their own.
+	refuseAnsweredPartAfterCrashes = 8
 	// correlationWindow is the time within which crashes probably have a common cause other than the request, such
 	// as a failed rack or a bad release. A request that was on many of the endpoints at once is refused, but may get a
 	// trial on any release.
@@ -30,6 +31,9 @@
 	// clearTolerance is how much later than a complete answer a crash may be and still be cleared by it: boxes
 	// exchange ages instead of times, so a reported time may be off by the duration of a gossip exchange.
 	clearTolerance = time.Second
+	// partClearTolerance is how much later than the begin of an answer a crash may be and still say nothing against the parts of
+	// the prompt: answers come rarely while endpoints crash.
+	partClearTolerance = 5 * time.Second
 	// suspectTTL is how long crashes count if they have not led to a refusal. Callers retry for less than a minute.
 	suspectTTL = 10 * time.Minute
 	// refusedTTL is how long a request is refused after its last crash. Within a day somebody has looked into the
@@ -41,12 +45,14 @@
 	maxSuspects = 4096
 	// maxRefused bounds the refused requests; three endpoints have to crash for each.
 	maxRefused = 256
-	// maxCrashes bounds the crashes that are kept for a request; more prove nothing.
-	maxCrashes = 8
+	// maxCrashes bounds the crashes that are kept for a request; more prove nothing. maxPartCrashes bounds those of a part: which
+	// part accounts for the crashes of others shows only as long as all of them are kept.
+	maxCrashes     = 8
+	maxPartCrashes = 32
 )
 
 type (
-	// Ledger records the requests under which endpoints crashed. Boxes exchange their records and come to the same
+	// Ledger records the requests under which endpoints crashed, and the parts of their prompts. Boxes exchange their records and come to the same
 	// decisions, in whatever order the updates arrive.
 	Ledger struct {
 		hasSuspects atomic.Bool // whether suspects is not empty; read without the lock
@@ -55,12 +61,15 @@
 		suspects      map[willowwick.Fingerprint]*suspect
 		candidates    map[willowwick.Fingerprint]*suspect // suspects with enough crashes to be refused
 		refused       map[willowwick.Fingerprint]bool
-		admitted      map[willowwick.Fingerprint]willowwick.Position // despite their crashes, by the operator
-		knownCrashes  map[crashKey]time.Time                         // crashes under any request
+		companions    map[willowwick.Fingerprint][]willowwick.Fingerprint // of refused parts; see culprit
+		admitted      map[willowwick.Fingerprint]willowwick.Position      // despite their crashes, by the operator
+		knownCrashes  map[crashKey]time.Time                              // crashes under any request
 		history       history
-		pendingWrites map[willowwick.Fingerprint]bool // requests whose stored record has to be written or dropped
-		stored        map[willowwick.Fingerprint]bool // requests with a stored record, as far as this box wrote or read it
-		nextExpiry    time.Time                       // no sweep for expired entries before
+		pendingWrites map[willowwick.Fingerprint]bool                   // requests whose stored record has to be written or dropped
+		stored        map[willowwick.Fingerprint]willowwick.PoisonScope // requests with a stored record, as far as this box wrote or read it
+		answered      answeredParts
+		finishedRuns  []finishedRun // in the order in which they ended
+		nextExpiry    time.Time     // no sweep for expired entries before
 	}
 
 	// crashKey identifies a crash by the incarnation of the endpoint.
@@ -68,22 +77,6 @@
 		endpoint    willowwick.EndpointID
 		incarnation willowwick.Incarnation
 	}
-
-	// suspect is a request under which an endpoint crashed.
-	suspect struct {
-		details     *willowwick.PoisonRequest // without crashes; nil if only other boxes saw the request
-		crashes     map[crashKey]willowwick.EndpointCrash
-		clearedAt   time.Time // time of the newest complete answer; crashes before it do not count
-		trials      map[trial]bool
-		lastTrialAt time.Time // time of the newest trial
-		updatedAt   time.Time
-	}
-
-	// trial is one send of a refused request that tests whether it still crashes endpoints.
-	trial struct {
-		release willowwick.ReleaseID
-		number  int // number of earlier trials
-	}
 )
 
 // New returns an empty ledger.
@@ -91,7 +84,7 @@
 	return &Ledger{
 		suspects: map[willowwick.Fingerprint]*suspect{}, candidates: map[willowwick.Fingerprint]*suspect{},
 		refused: map[willowwick.Fingerprint]bool{}, pendingWrites: map[willowwick.Fingerprint]bool{}, knownCrashes: map[crashKey]time.Time{},
-		stored: map[willowwick.Fingerprint]bool{},
+		stored: map[willowwick.Fingerprint]willowwick.PoisonScope{}, companions: map[willowwick.Fingerprint][]willowwick.Fingerprint{},
 	}
 }
 
@@ -104,6 +97,33 @@
 func (l *Ledger) Refuses(request willowwick.Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.isRefused(request)
+}
+
+// RefusesParts reports whether prompts with these parts must not be sent to any endpoint.
+func (l *Ledger) RefusesParts(parts willowwick.PartFingerprints) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.refusedParts(parts)) > 0
+}
+
+// refusedParts returns the parts for which a prompt is refused. The caller holds the lock.
+func (l *Ledger) refusedParts(parts willowwick.PartFingerprints) (refused []willowwick.Fingerprint) {
+	for _, list := range [][]willowwick.Fingerprint{parts.OfAccount, parts.OfAll} {
+		for _, part := range list {
+			lacksCompanion := slices.ContainsFunc(l.companions[part], func(companion willowwick.Fingerprint) bool {
+				return l.isRefused(companion) && !slices.Contains(list, companion)
+			})
+			if l.isRefused(part) && !lacksCompanion {
+				refused = append(refused, part)
+			}
+		}
+	}
+	return refused
+}
+
+// isRefused reports whether a request or part is refused and the operator does not admit it. The caller holds the lock.
+func (l *Ledger) isRefused(request willowwick.Fingerprint) bool {
 	_, isAdmitted := l.admitted[request]
 	return l.refused[request] && !isAdmitted
 }
@@ -115,26 +135,65 @@
 	l.admitted = requests
 }
 
-// Counts returns how many requests are suspected, and how many of them are refused.
+// Counts returns how many requests, and parts of prompts, are suspected, and how many of them are refused.
 func (l *Ledger) Counts() (suspected, refused int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.suspects), len(l.refused)
 }
 
+// CountParts returns how many parts of prompts are suspected, and how many of them are refused.
+func (l *Ledger) CountParts() (suspected, refused int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for fingerprint, s := range l.suspects {
+		if s.scope == willowwick.ScopeContent {
+			continue
+		}
+		suspected++
+		if l.refused[fingerprint] {
+			refused++
+		}
+	}
+	return suspected, refused
+}
+
 // RecordCrash records that an endpoint crashed while it ran the request for this box, and reports whether the crash
 // was not known before under any request.
 func (l *Ledger) RecordCrash(details willowwick.PoisonRequest, crash willowwick.EndpointCrash) (isFirst bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, isKnown := l.knownCrashes[crashKey{crash.Endpoint, crash.Incarnation}]
-	s := l.ensureSuspect(details.Request, crash.At)
-	s.setDetails(details)
-	l.addCrash(details.Request, crash, "")
+	l.confirmFinishedRuns(crash.At)
+	l.recordCrashUnder(details, crash)
+	for _, part := range partsOf(details) {
+		l.recordCrashUnder(part, crash)
+	}
 	l.updateRefused(crash.At, "seen here")
 	return !isKnown
 }
 
+// recordCrashUnder records a crash under a request or part. The caller holds the lock.
+func (l *Ledger) recordCrashUnder(details willowwick.PoisonRequest, crash willowwick.EndpointCrash) {
+	l.addCrash(details.Request, details.Scope, crash, "")
+	if s := l.suspects[details.Request]; s != nil {
+		s.setDetails(details)
+	}
+}
+
+// partsOf describes the parts of a request's prompt as requests of wider scopes.
+func partsOf(request willowwick.PoisonRequest) (parts []willowwick.PoisonRequest) {
+	for _, part := range request.Parts.OfAccount {
+		parts = append(parts, willowwick.PoisonRequest{
+			Request: part, Scope: willowwick.ScopeAccountPart, Account: request.Account, Service: request.Service,
+		})
+	}
+	for _, part := range request.Parts.OfAll {
+		parts = append(parts, willowwick.PoisonRequest{Request: part, Scope: willowwick.ScopePart, Service: request.Service})
+	}
+	return parts
+}
+
 // CrashTime returns when the incarnation of the endpoint crashed, if a crash is known under any request.
 func (l *Ledger) CrashTime(endpoint willowwick.EndpointID, incarnation willowwick.Incarnation) (at time.Time, isKnown bool) {
 	l.mu.Lock()
@@ -155,29 +214,41 @@
 // AllowTrial returns the release on whose endpoints a refused request may be tried, if there is one; only one box may
 // call it at a time. The request may be tried on a release none of whose endpoints crashed under it, and on any
 // release if its crashes may have another cause: they all lie within correlationWindow, or another request has exactly
-// the same crashes.
+// the same crashes. The same holds for each part of its prompt that is refused.
 func (l *Ledger) AllowTrial(
 	details willowwick.PoisonRequest, releases []willowwick.ReleaseID, now time.Time,
 ) (release willowwick.ReleaseID, allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	request := details.Request
-	s := l.suspects[request]
-	if s == nil || !l.refused[request] || now.Before(s.nextTrialAt()) {
-		return "", false
+	refused := l.refusedParts(details.Parts)
+	if s := l.suspects[details.Request]; s != nil && l.isRefused(details.Request) {
+		s.setDetails(details)
+		refused = append(refused, details.Request)
 	}
-	s.setDetails(details)
-	isDoubtful := s.hasCorrelatedCrashes() || l.hasEqualCandidate(s)
 	for _, release := range releases {
-		if isDoubtful || !s.crashedOn(release) {
-			l.addTrial(request, trial{release, len(s.trials)}, now, "")
+		isAllowed := func(request willowwick.Fingerprint) bool { return l.allowsTrialOn(l.suspects[request], release, now) }
+		if len(refused) == 0 || slices.ContainsFunc(refused, func(request willowwick.Fingerprint) bool { return !isAllowed(request) }) {
+			continue
+		}
+		for _, request := range refused {
+			l.addTrial(request, trial{release, len(l.suspects[request].trials)}, now, "")
 			l.pendingWrites[request] = true
-			return release, true
 		}
+		return release, true
 	}
 	return "", false
 }
 
+// allowsTrialOn reports whether a refused suspect may be tried on a release. The caller holds the lock.
+func (l *Ledger) allowsTrialOn(s *suspect, release willowwick.ReleaseID, now time.Time) bool {
+	if s == nil || now.Before(s.nextTrialAt()) {
+		return false
+	}
+	// A prompt that has all of several parts with the same crashes doesn't tell which of them it is.
+	isDoubtful := s.hasCorrelatedCrashes() || s.scope == willowwick.ScopeContent && l.hasEqualCandidate(s)
+	return isDoubtful || !s.crashedOn(release)
+}
+
 // Expire drops entries that are too old to count. It does so at most once every expireInterval, so it may be called
 // often.
 func (l *Ledger) Expire(now time.Time) {
@@ -204,12 +275,12 @@
 	l.updateRefused(now, "too old")
 }
 
-// ensureSuspect returns the entry of a request and creates it if there is none. The caller holds the lock.
-func (l *Ledger) ensureSuspect(request willowwick.Fingerprint, now time.Time) *suspect {
+// ensureSuspect returns the entry of a request or part and creates it if there is none. The caller holds the lock.
+func (l *Ledger) ensureSuspect(request willowwick.Fingerprint, scope willowwick.PoisonScope, now time.Time) *suspect {
 	s := l.suspects[request]
 	if s == nil {
 		l.evictLeastSuspect()
-		s = &suspect{crashes: map[crashKey]willowwick.EndpointCrash{}, trials: map[trial]bool{}}
+		s = newSuspect(scope)
 		l.suspects[request] = s
 		l.hasSuspects.Store(true)
 	}
@@ -243,35 +314,44 @@
 	l.hasSuspects.Store(len(l.suspects) > 0)
 }
 
-// addCrash adds a crash under a request and reports whether it is new. The caller holds the lock.
-func (l *Ledger) addCrash(request willowwick.Fingerprint, crash willowwick.EndpointCrash, from string) bool {
-	s := l.ensureSuspect(request, crash.At)
+// addCrash adds a crash under a request or part, and reports whether that is news. The caller holds the lock.
+func (l *Ledger) addCrash(request willowwick.Fingerprint, scope willowwick.PoisonScope, crash willowwick.EndpointCrash, from string) bool {
 	key := crashKey{crash.Endpoint, crash.Incarnation}
-	_, known := s.crashes[key]
-	if known || s.isCleared(crash) || len(s.crashes) >= maxCrashes {
+	answeredAt := l.answered.newest(request)
+	if l.suspects[request] == nil && from == "" && isClearedBy(answeredAt, scope, crash) {
+		return false // a part that endpoints answer
+	}
+	s := l.ensureSuspect(request, scope, crash.At)
+	_, isKnown := s.crashes[key]
+	if isKnown || s.isCleared(crash) || s.isFull() {
 		return false
 	}
 	s.crashes[key] = crash
 	l.knownCrashes[key] = crash.At
+	if l.clear(request, answeredAt, "") && s.isCleared(crash) {
+		return true // other boxes learn of the answer instead
+	}
 	if len(s.crashes) >= RefuseAfterCrashes {
 		l.candidates[request] = s
 	}
-	l.history.add(entry{kind: kindCrash, request: request, crash: crash, from: from})
+	l.history.add(entry{kind: kindCrash, request: request, scope: scope, crash: crash, from: from})
 	return true
 }
 
-// clear clears a request's crashes up to the time of a complete answer, and reports whether that is new. The
-// caller holds the lock.
+// clear clears the crashes up to the time of an answer, and reports whether that is news. The caller holds the lock.
 func (l *Ledger) clear(request willowwick.Fingerprint, at time.Time, from string) bool {
 	s := l.suspects[request]
 	if s == nil || len(s.crashes) == 0 || !at.After(s.clearedAt) {
 		return false
 	}
-	s.clearedAt, s.updatedAt = at, at
-	for key, crash := range s.crashes {
-		if s.isCleared(crash) {
-			delete(s.crashes, key)
-		}
+	count, wasAnswered := len(s.crashes), s.isAnswered()
+	maps.DeleteFunc(s.crashes, func(_ crashKey, crash willowwick.EndpointCrash) bool { return isClearedBy(at, s.scope, crash) })
+	if s.scope != willowwick.ScopeContent && wasAnswered && len(s.crashes) == count {
+		return false // parts are answered all the time
+	}
+	s.clearedAt = at
+	if at.After(s.updatedAt) {
+		s.updatedAt = at
 	}
 	if len(s.crashes) < RefuseAfterCrashes {
 		delete(l.candidates, request)
@@ -293,148 +373,3 @@
 	l.history.add(entry{kind: kindTrial, request: request, crash: willowwick.EndpointCrash{Release: tried.release, At: at}, trial: tried.number, from: from})
 	return true
 }
-
-// updateRefused recomputes which requests are refused; source names the origin of the change, for the log. The caller
-// holds the lock.
-func (l *Ledger) updateRefused(now time.Time, source string) {
-	for request := range l.refused {
-		if l.candidates[request] == nil || l.isExplainedByOther(l.candidates[request]) {
-			l.admit(request, source)
-		}
-	}
-	for request, s := range l.candidates {
-		if !l.refused[request] && !l.isExplainedByOther(s) && len(l.refused) < maxRefused {
-			l.refuse(request, s, now, source)
-		}
-	}
-}
-
-// refuse starts refusing a request. The caller holds the lock.
-func (l *Ledger) refuse(request willowwick.Fingerprint, s *suspect, now time.Time, source string) {
-	l.refused[request] = true
-	l.pendingWrites[request] = true
-	attributes := []any{"fingerprint", request.String(), "ends", len(s.crashes), "source", source, "last_end_ms_ago", now.Sub(s.lastCrash()).Milliseconds()}
-	var endpoints []string
-	for _, crash := range s.sortedCrashes() {
-		endpoints = append(endpoints, string(crash.Endpoint))
-	}
-	attributes = append(attributes, "endpoints", endpoints)
-	if s.details != nil {
-		attributes = append(attributes, "account", s.details.Account, "service", s.details.Service, "host", s.details.Host, "target", s.details.Target)
-	}
-	slog.Warn("request is refused from now on: endpoints ended while they ran it", attributes...)
-}
-
-// admit stops refusing a request. The caller holds the lock.
-func (l *Ledger) admit(request willowwick.Fingerprint, source string) {
-	delete(l.refused, request)
-	l.pendingWrites[request] = l.stored[request] // a record that another box wrote is dropped by that box
-	slog.Info("request is sent to endpoints again", "fingerprint", request.String(), "source", source)
-}
-
-// isExplainedByOther reports whether another candidate has all crashes of this one and more, and so is the more likely
-// cause. The caller holds the lock.
-func (l *Ledger) isExplainedByOther(s *suspect) bool {
-	for _, other := range l.candidates {
-		if len(other.crashes) > len(s.crashes) && other.includesCrashesOf(s) {
-			return true
-		}
-	}
-	return false
-}
-
-// hasEqualCandidate reports whether another candidate has exactly the same crashes. The caller holds the lock.
-func (l *Ledger) hasEqualCandidate(s *suspect) bool {
-	for _, other := range l.candidates {
-		if other != s && len(other.crashes) == len(s.crashes) && other.includesCrashesOf(s) {
-			return true
-		}
-	}
-	return false
-}
-
-// setDetails sets the description of the request for operators, unless it is known.
-func (s *suspect) setDetails(details willowwick.PoisonRequest) {
-	if s.details == nil {
-		details.Crashes, details.Tried = nil, nil
-		s.details = &details
-	}
-}
-
-// isCleared reports whether a complete answer makes the crash irrelevant.
-func (s *suspect) isCleared(crash willowwick.EndpointCrash) bool {
-	return !s.clearedAt.IsZero() && !crash.At.After(s.clearedAt.Add(clearTolerance))
-}
-
-// includesCrashesOf reports whether all crashes of the other request are among those of this one.
-func (s *suspect) includesCrashesOf(other *suspect) bool {
-	for key := range other.crashes {
-		if _, found := s.crashes[key]; !found {
-			return false
-		}
-	}
-	return true
-}
-
-// sortedCrashes returns the crashes in order of time.
-func (s *suspect) sortedCrashes() []willowwick.EndpointCrash {
-	crashes := make([]willowwick.EndpointCrash, 0, len(s.crashes))
-	for _, crash := range s.crashes {
-		crashes = append(crashes, crash)
-	}
-	slices.SortFunc(crashes, func(a, b willowwick.EndpointCrash) int { return a.At.Compare(b.At) })
-	return crashes
-}
-
-// lastCrash returns the time of the newest crash, zero if there is none.
-func (s *suspect) lastCrash() time.Time {
-	var last time.Time
-	for _, crash := range s.crashes {
-		if crash.At.After(last) {
-			last = crash.At
-		}
-	}
-	return last
-}
-
-// nextTrialAt returns the time of the next allowed trial.
-func (s *suspect) nextTrialAt() time.Time {
-	delay := firstTrialDelay
-	for range s.trials {
-		delay = min(trialBackoffFactor*delay, refusedTTL)
-	}
-	last := s.lastCrash()
-	if s.lastTrialAt.After(last) {
-		last = s.lastTrialAt
-	}
-	return last.Add(delay)
-}
-
-// triedReleases returns the releases of the trials, in the order of the trials.
-func (s *suspect) triedReleases() []willowwick.ReleaseID {
-	var list []willowwick.ReleaseID
-	for _, tried := range slices.SortedFunc(maps.Keys(s.trials), compareTrials) {
-		list = append(list, tried.release)
-	}
-	return list
-}
-
-func compareTrials(a, b trial) int {
-	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.release, b.release))
-}
-
-// crashedOn reports whether an endpoint of the release crashed under the request.
-func (s *suspect) crashedOn(release willowwick.ReleaseID) bool {
-	for _, crash := range s.crashes {
-		if crash.Release == release {
-			return true
-		}
-	}
-	return false
-}
-
-// hasCorrelatedCrashes reports whether all crashes lie within correlationWindow.
-func (s *suspect) hasCorrelatedCrashes() bool {
-	crashes := s.sortedCrashes()
-	return len(crashes) > 0 && crashes[len(crashes)-1].At.Sub(crashes[0].At) < correlationWindow
-}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -18,7 +18,7 @@
 		case !isDue:
 			delete(l.pendingWrites, request)
 		case !l.refused[request]:
-			list = append(list, willowwick.PoisonRequest{Request: request})
+			list = append(list, willowwick.PoisonRequest{Request: request, Scope: l.stored[request]})
 		case s != nil && s.details != nil:
 			record := *s.details
 			record.Crashes, record.Tried = s.sortedCrashes(), s.triedReleases()
@@ -36,7 +36,7 @@
 	defer l.mu.Unlock()
 	request, hasCrashes := record.Request, len(record.Crashes) > 0
 	if hasCrashes {
-		l.stored[request] = true
+		l.stored[request] = record.Scope
 	} else {
 		delete(l.stored, request)
 	}
@@ -72,7 +72,7 @@
 
 // restore merges one record. The caller holds the lock.
 func (l *Ledger) restore(record willowwick.PoisonRequest, now time.Time) {
-	l.stored[record.Request] = true
+	l.stored[record.Request] = record.Scope
 	for _, crash := range record.Crashes {
 		if crash.At.After(now) {
 			crash.At = now // clocks of boxes differ
@@ -81,8 +81,8 @@
 			l.pendingWrites[record.Request] = true
 			continue
 		}
-		l.ensureSuspect(record.Request, crash.At).setDetails(record)
-		l.addCrash(record.Request, crash, "")
+		l.ensureSuspect(record.Request, record.Scope, crash.At).setDetails(record)
+		l.addCrash(record.Request, record.Scope, crash, "")
 	}
 	for number, release := range record.Tried {
 		l.addTrial(record.Request, trial{release, number}, now, "")
--- a/quarantine/updates.go
+++ b/quarantine/updates.go
@@ -27,6 +27,7 @@
 	entry struct {
 		kind    kind
 		request willowwick.Fingerprint
+		scope   willowwick.PoisonScope   // only for a crash
 		crash   willowwick.EndpointCrash // only the time for an answer, only time and release for a trial
 		trial   int                      // number of the trial
 		from    string                   // the box that sent it; empty if observed here
@@ -52,14 +53,16 @@
 		Trials   []TrialRow
 	}
 
-	// CrashRow is a crash with the requests that were running there, 16 bytes each on the wire. Its fields keep the
-	// names that are on the wire.
+	// CrashRow is a crash with the requests that were running there and the parts of their prompts, 16 bytes each on the wire.
+	// Its fields keep the names that are on the wire; an earlier release passes over the parts.
 	CrashRow struct {
 		Endpoint    willowwick.EndpointID
 		Incarnation willowwick.Incarnation
 		Release     willowwick.ReleaseID
 		AgeMs       int64
 		Requests    []willowwick.Fingerprint
+		// AccountParts and Parts are of the scopes of these names.
+		AccountParts, Parts []willowwick.Fingerprint
 	}
 
 	// AnswerRow is a complete answer to a request.
@@ -96,6 +99,9 @@
 func (l *Ledger) UpdatesSince(known Position, boot willowwick.BootID, to string, now time.Time) Updates {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.confirmFinishedRuns(now) {
+		l.updateRefused(now, "answered here")
+	}
 	if l.history.next() == 0 {
 		return Updates{} // keeps gossip exchanges small while nothing crashes
 	}
@@ -121,7 +127,7 @@
 			updates.add(entry{kind: kindAnswer, request: request, crash: willowwick.EndpointCrash{At: s.clearedAt}}, at, now)
 		}
 		for _, crash := range s.crashes {
-			updates.add(entry{kind: kindCrash, request: request, crash: crash}, at, now)
+			updates.add(entry{kind: kindCrash, request: request, scope: s.scope, crash: crash}, at, now)
 		}
 		for tried := range s.trials {
 			crash := willowwick.EndpointCrash{Release: tried.release, At: s.lastTrialAt}
@@ -146,19 +152,35 @@
 			at[key] = row
 			n.Ends = append(n.Ends, CrashRow{Endpoint: key.endpoint, Incarnation: key.incarnation, Release: e.crash.Release, AgeMs: age})
 		}
-		n.Ends[row].Requests = append(n.Ends[row].Requests, e.request)
+		n.Ends[row].add(e)
+	}
+}
+
+// add adds a request or part to the crash.
+func (r *CrashRow) add(e entry) {
+	list := &r.Requests
+	switch e.scope {
+	case willowwick.ScopeAccountPart:
+		list = &r.AccountParts
+	case willowwick.ScopePart:
+		list = &r.Parts
 	}
+	*list = append(*list, e.request)
 }
 
 // Merge merges updates of another box and reports whether any was new.
 func (l *Ledger) Merge(updates Updates, from string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	isNew := false
+	isNew := l.confirmFinishedRuns(now)
 	for _, row := range updates.Ends {
 		crash := willowwick.EndpointCrash{Endpoint: row.Endpoint, Incarnation: row.Incarnation, Release: row.Release, At: ago(now, row.AgeMs)}
-		for _, request := range row.Requests {
-			isNew = l.addCrash(request, crash, from) || isNew
+		for scope, list := range map[willowwick.PoisonScope][]willowwick.Fingerprint{
+			willowwick.ScopeContent: row.Requests, willowwick.ScopeAccountPart: row.AccountParts, willowwick.ScopePart: row.Parts,
+		} {
+			for _, request := range list {
+				isNew = l.addCrash(request, scope, crash, from) || isNew
+			}
 		}
 	}
 	for _, row := range updates.Trials {
