--- a/lab/caller.go
+++ b/lab/caller.go
@@ -26,6 +26,7 @@
 	Chat struct {
 		Key         string
 		Model       string
+		System      []string // messages before the prompt
 		Prompt      string
 		MaxTokens   int
 		Stream      bool
@@ -92,7 +93,7 @@
 		return err
 	}
 	return send(client, request, started, read, func(text string) bool {
-		return standin.IsCompleteAnswer(chat.Prompt+"\n", text, willowwick.Tokens(chat.MaxTokens))
+		return standin.IsCompleteAnswer(willowwick.PromptText(chat.messages()), text, willowwick.Tokens(chat.MaxTokens))
 	})
 }
 
@@ -124,9 +125,18 @@
 	return reply
 }
 
+// messages returns the conversation.
+func (c Chat) messages() []willowwick.Message {
+	var messages []willowwick.Message
+	for _, content := range c.System {
+		messages = append(messages, willowwick.Message{Role: "system", Content: content})
+	}
+	return append(messages, willowwick.Message{Role: "user", Content: c.Prompt})
+}
+
 func newChatRequest(ctx context.Context, address string, chat Chat) (*http.Request, error) {
 	body, err := json.Marshal(remote.ChatRequest{
-		Model: willowwick.VersionID(chat.Model), Messages: []willowwick.Message{{Role: "user", Content: chat.Prompt}},
+		Model: willowwick.VersionID(chat.Model), Messages: chat.messages(),
 		MaxTokens: willowwick.Tokens(chat.MaxTokens), Stream: chat.Stream,
 	})
 	if err != nil {
--- a/lab/poison_test.go
+++ b/lab/poison_test.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -49,6 +50,33 @@
 	})
 }
 
+// Guards against prompts that share a message, and nothing else, crashing one runner after the other.
+func TestMessageThatCrashesRunnersIsRefusedByAllBoxes(t *testing.T) {
+	withTestFleet(t, 3, func(s *testFleet) {
+		for range 3 {
+			s.addRunner(t)
+		}
+		for _, runner := range s.Runners {
+			runner.SetFaults(func(faults *standin.EngineFaults) { faults.CrashOn = poisonPrompt })
+		}
+		for box := range s.Boxes {
+			s.requireAnswer(box, Chat{System: []string{"common"}})
+		}
+		time.Sleep(2 * time.Second) // by then an endpoint that an answer crashed would be known
+		for i := range 12 {
+			reply := s.ask(i%3, Chat{System: []string{"common", poisonPrompt}, Prompt: fmt.Sprint("question ", i)})
+			assert.NotEqual(t, OutcomeComplete, reply.Outcome)
+			time.Sleep(500 * time.Millisecond)
+		}
+		for box := range s.Boxes {
+			reply := s.ask(box, Chat{System: []string{poisonPrompt}, Prompt: fmt.Sprint("question of box ", box)})
+			assert.Contains(t, reply.Detail, string(willowwick.CodePoison))
+			s.requireAnswer(box, Chat{System: []string{"common"}})
+		}
+		assert.LessOrEqual(t, s.crashedRunners(), quarantine.RefuseAfterCrashes+1, "the first request alone may crash three")
+	})
+}
+
 // addRunner adds a runner to the fleet and waits until boxes know it.
 func (s *testFleet) addRunner(t *testing.T) {
 	require.NoError(t, s.startRunner(len(s.Runners)))
--- a/serve/call.go
+++ b/serve/call.go
@@ -46,10 +46,12 @@
 	position     int                  // of the next chunk
 	startedAt    time.Time
 	firstChunkAt time.Time
-	text         strings.Builder
-	isLacking    bool // some runner did not have the version
-	closed       bool
-	finished     bool // the answer is complete
+	// attemptBeganAt is the time of the first chunk of the current attempt; zero before it.
+	attemptBeganAt time.Time
+	text           strings.Builder
+	isLacking      bool // some runner did not have the version
+	closed         bool
+	finished       bool // the answer is complete
 }
 
 // prefixHash returns the hash of the first bytes of the conversation, whose processing a runner may have cached.
@@ -133,6 +135,7 @@
 		return errVersionNotAllowed
 	}
 	r.calls++
+	c.attemptBeganAt = time.Time{}
 	c.id = willowwick.RequestID(fmt.Sprintf("%s.%d", r.request.ID, r.calls))
 	ctx, cancel := context.WithCancel(c.ctx)
 	stalled := time.AfterFunc(firstChunkStallFactor*r.daemon.settings.StallTimeout, cancel)
@@ -268,6 +271,9 @@
 		c.firstChunkAt = clock.Now()
 		c.run.daemon.metrics.firstToken.UpdateDuration(c.startedAt)
 	}
+	if c.attemptBeganAt.IsZero() {
+		c.attemptBeganAt = clock.Now()
+	}
 	c.position++
 	c.text.WriteString(chunk.Text)
 	if chunk.Finish != "" {
@@ -300,7 +306,7 @@
 // many requests the endpoint was running.
 func (c *resumableCall) recordFailure(endpoint willowwick.Endpoint, err error) {
 	r := c.run
-	if r.daemon.recordFailure(c.ctx, r.content, endpoint, willowwick.ReleaseID(c.version), err) {
+	if r.daemon.recordFailure(c.ctx, r.content, endpoint, willowwick.ReleaseID(c.version), c.attemptBeganAt, err) {
 		r.daemon.versionWatcher.add(c.version, rollout.Evidence{Requests: 1, Errors: 1})
 	}
 }
@@ -334,7 +340,7 @@
 		seen.Slow, outcome = 1, route.OutcomeSlow
 	}
 	r.daemon.versionWatcher.add(c.version, seen)
-	r.daemon.recordCompleted(r.content)
+	r.daemon.recordCompleted(r.content, c.ticket.Endpoint.ID, c.attemptBeganAt)
 	r.daemon.retries.Succeeded()
 	r.daemon.learner.RecordDuration(r.subject(c.version), now.Sub(c.startedAt))
 	r.daemon.metrics.wholeAnswer.UpdateDuration(c.startedAt)
--- a/serve/services.go
+++ b/serve/services.go
@@ -203,7 +203,7 @@
 			ticket.Done(route.OutcomeGood)
 			s.daemon.retries.Succeeded()
 			if quarantine.IsCompletedRun(reply.status) {
-				s.daemon.recordCompleted(s.content)
+				s.daemon.recordCompleted(s.content, ticket.Endpoint.ID, clock.Now())
 			}
 			return reply, nil
 		}
@@ -257,7 +257,7 @@
 	notTaken := isNotTaken(err)
 	s.attempts.add(ticket.Endpoint.ID, err)
 	ticket.Done(route.OutcomeFailed)
-	s.daemon.recordFailure(ctx, s.content, ticket.Endpoint, ticket.Endpoint.Release, err)
+	s.daemon.recordFailure(ctx, s.content, ticket.Endpoint, ticket.Endpoint.Release, time.Time{}, err)
 	s.sent = s.sent || !notTaken
 	switch {
 	case !notTaken && !s.repeatable:
