--- a/cmd/e2e/soak_callers_test.go
+++ b/cmd/e2e/soak_callers_test.go
@@ -20,6 +20,7 @@
 	kindForged       requestKind = "forged"        // carries headers that only the router may set
 	kindUnknownRoute requestKind = "unknown route" // addresses a route that no configuration ever had
 	kindPoison       requestKind = "poison"        // crashes the endpoint that runs it; always the same request
+	kindPoisonPart   requestKind = "poison part"   // crashes the endpoint that runs it by a part of its prompt; never the same body
 
 	// callersPerBox is the number of callers of each box and meanCallerPause their mean pause between requests: together
 	// at most about 300 requests per second at each box.
@@ -46,6 +47,7 @@
 		sentAt        time.Time
 		endedAt       time.Time
 		timeout       time.Duration // set by the caller
+		parts         string        // the shared parts of its prompt; empty if it has no prompt
 		status        int           // 0 without an answer
 		isComplete    bool          // the body is complete and belongs to this request
 		isInterrupted bool          // the answer was interrupted
@@ -171,7 +173,7 @@
 func (s *soakSite) newRequest(ctx context.Context, r *soakRequest) *http.Request {
 	path := "/lookup/x"
 	switch {
-	case r.kind == kindStream, r.kind == kindPoison:
+	case r.kind == kindStream, r.kind == kindPoison, r.kind == kindPoisonPart:
 		path = "/explain/x"
 	case r.kind == kindUnknownRoute:
 		path = "/never/x"
@@ -187,8 +189,11 @@
 	request.Header.Set("Attempt-Id", r.id)
 	request.Header.Set("Credential", r.key)
 	request.Header.Set("Deadline-Ms", fmt.Sprint(r.timeout.Milliseconds()))
+	if r.parts != "" {
+		request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,%s:50", r.parts, r.id))
+	}
 	switch r.kind {
-	case kindStream, kindPoison:
+	case kindStream, kindPoison, kindPoisonPart:
 		request.Header.Set("Accept", "text/event-stream")
 		request.Header.Set("Model", "*")
 	case kindForged:
--- a/cmd/e2e/soak_poison_test.go
+++ b/cmd/e2e/soak_poison_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +28,11 @@
 	crashDowntime = 700 * time.Millisecond
 )
 
+// isPoison reports whether a request crashes the endpoint that runs it.
+func isPoison(r *http.Request, body []byte) bool {
+	return string(body) == poisonBody || strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart+":")
+}
+
 // poisonCrashes records the crashes that the poison request causes.
 type poisonCrashes struct {
 	mu     sync.Mutex
@@ -104,18 +111,24 @@
 // check checks that undisturbed boxes send the poison request at most maxLateRuns times after the settling time that
 // follows its third crash.
 func (p *poisonCrashes) check(c *checker, requests []*soakRequest) {
+	p.checkLateRuns(c, requests, kindPoison, quarantineAfter)
+}
+
+// checkLateRuns checks that undisturbed boxes send requests of a kind at most maxLateRuns times after the settling time that
+// follows a number of crashes.
+func (p *poisonCrashes) checkLateRuns(c *checker, requests []*soakRequest, kind requestKind, crashes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.site.t.Logf("%d endpoints crashed", len(p.times))
-	if len(p.times) < quarantineAfter {
+	if len(p.times) < crashes {
 		return
 	}
 	slices.SortFunc(p.times, time.Time.Compare)
-	quarantinedBy := p.times[quarantineAfter-1].Add(settleTime)
+	quarantinedBy := p.times[crashes-1].Add(settleTime)
 	late := 0
 	for _, r := range requests {
 		for _, run := range c.runs[r.id] {
-			isLate := r.kind == kindPoison && run.At.After(quarantinedBy) && c.site.boxes[r.box].isUndisturbed(run.At, run.At)
+			isLate := r.kind == kind && run.At.After(quarantinedBy) && c.site.boxes[r.box].isUndisturbed(run.At, run.At)
 			if isLate && c.plan.storeOutages.isClear(run.At, run.At) {
 				late++
 				c.site.t.Logf("%.3f s: %s reached %s", run.At.Sub(c.site.started).Seconds(), r.id, run.runner.id)
@@ -123,6 +136,6 @@
 		}
 	}
 	if late > maxLateRuns {
-		c.report("the poison request reached endpoints %d times later than %s after its third crash", late, settleTime)
+		c.report("%s requests reached endpoints %d times later than %s after crash %d", kind, late, settleTime, crashes)
 	}
 }
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -169,7 +169,7 @@
 		settings.Hall = r.hall
 	}
 	if s.onPoison != nil {
-		settings.CrashOn, settings.OnCrash = poisonBody, func() { s.onPoison(r) }
+		settings.CrashesOn, settings.OnCrash = isPoison, func() { s.onPoison(r) }
 	}
 	runner, stopHeartbeats := standin.NewBatchRunner(settings, s.store)
 	r.BatchRunner = runner
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -210,7 +210,7 @@
 			r := &soakRequest{id: fmt.Sprintf("recovery-%d-%d", box, n), box: box, key: siteKey, timeout: recoveryTimeout}
 			r.kind, r.version = kindIdempotent, s.newestVersion()
 			if n%3 == 0 {
-				r.kind, r.version = kindStream, 0
+				r.kind, r.version, r.parts = kindStream, 0, soundParts(n)
 			}
 			requests = append(requests, r)
 			s.sendRequest(client, r, random)
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -25,9 +25,9 @@
 		Slots         int
 		Events        int           // per stream
 		EventInterval time.Duration // between the events of a stream, and before any other answer
-		// CrashOn is the request body on which the runner crashes; OnCrash simulates the end of its process.
-		CrashOn string
-		OnCrash func()
+		// CrashesOn reports whether the runner crashes on a request; OnCrash simulates the end of its process.
+		CrashesOn func(r *http.Request, body []byte) bool
+		OnCrash   func()
 	}
 
 	// BatchFaults are the faults a BatchRunner injects.
@@ -236,7 +236,7 @@
 		return
 	}
 	defer b.finishRun()
-	if b.settings.OnCrash != nil && string(body) == b.settings.CrashOn {
+	if b.settings.CrashesOn != nil && b.settings.CrashesOn(r, body) {
 		time.Sleep(b.settings.EventInterval)
 		b.settings.OnCrash()
 		panic(http.ErrAbortHandler)
