Crash checks: a box that could ask no other box doesn't know that none reaches endpoints

What callers saw: nothing yet; but a box that was cut off just after its start took its own refused connection for a crash, which speaks against a request, and now against each part of its prompt, at all boxes.

Cause: "no other box takes requests" was also the result when no box had been asked. A box that has just started knows the others by their addresses alone, and boxesOfRegion lists only those whose hall it has heard; fleetSize counts both. Unknown is now a result of its own: if there are other boxes and none has replied, the endpoint counts as alive.

--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -64,15 +64,28 @@
 		reply OfferReply
 	}
 
+	// remoteReach says whether other boxes reach endpoints.
+	remoteReach int
+
 	// offer is what a box replied last.
 	offer struct {
 		target
 		validUntil time.Time
 		isAsked    bool // a call is in progress
+		hasRefused bool // the box replied that it takes no requests
 		inFlight   int  // requests passed on to the box now
 	}
 )
 
+const (
+	// reachUnknown: no other box has replied, which one that has just started may not know yet.
+	reachUnknown remoteReach = iota
+	// reachedNowhere: a box replied that it takes no requests, and none that it does.
+	reachedNowhere
+	// reachedElsewhere: a box takes requests.
+	reachedElsewhere
+)
+
 func newOffers(x *Router) (*offers, func()) {
 	conns, closeConns := wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout})
 	return &offers{router: x, conns: conns, token: rand.Text(), known: map[string]*offer{}, answered: make(chan struct{})}, closeConns
@@ -126,19 +139,38 @@
 	}
 }
 
-// areMade reports whether another box takes requests, so that it reaches endpoints.
-func (o *offers) areMade(ctx context.Context) bool {
+// reachElsewhere returns whether other boxes reach endpoints: one that does takes requests.
+func (o *offers) reachElsewhere(ctx context.Context) remoteReach {
 	ctx = context.WithoutCancel(ctx)
 	anywhere := func(willowwick.HallID) bool { return true }
 	for range maxCrashChecks {
 		if o.countUsable(clock.Now()) > 0 {
-			return true
+			return reachedElsewhere
 		}
 		if !o.askOne(ctx, anywhere) && !o.awaitAnswer(ctx) {
 			break
 		}
 	}
-	return o.countUsable(clock.Now()) > 0
+	switch {
+	case o.countUsable(clock.Now()) > 0:
+		return reachedElsewhere
+	case o.hasRefusal(clock.Now()):
+		return reachedNowhere
+	default:
+		return reachUnknown
+	}
+}
+
+// hasRefusal reports whether a box has replied that it takes no requests.
+func (o *offers) hasRefusal(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, each := range o.known {
+		if each.hasRefused && now.Before(each.validUntil) {
+			return true
+		}
+	}
+	return false
 }
 
 // takeValid returns the valid offer with the fewest requests for its link.
@@ -216,15 +248,16 @@
 	if err != nil {
 		slog.Info("a box gave no answer whether it takes requests", "peer", box.Address, "error", err)
 	}
-	o.noteReply(box.Address, reply)
+	o.noteReply(box.Address, reply, err == nil)
 	return true
 }
 
 // noteReply records the reply of a box that was asked; it is empty if there was none.
-func (o *offers) noteReply(address string, reply OfferReply) {
+func (o *offers) noteReply(address string, reply OfferReply, hasReplied bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	asked := o.known[address] // kept while it is asked
+	asked.hasRefused = hasReplied && reply.Address == ""
 	asked.isAsked, asked.reply, asked.validUntil = false, reply, clock.Now().Add(offerTTL)
 	close(o.answered)
 	o.answered = make(chan struct{})
--- a/exchange/offers_test.go
+++ b/exchange/offers_test.go
@@ -29,7 +29,7 @@
 				return asked
 			}
 			asked++
-			x.offers.noteReply(box.Address, OfferReply{})
+			x.offers.noteReply(box.Address, OfferReply{}, true)
 		}
 	}
 	assert.Equal(t, maxCallsPerTTL, countAsked(now))
--- a/exchange/pass_on_test.go
+++ b/exchange/pass_on_test.go
@@ -166,7 +166,7 @@
 	reply := each.reply
 	each.isAsked, each.reply, each.validUntil = true, OfferReply{}, time.Time{}
 	offers.mu.Unlock()
-	time.AfterFunc(50*time.Millisecond, func() { offers.noteReply(address, reply) })
+	time.AfterFunc(50*time.Millisecond, func() { offers.noteReply(address, reply, true) })
 	assert.Equal(t, http.StatusOK, c.do(t, http.MethodPost, "/once/", "id", "x").status)
 }
 
--- a/exchange/reach.go
+++ b/exchange/reach.go
@@ -116,9 +116,20 @@
 }
 
 // isSingledOut reports whether this box may be cut off from all endpoints, not only from the one at the address: it reaches no
-// other, and another box does. If no other box reaches one either, the endpoints are gone.
+// other, and another box does, or none could be asked though there are others. If no other box reaches one either, the
+// endpoints are gone.
 func (x *Router) isSingledOut(ctx context.Context, address string) bool {
-	return !x.reach.reachesOther(ctx, address) && x.offers.areMade(ctx)
+	if x.reach.reachesOther(ctx, address) {
+		return false
+	}
+	switch x.offers.reachElsewhere(ctx) {
+	case reachedElsewhere:
+		return true
+	case reachedNowhere:
+		return false
+	default:
+		return x.peers.fleetSize() > 1
+	}
 }
 
 // reachesAny dials up to reachCheckSize of the endpoints and reports whether one was reached; it is true if there is none.
