--- a/quarantine/culprits.go
+++ b/quarantine/culprits.go
@@ -36,7 +36,9 @@
 	}
 	clear(l.companions)
 	for fingerprint, found := range culprits {
-		if !l.refused[fingerprint] && len(l.refused) < maxRefused {
+		// Each crash refuses many requests in a storm, but not many parts.
+		mayRefuse := found.scope != willowwick.ScopeContent || len(l.refused) < maxRefused
+		if !l.refused[fingerprint] && mayRefuse {
 			l.refuse(found, now, source)
 		}
 		if len(found.companions) > 0 {
@@ -74,8 +76,7 @@
 	for len(list) > 0 {
 		first := slices.MinFunc(list, func(a, b *culprit) int { return a.compareSuspicion(b, explained) })
 		if !first.hasCulpritCrashes(explained) {
-			// Of the parts that were answered, none has as many crashes of its own as those that weren't.
-			return selected
+			return selected // nor has any other part that is left
 		}
 		isSame := func(other *culprit) bool {
 			return first.hasSameCrashes(other.suspect) && first.isAnswered() == other.isAnswered()
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -43,7 +43,7 @@
 	expireInterval = time.Minute
 	// maxSuspects bounds the requests that are kept: 40 crashes of endpoints with a hundred requests each, in 1 MB.
 	maxSuspects = 4096
-	// maxRefused bounds the refused requests; three endpoints have to crash for each.
+	// maxRefused bounds the refused whole requests; three endpoints have to crash for each.
 	maxRefused = 256
 	// maxCrashes bounds the crashes that are kept for a request; more prove nothing. maxPartCrashes bounds those of a part: which
 	// part accounts for the crashes of others shows only as long as all of them are kept.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -289,3 +289,17 @@
 		}
 	}
 }
+
+// Guards against a part that is not refused because many requests that were at work beside it are.
+func TestPartIsRefusedBesideManyRequests(t *testing.T) {
+	l := New()
+	for i := range 3 {
+		for victim := range maxRefused {
+			l.recordCrash(crashAt(fmt.Sprint("e", i), 1000*i), fmt.Sprint("victim ", victim))
+		}
+	}
+	for i := range 4 {
+		l.recordPrompt(crashAt(fmt.Sprint("e", i), 1000*i), "deadly")
+	}
+	assert.True(t, l.refusesPrompt("deadly"))
+}
