--- a/exchange/part_test.go
+++ b/exchange/part_test.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
 )
 
 const (
@@ -261,3 +265,26 @@
 		assert.Zero(t, refused)
 	}
 }
+
+// Guards against a request that is sent because it was asked for before its part was refused, and waited for a connection since.
+func TestRequestIsNotSentOnceItsPartIsRefused(t *testing.T) {
+	r := newRunner(t, "r1", answerText("ok"))
+	dialing, mayConnect := make(chan struct{}), make(chan struct{})
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		close(dialing)
+		<-mayConnect
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	s := startSiteOver(t, newTestControl(testTable(1, onceRoute()), r.endpoint("v1")), testSettings(), dial)
+	status := make(chan int)
+	go func() { status <- s.do(t, http.MethodPost, "/once/", "id", "x", "T-Prompt", deadlyPart+",own").status }()
+	<-dialing
+	for i := range quarantine.RefuseAfterCrashes {
+		s.daemon.router.poison.RecordCrash(willowwick.PoisonRequest{
+			Request: willowwick.Fingerprint{byte(i)}, Parts: willowwick.PartFingerprintsOf(testAccount, "work", []string{deadlyPart}),
+		}, willowwick.EndpointCrash{Endpoint: willowwick.EndpointID(fmt.Sprint("gone", i)), At: time.Now()})
+	}
+	close(mayConnect)
+	assert.Equal(t, http.StatusBadGateway, <-status)
+	assert.Empty(t, r.requests())
+}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -303,3 +303,17 @@
 	}
 	assert.True(t, l.refusesPrompt("deadly"))
 }
+
+// Guards against a part that nearly all requests have taking the blame for the crashes of a harmful one, because it was at more.
+func TestHarmfulPartIsFoundBesideAnsweredPartWithMoreCrashes(t *testing.T) {
+	l := New()
+	l.answerPrompt(0, "first")
+	for i := range 6 {
+		l.recordPrompt(crashAt(fmt.Sprint("other ", i), 6000+500*i), "first")
+	}
+	for i := range 3 {
+		l.recordPrompt(crashAt(fmt.Sprint("e", i), 9000+100*i), "first", "deadly")
+	}
+	assert.True(t, l.refusesPrompt("first", "deadly"))
+	assert.False(t, l.refusesPrompt("first"))
+}
