--- a/exchange/crash.go
+++ b/exchange/crash.go
@@ -183,6 +183,21 @@
 	}
 }
 
+// checkForCrash finds out whether the endpoint crashed while it had the request.
+func (s *send) checkForCrash() {
+	broken := brokenSend{request: s.describePoison(), endpoint: s.ticket.Endpoint, at: clock.Now()}
+	if s.observedRun().IsHarmless(broken.at) {
+		broken.request.Parts = willowwick.PartFingerprints{}
+	}
+	s.crashed = s.router.crashes.hasCrashed(s.ctx, broken.endpoint, broken.at)
+	if s.crashed {
+		s.router.recordCrash(broken)
+		s.router.crashes.countDroppedAtCrash()
+	} else {
+		s.router.crashes.awaitRestart(broken)
+	}
+}
+
 // dropped returns the record of a send whose answer is dropped now.
 func (s *send) dropped() droppedSend {
 	c, d := s.call, droppedSend{endpoint: s.ticket.Endpoint, at: clock.Now()}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -149,7 +149,7 @@
 	}
 	if result.kind != answered {
 		c.triedEndpoints[ticket.Endpoint.ID] = true
-		c.logSend(s, result)
+		s.logEnd(result)
 	}
 	c.router.metrics.countSend(result.kind)
 	s.countDeparture(result)
@@ -171,53 +171,6 @@
 	return result.kind == silent || result.kind == broken || s.isPastDeadline()
 }
 
-// checkForCrash finds out whether the endpoint crashed while it had the request.
-func (s *send) checkForCrash() {
-	broken := brokenSend{request: s.describePoison(), endpoint: s.ticket.Endpoint, at: clock.Now()}
-	if s.observedRun().IsHarmless(broken.at) {
-		broken.request.Parts = willowwick.PartFingerprints{}
-	}
-	s.crashed = s.router.crashes.hasCrashed(s.ctx, broken.endpoint, broken.at)
-	if s.crashed {
-		s.router.recordCrash(broken)
-		s.router.crashes.countDroppedAtCrash()
-	} else {
-		s.router.crashes.awaitRestart(broken)
-	}
-}
-
-func (c *call) logSend(s *send, result sendResult) {
-	cause := ""
-	if result.err != nil {
-		cause = result.err.Error()
-	}
-	ahead, reading := s.ticket.Forecast()
-	var more []any
-	if result.kind == broken {
-		// The fingerprints find earlier sends of the same content, or with the same parts, under other request IDs.
-		more = []any{
-			"fingerprint", c.fingerprint().String(), "parts", fingerprintTexts(c.partFingerprints().OfAll),
-			"endpoint_ended", s.crashed, "events", s.events,
-		}
-	}
-	if s.answer != nil {
-		more = append(more, "framing", s.answer.Framing)
-	}
-	slog.Info("send ended", append(more, "request", c.head.ID, "outcome", sendKindNames[result.kind], "cause", cause,
-		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
-		"confidence", s.answerHead.Confidence, "running", s.answerHead.Load.Running, "waiting", s.answerHead.Load.Waiting,
-		"ms", clock.Since(s.sentAt).Milliseconds(), "age_ms", clock.Since(c.arrived).Milliseconds(),
-		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
-}
-
-func fingerprintTexts(list []willowwick.Fingerprint) []string {
-	texts := make([]string, len(list))
-	for i, fingerprint := range list {
-		texts[i] = fingerprint.String()
-	}
-	return texts
-}
-
 func (s *send) do() sendResult {
 	s.sentAt = clock.Now()
 	conn, err := s.router.conns.Open(s.ctx, s.ticket.Endpoint.Address)
--- /dev/null
+++ b/exchange/send_log.go
@@ -0,0 +1,42 @@
+package exchange
+
+import (
+	"log/slog"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+)
+
+// logEnd logs the end of a send that brought no answer.
+func (s *send) logEnd(result sendResult) {
+	cause := ""
+	if result.err != nil {
+		cause = result.err.Error()
+	}
+	ahead, reading := s.ticket.Forecast()
+	var more []any
+	if result.kind == broken {
+		// The fingerprints find earlier sends of the same content, or with the same parts, under other request IDs.
+		parts := s.partFingerprints()
+		more = []any{
+			"fingerprint", s.fingerprint().String(), "account_parts", fingerprintTexts(parts.OfAccount), "parts", fingerprintTexts(parts.OfAll),
+			"endpoint_ended", s.crashed, "events", s.events,
+		}
+	}
+	if s.answer != nil {
+		more = append(more, "framing", s.answer.Framing)
+	}
+	slog.Info("send ended", append(more, "request", s.call.head.ID, "outcome", sendKindNames[result.kind], "cause", cause,
+		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
+		"confidence", s.answerHead.Confidence, "running", s.answerHead.Load.Running, "waiting", s.answerHead.Load.Waiting,
+		"ms", clock.Since(s.sentAt).Milliseconds(), "age_ms", clock.Since(s.arrived).Milliseconds(),
+		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
+}
+
+func fingerprintTexts(list []willowwick.Fingerprint) []string {
+	texts := make([]string, len(list))
+	for i, fingerprint := range list {
+		texts[i] = fingerprint.String()
+	}
+	return texts
+}
