Test: a read of the stand-in store that has its answer doesn't count as one that waits

Seen: TestRetryAvoidsNewlyEvacuatedHall failed once beside other tests: a request was retried in a hall that had been declared evacuated.

Cause: the test waits until the box holds a read at the store, so that the evacuation reaches it at once, and counted each read that was in progress. A box that has just started reads without waiting while it may find another reader, and then pauses for up to 0.6 s. If the test looked just while the answer of such a read was on its way, the evacuation came into that pause, and the runner was given up as silent (0.35 s) before the box could know of it.

Why the check is as strict: the product is unchanged, and the test asks the same of it from a moment that is now the one it names.

--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -121,7 +121,7 @@
 	leader        string
 	endpointReads int // reads of the endpoint list
 	calls         atomic.Int64
-	waitingReads  atomic.Int64 // reads of declarations that are blocked
+	waitingReads  atomic.Int64 // reads of declarations that wait for a change; not those that have their answer
 }
 
 // newTestControl returns a store with a configuration, nil for none, and endpoints.
@@ -150,8 +150,6 @@
 
 func (c *testControl) Declarations(ctx context.Context, from willowwick.Position, wait time.Duration) (willowwick.Declarations, error) {
 	c.calls.Add(1)
-	c.waitingReads.Add(1)
-	defer c.waitingReads.Add(-1)
 	until := time.Now().Add(wait)
 	for {
 		c.mu.Lock()
@@ -164,17 +162,28 @@
 		switch {
 		case down:
 			return willowwick.Declarations{}, errDown
-		case declared.Next > from || time.Now().After(until):
+		case declared.Next > from || !time.Now().Before(until):
 			return declared, nil
 		}
-		select {
-		case <-ctx.Done():
-			return willowwick.Declarations{}, ctx.Err()
-		case <-time.After(5 * time.Millisecond):
+		c.waitingReads.Add(1)
+		err := sleepFor(ctx, 5*time.Millisecond)
+		c.waitingReads.Add(-1)
+		if err != nil {
+			return willowwick.Declarations{}, err
 		}
 	}
 }
 
+// sleepFor waits, and returns an error if the context ends first.
+func sleepFor(ctx context.Context, duration time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(duration):
+		return nil
+	}
+}
+
 func (c *testControl) Endpoints(context.Context, willowwick.Position) (willowwick.EndpointChanges, error) {
 	c.calls.Add(1)
 	c.mu.Lock()
