Callers: a box reads no more connections than its link carries, and closes the others unread at once

What callers would see: while the load balancer hands most new connections of a hall to one box with a link of 10 Mbit/s, each request that this box reads is late, and none is served, as long as it lasts.

Cause: the box accepted and read every connection, and its callers shared a link that carries a fraction of what they sent. Class: work that is taken on without knowing what it needs of something that is scarce; for slots at endpoints and for rate limits it was known.

Change: wire.LinkLimit counts what callers' connections read and write, against half of the link's bandwidth, which the platform's settings name. When that is used up, new connections are closed unread, whose callers reach other boxes; connections that were read hold a reservation, since many come before the first byte is counted; answers carry Connection: close; one connection each half second is read in any case. Boxes with an unknown bandwidth are as before.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -93,7 +93,7 @@
 	x.duties = newDuties(x, deps.DutyLog)
 	x.duties.addWorker(willowwick.DutyUsage, x.usage.work(x.duties, deps.DutyAPI))
 	x.duties.addWorker(willowwick.DutyScale, newAutoscaler(x, x.duties, deps.DutyAPI).work)
-	return &Daemon{router: x, deps: deps, callers: wire.NewCallerListener(deps.Callers)}, func() {
+	return &Daemon{router: x, deps: deps, callers: wire.NewCallerListener(deps.Callers, x.callersLink)}, func() {
 		closePeers()
 		x.departures.workers.Close()
 		closeRouter()
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -100,6 +100,8 @@
 
 		departures *departures
 
+		callersLink *wire.LinkLimit // nil if the bandwidth of the link is unknown
+
 		evacuations *evacuations
 		admissions  *admissions
 		usage       *usageReports // nil if the fleet doesn't report usage
@@ -132,6 +134,7 @@
 			StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
 			Limits: limits,
 		}),
+		callersLink:  wire.NewLinkLimit(settings.LinkMbps),
 		retryBudgets: map[willowwick.ServiceID]*route.WindowedRetryBudget{},
 	}
 	x.reach = newReach(x)
@@ -159,8 +162,8 @@
 	arrived := clock.Now()
 	x.inFlight.Add(1)
 	defer x.inFlight.Add(-1)
-	if x.stopping.Load() {
-		w.Header().Set("Connection", "close")
+	if x.stopping.Load() || x.callersLink.IsExhausted(arrived) {
+		w.Header().Set("Connection", "close") // its caller's next request may reach a box with more room
 	}
 	out := &reply{request: r, writer: w, controller: http.NewResponseController(w), codec: x.codec}
 	x.awaitWarm(r)
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -434,7 +434,12 @@
 
 // startSiteOver starts a site that opens connections to endpoints in its own way.
 func startSiteOver(t *testing.T, control siteControl, settings Settings, dial wire.DialFunc) *site {
-	callers, ready, peers, figures := listen(t), listen(t), listen(t), listen(t)
+	return startSiteOn(t, control, settings, dial, listen(t))
+}
+
+// startSiteOn starts a site that accepts its callers from a listener.
+func startSiteOn(t *testing.T, control siteControl, settings Settings, dial wire.DialFunc, callers net.Listener) *site {
+	ready, peers, figures := listen(t), listen(t), listen(t)
 	settings.Peers = peers.Addr().String()
 	hints, err := net.ListenPacket("udp", settings.Peers)
 	require.NoError(t, err)
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -83,7 +83,7 @@
 		gate: gate.New(), learner: route.NewLearner(), limiter: route.NewAccountLimiter(),
 		retries: route.NewRetryBudget(), traces: newTraces(), rater: newRaterHealth(),
 		requestSlots: make(chan struct{}, settings.MaxRequests), orderedWithdrawals: map[withdrawalKey]bool{},
-		callerConns: wire.NewCallerListener(deps.Callers),
+		callerConns: wire.NewCallerListener(deps.Callers, nil),
 	}
 	d.endpointNames.Store(&map[fleet.NameHash]willowwick.EndpointID{})
 	transport, closeTransport := fleet.NewTransport(settings.Key, deps.Dial, settings.PeerTLS)
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -42,6 +42,7 @@
 	// arrives. The listener's ConnContext, TrackState and RejectRetired must be set on its server.
 	CallerListener struct {
 		net.Listener
+		link      *LinkLimit // nil for none
 		busyConns atomic.Int64
 
 		mu      sync.Mutex
@@ -57,23 +58,22 @@
 		hasRequests atomic.Bool  // a request has begun on it
 		acceptedAt  time.Time
 		idleSince   atomic.Int64 // nanoseconds since 1970
+		linkUse     linkUse
 	}
 )
 
-// NewCallerListener returns a listener that tracks the connections that it accepts.
-func NewCallerListener(listener net.Listener) *CallerListener {
-	return &CallerListener{Listener: listener, conns: map[*callerConn]bool{}}
+// NewCallerListener returns a listener that tracks the connections that it accepts; link bounds how many, nil doesn't.
+func NewCallerListener(listener net.Listener, link *LinkLimit) *CallerListener {
+	return &CallerListener{Listener: listener, link: link, conns: map[*callerConn]bool{}}
 }
 
 // Accept implements net.Listener. A connection that was accepted while the listener was being closed may get here
 // only after the others were retired; it is closed unread, because nothing would wait for its request.
 func (l *CallerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	c, err := l.acceptReadable()
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, listener: l, acceptedAt: clock.Now()}
-	c.idleSince.Store(c.acceptedAt.UnixNano())
 	if !l.register(c) {
 		c.closeUnread()
 		return nil, net.ErrClosed
@@ -81,6 +81,26 @@
 	return c, nil
 }
 
+// acceptReadable accepts the next connection that the link can carry, and closes those before it unread.
+func (l *CallerListener) acceptReadable() (*callerConn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: conn, listener: l, acceptedAt: clock.Now()}
+		c.idleSince.Store(c.acceptedAt.UnixNano())
+		if l.link == nil {
+			return c, nil
+		}
+		if reserved, isAdmitted := l.link.admit(c.acceptedAt); isAdmitted {
+			c.linkUse = linkUse{limit: l.link, reserved: reserved, isFirst: true}
+			return c, nil
+		}
+		c.closeUnread()
+	}
+}
+
 // register reports whether requests may be accepted from a new connection; if so, retire waits for the connection.
 func (l *CallerListener) register(c *callerConn) bool {
 	l.mu.Lock()
@@ -148,12 +168,20 @@
 // accepted.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.linkUse.add(n)
 	if n > 0 && !c.acquire() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.linkUse.add(n)
+	return n, err
+}
+
 // acquire marks the connection as busy, and reports whether its request may proceed.
 func (c *callerConn) acquire() bool {
 	if c.use.CompareAndSwap(connIdle, connBusy) {
@@ -196,6 +224,7 @@
 			l.leaveToServer(c)
 		}
 	default:
+		c.linkUse.endFirst()
 		c.idleSince.Store(clock.Now().UnixNano())
 		if c.use.CompareAndSwap(connBusy, connIdle) {
 			l.busyConns.Add(-1)
--- a/wire/callers_test.go
+++ b/wire/callers_test.go
@@ -36,7 +36,7 @@
 func acceptBlocked(t *testing.T) (*CallerListener, *callerConn, chan struct{}) {
 	t.Helper()
 	release := make(chan struct{})
-	l := NewCallerListener(&singleConnListener{conn: &blockedConn{release: release}})
+	l := NewCallerListener(&singleConnListener{conn: &blockedConn{release: release}}, nil)
 	conn, err := l.Accept()
 	require.NoError(t, err)
 	return l, conn.(*callerConn), release
@@ -87,7 +87,7 @@
 func TestShutdownAnswersEachAcceptedRequest(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	l := NewCallerListener(inner)
+	l := NewCallerListener(inner, nil)
 	taken := make(chan struct{}, 1)
 	server := &http.Server{ReadHeaderTimeout: time.Second, ConnState: l.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		taken <- struct{}{}
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -3,5 +3,5 @@
 // Message and receives an Answer.
 //
 // CallerListener is for the other side: it lets a server that stops close idle connections of callers without losing
-// a request that arrives at that moment.
+// a request that arrives at that moment. Its LinkLimit bounds how many connections it reads.
 package wire
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,164 @@
+package wire
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/willowwick/willowwick/clock"
+)
+
+const (
+	// callersLinkShare is the share of a box's link that its callers may use, counting each byte once: the box passes it on over
+	// the same link.
+	callersLinkShare = 0.5
+	// linkBurst is the time for which callers may use all of their share at once, having used none of it before.
+	linkBurst = time.Second
+	// maxLinkDebt bounds for how long a share that was exceeded stays used up.
+	maxLinkDebt = 500 * time.Millisecond
+	// maxUnreadTime is the longest time in which no new connection is read: a box that reads none looks dead.
+	maxUnreadTime = 500 * time.Millisecond
+	// firstRequestBytes is the expected size of a request and its answer before any was measured, and sizeSmoothing the weight of
+	// each one that is measured.
+	firstRequestBytes = 4 << 10
+	sizeSmoothing     = 0.1
+
+	// unreadLogInterval is the least time between two log lines on closed connections.
+	unreadLogInterval = time.Second
+
+	bytesPerMbit = 1e6 / 8
+)
+
+// LinkLimit decides which new connections of callers a box reads: only as many as its link can carry in time.
+//
+// Callers whose connections are closed unread reach other boxes at once. A nil LinkLimit reads all.
+type LinkLimit struct {
+	rate   float64 // bytes that callers may use, per second
+	unread atomic.Int64
+
+	mu           sync.Mutex
+	level        float64 // bytes that callers may use now; negative if they used more
+	filledAt     time.Time
+	admittedAt   time.Time // when the newest connection was admitted
+	requestBytes float64   // usual size of a connection's first request with its answer
+	loggedAt     time.Time // when closed connections were last logged
+}
+
+// NewLinkLimit returns the limit for a link of a bandwidth in Mbit/s; nil if it is unknown.
+func NewLinkLimit(mbps int) *LinkLimit {
+	if mbps <= 0 {
+		return nil
+	}
+	rate := callersLinkShare * float64(mbps) * bytesPerMbit
+	return &LinkLimit{rate: rate, level: rate * linkBurst.Seconds(), filledAt: clock.Now(), requestBytes: firstRequestBytes}
+}
+
+// Unread returns the number of connections that were closed unread.
+func (l *LinkLimit) Unread() int64 {
+	if l == nil {
+		return 0
+	}
+	return l.unread.Load()
+}
+
+// IsExhausted reports whether callers use more than their share of the link.
+func (l *LinkLimit) IsExhausted(now time.Time) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fill(now)
+	return l.level < 0
+}
+
+// admit reports whether a new connection is read, and if so, how many bytes are reserved for its first request.
+func (l *LinkLimit) admit(now time.Time) (reserved float64, isAdmitted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fill(now)
+	if l.level < 0 && now.Sub(l.admittedAt) < maxUnreadTime {
+		l.noteUnread(now)
+		return 0, false
+	}
+	l.admittedAt = now
+	l.level -= l.requestBytes
+	return l.requestBytes, true
+}
+
+// use takes bytes that callers used, beyond those that were reserved.
+func (l *LinkLimit) use(now time.Time, bytes float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fill(now)
+	l.level = max(l.level-bytes, -l.rate*maxLinkDebt.Seconds())
+}
+
+// measured records the size of a connection's first request with its answer, and gives back what is left of the reservation.
+func (l *LinkLimit) measured(used, reserved float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if used > 0 {
+		l.requestBytes += sizeSmoothing * (used - l.requestBytes)
+	}
+	l.level += max(reserved-used, 0)
+}
+
+func (l *LinkLimit) fill(now time.Time) {
+	if passed := now.Sub(l.filledAt); passed > 0 {
+		l.level = min(l.level+l.rate*passed.Seconds(), l.rate*linkBurst.Seconds())
+		l.filledAt = now
+	}
+}
+
+// noteUnread counts a connection that is closed unread, and logs the number of them from time to time.
+func (l *LinkLimit) noteUnread(now time.Time) {
+	total := l.unread.Add(1)
+	if now.Sub(l.loggedAt) < unreadLogInterval {
+		return
+	}
+	l.loggedAt = now
+	slog.Info("callers use more than their share of the link: new connections are closed unread", "closed", total, "bytes_per_s", int(l.rate))
+}
+
+// linkUse counts what one connection of a caller uses of the link.
+type linkUse struct {
+	limit    *LinkLimit // nil for none
+	mu       sync.Mutex
+	reserved float64 // for the first request
+	used     float64 // by the first request and its answer
+	isFirst  bool    // the first request has not ended
+}
+
+// add counts bytes that were read or written.
+func (u *linkUse) add(bytes int) {
+	if u.limit == nil || bytes <= 0 {
+		return
+	}
+	u.mu.Lock()
+	beyond := float64(bytes)
+	if u.isFirst {
+		left := max(u.reserved-u.used, 0)
+		u.used += beyond
+		beyond = max(beyond-left, 0)
+	}
+	u.mu.Unlock()
+	if beyond > 0 {
+		u.limit.use(clock.Now(), beyond)
+	}
+}
+
+// endFirst ends the count of the first request; later calls do nothing.
+func (u *linkUse) endFirst() {
+	if u.limit == nil {
+		return
+	}
+	u.mu.Lock()
+	wasFirst, used := u.isFirst, u.used
+	u.isFirst = false
+	u.mu.Unlock()
+	if wasFirst {
+		u.limit.measured(used, u.reserved)
+	}
+}
