Crash checks, passing on: boxes whose hall isn't known yet are asked too

Callers would see: while a box has just started and all endpoints crash, its crashes count against no request.

One that has just started knows the others by their addresses alone, so it could ask none and took unknown for the answer each time. To ask whether a box takes requests needs its address, not its hall.

Change: boxesOfRegion lists boxes that are known by their addresses; where there are regions they count as of another one, as before.

--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -303,13 +303,13 @@
 	}
 }
 
-// boxesOfRegion lists the known boxes of this region that aren't stopping, without this one.
+// boxesOfRegion lists the known boxes of this region that aren't stopping, without this one, and those whose hall isn't known yet.
 func (p *peers) boxesOfRegion(now time.Time) []KnownBox {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var boxes []KnownBox
 	for _, known := range p.known {
-		if known.isInRoster(now) && !known.box.IsStopping && !p.isInOtherRegion(known.box.Hall) {
+		if known.isRetained(now) && !known.box.IsStopping && !p.isInOtherRegion(known.box.Hall) {
 			boxes = append(boxes, known.box)
 		}
 	}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -91,7 +91,7 @@
 }
 
 // fleetSize returns the number of known boxes, this one included, among which the limits of the fleet are divided. It counts
-// boxes that are known by their addresses alone, of which boxesOfRegion knows neither hall nor region.
+// those of all regions.
 func (p *peers) fleetSize() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
