Offers: one loop asks boxes, for requests that are passed on and for crash checks; the quarantine sorts no crashes to compare two

reachElsewhere had taken over the loop of take: look, ask one, or wait for another's call, and look once more.

--- a/exchange/offers.go
+++ b/exchange/offers.go
@@ -108,16 +108,26 @@
 
 // take returns the box that a request is passed on to, among those in halls that allows accepts and that were not tried; false
 // if no box takes it. The caller must call release.
-func (o *offers) take(ctx context.Context, allows func(willowwick.HallID) bool, tried map[string]bool) (target, bool) {
-	for range maxOfferCalls {
-		if taken, found := o.takeValid(clock.Now(), allows, tried); found {
-			return taken, true
+func (o *offers) take(ctx context.Context, allows func(willowwick.HallID) bool, tried map[string]bool) (taken target, found bool) {
+	o.askUntil(ctx, maxOfferCalls, allows, func() bool {
+		taken, found = o.takeValid(clock.Now(), allows, tried)
+		return found
+	})
+	return taken, found
+}
+
+// askUntil asks boxes, at most limit of them, until isDone. Where none is left to ask, it waits for the calls of other requests; an
+// answer may have come just before the last look.
+func (o *offers) askUntil(ctx context.Context, limit int, allows func(willowwick.HallID) bool, isDone func() bool) bool {
+	for range limit {
+		if isDone() {
+			return true
 		}
 		if !o.askOne(ctx, allows) && !o.awaitAnswer(ctx) {
 			break
 		}
 	}
-	return o.takeValid(clock.Now(), allows, tried) // an answer may have come just before
+	return isDone()
 }
 
 // awaitAnswer waits for the end of a call that another request has begun; it returns false if there is none.
@@ -141,18 +151,10 @@
 
 // reachElsewhere returns whether other boxes reach endpoints: one that does takes requests.
 func (o *offers) reachElsewhere(ctx context.Context) remoteReach {
-	ctx = context.WithoutCancel(ctx)
 	anywhere := func(willowwick.HallID) bool { return true }
-	for range maxCrashChecks {
-		if o.countUsable(clock.Now()) > 0 {
-			return reachedElsewhere
-		}
-		if !o.askOne(ctx, anywhere) && !o.awaitAnswer(ctx) {
-			break
-		}
-	}
+	isReached := func() bool { return o.countUsable(clock.Now()) > 0 }
 	switch {
-	case o.countUsable(clock.Now()) > 0:
+	case o.askUntil(context.WithoutCancel(ctx), maxCrashChecks, anywhere, isReached):
 		return reachedElsewhere
 	case o.hasRefusal(clock.Now()):
 		return reachedNowhere
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -148,7 +148,7 @@
 
 // hasCorrelatedCrashes reports whether all crashes lie within correlationWindow.
 func (s *suspect) hasCorrelatedCrashes() bool {
-	return areCorrelated(s.sortedCrashes())
+	return areCorrelated(slices.Collect(maps.Values(s.crashes)))
 }
 
 func areCorrelated(crashes []willowwick.EndpointCrash) bool {
