--- a/cmd/e2e/soak_part_test.go
+++ b/cmd/e2e/soak_part_test.go
@@ -6,8 +6,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/willowwick/willowwick/standin"
 )
 
 const (
@@ -25,19 +23,11 @@
 // beside sound ones with the other parts, during faults of boxes and of the store and while racks fail. That no sound request is
 // refused afterwards is checked with the recovery.
 func TestSoakPoisonPart(t *testing.T) {
-	forEachSeed(t, func(t *testing.T, seed uint64) {
-		p := &poisonCrashes{random: rand.New(rand.NewPCG(seed, seed+3))}
-		site := &soakSite{t: t, store: standin.NewStore(), keysKept: 1}
-		site.onPoison = func(r *soakRunner) { p.crash(site, r) }
-		startSoakSite(site, *soakBoxes, hallCount(seed), poisonRunners)
-		plan := newPoisonPlan(site, seed, *soakLength)
-		plan.failRack(*soakLength / 2)
-		defer plan.endpointFaults.begin()()
-		check := func(c *checker, requests []*soakRequest) {
-			p.checkLateRuns(c, requests, kindPoisonPart, partQuarantineAfter)
-		}
-		runPlan(site, plan, seed, site.drawWithPoisonPart, check)
-	})
+	failRack := func(p *faultPlan) { p.failRack(*soakLength / 2) }
+	check := func(p *poisonCrashes, c *checker, requests []*soakRequest) {
+		p.checkLateRuns(c, requests, kindPoisonPart, partQuarantineAfter)
+	}
+	forEachSeed(t, func(t *testing.T, seed uint64) { playPoison(t, seed, (*soakSite).drawWithPoisonPart, failRack, check) })
 }
 
 // soundParts returns shared parts of a prompt that crash nothing.
--- a/cmd/e2e/soak_poison_test.go
+++ b/cmd/e2e/soak_poison_test.go
@@ -44,16 +44,26 @@
 // Some endpoints restart under their own ids behind a link that keeps accepting connections; others are replaced.
 func TestSoakPoisonRequest(t *testing.T) {
 	forEachSeed(t, func(t *testing.T, seed uint64) {
-		p := &poisonCrashes{random: rand.New(rand.NewPCG(seed, seed+3))}
-		site := &soakSite{t: t, store: standin.NewStore(), keysKept: 1}
-		site.onPoison = func(r *soakRunner) { p.crash(site, r) }
-		startSoakSite(site, *soakBoxes, hallCount(seed), poisonRunners)
-		plan := newPoisonPlan(site, seed, *soakLength)
-		defer plan.endpointFaults.begin()()
-		runPlan(site, plan, seed, site.drawWithPoison, p.check)
+		playPoison(t, seed, (*soakSite).drawWithPoison, func(*faultPlan) {}, (*poisonCrashes).check)
 	})
 }
 
+// playPoison plays a seed in which some of the requests that draw returns crash endpoints; prepare may add to the plan.
+func playPoison(
+	t *testing.T, seed uint64, draw func(s *soakSite, box int, random *rand.Rand) *soakRequest, prepare func(*faultPlan),
+	check func(p *poisonCrashes, c *checker, requests []*soakRequest),
+) {
+	p := &poisonCrashes{random: rand.New(rand.NewPCG(seed, seed+3))}
+	site := &soakSite{t: t, store: standin.NewStore(), keysKept: 1}
+	site.onPoison = func(r *soakRunner) { p.crash(site, r) }
+	startSoakSite(site, *soakBoxes, hallCount(seed), poisonRunners)
+	plan := newPoisonPlan(site, seed, *soakLength)
+	prepare(plan)
+	defer plan.endpointFaults.begin()()
+	runPlan(site, plan, seed, func(box int, random *rand.Rand) *soakRequest { return draw(site, box, random) },
+		func(c *checker, requests []*soakRequest) { check(p, c, requests) })
+}
+
 // newPoisonPlan draws the events of a soak with a poison request.
 func newPoisonPlan(site *soakSite, seed uint64, length time.Duration) *faultPlan {
 	p := &faultPlan{site: site, random: rand.New(rand.NewPCG(seed, seed+2)), length: length}
--- a/exchange/harm_fleet_test.go
+++ b/exchange/harm_fleet_test.go
@@ -247,45 +247,51 @@
 	return s.daemon.router.poison.Refuses(willowwick.FingerprintOf(testAccount, http.MethodPost, testHost, "/stream/", []byte(poisonBody)))
 }
 
+// playPartition cuts two halls off from each other for some time, lets requests arrive at one of them, and at all boxes after the
+// partition; it returns when that ended.
+func (h *poisonMesh) playPartition(t *testing.T, quiet time.Duration) (healedAt time.Time) {
+	h.run(t, 5*time.Second)
+	h.isCut = true
+	h.run(t, quiet)
+	h.play(t, 6*time.Second, h.boxes[0], h.boxes[2], h.boxes[4])
+	h.isCut = false
+	healedAt = time.Now()
+	h.play(t, 15*time.Second, h.boxes...)
+	return healedAt
+}
+
+// playOneHallThenAll cuts three halls off from each other for good, and lets requests arrive at one of them and then at all boxes.
+func (h *poisonMesh) playOneHallThenAll(t *testing.T, quiet, oneHall time.Duration) {
+	h.run(t, 5*time.Second)
+	h.isCut = true
+	h.run(t, quiet)
+	h.play(t, oneHall, h.boxes[0], h.boxes[3], h.boxes[6])
+	h.play(t, 6*time.Second, h.boxes...)
+}
+
 // Partitioned halls detect a poison request on their own; after the partition each hall applies what the other found
 // within the grace period.
 func TestHallsShareQuarantineAfterPartition(t *testing.T) {
-	discardLogs(t)
-	for seed := range uint64(5) {
-		synctest.Test(t, func(t *testing.T) {
-			const boxes, halls = 6, 2
-			h := newPoisonMesh(newMesh(seed, boxes, halls, 20), poisonBody)
-			h.run(t, 5*time.Second)
-			h.isCut = true
-			h.run(t, time.Duration(3+4*seed)*time.Second)
-			h.play(t, 6*time.Second, h.boxes[0], h.boxes[2], h.boxes[4])
-			h.isCut = false
-			healedAt := time.Now()
-			h.play(t, 15*time.Second, h.boxes...)
-			assert.LessOrEqual(t, h.late(healedAt.Add(poisonGrace)), poisonSlack, "seed %d", seed)
-			h.requireRefused(t)
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		const boxes, halls = 6, 2
+		h := newPoisonMesh(newMesh(seed, boxes, halls, 20), poisonBody)
+		healedAt := h.playPartition(t, time.Duration(3+4*seed)*time.Second)
+		assert.LessOrEqual(t, h.late(healedAt.Add(poisonGrace)), poisonSlack, "seed %d", seed)
+		h.requireRefused(t)
+	})
 }
 
 // Halls that do not reach each other may all reach the store. Each of them once lost endpoints of its own before it
 // refused a request that another hall had found.
 func TestPartitionedHallsShareQuarantineThroughStore(t *testing.T) {
-	discardLogs(t)
-	for seed := range uint64(5) {
-		synctest.Test(t, func(t *testing.T) {
-			const boxes, halls = 9, 3
-			h := newPoisonMesh(newMesh(seed, boxes, halls, 20), poisonBody)
-			h.store.harmful = map[willowwick.Fingerprint]willowwick.PoisonRequest{}
-			h.run(t, 5*time.Second)
-			h.isCut = true
-			h.run(t, time.Duration(1+2*seed)*time.Second)
-			h.play(t, 4*time.Second, h.boxes[0], h.boxes[3], h.boxes[6])
-			h.play(t, 6*time.Second, h.boxes...)
-			assert.LessOrEqual(t, h.late(time.Time{}), poisonSlack, "seed %d", seed)
-			h.requireRefused(t)
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		const boxes, halls = 9, 3
+		h := newPoisonMesh(newMesh(seed, boxes, halls, 20), poisonBody)
+		h.store.harmful = map[willowwick.Fingerprint]willowwick.PoisonRequest{}
+		h.playOneHallThenAll(t, time.Duration(1+2*seed)*time.Second, 4*time.Second)
+		assert.LessOrEqual(t, h.late(time.Time{}), poisonSlack, "seed %d", seed)
+		h.requireRefused(t)
+	})
 }
 
 // An operator admits a request at all boxes and takes that back.
--- a/exchange/part_fleet_test.go
+++ b/exchange/part_fleet_test.go
@@ -58,13 +58,7 @@
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		h := newPoisonPartMesh(seed, 6, 2)
 		h.isAway = true
-		h.run(t, 5*time.Second)
-		h.isCut = true
-		h.run(t, time.Duration(3+4*seed)*time.Second)
-		h.play(t, 6*time.Second, h.boxes[0], h.boxes[2], h.boxes[4])
-		h.isCut = false
-		healedAt := time.Now()
-		h.play(t, 15*time.Second, h.boxes...)
+		healedAt := h.playPartition(t, time.Duration(3+4*seed)*time.Second)
 		assert.LessOrEqual(t, h.lateWithPart(healedAt.Add(partGrace)), partSlack, "seed %d", seed)
 		h.requireRefused(t)
 	})
@@ -74,11 +68,7 @@
 func TestPartitionedHallsShareRefusedPartsThroughStore(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		h := newPoisonPartMesh(seed, 9, 3)
-		h.run(t, 5*time.Second)
-		h.isCut = true
-		h.run(t, time.Duration(1+2*seed)*time.Second)
-		h.play(t, 5*time.Second, h.boxes[0], h.boxes[3], h.boxes[6])
-		h.play(t, 6*time.Second, h.boxes...)
+		h.playOneHallThenAll(t, time.Duration(1+2*seed)*time.Second, 5*time.Second)
 		assert.LessOrEqual(t, h.lateWithPart(time.Time{}), partSlack, "seed %d", seed)
 		h.requireRefused(t)
 	})
