--- a/exchange/send_log.go
+++ b/exchange/send_log.go
@@ -23,6 +23,9 @@
 			"endpoint_ended", s.crashed, "events", s.events,
 		}
 	}
+	if result.kind == notRun {
+		more = append(more, s.loadViewAttributes()...)
+	}
 	if s.answer != nil {
 		more = append(more, "framing", s.answer.Framing)
 	}
@@ -33,6 +36,17 @@
 		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
 }
 
+// loadViewAttributes tells what was known of the endpoint's load when the request was sent there.
+func (s *send) loadViewAttributes() []any {
+	view := s.ticket.LoadView()
+	attributes := []any{"send", s.sends, "own_in_flight", view.InFlight, "own_since_report", view.SentSinceReport}
+	if view.Reported.At.IsZero() {
+		return attributes
+	}
+	return append(attributes, "reported_running", view.Reported.Running, "reported_waiting", view.Reported.Waiting,
+		"reported_slots", view.Reported.Slots, "report_age_ms", s.sentAt.Sub(view.Reported.At).Milliseconds())
+}
+
 func fingerprintTexts(list []willowwick.Fingerprint) []string {
 	texts := make([]string, len(list))
 	for i, fingerprint := range list {
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -87,6 +87,11 @@
 	if text := header.Get("T-Confidence"); text != "" {
 		head.Confidence, _ = strconv.Atoi(text)
 	}
+	if text := header.Get("T-Load"); text != "" {
+		if _, err := fmt.Sscanf(text, "%d,%d,%d", &head.Load.Running, &head.Load.Waiting, &head.Load.Slots); err == nil {
+			head.Load.At, head.HasLoad = at, true
+		}
+	}
 	if text := header.Get("T-Running"); text != "" {
 		running, _ := strconv.Atoi(text)
 		head.Load, head.HasLoad = willowwick.EndpointLoad{Running: running, Slots: 8, At: at}, true
--- a/route/pool.go
+++ b/route/pool.go
@@ -353,11 +353,12 @@
 	}
 	p.startColdPause(now, m)
 	permit := p.options.Limits.Acquire(now, m.endpoint.ID)
+	view := LoadView{Reported: m.load, InFlight: m.inFlight, SentSinceReport: m.sentSinceReport}
 	m.inFlight++
 	m.sentSinceReport++
 	p.occupied[m] = true
 	p.inFlight++
-	return &Slot{Endpoint: m.endpoint, pool: p, member: m, work: work, estimator: set.estimator, acquiredAt: now, permit: permit}, true
+	return &Slot{Endpoint: m.endpoint, pool: p, member: m, work: work, estimator: set.estimator, acquiredAt: now, permit: permit, view: view}, true
 }
 
 // estimatorFor returns the prefill estimator for work at the endpoints of a service.
--- a/route/slot.go
+++ b/route/slot.go
@@ -30,6 +30,13 @@
 	// Outcome is how a call to an endpoint ended.
 	Outcome int
 
+	// LoadView is what a box knew of an endpoint's load when it chose the endpoint for a request.
+	LoadView struct {
+		Reported        willowwick.EndpointLoad // the newest load report; zero if there was none
+		InFlight        int                     // this box's requests at the endpoint, without the new one
+		SentSinceReport int                     // those of them that the report doesn't count
+	}
+
 	// Slot is a request's reservation at an endpoint.
 	Slot struct {
 		Endpoint   willowwick.Endpoint
@@ -40,6 +47,7 @@
 		acquiredAt time.Time
 		released   bool
 		permit     willowwick.PermitState // whether the request still needs a permit before it is sent
+		view       LoadView
 
 		sentAt      time.Time         // when the request was sent; zero before, and if it has no prompt
 		uncached    willowwick.Tokens // forecast number of prompt tokens that the endpoint has not cached and must read
@@ -61,6 +69,11 @@
 	OutcomeCancelled
 )
 
+// LoadView returns what was known of the endpoint's load when it was chosen.
+func (s *Slot) LoadView() LoadView {
+	return s.view
+}
+
 // MustRequestPermit reports whether the caller must request a permit before it sends the request. It returns true
 // only once, and counts the permit as held from then on.
 func (s *Slot) MustRequestPermit() bool {
