Reservations: boxes share the slots of endpoints that crash when they reject too much

Cause: how many requests an endpoint holds is shared by all boxes, and each box counted it alone: its own requests, and a load report, 338 ms old in the median of the rejected sends that had one. Each filled slots and as many places more, of which nobody knows how many there are. A rejected request went to the next full endpoint at once (114 of 196 rejected sends were repeats), and the work of an endpoint that crashed to the others. What answers say of it (Server-Brittle) was read nowhere.

Now it is read, and told among boxes. While a service's endpoints name the limit, a request is sent with a reservation only, the right to one slot. The box that grants permits hands them out; each call of a box tells all that it has, so a lost call or a new granter needs no repair. What is beyond the slots waits in the boxes, for the short wait of any request, or is refused at once if its turn can't come. An endpoint that has answered nobody yet gets one request; one that rejects gets none for a second. While the granter is silent, a box goes on with the slots that its own requests leave; sides of a cut have slots of their own.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -123,7 +123,7 @@
 	}
 	for _, work := range append(x.duties.loops(),
 		x.gate.Run, x.sync.followDeclarations, x.sync.followRolloutOrders, x.sync.followEndpoints, x.sync.maintainMembership,
-		x.sync.evaluateReleases, x.sync.writeRolloutStates, x.sync.runPoisonSync, x.peers.run, x.reach.run,
+		x.sync.evaluateReleases, x.sync.writeRolloutStates, x.sync.runPoisonSync, x.peers.run, x.peers.reserve, x.reach.run,
 	) {
 		d.workers.Go(func() { work(ctx) })
 	}
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -8,6 +8,7 @@
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/ratelimit"
+	"github.com/willowwick/willowwick/reservation"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -44,6 +45,7 @@
 		Verdicts      []verdictRow
 		Speeds        []route.SpeedRow
 		CutOff        []willowwick.RegionID // on a hub, the other regions that it is cut off from
+		Rejections    []reservation.Row     // limits on rejections that endpoints name
 	}
 
 	// ProgressRow is the state of a roll-out as a box knows it.
@@ -106,7 +108,7 @@
 		LinkMbps: x.settings.LinkMbps, IsStopping: x.stopping.Load(), StartedMs: p.startedMs, TableVersion: x.configVersion(), TakesPacked: true, ConfigAgeMs: configAge,
 		StoreAgeMs: x.sync.endpointsAge(now).Milliseconds(), ReadAgeMs: min(x.sync.storeReadAge(now), maxReportedAge).Milliseconds(),
 		Evacuated: x.evacuations.set(), Admitted: x.admissions.set(), Leaving: x.pool.DrainingNotInEntries(),
-		Own: p.ownReport(), Verdicts: x.releases.verdictRows(now), Speeds: x.pool.Speeds(),
+		Rejections: x.reservations.Rows(now), Own: p.ownReport(), Verdicts: x.releases.verdictRows(now), Speeds: x.pool.Speeds(),
 	}
 	digest.RestoringMs = x.sync.restoringTimeLeft(now).Milliseconds()
 	digest.EndpointsFrom, digest.EndpointsRead, digest.EndpointsSum = x.sync.listPositions()
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -145,6 +145,9 @@
 	p.router.receiveLeaving(digest.Leaving, "peer "+string(digest.Box))
 	p.router.releases.receiveVerdicts(digest.Verdicts)
 	p.router.pool.MergeSpeeds(digest.Speeds)
+	if p.router.reservations.Merge(digest.Rejections, "peer "+string(digest.Box), now) {
+		p.requestRound()
+	}
 	for _, row := range digest.Progress {
 		p.router.releases.applyOrder(row.Order, time.Duration(row.AgeMs)*time.Millisecond, now)
 		p.router.releases.applyStatus(row.Status, false, "peer "+string(digest.Box))
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/reservation"
 )
 
 // routerMetrics are the metrics of one router.
@@ -41,6 +42,7 @@
 	set.NewGauge("willowwick_store_declared_age_seconds", func() float64 { return x.sync.declarationsAnswerAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_config_age_seconds", func() float64 { return x.sync.configAge(clock.Now()).Seconds() })
 	set.NewGauge("willowwick_endpoints_limited", func() float64 { return float64(x.limits.Count()) })
+	set.NewGauge("willowwick_services_with_reservations", func() float64 { return float64(len(x.reservations.Required(clock.Now()))) })
 	set.NewGauge("willowwick_endpoints_leaving", func() float64 {
 		leaving, _ := x.pool.CountNotices(clock.Now())
 		return float64(leaving)
@@ -144,6 +146,24 @@
 	m.set.GetOrCreateCounter("willowwick_permits_granted_total").Add(permits)
 }
 
+// countReservations counts the requests that asked this box for reservations, and the endpoints that were told to have rejected one.
+func (m *routerMetrics) countReservations(call *reservation.Call, reply *reservation.Reply) {
+	granted := 0
+	for _, endpoint := range reply.Granted {
+		if endpoint != "" {
+			granted++
+		}
+	}
+	m.set.GetOrCreateCounter("willowwick_reservations_granted_total").Add(granted)
+	m.set.GetOrCreateCounter("willowwick_reservations_denied_total").Add(len(call.Asks) - granted)
+	m.set.GetOrCreateCounter("willowwick_reserved_rejections_total").Add(len(call.Rejected))
+}
+
+// countReservationMissed counts a request that was refused since it got no reservation in time.
+func (m *routerMetrics) countReservationMissed() {
+	m.set.GetOrCreateCounter("willowwick_reservations_missed_total").Inc()
+}
+
 // countListSent counts a list of endpoints that was sent to another box, nil for none.
 func (m *routerMetrics) countListSent(list *EndpointList) {
 	if list == nil {
--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -37,7 +37,8 @@
 		slog.Info("endpoint asks for rest", "endpoint", endpoint.ID, "request", s.call.head.ID,
 			"ms", notice.BackoffUntil.Sub(now).Milliseconds())
 	}
-	if changes.Limit {
+	hasChanged := x.reservations.Observe(now, sentAt, endpoint.Service, notice.RejectionLimit)
+	if changes.Limit || hasChanged {
 		x.peers.requestRound()
 	}
 }
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -13,6 +13,7 @@
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/ratelimit"
+	"github.com/willowwick/willowwick/reservation"
 	"github.com/willowwick/willowwick/route"
 )
 
@@ -37,10 +38,14 @@
 		startedMs int64 // the same in Unix milliseconds, as reported to other boxes
 		limits    *ratelimit.Peers
 		granter   *ratelimit.Granter
+		// reservations hands out those of all boxes while this box grants permits.
+		reservations *reservation.Granter
 		// askBox calls the box at an address for permits.
-		askBox         func(ctx context.Context, address string, call *ratelimit.Call) (ratelimit.Reply, error)
-		quarantine     *quarantine.Peers
-		roundRequested chan struct{} // signals that an urgent update can't wait for the next round
+		askBox func(ctx context.Context, address string, call *ratelimit.Call) (ratelimit.Reply, error)
+		// askForReservations calls the box at an address for reservations.
+		askForReservations func(ctx context.Context, address string, call *reservation.Call) (reservation.Reply, error)
+		quarantine         *quarantine.Peers
+		roundRequested     chan struct{} // signals that an urgent update can't wait for the next round
 
 		mu         sync.Mutex
 		known      map[string]*peer // by address
@@ -65,12 +70,13 @@
 	}, nil)
 	p := &peers{
 		router: x, transport: transport, startedAt: clock.Now(), startedMs: clock.TimeOfDay().UnixMilli(),
-		limits: ratelimit.NewPeers(x.limits), granter: ratelimit.NewGranter(x.limits), roundRequested: make(chan struct{}, 1),
+		limits: ratelimit.NewPeers(x.limits), granter: ratelimit.NewGranter(x.limits), reservations: reservation.NewGranter(), roundRequested: make(chan struct{}, 1),
 		quarantine: quarantine.NewPeers(x.poison, x.settings.Boot),
 		known:      map[string]*peer{}, otherHalls: map[willowwick.HallID]receivedReport{},
 		links: map[willowwick.RegionID]*regionLink{},
 	}
 	p.askBox = p.callPermit
+	p.askForReservations = p.callReserve
 	if len(x.settings.Seeds) > 0 {
 		x.limits.AwaitUpdates(p.startedAt.Add(hubSearchTime))
 	}
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -104,6 +104,7 @@
 
 // setGranting records whether this box is the granter.
 func (p *peers) setGranting(now time.Time, isGranting bool) {
+	p.reservations.SetGranting(now, isGranting)
 	if p.granter.SetGranting(now, isGranting) {
 		slog.Info("grants of permits changed", "granting", isGranting)
 	}
@@ -139,10 +140,16 @@
 	return first
 }
 
-// grantedShare returns the share of a limit that this box grants: the boxes that follow it, divided by all known
-// boxes. A box that has just started and is in touch with none does not know them yet, and assumes assumedFleetSize
-// boxes.
+// grantedShare returns the share of a limit that this box grants: the boxes that follow it, divided by all known boxes.
 func (p *peers) grantedShare(now time.Time) float64 {
+	all, following := p.followers(now)
+	return float64(len(following)) / float64(len(all))
+}
+
+// followers returns the addresses of all known boxes, this one included, and of those among them that follow this box as the
+// granter. A box that has just started and is in touch with none does not know them yet: the list then has assumedFleetSize entries
+// at least, empty ones for unknown boxes.
+func (p *peers) followers(now time.Time) (all, following []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	hallFollows := map[willowwick.HallID]bool{}
@@ -150,21 +157,21 @@
 		hub, found := p.hallHub(hall, now)
 		hallFollows[hall] = found && !p.isInOtherRegion(hall) && p.known[hub.Address].digest.Granter == p.self().Address
 	}
-	all, following := 1, 1
-	for _, known := range p.known {
+	all, following = []string{p.self().Address}, []string{p.self().Address}
+	for address, known := range p.known {
 		if !known.isInRoster(now) {
 			continue
 		}
-		all++
+		all = append(all, address)
 		isOwnHall := known.box.Hall == p.router.settings.Hall
 		if isOwnHall && known.isLive(now) || !isOwnHall && hallFollows[known.box.Hall] {
-			following++
+			following = append(following, address)
 		}
 	}
-	if following == 1 && now.Sub(p.startedAt) < fleetDiscoveryTime {
-		all = max(all, assumedFleetSize)
+	for len(following) == 1 && len(all) < assumedFleetSize && now.Sub(p.startedAt) < fleetDiscoveryTime {
+		all = append(all, "")
 	}
-	return float64(following) / float64(all)
+	return all, following
 }
 
 // isLimited reports whether an endpoint has named a rate limit.
@@ -173,16 +180,19 @@
 	return isLimited
 }
 
-// recordLimitedSend records a send to a rate-limited endpoint.
+// recordLimitedSend records a send to an endpoint that is rate-limited or needs reservations.
 func (c *call) recordLimitedSend(ticket *gate.Ticket) {
-	if c.router.isLimited(clock.Now(), ticket.Endpoint) {
+	now := clock.Now()
+	if c.router.isLimited(now, ticket.Endpoint) || c.needsReservation(now) {
 		c.router.shortages.recordSend(c.queueName(), requestPriority(c.route, c.account))
 	}
 }
 
-// recordShortage records a request that was refused because all endpoints are rate-limited.
+// recordShortage records a request that was refused because all endpoints are rate-limited, or all their slots reserved.
 func (c *call) recordShortage(refusal *willowwick.Refusal) {
-	if refusal.Code == willowwick.CodeRateLimited {
-		c.router.shortages.record(c.queueName(), requestPriority(c.route, c.account), clock.Now())
+	now := clock.Now()
+	lacksSlot := refusal.Code == willowwick.CodeOverloaded || refusal.Code == willowwick.CodeDeadline
+	if refusal.Code == willowwick.CodeRateLimited || lacksSlot && c.needsReservation(now) {
+		c.router.shortages.record(c.queueName(), requestPriority(c.route, c.account), now)
 	}
 }
--- /dev/null
+++ b/exchange/reservations.go
@@ -0,0 +1,127 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+	"github.com/willowwick/willowwick/fleet"
+	"github.com/willowwick/willowwick/gate"
+	"github.com/willowwick/willowwick/reservation"
+)
+
+const (
+	// rpcReserve is the RPC method that requests reservations.
+	rpcReserve = rpcServiceName + ".Reserve"
+	// maxReservationChoices is the number of endpoints among which a reservation may be: enough that one of them has a free slot if
+	// many have.
+	maxReservationChoices = 8
+	// shortRetryDelay is the Retry-After of a request that got no reservation: about the time of a run of a plain service.
+	shortRetryDelay = time.Second
+)
+
+// Reservations for endpoints that crash under too many rejections are granted by the box that grants permits, in the same way:
+// boxes ask the hub of their hall, which asks the granter.
+
+// obtainReservation waits until the request may be sent to the endpoint of its slot, or moves the slot to another endpoint. It
+// returns a refusal if there is no free slot in time.
+func (c *call) obtainReservation(ticket *gate.Ticket) *willowwick.Refusal {
+	if !ticket.IsUnreserved() {
+		return nil
+	}
+	x, now := c.router, clock.Now()
+	ask := reservation.Ask{Choices: c.reservationChoices(now, ticket)}
+	until := earliest(c.queueUntil, c.deadline)
+	if x.reservations.Await(c.ctx, until, ask, func(id willowwick.EndpointID) bool { return ticket.Reserve(clock.Now(), id) }) {
+		return nil
+	}
+	x.metrics.countReservationMissed()
+	return willowwick.NotRun(willowwick.CodeOverloaded, clock.Now().Add(shortRetryDelay), "all slots of the endpoints that serve %q are taken", c.service)
+}
+
+// reservationChoices lists the endpoints at which the request may have its reservation.
+func (c *call) reservationChoices(now time.Time, ticket *gate.Ticket) []reservation.Choice {
+	allow := c.allowedEndpoints()
+	isAllowed := func(endpoint willowwick.Endpoint) bool { return allow(endpoint) && !c.router.isLimited(now, endpoint) }
+	alternatives := c.router.pool.Alternatives(now, ticket.Slot, maxReservationChoices, c.triedEndpoints, isAllowed)
+	choices := make([]reservation.Choice, len(alternatives))
+	for i, each := range alternatives {
+		choices[i] = reservation.Choice{Endpoint: each.Endpoint.ID, Slots: each.Slots, IsProven: each.HasAnswered}
+	}
+	return choices
+}
+
+// noteRejection records that an endpoint rejected the request for want of room.
+func (s *send) noteRejection() {
+	notice := s.answerHead.Notice
+	if notice.Draining || !notice.BackoffUntil.IsZero() {
+		return
+	}
+	s.router.reservations.NoteRejection(clock.Now(), s.ticket.Endpoint)
+}
+
+// occupiedPlaces lists what this box has at the endpoints of some services.
+func (x *Router) occupiedPlaces(services []willowwick.ServiceID) []reservation.Place {
+	occupied := x.pool.Occupied(services)
+	places := make([]reservation.Place, len(occupied))
+	for i, each := range occupied {
+		places[i] = reservation.Place{Endpoint: each.Endpoint, Requests: each.Requests}
+	}
+	return places
+}
+
+// reserve asks for reservations until the context ends.
+func (p *peers) reserve(ctx context.Context) {
+	p.router.reservations.Run(ctx, p.requestReservations)
+}
+
+// requestReservations asks the granter for reservations.
+func (p *peers) requestReservations(ctx context.Context, call reservation.Call) (reservation.Reply, error) {
+	now := clock.Now()
+	address := p.granterFor(now)
+	if address == p.self().Address {
+		return p.grantReservations(&call, now), nil
+	}
+	return p.askForReservations(ctx, address, &call)
+}
+
+// callReserve calls the box at an address over its connection.
+func (p *peers) callReserve(ctx context.Context, address string, call *reservation.Call) (reservation.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	return fleet.Ask[reservation.Reply](ctx, p.transport, address, rpcReserve, call)
+}
+
+// Reserve answers a box that asks for reservations, forwarding the call if another box is the granter.
+func (s *rpcServer) Reserve(call *reservation.Call, reply *reservation.Reply) error {
+	p, now := s.peers, clock.Now()
+	address := p.granterFor(now)
+	if address == p.self().Address {
+		*reply = p.grantReservations(call, now)
+		return nil
+	}
+	if call.IsPassedOn {
+		return errors.New("this box does not grant reservations")
+	}
+	forwarded := *call
+	forwarded.IsPassedOn = true
+	var err error
+	*reply, err = p.askForReservations(context.Background(), address, &forwarded)
+	return err
+}
+
+// grantReservations answers a call as the granter.
+func (p *peers) grantReservations(call *reservation.Call, now time.Time) reservation.Reply {
+	p.setGranting(now, true)
+	all, following := p.followers(now)
+	reply := p.reservations.Answer(*call, reservation.NewShare(all, following), now)
+	p.router.metrics.countReservations(call, &reply)
+	return reply
+}
+
+// needsReservation reports whether requests to the service need reservations now.
+func (c *call) needsReservation(now time.Time) bool {
+	return c.router.reservations.IsRequired(now, c.service)
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -12,6 +12,7 @@
 	"github.com/willowwick/willowwick/gate"
 	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/ratelimit"
+	"github.com/willowwick/willowwick/reservation"
 	"github.com/willowwick/willowwick/route"
 	"github.com/willowwick/willowwick/wire"
 )
@@ -96,7 +97,9 @@
 		poison    *quarantine.Ledger
 		limits    *ratelimit.Ledger
 		shortages *shortages
-		duties    *duties // nil if the fleet has none
+		// reservations asks for those of this box's requests.
+		reservations *reservation.Reserver
+		duties       *duties // nil if the fleet has none
 
 		departures *departures
 
@@ -130,13 +133,14 @@
 	x := &Router{
 		settings: settings, topology: settings.topology(), codec: codec, gate: gate.New(), warm: make(chan struct{}),
 		poison: quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
-		pool: route.NewPoolWith(route.NewHallFirst(settings.topology(), settings.Seed), route.PoolOptions{
-			StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
-			Limits: limits,
-		}),
 		callersLink:  wire.NewLinkLimit(settings.LinkMbps),
 		retryBudgets: map[willowwick.ServiceID]*route.WindowedRetryBudget{},
 	}
+	x.reservations = reservation.NewReserver(settings.Box, x.occupiedPlaces)
+	x.pool = route.NewPoolWith(route.NewHallFirst(settings.topology(), settings.Seed), route.PoolOptions{
+		StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
+		Limits: limits, Reservations: x.reservations,
+	})
 	x.reach = newReach(x)
 	var closeConns func()
 	x.conns, closeConns = wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout, OnDial: x.reach.noteDial, Dial: dial})
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -353,6 +353,8 @@
 	s.outcome = route.OutcomeBusy
 	if s.answer.Status == http.StatusMisdirectedRequest {
 		s.router.pool.MarkMisplaced(s.ticket.Endpoint)
+	} else {
+		s.noteRejection()
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(s.answer, maxBufferedBody)); err != nil {
 		slog.Debug("body of a refusal could not be read", "request", s.call.head.ID, "error", err)
--- a/exchange/site_test.go
+++ b/exchange/site_test.go
@@ -79,7 +79,10 @@
 	head := willowwick.AnswerHead{
 		Request: willowwick.RequestID(header.Get("T-Id")), NotRun: header.Get("T-Not-Run") != "",
 		Confidence: willowwick.NoConfidence,
-		Notice:     willowwick.Notice{Draining: header.Get("T-Leaving") != "", RateLimit: willowwick.ParseRateLimit(header.Get("T-Limit"))},
+		Notice: willowwick.Notice{
+			Draining: header.Get("T-Leaving") != "", RateLimit: willowwick.ParseRateLimit(header.Get("T-Limit")),
+			RejectionLimit: willowwick.ParseRateLimit(header.Get("T-Rejections")),
+		},
 	}
 	if status == http.StatusServiceUnavailable {
 		head.Notice.BackoffUntil = willowwick.ParseRetryAfter(header.Get("T-Rest"), at, time.Now())
--- a/notice.go
+++ b/notice.go
@@ -19,6 +19,8 @@
 		Draining     bool      // the endpoint takes no more new requests
 		BackoffUntil time.Time // earliest time of the receiving box's next request; zero if no backoff is asked for
 		RateLimit    RateLimit
+		// RejectionLimit is the number of rejections a second, for want of room, under more than which the endpoint crashes.
+		RejectionLimit RateLimit
 	}
 
 	// NoticeHeaders holds the names of the headers that carry a notice; each protocol has its own names.
@@ -26,6 +28,8 @@
 		Draining   string // any value but 0 means that the endpoint is draining
 		RetryAfter string // read only from an answer with status 503, by ParseRetryAfter
 		RateLimit  string // read by ParseRateLimit
+		// RejectionLimit is read by ParseRateLimit; empty if the protocol has none.
+		RejectionLimit string
 	}
 )
 
@@ -33,6 +37,9 @@
 func (n NoticeHeaders) Read(status int, header http.Header, now time.Time) Notice {
 	draining := strings.TrimSpace(header.Get(n.Draining))
 	notice := Notice{Draining: draining != "" && draining != "0", RateLimit: ParseRateLimit(header.Get(n.RateLimit))}
+	if n.RejectionLimit != "" {
+		notice.RejectionLimit = ParseRateLimit(header.Get(n.RejectionLimit))
+	}
 	if status == http.StatusServiceUnavailable {
 		notice.BackoffUntil = ParseRetryAfter(header.Get(n.RetryAfter), now, clock.TimeOfDay())
 	}
--- /dev/null
+++ b/reservation/reserver.go
@@ -0,0 +1,385 @@
+package reservation
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/clock"
+)
+
+const (
+	// maxPending is how many requests of a box ask at a time; others wait in the fair queue.
+	maxPending = 16
+	// maxGrants is the number of last reservations by whose times the wait for another one is estimated.
+	maxGrants = 16
+	// heartbeat is how often a box that has requests at endpoints tells the granter.
+	heartbeat = 500 * time.Millisecond
+	// releaseDelay is how soon a box tells that a slot has become free, shortReleaseDelay while boxes wait for slots.
+	releaseDelay      = 50 * time.Millisecond
+	shortReleaseDelay = 4 * time.Millisecond
+	// callTimeout bounds a call; the next one tells all that it would have told.
+	callTimeout = 600 * time.Millisecond
+	// failureDelay is the delay after a call that failed.
+	failureDelay = 100 * time.Millisecond
+	// silentAfter is how long after a call without reply the granter counts as silent. A box then keeps the slots that its requests
+	// leave, until keepTime after the last call that was answered: the granter counts them for longer.
+	silentAfter = 300 * time.Millisecond
+	keepTime    = 3 * time.Second
+)
+
+type (
+	// Reserver asks for the reservations of one box's requests. It implements willowwick.Reserver.
+	Reserver struct {
+		*Ledger
+		box willowwick.BoxID
+		// places tells all that the box has at the endpoints of some services, without the requests that ask.
+		places  func(services []willowwick.ServiceID) []Place
+		wake    chan struct{}
+		pending atomic.Int64
+
+		mu          sync.Mutex
+		asks        []*pendingAsk // those that wait, oldest first
+		retryAt     time.Time     // earliest time to ask again
+		releasedAt  time.Time     // when the first slot became free that the granter doesn't know of; zero if none did
+		calledAt    time.Time     // time of the last call
+		rejected    []willowwick.EndpointID
+		isShort     bool
+		grants      []time.Time // of the last reservations, maxGrants at most, oldest first
+		confirmedAt time.Time   // time of the last call to which the granter replied
+		kept        map[willowwick.EndpointID]int
+		// unansweredSince is the time of the first call since then; zero if there was none.
+		unansweredSince time.Time
+	}
+
+	// pendingAsk is a request that waits for its reservation.
+	pendingAsk struct {
+		ask  Ask
+		take func(willowwick.EndpointID) bool
+		done chan struct{} // closed once it has its reservation
+
+		mu     sync.Mutex
+		isOver bool // it has its reservation, or has stopped waiting
+	}
+
+	// CallFunc calls the box that grants.
+	CallFunc func(ctx context.Context, call Call) (Reply, error)
+)
+
+// NewReserver returns a Reserver for a box; places tells all that the box has at the endpoints of some services, without the
+// requests that ask.
+func NewReserver(box willowwick.BoxID, places func([]willowwick.ServiceID) []Place) *Reserver {
+	return &Reserver{
+		Ledger: NewLedger(), box: box, places: places, wake: make(chan struct{}, 1), kept: map[willowwick.EndpointID]int{},
+	}
+}
+
+// CanAsk implements willowwick.Reserver.
+func (r *Reserver) CanAsk(now time.Time, service willowwick.ServiceID) bool {
+	return r.pending.Load() < maxPending || !r.IsRequired(now, service)
+}
+
+// Released implements willowwick.Reserver.
+func (r *Reserver) Released(now time.Time, endpoint willowwick.Endpoint) {
+	if !r.IsRequired(now, endpoint.Service) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.releasedAt.IsZero() {
+		r.releasedAt = now
+	}
+	if r.isGranterSilent(now) && now.Sub(r.confirmedAt) < keepTime {
+		r.kept[endpoint.ID]++
+	}
+	r.signal()
+}
+
+// isGranterSilent reports whether calls have remained without grants for silentAfter; the caller holds the lock.
+func (r *Reserver) isGranterSilent(now time.Time) bool {
+	return !r.unansweredSince.IsZero() && now.Sub(r.unansweredSince) > silentAfter
+}
+
+// NoteRejection records that an endpoint has rejected a request for want of room.
+func (r *Reserver) NoteRejection(now time.Time, endpoint willowwick.Endpoint) {
+	if !r.IsRequired(now, endpoint.Service) {
+		return
+	}
+	slog.Info("endpoint rejected a request that had a reservation", "endpoint", endpoint.ID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.Contains(r.rejected, endpoint.ID) {
+		r.rejected = append(r.rejected, endpoint.ID)
+	}
+	r.retryAt = time.Time{}
+	r.signal()
+}
+
+func (r *Reserver) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default: // already signalled
+	}
+}
+
+// Await waits until the request has a reservation and take has moved it to the endpoint; false if it has none at the deadline, or
+// when the context ends. It returns false at once if those that wait already will take until the deadline.
+func (r *Reserver) Await(ctx context.Context, deadline time.Time, ask Ask, take func(willowwick.EndpointID) bool) bool {
+	r.pending.Add(1)
+	defer r.pending.Add(-1)
+	p := &pendingAsk{ask: ask, take: take, done: make(chan struct{})}
+	if !r.enqueue(p, clock.Now(), deadline) {
+		return false
+	}
+	r.signal()
+	timer := time.NewTimer(clock.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-p.done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	r.asks = slices.DeleteFunc(r.asks, func(other *pendingAsk) bool { return other == p })
+	r.mu.Unlock()
+	return !p.abandon()
+}
+
+// enqueue lets a request wait, unless its turn would come after its deadline.
+func (r *Reserver) enqueue(p *pendingAsk, now, deadline time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isShort && len(r.grants) == maxGrants {
+		wait := now.Sub(r.grants[0]) * time.Duration(len(r.asks)) / maxGrants
+		if now.Add(wait).After(deadline) {
+			return false
+		}
+	}
+	r.asks = append(r.asks, p)
+	return true
+}
+
+// abandon ends the wait, and returns false if the request has its reservation.
+func (p *pendingAsk) abandon() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isOver {
+		return false
+	}
+	p.isOver = true
+	return true
+}
+
+// settle gives the request its reservation, and reports whether it took it.
+func (p *pendingAsk) settle(id willowwick.EndpointID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isOver || !p.take(id) {
+		return false
+	}
+	p.isOver = true
+	close(p.done)
+	return true
+}
+
+// Run asks for reservations until the context ends.
+func (r *Reserver) Run(ctx context.Context, call CallFunc) {
+	for ctx.Err() == nil {
+		now := clock.Now()
+		at := r.nextCallAt(now)
+		if now.Before(at) {
+			r.await(ctx, at)
+			r.useKept(clock.Now())
+			continue
+		}
+		r.callOnce(ctx, call)
+	}
+}
+
+// await waits until a time or a signal.
+func (r *Reserver) await(ctx context.Context, at time.Time) {
+	timer := time.NewTimer(clock.Until(at))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.wake:
+	case <-timer.C:
+	}
+}
+
+// nextCallAt returns when the next call is due.
+func (r *Reserver) nextCallAt(now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := now.Add(time.Minute)
+	if r.mayBeLimited.Load() {
+		at = r.calledAt.Add(heartbeat)
+	}
+	if len(r.asks) > 0 && r.retryAt.Before(at) {
+		at = r.retryAt
+	}
+	if len(r.rejected) > 0 {
+		at = r.retryAt
+	}
+	if !r.releasedAt.IsZero() {
+		delay := releaseDelay
+		if r.isShort {
+			delay = shortReleaseDelay
+		}
+		if due := r.releasedAt.Add(delay); due.Before(at) {
+			at = due
+		}
+	}
+	return at
+}
+
+// callOnce makes one call; meanwhile requests may use slots that the box keeps.
+func (r *Reserver) callOnce(ctx context.Context, call CallFunc) {
+	now := clock.Now()
+	message, asking, isNeeded := r.newCall(now)
+	if !isNeeded {
+		return
+	}
+	replies := make(chan *Reply, 1)
+	go func() {
+		reply, err := call(ctx, message)
+		if err != nil {
+			slog.Debug("call for reservations failed", "error", err)
+			replies <- nil
+			return
+		}
+		replies <- &reply
+	}()
+	end := now.Add(callTimeout)
+	for clock.Now().Before(end) && ctx.Err() == nil {
+		timer := time.NewTimer(min(clock.Until(end), silentAfter/2))
+		select {
+		case <-ctx.Done():
+		case reply := <-replies:
+			timer.Stop()
+			r.handleReply(clock.Now(), now, asking, reply)
+			return
+		case <-r.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+		r.useKept(clock.Now())
+	}
+	r.handleReply(clock.Now(), now, asking, nil)
+}
+
+// newCall returns the next call and the requests that ask in it; false if there is nothing to tell.
+func (r *Reserver) newCall(now time.Time) (Call, []*pendingAsk, bool) {
+	places := r.places(r.Required(now))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, requests := range r.kept {
+		places = append(places, Place{id, requests})
+	}
+	call := Call{Box: r.box, SentAt: clock.TimeOfDay().UnixMicro(), Places: places, Rejected: r.rejected}
+	asking := r.asks[:min(len(r.asks), maxPending)]
+	for _, p := range asking {
+		call.Asks = append(call.Asks, p.ask)
+	}
+	isNeeded := len(places) > 0 || len(asking) > 0 || len(r.rejected) > 0 || !r.releasedAt.IsZero()
+	r.calledAt, r.releasedAt, r.rejected = now, time.Time{}, nil
+	if isNeeded && r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+	}
+	return call, slices.Clone(asking), isNeeded
+}
+
+// handleReply applies the reply to a call made at the given time, nil if there was none.
+func (r *Reserver) handleReply(now, calledAt time.Time, asking []*pendingAsk, reply *Reply) {
+	if reply == nil || !reply.IsGranting {
+		r.mu.Lock()
+		r.retryAt = now.Add(failureDelay)
+		r.mu.Unlock()
+		r.useKept(now)
+		return
+	}
+	isWasted := false
+	granted := 0
+	for i, p := range asking {
+		switch {
+		case i >= len(reply.Granted) || reply.Granted[i] == "":
+		case p.settle(reply.Granted[i]):
+			granted++
+		default:
+			isWasted = true
+		}
+	}
+	r.useKept(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noteGrants(now, granted)
+	r.confirmedAt, r.unansweredSince, r.isShort = calledAt, time.Time{}, reply.IsShort
+	r.retryAt = now.Add(time.Duration(reply.RetryMs) * time.Millisecond)
+	if (isWasted || len(r.kept) > 0) && r.releasedAt.IsZero() {
+		r.releasedAt = now
+	}
+	clear(r.kept)
+	r.dropOver()
+}
+
+// noteGrants keeps the times of the last reservations; the caller holds the lock.
+func (r *Reserver) noteGrants(now time.Time, granted int) {
+	for range granted {
+		r.grants = append(r.grants, now)
+	}
+	r.grants = r.grants[max(len(r.grants)-maxGrants, 0):]
+}
+
+// useKept gives the slots that the box keeps to requests that ask.
+func (r *Reserver) useKept(now time.Time) {
+	r.mu.Lock()
+	if len(r.kept) == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if now.Sub(r.confirmedAt) >= keepTime {
+		clear(r.kept)
+	}
+	asks := slices.Clone(r.asks)
+	r.mu.Unlock()
+	for _, p := range asks {
+		for _, choice := range p.ask.Choices {
+			if r.useOneKept(p, choice.Endpoint) {
+				break
+			}
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropOver()
+}
+
+// useOneKept gives a kept slot of the endpoint to a request, if there is one and the request takes it.
+func (r *Reserver) useOneKept(p *pendingAsk, id willowwick.EndpointID) bool {
+	r.mu.Lock()
+	isKept := r.kept[id] > 0
+	r.mu.Unlock()
+	if !isKept || !p.settle(id) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kept[id]--; r.kept[id] <= 0 {
+		delete(r.kept, id)
+	}
+	return true
+}
+
+// dropOver drops the requests that no longer wait; the caller holds the lock.
+func (r *Reserver) dropOver() {
+	r.asks = slices.DeleteFunc(r.asks, func(p *pendingAsk) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.isOver
+	})
+}
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -48,7 +48,7 @@
 		InFlight:        m.inFlight,
 		SentSinceReport: m.sentSinceReport,
 		IsAvailable: !s.exclude[m.endpoint.ID] && s.allows(m) && !s.pool.isColdPaused(s.now, m) && m.isOpen(s.now, s.pool.options, s.allowEjected) &&
-			s.pool.options.Limits.CanAcquire(s.now, m.endpoint.ID),
+			s.pool.options.Limits.CanAcquire(s.now, m.endpoint.ID) && s.pool.options.Reservations.CanAsk(s.now, m.endpoint.Service),
 		QueueDelay:  m.prefillQueue.backlog(s.now),
 		PrefillTime: prefillTime,
 		FailureRate: m.failureRate(s.now),
--- a/route/pool.go
+++ b/route/pool.go
@@ -55,6 +55,8 @@
 		SilentAfter time.Duration
 		// Limits tracks the endpoints' rate limits over all boxes; nil if no endpoint declares one.
 		Limits willowwick.RateLimiter
+		// Reservations says which endpoints need reservations; nil if none does.
+		Reservations willowwick.Reserver
 	}
 
 	// member is an endpoint with what this box knows of it.
@@ -63,6 +65,7 @@
 		reportedState     *reportedState
 		load              willowwick.EndpointLoad
 		inFlight          int // slots in use by this box
+		unreserved        int // those of them whose requests still wait for a reservation
 		sentSinceReport   int // slots acquired since the last load report, without those released again
 		failures          int // consecutive ones
 		ejectedUntil      time.Time
@@ -73,6 +76,7 @@
 		lastFailureRateAt time.Time
 		lastAliveAt       time.Time // when data last arrived, or when it got work after having none
 		nextColdSendAt    time.Time // when this box may send a cold endpoint its next request; zero if not yet chosen
+		hasAnswered       bool      // this box has had an answer of it
 		isProbing         bool      // the ejection has run out, and one request probes the endpoint
 		prefillQueue      prefillQueue
 	}
@@ -94,6 +98,9 @@
 	if options.Limits == nil {
 		options.Limits = unlimited{}
 	}
+	if options.Reservations == nil {
+		options.Reservations = unreserved{}
+	}
 	return &Pool{
 		picker: picker, options: options,
 		endpoints: map[willowwick.EndpointID]*member{}, candidates: map[workKey]*candidateSet{}, occupied: map[*member]bool{},
@@ -348,17 +355,13 @@
 		return nil, set.hasInService()
 	}
 	m := set.members[index]
-	if m.inFlight == 0 {
-		m.lastAliveAt = now
-	}
-	p.startColdPause(now, m)
-	permit := p.options.Limits.Acquire(now, m.endpoint.ID)
-	view := LoadView{Reported: m.load, InFlight: m.inFlight, SentSinceReport: m.sentSinceReport}
-	m.inFlight++
-	m.sentSinceReport++
-	p.occupied[m] = true
-	p.inFlight++
-	return &Slot{Endpoint: m.endpoint, pool: p, member: m, work: work, estimator: set.estimator, acquiredAt: now, permit: permit, view: view}, true
+	slot := &Slot{pool: p, work: work, estimator: set.estimator, acquiredAt: now}
+	slot.occupy(now, m)
+	if p.options.Reservations.IsRequired(now, m.endpoint.Service) {
+		slot.isUnreserved = true
+		m.unreserved++
+	}
+	return slot, true
 }
 
 // estimatorFor returns the prefill estimator for work at the endpoints of a service.
--- /dev/null
+++ b/route/reservation.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/willowwick/willowwick"
+)
+
+type (
+	// Occupancy is a number of this box's requests at an endpoint.
+	Occupancy struct {
+		Endpoint willowwick.EndpointID
+		Requests int
+	}
+
+	// Alternative is an endpoint that a request may be sent to.
+	Alternative struct {
+		Endpoint    willowwick.Endpoint
+		Slots       int  // requests that it runs at once, by its last report or its entry; 0 if unknown
+		HasAnswered bool // this box has had an answer of it
+	}
+
+	// unreserved implements willowwick.Reserver for endpoints that need no reservations.
+	unreserved struct{}
+)
+
+func (unreserved) IsRequired(time.Time, willowwick.ServiceID) bool { return false }
+
+func (unreserved) CanAsk(time.Time, willowwick.ServiceID) bool { return true }
+
+func (unreserved) Released(time.Time, willowwick.Endpoint) {}
+
+// IsUnreserved reports whether the request must not be sent before Reserve.
+func (s *Slot) IsUnreserved() bool {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	return s.isUnreserved
+}
+
+// Reserve records that the request has a reservation at an endpoint and moves its slot there; false if that endpoint accepts no
+// work, or the slot has been released.
+func (s *Slot) Reserve(now time.Time, id willowwick.EndpointID) bool {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	target := s.member
+	if s.Endpoint.ID != id {
+		target = s.pool.endpoints[id]
+	}
+	if s.released || !s.isUnreserved || target == nil || target.refusesWork(now) {
+		return false
+	}
+	s.isUnreserved = false
+	s.member.unreserved--
+	if target == s.member {
+		return true
+	}
+	if s.permit == willowwick.PermitRequired {
+		s.pool.options.Limits.CancelPending(s.Endpoint.ID)
+	}
+	s.vacate()
+	s.acquiredAt = now
+	s.occupy(now, target)
+	return true
+}
+
+// Occupied lists what this box has at the endpoints of some services, listed or not, without requests that wait for reservations.
+func (p *Pool) Occupied(services []willowwick.ServiceID) []Occupancy {
+	if len(services) == 0 {
+		return nil
+	}
+	isCounted := make(map[willowwick.ServiceID]bool, len(services))
+	for _, service := range services {
+		isCounted[service] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []Occupancy
+	for m := range p.occupied {
+		if requests := m.inFlight - m.unreserved; requests > 0 && isCounted[m.endpoint.Service] {
+			list = append(list, Occupancy{m.endpoint.ID, requests})
+		}
+	}
+	return list
+}
+
+// Alternatives lists endpoints that the slot's request may use: that of the slot, then others of the service that are open to it, at
+// most a number of them, at random.
+func (p *Pool) Alternatives(now time.Time, slot *Slot, most int, exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool) []Alternative {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := []Alternative{slot.member.alternative(now, p.options)}
+	set := p.candidates[workKey{service: slot.Endpoint.Service}]
+	if set == nil {
+		return list
+	}
+	from := rand.IntN(len(set.members))
+	for i := range set.members {
+		m := set.members[(from+i)%len(set.members)]
+		isLimited := !p.options.Limits.CanAcquire(now, m.endpoint.ID)
+		if m == slot.member || isLimited || exclude[m.endpoint.ID] || p.isColdPaused(now, m) || !m.isOpen(now, p.options, false) || !allow(m.endpoint) {
+			continue
+		}
+		if list = append(list, m.alternative(now, p.options)); len(list) == most {
+			break
+		}
+	}
+	return list
+}
+
+func (m *member) alternative(now time.Time, options PoolOptions) Alternative {
+	slots := m.knownLoad(now, options).Slots
+	if slots == 0 {
+		slots = m.endpoint.Slots
+	}
+	return Alternative{m.endpoint, slots, m.hasAnswered || !m.load.At.IsZero()}
+}
--- a/route/slot.go
+++ b/route/slot.go
@@ -46,8 +46,10 @@
 		estimator  prefill
 		acquiredAt time.Time
 		released   bool
-		permit     willowwick.PermitState // whether the request still needs a permit before it is sent
-		view       LoadView
+		// isUnreserved is set while the request must not be sent before Reserve.
+		isUnreserved bool
+		permit       willowwick.PermitState // whether the request still needs a permit before it is sent
+		view         LoadView
 
 		sentAt      time.Time         // when the request was sent; zero before, and if it has no prompt
 		uncached    willowwick.Tokens // forecast number of prompt tokens that the endpoint has not cached and must read
@@ -210,6 +212,31 @@
 	}
 	s.member.prefillQueue.remove(now, s)
 	s.pool.inFlight--
+	s.vacate()
+	s.member.recordOutcome(now, outcome)
+	if s.isUnreserved {
+		s.member.unreserved--
+		return
+	}
+	s.pool.options.Reservations.Released(now, s.Endpoint)
+}
+
+// occupy takes a slot of the endpoint; the caller holds the lock.
+func (s *Slot) occupy(now time.Time, m *member) {
+	if m.inFlight == 0 {
+		m.lastAliveAt = now
+	}
+	s.pool.startColdPause(now, m)
+	s.Endpoint, s.member = m.endpoint, m
+	s.permit = s.pool.options.Limits.Acquire(now, m.endpoint.ID)
+	s.view = LoadView{Reported: m.load, InFlight: m.inFlight, SentSinceReport: m.sentSinceReport}
+	m.inFlight++
+	m.sentSinceReport++
+	s.pool.occupied[m] = true
+}
+
+// vacate gives the slot back to its endpoint; the caller holds the lock.
+func (s *Slot) vacate() {
 	if s.member.inFlight--; s.member.inFlight == 0 {
 		delete(s.pool.occupied, s.member)
 	}
@@ -218,19 +245,19 @@
 	if s.member.sentSinceReport > 0 && !s.acquiredAt.Before(s.member.load.At) {
 		s.member.sentSinceReport--
 	}
-	s.member.recordOutcome(now, outcome)
 }
 
 // recordOutcome updates member.limit, the failure rate and the ejection by the outcome of a call.
 func (m *member) recordOutcome(now time.Time, outcome Outcome) {
 	switch outcome {
 	case OutcomeGood:
-		m.failures, m.isProbing = 0, false
+		m.failures, m.isProbing, m.hasAnswered = 0, false, true
 		m.recordFailure(now, 0)
 		if m.limit < maxLimit {
 			m.limit += 1 / m.limit
 		}
 	case OutcomeSlow, OutcomeBusy:
+		m.hasAnswered = true
 		m.limit = max(1, m.limit*limitDecrease)
 	case OutcomeFailed, OutcomeUnreachable:
 		m.limit = max(1, m.limit*limitDecrease)
