Reservations: the most urgent requests come first, endpoints that reject rest, and no lock waits for itself

By reading: dropping requests that no longer wait took the lock of each under the reserver's, settling one took the pool's under its own, and releasing a slot the reserver's under the pool's. Three requests at the same moment would have stopped the box. Whether one still waits is read without a lock now.

An endpoint that rejects a request with a reservation gets none for a second, as long as rejections are counted; if it does so again, one of its slots is left free for 5 s.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -60,7 +60,7 @@
 		cascadeStage int // index in the route's models, or noCascade
 		choice       releaseChoice
 
-		yieldsToUrgent  bool      // leaves endpoints that take a limited number to more urgent requests
+		yieldsToUrgent  bool      // leaves the capacity of rate-limited endpoints to more urgent requests
 		permitDenials   int       // permits that this request was denied
 		queueUntil      time.Time // end of the wait in the queue before the next send; zero after each send
 		shortWaitUntil  time.Time // end of all short waits in the queue; zero before the first and after each run
@@ -256,7 +256,6 @@
 		}
 		if refusal := c.obtainReservation(ticket); refusal != nil {
 			ticket.Done(route.OutcomeCancelled)
-			c.recordShortage(refusal)
 			c.finishUnanswered(refusal)
 			return
 		}
--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -180,19 +180,16 @@
 	return isLimited
 }
 
-// recordLimitedSend records a send to an endpoint that is rate-limited or needs reservations.
+// recordLimitedSend records a send to a rate-limited endpoint.
 func (c *call) recordLimitedSend(ticket *gate.Ticket) {
-	now := clock.Now()
-	if c.router.isLimited(now, ticket.Endpoint) || c.needsReservation(now) {
+	if c.router.isLimited(clock.Now(), ticket.Endpoint) {
 		c.router.shortages.recordSend(c.queueName(), requestPriority(c.route, c.account))
 	}
 }
 
-// recordShortage records a request that was refused because all endpoints are rate-limited, or all their slots reserved.
+// recordShortage records a request that was refused because all endpoints are rate-limited.
 func (c *call) recordShortage(refusal *willowwick.Refusal) {
-	now := clock.Now()
-	lacksSlot := refusal.Code == willowwick.CodeOverloaded || refusal.Code == willowwick.CodeDeadline
-	if refusal.Code == willowwick.CodeRateLimited || lacksSlot && c.needsReservation(now) {
-		c.router.shortages.record(c.queueName(), requestPriority(c.route, c.account), now)
+	if refusal.Code == willowwick.CodeRateLimited {
+		c.router.shortages.record(c.queueName(), requestPriority(c.route, c.account), clock.Now())
 	}
 }
--- a/exchange/queueing.go
+++ b/exchange/queueing.go
@@ -67,9 +67,11 @@
 
 // acquireSlot takes a slot at an allowed endpoint, preferring regions and halls with few misses.
 func (c *call) acquireSlot(now time.Time, work route.Work, allow func(willowwick.Endpoint) bool) (*route.Slot, bool) {
-	if c.avoidsScarceEndpoints() {
+	if c.avoidsLimitedEndpoints() {
 		allowed := allow
-		allow = func(endpoint willowwick.Endpoint) bool { return allowed(endpoint) && !c.avoids(now, endpoint) }
+		allow = func(endpoint willowwick.Endpoint) bool {
+			return allowed(endpoint) && !c.router.isLimited(now, endpoint)
+		}
 	}
 	for _, hasFewMisses := range c.misses.preferences() {
 		preferred := func(endpoint willowwick.Endpoint) bool { return hasFewMisses(endpoint.Hall) && allow(endpoint) }
@@ -93,10 +95,10 @@
 // until when.
 func (c *call) areAllUnavailable(now time.Time) (shortage route.Shortage, areAllUnavailable bool) {
 	allow := c.allowedEndpoints()
-	if !c.avoidsScarceEndpoints() {
+	if !c.avoidsLimitedEndpoints() {
 		return c.router.pool.AllUnavailable(now, c.service, allow)
 	}
-	isFree := func(endpoint willowwick.Endpoint) bool { return allow(endpoint) && !c.avoids(now, endpoint) }
+	isFree := func(endpoint willowwick.Endpoint) bool { return allow(endpoint) && !c.router.isLimited(now, endpoint) }
 	if !c.router.pool.HasInService(c.service, isFree) {
 		return route.Shortage{Until: now}, true
 	}
@@ -123,20 +125,11 @@
 	return c.triedEndpoints
 }
 
-// avoidsScarceEndpoints reports whether avoids may apply to an endpoint.
-func (c *call) avoidsScarceEndpoints() bool {
+// avoidsLimitedEndpoints reports whether the request uses only endpoints without a rate limit.
+func (c *call) avoidsLimitedEndpoints() bool {
 	return c.yieldsToUrgent || c.permitDenials >= maxPermitDenials
 }
 
-// avoids reports whether the request leaves an endpoint to others: one with a rate limit or, to more urgent requests, one that needs
-// reservations.
-func (c *call) avoids(now time.Time, endpoint willowwick.Endpoint) bool {
-	if c.router.isLimited(now, endpoint) {
-		return c.avoidsScarceEndpoints()
-	}
-	return c.yieldsToUrgent && c.router.reservations.IsRequired(now, endpoint.Service)
-}
-
 // mustAwaitFreeSlot reports whether every available endpoint has refused the request, so that it waits
 // sameEndpointRetryDelay for slots to become free before it retries one of them.
 func (c *call) mustAwaitFreeSlot(now time.Time) bool {
--- a/exchange/rejection_fleet_test.go
+++ b/exchange/rejection_fleet_test.go
@@ -86,9 +86,8 @@
 			time.Sleep(meshStep)
 			continue
 		}
-		if slot.IsUnreserved() && !box.reservations.Await(t.Context(), deadline, h.ask(box, slot), func(id willowwick.EndpointID) bool {
-			return slot.Reserve(time.Now(), id)
-		}) {
+		take := func(id willowwick.EndpointID) bool { return slot.Reserve(time.Now(), id) }
+		if slot.IsUnreserved() && !box.reservations.Await(t.Context(), reservation.Request{Ask: h.ask(box, slot), Deadline: deadline, Take: take}) {
 			slot.Release(time.Now(), route.OutcomeCancelled)
 			break
 		}
@@ -113,7 +112,9 @@
 func (h *rejectionMesh) runAt(box *meshBox, slot *route.Slot) {
 	id, sentAt := slot.Endpoint.ID, time.Now()
 	if !h.enter(id) {
-		box.reservations.NoteRejection(time.Now(), slot.Endpoint)
+		if slot.IsReserved() {
+			box.reservations.NoteRejection(time.Now(), slot.Endpoint)
+		}
 		slot.Release(time.Now(), route.OutcomeBusy)
 		return
 	}
@@ -122,6 +123,7 @@
 	h.running[id]--
 	h.served++
 	h.mu.Unlock()
+	slot.MarkAlive(time.Now())
 	box.reservations.Observe(time.Now(), sentAt, slot.Endpoint.Service, h.limit)
 	slot.Release(time.Now(), route.OutcomeGood)
 }
@@ -208,7 +210,7 @@
 			h.begin(ctx, t, busy)
 			from := time.Now()
 			h.play(t, 5*time.Second, busy)
-			h.assertUsed(t, from, 0.85, fmt.Sprint("one of ", size.boxes, " boxes"))
+			h.assertUsed(t, from, 0.95, fmt.Sprint("one of ", size.boxes, " boxes"))
 		})
 	})
 }
--- a/exchange/rejection_test.go
+++ b/exchange/rejection_test.go
@@ -51,7 +51,9 @@
 		room             int     // requests that may wait once there is less room
 		load             float64 // share of the capacity
 		path             string
-		hidesLoad        bool // answers carry no load report
+		hidesLoad        bool          // answers carry no load report
+		otherCrashes     int           // endpoints that crash for another reason, one after the other
+		until            time.Duration // when the endpoints have room again and name no limit any more; zero for never
 	}
 
 	// crowdedRunner is one endpoint of such a service; the service's lock guards it.
@@ -87,6 +89,9 @@
 	h.mu.Lock()
 	h.begin = time.Now()
 	h.mu.Unlock()
+	for i := range options.otherCrashes {
+		time.AfterFunc(shrunkFrom+time.Second+time.Duration(i)*200*time.Millisecond, func() { h.crashAny(t) })
+	}
 	h.send(t)
 	return h
 }
@@ -112,9 +117,14 @@
 	return time.Since(h.begin)
 }
 
+// isBetween reports whether the play is between a time and the end of the endpoints' trouble; the caller holds the lock.
+func (h *crowdedService) isBetween(from time.Duration) bool {
+	return h.elapsed() >= from && (h.options.until == 0 || h.elapsed() < h.options.until)
+}
+
 // room returns how many requests may wait; the caller holds the lock.
 func (h *crowdedService) room() int {
-	if h.elapsed() >= shrunkFrom {
+	if h.isBetween(shrunkFrom) {
 		return h.options.room
 	}
 	return crowdedRoom
@@ -169,7 +179,7 @@
 			recent++
 		}
 	}
-	if h.elapsed() >= shrunkFrom && recent > h.options.limit && !r.crashed {
+	if h.isBetween(shrunkFrom) && recent > h.options.limit && !r.crashed {
 		r.crashed = true
 		h.crashes = append(h.crashes, now)
 		go r.crashAndReturn(t)
@@ -177,6 +187,19 @@
 	return false
 }
 
+// crashAny crashes an endpoint for a reason of its own.
+func (h *crowdedService) crashAny(t *testing.T) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.runners {
+		if !r.crashed {
+			r.crashed = true
+			go r.crashAndReturn(t)
+			return
+		}
+	}
+}
+
 func (r *crowdedRunner) crashAndReturn(t *testing.T) {
 	r.crash()
 	time.AfterFunc(crowdedReturnDelay, func() {
@@ -193,7 +216,7 @@
 	if !h.options.hidesLoad {
 		w.Header().Set("T-Load", fmt.Sprintf("%d,%d,%d", r.running, r.waiting, crowdedSlots))
 	}
-	if h.elapsed() >= announcedFrom {
+	if h.isBetween(announcedFrom) {
 		w.Header().Set("T-Rejections", strconv.Itoa(h.options.limit))
 	}
 }
@@ -257,6 +280,27 @@
 	assert.GreaterOrEqual(t, after, leastShare*min(h.options.load, 1)*h.capacity())
 }
 
+// Guards against the work of an endpoint that crashes for another reason making the others reject requests until they crash too.
+func TestCrashOfCrowdedEndpointsDoesNotSpread(t *testing.T) {
+	t.Parallel()
+	h := playCrowded(t, crowdedOptions{boxes: 6, endpoints: 10, limit: 2, load: 0.75, path: "/again/", otherCrashes: 3})
+	h.requireUsed(t, 0.85)
+}
+
+// Guards against endpoints that have room again, and say so, being left idle or getting all requests at once.
+func TestCrowdedEndpointsAreUsedOnceTheyHaveRoomAgain(t *testing.T) {
+	t.Parallel()
+	const until = 9 * time.Second
+	h := playCrowded(t, crowdedOptions{boxes: 6, endpoints: 10, limit: 2, load: 0.9, path: "/again/", until: until})
+	h.requireUsed(t, 0.85)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	assert.GreaterOrEqual(t, h.served(until+3*time.Second, crowdedEnd), 0.95*h.options.load*h.capacity())
+	for _, s := range h.sites {
+		assert.Empty(t, s.daemon.router.reservations.Required(time.Now()))
+	}
+}
+
 // Guards against boxes that each fill the queue of an endpoint for themselves until it crashes under what it rejects.
 func TestEndpointsThatCrashWhenTheyRejectRequestsStayUp(t *testing.T) {
 	for name, options := range map[string]crowdedOptions{
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -17,7 +17,7 @@
 	rpcReserve = rpcServiceName + ".Reserve"
 	// maxReservationChoices is the number of endpoints among which a reservation may be: enough that one of them has a free slot if
 	// many have.
-	maxReservationChoices = 8
+	maxReservationChoices = 16
 	// shortRetryDelay is the Retry-After of a request that got no reservation: about the time of a run of a plain service.
 	shortRetryDelay = time.Second
 )
@@ -32,9 +32,12 @@
 		return nil
 	}
 	x, now := c.router, clock.Now()
-	ask := reservation.Ask{Choices: c.reservationChoices(now, ticket)}
-	until := earliest(c.queueUntil, c.deadline)
-	if x.reservations.Await(c.ctx, until, ask, func(id willowwick.EndpointID) bool { return ticket.Reserve(clock.Now(), id) }) {
+	request := reservation.Request{
+		Ask: reservation.Ask{Choices: c.reservationChoices(now, ticket)}, Rank: requestPriority(c.route, c.account),
+		Deadline: earliest(c.queueUntil, c.deadline),
+		Take:     func(id willowwick.EndpointID) bool { return ticket.Reserve(clock.Now(), id) },
+	}
+	if x.reservations.Await(c.ctx, request) {
 		return nil
 	}
 	x.metrics.countReservationMissed()
@@ -53,13 +56,12 @@
 	return choices
 }
 
-// noteRejection records that an endpoint rejected the request for want of room.
+// noteRejection records that an endpoint rejected the request for want of room although it had a reservation.
 func (s *send) noteRejection() {
 	notice := s.answerHead.Notice
-	if notice.Draining || !notice.BackoffUntil.IsZero() {
-		return
+	if s.ticket.IsReserved() && !notice.Draining && notice.BackoffUntil.IsZero() {
+		s.router.reservations.NoteRejection(clock.Now(), s.ticket.Endpoint)
 	}
-	s.router.reservations.NoteRejection(clock.Now(), s.ticket.Endpoint)
 }
 
 // occupiedPlaces lists what this box has at the endpoints of some services.
--- a/exchange/shortage.go
+++ b/exchange/shortage.go
@@ -14,8 +14,8 @@
 )
 
 type (
-	// shortages tracks queues whose endpoints are all rate-limited, or need reservations, and took fewer requests than
-	// arrived. Their capacity then goes to the most urgent requests first.
+	// shortages tracks queues whose endpoints are all rate-limited and took fewer requests than arrived. Their
+	// capacity then goes to the most urgent requests first.
 	shortages struct {
 		mu      sync.Mutex
 		byQueue map[string]*shortage
@@ -33,7 +33,7 @@
 	return &shortages{byQueue: map[string]*shortage{}}
 }
 
-// record records a request that was refused because the endpoints took no more.
+// record records a request that was refused because all endpoints are rate-limited.
 func (s *shortages) record(queue string, rank int, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,7 +47,7 @@
 	}
 }
 
-// recordSend records a request that is sent to an endpoint that takes a limited number.
+// recordSend records a request that is sent to a rate-limited endpoint.
 func (s *shortages) recordSend(queue string, rank int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,7 +61,7 @@
 	}
 }
 
-// mustYield reports whether a request leaves the capacity of such endpoints to more urgent ones.
+// mustYield reports whether a request leaves the capacity of rate-limited endpoints to more urgent ones.
 func (s *shortages) mustYield(queue string, rank int, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/reservation/granter.go
+++ b/reservation/granter.go
@@ -14,8 +14,11 @@
 	takeoverDelay = time.Second
 	// holderTTL is how long what a silent box has is counted: as long as the endpoints may need for it, at least.
 	holderTTL = 4 * time.Second
-	// rejectionPause is how long an endpoint that has rejected a request gets no other one: it has less room than is known.
+	// rejectionPause is how long an endpoint that has rejected a request gets no other one: as long as its rejections are counted.
 	rejectionPause = time.Second
+	// spareTime is how long a slot of an endpoint is left free after repeated rejections: something else than the boxes' requests
+	// takes it.
+	spareTime = 5 * time.Second
 	// callsPerSecond is the rate at which all boxes together ask again for slots, so that one that becomes free is soon used.
 	callsPerSecond = 400.0
 	// minRetryDelay is the least time until a box asks again, maxRetryDelay the longest.
@@ -51,6 +54,8 @@
 		slots       int // 0 if unknown
 		isProven    bool
 		pausedUntil time.Time // after a rejection
+		spare       int       // slots that are left free
+		spareUntil  time.Time // when one of these is used again
 		namedAt     time.Time // when a call last named it
 	}
 )
@@ -128,7 +133,7 @@
 		g.ensure(place.Endpoint, now).occupied += place.Requests
 	}
 	for _, id := range call.Rejected {
-		g.ensure(id, now).pausedUntil = now.Add(rejectionPause)
+		g.ensure(id, now).noteRejection(now)
 	}
 	for _, ask := range call.Asks {
 		for _, choice := range ask.Choices {
@@ -139,6 +144,14 @@
 	return h
 }
 
+// noteRejection lets an endpoint rest, and leaves one more of its slots free if it has rejected another request before its last rest.
+func (e *endpoint) noteRejection(now time.Time) {
+	if !now.Before(e.pausedUntil) && now.Before(e.spareUntil) {
+		e.spare++
+	}
+	e.pausedUntil, e.spareUntil = now.Add(rejectionPause), now.Add(spareTime)
+}
+
 // forget no longer counts what a box has; the caller holds the lock.
 func (g *Granter) forget(h *holder) {
 	for id, requests := range h.places {
@@ -181,7 +194,11 @@
 	if !e.isProven {
 		slots = 1
 	}
-	return share.of(id, slots) - e.occupied
+	if e.spare > 0 && !now.Before(e.spareUntil) {
+		e.spare, e.spareUntil = e.spare-1, now.Add(spareTime)
+	}
+	usable := max(slots-e.spare, 1)
+	return min(usable, share.of(id, slots)) - e.occupied
 }
 
 // countWaiting returns the number of boxes that wait for slots; the caller holds the lock.
--- a/reservation/reserver.go
+++ b/reservation/reserver.go
@@ -16,6 +16,8 @@
 const (
 	// maxPending is how many requests of a box ask at a time; others wait in the fair queue.
 	maxPending = 16
+	// urgentPerTurn is the number of reservations of the most urgent requests after which another kind has its turn.
+	urgentPerTurn = 2
 	// maxGrants is the number of last reservations by whose times the wait for another one is estimated.
 	maxGrants = 16
 	// heartbeat is how often a box that has requests at endpoints tells the granter.
@@ -43,15 +45,16 @@
 		wake    chan struct{}
 		pending atomic.Int64
 
-		mu          sync.Mutex
-		asks        []*pendingAsk // those that wait, oldest first
-		retryAt     time.Time     // earliest time to ask again
-		releasedAt  time.Time     // when the first slot became free that the granter doesn't know of; zero if none did
-		calledAt    time.Time     // time of the last call
-		rejected    []willowwick.EndpointID
-		isShort     bool
-		grants      []time.Time // of the last reservations, maxGrants at most, oldest first
-		confirmedAt time.Time   // time of the last call that was answered by a box that grants
+		mu           sync.Mutex
+		asks         []*pendingAsk // those that wait, the most urgent first, of these the oldest
+		retryAt      time.Time     // earliest time to ask again
+		releasedAt   time.Time     // when the first slot became free that the granter doesn't know of; zero if none did
+		calledAt     time.Time     // time of the last call
+		rejected     []willowwick.EndpointID
+		isShort      bool
+		urgentGrants int         // since a less urgent request had its turn
+		grants       []time.Time // of the last reservations, maxGrants at most, oldest first
+		confirmedAt  time.Time   // time of the last call that was answered by a box that grants
 		// failingSince is the time of the first call since then; zero if there is none.
 		failingSince time.Time
 		hasFailed    bool // the last call has failed
@@ -60,14 +63,23 @@
 		left, telling map[willowwick.EndpointID]int
 	}
 
+	// Request is a request that needs a reservation.
+	Request struct {
+		Ask
+		Rank     int // 0 is the most urgent
+		Deadline time.Time
+		// Take moves the request to the endpoint of its reservation; false if it can't.
+		Take func(willowwick.EndpointID) bool
+	}
+
 	// pendingAsk is a request that waits for its reservation.
 	pendingAsk struct {
-		ask  Ask
-		take func(willowwick.EndpointID) bool
+		Request
 		done chan struct{} // closed once it has its reservation
 
-		mu     sync.Mutex
-		isOver bool // it has its reservation, or has stopped waiting
+		mu sync.Mutex // held while isOver is set, and while the request is moved
+		// isOver is set once the request has its reservation, or has stopped waiting.
+		isOver atomic.Bool
 	}
 
 	// CallFunc calls the box that grants.
@@ -131,17 +143,17 @@
 	}
 }
 
-// Await waits until the request has a reservation and take has moved it to the endpoint; false if it has none at the deadline, or
-// when the context ends. It returns false at once if those that wait already will take until the deadline.
-func (r *Reserver) Await(ctx context.Context, deadline time.Time, ask Ask, take func(willowwick.EndpointID) bool) bool {
+// Await waits until the request has a reservation and was moved to the endpoint; false if it has none at its deadline, or when the
+// context ends. It returns false at once if those that wait already will take until the deadline.
+func (r *Reserver) Await(ctx context.Context, request Request) bool {
 	r.pending.Add(1)
 	defer r.pending.Add(-1)
-	p := &pendingAsk{ask: ask, take: take, done: make(chan struct{})}
-	if !r.enqueue(p, clock.Now(), deadline) {
+	p := &pendingAsk{Request: request, done: make(chan struct{})}
+	if !r.enqueue(p, clock.Now()) {
 		return false
 	}
 	r.signal()
-	timer := time.NewTimer(clock.Until(deadline))
+	timer := time.NewTimer(clock.Until(request.Deadline))
 	defer timer.Stop()
 	select {
 	case <-p.done:
@@ -155,17 +167,21 @@
 	return !p.abandon()
 }
 
-// enqueue lets a request wait, unless its turn would come after its deadline.
-func (r *Reserver) enqueue(p *pendingAsk, now, deadline time.Time) bool {
+// enqueue lets a request wait behind those that are as urgent or more, unless its turn would come after its deadline.
+func (r *Reserver) enqueue(p *pendingAsk, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	at := slices.IndexFunc(r.asks, func(other *pendingAsk) bool { return other.Rank > p.Rank })
+	if at < 0 {
+		at = len(r.asks)
+	}
 	if r.isShort && len(r.grants) == maxGrants {
-		wait := now.Sub(r.grants[0]) * time.Duration(len(r.asks)) / maxGrants
-		if now.Add(wait).After(deadline) {
+		wait := now.Sub(r.grants[0]) * time.Duration(at) / maxGrants
+		if now.Add(wait).After(p.Deadline) {
 			return false
 		}
 	}
-	r.asks = append(r.asks, p)
+	r.asks = slices.Insert(r.asks, at, p)
 	return true
 }
 
@@ -173,21 +189,17 @@
 func (p *pendingAsk) abandon() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isOver {
-		return false
-	}
-	p.isOver = true
-	return true
+	return p.isOver.CompareAndSwap(false, true)
 }
 
 // settle gives the request its reservation, and reports whether it took it.
 func (p *pendingAsk) settle(id willowwick.EndpointID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isOver || !p.take(id) {
+	if p.isOver.Load() || !p.Take(id) {
 		return false
 	}
-	p.isOver = true
+	p.isOver.Store(true)
 	close(p.done)
 	return true
 }
@@ -292,16 +304,29 @@
 		r.telling, r.left = r.left, map[willowwick.EndpointID]int{}
 	}
 	call := Call{Box: r.box, SentAt: clock.TimeOfDay().UnixMicro(), Places: places, Rejected: r.rejected}
-	asking := r.asks[:min(len(r.asks), maxPending)]
+	asking := r.inTurn()
 	for _, p := range asking {
-		call.Asks = append(call.Asks, p.ask)
+		call.Asks = append(call.Asks, p.Ask)
 	}
 	isNeeded := len(places) > 0 || len(asking) > 0 || len(r.rejected) > 0 || !r.releasedAt.IsZero()
 	r.calledAt, r.releasedAt, r.rejected = now, time.Time{}, nil
 	if isNeeded && r.failingSince.IsZero() {
 		r.failingSince = now
 	}
-	return call, slices.Clone(asking), isNeeded
+	return call, asking, isNeeded
+}
+
+// inTurn lists the requests that ask next, the most urgent first; after urgentPerTurn reservations of the most urgent kind, one of
+// another kind comes first, so that none starves. The caller holds the lock.
+func (r *Reserver) inTurn() []*pendingAsk {
+	asking := slices.Clone(r.asks)
+	if r.urgentGrants >= urgentPerTurn {
+		if at := slices.IndexFunc(asking, func(p *pendingAsk) bool { return p.Rank > asking[0].Rank }); at > 0 {
+			other := asking[at]
+			asking = slices.Insert(slices.Delete(asking, at, at+1), 0, other)
+		}
+	}
+	return asking[:min(len(asking), maxPending)]
 }
 
 // handleReply applies the reply to a call made at the given time, nil if there was none.
@@ -318,6 +343,7 @@
 		case i >= len(reply.Granted) || reply.Granted[i] == "":
 		case p.settle(reply.Granted[i]):
 			granted++
+			r.noteTurn(p)
 		default:
 			isWasted = true
 		}
@@ -334,6 +360,16 @@
 	r.dropOver()
 }
 
+// noteTurn counts the reservations of the most urgent requests that wait.
+func (r *Reserver) noteTurn(served *pendingAsk) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.urgentGrants++
+	if len(r.asks) > 0 && served.Rank > r.asks[0].Rank {
+		r.urgentGrants = 0
+	}
+}
+
 // noteGrants keeps the times of the last reservations; the caller holds the lock.
 func (r *Reserver) noteGrants(now time.Time, granted int) {
 	for range granted {
@@ -371,7 +407,7 @@
 
 // settleFromLeft gives a request a slot that another one has left, if there is one that it can use.
 func (r *Reserver) settleFromLeft(p *pendingAsk) {
-	for _, choice := range p.ask.Choices {
+	for _, choice := range p.Choices {
 		if !r.takeLeft(choice.Endpoint) {
 			continue
 		}
@@ -399,9 +435,5 @@
 
 // dropOver drops the requests that no longer wait; the caller holds the lock.
 func (r *Reserver) dropOver() {
-	r.asks = slices.DeleteFunc(r.asks, func(p *pendingAsk) bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.isOver
-	})
+	r.asks = slices.DeleteFunc(r.asks, func(p *pendingAsk) bool { return p.isOver.Load() })
 }
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -38,6 +38,13 @@
 	return s.isUnreserved
 }
 
+// IsReserved reports whether the request has a reservation.
+func (s *Slot) IsReserved() bool {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	return s.isReserved
+}
+
 // Reserve records that the request has a reservation at an endpoint and moves its slot there; false if that endpoint accepts no
 // work, or the slot has been released.
 func (s *Slot) Reserve(now time.Time, id willowwick.EndpointID) bool {
@@ -50,7 +57,7 @@
 	if s.released || !s.isUnreserved || target == nil || target.refusesWork(now) {
 		return false
 	}
-	s.isUnreserved = false
+	s.isUnreserved, s.isReserved = false, true
 	s.member.unreserved--
 	if target == s.member {
 		return true
--- a/route/slot.go
+++ b/route/slot.go
@@ -48,6 +48,7 @@
 		released   bool
 		// isUnreserved is set while the request must not be sent before Reserve.
 		isUnreserved bool
+		isReserved   bool                   // Reserve has succeeded
 		permit       willowwick.PermitState // whether the request still needs a permit before it is sent
 		view         LoadView
 
