Reservations: requests that are broken off count until their endpoints have noticed

Cause: a slot counted as free once the box had broken off its request: a small model's answer that is dropped, a caller that left, a deadline. The endpoint goes on until it notices that the connection is closed.

Such a request counts for 250 ms more.

The stand-in has a queue, names a limit on rejections and crashes beyond it.

--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -42,10 +42,11 @@
 		boxes   []*soakBox
 		started time.Time // start of the traffic
 
-		routesKept int               // number of newest versions whose routes a configuration contains; 0: all
-		keysKept   int               // number of newest versions whose keys it contains; 0: all
-		onPoison   func(*soakRunner) // crashes a runner that runs the poison request; nil in soaks without one
-		dutyAPI    *standin.DutyAPI  // takes the calls of the duties; nil in soaks without them
+		routesKept int                                       // number of newest versions whose routes a configuration contains; 0: all
+		keysKept   int                                       // number of newest versions whose keys it contains; 0: all
+		onPoison   func(*soakRunner)                         // crashes a runner that runs the poison request; nil in soaks without one
+		adjust     func(*soakRunner, *standin.BatchSettings) // changes the settings of each runner; nil to leave them
+		dutyAPI    *standin.DutyAPI                          // takes the calls of the duties; nil in soaks without them
 
 		mu       sync.Mutex
 		runners  []*soakRunner
@@ -171,6 +172,9 @@
 	if s.onPoison != nil {
 		settings.CrashesOn, settings.OnCrash = isPoison, func() { s.onPoison(r) }
 	}
+	if s.adjust != nil {
+		s.adjust(r, &settings)
+	}
 	runner, stopHeartbeats := standin.NewBatchRunner(settings, s.store)
 	r.BatchRunner = runner
 	server := &http.Server{Handler: runner, ReadHeaderTimeout: startTimeout}
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -64,9 +64,19 @@
 	}
 }
 
+// mayStillRun reports whether the endpoint may go on with a request after the send has ended.
+func (s *send) mayStillRun(result sendResult) bool {
+	switch result.kind {
+	case escalated, callerLeft, abandoned, silent, moved, broken:
+		return s.conn != nil
+	default:
+		return false
+	}
+}
+
 // occupiedPlaces lists what this box has at the endpoints of some services.
 func (x *Router) occupiedPlaces(services []willowwick.ServiceID) []reservation.Place {
-	occupied := x.pool.Occupied(services)
+	occupied := x.pool.Occupied(clock.Now(), services)
 	places := make([]reservation.Place, len(occupied))
 	for i, each := range occupied {
 		places[i] = reservation.Place{Endpoint: each.Endpoint, Requests: each.Requests}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -143,6 +143,9 @@
 	} else {
 		c.router.hints.publish(ticket.Cancelled(clock.Now()))
 	}
+	if s.mayStillRun(result) {
+		ticket.MarkUnfinished()
+	}
 	ticket.Done(s.outcome)
 	if s.missedEndpoint(result) {
 		c.misses.record(c.router.topology, ticket.Endpoint.Hall)
--- a/reservation/granter.go
+++ b/reservation/granter.go
@@ -138,7 +138,10 @@
 	for _, ask := range call.Asks {
 		for _, choice := range ask.Choices {
 			e := g.ensure(choice.Endpoint, now)
-			e.slots, e.isProven = max(e.slots, choice.Slots), e.isProven || choice.IsProven
+			if choice.Slots > 0 {
+				e.slots = choice.Slots
+			}
+			e.isProven = e.isProven || choice.IsProven
 		}
 	}
 	return h
--- a/route/pool.go
+++ b/route/pool.go
@@ -31,7 +31,8 @@
 		byHash        map[uint32]*member
 		candidates    map[workKey]*candidateSet
 		inFlight      int
-		occupied      map[*member]bool // endpoints with slots in use, including unlisted ones
+		occupied      map[*member]bool        // endpoints with slots in use, including unlisted ones
+		lingering     map[*member][]time.Time // until when requests that were broken off count, where they do
 		speeds        map[speedKey]*prefillSpeed
 		lateness      map[speedKey]*Lateness // of first events against their forecasts
 		evacuated     map[willowwick.HallID]bool
@@ -103,7 +104,7 @@
 	}
 	return &Pool{
 		picker: picker, options: options,
-		endpoints: map[willowwick.EndpointID]*member{}, candidates: map[workKey]*candidateSet{}, occupied: map[*member]bool{},
+		endpoints: map[willowwick.EndpointID]*member{}, candidates: map[workKey]*candidateSet{}, occupied: map[*member]bool{}, lingering: map[*member][]time.Time{},
 		reportedState: map[willowwick.EndpointID]*reportedState{}, speeds: map[speedKey]*prefillSpeed{}, lateness: map[speedKey]*Lateness{},
 	}
 }
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -2,11 +2,15 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/willowwick/willowwick"
 )
 
+// lingerTime is how long a request that was broken off still counts as one at its endpoint, which goes on until it notices.
+const lingerTime = 250 * time.Millisecond
+
 type (
 	// Occupancy is a number of this box's requests at an endpoint.
 	Occupancy struct {
@@ -71,8 +75,36 @@
 	return true
 }
 
+// MarkUnfinished records that the request was sent and is being broken off, so that the endpoint may go on with it for a while.
+func (s *Slot) MarkUnfinished() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.isUnfinished = true
+}
+
+// leave tells that the slot is free for another request, or lets it linger; the caller holds the lock.
+func (s *Slot) leave(now time.Time) {
+	switch {
+	case s.isUnreserved:
+		s.member.unreserved--
+	case s.isUnfinished && s.pool.options.Reservations.IsRequired(now, s.Endpoint.Service):
+		s.pool.lingering[s.member] = append(s.pool.lingering[s.member], now.Add(lingerTime))
+	default:
+		s.pool.options.Reservations.Released(now, s.Endpoint)
+	}
+}
+
+// countLingering counts the requests at the endpoint that were broken off a moment ago; the caller holds the lock.
+func (p *Pool) countLingering(now time.Time, m *member) int {
+	list := slices.DeleteFunc(p.lingering[m], func(until time.Time) bool { return !now.Before(until) })
+	if p.lingering[m] = list; len(list) == 0 {
+		delete(p.lingering, m)
+	}
+	return len(list)
+}
+
 // Occupied lists what this box has at the endpoints of some services, listed or not, without requests that wait for reservations.
-func (p *Pool) Occupied(services []willowwick.ServiceID) []Occupancy {
+func (p *Pool) Occupied(now time.Time, services []willowwick.ServiceID) []Occupancy {
 	if len(services) == 0 {
 		return nil
 	}
@@ -88,6 +120,11 @@
 			list = append(list, Occupancy{m.endpoint.ID, requests})
 		}
 	}
+	for m := range p.lingering {
+		if requests := p.countLingering(now, m); requests > 0 && isCounted[m.endpoint.Service] {
+			list = append(list, Occupancy{m.endpoint.ID, requests})
+		}
+	}
 	return list
 }
 
--- a/route/slot.go
+++ b/route/slot.go
@@ -49,6 +49,7 @@
 		// isUnreserved is set while the request must not be sent before Reserve.
 		isUnreserved bool
 		isReserved   bool                   // Reserve has succeeded
+		isUnfinished bool                   // see MarkUnfinished
 		permit       willowwick.PermitState // whether the request still needs a permit before it is sent
 		view         LoadView
 
@@ -212,14 +213,9 @@
 		s.pool.options.Limits.CancelPending(s.Endpoint.ID)
 	}
 	s.member.prefillQueue.remove(now, s)
-	s.pool.inFlight--
 	s.vacate()
 	s.member.recordOutcome(now, outcome)
-	if s.isUnreserved {
-		s.member.unreserved--
-		return
-	}
-	s.pool.options.Reservations.Released(now, s.Endpoint)
+	s.leave(now)
 }
 
 // occupy takes a slot of the endpoint; the caller holds the lock.
@@ -233,11 +229,13 @@
 	s.view = LoadView{Reported: m.load, InFlight: m.inFlight, SentSinceReport: m.sentSinceReport}
 	m.inFlight++
 	m.sentSinceReport++
+	s.pool.inFlight++
 	s.pool.occupied[m] = true
 }
 
 // vacate gives the slot back to its endpoint; the caller holds the lock.
 func (s *Slot) vacate() {
+	s.pool.inFlight--
 	if s.member.inFlight--; s.member.inFlight == 0 {
 		delete(s.pool.occupied, s.member)
 	}
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -11,8 +11,14 @@
 	"time"
 )
 
-// heartbeatInterval is how often a runner rewrites its entry in the store.
-const heartbeatInterval = 200 * time.Millisecond
+const (
+	// heartbeatInterval is how often a runner rewrites its entry in the store.
+	heartbeatInterval = 200 * time.Millisecond
+	// rejectionWindow is the time in which rejections are counted against a runner's limit.
+	rejectionWindow = time.Second
+	// noLimit stands for no limit on rejections.
+	noLimit = -1
+)
 
 type (
 	// BatchSettings configures a BatchRunner.
@@ -23,11 +29,14 @@
 		Address       string // host:port
 		Release       string
 		Slots         int
+		Room          int           // requests that may wait for a slot
 		Events        int           // per stream
 		EventInterval time.Duration // between the events of a stream, and before any other answer
 		// CrashesOn reports whether the runner crashes on a request; OnCrash simulates the end of its process.
 		CrashesOn func(r *http.Request, body []byte) bool
 		OnCrash   func()
+		// OnOverload simulates the end of the process after more rejections than its limit; nil if it has none.
+		OnOverload func()
 	}
 
 	// BatchFaults are the faults a BatchRunner injects.
@@ -51,7 +60,12 @@
 		faults            BatchFaults
 		draining          bool
 		heartbeats        int
-		running           int
+		running, waiting  int
+		room              int  // requests that may wait for a slot now
+		rejectionLimit    int  // rejections in a second that it survives, sent in every answer; negative for none
+		isCrowded         bool // it has less room, and crashes beyond rejectionLimit
+		rejections        []BatchArrival
+		slotFreed         *sync.Cond
 		runs              []BatchRun
 		rateLimit         string // sent in every answer; empty for none
 		announcesDraining bool   // answers announce draining whatever the entry says
@@ -92,7 +106,11 @@
 
 // NewBatchRunner returns a runner that maintains its entry, and a function that stops it without removing the entry.
 func NewBatchRunner(settings BatchSettings, store *Store) (*BatchRunner, func()) {
-	b := &BatchRunner{settings: settings, store: store, stop: make(chan struct{}), startedMs: time.Now().UnixMilli()}
+	b := &BatchRunner{
+		settings: settings, store: store, stop: make(chan struct{}), startedMs: time.Now().UnixMilli(),
+		room: settings.Room, rejectionLimit: noLimit,
+	}
+	b.slotFreed = sync.NewCond(&b.mu)
 	go b.sendHeartbeats()
 	return b, sync.OnceFunc(func() { close(b.stop) })
 }
@@ -145,6 +163,55 @@
 	b.rateLimit = rateLimit
 }
 
+// AnnounceRejectionLimit makes answers name a limit on rejections; Crowd makes it count.
+func (b *BatchRunner) AnnounceRejectionLimit(limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rejectionLimit = limit
+}
+
+// Crowd leaves room for fewer waiting requests, and makes the runner crash beyond its limit on rejections.
+func (b *BatchRunner) Crowd(room int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.room, b.isCrowded = room, true
+}
+
+// Relieve ends what AnnounceRejectionLimit and Crowd have begun.
+func (b *BatchRunner) Relieve() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.room, b.isCrowded, b.rejectionLimit = b.settings.Room, false, noLimit
+}
+
+// Rejections returns the requests that were rejected for want of room in the last rejectionWindow before a time.
+func (b *BatchRunner) Rejections(until time.Time) []BatchArrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.recentRejections(until)
+}
+
+// recentRejections is Rejections for a caller that holds the lock.
+func (b *BatchRunner) recentRejections(until time.Time) []BatchArrival {
+	var recent []BatchArrival
+	for _, rejection := range b.rejections {
+		if age := until.Sub(rejection.At); age >= 0 && age < rejectionWindow {
+			recent = append(recent, rejection)
+		}
+	}
+	return recent
+}
+
+// reject records a rejection for want of room, and crashes the runner if it was one too many; the caller holds the lock.
+func (b *BatchRunner) reject(id string) {
+	now := time.Now()
+	b.rejections = append(b.rejections, BatchArrival{Request: id, At: now})
+	if b.isCrowded && len(b.recentRejections(now)) > b.rejectionLimit && b.settings.OnOverload != nil {
+		b.isCrowded = false
+		go b.settings.OnOverload()
+	}
+}
+
 // AnnounceDraining makes all later answers announce draining while the entry still says ready.
 func (b *BatchRunner) AnnounceDraining() {
 	b.mu.Lock()
@@ -175,6 +242,9 @@
 	if b.rateLimit != "" {
 		header.Set("Server-Limit", b.rateLimit)
 	}
+	if b.rejectionLimit >= 0 {
+		header.Set("Server-Brittle", strconv.Itoa(b.rejectionLimit))
+	}
 	if arrival.Draining {
 		header.Set("Server-Leaving", "1")
 	}
@@ -229,7 +299,7 @@
 		return
 	}
 	number, running, faults, accepted := b.startRun(newBatchRun(r, body))
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d", running, b.settings.Slots))
+	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d", running, b.countWaiting(), b.settings.Slots))
 	if !accepted {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -269,9 +339,15 @@
 func (b *BatchRunner) startRun(run BatchRun) (number, running int, faults BatchFaults, accepted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.faults.Full || b.running >= b.settings.Slots {
+	if b.faults.Full || b.running >= b.settings.Slots && b.waiting >= b.room {
+		b.reject(run.Request)
 		return len(b.runs), b.running, b.faults, false
 	}
+	b.waiting++
+	for b.running >= b.settings.Slots {
+		b.slotFreed.Wait()
+	}
+	b.waiting--
 	b.running++
 	b.runs = append(b.runs, run)
 	return len(b.runs), b.running, b.faults, true
@@ -281,6 +357,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running--
+	b.slotFreed.Signal()
+}
+
+func (b *BatchRunner) countWaiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waiting
 }
 
 // BatchEvent returns the text of one event of a stream.
