--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -18,8 +18,8 @@
 	// maxReservationChoices is the number of endpoints among which a reservation may be: enough that one of them has a free slot if
 	// many have.
 	maxReservationChoices = 16
-	// shortRetryDelay is the Retry-After of a request that got no reservation: about the time of a run of a plain service.
-	shortRetryDelay = time.Second
+	// missedRetryDelay is the Retry-After of a request that got no reservation: by then, runs of most services have ended.
+	missedRetryDelay = time.Second
 )
 
 // Reservations for endpoints that crash under too many rejections are granted by the box that grants permits, in the same way:
@@ -41,7 +41,7 @@
 		return nil
 	}
 	x.metrics.countReservationMissed()
-	return willowwick.NotRun(willowwick.CodeOverloaded, clock.Now().Add(shortRetryDelay), "all slots of the endpoints that serve %q are taken", c.service)
+	return willowwick.NotRun(willowwick.CodeOverloaded, clock.Now().Add(missedRetryDelay), "all slots of the endpoints that serve %q are taken", c.service)
 }
 
 // reservationChoices lists the endpoints at which the request may have its reservation.
--- a/reservation/reserver.go
+++ b/reservation/reserver.go
@@ -16,10 +16,6 @@
 const (
 	// maxPending is how many requests of a box ask at a time; others wait in the fair queue.
 	maxPending = 16
-	// urgentPerTurn is the number of reservations of the most urgent requests after which another kind has its turn.
-	urgentPerTurn = 2
-	// maxGrants is the number of last reservations by whose times the wait for another one is estimated.
-	maxGrants = 16
 	// heartbeat is how often a box that has requests at endpoints tells the granter.
 	heartbeat = 500 * time.Millisecond
 	// releaseDelay is how soon a box tells that a slot has become free, shortReleaseDelay while boxes wait for slots.
@@ -29,14 +25,12 @@
 	callTimeout = 600 * time.Millisecond
 	// failureDelay is the delay after a call that failed.
 	failureDelay = 100 * time.Millisecond
-	// silentAfter is how long after a call without reply the granter counts as silent. A box then keeps the slots that its requests
-	// leave, until keepTime after the last call that was answered: the granter counts them for longer.
-	silentAfter = 300 * time.Millisecond
-	keepTime    = 3 * time.Second
 )
 
 type (
 	// Reserver asks for the reservations of one box's requests. It implements willowwick.Reserver.
+	//
+	// Its lock is never held while a request is moved to its endpoint, since the pool calls Released under its own.
 	Reserver struct {
 		*Ledger
 		box willowwick.BoxID
@@ -114,13 +108,6 @@
 	r.signal()
 }
 
-// mayKeep reports whether the box may use the slots that its requests have left: nobody grants, and the granter that did still
-// counts them. The caller holds the lock.
-func (r *Reserver) mayKeep(now time.Time) bool {
-	isSilent := !r.failingSince.IsZero() && (r.hasFailed || now.Sub(r.failingSince) > silentAfter)
-	return isSilent && now.Sub(r.confirmedAt) < keepTime
-}
-
 // NoteRejection records that an endpoint has rejected a request for want of room.
 func (r *Reserver) NoteRejection(now time.Time, endpoint willowwick.Endpoint) {
 	if !r.IsRequired(now, endpoint.Service) {
@@ -167,24 +154,6 @@
 	return !p.abandon()
 }
 
-// enqueue lets a request wait behind those that are as urgent or more, unless its turn would come after its deadline.
-func (r *Reserver) enqueue(p *pendingAsk, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	at := slices.IndexFunc(r.asks, func(other *pendingAsk) bool { return other.Rank > p.Rank })
-	if at < 0 {
-		at = len(r.asks)
-	}
-	if r.isShort && len(r.grants) == maxGrants {
-		wait := now.Sub(r.grants[0]) * time.Duration(at) / maxGrants
-		if now.Add(wait).After(p.Deadline) {
-			return false
-		}
-	}
-	r.asks = slices.Insert(r.asks, at, p)
-	return true
-}
-
 // abandon ends the wait, and returns false if the request has its reservation.
 func (p *pendingAsk) abandon() bool {
 	p.mu.Lock()
@@ -316,19 +285,6 @@
 	return call, asking, isNeeded
 }
 
-// inTurn lists the requests that ask next, the most urgent first; after urgentPerTurn reservations of the most urgent kind, one of
-// another kind comes first, so that none starves. The caller holds the lock.
-func (r *Reserver) inTurn() []*pendingAsk {
-	asking := slices.Clone(r.asks)
-	if r.urgentGrants >= urgentPerTurn {
-		if at := slices.IndexFunc(asking, func(p *pendingAsk) bool { return p.Rank > asking[0].Rank }); at > 0 {
-			other := asking[at]
-			asking = slices.Insert(slices.Delete(asking, at, at+1), 0, other)
-		}
-	}
-	return asking[:min(len(asking), maxPending)]
-}
-
 // handleReply applies the reply to a call made at the given time, nil if there was none.
 func (r *Reserver) handleReply(now, calledAt time.Time, asking []*pendingAsk, reply *Reply) {
 	if reply == nil || !reply.IsGranting {
@@ -360,79 +316,6 @@
 	r.dropOver()
 }
 
-// noteTurn counts the reservations of the most urgent requests that wait.
-func (r *Reserver) noteTurn(served *pendingAsk) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.urgentGrants++
-	if len(r.asks) > 0 && served.Rank > r.asks[0].Rank {
-		r.urgentGrants = 0
-	}
-}
-
-// noteGrants keeps the times of the last reservations; the caller holds the lock.
-func (r *Reserver) noteGrants(now time.Time, granted int) {
-	for range granted {
-		r.grants = append(r.grants, now)
-	}
-	r.grants = r.grants[max(len(r.grants)-maxGrants, 0):]
-}
-
-// handleFailure records a call that granted nothing.
-func (r *Reserver) handleFailure(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.retryAt, r.hasFailed = now.Add(failureDelay), true
-	for id, requests := range r.telling {
-		r.left[id] += requests
-	}
-	clear(r.telling)
-}
-
-// useLeft gives slots that requests have left to those that ask, while nobody grants.
-func (r *Reserver) useLeft(now time.Time) {
-	r.mu.Lock()
-	var asks []*pendingAsk
-	if r.mayKeep(now) {
-		asks = slices.Clone(r.asks)
-	}
-	r.mu.Unlock()
-	for _, p := range asks {
-		r.settleFromLeft(p)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.dropOver()
-}
-
-// settleFromLeft gives a request a slot that another one has left, if there is one that it can use.
-func (r *Reserver) settleFromLeft(p *pendingAsk) {
-	for _, choice := range p.Choices {
-		if !r.takeLeft(choice.Endpoint) {
-			continue
-		}
-		if p.settle(choice.Endpoint) {
-			return
-		}
-		r.mu.Lock()
-		r.left[choice.Endpoint]++
-		r.mu.Unlock()
-	}
-}
-
-// takeLeft takes a slot of the endpoint that a request has left, and reports whether there was one.
-func (r *Reserver) takeLeft(id willowwick.EndpointID) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, slots := range []map[willowwick.EndpointID]int{r.left, r.telling} {
-		if slots[id] > 0 {
-			slots[id]--
-			return true
-		}
-	}
-	return false
-}
-
 // dropOver drops the requests that no longer wait; the caller holds the lock.
 func (r *Reserver) dropOver() {
 	r.asks = slices.DeleteFunc(r.asks, func(p *pendingAsk) bool { return p.isOver.Load() })
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -9,7 +9,7 @@
 )
 
 // lingerTime is how long a request that was broken off still counts as one at its endpoint, which goes on until it notices.
-const lingerTime = 250 * time.Millisecond
+const lingerTime = 500 * time.Millisecond
 
 type (
 	// Occupancy is a number of this box's requests at an endpoint.
