--- a/exchange/rejection_fleet_test.go
+++ b/exchange/rejection_fleet_test.go
@@ -256,3 +256,26 @@
 		})
 	}
 }
+
+// Guards against regions that each leave slots to boxes of the other one, which have endpoints of their own; and against a region
+// without endpoints getting none of the other's.
+func TestRegionsUseTheirSlots(t *testing.T) {
+	discardLogs(t)
+	for name, endpoints := range map[string][]int{"both have endpoints": {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}, "one has none": {0, 2, 4, 6, 8, 10}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newRegionMesh(12, 0)
+				for _, i := range endpoints {
+					m.store.put(meshEndpoint(i, regionMeshHalls))
+				}
+				h := newRejectionMesh(m, 0.75)
+				playRejections(t, h, func(ctx context.Context) {
+					h.begin(ctx, t, h.boxes...)
+					from := time.Now()
+					h.play(t, 5*time.Second, h.boxes...)
+					h.assertUsed(t, from, 0.9, name)
+				})
+			})
+		})
+	}
+}
