Reservations: a request that can't use the reservation it was granted chooses anew

What callers saw: none. By reading: a request whose endpoint had begun to drain, or to rest, while it waited was granted a slot there, couldn't take it, and asked again at once, as often as calls go, until its deadline.

It now leaves the queue and chooses among the endpoints that accept work. TestRequestThatCannotUseItsReservationChoosesAnew does not compile before, and with the old outcome its calls never end.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -254,11 +254,17 @@
 			c.finishUnanswered(quarantine.Refusal())
 			return
 		}
-		if refusal := c.obtainReservation(ticket); refusal != nil {
+		isReserved, refusal := c.obtainReservation(ticket)
+		if !isReserved {
 			ticket.Done(route.OutcomeCancelled)
+		}
+		if refusal != nil {
 			c.finishUnanswered(refusal)
 			return
 		}
+		if !isReserved {
+			continue
+		}
 		if !c.obtainPermit(ticket) {
 			ticket.Done(route.OutcomeCancelled)
 			c.permitDenials++
--- a/exchange/rejection_fleet_test.go
+++ b/exchange/rejection_fleet_test.go
@@ -87,7 +87,8 @@
 			continue
 		}
 		take := func(id willowwick.EndpointID) bool { return slot.Reserve(time.Now(), id) }
-		if slot.IsUnreserved() && !box.reservations.Await(t.Context(), reservation.Request{Ask: h.ask(box, slot), Deadline: deadline, Take: take}) {
+		request := reservation.Request{Ask: h.ask(box, slot), Deadline: deadline, Take: take}
+		if slot.IsUnreserved() && box.reservations.Await(t.Context(), request) != reservation.OutcomeReserved {
 			slot.Release(time.Now(), route.OutcomeCancelled)
 			break
 		}
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -26,10 +26,10 @@
 // boxes ask the hub of their hall, which asks the granter.
 
 // obtainReservation waits until the request may be sent to the endpoint of its slot, or moves the slot to another endpoint. It
-// returns a refusal if there is no free slot in time.
-func (c *call) obtainReservation(ticket *gate.Ticket) *willowwick.Refusal {
+// returns a refusal if there is no free slot in time; false without one if the request must choose an endpoint anew.
+func (c *call) obtainReservation(ticket *gate.Ticket) (isReserved bool, refusal *willowwick.Refusal) {
 	if !ticket.IsUnreserved() {
-		return nil
+		return true, nil
 	}
 	x, now := c.router, clock.Now()
 	request := reservation.Request{
@@ -37,11 +37,14 @@
 		Deadline: earliest(c.queueUntil, c.deadline),
 		Take:     func(id willowwick.EndpointID) bool { return ticket.Reserve(clock.Now(), id) },
 	}
-	if x.reservations.Await(c.ctx, request) {
-		return nil
+	switch x.reservations.Await(c.ctx, request) {
+	case reservation.OutcomeReserved:
+		return true, nil
+	case reservation.OutcomeOutdated:
+		return false, nil
 	}
 	x.metrics.countReservationMissed()
-	return willowwick.NotRun(willowwick.CodeOverloaded, clock.Now().Add(missedRetryDelay), "all slots of the endpoints that serve %q are taken", c.service)
+	return false, willowwick.NotRun(willowwick.CodeOverloaded, clock.Now().Add(missedRetryDelay), "all slots of the endpoints that serve %q are taken", c.service)
 }
 
 // reservationChoices lists the endpoints at which the request may have its reservation.
--- a/reservation/left.go
+++ b/reservation/left.go
@@ -57,12 +57,12 @@
 		if !r.takeLeft(choice.Endpoint) {
 			continue
 		}
-		if p.settle(choice.Endpoint) {
-			return
+		if !p.settle(choice.Endpoint) {
+			r.mu.Lock()
+			r.left[choice.Endpoint]++
+			r.mu.Unlock()
 		}
-		r.mu.Lock()
-		r.left[choice.Endpoint]++
-		r.mu.Unlock()
+		return
 	}
 }
 
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -144,6 +144,30 @@
 	})
 }
 
+// Guards against a request whose endpoint has begun to drain asking for it again and again, without a pause.
+func TestRequestThatCannotUseItsReservationChoosesAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := NewReserver("box", func([]willowwick.ServiceID) []Place { return nil })
+		r.Observe(time.Now(), time.Now(), "s", named("1"))
+		var calls atomic.Int64
+		go r.Run(ctx, func(_ context.Context, call Call) (Reply, error) {
+			calls.Add(1)
+			reply := Reply{IsGranting: true}
+			for range call.Asks {
+				reply.Granted = append(reply.Granted, "drains")
+			}
+			return reply, nil
+		})
+		outcome := r.Await(ctx, Request{Deadline: time.Now().Add(time.Minute), Take: func(willowwick.EndpointID) bool { return false }})
+		assert.Equal(t, OutcomeOutdated, outcome)
+		time.Sleep(time.Second)
+		assert.LessOrEqual(t, calls.Load(), int64(3))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against delays that overflow in a fleet of any size.
 func TestRetryDelayIsBounded(t *testing.T) {
 	for _, waiting := range []int{0, 1, 295, math.MaxInt32} {
--- a/reservation/reserver.go
+++ b/reservation/reserver.go
@@ -69,17 +69,31 @@
 	// pendingAsk is a request that waits for its reservation.
 	pendingAsk struct {
 		Request
-		done chan struct{} // closed once it has its reservation
+		done chan struct{} // closed once it has its reservation, or can't use one that was granted
 
-		mu sync.Mutex // held while isOver is set, and while the request is moved
-		// isOver is set once the request has its reservation, or has stopped waiting.
+		mu      sync.Mutex // held while isOver is set, and while the request is moved
+		isMoved bool       // it has its reservation; valid once done is closed
+		// isOver is set once done is closed, or the request has stopped waiting.
 		isOver atomic.Bool
 	}
 
+	// Outcome is how the wait for a reservation ended.
+	Outcome int
+
 	// CallFunc calls the box that grants.
 	CallFunc func(ctx context.Context, call Call) (Reply, error)
 )
 
+// Outcomes of the wait for a reservation.
+const (
+	// OutcomeReserved: the request has its reservation.
+	OutcomeReserved Outcome = iota
+	// OutcomeMissed: it had none at its deadline, or its turn would have come later.
+	OutcomeMissed
+	// OutcomeOutdated: its endpoint accepts no work any more, so it must choose anew.
+	OutcomeOutdated
+)
+
 // NewReserver returns a Reserver for a box; places tells all that the box has at the endpoints of some services, without the
 // requests that ask.
 func NewReserver(box willowwick.BoxID, places func([]willowwick.ServiceID) []Place) *Reserver {
@@ -130,47 +144,59 @@
 	}
 }
 
-// Await waits until the request has a reservation and was moved to the endpoint; false if it has none at its deadline, or when the
-// context ends. It returns false at once if those that wait already will take until the deadline.
-func (r *Reserver) Await(ctx context.Context, request Request) bool {
+// Await waits until the request has a reservation and was moved to the endpoint, until its deadline or the end of the context. It
+// returns OutcomeMissed at once if those that wait already will take until the deadline.
+func (r *Reserver) Await(ctx context.Context, request Request) Outcome {
 	r.pending.Add(1)
 	defer r.pending.Add(-1)
 	p := &pendingAsk{Request: request, done: make(chan struct{})}
 	if !r.enqueue(p, clock.Now()) {
-		return false
+		return OutcomeMissed
 	}
 	r.signal()
 	timer := time.NewTimer(clock.Until(request.Deadline))
 	defer timer.Stop()
 	select {
 	case <-p.done:
-		return true
+		return p.outcome()
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	r.mu.Lock()
 	r.asks = slices.DeleteFunc(r.asks, func(other *pendingAsk) bool { return other == p })
 	r.mu.Unlock()
-	return !p.abandon()
+	if p.abandon() {
+		return OutcomeMissed
+	}
+	return p.outcome()
+}
+
+// outcome returns how the wait ended, once done is closed.
+func (p *pendingAsk) outcome() Outcome {
+	if p.isMoved {
+		return OutcomeReserved
+	}
+	return OutcomeOutdated
 }
 
-// abandon ends the wait, and returns false if the request has its reservation.
+// abandon ends the wait, and returns false if it has ended before.
 func (p *pendingAsk) abandon() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.isOver.CompareAndSwap(false, true)
 }
 
-// settle gives the request its reservation, and reports whether it took it.
+// settle ends the wait with a reservation, and reports whether the request took it.
 func (p *pendingAsk) settle(id willowwick.EndpointID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isOver.Load() || !p.Take(id) {
+	if p.isOver.Load() {
 		return false
 	}
+	p.isMoved = p.Take(id)
 	p.isOver.Store(true)
 	close(p.done)
-	return true
+	return p.isMoved
 }
 
 // Run asks for reservations until the context ends.
