Exchange: calls for permits and for reservations reach the granter by one function

The same steps stood three times: grant if this box is the granter, refuse a call that was passed on, else ask the next box. Behaviour is as it was; the error of a box that doesn't grant names neither of the two any more.

--- a/exchange/permits.go
+++ b/exchange/permits.go
@@ -77,21 +77,27 @@
 
 // Permit answers a box that asks for permits, forwarding the call if another box is the granter. The asking box itself
 // decides how long it waits.
-func (s *rpcServer) Permit(call *ratelimit.Call, reply *ratelimit.Reply) error {
-	p, now := s.peers, clock.Now()
+func (s *rpcServer) Permit(call *ratelimit.Call, reply *ratelimit.Reply) (err error) {
+	forwarded := *call
+	forwarded.IsPassedOn = true
+	grant := func(now time.Time) ratelimit.Reply { return s.peers.grant(*call, now) }
+	ask := func(address string) (ratelimit.Reply, error) { return s.peers.askGranter(address, &forwarded) }
+	*reply, err = grantOrAsk(s.peers, call.IsPassedOn, grant, ask)
+	return err
+}
+
+// grantOrAsk returns what this box grants if it is the granter, and otherwise what the box that it asks replies. A call that
+// was passed on is not passed on again.
+func grantOrAsk[R any](p *peers, isPassedOn bool, grant func(now time.Time) R, ask func(address string) (R, error)) (R, error) {
+	now := clock.Now()
 	address := p.granterFor(now)
 	if address == p.self().Address {
-		*reply = p.grant(*call, now)
-		return nil
+		return grant(now), nil
 	}
-	if call.IsPassedOn {
-		return errors.New("this box does not grant permits")
+	if isPassedOn {
+		return *new(R), errors.New("this box is not the granter")
 	}
-	forwarded := *call
-	forwarded.IsPassedOn = true
-	var err error
-	*reply, err = p.askGranter(address, &forwarded)
-	return err
+	return ask(address)
 }
 
 // grant answers a call as the granter.
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/fleet"
@@ -94,12 +93,9 @@
 
 // requestReservations asks the granter for reservations.
 func (p *peers) requestReservations(ctx context.Context, call reservation.Call) (reservation.Reply, error) {
-	now := clock.Now()
-	address := p.granterFor(now)
-	if address == p.self().Address {
-		return p.grantReservations(&call, now), nil
-	}
-	return p.askForReservations(ctx, address, &call)
+	grant := func(now time.Time) reservation.Reply { return p.grantReservations(&call, now) }
+	ask := func(address string) (reservation.Reply, error) { return p.askForReservations(ctx, address, &call) }
+	return grantOrAsk(p, call.IsPassedOn, grant, ask)
 }
 
 // callReserve calls the box at an address over its connection.
@@ -110,20 +106,14 @@
 }
 
 // Reserve answers a box that asks for reservations, forwarding the call if another box is the granter.
-func (s *rpcServer) Reserve(call *reservation.Call, reply *reservation.Reply) error {
-	p, now := s.peers, clock.Now()
-	address := p.granterFor(now)
-	if address == p.self().Address {
-		*reply = p.grantReservations(call, now)
-		return nil
-	}
-	if call.IsPassedOn {
-		return errors.New("this box does not grant reservations")
-	}
+func (s *rpcServer) Reserve(call *reservation.Call, reply *reservation.Reply) (err error) {
 	forwarded := *call
 	forwarded.IsPassedOn = true
-	var err error
-	*reply, err = p.askForReservations(context.Background(), address, &forwarded)
+	grant := func(now time.Time) reservation.Reply { return s.peers.grantReservations(call, now) }
+	ask := func(address string) (reservation.Reply, error) {
+		return s.peers.askForReservations(context.Background(), address, &forwarded)
+	}
+	*reply, err = grantOrAsk(s.peers, call.IsPassedOn, grant, ask)
 	return err
 }
 
