--- a/ratelimit/peers.go
+++ b/ratelimit/peers.go
@@ -51,21 +51,21 @@
 	delete(p.sums, address)
 }
 
-// callResult is the outcome of a call.
-type callResult[R any] struct {
-	reply R
+// callResult is the outcome of a call for permits.
+type callResult struct {
+	reply Reply
 	err   error
 }
 
-// AskWithin waits for the reply to a call to another box, until the limit has passed or the context has ended. The call goes
+// AskWithin waits for the reply to a call for permits, until the limit has passed or the context has ended. The call goes
 // on nevertheless, since cancelling it would close a connection that other calls share; late gets its reply then.
-func AskWithin[R any](ctx context.Context, limit time.Duration, ask func() (R, error), late func(R)) (R, error) {
-	results, left := make(chan callResult[R]), make(chan struct{})
+func AskWithin(ctx context.Context, limit time.Duration, ask func() (Reply, error), late func(Reply)) (Reply, error) {
+	results, left := make(chan callResult), make(chan struct{})
 	defer close(left)
 	go func() {
 		reply, err := ask()
 		select {
-		case results <- callResult[R]{reply, err}:
+		case results <- callResult{reply, err}:
 		case <-left:
 			if err == nil {
 				late(reply)
@@ -78,8 +78,8 @@
 	case result := <-results:
 		return result.reply, result.err
 	case <-timer.C:
-		return *new(R), errors.New("no reply to the call in time")
+		return Reply{}, errors.New("no reply to the call for a permit in time")
 	case <-ctx.Done():
-		return *new(R), errors.Wrap(ctx.Err(), "call another box")
+		return Reply{}, errors.Wrap(ctx.Err(), "ask for a permit")
 	}
 }
