--- a/exchange/call.go
+++ b/exchange/call.go
@@ -254,17 +254,14 @@
 			c.finishUnanswered(quarantine.Refusal())
 			return
 		}
-		isReserved, refusal := c.obtainReservation(ticket)
-		if !isReserved {
+		if isReserved, refusal := c.obtainReservation(ticket); !isReserved {
 			ticket.Done(route.OutcomeCancelled)
-		}
-		if refusal != nil {
+			if refusal == nil {
+				continue
+			}
 			c.finishUnanswered(refusal)
 			return
 		}
-		if !isReserved {
-			continue
-		}
 		if !c.obtainPermit(ticket) {
 			ticket.Done(route.OutcomeCancelled)
 			c.permitDenials++
--- a/notice.go
+++ b/notice.go
@@ -36,9 +36,9 @@
 // Read reads the notice from an answer that arrived at the given time.
 func (n NoticeHeaders) Read(status int, header http.Header, now time.Time) Notice {
 	draining := strings.TrimSpace(header.Get(n.Draining))
-	notice := Notice{Draining: draining != "" && draining != "0", RateLimit: ParseRateLimit(header.Get(n.RateLimit))}
-	if n.RejectionLimit != "" {
-		notice.RejectionLimit = ParseRateLimit(header.Get(n.RejectionLimit))
+	notice := Notice{
+		Draining: draining != "" && draining != "0", RateLimit: ParseRateLimit(header.Get(n.RateLimit)),
+		RejectionLimit: ParseRateLimit(header.Get(n.RejectionLimit)),
 	}
 	if status == http.StatusServiceUnavailable {
 		notice.BackoffUntil = ParseRetryAfter(header.Get(n.RetryAfter), now, clock.TimeOfDay())
