Reservations: what a box has, and where a request may go, are one type each

The pool's Occupancy and Alternative were copied field by field into Place and Choice of package reservation. Both are value types of the root package now, and the copying is gone.

--- a/exchange/rejection_fleet_test.go
+++ b/exchange/rejection_fleet_test.go
@@ -101,10 +101,10 @@
 }
 
 func (h *rejectionMesh) ask(box *meshBox, slot *route.Slot) reservation.Ask {
-	ask := reservation.Ask{}
 	anywhere := func(willowwick.Endpoint) bool { return true }
-	for _, each := range box.pool.Alternatives(time.Now(), slot, maxReservationChoices, nil, anywhere) {
-		ask.Choices = append(ask.Choices, reservation.Choice{Endpoint: each.Endpoint.ID, Slots: meshSlots, IsProven: true})
+	ask := reservation.Ask{Choices: box.pool.Alternatives(time.Now(), slot, maxReservationChoices, nil, anywhere)}
+	for i := range ask.Choices {
+		ask.Choices[i].Slots, ask.Choices[i].HasAnswered = meshSlots, true
 	}
 	return ask
 }
--- a/exchange/reservations.go
+++ b/exchange/reservations.go
@@ -47,15 +47,10 @@
 }
 
 // reservationChoices lists the endpoints at which the request may have its reservation.
-func (c *call) reservationChoices(now time.Time, ticket *gate.Ticket) []reservation.Choice {
+func (c *call) reservationChoices(now time.Time, ticket *gate.Ticket) []willowwick.Alternative {
 	allow := c.allowedEndpoints()
 	isAllowed := func(endpoint willowwick.Endpoint) bool { return allow(endpoint) && !c.router.isLimited(now, endpoint) }
-	alternatives := c.router.pool.Alternatives(now, ticket.Slot, maxReservationChoices, c.triedEndpoints, isAllowed)
-	choices := make([]reservation.Choice, len(alternatives))
-	for i, each := range alternatives {
-		choices[i] = reservation.Choice{Endpoint: each.Endpoint.ID, Slots: each.Slots, IsProven: each.HasAnswered}
-	}
-	return choices
+	return c.router.pool.Alternatives(now, ticket.Slot, maxReservationChoices, c.triedEndpoints, isAllowed)
 }
 
 // noteRejection records that an endpoint rejected the request for want of room although it had a reservation.
@@ -76,14 +71,9 @@
 	}
 }
 
-// occupiedPlaces lists what this box has at the endpoints of some services.
-func (x *Router) occupiedPlaces(services []willowwick.ServiceID) []reservation.Place {
-	occupied := x.pool.Occupied(clock.Now(), services)
-	places := make([]reservation.Place, len(occupied))
-	for i, each := range occupied {
-		places[i] = reservation.Place{Endpoint: each.Endpoint, Requests: each.Requests}
-	}
-	return places
+// occupied lists what this box has at the endpoints of some services.
+func (x *Router) occupied(services []willowwick.ServiceID) []willowwick.Occupancy {
+	return x.pool.Occupied(clock.Now(), services)
 }
 
 // reserve asks for reservations until the context ends.
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -136,7 +136,7 @@
 		callersLink:  wire.NewLinkLimit(settings.LinkMbps),
 		retryBudgets: map[willowwick.ServiceID]*route.WindowedRetryBudget{},
 	}
-	x.reservations = reservation.NewReserver(settings.Box, x.occupiedPlaces)
+	x.reservations = reservation.NewReserver(settings.Box, x.occupied)
 	x.pool = route.NewPoolWith(route.NewHallFirst(settings.topology(), settings.Seed), route.PoolOptions{
 		StartLimit: initialEndpointLimit, LoadMaxAge: loadReportMaxAge, FallBackToEjected: true, SilentAfter: quietAfter, QueueShare: endpointQueueShare,
 		Limits: limits, Reservations: x.reservations,
--- a/reservation/calls.go
+++ b/reservation/calls.go
@@ -3,29 +3,16 @@
 import "github.com/willowwick/willowwick"
 
 type (
-	// Place is a number of requests of one box at an endpoint.
-	Place struct {
-		Endpoint willowwick.EndpointID
-		Requests int
-	}
-
-	// Choice is an endpoint that a request may be sent to.
-	Choice struct {
-		Endpoint willowwick.EndpointID
-		Slots    int  // requests that it runs at once; 0 if unknown
-		IsProven bool // it has answered a request
-	}
-
 	// Ask is a request that waits for a reservation at one of some endpoints, the preferred one first.
 	Ask struct {
-		Choices []Choice
+		Choices []willowwick.Alternative
 	}
 
 	// Call tells the granting box all that a box has at endpoints that need reservations, and asks for more.
 	Call struct {
 		Box      willowwick.BoxID
 		SentAt   int64 // the box's time of day in microseconds; of two calls, the later one counts
-		Places   []Place
+		Places   []willowwick.Occupancy
 		Rejected []willowwick.EndpointID // those that have rejected a request since the last call
 		Asks     []Ask
 		// IsPassedOn is set if the call is forwarded by a box other than Box.
--- a/reservation/granter.go
+++ b/reservation/granter.go
@@ -141,7 +141,7 @@
 			if choice.Slots > 0 {
 				e.slots = choice.Slots
 			}
-			e.isProven = e.isProven || choice.IsProven
+			e.isProven = e.isProven || choice.HasAnswered
 		}
 	}
 	return h
--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -55,7 +55,7 @@
 	return g
 }
 
-func callOf(box willowwick.BoxID, at int64, places []Place, choices ...Choice) Call {
+func callOf(box willowwick.BoxID, at int64, places []willowwick.Occupancy, choices ...willowwick.Alternative) Call {
 	return Call{Box: box, SentAt: at, Places: places, Asks: []Ask{{choices}}}
 }
 
@@ -63,7 +63,7 @@
 func TestGranterHandsOutEachSlotOnce(t *testing.T) {
 	now := time.Now()
 	g := grantingSince(now)
-	choice := Choice{Endpoint: "e", Slots: 2, IsProven: true}
+	choice := willowwick.Alternative{Endpoint: "e", Slots: 2, HasAnswered: true}
 	granted := func(call Call, at time.Time) int {
 		count := 0
 		for _, id := range g.Answer(call, Share{}, at).Granted {
@@ -77,19 +77,19 @@
 	require.Equal(t, 1, granted(callOf("b", 1, nil, choice), now))
 	require.Zero(t, granted(callOf("c", 1, nil, choice), now), "both slots are taken")
 	require.Zero(t, granted(callOf("a", 0, nil, choice), now), "a call that another has overtaken")
-	require.Equal(t, 1, granted(callOf("c", 2, []Place{}, choice), now.Add(holderTTL+1)), "boxes that are silent for long have nothing")
+	require.Equal(t, 1, granted(callOf("c", 2, []willowwick.Occupancy{}, choice), now.Add(holderTTL+1)), "boxes that are silent for long have nothing")
 	require.Equal(t, 1, granted(callOf("d", 1, nil, choice), now.Add(holderTTL+1)))
-	require.Zero(t, granted(callOf("a", 2, []Place{{"e", 1}}, choice), now.Add(holderTTL+2)))
+	require.Zero(t, granted(callOf("a", 2, []willowwick.Occupancy{{Endpoint: "e", Requests: 1}}, choice), now.Add(holderTTL+2)))
 }
 
 // Guards against a rush to an endpoint that has just started, and to one that has less room than is known.
 func TestGranterIsCarefulWithNewAndFullEndpoints(t *testing.T) {
 	now := time.Now()
 	g := grantingSince(now)
-	fresh := Choice{Endpoint: "fresh", Slots: 4}
-	full := Choice{Endpoint: "full", Slots: 4, IsProven: true}
-	assert.Equal(t, []willowwick.EndpointID{"fresh", ""}, g.Answer(Call{Box: "a", Asks: []Ask{{[]Choice{fresh}}, {[]Choice{fresh}}}}, Share{}, now).Granted)
-	asks := []Ask{{[]Choice{full}}, {[]Choice{full}}, {[]Choice{full}}, {[]Choice{full}}}
+	fresh := willowwick.Alternative{Endpoint: "fresh", Slots: 4}
+	full := willowwick.Alternative{Endpoint: "full", Slots: 4, HasAnswered: true}
+	assert.Equal(t, []willowwick.EndpointID{"fresh", ""}, g.Answer(Call{Box: "a", Asks: []Ask{{[]willowwick.Alternative{fresh}}, {[]willowwick.Alternative{fresh}}}}, Share{}, now).Granted)
+	asks := []Ask{{[]willowwick.Alternative{full}}, {[]willowwick.Alternative{full}}, {[]willowwick.Alternative{full}}, {[]willowwick.Alternative{full}}}
 	rejected := Call{Box: "b", Rejected: []willowwick.EndpointID{"full"}, Asks: asks}
 	assert.Equal(t, make([]willowwick.EndpointID, 4), g.Answer(rejected, Share{}, now).Granted)
 	now = now.Add(rejectionPause)
@@ -114,7 +114,7 @@
 func TestUrgentRequestsHaveTheirReservationsFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		r := NewReserver("box", func([]willowwick.ServiceID) []Place { return nil })
+		r := NewReserver("box", func([]willowwick.ServiceID) []willowwick.Occupancy { return nil })
 		r.Observe(time.Now(), time.Now(), "s", named("1"))
 		var order []int
 		free := atomic.Int64{}
@@ -148,7 +148,7 @@
 func TestRequestThatCannotUseItsReservationChoosesAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		r := NewReserver("box", func([]willowwick.ServiceID) []Place { return nil })
+		r := NewReserver("box", func([]willowwick.ServiceID) []willowwick.Occupancy { return nil })
 		r.Observe(time.Now(), time.Now(), "s", named("1"))
 		var calls atomic.Int64
 		go r.Run(ctx, func(_ context.Context, call Call) (Reply, error) {
--- a/reservation/reserver.go
+++ b/reservation/reserver.go
@@ -35,7 +35,7 @@
 		*Ledger
 		box willowwick.BoxID
 		// places tells all that the box has at the endpoints of some services, without the requests that ask.
-		places  func(services []willowwick.ServiceID) []Place
+		places  func(services []willowwick.ServiceID) []willowwick.Occupancy
 		wake    chan struct{}
 		pending atomic.Int64
 
@@ -96,7 +96,7 @@
 
 // NewReserver returns a Reserver for a box; places tells all that the box has at the endpoints of some services, without the
 // requests that ask.
-func NewReserver(box willowwick.BoxID, places func([]willowwick.ServiceID) []Place) *Reserver {
+func NewReserver(box willowwick.BoxID, places func([]willowwick.ServiceID) []willowwick.Occupancy) *Reserver {
 	return &Reserver{
 		Ledger: NewLedger(), box: box, places: places, wake: make(chan struct{}, 1),
 		left: map[willowwick.EndpointID]int{}, telling: map[willowwick.EndpointID]int{},
@@ -293,7 +293,7 @@
 	if r.mayKeep(now) {
 		maps.DeleteFunc(r.left, func(_ willowwick.EndpointID, requests int) bool { return requests == 0 })
 		for id, requests := range r.left {
-			places = append(places, Place{id, requests})
+			places = append(places, willowwick.Occupancy{Endpoint: id, Requests: requests})
 		}
 	} else {
 		r.telling, r.left = r.left, map[willowwick.EndpointID]int{}
--- a/reserver.go
+++ b/reserver.go
@@ -2,6 +2,21 @@
 
 import "time"
 
+type (
+	// Occupancy is a number of a box's requests at an endpoint.
+	Occupancy struct {
+		Endpoint EndpointID
+		Requests int
+	}
+
+	// Alternative is an endpoint that a request may be sent to.
+	Alternative struct {
+		Endpoint    EndpointID
+		Slots       int  // requests that it runs at once, by its last report or its entry; 0 if unknown
+		HasAnswered bool // the box has had an answer of it
+	}
+)
+
 // Reserver says which endpoints may be sent requests with a reservation only: the right to occupy one of their slots, which all
 // boxes share.
 type Reserver interface {
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -11,23 +11,8 @@
 // lingerTime is how long a request that was broken off still counts as one at its endpoint, which goes on until it notices.
 const lingerTime = 500 * time.Millisecond
 
-type (
-	// Occupancy is a number of this box's requests at an endpoint.
-	Occupancy struct {
-		Endpoint willowwick.EndpointID
-		Requests int
-	}
-
-	// Alternative is an endpoint that a request may be sent to.
-	Alternative struct {
-		Endpoint    willowwick.Endpoint
-		Slots       int  // requests that it runs at once, by its last report or its entry; 0 if unknown
-		HasAnswered bool // this box has had an answer of it
-	}
-
-	// unreserved implements willowwick.Reserver for endpoints that need no reservations.
-	unreserved struct{}
-)
+// unreserved implements willowwick.Reserver for endpoints that need no reservations.
+type unreserved struct{}
 
 func (unreserved) IsRequired(time.Time, willowwick.ServiceID) bool { return false }
 
@@ -104,7 +89,7 @@
 }
 
 // Occupied lists what this box has at the endpoints of some services, listed or not, without requests that wait for reservations.
-func (p *Pool) Occupied(now time.Time, services []willowwick.ServiceID) []Occupancy {
+func (p *Pool) Occupied(now time.Time, services []willowwick.ServiceID) []willowwick.Occupancy {
 	if len(services) == 0 {
 		return nil
 	}
@@ -114,15 +99,15 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []Occupancy
+	var list []willowwick.Occupancy
 	for m := range p.occupied {
 		if requests := m.inFlight - m.unreserved; requests > 0 && isCounted[m.endpoint.Service] {
-			list = append(list, Occupancy{m.endpoint.ID, requests})
+			list = append(list, willowwick.Occupancy{Endpoint: m.endpoint.ID, Requests: requests})
 		}
 	}
 	for m := range p.lingering {
 		if requests := p.countLingering(now, m); requests > 0 && isCounted[m.endpoint.Service] {
-			list = append(list, Occupancy{m.endpoint.ID, requests})
+			list = append(list, willowwick.Occupancy{Endpoint: m.endpoint.ID, Requests: requests})
 		}
 	}
 	return list
@@ -130,10 +115,10 @@
 
 // Alternatives lists endpoints that the slot's request may use: that of the slot, then others of the service that are open to it, at
 // most a number of them, at random.
-func (p *Pool) Alternatives(now time.Time, slot *Slot, most int, exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool) []Alternative {
+func (p *Pool) Alternatives(now time.Time, slot *Slot, most int, exclude map[willowwick.EndpointID]bool, allow func(willowwick.Endpoint) bool) []willowwick.Alternative {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := []Alternative{slot.member.alternative(now, p.options)}
+	list := []willowwick.Alternative{slot.member.alternative(now, p.options)}
 	set := p.candidates[workKey{service: slot.Endpoint.Service}]
 	if set == nil {
 		return list
@@ -152,10 +137,10 @@
 	return list
 }
 
-func (m *member) alternative(now time.Time, options PoolOptions) Alternative {
+func (m *member) alternative(now time.Time, options PoolOptions) willowwick.Alternative {
 	slots := m.knownLoad(now, options).Slots
 	if slots == 0 {
 		slots = m.endpoint.Slots
 	}
-	return Alternative{m.endpoint, slots, m.hasAnswered || !m.load.At.IsZero()}
+	return willowwick.Alternative{Endpoint: m.endpoint.ID, Slots: slots, HasAnswered: m.hasAnswered || !m.load.At.IsZero()}
 }
