--- a/exchange/rejection_fleet_test.go
+++ b/exchange/rejection_fleet_test.go
@@ -46,8 +46,8 @@
 // startReserving lets a box ask for reservations until the context ends.
 func (h *rejectionMesh) startReserving(ctx context.Context, box *meshBox) {
 	box.peers.askForReservations = func(_ context.Context, address string, call *reservation.Call) (reply reservation.Reply, err error) {
-		other := h.byAddress[address]
-		if box.down || other == nil || other.down || h.isCutBetween(box.Router, other.Router) {
+		other := h.reach(box, address)
+		if other == nil {
 			return reply, errDown
 		}
 		err = (&rpcServer{peers: other.peers}).Reserve(call, &reply)
@@ -56,6 +56,24 @@
 	h.callers.Go(func() { box.peers.reserve(ctx) })
 }
 
+// reach returns the box that another one calls at an address; nil if no call arrives.
+func (h *rejectionMesh) reach(from *meshBox, address string) *meshBox {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	to := h.byAddress[address]
+	if from.down || to == nil || to.down || h.isCutBetween(from.Router, to.Router) {
+		return nil
+	}
+	return to
+}
+
+// change starts or ends boxes or connections, of which calls under way learn by reach.
+func (h *rejectionMesh) change(apply func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	apply()
+}
+
 // capacity is the number of requests that all endpoints can serve in a second.
 func (h *rejectionMesh) capacity() float64 {
 	return float64(len(h.store.entries)*meshSlots) / meshRunTime.Seconds()
@@ -234,9 +252,9 @@
 				h.begin(ctx, t, h.boxes...)
 				from := time.Now()
 				for i := range boxes {
-					h.boxes[i].down = true
+					h.change(func() { h.boxes[i].down = true })
 					h.play(t, time.Duration(h.random.IntN(2000))*time.Millisecond, h.boxes...)
-					h.start(i, halls)
+					h.change(func() { h.start(i, halls) })
 					h.startReserving(ctx, h.boxes[i])
 					h.play(t, 2*time.Second, h.boxes...)
 				}
@@ -255,9 +273,9 @@
 			playRejections(t, h, func(ctx context.Context) {
 				h.begin(ctx, t, h.boxes...)
 				from := time.Now()
-				h.isCut = true
+				h.change(func() { h.isCut = true })
 				h.play(t, time.Duration(3+3*seed)*time.Second, h.boxes...)
-				h.isCut = false
+				h.change(func() { h.isCut = false })
 				h.play(t, 5*time.Second, h.boxes...)
 				h.assertUsed(t, from, 0.75, fmt.Sprint("cut, seed ", seed))
 			})
