--- a/exchange/regions_test.go
+++ b/exchange/regions_test.go
@@ -128,13 +128,13 @@
 	s := startSite(t, control, regionSettings())
 	replies := make(chan siteReply, 1)
 	go func() { replies <- s.do(t, http.MethodPost, "/stream/", "id", "x") }()
-	require.Eventually(t, func() bool { return len(north.requests()) == 1 }, waitTimeout, time.Millisecond)
+	await(t, func() bool { return len(north.requests()) == 1 }, waitTimeout, time.Millisecond)
 	control.change(func() {
 		control.table = testTable(2, inRegions(patient, "south"))
 		control.endpoints["r2"], control.endpoints["r3"] = southern(south), otherNorth.endpoint("v1")
 	})
 	x := s.daemon.router
-	require.Eventually(t, func() bool { return x.configVersion() == 2 && len(x.pool.Endpoints()) == 3 }, waitTimeout, time.Millisecond)
+	await(t, func() bool { return x.configVersion() == 2 && len(x.pool.Endpoints()) == 3 }, waitTimeout, time.Millisecond)
 	close(isInForce)
 	assert.Equal(t, events(9), (<-replies).body)
 	assert.Len(t, south.requests(), 1)
--- a/exchange/stale_test.go
+++ b/exchange/stale_test.go
@@ -64,12 +64,12 @@
 			r := newRunner(t, "r1", answerText("ok"))
 			control := newLosingControl(r.endpoint("v1"))
 			s := startSite(t, control, testSettings())
-			require.Eventually(t, func() bool { return control.waitingReads.Load() > 0 }, waitTimeout, time.Millisecond)
+			await(t, func() bool { return control.waitingReads.Load() > 0 }, waitTimeout, time.Millisecond)
 			control.setAway(true)
 			time.Sleep(away * time.Millisecond)
 			control.setAway(false)
 			control.change(func() { control.table = testTable(2, retryRoute()) })
-			require.Eventually(t, func() bool { return s.daemon.router.configVersion() == 2 }, inForceWithin, 5*time.Millisecond)
+			await(t, func() bool { return s.daemon.router.configVersion() == 2 }, inForceWithin, 5*time.Millisecond)
 		})
 	}
 }
@@ -82,7 +82,7 @@
 	s := startSite(t, control, testSettings())
 	<-control.lost
 	control.change(func() { control.table = testTable(2, retryRoute()) })
-	require.Eventually(t, func() bool { return s.daemon.router.configVersion() == 2 }, inForceWithin, 5*time.Millisecond)
+	await(t, func() bool { return s.daemon.router.configVersion() == 2 }, inForceWithin, 5*time.Millisecond)
 	assert.False(t, s.daemon.router.sync.hasFailingRead())
 }
 
