--- a/reservation/bench_test.go
+++ b/reservation/bench_test.go
@@ -21,8 +21,8 @@
 )
 
 // benchCall is a call of one of some boxes, which has requests at some endpoints and asks for one more.
-func benchCall(box, round int) Call {
-	call := Call{Box: willowwick.BoxID(fmt.Sprint("box-", box)), SentAt: int64(round), Asks: []Ask{{}}}
+func benchCall(box int) Call {
+	call := Call{Box: willowwick.BoxID(fmt.Sprint("box-", box)), Asks: []Ask{{}}}
 	endpointAt := func(i int) willowwick.EndpointID {
 		return willowwick.EndpointID(fmt.Sprintf("i-%010x", (box*benchChoices+i)%benchEndpoints))
 	}
@@ -44,7 +44,7 @@
 			g := grantingSince(now)
 			calls := make([]Call, boxes)
 			for box := range calls {
-				calls[box] = benchCall(box, 0)
+				calls[box] = benchCall(box)
 				g.Answer(calls[box], Share{}, now)
 			}
 			round := 0
