Test: recent rejections are counted in one place

The plays in daemons and those of a fleet counted the rejections of the last second by the same loop. Checks, windows and bounds are as they were.

--- a/exchange/rejection_fleet_test.go
+++ b/exchange/rejection_fleet_test.go
@@ -154,14 +154,9 @@
 		h.running[id]++
 		return true
 	}
-	now, recent := time.Now(), 0
+	now := time.Now()
 	h.rejected[id] = append(h.rejected[id], now)
-	for _, at := range h.rejected[id] {
-		if now.Sub(at) < rejectionWindow {
-			recent++
-		}
-	}
-	if h.limit.IsSet && float64(recent) > float64(h.limit.Rate) {
+	if h.limit.IsSet && float64(countRecent(h.rejected[id], now)) > float64(h.limit.Rate) {
 		h.crashes++
 		delete(h.rejected, id)
 	}
--- a/exchange/rejection_test.go
+++ b/exchange/rejection_test.go
@@ -174,13 +174,7 @@
 	now := time.Now()
 	h.rejected = append(h.rejected, now)
 	r.rejected = append(r.rejected, now)
-	recent := 0
-	for _, at := range r.rejected {
-		if now.Sub(at) < rejectionWindow {
-			recent++
-		}
-	}
-	if h.isBetween(shrunkFrom) && recent > h.options.limit && !r.crashed {
+	if h.isBetween(shrunkFrom) && countRecent(r.rejected, now) > h.options.limit && !r.crashed {
 		r.crashed = true
 		h.crashes = append(h.crashes, now)
 		go r.crashAndReturn(t)
@@ -188,6 +182,17 @@
 	return false
 }
 
+// countRecent counts the rejections in the last rejectionWindow before a time.
+func countRecent(rejected []time.Time, now time.Time) int {
+	recent := 0
+	for _, at := range rejected {
+		if now.Sub(at) < rejectionWindow {
+			recent++
+		}
+	}
+	return recent
+}
+
 // crashAny crashes an endpoint for a reason of its own.
 func (h *crowdedService) crashAny(t *testing.T) {
 	h.mu.Lock()
