--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -16,6 +16,7 @@
 	retriesDenied *metrics.Counter
 	hintsDropped  *metrics.Counter
 	hintsSent     *metrics.Counter
+	firstArrivals *metrics.Histogram // seconds from the acceptance of a connection until its first request was read
 	distances     distanceMetrics
 }
 
@@ -26,6 +27,7 @@
 		retriesDenied: set.NewCounter("willowwick_repeats_denied_total"),
 		hintsDropped:  set.NewCounter("willowwick_hints_dropped_total"),
 		hintsSent:     set.NewCounter("willowwick_hint_datagrams_total"),
+		firstArrivals: set.NewHistogram("willowwick_first_request_arrival_seconds"),
 		distances:     newDistanceMetrics(set, x.topology),
 	}
 	set.NewGauge("willowwick_requests_in_flight", func() float64 { return float64(x.inFlight.Load()) })
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -57,6 +57,7 @@
 		use         atomic.Int32 // a connUse
 		hasRequests atomic.Bool  // a request has begun on it
 		acceptedAt  time.Time
+		hasArrived  atomic.Bool  // its first request was read
 		idleSince   atomic.Int64 // nanoseconds since 1970
 		linkUse     linkUse
 	}
@@ -123,6 +124,16 @@
 	return conn, ok
 }
 
+// FirstArrival returns how long ago the request's connection was accepted, if it is the first request that was read from it.
+func FirstArrival(r *http.Request, now time.Time) (took time.Duration, isFirst bool) {
+	conn, _ := CallerConn(r)
+	c, ok := trackedConn(conn)
+	if !ok || !c.hasArrived.CompareAndSwap(false, true) {
+		return 0, false
+	}
+	return now.Sub(c.acceptedAt), true
+}
+
 // AbortAnswer ends a handler whose answer can't be finished, so that the caller sees that it is incomplete.
 //
 // To a caller without chunks, the orderly end of its connection is the end of the answer: its connection is reset.
