A box refuses connections that it can't serve, by what arrives in time

Cause: what it read was decided by a count that forgot all use beyond half a second, and what it didn't read was closed after the link had carried its first segments.

--- a/cmd/willowwickd/node.go
+++ b/cmd/willowwickd/node.go
@@ -18,6 +18,7 @@
 	"github.com/willowwick/willowwick/platform"
 	"github.com/willowwick/willowwick/platform/api"
 	"github.com/willowwick/willowwick/route"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -59,7 +60,11 @@
 // buildNode opens the listeners and creates the daemon and its clients. The returned function closes the daemon and the
 // clients.
 func buildNode(o *options, settings platform.Settings, set *metrics.Set) (*exchange.Daemon, func(), error) {
-	listeners, err := listenAll(settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress, settings.PassedOnAddress)
+	callers, err := wire.Listen(settings.CallerAddress)
+	if err != nil {
+		return nil, nil, err
+	}
+	listeners, err := listenAll(settings.ReadinessAddress, settings.PeerAddress, settings.MetricsAddress, settings.PassedOnAddress)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -71,7 +76,7 @@
 	closeAPI := func() {}
 	deps := exchange.Dependencies{
 		Control: control, Codec: platform.Codec{}, Counters: set, Reports: api.NewReports(),
-		Callers: listeners[0], Ready: listeners[1], Peers: listeners[2], Metrics: listeners[3], Hints: hints, PassedOn: listeners[4],
+		Callers: callers, Ready: listeners[0], Peers: listeners[1], Metrics: listeners[2], Hints: hints, PassedOn: listeners[3],
 	}
 	if len(settings.Duties.Assigned) > 0 {
 		deps.DutyLog = control.DutyLog()
--- a/exchange/call.go
+++ b/exchange/call.go
@@ -124,7 +124,6 @@
 	if refusal := c.readBody(r); refusal != nil {
 		return nil, x.unlessStale(refusal, t, arrived)
 	}
-	x.noteArrival(r)
 	c.prepare()
 	c.yieldsToUrgent = x.shortages.mustYield(c.queueName(), requestPriority(c.route, c.account), arrived)
 	if refusal := c.refusePoison(arrived); refusal != nil {
@@ -133,13 +132,6 @@
 	return c, nil
 }
 
-// noteArrival records how long a request took to arrive on a new connection.
-func (x *Router) noteArrival(r *http.Request) {
-	if took, isFirst := wire.FirstArrival(r, clock.Now()); isFirst {
-		x.metrics.firstArrivals.Update(took.Seconds())
-	}
-}
-
 // resolveRoute looks up the request's route and client account in the configuration.
 func (c *call) resolveRoute(path string) *willowwick.Refusal {
 	if c.route = c.table.findRoute(c.message.Host, path); c.route == nil {
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -103,7 +103,7 @@
 
 		departures *departures
 
-		callersLink *wire.LinkLimit // nil if the bandwidth of the link is unknown
+		callers *wire.CallerListener // nil until the daemon that the router belongs to has one
 
 		evacuations *evacuations
 		admissions  *admissions
@@ -133,7 +133,6 @@
 	x := &Router{
 		settings: settings, topology: settings.topology(), codec: codec, gate: gate.New(), warm: make(chan struct{}),
 		poison: quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
-		callersLink:  wire.NewLinkLimit(settings.LinkMbps),
 		retryBudgets: map[willowwick.ServiceID]*route.WindowedRetryBudget{},
 	}
 	x.reservations = reservation.NewReserver(settings.Box, x.occupied)
@@ -166,7 +165,7 @@
 	arrived := clock.Now()
 	x.inFlight.Add(1)
 	defer x.inFlight.Add(-1)
-	if x.stopping.Load() || x.callersLink.IsExhausted(arrived) {
+	if x.stopping.Load() || x.callers.IsLimiting(arrived) {
 		w.Header().Set("Connection", "close") // its caller's next request may reach a box with more room
 	}
 	out := &reply{request: r, writer: w, controller: http.NewResponseController(w), codec: x.codec}
--- /dev/null
+++ b/wire/arrivals.go
@@ -0,0 +1,218 @@
+package wire
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/willowwick/willowwick/clock"
+)
+
+const (
+	// arrivalLimit is the time in which the head of a new connection's first request arrives at a box that isn't overloaded: it follows
+	// the opening of the connection at once, however far away the caller is.
+	arrivalLimit = 150 * time.Millisecond
+	// cohortTime and minCohort are the least time and number of connections that are judged together.
+	cohortTime = 100 * time.Millisecond
+	minCohort  = 8
+	// minInTimeShare is the share of a cohort's requests below which all of them count as held up by the box: the link and the
+	// processor hold up all, a slow caller only its own.
+	minInTimeShare = 0.2
+	// paceCut is the share of the connections that were admitted, and arrivedCut that of the requests that arrived, to which the pace
+	// falls after a cohort that was held up; paceGrowth is the factor by which it changes after one that wasn't.
+	paceCut    = 0.7
+	arrivedCut = 0.9
+	paceGrowth = 1.05
+	// maxDrain bounds the time after a cut in which no connection is read, so that what waits already is carried first; paceSettle is
+	// the time from its end until cohorts tell of the new pace.
+	maxDrain   = time.Second
+	paceSettle = 100 * time.Millisecond
+	// minPace is the least number of connections that are read in a second.
+	minPace = 5.0
+	// paceBurst is the time for whose connections the pace allows at once.
+	paceBurst = 50 * time.Millisecond
+	// paceEnd is the time without a refusal after which the pace ends.
+	paceEnd = 3 * time.Second
+)
+
+type (
+	// pace bounds how many new connections are read in a second, once the requests on them are held up on their way in: it needs no
+	// knowledge of the link and the processor. The zero value doesn't bound them.
+	pace struct {
+		mu        sync.Mutex
+		perSecond float64 // 0 for no bound
+		tokens    float64
+		filledAt  time.Time
+		drainedAt time.Time // when what waited at the last cut is carried
+		refusedAt time.Time
+		arrivals  int       // requests that have arrived
+		pending   int       // connections whose request hasn't arrived yet
+		cohorts   []*cohort // not judged yet, the oldest first; the last one is open
+	}
+
+	// cohort is a number of connections that were admitted one after the other.
+	cohort struct {
+		beganAt, endedAt time.Time
+		admitted, inTime int
+		arrivedBefore    int // requests that had arrived when it began
+	}
+)
+
+// admit reports whether a new connection is read, and if so, in which cohort it is.
+func (p *pace) admit(now time.Time) (*cohort, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	p.fill(now)
+	if p.perSecond > 0 && p.tokens < 1 {
+		p.refusedAt = now
+		return nil, false
+	}
+	p.tokens = max(p.tokens-1, 0)
+	return p.join(now), true
+}
+
+// freeAt returns when half of a burst may be read again.
+func (p *pace) freeAt(now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.perSecond == 0 {
+		return now
+	}
+	missing := max(p.burst()/2, 1) - p.tokens
+	from := now
+	if p.filledAt.After(now) {
+		from = p.filledAt
+	}
+	return from.Add(time.Duration(max(missing, 0) / p.perSecond * float64(time.Second)))
+}
+
+// isLimiting reports whether connections were refused lately.
+func (p *pace) isLimiting(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.perSecond > 0 && now.Sub(p.refusedAt) < time.Second
+}
+
+// bound returns how many connections are read in a second; 0 for no bound.
+func (p *pace) bound() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.perSecond
+}
+
+// arrived records how long the head of a connection's first request took to arrive.
+func (p *pace) arrived(c *cohort, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending--
+	p.arrivals++
+	if took <= arrivalLimit {
+		c.inTime++
+	}
+}
+
+// left records that a connection was closed before a request arrived on it, which says nothing of this box.
+func (p *pace) left(c *cohort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending--
+	c.admitted--
+}
+
+// join adds a connection to the open cohort, or to a new one.
+func (p *pace) join(now time.Time) *cohort {
+	if len(p.cohorts) == 0 || !p.cohorts[len(p.cohorts)-1].endedAt.IsZero() {
+		p.cohorts = append(p.cohorts, &cohort{beganAt: now, arrivedBefore: p.arrivals})
+	}
+	open := p.cohorts[len(p.cohorts)-1]
+	open.admitted++
+	p.pending++
+	if open.admitted >= minCohort && now.Sub(open.beganAt) >= cohortTime {
+		open.endedAt = now
+	}
+	return open
+}
+
+// judge changes the pace by the cohorts whose requests should have arrived.
+func (p *pace) judge(now time.Time) {
+	for len(p.cohorts) > 0 {
+		oldest := p.cohorts[0]
+		if oldest.endedAt.IsZero() || now.Sub(oldest.endedAt) < arrivalLimit {
+			return
+		}
+		p.cohorts = p.cohorts[1:]
+		p.change(oldest, now)
+	}
+}
+
+// change changes the pace by one cohort.
+func (p *pace) change(c *cohort, now time.Time) {
+	if c.admitted < minCohort/2 {
+		return
+	}
+	isHeldUp := float64(c.inTime) < minInTimeShare*float64(c.admitted)
+	switch {
+	case isHeldUp && c.beganAt.Sub(p.drainedAt) > paceSettle:
+		p.cut(c, now)
+	case isHeldUp || p.perSecond == 0:
+	case now.Sub(p.refusedAt) > paceEnd:
+		p.perSecond = 0
+		slog.Info("all new connections are read again")
+	default:
+		p.perSecond *= paceGrowth
+	}
+}
+
+// cut lowers the pace after a cohort that was held up, and lets what waits be carried first.
+func (p *pace) cut(c *cohort, now time.Time) {
+	admitted := float64(c.admitted) / c.endedAt.Sub(c.beganAt).Seconds()
+	arrived := float64(p.arrivals-c.arrivedBefore) / now.Sub(c.beganAt).Seconds()
+	p.perSecond, p.tokens = max(min(paceCut*admitted, arrivedCut*arrived), minPace), 0
+	drain := min(time.Duration(float64(p.pending)/max(arrived, 1)*float64(time.Second)), maxDrain)
+	p.drainedAt = now.Add(drain)
+	p.filledAt = p.drainedAt
+	slog.Info("requests on new connections are held up on their way in: fewer are read", "per_s", int(p.perSecond), "admitted", c.admitted,
+		"in_time", c.inTime, "arrived_per_s", int(arrived), "pending", p.pending, "drain_ms", drain.Milliseconds())
+}
+
+func (p *pace) burst() float64 {
+	return max(p.perSecond*paceBurst.Seconds(), 1)
+}
+
+func (p *pace) fill(now time.Time) {
+	if passed := now.Sub(p.filledAt); passed > 0 {
+		p.tokens = min(p.tokens+p.perSecond*passed.Seconds(), p.burst())
+		p.filledAt = now
+	}
+}
+
+// admission decides which new connections of callers a box reads.
+type admission struct {
+	link *LinkLimit // nil if the bandwidth is unknown
+	pace pace
+}
+
+// admit decides on a new connection.
+func (a *admission) admit(c *callerConn) bool {
+	now := clock.Now()
+	reserved, isAdmitted := a.link.admit(now)
+	if !isAdmitted {
+		return false
+	}
+	if c.cohort, isAdmitted = a.pace.admit(now); !isAdmitted {
+		a.link.giveBack(reserved)
+		return false
+	}
+	c.linkUse = linkUse{limit: a.link, reserved: reserved, isFirst: true}
+	return true
+}
+
+// freeAt returns when new connections may be read again.
+func (a *admission) freeAt(now time.Time) time.Time {
+	atLink, atPace := a.link.freeAt(now), a.pace.freeAt(now)
+	if atLink.After(atPace) {
+		return atLink
+	}
+	return atPace
+}
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -42,7 +42,12 @@
 	// arrives. The listener's ConnContext, TrackState and RejectRetired must be set on its server.
 	CallerListener struct {
 		net.Listener
-		link      *LinkLimit // nil for none
+		// OnFirstRequest is called with the time from the acceptance of a connection until the head of its first request was read; nil
+		// for none. It is not called for connections of TLS.
+		OnFirstRequest func(took time.Duration)
+
+		admission admission
+		unread    atomic.Int64 // connections that were closed unread
 		busyConns atomic.Int64
 
 		mu      sync.Mutex
@@ -57,7 +62,8 @@
 		use         atomic.Int32 // a connUse
 		hasRequests atomic.Bool  // a request has begun on it
 		acceptedAt  time.Time
-		hasArrived  atomic.Bool  // its first request was read
+		cohort      *cohort      // that it was admitted with
+		hasArrived  atomic.Bool  // its first request was read, or it was closed before
 		idleSince   atomic.Int64 // nanoseconds since 1970
 		linkUse     linkUse
 	}
@@ -65,7 +71,7 @@
 
 // NewCallerListener returns a listener that tracks the connections that it accepts; link bounds how many, nil doesn't.
 func NewCallerListener(listener net.Listener, link *LinkLimit) *CallerListener {
-	return &CallerListener{Listener: listener, link: link, conns: map[*callerConn]bool{}}
+	return &CallerListener{Listener: listener, admission: admission{link: link}, conns: map[*callerConn]bool{}}
 }
 
 // Accept implements net.Listener. A connection that was accepted while the listener was being closed may get here
@@ -82,7 +88,8 @@
 	return c, nil
 }
 
-// acceptReadable accepts the next connection that the link can carry, and closes those before it unread.
+// acceptReadable accepts the next connection that this box can serve. Others are refused, or closed unread by listeners that can't
+// refuse them.
 func (l *CallerListener) acceptReadable() (*callerConn, error) {
 	for {
 		conn, err := l.Listener.Accept()
@@ -91,17 +98,36 @@
 		}
 		c := &callerConn{Conn: conn, listener: l, acceptedAt: clock.Now()}
 		c.idleSince.Store(c.acceptedAt.UnixNano())
-		if l.link == nil {
-			return c, nil
-		}
-		if reserved, isAdmitted := l.link.admit(c.acceptedAt); isAdmitted {
-			c.linkUse = linkUse{limit: l.link, reserved: reserved, isFirst: true}
+		if l.admission.admit(c) {
 			return c, nil
 		}
+		l.unread.Add(1)
 		c.closeUnread()
+		refusing, canRefuse := l.Listener.(*RefusingListener)
+		if !canRefuse {
+			continue
+		}
+		if err := refusing.RefuseUntil(l.admission.freeAt(c.acceptedAt)); err != nil {
+			return nil, err
+		}
 	}
 }
 
+// IsLimiting reports whether this box reads only some of the new connections; a nil listener doesn't.
+func (l *CallerListener) IsLimiting(now time.Time) bool {
+	return l != nil && (l.admission.link.IsExhausted(now) || l.admission.pace.isLimiting(now))
+}
+
+// Unread returns the number of connections that were closed unread.
+func (l *CallerListener) Unread() int64 {
+	return l.unread.Load()
+}
+
+// Pace returns how many new connections a second are read at most for the time their requests take to arrive; 0 for no bound.
+func (l *CallerListener) Pace() float64 {
+	return l.admission.pace.bound()
+}
+
 // register reports whether requests may be accepted from a new connection; if so, retire waits for the connection.
 func (l *CallerListener) register(c *callerConn) bool {
 	l.mu.Lock()
@@ -124,16 +150,6 @@
 	return conn, ok
 }
 
-// FirstArrival returns how long ago the request's connection was accepted, if it is the first request that was read from it.
-func FirstArrival(r *http.Request, now time.Time) (took time.Duration, isFirst bool) {
-	conn, _ := CallerConn(r)
-	c, ok := trackedConn(conn)
-	if !ok || !c.hasArrived.CompareAndSwap(false, true) {
-		return 0, false
-	}
-	return now.Sub(c.acceptedAt), true
-}
-
 // AbortAnswer ends a handler whose answer can't be finished, so that the caller sees that it is incomplete.
 //
 // To a caller without chunks, the orderly end of its connection is the end of the answer: its connection is reset.
@@ -170,11 +186,26 @@
 		if c, ok := trackedConn(conn); ok && !c.acquire() {
 			slog.Info("request rejected, its connection was already closed", "target", r.RequestURI)
 			panic(http.ErrAbortHandler)
+		} else if ok && r.TLS == nil {
+			l.noteArrival(c)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// noteArrival records that a request was read from a connection. What a handshake takes says nothing of this box: callers of TLS may
+// be far away.
+func (l *CallerListener) noteArrival(c *callerConn) {
+	if !c.hasArrived.CompareAndSwap(false, true) {
+		return
+	}
+	took := clock.Since(c.acceptedAt)
+	l.admission.pace.arrived(c.cohort, took)
+	if l.OnFirstRequest != nil {
+		l.OnFirstRequest(took)
+	}
+}
+
 // Read implements net.Conn; bytes that arrive while the connection is retired belong to a request that was never
 // accepted.
 func (c *callerConn) Read(p []byte) (int, error) {
@@ -209,6 +240,9 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if c.hasArrived.CompareAndSwap(false, true) {
+		c.listener.admission.pace.left(c.cohort)
+	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	delete(c.listener.conns, c)
--- a/wire/link.go
+++ b/wire/link.go
@@ -3,20 +3,19 @@
 import (
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/willowwick/willowwick/clock"
 )
 
 const (
-	// callersLinkShare is the share of a box's link that its callers may use, counting each byte once: the box passes it on over
-	// the same link.
-	callersLinkShare = 0.5
+	// callersLinkShare is the share of a box's link that its callers may use; the rest is for other boxes and the store. Each byte of
+	// theirs uses both directions once: it comes in over one and is passed on over the other.
+	callersLinkShare = 0.8
 	// linkBurst is the time for which callers may use all of their share at once, having used none of it before.
-	linkBurst = time.Second
-	// maxLinkDebt bounds for how long a share that was exceeded stays used up.
-	maxLinkDebt = 500 * time.Millisecond
+	linkBurst = 100 * time.Millisecond
+	// maxLinkDebt bounds for how long a share that was exceeded stays used up: bytes that were written wait in the link as long.
+	maxLinkDebt = 5 * time.Second
 	// maxUnreadTime is the longest time in which no new connection is read: a box that reads none looks dead.
 	maxUnreadTime = 500 * time.Millisecond
 	// firstRequestBytes is the expected size of a request and its answer before any was measured, and sizeSmoothing the weight of
@@ -24,25 +23,28 @@
 	firstRequestBytes = 4 << 10
 	sizeSmoothing     = 0.1
 
-	// unreadLogInterval is the least time between two log lines on closed connections.
+	// unreadLogInterval is the least time between two log lines on refused connections.
 	unreadLogInterval = time.Second
 
 	bytesPerMbit = 1e6 / 8
+
+	// segmentBytes is the most that a segment carries, and segmentHeadBytes the size of its heads and of what acknowledges it.
+	segmentBytes     = 1460
+	segmentHeadBytes = 80
 )
 
 // LinkLimit decides which new connections of callers a box reads: only as many as its link can carry in time.
 //
 // Callers whose connections are closed unread reach other boxes at once. A nil LinkLimit reads all.
 type LinkLimit struct {
-	rate   float64 // bytes that callers may use, per second
-	unread atomic.Int64
+	rate float64 // bytes that callers may use, per second
 
 	mu           sync.Mutex
 	level        float64 // bytes that callers may use now; negative if they used more
 	filledAt     time.Time
 	admittedAt   time.Time // when the newest connection was admitted
 	requestBytes float64   // usual size of a connection's first request with its answer
-	loggedAt     time.Time // when closed connections were last logged
+	loggedAt     time.Time // when refused connections were last logged
 }
 
 // NewLinkLimit returns the limit for a link of a bandwidth in Mbit/s; nil if it is unknown.
@@ -54,14 +56,6 @@
 	return &LinkLimit{rate: rate, level: rate * linkBurst.Seconds(), filledAt: clock.Now(), requestBytes: firstRequestBytes}
 }
 
-// Unread returns the number of connections that were closed unread.
-func (l *LinkLimit) Unread() int64 {
-	if l == nil {
-		return 0
-	}
-	return l.unread.Load()
-}
-
 // IsExhausted reports whether callers use more than their share of the link.
 func (l *LinkLimit) IsExhausted(now time.Time) bool {
 	if l == nil {
@@ -75,11 +69,14 @@
 
 // admit reports whether a new connection is read, and if so, how many bytes are reserved for its first request.
 func (l *LinkLimit) admit(now time.Time) (reserved float64, isAdmitted bool) {
+	if l == nil {
+		return 0, true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fill(now)
 	if l.level < 0 && now.Sub(l.admittedAt) < maxUnreadTime {
-		l.noteUnread(now)
+		l.logUnread(now)
 		return 0, false
 	}
 	l.admittedAt = now
@@ -87,6 +84,22 @@
 	return l.requestBytes, true
 }
 
+// freeAt returns when half of a burst may be read again, at most maxUnreadTime after the newest connection was admitted.
+func (l *LinkLimit) freeAt(now time.Time) time.Time {
+	if l == nil {
+		return now
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fill(now)
+	missing := l.rate*linkBurst.Seconds()/2 - l.level
+	at := now.Add(time.Duration(max(missing, 0) / l.rate * float64(time.Second)))
+	if latest := l.admittedAt.Add(maxUnreadTime); at.After(latest) {
+		return latest
+	}
+	return at
+}
+
 // use takes bytes that callers used, beyond those that were reserved.
 func (l *LinkLimit) use(now time.Time, bytes float64) {
 	l.mu.Lock()
@@ -95,6 +108,16 @@
 	l.level = max(l.level-bytes, -l.rate*maxLinkDebt.Seconds())
 }
 
+// giveBack returns what was reserved for a connection that isn't read after all.
+func (l *LinkLimit) giveBack(reserved float64) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.level += reserved
+}
+
 // measured records the size of a connection's first request with its answer, and gives back what is left of the reservation.
 func (l *LinkLimit) measured(used, reserved float64) {
 	l.mu.Lock()
@@ -112,14 +135,14 @@
 	}
 }
 
-// noteUnread counts a connection that is closed unread, and logs the number of them from time to time.
-func (l *LinkLimit) noteUnread(now time.Time) {
-	total := l.unread.Add(1)
+// logUnread logs from time to time that connections aren't read.
+func (l *LinkLimit) logUnread(now time.Time) {
 	if now.Sub(l.loggedAt) < unreadLogInterval {
 		return
 	}
 	l.loggedAt = now
-	slog.Info("callers use more than their share of the link: new connections are closed unread", "closed", total, "bytes_per_s", int(l.rate))
+	slog.Info("callers use more than their share of the link: new connections are refused", "level", int(l.level), "bytes_per_s", int(l.rate),
+		"request_bytes", int(l.requestBytes))
 }
 
 // linkUse counts what one connection of a caller uses of the link.
@@ -137,7 +160,8 @@
 		return
 	}
 	u.mu.Lock()
-	beyond := float64(bytes)
+	segments := (bytes + segmentBytes - 1) / segmentBytes
+	beyond := float64(bytes + segments*segmentHeadBytes)
 	if u.isFirst {
 		left := max(u.reserved-u.used, 0)
 		u.used += beyond
--- /dev/null
+++ b/wire/refusing.go
@@ -0,0 +1,104 @@
+package wire
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick/clock"
+)
+
+// relistenPause is the time between two attempts to listen again.
+const relistenPause = 10 * time.Millisecond
+
+// RefusingListener is a listener that can refuse new connections for a while: their callers learn at once that they have to go
+// elsewhere, and send nothing. Its Accept and RefuseUntil are called by one goroutine.
+type RefusingListener struct {
+	address string
+	closed  chan struct{}
+	close   func()
+
+	mu    sync.Mutex
+	inner net.Listener
+}
+
+// Listen returns a listener for TCP connections to an address, host:port.
+func Listen(address string) (*RefusingListener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	l := &RefusingListener{address: inner.Addr().String(), closed: make(chan struct{}), inner: inner}
+	l.close = sync.OnceFunc(func() { close(l.closed) })
+	return l, nil
+}
+
+// Accept implements net.Listener.
+func (l *RefusingListener) Accept() (net.Conn, error) {
+	return l.current().Accept()
+}
+
+// Addr implements net.Listener.
+func (l *RefusingListener) Addr() net.Addr {
+	return l.current().Addr()
+}
+
+// Close implements net.Listener.
+func (l *RefusingListener) Close() error {
+	l.close()
+	return l.current().Close()
+}
+
+// RefuseUntil refuses connections until a time, and resets those that were not accepted yet. It returns an error if the listener is
+// closed meanwhile.
+func (l *RefusingListener) RefuseUntil(until time.Time) error {
+	if err := l.current().Close(); err != nil {
+		return err
+	}
+	for pause := clock.Until(until); ; pause = relistenPause {
+		if !l.sleep(pause) {
+			return net.ErrClosed
+		}
+		inner, err := net.Listen("tcp", l.address)
+		if err == nil {
+			return l.replace(inner)
+		}
+		slog.Warn("listening for callers again failed", "address", l.address, "error", err)
+	}
+}
+
+// sleep reports whether the listener was not closed during the pause.
+func (l *RefusingListener) sleep(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+// replace goes on with another listener, unless this one was closed.
+func (l *RefusingListener) replace(inner net.Listener) error {
+	l.mu.Lock()
+	l.inner = inner
+	l.mu.Unlock()
+	select {
+	case <-l.closed:
+		if err := inner.Close(); err != nil {
+			slog.Debug("closing a listener failed", "error", err)
+		}
+		return net.ErrClosed
+	default:
+		return nil
+	}
+}
+
+func (l *RefusingListener) current() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inner
+}
