--- a/exchange/evidence.go
+++ b/exchange/evidence.go
@@ -18,6 +18,8 @@
 	// slowFactor is the ratio to the typical time to header of its route and model above which an answer counts as
 	// slow.
 	slowFactor = 3.0
+	// evidenceLogStep is the number of new answers of a roll-out's target after which the evidence is logged again.
+	evidenceLogStep = 10
 	// typicalSmoothing is the weight of one answer in the moving average of the typical time.
 	typicalSmoothing = 0.1
 )
@@ -126,6 +128,7 @@
 	routes, others := m.newEvidence(service, fleet)
 	target := m.targetEvidence(service, fleet)
 	m.targetAnswers = target.Requests
+	defer func() { m.logEvidence(service, target, others) }()
 	if finding, route := m.panel.Observe(routes, others); finding.Bad {
 		if route == "" {
 			route = "all routes"
@@ -138,6 +141,16 @@
 	return "", false
 }
 
+// logEvidence writes what is known of a roll-out's target whenever that has changed by evidenceLogStep answers.
+func (m *rolloutState) logEvidence(service willowwick.ServiceID, target, others rollout.Evidence) {
+	if target.Requests < m.loggedAnswers+evidenceLogStep {
+		return
+	}
+	m.loggedAnswers = target.Requests
+	slog.Info("evidence on a roll-out", "service", service, "release", m.order.Target, "answers", target.Requests, "errors", target.Errors,
+		"slow", target.Slow, "new_others", others.Requests, "new_others_slow", others.Slow, "suspicion", m.panel.Suspicion())
+}
+
 // newEvidence returns the evidence since the last call by route, and the sum of that on other releases over all routes.
 func (m *rolloutState) newEvidence(
 	service willowwick.ServiceID, fleet map[evidenceKey]rollout.Evidence,
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -56,6 +56,7 @@
 		panel         *rollout.KindMonitor
 		evidence      map[evidenceKey]rollout.Evidence
 		targetAnswers uint64 // answers of the target known to this box
+		loggedAnswers uint64 // targetAnswers when the evidence was last logged
 	}
 
 	// progress is how far a box has come with a roll-out.
--- a/rollout/kindmonitor.go
+++ b/rollout/kindmonitor.go
@@ -49,6 +49,18 @@
 	return finding, kind
 }
 
+// Suspicion returns how much the evidence tells against the version on its worst signal: 0 for nothing, 1 for enough to withdraw it.
+func (k *KindMonitor) Suspicion() float64 {
+	most := 0.0
+	for signal := range signalCount {
+		most = max(most, k.cusums[signal])
+		for _, monitor := range k.monitors {
+			most = max(most, monitor.cusums[signal])
+		}
+	}
+	return most / withdrawThreshold
+}
+
 func (k *KindMonitor) monitor(kind Kind) *Monitor {
 	monitor := k.monitors[kind]
 	if monitor == nil {
