Releases: answers that are overdue are evidence, and none is brought to all under suspicion

An answer that is out for too long counts at once; slow is 2.5 times the geometric mean and a tenth of the route's goal more, which callers feel; and the share of a release doesn't rise while the evidence tells against it.

--- a/exchange/choice.go
+++ b/exchange/choice.go
@@ -32,6 +32,9 @@
 	// release that fails a third of them is detected after about ten. A release with fewer answers at the end of
 	// its period stays on trial, since a bad one completed unseen would be all that is left.
 	minRampAnswers = 30
+	// maxRampSuspicion is how much the evidence may tell against a release, 1 being enough to roll it back, for more sessions to move
+	// to it.
+	maxRampSuspicion = 0.4
 	// hashResolution is the number of steps into which shares of sessions are divided.
 	hashResolution = 10000
 )
@@ -191,6 +194,10 @@
 	if m.targetAnswers < minRampAnswers {
 		elapsedShare = min(elapsedShare, canaryEnd) // the canary brings the evidence that the next steps need
 	}
+	if m.panel.Suspicion() > maxRampSuspicion {
+		elapsedShare = min(elapsedShare, max(m.rampedTo, canaryEnd))
+	}
+	m.rampedTo = max(m.rampedTo, elapsedShare)
 	for _, step := range rampSteps {
 		if elapsedShare >= step.from {
 			return step.targetShare
--- a/exchange/evidence.go
+++ b/exchange/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -15,13 +16,18 @@
 	// is nothing to compare it with.
 	rollbackErrors     = 12
 	rollbackErrorShare = 0.3
-	// slowFactor is the ratio to the typical time to header of its route and model above which an answer counts as
-	// slow.
-	slowFactor = 3.0
+	// slowFactor is the ratio to the usual time to header of its route and model above which an answer counts as slow, and
+	// slowGoalShare the share of the route's goal by which it must be later: callers don't feel less.
+	slowFactor    = 2.5
+	slowGoalShare = 0.1
+	// typicalLimit is the ratio to the typical time above which an answer changes that no further.
+	typicalLimit = 3.0
 	// evidenceLogStep is the number of new answers of a roll-out's target after which the evidence is logged again.
 	evidenceLogStep = 10
 	// typicalSmoothing is the weight of one answer in the moving average of the typical time.
 	typicalSmoothing = 0.1
+	// minLearntTime is the least time that is learnt.
+	minLearntTime = 100 * time.Microsecond
 )
 
 type (
@@ -44,45 +50,121 @@
 		release willowwick.ReleaseID
 		route   willowwick.RouteID
 		model   willowwick.ModelID
+		goal    time.Duration // of the route; 0 if it has none
 		took    time.Duration // to the header
 		isError bool
 	}
+
+	// usualTime is the geometric mean of the times that answers took to the header: a few long ones hardly change it.
+	usualTime struct {
+		log     float64 // of seconds
+		answers int
+	}
+
+	// awaitedAnswer is an answer that has not begun.
+	awaitedAnswer struct {
+		observation
+		sentAt time.Time
+		isSlow bool // counted already, as a slow one
+	}
 )
 
+// await counts a request as one with a slow answer as soon as its answer is late, until it is observed or the returned function is
+// called.
+func (r *releases) await(awaited *awaitedAnswer) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaited[awaited] = true
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.awaited, awaited)
+	}
+}
+
+// observeAwaited counts an answer that has begun or failed.
+func (r *releases) observeAwaited(awaited *awaitedAnswer, isError bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.awaited, awaited)
+	o := awaited.observation
+	o.took, o.isError = now.Sub(awaited.sentAt), isError
+	r.count(o, awaited.isSlow)
+}
+
 // observe counts one answer.
 func (r *releases) observe(o observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := r.rollouts[o.service]
-	isTarget := m != nil && m.order.Target == o.release
+	r.count(o, false)
+}
+
+// count counts one answer, unless it was counted as slow before it began; the caller holds the lock.
+func (r *releases) count(o observation, isCounted bool) {
 	key := evidenceKey{Service: o.service, Release: o.release, Route: o.route}
 	counts := r.ownEvidence[key]
-	counts.Requests++
-	if o.isError {
+	isSlow := r.isSlow(o)
+	if !o.isError {
+		r.learn(o)
+	}
+	if !isCounted {
+		counts.Requests++
+	}
+	switch {
+	case o.isError:
 		counts.Errors++
-	} else if r.isSlow(o, isTarget) {
+	case isSlow && !isCounted:
 		counts.Slow++
 	}
 	r.ownEvidence[key] = counts
 }
 
-// isSlow compares an answer with the typical time of its route and model; answers of a new release don't change that.
-func (r *releases) isSlow(o observation, isTarget bool) bool {
-	key := latencyKey{route: o.route, model: o.model}
-	typical, known := r.typical[key]
-	took := o.took.Seconds()
-	if !known {
-		if !isTarget {
-			r.typical[key], r.lateness[key] = took, &route.Lateness{}
+// countOverdue counts the answers that have not begun and are slow already; the caller holds the lock.
+func (r *releases) countOverdue(now time.Time) {
+	for awaited := range r.awaited {
+		o := awaited.observation
+		if o.took = now.Sub(awaited.sentAt); awaited.isSlow || !r.isSlow(o) {
+			continue
 		}
+		awaited.isSlow = true
+		key := evidenceKey{Service: o.service, Release: o.release, Route: o.route}
+		counts := r.ownEvidence[key]
+		counts.Requests++
+		counts.Slow++
+		r.ownEvidence[key] = counts
+	}
+}
+
+// isSlow compares an answer with the usual time of its route and model.
+func (r *releases) isSlow(o observation) bool {
+	usual, known := r.usual[latencyKey{route: o.route, model: o.model}]
+	if !known {
 		return false
 	}
-	slow := took > slowFactor*typical
-	if !isTarget {
-		r.typical[key] = typical + typicalSmoothing*(min(took, slowFactor*typical)-typical)
-		r.lateness[key].Learn(o.took - time.Duration(typical*float64(time.Second)))
+	seconds := math.Exp(usual.log)
+	took := o.took.Seconds()
+	return took > slowFactor*seconds && took-seconds > slowGoalShare*o.goal.Seconds()
+}
+
+// learn learns the usual and the typical time of a route and model from an answer; those of a new release don't change them.
+func (r *releases) learn(o observation) {
+	if m := r.rollouts[o.service]; m != nil && m.order.Target == o.release {
+		return
+	}
+	key := latencyKey{route: o.route, model: o.model}
+	took := o.took.Seconds()
+	usual := r.usual[key]
+	usual.answers++
+	weight := max(typicalSmoothing, 1/float64(usual.answers))
+	usual.log += weight * (math.Log(max(took, minLearntTime.Seconds())) - usual.log)
+	r.usual[key] = usual
+	typical, known := r.typical[key]
+	if !known {
+		r.typical[key], r.lateness[key] = took, &route.Lateness{}
+		return
 	}
-	return slow
+	r.typical[key] = typical + typicalSmoothing*(min(took, typicalLimit*typical)-typical)
+	r.lateness[key].Learn(o.took - time.Duration(typical*float64(time.Second)))
 }
 
 // typicalLatency returns the typical time to the header of an answer on the route, 0 if that is not known yet, and how
@@ -95,9 +177,10 @@
 }
 
 // evidence returns a copy of what this box has counted.
-func (r *releases) evidence() map[evidenceKey]rollout.Evidence {
+func (r *releases) evidence(now time.Time) map[evidenceKey]rollout.Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.countOverdue(now)
 	return maps.Clone(r.ownEvidence)
 }
 
--- a/exchange/release.go
+++ b/exchange/release.go
@@ -37,6 +37,8 @@
 		canary          float64 // share of the sessions that try a new release first
 		verdicts        verdicts
 		ownEvidence     map[evidenceKey]rollout.Evidence
+		awaited         map[*awaitedAnswer]bool
+		usual           map[latencyKey]usualTime
 		typical         map[latencyKey]float64 // seconds
 		lateness        map[latencyKey]*route.Lateness
 		sessions        map[string]sessionRecord
@@ -55,8 +57,9 @@
 		persisted     bool // the state is in the store
 		panel         *rollout.KindMonitor
 		evidence      map[evidenceKey]rollout.Evidence
-		targetAnswers uint64 // answers of the target known to this box
-		loggedAnswers uint64 // targetAnswers when the evidence was last logged
+		targetAnswers uint64  // answers of the target known to this box
+		rampedTo      float64 // share of the period up to which the target's share has risen
+		loggedAnswers uint64  // targetAnswers when the evidence was last logged
 	}
 
 	// progress is how far a box has come with a roll-out.
@@ -82,6 +85,8 @@
 		rollouts:       map[willowwick.ServiceID]*rolloutState{},
 		verdicts:       verdicts{},
 		ownEvidence:    map[evidenceKey]rollout.Evidence{},
+		awaited:        map[*awaitedAnswer]bool{},
+		usual:          map[latencyKey]usualTime{},
 		typical:        map[latencyKey]float64{},
 		lateness:       map[latencyKey]*route.Lateness{},
 		sessions:       map[string]sessionRecord{},
--- a/exchange/report.go
+++ b/exchange/report.go
@@ -85,7 +85,7 @@
 func (p *peers) ownReport() Report {
 	x := p.router
 	report := Report{Boxes: 1, Kept: x.releases.pinnedSessions(clock.Now())}
-	for key, counts := range x.releases.evidence() {
+	for key, counts := range x.releases.evidence(clock.Now()) {
 		report.Evidence = append(report.Evidence, EvidenceRow{key.Service, key.Release, key.Route, counts})
 	}
 	for _, own := range x.releases.progressList(clock.Now()) {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -84,7 +84,8 @@
 		sentAt     time.Time
 		model      willowwick.ModelID // overrides the caller's model; empty to leave it
 		outcome    route.Outcome
-		crashed    bool // the connection broke because the endpoint crashed
+		awaited    *awaitedAnswer // nil until the request is sent
+		crashed    bool           // the connection broke because the endpoint crashed
 
 		departure    departureWatch
 		firstEventAt time.Time // zero before the first event of this send
@@ -207,6 +208,7 @@
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
 	}
 	s.runs++
+	defer s.awaitAnswer()()
 	s.router.metrics.distances.countSend(s.distance(), len(message.Body))
 	s.countUnwantedSend()
 	if s.route.Stream {
@@ -424,12 +426,21 @@
 	return settings.LateConfidence + int(weight*float64(settings.Confidence-settings.LateConfidence))
 }
 
+// awaitAnswer lets the answer be evidence on the endpoint's release as soon as it is late, and returns a function that ends that. The
+// rest of a stream isn't observed.
+func (s *send) awaitAnswer() func() {
+	s.awaited = &awaitedAnswer{sentAt: s.sentAt, observation: observation{
+		service: s.service, release: s.ticket.Endpoint.Release, route: s.route.Name, model: s.model, goal: s.route.Goal,
+	}}
+	if s.out.headSent {
+		return func() {}
+	}
+	return s.router.releases.await(s.awaited)
+}
+
 // observe counts the answer as evidence on the endpoint's release.
 func (s *send) observe(isError bool) {
-	s.router.releases.observe(observation{
-		service: s.service, release: s.ticket.Endpoint.Release, route: s.route.Name, model: s.model,
-		took: clock.Since(s.sentAt), isError: isError,
-	})
+	s.router.releases.observeAwaited(s.awaited, isError, clock.Now())
 }
 
 // releaseConn returns the connection to the pool, or closes it if the answer was not read to its end.
