Wire: the head of an answer has a maximum size

A box died of one request whose endpoint sent a head without end: until the read's 2 s were over, 1.2 to 2.3 GB came, all of it kept, where boxes have 134 to 536 MB. Cause: http.ReadResponse keeps a line until it ends, which the sender decides.

--- a/remote/client.go
+++ b/remote/client.go
@@ -58,10 +58,11 @@
 
 func newTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         keepFaults(dial),
-		MaxIdleConnsPerHost: maxIdlePerEndpoint,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: wire.MaxHeadBytes,
+		DialContext:            keepFaults(dial),
+		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
 	}
 }
 
--- a/wire/message.go
+++ b/wire/message.go
@@ -157,7 +157,9 @@
 		}
 		return nil, errors.Wrap(willowwick.ErrBroken, "read answer: "+err.Error())
 	}
+	c.head.begin()
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.head.end()
 	if err != nil {
 		return nil, errors.Wrap(willowwick.ErrBroken, "read answer head: "+err.Error())
 	}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -70,7 +70,8 @@
 		pool         *Pool
 		conn         net.Conn
 		raw          syscall.RawConn
-		reader       *bufio.Reader
+		head         *headLimiter
+		reader       *bufio.Reader // reads from head
 		address      string
 		idleDeadline time.Time     // when the endpoint may close the idle connection
 		idleSince    time.Time     // when it was last released
@@ -155,7 +156,8 @@
 
 func newConn(p *Pool, conn net.Conn, address string) *Conn {
 	kept := KeepFaults(conn)
-	return &Conn{pool: p, conn: kept, reader: bufio.NewReaderSize(kept, readBufferSize), address: address}
+	head := &headLimiter{Reader: kept}
+	return &Conn{pool: p, conn: kept, head: head, reader: bufio.NewReaderSize(head, readBufferSize), address: address}
 }
 
 // IsListening dials the address to check whether anything still listens there; known is false if that couldn't be
