--- a/wire/doc.go
+++ b/wire/doc.go
@@ -3,5 +3,6 @@
 // Message and receives an Answer.
 //
 // CallerListener is for the other side: it lets a server that stops close idle connections of callers without losing
-// a request that arrives at that moment. Its LinkLimit bounds how many connections it reads.
+// a request that arrives at that moment. It refuses connections that it
+// can't serve: a LinkLimit counts what callers use of the link, and a pace goes by the time that first requests take to arrive.
 package wire
--- a/wire/link.go
+++ b/wire/link.go
@@ -16,7 +16,7 @@
 	linkBurst = 100 * time.Millisecond
 	// maxLinkDebt bounds for how long a share that was exceeded stays used up: bytes that were written wait in the link as long.
 	maxLinkDebt = 5 * time.Second
-	// maxUnreadTime is the longest time in which no new connection is read: a box that reads none looks dead.
+	// maxUnreadTime is the longest time for which the count alone lets no new connection be read: a box that reads none looks dead.
 	maxUnreadTime = 500 * time.Millisecond
 	// firstRequestBytes is the expected size of a request and its answer before any was measured, and sizeSmoothing the weight of
 	// each one that is measured.
@@ -35,7 +35,7 @@
 
 // LinkLimit decides which new connections of callers a box reads: only as many as its link can carry in time.
 //
-// Callers whose connections are closed unread reach other boxes at once. A nil LinkLimit reads all.
+// Callers whose connections are refused reach other boxes at once. A nil LinkLimit reads all.
 type LinkLimit struct {
 	rate float64 // bytes that callers may use, per second
 
