--- a/exchange/busy_link_test.go
+++ b/exchange/busy_link_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -161,3 +163,20 @@
 	assert.Greater(t, served, 50, "it goes on taking what its link carries")
 	assert.Greater(t, lastServed.Sub(begin), floodGrace+3*time.Second)
 }
+
+// Guards against callers with kept connections staying at a box whose link they use up.
+func TestCallersLeaveABoxWhoseLinkIsUsedUp(t *testing.T) {
+	settings := testSettings()
+	settings.LinkMbps = 1
+	s := startSite(t, newTestControl(testTable(1, onceRoute()), newRunner(t, "r1", answerText("ok")).endpoint("v1")), settings)
+	client := &http.Client{Transport: &http.Transport{}, Timeout: waitTimeout}
+	defer client.CloseIdleConnections()
+	for i, wantClose := range []bool{false, true} {
+		response, err := client.Do(s.request(t, http.MethodPost, "/once/", fmt.Sprint("link-", i), strings.Repeat("x", 200<<10)))
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		assert.NoError(t, response.Body.Close())
+		assert.Equal(t, wantClose, response.Close, "request %d", i)
+	}
+}
