--- a/rollout/evidence_test.go
+++ b/rollout/evidence_test.go
@@ -122,3 +122,21 @@
 		require.Equal(t, !everywhere, bad)
 	}
 }
+
+// Guards against a slow version passing for good where the others answer seldom: no news of them doesn't tell that they are slow.
+func TestOthersThatAnswerSeldomAreNotTakenForSlow(t *testing.T) {
+	m := NewMonitor("slow")
+	m.Observe(Evidence{}, Evidence{Requests: 200, Slow: 4}, Evidence{Requests: 200, Slow: 4})
+	isBad := false
+	for tick := range 60 {
+		version, others := Evidence{}, Evidence{}
+		if tick%2 == 0 {
+			version = Evidence{Requests: 1, Slow: uint64(tick / 2 % 2)}
+		}
+		if tick%5 == 0 {
+			others = Evidence{Requests: 1}
+		}
+		isBad = isBad || m.Observe(version, others, others).Bad
+	}
+	require.True(t, isBad)
+}
