Wire: connections are judged where the daemon of the platform accepts them alone

A connection of TLS has no request until its handshake is over, which takes round trips to its caller; the pace took a number of them for a box that holds its callers up, and would have refused connections on the own interface. Found by reading, before any landing.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -93,7 +93,7 @@
 	x.duties = newDuties(x, deps.DutyLog)
 	x.duties.addWorker(willowwick.DutyUsage, x.usage.work(x.duties, deps.DutyAPI))
 	x.duties.addWorker(willowwick.DutyScale, newAutoscaler(x, x.duties, deps.DutyAPI).work)
-	x.callers = wire.NewCallerListener(deps.Callers, wire.NewLinkLimit(settings.LinkMbps))
+	x.callers = wire.NewCallerListener(deps.Callers, x.callersAdmission)
 	x.callers.OnFirstRequest = func(took time.Duration) { x.metrics.firstArrivals.Update(took.Seconds()) }
 	return &Daemon{router: x, deps: deps, callers: x.callers}, func() {
 		closePeers()
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -32,7 +32,7 @@
 	}
 	set.NewGauge("willowwick_requests_in_flight", func() float64 { return float64(x.inFlight.Load()) })
 	set.NewGauge("willowwick_caller_connections_closed_unread", func() float64 { return float64(x.callers.Unread()) })
-	set.NewGauge("willowwick_new_connection_pace", func() float64 { return x.callers.Pace() })
+	set.NewGauge("willowwick_new_connection_pace", func() float64 { return x.callersAdmission.Pace() })
 	set.NewGauge("willowwick_requests_waiting", func() float64 { return float64(x.gate.WaitingCount()) })
 	set.NewGauge("willowwick_config_version", func() float64 { return float64(x.configVersion()) })
 	set.NewGauge("willowwick_halls_evacuated", func() float64 { return float64(x.evacuations.count()) })
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -103,7 +103,8 @@
 
 		departures *departures
 
-		callers *wire.CallerListener // nil until the daemon that the router belongs to has one
+		callersAdmission *wire.Admission
+		callers          *wire.CallerListener // nil until the daemon that the router belongs to has one
 
 		evacuations *evacuations
 		admissions  *admissions
@@ -132,7 +133,8 @@
 	limits := ratelimit.NewLedger()
 	x := &Router{
 		settings: settings, topology: settings.topology(), codec: codec, gate: gate.New(), warm: make(chan struct{}),
-		poison: quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
+		callersAdmission: wire.NewAdmission(settings.LinkMbps),
+		poison:           quarantine.New(), limits: limits, shortages: newShortages(), departures: newDepartures(),
 		retryBudgets: map[willowwick.ServiceID]*route.WindowedRetryBudget{},
 	}
 	x.reservations = reservation.NewReserver(settings.Box, x.occupied)
--- a/wire/admission.go
+++ b/wire/admission.go
@@ -6,14 +6,28 @@
 	"github.com/willowwick/willowwick/clock"
 )
 
-// admission decides which new connections of callers a box reads.
-type admission struct {
+// Admission decides which new connections of callers a box reads: what its link carries, and what arrives in time. A nil Admission
+// reads all. It isn't for connections of TLS, whose handshakes take round trips to the callers.
+type Admission struct {
 	link *LinkLimit // nil if the bandwidth is unknown
 	pace pace
 }
 
+// NewAdmission returns the admission of a box behind a link of a bandwidth in Mbit/s, 0 if it is unknown.
+func NewAdmission(mbps int) *Admission {
+	return &Admission{link: NewLinkLimit(mbps)}
+}
+
+// Pace returns how many new connections a second are read at most for the time their requests take to arrive; 0 for no bound.
+func (a *Admission) Pace() float64 {
+	return a.pace.bound()
+}
+
 // admit decides on a new connection.
-func (a *admission) admit(c *callerConn) bool {
+func (a *Admission) admit(c *callerConn) bool {
+	if a == nil {
+		return true
+	}
 	now := clock.Now()
 	reserved, isAdmitted := a.link.admit(now)
 	if !isAdmitted {
@@ -28,10 +42,29 @@
 }
 
 // freeAt returns when new connections may be read again.
-func (a *admission) freeAt(now time.Time) time.Time {
+func (a *Admission) freeAt(now time.Time) time.Time {
 	atLink, atPace := a.link.freeAt(now), a.pace.freeAt(now)
 	if atLink.After(atPace) {
 		return atLink
 	}
 	return atPace
 }
+
+// isLimiting reports whether only some of the new connections are read.
+func (a *Admission) isLimiting(now time.Time) bool {
+	return a != nil && (a.link.IsExhausted(now) || a.pace.isLimiting(now))
+}
+
+// arrived records that the first request of a connection was read.
+func (a *Admission) arrived(c *callerConn, took time.Duration) {
+	if a != nil {
+		a.pace.arrived(c.cohort, took)
+	}
+}
+
+// left records that a connection was closed before a request was read from it.
+func (a *Admission) left(c *callerConn) {
+	if a != nil {
+		a.pace.left(c.cohort)
+	}
+}
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -43,10 +43,10 @@
 	CallerListener struct {
 		net.Listener
 		// OnFirstRequest is called with the time from the acceptance of a connection until the head of its first request was read; nil
-		// for none. It is not called for connections of TLS.
+		// for none.
 		OnFirstRequest func(took time.Duration)
 
-		admission admission
+		admission *Admission   // nil to read all connections
 		unread    atomic.Int64 // connections that were closed unread
 		busyConns atomic.Int64
 
@@ -69,9 +69,9 @@
 	}
 )
 
-// NewCallerListener returns a listener that tracks the connections that it accepts; link bounds how many, nil doesn't.
-func NewCallerListener(listener net.Listener, link *LinkLimit) *CallerListener {
-	return &CallerListener{Listener: listener, admission: admission{link: link}, conns: map[*callerConn]bool{}}
+// NewCallerListener returns a listener that tracks the connections that it accepts; admission decides which, nil accepts all.
+func NewCallerListener(listener net.Listener, admission *Admission) *CallerListener {
+	return &CallerListener{Listener: listener, admission: admission, conns: map[*callerConn]bool{}}
 }
 
 // Accept implements net.Listener. A connection that was accepted while the listener was being closed may get here
@@ -115,7 +115,7 @@
 
 // IsLimiting reports whether this box reads only some of the new connections; a nil listener doesn't.
 func (l *CallerListener) IsLimiting(now time.Time) bool {
-	return l != nil && (l.admission.link.IsExhausted(now) || l.admission.pace.isLimiting(now))
+	return l != nil && l.admission.isLimiting(now)
 }
 
 // Unread returns the number of connections that were closed unread.
@@ -123,11 +123,6 @@
 	return l.unread.Load()
 }
 
-// Pace returns how many new connections a second are read at most for the time their requests take to arrive; 0 for no bound.
-func (l *CallerListener) Pace() float64 {
-	return l.admission.pace.bound()
-}
-
 // register reports whether requests may be accepted from a new connection; if so, retire waits for the connection.
 func (l *CallerListener) register(c *callerConn) bool {
 	l.mu.Lock()
@@ -186,21 +181,20 @@
 		if c, ok := trackedConn(conn); ok && !c.acquire() {
 			slog.Info("request rejected, its connection was already closed", "target", r.RequestURI)
 			panic(http.ErrAbortHandler)
-		} else if ok && r.TLS == nil {
+		} else if ok {
 			l.noteArrival(c)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// noteArrival records that a request was read from a connection. What a handshake takes says nothing of this box: callers of TLS may
-// be far away.
+// noteArrival records that a request was read from a connection.
 func (l *CallerListener) noteArrival(c *callerConn) {
 	if !c.hasArrived.CompareAndSwap(false, true) {
 		return
 	}
 	took := clock.Since(c.acceptedAt)
-	l.admission.pace.arrived(c.cohort, took)
+	l.admission.arrived(c, took)
 	if l.OnFirstRequest != nil {
 		l.OnFirstRequest(took)
 	}
@@ -241,7 +235,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	if c.hasArrived.CompareAndSwap(false, true) {
-		c.listener.admission.pace.left(c.cohort)
+		c.listener.admission.left(c)
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
