--- a/wire/admission_test.go
+++ b/wire/admission_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick/clock"
 )
 
 // acceptSilent opens connections on which no request arrives, and returns how many of them are accepted.
@@ -46,3 +47,38 @@
 	assert.Equal(t, 60, acceptSilent(t, nil))
 	assert.Less(t, acceptSilent(t, NewAdmission(0)), 60)
 }
+
+// Guards against connections that aren't read going uncounted, or others being counted.
+func TestUnreadConnectionsAreCounted(t *testing.T) {
+	const mbps, tries = 8, 10 // fewer than a burst of the link
+	for _, isExhausted := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		admission := NewAdmission(mbps)
+		callers := NewCallerListener(listener, admission)
+		if isExhausted {
+			admission.link.use(clock.Now(), 1e9)
+			_, isAdmitted := admission.link.admit(clock.Now()) // one is read in each maxUnreadTime
+			require.True(t, isAdmitted)
+		}
+		go func() {
+			for {
+				if _, err := callers.Accept(); err != nil {
+					return
+				}
+			}
+		}()
+		for range tries {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+		}
+		want := int64(0)
+		if isExhausted {
+			want = tries
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, want, callers.Unread(), "exhausted: %t", isExhausted)
+		_ = callers.Close()
+	}
+}
