--- a/exchange/evidence.go
+++ b/exchange/evidence.go
@@ -92,13 +92,6 @@
 	r.count(o, awaited.isSlow)
 }
 
-// observe counts one answer.
-func (r *releases) observe(o observation) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.count(o, false)
-}
-
 // count counts one answer, unless it was counted as slow before it began; the caller holds the lock.
 func (r *releases) count(o observation, isCounted bool) {
 	key := evidenceKey{Service: o.service, Release: o.release, Route: o.route}
--- a/exchange/evidence_test.go
+++ b/exchange/evidence_test.go
@@ -14,6 +14,13 @@
 	return observation{service: "work", release: endpointOn(release).Release, route: "r", goal: time.Second, took: took}
 }
 
+// observe counts one answer that was not awaited.
+func (r *releases) observe(o observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count(o, false)
+}
+
 // countsOf returns what was counted of a release.
 func countsOf(r *releases, release string, now time.Time) rollout.Evidence {
 	return r.evidence(now)[evidenceKey{"work", endpointOn(release).Release, "r"}]
