Tests: a box whose callers wait in its link reads far more than it serves, also where the bandwidth is named

The test of a flooded box let the box learn of a connection before the caller's first bytes had waited for the link. On a network the opening waits as long, and the bytes arrive with the connection. standin.NarrowLink does so now; the six cases that were there keep the earlier form (HasEarlyOpenings) and pass. The link also tells what it carried, and opens connections to outside servers.

--- a/cmd/e2e/flood_test.go
+++ b/cmd/e2e/flood_test.go
@@ -40,6 +40,8 @@
 	maxTurnAwayTime = 500 * time.Millisecond
 	floodDeadline   = 4 * time.Second
 	floodEvents     = 30
+	largeBodyEvery  = 76
+	largeBodySize   = 72 << 10
 	// floodMark begins the IDs of the flooded box's requests.
 	floodMark = "Attempt-Id: flooded-"
 )
@@ -48,6 +50,12 @@
 	floodPerSecond = flag.Int("flood.rate", 0, "requests a second of TestFloodByHand; 0 skips it")
 	floodMbps      = flag.Float64("flood.mbps", floodedMbps, "bandwidth of the flooded box's link in TestFloodByHand")
 	floodCores     = flag.Float64("flood.cores", floodedCores, "share of a core of the flooded box in TestFloodByHand")
+	floodDeclared  = flag.Int("flood.declared", floodedMbps, "bandwidth in the flooded box's settings in TestFloodByHand; 0 for none")
+	floodEarly     = flag.Bool("flood.early", false, "the box learns early of a connection in TestFloodByHand")
+	floodVaries    = flag.Bool("flood.varies", false, "sizes of bodies vary widely in TestFloodByHand")
+
+	// variedBodies are sizes in bytes; each largeBodyEvery-th body has largeBodySize.
+	variedBodies = []int{830, 2400, 12000, 2400, 600, 2400, 12000, 2400, 600, 0, 2400, 12000, 2400, 830, 600, 12000, 2400, 600, 2400}
 )
 
 type (
@@ -67,6 +75,8 @@
 		declaredMbps int // in the box's settings; 0 for none
 		linkMbps     float64
 		cores        float64
+		varies       bool // sizes of bodies vary widely
+		opensEarly   bool // the box learns of a connection before its first bytes have waited for the link
 	}
 
 	// floodAttempt is what became of one request.
@@ -78,6 +88,7 @@
 
 func newFlood(t *testing.T, c floodCase) *flood {
 	f := &flood{testSite: &testSite{store: standin.NewStore(), runners: map[string]*standin.BatchRunner{}}, link: standin.NewNarrowLink(c.linkMbps)}
+	f.link.HasEarlyOpenings = c.opensEarly
 	f.store.SetEra(1)
 	f.storeAddress = serveStandin(t, f.store)
 	f.writeConfig(t, 1)
@@ -186,7 +197,7 @@
 	for i := range int(duration.Seconds() * float64(perSecond)) {
 		time.Sleep(time.Until(begin.Add(time.Duration(i) * time.Second / time.Duration(perSecond))))
 		callers.Go(func() {
-			a := f.try(client, fmt.Sprint("flooded-", name, i), float64(i%4)/4 < c.streams)
+			a := f.try(client, fmt.Sprint("flooded-", name, i), float64(i%4)/4 < c.streams, c.bodySize(i))
 			mu.Lock()
 			defer mu.Unlock()
 			attempts = append(attempts, a)
@@ -196,11 +207,25 @@
 	return attempts
 }
 
-// try sends one request to the flooded box; streams have bodies of 2.1 KB, other requests of 12 KB.
-func (f *flood) try(client *http.Client, id string, isStream bool) floodAttempt {
-	path, size := "/lookup/x", 12<<10
+// bodySize returns the size in bytes of a request's body: 12 KB, and 2.1 KB of a stream's, unless sizes vary.
+func (c floodCase) bodySize(i int) int {
+	switch {
+	case c.varies && i%largeBodyEvery == largeBodyEvery-1:
+		return largeBodySize
+	case c.varies:
+		return variedBodies[i%len(variedBodies)]
+	case float64(i%4)/4 < c.streams:
+		return 2100
+	default:
+		return 12 << 10
+	}
+}
+
+// try sends one request to the flooded box.
+func (f *flood) try(client *http.Client, id string, isStream bool, size int) floodAttempt {
+	path := "/lookup/x"
 	if isStream {
-		path, size = "/explain/x", 2100
+		path = "/explain/x"
 	}
 	request, _ := http.NewRequest(http.MethodPost, "http://"+f.address+path, bytes.NewReader(make([]byte, size)))
 	request.Host = siteHost
@@ -250,8 +275,8 @@
 			}
 		}
 	}
-	t.Logf("%s: %d read, %d served, mean %s, worst %s; %d unread, %d of them late; longest wait in the link %s", c.name, read, served,
-		(sum / time.Duration(max(served, 1))).Round(time.Millisecond), worst.Round(time.Millisecond), unread, lateUnread, f.link.LongestWait().Round(time.Millisecond))
+	t.Logf("%s: %d read, %d served, mean %s, worst %s; %d unread, %d of them late; longest wait in the link %s; it carried %s", c.name, read, served,
+		(sum / time.Duration(max(served, 1))).Round(time.Millisecond), worst.Round(time.Millisecond), unread, lateUnread, f.link.LongestWait().Round(time.Millisecond), f.link.Carried())
 	assert.GreaterOrEqual(t, float64(served), minFloodShare*float64(read))
 	assert.Greater(t, served, 100, "it goes on taking what its link carries")
 	assert.LessOrEqual(t, 10*lateUnread, unread, "connections that aren't read are closed at once")
@@ -259,12 +284,19 @@
 
 // floodCases flood a box of floodedCores behind a link of floodedMbps.
 var floodCases = []floodCase{
-	{name: "as many as a hall sends", perSecond: 210, streams: 0.75, declaredMbps: floodedMbps},
-	{name: "as many as a region sends", perSecond: 600, streams: 0.75, declaredMbps: floodedMbps},
-	{name: "no streams", perSecond: 600, declaredMbps: floodedMbps},
-	{name: "kept connections", perSecond: 600, streams: 0.75, keepsConns: true, declaredMbps: floodedMbps},
-	{name: "bandwidth not declared", perSecond: 600, streams: 0.75},
-	{name: "ten times the bandwidth declared", perSecond: 600, streams: 0.75, declaredMbps: 10 * floodedMbps},
+	{name: "as many as a hall sends", perSecond: 210, streams: 0.75, opensEarly: true, declaredMbps: floodedMbps},
+	{name: "as many as a region sends", perSecond: 600, streams: 0.75, opensEarly: true, declaredMbps: floodedMbps},
+	{name: "no streams", perSecond: 600, opensEarly: true, declaredMbps: floodedMbps},
+	{name: "kept connections", perSecond: 600, streams: 0.75, opensEarly: true, keepsConns: true, declaredMbps: floodedMbps},
+	{name: "bandwidth not declared", perSecond: 600, streams: 0.75, opensEarly: true},
+	{name: "ten times the bandwidth declared", perSecond: 600, streams: 0.75, opensEarly: true, declaredMbps: 10 * floodedMbps},
+}
+
+// fullLinkCases flood a box behind a link in which the openings of connections wait like all else.
+var fullLinkCases = []floodCase{
+	{name: "as many as a hall sends", perSecond: 210, streams: 0.75, varies: true, declaredMbps: floodedMbps, cores: floodedCores},
+	{name: "as many as a region sends", perSecond: 600, streams: 0.75, declaredMbps: floodedMbps, cores: floodedCores},
+	{name: "bodies vary, a whole core", perSecond: 654, streams: 0.75, varies: true, declaredMbps: floodedMbps, cores: 1},
 }
 
 // Guards against a small box that gets most new connections of a hall or a region reading more than its link carries both ways: what
@@ -276,11 +308,20 @@
 	}
 }
 
+// Guards against the first bytes of connections that a box doesn't read filling its link, uncounted: callers whose opening it let in
+// send them, and the longer they wait, the more are let in before it reads the first one.
+func TestFloodedBoxCountsWhatItTurnsAway(t *testing.T) {
+	for _, c := range fullLinkCases {
+		c.linkMbps = floodedMbps
+		t.Run(c.name, func(t *testing.T) { newFlood(t, c).requireServesWhatItReads(t, c) })
+	}
+}
+
 // TestFloodByHand floods a box at a rate.
 func TestFloodByHand(t *testing.T) {
 	if *floodPerSecond == 0 {
 		t.Skip("by hand, with -flood.rate")
 	}
-	c := floodCase{name: fmt.Sprint(*floodPerSecond, " a second"), perSecond: *floodPerSecond, streams: 0.75, declaredMbps: int(*floodMbps), linkMbps: *floodMbps, cores: *floodCores}
+	c := floodCase{name: fmt.Sprint(*floodPerSecond, " a second"), perSecond: *floodPerSecond, streams: 0.75, declaredMbps: *floodDeclared, varies: *floodVaries, opensEarly: *floodEarly, linkMbps: *floodMbps, cores: *floodCores}
 	newFlood(t, c).requireServesWhatItReads(t, c)
 }
--- a/standin/narrow_link.go
+++ b/standin/narrow_link.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -21,6 +24,10 @@
 type (
 	// NarrowLink is the network link of one box: all connections through its proxies share its bandwidth.
 	NarrowLink struct {
+		// HasEarlyOpenings lets the box learn of a connection before the caller's first bytes have waited for their turn. Otherwise
+		// they arrive together: the opening segment has waited as long before.
+		HasEarlyOpenings bool
+
 		in, out linkDirection
 	}
 
@@ -31,6 +38,8 @@
 		mu      sync.Mutex
 		freeAt  time.Time
 		longest time.Duration // for which bytes have waited
+		payload int           // bytes carried in segments
+		heads   int           // bytes of their heads
 	}
 )
 
@@ -45,20 +54,103 @@
 	return max(l.in.longestWait(), l.out.longestWait())
 }
 
+// Carried describes what it has carried in each direction, in KB.
+func (l *NarrowLink) Carried() string {
+	return fmt.Sprintf("in %s, out %s", l.in.carried(), l.out.carried())
+}
+
 // ServeBox forwards connections to the box, host:port, over its link; it returns the proxy's address and a function that closes it.
 func (l *NarrowLink) ServeBox(box string) (string, func() error, error) {
+	address, err := net.ResolveTCPAddr("tcp4", box)
+	if err != nil {
+		return "", nil, errors.Wrap(err, "address of a box")
+	}
 	return serveProxy(func(outside net.Conn) {
 		l.in.carry(0) // the opening segment
-		inside, err := net.Dial("tcp", box)
+		if l.HasEarlyOpenings {
+			l.openEarly(box, outside)
+			return
+		}
+		listens := isListening(address)
 		l.out.carry(0) // its acknowledgement, or a refusal
-		if err != nil {
+		if !listens {
 			resetConn(outside)
 			return
 		}
-		forwardBoth(inside, outside, nil, &l.in, &l.out)
+		l.openWithFirstBytes(box, outside)
 	})
 }
 
+// openEarly opens the connection to the box before the caller's first bytes are carried.
+func (l *NarrowLink) openEarly(box string, outside net.Conn) {
+	inside, err := net.Dial("tcp", box)
+	l.out.carry(0)
+	if err != nil {
+		resetConn(outside)
+		return
+	}
+	forwardBoth(inside, outside, nil, &l.in, &l.out)
+}
+
+// openWithFirstBytes opens the connection to the box once the caller's first bytes are carried.
+func (l *NarrowLink) openWithFirstBytes(box string, outside net.Conn) {
+	first := make([]byte, linkPieceBytes)
+	n, err := outside.Read(first)
+	if err != nil {
+		resetConn(outside)
+		return
+	}
+	l.in.carry(n)
+	inside, err := net.Dial("tcp", box)
+	if err != nil {
+		resetConn(outside)
+		return
+	}
+	if _, err := inside.Write(first[:n]); err != nil {
+		resetConn(outside)
+		return
+	}
+	forwardBoth(inside, outside, nil, &l.in, &l.out)
+}
+
+// isListening reports whether a process listens at an address: it can't be bound then, even by one that allows for others.
+func isListening(address *net.TCPAddr) bool {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return true
+	}
+	defer func() { _ = unix.Close(fd) }()
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return true
+	}
+	target := &unix.SockaddrInet4{Port: address.Port}
+	copy(target.Addr[:], address.IP.To4())
+	return unix.Bind(fd, target) != nil
+}
+
+// Dial opens a connection of the box to an outside server over the link, both ways of the opening included.
+func (l *NarrowLink) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	opened := make(chan struct{})
+	go func() {
+		defer close(opened)
+		l.out.carry(0)
+		l.in.carry(0)
+	}()
+	select {
+	case <-opened:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	var dialer net.Dialer
+	server, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	box, boxSide := net.Pipe()
+	go forwardBoth(server, boxSide, nil, &l.out, &l.in)
+	return box, nil
+}
+
 // ServeOutside forwards connections to a server that boxes use; those whose first bytes contain the mark are the box's, and go over
 // its link. It returns the proxy's address and a function that closes it.
 func (l *NarrowLink) ServeOutside(server string, mark []byte) (string, func() error, error) {
@@ -156,11 +248,18 @@
 	}
 	d.longest = max(d.longest, d.freeAt.Sub(now))
 	d.freeAt = d.freeAt.Add(time.Duration(bytes / d.bytesPerS * float64(time.Second)))
+	d.payload, d.heads = d.payload+payload, d.heads+segments*segmentHeadBytes
 	until := d.freeAt
 	d.mu.Unlock()
 	time.Sleep(time.Until(until))
 }
 
+func (d *linkDirection) carried() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return fmt.Sprintf("%d of payload, %d of heads", d.payload>>10, d.heads>>10)
+}
+
 func (d *linkDirection) longestWait() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
