Wire: a box counts and serves the connections that it has let in, and refuses longer once openings wait in its link

Callers: of 123 requests that a flooded box read 10 were served (600 a second, 10 Mbit/s, the bandwidth named, 0.192 of a core), 139 of 228 with a whole core; nine of ten callers that were turned away learnt it after more than 0.5 s.

Cause: a caller whose opening was let in sends its first bytes, read or not. Until the box has read the connection that uses up its share and closes its listener, all openings are let in, then closed with bytes that the link has carried. Nothing counted them, and the longer the queue, the more there were: in the failing case the link carried 11.7 MB in and 7.9 MB out.

Change: connections that are open already are read, up to half a second's worth of debt, and none is let in before that is paid back. The time from listening again to the first connection, less the usual time between two, tells how long openings wait; where it is 150 ms more than usual thrice in a row, or no connection comes in that time although callers try all the time, the pace is cut and the link drains. It needs no figure of the link. A pace grows by time, so that a slow one doesn't stay slow, and isn't begun where few new connections come.

standin.NarrowLink resets connections whose listener was closed while they opened, as the system does.

--- a/standin/narrow_link.go
+++ b/standin/narrow_link.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -65,20 +64,23 @@
 	if err != nil {
 		return "", nil, errors.Wrap(err, "address of a box")
 	}
-	return serveProxy(func(outside net.Conn) {
+	watch := &listenerWatch{address: address}
+	proxy, closeProxy, err := serveProxy(func(outside net.Conn) {
 		l.in.carry(0) // the opening segment
 		if l.HasEarlyOpenings {
 			l.openEarly(box, outside)
 			return
 		}
-		listens := isListening(address)
-		l.out.carry(0) // its acknowledgement, or a refusal
-		if !listens {
-			resetConn(outside)
-			return
-		}
-		l.openWithFirstBytes(box, outside)
+		l.openWithFirstBytes(box, watch, outside)
 	})
+	if err != nil {
+		return "", nil, err
+	}
+	stop := watch.start()
+	return proxy, func() error {
+		stop()
+		return closeProxy()
+	}, nil
 }
 
 // openEarly opens the connection to the box before the caller's first bytes are carried.
@@ -92,8 +94,15 @@
 	forwardBoth(inside, outside, nil, &l.in, &l.out)
 }
 
-// openWithFirstBytes opens the connection to the box once the caller's first bytes are carried.
-func (l *NarrowLink) openWithFirstBytes(box string, outside net.Conn) {
+// openWithFirstBytes opens the connection to the box once the caller's first bytes are carried. It is reset if the box has closed its
+// listener since the opening segment came, as the system does.
+func (l *NarrowLink) openWithFirstBytes(box string, watch *listenerWatch, outside net.Conn) {
+	listens, closings := watch.state()
+	l.out.carry(0) // the acknowledgement of the opening, or a refusal
+	if !listens {
+		resetConn(outside)
+		return
+	}
 	first := make([]byte, linkPieceBytes)
 	n, err := outside.Read(first)
 	if err != nil {
@@ -101,6 +110,10 @@
 		return
 	}
 	l.in.carry(n)
+	if _, now := watch.state(); now != closings {
+		resetConn(outside)
+		return
+	}
 	inside, err := net.Dial("tcp", box)
 	if err != nil {
 		resetConn(outside)
@@ -113,21 +126,6 @@
 	forwardBoth(inside, outside, nil, &l.in, &l.out)
 }
 
-// isListening reports whether a process listens at an address: it can't be bound then, even by one that allows for others.
-func isListening(address *net.TCPAddr) bool {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return true
-	}
-	defer func() { _ = unix.Close(fd) }()
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		return true
-	}
-	target := &unix.SockaddrInet4{Port: address.Port}
-	copy(target.Addr[:], address.IP.To4())
-	return unix.Bind(fd, target) != nil
-}
-
 // Dial opens a connection of the box to an outside server over the link, both ways of the opening included.
 func (l *NarrowLink) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	opened := make(chan struct{})
--- a/wire/admission.go
+++ b/wire/admission.go
@@ -6,6 +6,13 @@
 	"github.com/willowwick/willowwick/clock"
 )
 
+const (
+	// maxWaitingDebt bounds for how long connections that were open before a box refused more use up what later ones may use.
+	maxWaitingDebt = 500 * time.Millisecond
+	// waitingLimit is the time in which a connection that is open already is accepted.
+	waitingLimit = time.Millisecond
+)
+
 // Admission decides which new connections of callers a box reads: what its link carries, and what arrives in time. A nil Admission
 // reads all. It isn't for connections of TLS, whose handshakes take round trips to the callers.
 type Admission struct {
@@ -23,17 +30,26 @@
 	return a.pace.bound()
 }
 
-// admit decides on a new connection.
-func (a *Admission) admit(c *callerConn) bool {
+// mustRefuse reports whether no more connections may be let in.
+func (a *Admission) mustRefuse(now time.Time) bool {
+	if a == nil {
+		return false
+	}
+	isHeldUp := a.pace.mustRefuse(now)
+	return a.link.mustRefuse(now) || isHeldUp
+}
+
+// admit decides on a new connection; it may use up what those of the next maxDebt may use.
+func (a *Admission) admit(c *callerConn, maxDebt time.Duration) bool {
 	if a == nil {
 		return true
 	}
 	now := clock.Now()
-	reserved, isAdmitted := a.link.admit(now)
+	reserved, isAdmitted := a.link.admit(now, maxDebt)
 	if !isAdmitted {
 		return false
 	}
-	if c.cohort, isAdmitted = a.pace.admit(now); !isAdmitted {
+	if c.cohort, isAdmitted = a.pace.admit(now, maxDebt); !isAdmitted {
 		a.link.giveBack(reserved)
 		return false
 	}
--- a/wire/admission_test.go
+++ b/wire/admission_test.go
@@ -58,7 +58,7 @@
 		callers := NewCallerListener(listener, admission)
 		if isExhausted {
 			admission.link.use(clock.Now(), 1e9)
-			_, isAdmitted := admission.link.admit(clock.Now()) // one is read in each maxUnreadTime
+			_, isAdmitted := admission.link.admit(clock.Now(), 0) // one is read in each maxUnreadTime
 			require.True(t, isAdmitted)
 		}
 		go func() {
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -92,25 +92,60 @@
 // refuse them.
 func (l *CallerListener) acceptReadable() (*callerConn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		conn, maxDebt, err := l.acceptNext()
 		if err != nil {
 			return nil, err
 		}
 		c := &callerConn{Conn: conn, listener: l, acceptedAt: clock.Now()}
 		c.idleSince.Store(c.acceptedAt.UnixNano())
-		if l.admission.admit(c) {
+		if l.admission.admit(c, maxDebt) {
 			return c, nil
 		}
 		l.unread.Add(1)
 		c.closeUnread()
-		refusing, canRefuse := l.Listener.(*RefusingListener)
-		if !canRefuse {
-			continue
+	}
+}
+
+// acceptNext accepts the next connection, and returns for how long those that follow may have to wait for it. A listener that can
+// refuse connections does so once no more can be served, but for those that are open already: their callers have sent the first bytes.
+func (l *CallerListener) acceptNext() (net.Conn, time.Duration, error) {
+	refusing, canRefuse := l.Listener.(*RefusingListener)
+	if !canRefuse {
+		conn, err := l.Listener.Accept()
+		return conn, 0, err
+	}
+	if l.admission == nil {
+		conn, err := refusing.Accept()
+		return conn, 0, err
+	}
+	for {
+		if conn, err := l.refuseWhileFull(refusing); conn != nil || err != nil {
+			return conn, maxWaitingDebt, err
+		}
+		limit := l.admission.pace.openingLimit(clock.Now())
+		if limit == 0 {
+			conn, err := refusing.Accept()
+			return conn, maxWaitingDebt, err
+		}
+		if conn, err := refusing.AcceptWithin(limit); conn != nil || err != nil {
+			return conn, maxWaitingDebt, err
+		}
+		l.admission.pace.heldUp(clock.Now())
+	}
+}
+
+// refuseWhileFull refuses connections until more can be served; it returns one that was open before, if there is any.
+func (l *CallerListener) refuseWhileFull(refusing *RefusingListener) (net.Conn, error) {
+	for l.admission.mustRefuse(clock.Now()) {
+		if conn, err := refusing.AcceptWithin(waitingLimit); conn != nil || err != nil {
+			return conn, err
 		}
-		if err := refusing.RefuseUntil(l.admission.freeAt(c.acceptedAt)); err != nil {
+		if err := refusing.RefuseUntil(l.admission.freeAt(clock.Now())); err != nil {
 			return nil, err
 		}
+		l.admission.pace.reopened(clock.Now())
 	}
+	return nil, nil
 }
 
 // IsLimiting reports whether this box reads only some of the new connections; a nil listener doesn't.
--- a/wire/link.go
+++ b/wire/link.go
@@ -67,16 +67,25 @@
 	return l.level < 0
 }
 
-// admit reports whether a new connection is read, and if so, how many bytes are reserved for its first request.
-func (l *LinkLimit) admit(now time.Time) (reserved float64, isAdmitted bool) {
+// mustRefuse reports whether no more connections may be let in.
+func (l *LinkLimit) mustRefuse(now time.Time) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.hasRoom(now, 0)
+}
+
+// admit reports whether a new connection is read, and if so, how many bytes are reserved for its first request; it may use up the
+// share of the next maxDebt.
+func (l *LinkLimit) admit(now time.Time, maxDebt time.Duration) (reserved float64, isAdmitted bool) {
 	if l == nil {
 		return 0, true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fill(now)
-	if l.level < 0 && now.Sub(l.admittedAt) < maxUnreadTime {
-		l.logUnread(now)
+	if !l.hasRoom(now, maxDebt) {
 		return 0, false
 	}
 	l.admittedAt = now
@@ -128,6 +137,16 @@
 	l.level += max(reserved-used, 0)
 }
 
+// hasRoom reports whether a connection may be read that uses up at most the share of the next maxDebt.
+func (l *LinkLimit) hasRoom(now time.Time, maxDebt time.Duration) bool {
+	l.fill(now)
+	if l.level >= -l.rate*maxDebt.Seconds() || now.Sub(l.admittedAt) >= maxUnreadTime {
+		return true
+	}
+	l.logUnread(now)
+	return false
+}
+
 func (l *LinkLimit) fill(now time.Time) {
 	if passed := now.Sub(l.filledAt); passed > 0 {
 		l.level = min(l.level+l.rate*passed.Seconds(), l.rate*linkBurst.Seconds())
--- a/wire/link_test.go
+++ b/wire/link_test.go
@@ -18,7 +18,7 @@
 func TestLinkLimitReadsAllConnectionsOfAQuietLink(t *testing.T) {
 	l, now := NewLinkLimit(8), clock.Now()
 	for range 1000 {
-		reserved, isAdmitted := l.admit(now)
+		reserved, isAdmitted := l.admit(now, 0)
 		assert.True(t, isAdmitted)
 		l.measured(2000, reserved)
 		l.use(now, 2000-reserved)
@@ -31,7 +31,7 @@
 	l, now := NewLinkLimit(8), clock.Now()
 	admitted := 0
 	for range 1000 {
-		if _, isAdmitted := l.admit(now); isAdmitted {
+		if _, isAdmitted := l.admit(now, 0); isAdmitted {
 			admitted++
 		}
 	}
@@ -44,7 +44,7 @@
 	admitted := 0
 	for now := begin; now.Before(begin.Add(5 * time.Second)); now = now.Add(time.Millisecond) {
 		l.use(now, 1e6)
-		if _, isAdmitted := l.admit(now); isAdmitted {
+		if _, isAdmitted := l.admit(now, 0); isAdmitted {
 			admitted++
 		}
 	}
@@ -60,7 +60,7 @@
 func TestLinkLimitGivesBackWhatWasNotUsed(t *testing.T) {
 	l, now := NewLinkLimit(8), clock.Now()
 	for range 1000 {
-		reserved, isAdmitted := l.admit(now)
+		reserved, isAdmitted := l.admit(now, 0)
 		assert.True(t, isAdmitted)
 		l.measured(0, reserved)
 	}
--- a/wire/pace.go
+++ b/wire/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 )
@@ -10,6 +11,8 @@
 	// arrivalLimit is the time in which the head of a new connection's first request arrives at a box that isn't overloaded: it follows
 	// the opening of the connection at once, however far away the caller is.
 	arrivalLimit = 150 * time.Millisecond
+	// waitLimit is the time by which messages are late whose way is through the box's own queues: of its link, of its processor.
+	waitLimit = 150 * time.Millisecond
 	// cohortTime and minCohort are the least time and number of connections that are judged together.
 	cohortTime = 100 * time.Millisecond
 	minCohort  = 8
@@ -17,18 +20,27 @@
 	// processor hold up all, a slow caller only its own.
 	minInTimeShare = 0.2
 	// paceCut is the share of the connections that were admitted, and arrivedCut that of the requests that arrived, to which the pace
-	// falls after a cohort that was held up; paceGrowth is the factor by which it changes after one that wasn't.
+	// falls after a cohort that was held up; paceGrowth is the factor by which it grows in cohortTime otherwise, and
+	// maxGrowth the most by which it grows at once.
 	paceCut    = 0.7
 	arrivedCut = 0.9
 	paceGrowth = 1.05
+	maxGrowth  = 1.5
 	// maxDrain bounds the time after a cut in which no connection is read, so that what waits already is carried first; paceSettle is
 	// the time from its end until cohorts tell of the new pace.
 	maxDrain   = time.Second
 	paceSettle = 100 * time.Millisecond
+	// stallDrain is that time if it isn't known what waits, but longer than waitLimit.
+	stallDrain = 500 * time.Millisecond
 	// minPace is the least number of connections that are read in a second.
 	minPace = 5.0
-	// paceBurst is the time for whose connections the pace allows at once.
+	// paceBurst is the time for whose connections the pace allows at once, and minBurst the least number of them.
 	paceBurst = 50 * time.Millisecond
+	minBurst  = minFollowers + 1
+	// countTime is the time in which admitted connections are counted.
+	countTime = 500 * time.Millisecond
+	// minCutRate is the number of new connections a second below which they aren't what others wait for.
+	minCutRate = 20.0
 	// paceEnd is the time without a refusal after which the pace ends.
 	paceEnd = 3 * time.Second
 )
@@ -46,6 +58,11 @@
 		arrivals  int       // requests that have arrived
 		pending   int       // connections whose request hasn't arrived yet
 		cohorts   []*cohort // not judged yet, the oldest first; the last one is open
+		reopening reopening
+		countedAt time.Time // since when counted connections were admitted
+		counted   int
+		// countedBefore is how many connections a second were admitted before countedAt.
+		countedBefore float64
 	}
 
 	// cohort is a number of connections that were admitted one after the other.
@@ -56,20 +73,81 @@
 	}
 )
 
-// admit reports whether a new connection is read, and if so, in which cohort it is.
-func (p *pace) admit(now time.Time) (*cohort, bool) {
+// mustRefuse reports whether no more connections may be let in.
+func (p *pace) mustRefuse(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.judge(now)
-	p.fill(now)
-	if p.perSecond > 0 && p.tokens < 1 {
-		p.refusedAt = now
+	return !p.hasRoom(now, 0)
+}
+
+// admit reports whether a new connection is read, and if so, in which cohort it is; it may use up what those of the next maxDebt may
+// use.
+func (p *pace) admit(now time.Time, maxDebt time.Duration) (*cohort, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.judge(now)
+	if !p.hasRoom(now, maxDebt) {
 		return nil, false
 	}
-	p.tokens = max(p.tokens-1, 0)
+	if p.tokens--; p.perSecond == 0 {
+		p.tokens = 0
+	}
+	p.count(now)
+	if waited := p.reopening.opened(now); waited > waitLimit {
+		p.cutFor(waited, now)
+	}
 	return p.join(now), true
 }
 
+// reopened records that the box listens again after it has refused connections.
+func (p *pace) reopened(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reopening.begin(now)
+}
+
+// openingLimit returns the time in which the first connection is expected after the box has begun to listen again; 0 for none.
+func (p *pace) openingLimit(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reopening.limit(now)
+}
+
+// heldUp records that no connection came in that time.
+func (p *pace) heldUp(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutFor(stallDrain, now)
+}
+
+// count counts the connections that are admitted in each countTime.
+func (p *pace) count(now time.Time) {
+	if now.Sub(p.countedAt) > countTime {
+		p.countedBefore, p.countedAt, p.counted = p.rate(now), now, 0
+	}
+	p.counted++
+}
+
+// rate returns how many connections were admitted in a second, lately.
+func (p *pace) rate(now time.Time) float64 {
+	rate := float64(p.counted) / max(now.Sub(p.countedAt), countTime/2).Seconds()
+	if now.Sub(p.countedAt) < countTime {
+		return max(rate, p.countedBefore)
+	}
+	return rate
+}
+
+// hasRoom reports whether a connection may be read that uses up at most what those of the next maxDebt may use.
+func (p *pace) hasRoom(now time.Time, maxDebt time.Duration) bool {
+	p.fill(now)
+	if p.perSecond == 0 || p.tokens >= 1-p.perSecond*maxDebt.Seconds() {
+		return true
+	}
+	p.refusedAt = now
+	return false
+}
+
 // freeAt returns when half of a burst may be read again.
 func (p *pace) freeAt(now time.Time) time.Time {
 	p.mu.Lock()
@@ -158,7 +236,7 @@
 		p.perSecond = 0
 		slog.Info("all new connections are read again")
 	default:
-		p.perSecond *= paceGrowth
+		p.perSecond *= min(math.Pow(paceGrowth, float64(c.endedAt.Sub(c.beganAt))/float64(cohortTime)), maxGrowth)
 	}
 }
 
@@ -174,8 +252,24 @@
 		"in_time", c.inTime, "arrived_per_s", int(arrived), "pending", p.pending, "drain_ms", drain.Milliseconds())
 }
 
+// cutFor lowers the pace since messages have to wait for so long on their way, and lets what waits be carried first.
+func (p *pace) cutFor(waited time.Duration, now time.Time) {
+	perSecond := p.perSecond
+	if perSecond == 0 {
+		perSecond = p.rate(now)
+	}
+	if p.perSecond == 0 && perSecond < minCutRate {
+		return
+	}
+	p.perSecond, p.tokens, p.cohorts = max(paceCut*perSecond, minPace), 0, nil
+	p.drainedAt = now.Add(min(waited, maxDrain))
+	p.filledAt, p.refusedAt = p.drainedAt, p.drainedAt
+	p.reopening.drained()
+	slog.Info("this box's messages wait on their way: fewer new connections are read", "per_s", int(p.perSecond), "waited_ms", waited.Milliseconds())
+}
+
 func (p *pace) burst() float64 {
-	return max(p.perSecond*paceBurst.Seconds(), 1)
+	return max(p.perSecond*paceBurst.Seconds(), minBurst)
 }
 
 func (p *pace) fill(now time.Time) {
--- a/wire/pace_test.go
+++ b/wire/pace_test.go
@@ -26,7 +26,7 @@
 	for i := range int(duration.Seconds() * float64(perSecond)) {
 		now := begin.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
 		w.arrive(p, now)
-		c, isAdmitted := p.admit(now)
+		c, isAdmitted := p.admit(now, 0)
 		if !isAdmitted {
 			continue
 		}
@@ -77,7 +77,7 @@
 	p, now := &pace{}, clock.Now()
 	for i := range 2000 {
 		now = now.Add(5 * time.Millisecond)
-		c, isAdmitted := p.admit(now)
+		c, isAdmitted := p.admit(now, 0)
 		assert.True(t, isAdmitted)
 		switch i % 4 {
 		case 0:
--- a/wire/refusing_listener.go
+++ b/wire/refusing_listener.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -14,7 +15,7 @@
 const relistenPause = 10 * time.Millisecond
 
 // RefusingListener is a listener that can refuse new connections for a while: their callers learn at once that they have to go
-// elsewhere, and send nothing. Its Accept and RefuseUntil are called by one goroutine.
+// elsewhere, and send nothing. Its Accept, AcceptWithin and RefuseUntil are called by one goroutine.
 type RefusingListener struct {
 	address string
 	closed  chan struct{}
@@ -40,6 +41,25 @@
 	return l.current().Accept()
 }
 
+// AcceptWithin accepts a connection; it returns nil if none is there within a time, or an error.
+func (l *RefusingListener) AcceptWithin(limit time.Duration) (net.Conn, error) {
+	inner, ok := l.current().(*net.TCPListener)
+	if !ok {
+		return nil, nil
+	}
+	if err := inner.SetDeadline(clock.Now().Add(limit)); err != nil {
+		return nil, err
+	}
+	conn, err := inner.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	if resetErr := inner.SetDeadline(time.Time{}); err == nil {
+		err = resetErr
+	}
+	return conn, err
+}
+
 // Addr implements net.Listener.
 func (l *RefusingListener) Addr() net.Addr {
 	return l.current().Addr()
--- /dev/null
+++ b/wire/waiting_test.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/willowwick/willowwick/clock"
+)
+
+// Guards against connections that were let in, and whose first bytes have used the link, being closed unread by a box whose link is
+// used up.
+func TestConnectionsThatAreOpenAlreadyAreRead(t *testing.T) {
+	const waiting = 10
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	admission := NewAdmission(8)
+	callers := NewCallerListener(listener, admission)
+	for range waiting {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	admission.link.admittedAt = clock.Now()
+	admission.link.use(clock.Now(), admission.link.level+1)
+	accepted := make(chan struct{}, waiting+1)
+	go func() {
+		for {
+			if _, err := callers.Accept(); err != nil {
+				return
+			}
+			accepted <- struct{}{}
+		}
+	}()
+	assert.Eventually(t, func() bool { return len(accepted) == waiting }, time.Second, 5*time.Millisecond)
+	_, err = net.Dial("tcp", listener.Addr().String())
+	assert.Error(t, err, "no other is let in")
+	assert.Zero(t, callers.Unread())
+	_ = callers.Close()
+}
+
+// Guards against a box that goes on listening for the first connection of a flood, which waits in its link, and lets all others in
+// meanwhile.
+func TestBoxRefusesMoreOnceOpeningsWait(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	admission := NewAdmission(0)
+	admission.pace.perSecond, admission.pace.tokens, admission.pace.filledAt = 100, -1, clock.Now()
+	admission.pace.reopening.between = 2 * time.Millisecond
+	callers := NewCallerListener(listener, admission)
+	go func() { _, _ = callers.Accept() }()
+	defer func() { _ = callers.Close() }()
+	assert.Eventually(t, func() bool { return admission.Pace() < 100 }, 2*time.Second, 5*time.Millisecond)
+	_, err = net.Dial("tcp", listener.Addr().String())
+	assert.Error(t, err)
+}
