A box reads fewer new connections once all its messages wait on their way

Callers: of 2,400 requests that a box behind a full link read none was served where its settings name no bandwidth, or ten times the right one. With the bandwidth named 260 of 291 were.

Cause: the pace goes by the time from the acceptance of a connection until its first request.

Change: the box times its own round trips, openings of connections to endpoints and calls to other boxes. The quickest of the last 0.3 s counts: slow endpoints, a cut path or another box that is busy slow down some, its own link and processor all. It is compared with the least ever, so distance plays no part, and says nothing if none is answered, as behind a cut.

--- a/exchange/gossip.go
+++ b/exchange/gossip.go
@@ -139,7 +139,9 @@
 	call := p.swapCallFor(address, clock.Now())
 	var reply SwapReply
 	sent, sentAt := clock.Now(), clock.TimeOfDay()
-	if err := p.transport.Call(ctx, address, rpcSwapMethod, &call, &reply); err != nil {
+	err := p.transport.Call(ctx, address, rpcSwapMethod, &call, &reply)
+	p.router.noteTrip(sent, err == nil)
+	if err != nil {
 		p.noteCallFailure(address, sentAt, err)
 		return
 	}
--- a/exchange/metrics.go
+++ b/exchange/metrics.go
@@ -16,6 +16,7 @@
 	retriesDenied *metrics.Counter
 	hintsDropped  *metrics.Counter
 	hintsSent     *metrics.Counter
+	roundTrips    *metrics.Histogram // seconds that the opening of a connection to an endpoint, or a call to another box took
 	firstArrivals *metrics.Histogram // seconds from the acceptance of a connection until its first request was read
 	distances     distanceMetrics
 }
@@ -27,6 +28,7 @@
 		retriesDenied: set.NewCounter("willowwick_repeats_denied_total"),
 		hintsDropped:  set.NewCounter("willowwick_hints_dropped_total"),
 		hintsSent:     set.NewCounter("willowwick_hint_datagrams_total"),
+		roundTrips:    set.NewHistogram("willowwick_round_trip_seconds"),
 		firstArrivals: set.NewHistogram("willowwick_first_request_arrival_seconds"),
 		distances:     newDistanceMetrics(set, x.topology),
 	}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/gate"
@@ -144,7 +146,7 @@
 	})
 	x.reach = newReach(x)
 	var closeConns func()
-	x.conns, closeConns = wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout, OnDial: x.reach.noteDial, Dial: dial})
+	x.conns, closeConns = wire.NewPool(wire.Settings{DialTimeout: dialTimeout, AckTimeout: unackedTimeout, OnDial: x.noteDial, Dial: dial})
 	x.evacuations = newEvacuations(x.pool)
 	x.admissions = newAdmissions(x.poison)
 	x.crashes = newCrashDetector(x)
@@ -189,6 +191,19 @@
 	c.run()
 }
 
+// noteDial records an attempt to open a connection to an endpoint.
+func (x *Router) noteDial(attempt wire.DialAttempt) {
+	x.reach.noteDial(attempt.Address, attempt.Err)
+	x.noteTrip(attempt.BeganAt, attempt.Err == nil || errors.Is(attempt.Err, syscall.ECONNREFUSED))
+}
+
+// noteTrip records a round trip of this box's that has just ended, by an answer or after a timeout.
+func (x *Router) noteTrip(beganAt time.Time, isAnswered bool) {
+	trip := wire.Trip{BeganAt: beganAt, EndedAt: clock.Now(), IsAnswered: isAnswered}
+	x.callersAdmission.NoteTrip(trip)
+	x.metrics.roundTrips.Update(trip.EndedAt.Sub(beganAt).Seconds())
+}
+
 // logRefused writes the only log line of a request that was refused on arrival, with the ages of the configuration
 // and the list of endpoints that the refusal is based on.
 func (x *Router) logRefused(out *reply, r *http.Request, refusal *willowwick.Refusal, arrived time.Time) {
--- a/wire/admission.go
+++ b/wire/admission.go
@@ -71,6 +71,11 @@
 	return a != nil && (a.link.IsExhausted(now) || a.pace.isLimiting(now))
 }
 
+// NoteTrip records a round trip of this box's to an endpoint or another box.
+func (a *Admission) NoteTrip(trip Trip) {
+	a.pace.noteTrip(trip)
+}
+
 // arrived records that the first request of a connection was read.
 func (a *Admission) arrived(c *callerConn, took time.Duration) {
 	if a != nil {
--- a/wire/pace.go
+++ b/wire/pace.go
@@ -58,6 +58,7 @@
 		arrivals  int       // requests that have arrived
 		pending   int       // connections whose request hasn't arrived yet
 		cohorts   []*cohort // not judged yet, the oldest first; the last one is open
+		trips     trips
 		reopening reopening
 		countedAt time.Time // since when counted connections were admitted
 		counted   int
@@ -121,6 +122,13 @@
 	p.cutFor(stallDrain, now)
 }
 
+// noteTrip records a round trip of this box's.
+func (p *pace) noteTrip(trip Trip) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trips.note(trip)
+}
+
 // count counts the connections that are admitted in each countTime.
 func (p *pace) count(now time.Time) {
 	if now.Sub(p.countedAt) > countTime {
@@ -212,6 +220,9 @@
 
 // judge changes the pace by the cohorts whose requests should have arrived.
 func (p *pace) judge(now time.Time) {
+	if waited := p.trips.delay(now, p.drainedAt); waited > waitLimit {
+		p.cutFor(waited, now)
+	}
 	for len(p.cohorts) > 0 {
 		oldest := p.cohorts[0]
 		if oldest.endedAt.IsZero() || now.Sub(oldest.endedAt) < arrivalLimit {
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -42,11 +42,18 @@
 		DialTimeout time.Duration // maximum time to establish a connection
 		AckTimeout  time.Duration // maximum time that sent bytes may stay unacknowledged
 		// OnDial is called after each attempt to open a connection that its caller didn't give up; nil for none.
-		OnDial func(address string, err error)
+		OnDial func(attempt DialAttempt)
 		// Dial opens the connections; nil for the usual way.
 		Dial DialFunc
 	}
 
+	// DialAttempt is an attempt to open a connection.
+	DialAttempt struct {
+		Address string
+		BeganAt time.Time
+		Err     error
+	}
+
 	// Stats counts the connections and skipped answers of a pool.
 	Stats struct {
 		Dialed  uint64
@@ -136,9 +143,10 @@
 
 // dial opens a new connection to the address.
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	beganAt := clock.Now()
 	conn, err := p.settings.Dial(ctx, "tcp", address)
 	if p.settings.OnDial != nil && !errors.Is(ctx.Err(), context.Canceled) {
-		p.settings.OnDial(address, err)
+		p.settings.OnDial(DialAttempt{Address: address, BeganAt: beganAt, Err: err})
 	}
 	if err != nil {
 		return nil, err
