A daemon that can't start tells why: log lines after the log's end are written at once

A box that could not listen at its address ended with 'panic: send on closed channel' in place of 'daemon failed' and the reason: the log's queue is closed before the error of the daemon is logged. Seen once in a run of TestFloodedBoxServesWhatItReads, in a box whose port was taken. The test panicked before.

--- a/exchange/logs.go
+++ b/exchange/logs.go
@@ -25,6 +25,9 @@
 	done      sync.WaitGroup
 	out       io.Writer
 	ownLogger *slog.Logger // writes to out, bypassing the queue
+
+	mu     sync.RWMutex
+	closed bool // lines are written at once
 }
 
 // NewLogQueue returns a queue in front of a writer, and a function that flushes and closes it; the logger that loggerTo
@@ -32,14 +35,24 @@
 func NewLogQueue(out io.Writer, loggerTo func(io.Writer) *slog.Logger) (*LogQueue, func()) {
 	q := &LogQueue{lines: make(chan []byte, logQueueLines), out: out, ownLogger: loggerTo(out)}
 	q.done.Go(q.run)
-	return q, func() {
-		close(q.lines)
-		q.done.Wait()
-	}
+	return q, q.close
 }
 
-// Write implements io.Writer; it never blocks.
+func (q *LogQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	close(q.lines)
+	q.done.Wait()
+	q.closed = true
+}
+
+// Write implements io.Writer; it never blocks, unless the queue is closed: a process that ends has time for its last lines.
 func (q *LogQueue) Write(line []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		return q.out.Write(line)
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
--- a/exchange/logs_test.go
+++ b/exchange/logs_test.go
@@ -41,3 +41,13 @@
 	assert.Equal(t, logQueueLines+1+dropped-int(lost)+1, strings.Count(text, "\n"), "each line that was queued, and the report")
 	assert.Equal(t, 1, strings.Count(text, "were dropped"), "it is reported once")
 }
+
+// Guards against a daemon that can't start, and panics in place of telling why: its log is closed by then.
+func TestLogWritesLinesAfterItIsClosed(t *testing.T) {
+	out := &bytes.Buffer{}
+	queue, flush := NewLogQueue(out, func(to io.Writer) *slog.Logger { return slog.New(slog.NewTextHandler(to, nil)) })
+	_, _ = fmt.Fprintln(queue, "first")
+	flush()
+	_, _ = fmt.Fprintln(queue, "daemon failed")
+	assert.Equal(t, "first\ndaemon failed\n", out.String())
+}
