Tests: boxes of the flood take addresses that no other box is given

Its callers' address was drawn at random from the range in which freeAddress gives addresses to the others, and looked at once. freeAddress never returns one twice, and its range is below the system's own.

--- a/cmd/e2e/flood_test.go
+++ b/cmd/e2e/flood_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -98,7 +97,7 @@
 	}
 	var seeds []string
 	for i := range 4 {
-		address := reservedAddress(t)
+		address := freeAddress(t) // below the system's own ports, so that the box may listen there again
 		fields := []string{"seeds=" + strings.Join(seeds, ","), "listen.front-http=" + address}
 		if i == 0 && c.declaredMbps > 0 {
 			fields = append(fields, fmt.Sprintf("limits.link-mbps=%d", c.declaredMbps))
@@ -122,20 +121,6 @@
 	return f
 }
 
-// reservedAddress returns a free address that the system gives no outgoing connection, so that a box may listen there again.
-func reservedAddress(t *testing.T) string {
-	const firstPort, ports = 20000, 10000
-	for range ports {
-		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(ports))
-		if listener, err := net.Listen("tcp", address); err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-	require.Fail(t, "no free port")
-	return ""
-}
-
 // serveBehindLink starts a runner that the flooded box reaches over its link.
 func (f *flood) serveBehindLink(t *testing.T, id, service string) {
 	server := httptest.NewUnstartedServer(nil)
