Releases: how slow the others were is forgotten by their answers, not by looks

Cause: how slow all other versions were lately raises what counts as good, since load slows all at once. It was forgotten by a factor at each look; where the others answer seldom it fell back to 'not known', 0.5 and a deviation, which is taken for slow. Class: absence of news read as news.

Change: the factor is for each ten answers of theirs. TestOthersThatAnswerSeldomAreNotTakenForSlow failed before and leaves the list; rollout and replay pass.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -99,12 +99,14 @@
 	minBadRate = 0.01
 	// minSlowRate is the share of slow answers that the promised latency allows: 5 in 100.
 	minSlowRate = 0.05
-	// fleetSlowDecay is the decay, for each observation, of how slow all other versions were.
-	fleetSlowDecay = 0.7
-	maxBadRate     = 0.6
-	badFactor      = 2.0
-	badAddend      = 0.08
-	baselineDecay  = 0.995
+	// fleetSlowDecay is the decay, for each fleetSlowAnswers of them, of how slow all other versions were: where none answers, what is
+	// known of them stays.
+	fleetSlowDecay   = 0.7
+	fleetSlowAnswers = 10.0
+	maxBadRate       = 0.6
+	badFactor        = 2.0
+	badAddend        = 0.08
+	baselineDecay    = 0.995
 	// minBaselineSamples is how many answers of the baseline must be known before a version is compared with it.
 	minBaselineSamples = 40
 	// baselineDeviations is by how many standard deviations the baseline is assumed to be worse than its estimate.
@@ -162,7 +164,8 @@
 // add adds new evidence and returns the log-likelihood ratio it contributes for each signal.
 func (m *Monitor) add(version, others, all Evidence) logRatios {
 	m.requests += version.Requests
-	m.fleetSlow.observe(all.CountsOf(SignalSlow), fleetSlowDecay)
+	fleet := all.CountsOf(SignalSlow)
+	m.fleetSlow.observe(fleet, math.Pow(fleetSlowDecay, float64(fleet.Total)/fleetSlowAnswers))
 	var steps logRatios
 	for signal := range signalCount {
 		m.updateBaseline(signal, others.CountsOf(signal))
