Tests: what a box does within a millisecond, and log lines on their way, are waited for

TestConnectionsThatAreOpenAlreadyAreRead: a connection was let in where none was expected. The box closes its listener once none has come for a millisecond; the test's came within it, as it may.

No code of the product changes.

--- a/cmd/e2e/soak_checker_test.go
+++ b/cmd/e2e/soak_checker_test.go
@@ -39,17 +39,40 @@
 	check func(c *checker, requests []*soakRequest)
 )
 
+const (
+	// logLimit is the time in which a box writes the log line of a request, and logPoll how often the logs are read.
+	logLimit = 2 * time.Second
+	logPoll  = 100 * time.Millisecond
+)
+
 // requestInLog matches the request id in a log line.
 var requestInLog = regexp.MustCompile(`"request":"([^"]*)"`)
 
+// awaitLogs reads the logs, until they name the latest permanent refusals or logLimit has passed: boxes write them asynchronously.
+func (c *checker) awaitLogs(requests []*soakRequest) {
+	for end := time.Now().Add(logLimit); ; time.Sleep(logPoll) {
+		for _, box := range c.site.boxes {
+			for _, found := range requestInLog.FindAllStringSubmatch(box.output.text(), -1) {
+				c.loggedRequests[found[1]] = true
+			}
+		}
+		if !slices.ContainsFunc(requests, c.lacksLogLine) || time.Now().After(end) {
+			return
+		}
+	}
+}
+
+// lacksLogLine reports whether a permanent refusal isn't named in the logs. Lines that were not yet written when a box was killed are
+// lost.
+func (c *checker) lacksLogLine(r *soakRequest) bool {
+	isRefusal := r.status == http.StatusNotFound || r.status == http.StatusUnauthorized
+	return isRefusal && c.site.boxes[r.box].incarnationNumber() == r.incarnation && !c.loggedRequests[r.id]
+}
+
 // checkAll returns the violated guarantees.
 func checkAll(site *soakSite, plan *faultPlan, requests []*soakRequest, checks ...check) []string {
 	c := &checker{site: site, plan: plan, runs: map[string][]endpointRun{}, loggedRequests: map[string]bool{}}
-	for _, box := range site.boxes {
-		for _, found := range requestInLog.FindAllStringSubmatch(box.output.text(), -1) {
-			c.loggedRequests[found[1]] = true
-		}
-	}
+	c.awaitLogs(requests)
 	for _, runner := range site.allRunners() {
 		for _, run := range runner.Runs() {
 			c.runs[run.Request] = append(c.runs[run.Request], endpointRun{run, runner})
@@ -221,8 +244,7 @@
 	if r.status != http.StatusNotFound && r.status != http.StatusUnauthorized {
 		return
 	}
-	// Log lines that were not yet written when a box was killed are lost.
-	if c.site.boxes[r.box].incarnationNumber() == r.incarnation && !c.loggedRequests[r.id] {
+	if c.lacksLogLine(r) {
 		c.reportRequest(r, "its permanent refusal was not logged")
 	}
 	var version int
--- a/wire/waiting_test.go
+++ b/wire/waiting_test.go
@@ -35,12 +35,20 @@
 		}
 	}()
 	assert.Eventually(t, func() bool { return len(accepted) == waiting }, time.Second, 5*time.Millisecond)
-	_, err = net.Dial("tcp", listener.Addr().String())
-	assert.Error(t, err, "no other is let in")
+	// The listener is closed once no other has come for waitingLimit.
+	assert.Eventually(t, func() bool { return isRefused(listener.Addr()) }, time.Second, 5*time.Millisecond)
 	assert.Zero(t, callers.Unread())
 	_ = callers.Close()
 }
 
+func isRefused(address net.Addr) bool {
+	conn, err := net.Dial("tcp", address.String())
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err != nil
+}
+
 // Guards against a box that goes on listening for the first connection of a flood, which waits in its link, and lets all others in
 // meanwhile.
 func TestBoxRefusesMoreOnceOpeningsWait(t *testing.T) {
@@ -50,9 +58,14 @@
 	admission.pace.perSecond, admission.pace.tokens, admission.pace.filledAt = 100, -1, clock.Now()
 	admission.pace.reopening.between = 2 * time.Millisecond
 	callers := NewCallerListener(listener, admission)
-	go func() { _, _ = callers.Accept() }()
+	go func() {
+		for {
+			if _, err := callers.Accept(); err != nil {
+				return
+			}
+		}
+	}()
 	defer func() { _ = callers.Close() }()
 	assert.Eventually(t, func() bool { return admission.Pace() < 100 }, 2*time.Second, 5*time.Millisecond)
-	_, err = net.Dial("tcp", listener.Addr().String())
-	assert.Error(t, err)
+	assert.Eventually(t, func() bool { return isRefused(listener.Addr()) }, time.Second, 5*time.Millisecond)
 }
