--- a/cmd/e2e/soak_checker_test.go
+++ b/cmd/e2e/soak_checker_test.go
@@ -62,11 +62,14 @@
 	}
 }
 
+func (r *soakRequest) isPermanentlyRefused() bool {
+	return r.status == http.StatusNotFound || r.status == http.StatusUnauthorized
+}
+
 // lacksLogLine reports whether a permanent refusal isn't named in the logs. Lines that were not yet written when a box was killed are
 // lost.
 func (c *checker) lacksLogLine(r *soakRequest) bool {
-	isRefusal := r.status == http.StatusNotFound || r.status == http.StatusUnauthorized
-	return isRefusal && c.site.boxes[r.box].incarnationNumber() == r.incarnation && !c.loggedRequests[r.id]
+	return r.isPermanentlyRefused() && c.site.boxes[r.box].incarnationNumber() == r.incarnation && !c.loggedRequests[r.id]
 }
 
 // checkAll returns the violated guarantees.
@@ -241,7 +244,7 @@
 // configApplyLimit ago and not removed since, and that it logs each permanent refusal. Outages are no excuse: a box that
 // does not know what is in force must say so.
 func (c *checker) checkPermanentRefusal(r *soakRequest) {
-	if r.status != http.StatusNotFound && r.status != http.StatusUnauthorized {
+	if !r.isPermanentlyRefused() {
 		return
 	}
 	if c.lacksLogLine(r) {
--- a/wire/admission.go
+++ b/wire/admission.go
@@ -32,9 +32,6 @@
 
 // mustRefuse reports whether no more connections may be let in.
 func (a *Admission) mustRefuse(now time.Time) bool {
-	if a == nil {
-		return false
-	}
 	isHeldUp := a.pace.mustRefuse(now)
 	return a.link.mustRefuse(now) || isHeldUp
 }
--- a/wire/callers.go
+++ b/wire/callers.go
@@ -110,14 +110,10 @@
 // refuse connections does so once no more can be served, but for those that are open already: their callers have sent the first bytes.
 func (l *CallerListener) acceptNext() (net.Conn, time.Duration, error) {
 	refusing, canRefuse := l.Listener.(*RefusingListener)
-	if !canRefuse {
+	if !canRefuse || l.admission == nil {
 		conn, err := l.Listener.Accept()
 		return conn, 0, err
 	}
-	if l.admission == nil {
-		conn, err := refusing.Accept()
-		return conn, 0, err
-	}
 	for {
 		if conn, err := l.refuseWhileFull(refusing); conn != nil || err != nil {
 			return conn, maxWaitingDebt, err
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -4,5 +4,6 @@
 //
 // CallerListener is for the other side: it lets a server that stops close idle connections of callers without losing
 // a request that arrives at that moment. It refuses connections that it
-// can't serve: a LinkLimit counts what callers use of the link, and a pace goes by the time that first requests take to arrive.
+// can't serve: a LinkLimit counts what callers use of the link, and a pace goes by how long first requests, openings and the box's own
+// round trips take.
 package wire
--- a/wire/pace.go
+++ b/wire/pace.go
@@ -255,26 +255,31 @@
 func (p *pace) cut(c *cohort, now time.Time) {
 	admitted := float64(c.admitted) / c.endedAt.Sub(c.beganAt).Seconds()
 	arrived := float64(p.arrivals-c.arrivedBefore) / now.Sub(c.beganAt).Seconds()
-	p.perSecond, p.tokens = max(min(paceCut*admitted, arrivedCut*arrived), minPace), 0
-	drain := min(time.Duration(float64(p.pending)/max(arrived, 1)*float64(time.Second)), maxDrain)
-	p.drainedAt = now.Add(drain)
-	p.filledAt = p.drainedAt
+	drain := p.lower(min(paceCut*admitted, arrivedCut*arrived), time.Duration(float64(p.pending)/max(arrived, 1)*float64(time.Second)), now)
 	slog.Info("requests on new connections are held up on their way in: fewer are read", "per_s", int(p.perSecond), "admitted", c.admitted,
 		"in_time", c.inTime, "arrived_per_s", int(arrived), "pending", p.pending, "drain_ms", drain.Milliseconds())
 }
 
+// lower sets the pace, and lets none be read until what waits is carried; it returns how long that is.
+func (p *pace) lower(perSecond float64, waits time.Duration, now time.Time) time.Duration {
+	drain := min(waits, maxDrain)
+	p.perSecond, p.tokens = max(perSecond, minPace), 0
+	p.drainedAt = now.Add(drain)
+	p.filledAt = p.drainedAt
+	return drain
+}
+
 // cutFor lowers the pace since messages have to wait for so long on their way, and lets what waits be carried first.
 func (p *pace) cutFor(waited time.Duration, now time.Time) {
 	perSecond := p.perSecond
 	if perSecond == 0 {
 		perSecond = p.rate(now)
+		if perSecond < minCutRate {
+			return
+		}
 	}
-	if p.perSecond == 0 && perSecond < minCutRate {
-		return
-	}
-	p.perSecond, p.tokens, p.cohorts = max(paceCut*perSecond, minPace), 0, nil
-	p.drainedAt = now.Add(min(waited, maxDrain))
-	p.filledAt, p.refusedAt = p.drainedAt, p.drainedAt
+	p.lower(paceCut*perSecond, waited, now)
+	p.refusedAt, p.cohorts = p.drainedAt, nil
 	p.reopening.drained()
 	slog.Info("this box's messages wait on their way: fewer new connections are read", "per_s", int(p.perSecond), "waited_ms", waited.Milliseconds())
 }
