Sight: log lines of sends tell on which connection an answer came, and what that had carried before

No line of a record could tell why a box took an answer for that of a send: they named neither the connection nor what it had carried before, nor whether the answer named the request. Lines of sends and of answered requests have them now.

--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -254,8 +254,8 @@
 	s.router.metrics.countAnswer(s.route, took)
 	s.recordHarmless(clock.Now())
 	ahead, reading := s.ticket.Forecast()
-	s.logCompletion("answered", s.answer.Status, "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
+	s.logCompletion("answered", s.answer.Status, append(s.connAttributes(), "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
 		"model", s.model, "confidence", s.answerHead.Confidence, "account", s.accountName(), "framing", s.answer.Framing,
 		"running", s.answerHead.Load.Running, "waiting", s.answerHead.Load.Waiting, "send_ms", s.sentAt.Sub(s.arrived).Milliseconds(),
-		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())
+		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -79,6 +79,7 @@
 		*call
 		ticket     *gate.Ticket
 		conn       *wire.Conn   // nil until the endpoint is reached
+		connPast   wire.Past    // what the connection had carried before
 		answer     *wire.Answer // nil until its head was received
 		answerHead willowwick.AnswerHead
 		sentAt     time.Time
@@ -203,6 +204,7 @@
 	defer stopWatching()
 	message := s.message
 	message.Header = s.encodeHeader()
+	s.connPast = conn.Past()
 	if err := conn.Send(&message); err != nil {
 		// The endpoint may have answered early and closed the connection; its answer can still be read.
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
--- a/exchange/send_log.go
+++ b/exchange/send_log.go
@@ -29,6 +29,7 @@
 	if s.answer != nil {
 		more = append(more, "framing", s.answer.Framing)
 	}
+	more = append(more, s.connAttributes()...)
 	slog.Info("send ended", append(more, "request", s.call.head.ID, "outcome", sendKindNames[result.kind], "cause", cause,
 		"endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release, "model", s.model,
 		"confidence", s.answerHead.Confidence, "running", s.answerHead.Load.Running, "waiting", s.answerHead.Load.Waiting,
@@ -36,10 +37,25 @@
 		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
 }
 
+// connAttributes tells which send of the request it was, on which connection, what that connection had carried before, and how sure it is
+// that the answer belongs to this send.
+func (s *send) connAttributes() []any {
+	attributes := []any{"send", s.sends}
+	if s.conn == nil {
+		return attributes
+	}
+	attributes = append(attributes, "conn", s.conn.LocalAddress(), "conn_requests", s.connPast.Requests, "conn_status", s.connPast.Status,
+		"skipped", s.conn.Past().Skipped-s.connPast.Skipped)
+	if s.answer == nil {
+		return attributes
+	}
+	return append(attributes, "endpoint_status", s.answer.Status, "names_request", s.answerHead.Request == s.call.head.ID)
+}
+
 // loadViewAttributes tells what was known of the endpoint's load when the request was sent there.
 func (s *send) loadViewAttributes() []any {
 	view := s.ticket.LoadView()
-	attributes := []any{"send", s.sends, "own_in_flight", view.InFlight, "own_since_report", view.SentSinceReport}
+	attributes := []any{"own_in_flight", view.InFlight, "own_since_report", view.SentSinceReport}
 	if view.Reported.At.IsZero() {
 		return attributes
 	}
--- a/wire/message.go
+++ b/wire/message.go
@@ -90,6 +90,7 @@
 // A long body is written concurrently with the reading of the answer, since the endpoint may answer before it has
 // read the whole body.
 func (c *Conn) Send(m *Message) error {
+	c.past.Requests++
 	buffer, _ := buffers.Get().(*bytes.Buffer)
 	buffer.Reset()
 	m.appendTo(buffer)
@@ -139,9 +140,11 @@
 		if answer.Status < http.StatusOK {
 			continue
 		}
+		c.past.Status = answer.Status
 		if belongs(answer) {
 			return answer, nil
 		}
+		c.past.Skipped++
 		c.pool.updateStats(func(s *Stats) { s.Surplus++ })
 		if _, err := io.Copy(io.Discard, io.LimitReader(answer.body, maxSkippedBytes)); err != nil {
 			return nil, errors.Wrap(willowwick.ErrBroken, "discard answer to another request: "+err.Error())
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -84,6 +84,14 @@
 		idleSince    time.Time     // when it was last released
 		write        *pendingWrite // nil if no write runs concurrently
 		interrupt    interrupt
+		past         Past
+	}
+
+	// Past is what a connection has carried so far.
+	Past struct {
+		Requests int // sent
+		Skipped  int // answers to other requests that were skipped
+		Status   int // of the newest answer that was received; 0 if there was none
 	}
 )
 
@@ -305,6 +313,16 @@
 	c.pool.mu.Unlock()
 }
 
+// Past returns what the connection has carried so far.
+func (c *Conn) Past() Past {
+	return c.past
+}
+
+// LocalAddress returns the address that tells the connection from others while it is open.
+func (c *Conn) LocalAddress() string {
+	return c.conn.LocalAddr().String()
+}
+
 // Close closes the connection, which also cancels whatever the endpoint still does for the request.
 func (c *Conn) Close() {
 	_ = c.conn.Close()
