A request never goes out again on a connection that has carried it

Callers saw requests run twice that may run once, and saw 503 (nothing has run) for requests that had run. Cause: a box tells answers apart by the request's ID, which all tries of one request share. A request that all endpoints have rejected goes to one of them again after 50 ms, on the connection used last, which is its own; an endpoint's surplus answer may come late, in the place where the next one is due. A copy of the rejection was then the answer to the try that ran. A copy of a 500 likewise spent an idempotent request's last run, and the answer that followed was lost.

Pool.Open passes the connections that it is given; a request gives those that have carried it, also between boxes. So an answer with its ID can belong to no other try.

Streams and cascades were safe already: their connections are closed.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -69,6 +69,7 @@
 		runs            int       // endpoints that may have run the request
 		isCounted       bool      // in its account's usage
 		triedEndpoints  map[willowwick.EndpointID]bool
+		usedConns       []*wire.Conn   // connections on which it was sent
 		regions         allowedRegions // by the newest configuration; see allowsHall
 		misses          misses
 		leftRegionFor   string // why the last send went to another region; empty if it didn't
--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -120,7 +120,7 @@
 // do sends the request to the box and relays its answer.
 func (p *passage) do() sendResult {
 	conns := p.router.offers.conns
-	conn, err := conns.Open(p.ctx, p.target.reply.Address)
+	conn, err := conns.Open(p.ctx, p.target.reply.Address, p.usedConns...)
 	if err != nil {
 		return sendResult{notSent, err}
 	}
@@ -129,6 +129,7 @@
 	defer stop()
 	message := p.message
 	message.Header = p.encodeHeader()
+	p.usedConns = append(p.usedConns, conn)
 	if err := conn.Send(&message); err != nil {
 		slog.Debug("request could not be passed on completely", "request", p.head.ID, "error", err)
 	}
--- a/exchange/promise_test.go
+++ b/exchange/promise_test.go
@@ -10,54 +10,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// unreliableEndpoints run a request after an answer that looks as if they had not, or answer with a status that promises so; by what
-// they do.
-var unreliableEndpoints = map[string]func(*rawEndpoint, rawTry){
-	"a copy of the rejection comes again": rejectsFirst(func(r *rawEndpoint, try rawTry) {
-		repeatsRejection(r, try)
-		time.Sleep(20 * time.Millisecond)
-		try.writeOwn(http.StatusOK)
-	}),
-	"a copy of the rejection comes again and the answer is lost": rejectsFirst(repeatsRejection),
-	"a rejection without ID where an answer is due": func(r *rawEndpoint, try rawTry) {
-		try.write("HTTP/1.1 503 Service Unavailable\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-		r.run(try)
-		time.Sleep(20 * time.Millisecond)
-		try.writeOwn(http.StatusOK)
-	},
-	"a 400 without ID where an answer is due": func(r *rawEndpoint, try rawTry) {
-		if len(try.seen) > 0 {
-			try.write("HTTP/1.1 400 Bad Request\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-		}
-		r.run(try)
-		try.writeOwn(http.StatusOK)
-	},
-	"its own 429": ranAndAnswers(http.StatusTooManyRequests),
-	"its own 408": ranAndAnswers(http.StatusRequestTimeout),
-	"its own 421": ranAndAnswers(http.StatusMisdirectedRequest),
-	"its own 503": ranAndAnswers(http.StatusServiceUnavailable),
-}
+// The routes of these tests may not be repeated; with the longer goal, a request that was rejected is sent again for longer.
+var promiseGoals = []time.Duration{300 * time.Millisecond, 2 * time.Second}
 
-// repeatsRejection writes a copy of the rejection first if the request was rejected on this connection, and runs the request.
-func repeatsRejection(r *rawEndpoint, try rawTry) {
-	if try.seen[try.id] {
-		try.write(rejection, try.id)
-	}
-	r.run(try)
-}
-
-func ranAndAnswers(status int) func(*rawEndpoint, rawTry) {
-	return func(r *rawEndpoint, try rawTry) {
-		r.run(try)
-		try.writeOwn(status)
-	}
-}
-
-// Guards against requests that run twice, or that run and are refused with a promise that they didn't: an answer that comes on
-// another try's behalf, or an endpoint's own status, was taken for the word that the request was not run.
-func TestRequestThatMayHaveRunIsNeitherRepeatedNorRefusedWithAPromise(t *testing.T) {
-	for name, answer := range unreliableEndpoints {
-		for _, goal := range []time.Duration{300 * time.Millisecond, 2 * time.Second} {
+// requireNoBrokenPromise sends requests to an endpoint, and requires that none that ran is refused with a promise, or runs again.
+func requireNoBrokenPromise(t *testing.T, answers map[string]func(*rawEndpoint, rawTry)) {
+	for name, answer := range answers {
+		for _, goal := range promiseGoals {
 			t.Run(fmt.Sprintf("%s/goal=%s", name, goal), func(t *testing.T) {
 				t.Parallel()
 				r := newRawEndpoint(t, answer)
@@ -83,6 +42,27 @@
 	}
 }
 
+// repeatsRejection writes a copy of the rejection first if the request was rejected on this connection, and runs the request.
+func repeatsRejection(r *rawEndpoint, try rawTry) {
+	if try.seen[try.id] {
+		try.write(rejection, try.id)
+	}
+	r.run(try)
+}
+
+// Guards against requests that run twice, or run and are refused with a promise: a copy of the rejection that one try of a request had
+// was taken for the answer to its next try on the same connection.
+func TestRejectionOfAnEarlierTryIsNotTakenForThisOnes(t *testing.T) {
+	requireNoBrokenPromise(t, map[string]func(*rawEndpoint, rawTry){
+		"answered": rejectsFirst(func(r *rawEndpoint, try rawTry) {
+			repeatsRejection(r, try)
+			time.Sleep(20 * time.Millisecond)
+			try.writeOwn(http.StatusOK)
+		}),
+		"answer lost": rejectsFirst(repeatsRejection),
+	})
+}
+
 // Guards against the loss of an answer that was there: a copy of the error that a try of the request had was taken for the answer
 // to the next try, which spent the request's last run.
 func TestAnswerToARetryIsNotAnEarlierErrorOfTheRequest(t *testing.T) {
@@ -102,3 +82,75 @@
 		require.Equal(t, http.StatusOK, s.do(t, http.MethodGet, "/again/", fmt.Sprint("id-", n), "").status)
 	}
 }
+
+// Guards against the same on connections that carry streams and the models of a cascade.
+func TestEachTryOfARequestUsesAConnectionOfItsOwn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Confidence: %d\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\n"
+	events := events(1)
+	for name, answer := range map[string]func(*rawEndpoint, rawTry){
+		"silent after an event": func(_ *rawEndpoint, try rawTry) {
+			if try.try == 1 {
+				try.write(head+"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", try.id, 100, len(events), events)
+				return
+			}
+			try.write(head+"Content-Length: 0\r\n\r\n", try.id, 100)
+		},
+		"of low confidence": func(_ *rawEndpoint, try rawTry) {
+			try.write(head+"Content-Length: %d\r\n\r\n%s", try.id, 100*(try.try-1), len(events), events)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRawEndpoint(t, answer)
+			second := r.endpoint() // at the same address, so that it has the same connections
+			second.ID = "second"
+			s := startSite(t, newTestControl(testTable(1, streamRoute()), r.endpoint(), second), testSettings())
+			for range 20 {
+				s.daemon.router.retryBudget("work").Request(time.Now())
+			}
+			reply := s.do(t, http.MethodPost, "/stream/", "id", "x", "T-Model", anyModel)
+			require.Equal(t, http.StatusOK, reply.status)
+			require.NoError(t, reply.err)
+			require.Equal(t, events, reply.body)
+			require.Len(t, r.conns, 2)
+			assert.NotSame(t, r.conns[0], r.conns[1])
+		})
+	}
+}
+
+// Guards against requests that run twice, or run and are refused with a promise: a rejection without the request's ID, which belongs to
+// no request or to any that the connection has carried, was taken for the answer that was due.
+func TestRejectionWithoutAnIDIsNotTakenForTheAnswerThatIsDue(t *testing.T) {
+	requireNoBrokenPromise(t, map[string]func(*rawEndpoint, rawTry){
+		"503": func(r *rawEndpoint, try rawTry) {
+			try.write("HTTP/1.1 503 Service Unavailable\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			r.run(try)
+			time.Sleep(20 * time.Millisecond)
+			try.writeOwn(http.StatusOK)
+		},
+		"400 on a used connection": func(r *rawEndpoint, try rawTry) {
+			if len(try.seen) > 0 {
+				try.write("HTTP/1.1 400 Bad Request\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+			r.run(try)
+			try.writeOwn(http.StatusOK)
+		},
+	})
+}
+
+// Guards against requests that ran and are refused with a promise: an endpoint's own status went to the caller as the box's word.
+func TestOwnStatusOfAnEndpointPromisesNothing(t *testing.T) {
+	answers := map[string]func(*rawEndpoint, rawTry){}
+	for _, status := range []int{
+		http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusServiceUnavailable,
+	} {
+		answers[fmt.Sprint(status)] = ranAndAnswers(status)
+	}
+	requireNoBrokenPromise(t, answers)
+}
+
+func ranAndAnswers(status int) func(*rawEndpoint, rawTry) {
+	return func(r *rawEndpoint, try rawTry) {
+		r.run(try)
+		try.writeOwn(status)
+	}
+}
--- a/exchange/raw_endpoint_test.go
+++ b/exchange/raw_endpoint_test.go
@@ -110,4 +110,3 @@
 		next(r, try)
 	}
 }
-
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -178,7 +178,7 @@
 
 func (s *send) do() sendResult {
 	s.sentAt = clock.Now()
-	conn, err := s.router.conns.Open(s.ctx, s.ticket.Endpoint.Address)
+	conn, err := s.router.conns.Open(s.ctx, s.ticket.Endpoint.Address, s.usedConns...)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		s.outcome = route.OutcomeUnreachable
 		return sendResult{unreached, err}
@@ -205,6 +205,7 @@
 	message := s.message
 	message.Header = s.encodeHeader()
 	s.connPast = conn.Past()
+	s.usedConns = append(s.usedConns, conn)
 	if err := conn.Send(&message); err != nil {
 		// The endpoint may have answered early and closed the connection; its answer can still be read.
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,12 +127,14 @@
 	return failed
 }
 
-// Open returns an idle connection to the address if one can be reused, and otherwise dials a new one.
+// Open returns an idle connection to the address if one other than those given can be reused, and otherwise dials a new one. A request
+// that was sent before passes the connections that carried it: an answer tells only its request, not the try that it belongs to, and one
+// to an earlier try may still arrive there.
 //
 // An error wraps both willowwick.ErrNotSent and its cause.
-func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
+func (p *Pool) Open(ctx context.Context, address string, other ...*Conn) (*Conn, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, other)
 		if c == nil {
 			break
 		}
@@ -203,17 +206,19 @@
 	return p.stats
 }
 
-// takeIdle removes and returns the most recently used idle connection, which is the least likely to be closed.
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle removes and returns the most recently used idle connection other than those given, nil if there is none: it is the least
+// likely to be closed.
+func (p *Pool) takeIdle(address string, other []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if c := conns[i]; !slices.Contains(other, c) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // CloseIdle closes the idle connections to an address whose endpoint is gone.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -117,6 +117,28 @@
 	assert.Equal(t, uint64(2), pool.Stats().Reused)
 }
 
+// A request that is sent again gets a connection that has not carried it, also if others are idle.
+func TestOpenPassesTheConnectionsThatAreGiven(t *testing.T) {
+	address, conns := newPeer(t)
+	pool := newTestPool(t)
+	var used []*Conn
+	for range 3 {
+		used = append(used, open(t, pool, address))
+		<-conns
+	}
+	for _, c := range used {
+		c.Release("timeout=5")
+	}
+	c, err := pool.Open(context.Background(), address, used[2], used[0])
+	require.NoError(t, err)
+	assert.Same(t, used[1], c)
+	c, err = pool.Open(context.Background(), address, used...)
+	require.NoError(t, err)
+	assert.NotContains(t, used, c)
+	assert.Same(t, used[2], open(t, pool, address), "the others are still idle")
+	assert.Same(t, used[0], open(t, pool, address))
+}
+
 func TestAnswerToEarlierRequestIsSkipped(t *testing.T) {
 	address, conns := newPeer(t)
 	pool := newTestPool(t)
