An answer without an ID belongs to no request, unless it says that the only one on its connection can't be read

Callers saw requests run twice, or run and be refused with 503. Cause: an answer without an ID was taken for the one that was due. An endpoint answers with the request's ID; it lacks only where it could not read the request (400), and even that may be a late copy once something else was sent on the connection. Such answers are skipped like those to other requests; the one that is due may follow, and does in the test.

Evidence: TestRejectionWithoutAnIDIsNotTakenForTheAnswerThatIsDue failed before (503: 10 of 10 refused, 10 run twice; 400: 9 run twice) and passes.

--- a/exchange/notices.go
+++ b/exchange/notices.go
@@ -11,11 +11,13 @@
 	"github.com/willowwick/willowwick/wire"
 )
 
-// answersRequest reports whether an answer belongs to this request. The notice of an earlier request's late answer
-// is applied all the same.
+// answersRequest reports whether an answer belongs to this send. One without an ID does only if the endpoint could not read the request,
+// and nothing else was sent on the connection; others belong to no request. What an answer to an earlier request reports about its
+// endpoint is applied all the same.
 func (s *send) answersRequest(answer *wire.Answer) bool {
 	head := s.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now())
-	if head.Request == "" || head.Request == s.call.head.ID {
+	isUnread := head.Request == "" && answer.Status == http.StatusBadRequest && s.connPast.Requests == 0
+	if head.Request == s.call.head.ID || isUnread {
 		return true
 	}
 	s.applyNotice(answer.Status, head.Notice, time.Time{}) // the time its request was sent is unknown
