A status that promises that nothing has run leaves a box only if the box knows so, on one path

Callers got 429, 408 or 421 for requests that may run once and had run: the endpoint's own status went to them as it was, and there it is the box's promise. All statuses now leave by reply.writeStatus, which makes a promise a 502 without signature once any endpoint may have run the request; 503 was the only one to be so before.

Evidence: TestOwnStatusOfAnEndpointPromisesNothing failed before (429, 408: 10 of 10; 421: 1, then the endpoint got no more) and passes.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -353,6 +353,18 @@
 	}
 }
 
+// beginRun records that one more endpoint may run the request from now on.
+func (c *call) beginRun() {
+	c.runs++
+	c.out.mayHaveRun = true
+}
+
+// undoRun records that the endpoint that the request was sent to last has not run it.
+func (c *call) undoRun() {
+	c.runs--
+	c.out.mayHaveRun = c.runs > 0
+}
+
 // allowsAnotherRun reports whether one more endpoint may run the request.
 func (c *call) allowsAnotherRun() bool {
 	if c.out.headSent && (!c.route.Resumable || c.out.isPlain) {
--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -134,7 +134,7 @@
 		slog.Debug("request could not be passed on completely", "request", p.head.ID, "error", err)
 	}
 	p.router.metrics.distances.countSend(p.router.topology.Distance(p.target.box.Hall), len(message.Body))
-	p.runs++
+	p.beginRun()
 	p.answer, err = conn.Receive(message.Method, p.deadline, p.deadline, func(*wire.Answer) bool { return true })
 	if err != nil {
 		conn.Close()
@@ -163,11 +163,14 @@
 	status := p.answer.Status
 	switch {
 	case p.answer.Header.Get(headerNotTaken) != "":
-		p.runs--
+		p.undoRun()
 		return sendResult{notRun, errors.New("the box takes no requests")}
 	case promisesNotRun(status) && p.runs > 1:
 		// An earlier send may have run: the promise of the other box would not be true.
 		return sendResult{failed, errors.Errorf("status %d", status)}
+	case promisesNotRun(status):
+		p.undoRun()
+		return p.relayWhole()
 	case p.out.headSent && status != http.StatusOK:
 		return sendResult{broken, errors.Errorf("status %d instead of the rest of the stream", status)}
 	case p.route.Stream && status == http.StatusOK:
@@ -177,16 +180,6 @@
 	}
 }
 
-// promisesNotRun reports whether a status says that nothing has run.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
-}
-
 func (p *passage) relayStream() sendResult {
 	err := readEvents(p.readAnswer, func(events []byte) bool { return p.writeEvents(p.answer, events, clock.Now()) })
 	if errors.Is(err, errCallerLeft) {
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -25,6 +25,7 @@
 	codec      willowwick.HeaderCodec
 	id         willowwick.RequestID
 	headSent   bool // the status line and headers were sent
+	mayHaveRun bool // an endpoint may have run the request
 	isPlain    bool // the answer that was begun is no stream, whose events could come from several sends
 }
 
@@ -44,19 +45,34 @@
 	if length >= 0 {
 		own["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
+	r.writeStatus(status)
+}
+
+// writeStatus sends the status and the headers, also of refusals. A status that promises that nothing has run becomes a 502 unless the
+// box knows that nothing has.
+func (r *reply) writeStatus(status int) {
+	if r.mayHaveRun && promisesNotRun(status) {
+		status = http.StatusBadGateway
+		r.codec.RemoveSignature(r.writer.Header())
+		r.writer.Header().Del("Retry-After")
+	}
 	r.headSent = true
 	r.writer.WriteHeader(status)
 }
 
-// writeFailure relays an endpoint's error answer. A 503 becomes a 502, since a 503 would promise that nothing ran.
-func (r *reply) writeFailure(f *failedAnswer) {
-	status := f.status
-	if status == http.StatusServiceUnavailable {
-		status = http.StatusBadGateway
-		r.codec.RemoveSignature(f.header)
-		delete(f.header, "Retry-After")
+// promisesNotRun reports whether a status promises the caller that its request was not run and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
 	}
-	r.writeHead(status, f.header, int64(len(f.body)))
+}
+
+// writeFailure relays an endpoint's error answer.
+func (r *reply) writeFailure(f *failedAnswer) {
+	r.writeHead(f.status, f.header, int64(len(f.body)))
 	r.write(f.body)
 }
 
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -232,8 +232,7 @@
 		}
 		header.Set("Retry-After", retryAfter(at, clock.Now()))
 	}
-	out.headSent = true
-	out.writer.WriteHeader(statusOf(refusal))
+	out.writeStatus(statusOf(refusal))
 	out.write([]byte(refusal.Message + "\n"))
 }
 
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -210,7 +210,7 @@
 		// The endpoint may have answered early and closed the connection; its answer can still be read.
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
 	}
-	s.runs++
+	s.beginRun()
 	defer s.awaitAnswer()()
 	s.router.metrics.distances.countSend(s.distance(), len(message.Body))
 	s.countUnwantedSend()
@@ -336,8 +336,11 @@
 func (s *send) handleAnswer() sendResult {
 	status := s.answer.Status
 	switch {
-	case s.answerHead.NotRun || status == http.StatusMisdirectedRequest:
+	case s.answerHead.NotRun:
 		return s.handleNotRun()
+	case status == http.StatusMisdirectedRequest:
+		s.router.pool.MarkMisplaced(s.ticket.Endpoint)
+		return sendResult{failed, errors.New("another endpoint answered")}
 	case status >= http.StatusInternalServerError:
 		return s.handleFailure()
 	case s.shouldEscalate():
@@ -357,7 +360,7 @@
 }
 
 func (s *send) handleNotRun() sendResult {
-	s.runs--
+	s.undoRun()
 	s.outcome = route.OutcomeBusy
 	if s.answer.Status == http.StatusMisdirectedRequest {
 		s.router.pool.MarkMisplaced(s.ticket.Endpoint)
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -289,6 +289,7 @@
 	arrival := b.recordArrival(id, w.Header())
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.settings.ID {
 		w.Header().Set("Instance-Id", b.settings.ID)
+		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
