A box trusts another box's promise only if it names the request

What isn't taken is answered with the request's ID now, and an answer without it promises nothing.

Evidence: TestPromiseOfAnotherBoxCountsOnlyIfItNamesTheRequest failed before in all three cases.

--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
 	"github.com/willowwick/willowwick/clock"
 	"github.com/willowwick/willowwick/wire"
 )
@@ -47,8 +48,7 @@
 // ServeHTTP implements http.Handler for the requests that other boxes pass on.
 func (o *offers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get(headerPassedOn) != o.token || o.own().Address == "" {
-		w.Header().Set(headerNotTaken, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		o.refuseUntaken(w, r)
 		return
 	}
 	origin := passedOn{isPassedOn: true, isCounted: r.Header.Get(headerCounted) != ""}
@@ -57,6 +57,17 @@
 	o.router.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), passedOnKey{}, origin)))
 }
 
+// refuseUntaken answers a request that this box doesn't take from another one.
+func (o *offers) refuseUntaken(w http.ResponseWriter, r *http.Request) {
+	head, err := o.router.codec.DecodeRequest(r.Header, clock.Now())
+	if err != nil {
+		slog.Info("a request that was passed on here can't be read", "request", head.ID, "error", err)
+	}
+	o.router.codec.EncodeOwnAnswer(w.Header(), head.ID)
+	w.Header().Set(headerNotTaken, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // originOf says how a request got here.
 func originOf(r *http.Request) passedOn {
 	origin, _ := r.Context().Value(passedOnKey{}).(passedOn)
@@ -135,7 +146,10 @@
 	}
 	p.router.metrics.distances.countSend(p.router.topology.Distance(p.target.box.Hall), len(message.Body))
 	p.beginRun()
-	p.answer, err = conn.Receive(message.Method, p.deadline, p.deadline, func(*wire.Answer) bool { return true })
+	p.answer, err = conn.Receive(message.Method, p.deadline, p.deadline, func(answer *wire.Answer) bool {
+		named := p.namedBy(answer)
+		return named == "" || named == p.head.ID
+	})
 	if err != nil {
 		conn.Close()
 		return sendResult{broken, err}
@@ -158,15 +172,20 @@
 	return header
 }
 
-// relay relays the answer of the other box.
+// namedBy returns the ID of the request that the answer names; empty if it names none.
+func (p *passage) namedBy(answer *wire.Answer) willowwick.RequestID {
+	return p.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now()).Request
+}
+
+// relay relays the answer of the other box. That box's promise that nothing has run counts if it names the request, and goes to the caller
+// if no earlier send may have run either.
 func (p *passage) relay() sendResult {
-	status := p.answer.Status
+	status, isNamed := p.answer.Status, p.namedBy(p.answer) == p.head.ID
 	switch {
-	case p.answer.Header.Get(headerNotTaken) != "":
+	case p.answer.Header.Get(headerNotTaken) != "" && isNamed:
 		p.undoRun()
 		return sendResult{notRun, errors.New("the box takes no requests")}
-	case promisesNotRun(status) && p.runs > 1:
-		// An earlier send may have run: the promise of the other box would not be true.
+	case promisesNotRun(status) && (p.runs > 1 || !isNamed):
 		return sendResult{failed, errors.Errorf("status %d", status)}
 	case promisesNotRun(status):
 		p.undoRun()
--- a/exchange/pass_on_ends_test.go
+++ b/exchange/pass_on_ends_test.go
@@ -172,3 +172,23 @@
 	assert.Equal(t, http.StatusOK, reply.status)
 	assert.Equal(t, 1, c.runsOf("id"))
 }
+
+// Guards against requests that run though they were refused with a promise, found by reading: a box took any answer on a connection to
+// another box for the answer to the request that it had passed on.
+func TestPromiseOfAnotherBoxCountsOnlyIfItNamesTheRequest(t *testing.T) {
+	s := newSite(t, newRunner(t, "r1", answerText("ok")).endpoint("v1"))
+	for name, head := range map[string]string{
+		"not taken": headerNotTaken + ": 1\r\n", "refused": "", "of another request": "T-Id: other\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			box := newRawEndpoint(t, func(_ *rawEndpoint, try rawTry) {
+				try.write("HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n", head)
+				_ = try.conn.Close()
+			})
+			c, recorder := s.newCall(t, "/once/", "id")
+			p := &passage{call: c, target: target{reply: OfferReply{Address: box.address}}}
+			require.True(t, p.isLast(p.do()))
+			assert.Equal(t, http.StatusBadGateway, recorder.Code)
+		})
+	}
+}
