Each box returns to an endpoint after a backoff in a part of the time of its own

Cause: each box drew its pause from the whole of the time, and now and then many drew much the same. Boxes share an order, that of their addresses; each draws from its own part of the time, another one at each endpoint. So what comes together is bounded by design, not by chance. A seed for the draw would only have picked plays that pass. The first request to a cold endpoint draws in the same way, for the same reason.

--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -104,6 +104,18 @@
 	return len(p.known) + 1
 }
 
+// rank returns this box's place among the known boxes by address, counted from 0, and how many there are.
+func (p *peers) rank() (rank, boxes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.known {
+		if address < p.router.settings.Peers {
+			rank++
+		}
+	}
+	return rank, len(p.known) + 1
+}
+
 // hallSize returns the number of known boxes of this hall, this one included; most are known from the hub.
 func (p *peers) hallSize() int {
 	p.mu.Lock()
--- a/exchange/peers_test.go
+++ b/exchange/peers_test.go
@@ -304,3 +304,17 @@
 	require.Eventually(t, func() bool { return !isListed() }, waitTimeout, time.Millisecond)
 	require.Eventually(t, isListed, wholeListInterval+waitTimeout, time.Millisecond, "its reader lists it")
 }
+
+// Boxes that hold the same rank would return to an endpoint at the same time.
+func TestBoxesOfAFleetHaveRanksOfTheirOwn(t *testing.T) {
+	const boxes = 12
+	m := newMesh(1, boxes, 3, 3)
+	m.run(t, 5*time.Second)
+	taken := map[int]bool{}
+	for _, box := range m.boxes {
+		rank, known := box.peers.rank()
+		assert.Equal(t, boxes, known)
+		taken[rank] = true
+	}
+	assert.Len(t, taken, boxes)
+}
--- a/exchange/router.go
+++ b/exchange/router.go
@@ -332,6 +332,7 @@
 		pauses[service.Name] = route.ColdPause(service.ColdPerSecond, boxes)
 	}
 	x.pool.SetColdPauses(pauses)
+	x.pool.SetRank(x.peers.rank())
 }
 
 // signalWarm releases the requests that wait for the first configuration and list of endpoints, once both are
--- a/route/cold.go
+++ b/route/cold.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/willowwick/willowwick"
@@ -43,13 +42,13 @@
 }
 
 // isColdPaused reports whether the endpoint is cold and this box must wait before its next request to it. The first
-// request waits for a random part of the pause, since all boxes learn of the endpoint at the same time.
+// request waits for a part of the pause, since all boxes learn of the endpoint at the same time.
 func (p *Pool) isColdPaused(now time.Time, m *member) bool {
 	if !m.isCold(now) {
 		return false
 	}
 	if m.nextColdSendAt.IsZero() {
-		m.nextColdSendAt = now.Add(time.Duration(rand.Float64() * float64(p.coldPauses[m.endpoint.Service])))
+		m.nextColdSendAt = now.Add(time.Duration(p.drawTurn(m.endpoint.ID) * float64(p.coldPauses[m.endpoint.Service])))
 	}
 	return now.Before(m.nextColdSendAt)
 }
--- a/route/notice.go
+++ b/route/notice.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/willowwick/willowwick"
 )
 
@@ -12,9 +13,9 @@
 	// reportedStateTTL is how long the reported state of an unlisted endpoint is kept: its old entry may return,
 	// since a store that is restored from a copy of itself has lost the latest writes.
 	reportedStateTTL = 10 * time.Minute
-	// maxBackoffJitter bounds the random delay that a box adds to a backoff. An overloaded endpoint asks many boxes
-	// for the same backoff at about the same time, and without jitter they would all resume at once. The jitter is at
-	// most the backoff divided by backoffJitterDivisor.
+	// maxBackoffJitter bounds the delay that a box adds to a backoff. An overloaded endpoint asks many boxes for the same
+	// backoff at about the same time, and without jitter they would all resume at once. The jitter is at most the backoff
+	// divided by backoffJitterDivisor.
 	maxBackoffJitter     = time.Second
 	backoffJitterDivisor = 5
 )
@@ -28,7 +29,7 @@
 		draining      bool          // it accepts no new requests; permanent
 		misplaced     bool          // another endpoint answers at its address
 		backoffUntil  time.Time     // it accepts no request of this box before; zero if it asked for no backoff
-		backoffJitter time.Duration // random delay after the backoff, for this box
+		backoffJitter time.Duration // delay after the backoff, for this box
 		unlistedAt    time.Time     // when it was first found missing from the list; zero while listed
 	}
 
@@ -63,7 +64,8 @@
 	changes.Backoff = notice.BackoffUntil.After(now) && !s.isInBackoff(now)
 	s.draining = s.draining || notice.Draining
 	if changes.Backoff {
-		s.backoffJitter = time.Duration(rand.Float64() * float64(min(maxBackoffJitter, notice.BackoffUntil.Sub(now)/backoffJitterDivisor)))
+		longest := min(maxBackoffJitter, notice.BackoffUntil.Sub(now)/backoffJitterDivisor)
+		s.backoffJitter = time.Duration(p.drawTurn(endpoint.ID) * float64(longest))
 	}
 	// A later answer that asks for a shorter backoff does not shorten the current one.
 	if until := notice.BackoffUntil.Add(s.backoffJitter); notice.BackoffUntil.After(now) && until.After(s.backoffUntil) {
@@ -75,6 +77,23 @@
 	return changes
 }
 
+// SetRank tells the pool which of the fleet's boxes this one is, counted from 0 in an order that all boxes share.
+func (p *Pool) SetRank(rank, boxes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rank, p.boxes = rank, boxes
+}
+
+// drawTurn draws when this box takes its turn at the endpoint, as a share of the time in which all boxes do. Each has its own part of that
+// time, another one at each endpoint, since times that all boxes draw from the whole often come close together. The caller holds the lock.
+func (p *Pool) drawTurn(endpoint willowwick.EndpointID) float64 {
+	if p.boxes < 1 {
+		return rand.Float64()
+	}
+	first := int(xxhash.Sum64String(string(endpoint)) % uint64(p.boxes))
+	return (float64((p.rank+first)%p.boxes) + rand.Float64()) / float64(p.boxes)
+}
+
 // MarkDraining records that an endpoint is draining, whatever the source.
 func (p *Pool) MarkDraining(id willowwick.EndpointID) {
 	p.mu.Lock()
--- a/route/notice_test.go
+++ b/route/notice_test.go
@@ -157,6 +157,7 @@
 		r := &backoffSimulation{waiting: make([]int, boxes)}
 		for i := range boxes {
 			pool, endpoint := newNoticePool(seed*boxes+uint64(i), "e1")
+			pool.SetRank(i, boxes)
 			pool.ApplyNotice(now, now, endpoint, backoffNotice(now.Add(2*time.Second)))
 			r.endpoint, r.boxes, r.waiting[i] = endpoint, append(r.boxes, pool), waiting
 		}
--- a/route/pool.go
+++ b/route/pool.go
@@ -39,6 +39,8 @@
 		reportedState map[willowwick.EndpointID]*reportedState
 		// coldPauses holds the pause between this box's requests to one cold endpoint, by service.
 		coldPauses map[willowwick.ServiceID]time.Duration
+		// rank is this box's place among the fleet's boxes, of which there are as many; 0 if not known.
+		rank, boxes int
 	}
 
 	// PoolOptions bound the work that a pool gives to endpoints. StartLimit and LoadMaxAge have defaults, which apply
