--- a/cmd/e2e/soak_checker_test.go
+++ b/cmd/e2e/soak_checker_test.go
@@ -45,6 +45,11 @@
 	logPoll  = 100 * time.Millisecond
 )
 
+// promisingStatuses are those that promise that the request has not run and never will.
+var promisingStatuses = []int{
+	http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+}
+
 // requestInLog matches the request id in a log line.
 var requestInLog = regexp.MustCompile(`"request":"([^"]*)"`)
 
@@ -138,7 +143,7 @@
 	if isRunOnce && len(runs) > 1 {
 		c.reportRequest(r, "ran more than once")
 	}
-	if isRunOnce && r.status == http.StatusServiceUnavailable && len(runs) > 0 {
+	if isRunOnce && slices.Contains(promisingStatuses, r.status) && len(runs) > 0 {
 		c.reportRequest(r, "was refused as not run but ran")
 	}
 	for _, run := range runs {
