A request's end is no longer watched once another may use its connection

Found by reading, while looking for what makes a box believe that a request was not run: the connection went back to the pool first, and the watch of the caller's leaving and of the deadline ended after it. A caller that left in between closed the connection under the next request, whose outcome was then unknown (502); or the pool held a closed connection. The watch ends first; if it has fired, the connection isn't used again. Between boxes likewise.

--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -137,7 +137,6 @@
 	}
 	// When the request ends, by its deadline or its caller, so does what the other box does for it.
 	stop := context.AfterFunc(p.ctx, conn.Close)
-	defer stop()
 	message := p.message
 	message.Header = p.encodeHeader()
 	p.usedConns = append(p.usedConns, conn)
@@ -151,10 +150,17 @@
 		return named == "" || named == p.head.ID
 	})
 	if err != nil {
+		stop()
 		conn.Close()
 		return sendResult{broken, err}
 	}
-	defer p.answer.Done()
+	defer func() {
+		if !stop() {
+			conn.Close()
+			return
+		}
+		p.answer.Done()
+	}()
 	return p.relay()
 }
 
--- a/exchange/promise_test.go
+++ b/exchange/promise_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -154,3 +155,30 @@
 		try.writeOwn(status)
 	}
 }
+
+// endingWriter is a caller whose request ends as its answer is written.
+type endingWriter struct {
+	http.ResponseWriter
+	end func()
+}
+
+// Write implements io.Writer.
+func (w *endingWriter) Write(p []byte) (int, error) {
+	w.end()
+	return w.ResponseWriter.Write(p)
+}
+
+// Guards against a request whose connection is closed under it, found by reading: the end of the request before it on the connection was
+// still watched once the connection could be used again.
+func TestConnectionOfAnEndedRequestIsNotUsedAgain(t *testing.T) {
+	s := newSite(t, newRunner(t, "r1", answerText("ok")).endpoint("v1"))
+	for n := range 20 {
+		c, recorder := s.newCall(t, "/once/", fmt.Sprint("id-", n))
+		ctx, cancel := context.WithCancel(t.Context())
+		c.ctx, c.out.writer = ctx, &endingWriter{recorder, cancel}
+		c.run()
+		require.Equal(t, "ok", recorder.Body.String())
+	}
+	assert.Zero(t, s.daemon.router.conns.Stats().Reused)
+	assert.Zero(t, s.daemon.router.conns.Stats().Stale)
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -199,8 +199,7 @@
 	}
 	// When the request ends, by its deadline or its caller, the endpoint's work ends too.
 	stop := context.AfterFunc(s.ctx, conn.Close)
-	defer stop()
-	defer s.releaseConn()
+	defer func() { s.releaseConn(stop()) }()
 	defer stopWatching()
 	message := s.message
 	message.Header = s.encodeHeader()
@@ -449,9 +448,9 @@
 	s.router.releases.observeAwaited(s.awaited, isError, clock.Now())
 }
 
-// releaseConn returns the connection to the pool, or closes it if the answer was not read to its end.
-func (s *send) releaseConn() {
-	if s.answer == nil {
+// releaseConn returns the connection to the pool, or closes it if the answer was not read to its end, or the request's end closes it.
+func (s *send) releaseConn(isOwned bool) {
+	if s.answer == nil || !isOwned {
 		s.conn.Close()
 		return
 	}
