--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -183,16 +183,16 @@
 	return p.router.codec.DecodeAnswer(answer.Status, answer.Header, clock.Now()).Request
 }
 
-// relay relays the answer of the other box. That box's promise that nothing has run counts if it names the request, and goes to the caller
-// if no earlier send may have run either.
+// relay relays the answer of the other box. That box's promise that nothing has run counts if it names the request; the caller gets it
+// only if no earlier send may have run either.
 func (p *passage) relay() sendResult {
 	status, isNamed := p.answer.Status, p.namedBy(p.answer) == p.head.ID
 	switch {
 	case p.answer.Header.Get(headerNotTaken) != "" && isNamed:
 		p.undoRun()
 		return sendResult{notRun, errors.New("the box takes no requests")}
-	case promisesNotRun(status) && (p.runs > 1 || !isNamed):
-		return sendResult{failed, errors.Errorf("status %d", status)}
+	case promisesNotRun(status) && !isNamed:
+		return sendResult{failed, errors.Errorf("status %d that names another request", status)}
 	case promisesNotRun(status):
 		p.undoRun()
 		return p.relayWhole()
@@ -246,6 +246,6 @@
 
 // delivered logs an answer that was sent to the caller completely.
 func (p *passage) delivered() sendResult {
-	p.logCompletion("passed on", p.answer.Status, "peer", p.target.box.Address)
+	p.logCompletion("passed on", p.out.status, "peer", p.target.box.Address)
 	return sendResult{kind: answered}
 }
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -25,6 +25,7 @@
 	codec      willowwick.HeaderCodec
 	id         willowwick.RequestID
 	headSent   bool // the status line and headers were sent
+	status     int  // that was sent; 0 before
 	mayHaveRun bool // an endpoint may have run the request
 	isPlain    bool // the answer that was begun is no stream, whose events could come from several sends
 }
@@ -56,7 +57,7 @@
 		r.codec.RemoveSignature(r.writer.Header())
 		r.writer.Header().Del("Retry-After")
 	}
-	r.headSent = true
+	r.headSent, r.status = true, status
 	r.writer.WriteHeader(status)
 }
 
@@ -270,7 +271,7 @@
 	s.router.metrics.countAnswer(s.route, took)
 	s.recordHarmless(clock.Now())
 	ahead, reading := s.ticket.Forecast()
-	s.logCompletion("answered", s.answer.Status, append(s.connAttributes(), "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
+	s.logCompletion("answered", s.out.status, append(s.connAttributes(), "endpoint", s.ticket.Endpoint.ID, "release", s.ticket.Endpoint.Release,
 		"model", s.model, "confidence", s.answerHead.Confidence, "account", s.accountName(), "framing", s.answer.Framing,
 		"running", s.answerHead.Load.Running, "waiting", s.answerHead.Load.Waiting, "send_ms", s.sentAt.Sub(s.arrived).Milliseconds(),
 		"ahead_ms", ahead.Milliseconds(), "reading_ms", reading.Milliseconds())...)
