--- a/exchange/send.go
+++ b/exchange/send.go
@@ -48,16 +48,6 @@
 	// elsewhere even though its endpoint is making progress with other requests: the endpoint has lost this one.
 	// Before that, an endpoint that makes progress is only busy, and others would be too.
 	lostRequestFactor = 3
-	// crowdedRunnerRequests is the number of requests at a runner above which the required confidence falls; it is
-	// lowest at twice as many. Concurrent runs slow each other down.
-	crowdedRunnerRequests = 10.0
-	// crowdedBacklog is the mean time endpoints need to read their queued prompts above which the required
-	// confidence falls; it is lowest at twice as much. Beyond it, each reading of a prompt makes some other answer
-	// late.
-	crowdedBacklog = time.Second
-	// fullThresholdSlack is the share of the goal that must be left after the expected answer for the full
-	// confidence threshold: answers vary about twofold around the usual time.
-	fullThresholdSlack = 0.5
 	// stallGapFactor is the multiple of the route's gap goal after which a silent stream is resumed elsewhere: in a
 	// shorter silence the runner reads another long prompt, and reading this one anew would take as long.
 	stallGapFactor = 1.5
@@ -339,15 +329,11 @@
 		return s.handleNotRun()
 	case status == http.StatusMisdirectedRequest:
 		s.router.pool.MarkMisplaced(s.ticket.Endpoint)
-		return sendResult{failed, errors.New("another endpoint answered")}
+		return sendResult{failed, errors.New("another endpoint answered, and doesn't say whether it ran the request")}
 	case status >= http.StatusInternalServerError:
 		return s.handleFailure()
 	case s.shouldEscalate():
-		s.outcome = route.OutcomeGood
-		s.observe(false)
-		s.call.cascadeStage = len(s.route.Models) - 1
-		s.router.crashes.recordDropped(s.dropped())
-		return sendResult{kind: escalated}
+		return s.escalate()
 	case s.out.headSent && status != http.StatusOK:
 		s.outcome = route.OutcomeFailed
 		return sendResult{broken, errors.Errorf("status %d instead of the rest of the stream", status)}
@@ -390,47 +376,6 @@
 	return sendResult{failed, errors.Errorf("status %d", s.answer.Status)}
 }
 
-// shouldEscalate reports whether the largest model is requested instead of relaying this answer.
-func (s *send) shouldEscalate() bool {
-	c := s.call
-	if c.cascadeStage == noCascade || c.cascadeStage == len(c.route.Models)-1 || s.answer.Status != http.StatusOK || c.out.headSent {
-		return false
-	}
-	if s.answerHead.Confidence == willowwick.NoConfidence {
-		return false
-	}
-	now := clock.Now()
-	if s.answerHead.Confidence >= s.requiredConfidence(now) {
-		return false
-	}
-	if !c.router.pool.HasAvailable(now, c.service, c.allowedEndpoints()) {
-		return false // with no endpoint available for the large model, this answer is better than a refusal
-	}
-	return c.runs < c.route.MaxRuns && s.hasTimeFor(c.route.Models[len(c.route.Models)-1], now) && s.router.takeRetryBudget(c, route.RetryEscalation, now)
-}
-
-// hasTimeFor reports whether an answer of the model, requested now, usually begins before the deadline. If not, the
-// present answer is all that the caller can get.
-func (s *send) hasTimeFor(model willowwick.ModelID, now time.Time) bool {
-	usual, _ := s.router.releases.typicalLatency(s.route.Name, model)
-	return now.Add(usual).Before(s.deadline)
-}
-
-// requiredConfidence returns the confidence below which an answer is escalated. It falls from Settings.Confidence
-// to Settings.LateConfidence as the large model's answer is expected later and as the runners get crowded: an
-// answer after the goal is worth less than a doubtful one in time, and a run of the large model delays many others.
-func (s *send) requiredConfidence(now time.Time) int {
-	settings := s.router.settings
-	largest := s.route.Models[len(s.route.Models)-1]
-	usual, _ := s.router.releases.typicalLatency(s.route.Name, largest)
-	expected := now.Sub(s.arrived) + usual
-	left := 1 - float64(expected)/float64(max(s.route.Goal, 1))
-	pressure := s.router.pool.Pressure(now, s.service, s.allows)
-	crowding, backlog := pressure.Requests/crowdedRunnerRequests, float64(pressure.Backlog)/float64(crowdedBacklog)
-	weight := min(max(min(left/fullThresholdSlack, 2-crowding, 2-backlog), 0), 1)
-	return settings.LateConfidence + int(weight*float64(settings.Confidence-settings.LateConfidence))
-}
-
 // awaitAnswer lets the answer be evidence on the endpoint's release as soon as it is late, and returns a function that ends that. The
 // rest of a stream isn't observed.
 func (s *send) awaitAnswer() func() {
