--- a/exchange/send.go
+++ b/exchange/send.go
@@ -70,6 +70,7 @@
 		ticket     *gate.Ticket
 		conn       *wire.Conn   // nil until the endpoint is reached
 		connPast   wire.Past    // what the connection had carried before
+		skipped    int          // answers to other requests that were skipped
 		answer     *wire.Answer // nil until its head was received
 		answerHead willowwick.AnswerHead
 		sentAt     time.Time
@@ -249,6 +250,7 @@
 	silentAt := s.overdueAt()
 	for {
 		answer, err := s.conn.Receive(s.message.Method, s.waitUntil(silentAt), s.deadline, s.answersRequest)
+		s.skipped = s.conn.Past().Skipped - s.connPast.Skipped
 		now := clock.Now()
 		if errors.Is(err, wire.ErrSilent) && s.mustDepart(now) {
 			return errDeparted
--- a/exchange/send_log.go
+++ b/exchange/send_log.go
@@ -45,7 +45,7 @@
 		return attributes
 	}
 	attributes = append(attributes, "conn", s.conn.LocalAddress(), "conn_requests", s.connPast.Requests, "conn_status", s.connPast.Status,
-		"skipped", s.conn.Past().Skipped-s.connPast.Skipped)
+		"skipped", s.skipped)
 	if s.answer == nil {
 		return attributes
 	}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -318,7 +318,7 @@
 	c.pool.mu.Unlock()
 }
 
-// Past returns what the connection has carried so far.
+// Past returns what the connection has carried so far; it may be called until the connection is released.
 func (c *Conn) Past() Past {
 	return c.past
 }
