--- a/exchange/promise_test.go
+++ b/exchange/promise_test.go
@@ -112,6 +112,8 @@
 			require.Equal(t, http.StatusOK, reply.status)
 			require.NoError(t, reply.err)
 			require.Equal(t, events, reply.body)
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			require.Len(t, r.conns, 2)
 			assert.NotSame(t, r.conns[0], r.conns[1])
 		})
