--- a/exchange/call.go
+++ b/exchange/call.go
@@ -66,7 +66,6 @@
 		shortWaitUntil  time.Time // end of all short waits in the queue; zero before the first and after each run
 		lastSendEndedAt time.Time // zero before the first send has ended
 		sends           int       // all sends, whatever their result
-		runs            int       // endpoints that may have run the request
 		isCounted       bool      // in its account's usage
 		triedEndpoints  map[willowwick.EndpointID]bool
 		usedConns       []*wire.Conn   // connections on which it was sent
@@ -353,24 +352,12 @@
 	}
 }
 
-// beginRun records that one more endpoint may run the request from now on.
-func (c *call) beginRun() {
-	c.runs++
-	c.out.mayHaveRun = true
-}
-
-// undoRun records that the endpoint that the request was sent to last has not run it.
-func (c *call) undoRun() {
-	c.runs--
-	c.out.mayHaveRun = c.runs > 0
-}
-
 // allowsAnotherRun reports whether one more endpoint may run the request.
 func (c *call) allowsAnotherRun() bool {
 	if c.out.headSent && (!c.route.Resumable || c.out.isPlain) {
 		return false
 	}
-	return c.route.Repeatable && c.runs < c.route.MaxRuns
+	return c.route.Repeatable && c.out.runs < c.route.MaxRuns
 }
 
 // finishUnanswered ends a request that no endpoint has answered: it aborts a begun answer, passes on an endpoint's
@@ -391,7 +378,7 @@
 		c.logCompletion("endpoint's failure passed on", c.failure.status)
 		c.out.writeFailure(c.failure)
 	default:
-		if c.runs > 0 && refusal.Kind == willowwick.KindNotRun {
+		if c.out.runs > 0 && refusal.Kind == willowwick.KindNotRun {
 			refusal = willowwick.OutcomeUnknown(refusal.Code, "an endpoint may have run it; %s", refusal.Message)
 		}
 		c.router.refuse(c.out, refusal)
@@ -417,7 +404,7 @@
 func (c *call) logCompletion(what string, status int, more ...any) {
 	attributes := append([]any{
 		"request", c.head.ID, "session", c.head.Session, "route", c.route.Name, "service", c.service, "status", status,
-		"sends", c.sends, "runs", c.runs, "ms", clock.Since(c.arrived).Milliseconds(), "config", c.table.Version,
+		"sends", c.sends, "runs", c.out.runs, "ms", clock.Since(c.arrived).Milliseconds(), "config", c.table.Version,
 		"goal_ms", c.route.Goal.Milliseconds(),
 	}, more...)
 	if !c.streamTiming.firstEventAt.IsZero() {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -438,14 +438,14 @@
 				x.retryBudget("work").Request(time.Now())
 			}
 			sending := &send{ticket: &gate.Ticket{Slot: place}, call: &call{
-				router: x, route: &route, service: "work", runs: 2, out: &reply{headSent: true},
+				router: x, route: &route, service: "work", out: &reply{headSent: true, runs: 2},
 			}}
 			now := time.Now()
 			if quiet {
 				now = now.Add(2 * quietAfter)
 			}
 			assert.Equal(t, quiet, sending.mayResumeElsewhere(now))
-			sending.runs = 1
+			sending.out.runs = 1
 			assert.True(t, sending.mayResumeElsewhere(now), "another run is left in reserve")
 		})
 	}
--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -76,7 +76,7 @@
 
 // mustPassOn reports whether the request should go through another box.
 func (c *call) mustPassOn() bool {
-	return c.router.reach.isCutOff() && !c.origin.isPassedOn && (c.runs == 0 || c.allowsAnotherRun())
+	return c.router.reach.isCutOff() && !c.origin.isPassedOn && (c.out.runs == 0 || c.allowsAnotherRun())
 }
 
 // passOn sends the request through another box, and reports whether that ended it: no box may take it.
@@ -137,6 +137,7 @@
 	}
 	// When the request ends, by its deadline or its caller, so does what the other box does for it.
 	stop := context.AfterFunc(p.ctx, conn.Close)
+	defer func() { releaseConn(conn, p.answer, stop()) }()
 	message := p.message
 	message.Header = p.encodeHeader()
 	p.usedConns = append(p.usedConns, conn)
@@ -144,23 +145,14 @@
 		slog.Debug("request could not be passed on completely", "request", p.head.ID, "error", err)
 	}
 	p.router.metrics.distances.countSend(p.router.topology.Distance(p.target.box.Hall), len(message.Body))
-	p.beginRun()
+	p.out.runs++
 	p.answer, err = conn.Receive(message.Method, p.deadline, p.deadline, func(answer *wire.Answer) bool {
 		named := p.namedBy(answer)
 		return named == "" || named == p.head.ID
 	})
 	if err != nil {
-		stop()
-		conn.Close()
 		return sendResult{broken, err}
 	}
-	defer func() {
-		if !stop() {
-			conn.Close()
-			return
-		}
-		p.answer.Done()
-	}()
 	return p.relay()
 }
 
@@ -189,12 +181,12 @@
 	status, isNamed := p.answer.Status, p.namedBy(p.answer) == p.head.ID
 	switch {
 	case p.answer.Header.Get(headerNotTaken) != "" && isNamed:
-		p.undoRun()
+		p.out.runs--
 		return sendResult{notRun, errors.New("the box takes no requests")}
 	case promisesNotRun(status) && !isNamed:
 		return sendResult{failed, errors.Errorf("status %d that names another request", status)}
 	case promisesNotRun(status):
-		p.undoRun()
+		p.out.runs--
 		return p.relayWhole()
 	case p.out.headSent && status != http.StatusOK:
 		return sendResult{broken, errors.Errorf("status %d instead of the rest of the stream", status)}
--- a/exchange/queueing.go
+++ b/exchange/queueing.go
@@ -60,7 +60,7 @@
 // the request.
 func (c *call) resetQueueWait() {
 	c.queueUntil = time.Time{}
-	if c.runs > 0 {
+	if c.out.runs > 0 {
 		c.shortWaitUntil = time.Time{}
 	}
 }
@@ -142,5 +142,5 @@
 // that nothing has run yet is refused if its caller would wait longer than queueWaitShare of the goal.
 func (c *call) canAwaitFreeSlot(now time.Time) bool {
 	until := c.arrived.Add(scale(c.route.Goal, queueWaitShare))
-	return c.runs > 0 || now.Add(sameEndpointRetryDelay).Before(until) || !c.mustAwaitFreeSlot(now)
+	return c.out.runs > 0 || now.Add(sameEndpointRetryDelay).Before(until) || !c.mustAwaitFreeSlot(now)
 }
--- a/exchange/reply.go
+++ b/exchange/reply.go
@@ -18,7 +18,7 @@
 	id         willowwick.RequestID
 	headSent   bool // the status line and headers were sent
 	status     int  // that was sent; 0 before
-	mayHaveRun bool // an endpoint may have run the request
+	runs       int  // endpoints that may have run the request
 	isPlain    bool // the answer that was begun is no stream, whose events could come from several sends
 }
 
@@ -44,7 +44,7 @@
 // writeStatus sends the status and the headers, also of refusals. A status that promises that nothing has run becomes a 502 unless the
 // box knows that nothing has.
 func (r *reply) writeStatus(status int) {
-	if r.mayHaveRun && promisesNotRun(status) {
+	if r.runs > 0 && promisesNotRun(status) {
 		status = http.StatusBadGateway
 		r.codec.RemoveSignature(r.writer.Header())
 		r.writer.Header().Del("Retry-After")
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -99,7 +99,7 @@
 		cause += ": " + r.err.Error()
 	}
 	switch {
-	case c.runs == 0:
+	case c.out.runs == 0:
 		return willowwick.NotRun(willowwick.CodeOverloaded, now.Add(defaultRetryAfter), "no endpoint accepted the request (%s)", cause)
 	case c.isPastDeadline():
 		return willowwick.Failed(willowwick.CodeDeadline, "the time was up (%s)", cause)
@@ -190,7 +190,7 @@
 	}
 	// When the request ends, by its deadline or its caller, the endpoint's work ends too.
 	stop := context.AfterFunc(s.ctx, conn.Close)
-	defer func() { s.releaseConn(stop()) }()
+	defer func() { releaseConn(conn, s.answer, stop()) }()
 	defer stopWatching()
 	message := s.message
 	message.Header = s.encodeHeader()
@@ -200,7 +200,7 @@
 		// The endpoint may have answered early and closed the connection; its answer can still be read.
 		slog.Debug("request could not be sent completely", "request", s.call.head.ID, "error", err)
 	}
-	s.beginRun()
+	s.out.runs++
 	defer s.awaitAnswer()()
 	s.router.metrics.distances.countSend(s.distance(), len(message.Body))
 	s.countUnwantedSend()
@@ -347,7 +347,7 @@
 }
 
 func (s *send) handleNotRun() sendResult {
-	s.undoRun()
+	s.out.runs--
 	s.outcome = route.OutcomeBusy
 	if s.answer.Status == http.StatusMisdirectedRequest {
 		s.router.pool.MarkMisplaced(s.ticket.Endpoint)
@@ -396,10 +396,10 @@
 }
 
 // releaseConn returns the connection to the pool, or closes it if the answer was not read to its end, or the request's end closes it.
-func (s *send) releaseConn(isOwned bool) {
-	if s.answer == nil || !isOwned {
-		s.conn.Close()
+func releaseConn(conn *wire.Conn, answer *wire.Answer, isOwned bool) {
+	if answer == nil || !isOwned {
+		conn.Close()
 		return
 	}
-	s.answer.Done()
+	answer.Done()
 }
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -127,14 +127,14 @@
 	return failed
 }
 
-// Open returns an idle connection to the address if one other than those given can be reused, and otherwise dials a new one. A request
-// that was sent before passes the connections that carried it: an answer tells only its request, not the try that it belongs to, and one
+// Open returns an idle connection to the address if one can be reused, except for some, and otherwise dials a new one. A request that is
+// sent again excepts the connections that carried it: an answer tells only its request, not the try that it belongs to, and one
 // to an earlier try may still arrive there.
 //
 // An error wraps both willowwick.ErrNotSent and its cause.
-func (p *Pool) Open(ctx context.Context, address string, other ...*Conn) (*Conn, error) {
+func (p *Pool) Open(ctx context.Context, address string, except ...*Conn) (*Conn, error) {
 	for {
-		c := p.takeIdle(address, other)
+		c := p.takeIdle(address, except)
 		if c == nil {
 			break
 		}
@@ -206,14 +206,14 @@
 	return p.stats
 }
 
-// takeIdle removes and returns the most recently used idle connection other than those given, nil if there is none: it is the least
-// likely to be closed.
-func (p *Pool) takeIdle(address string, other []*Conn) *Conn {
+// takeIdle removes and returns the most recently used idle connection except for some, nil if there is none: it is the least likely to
+// be closed.
+func (p *Pool) takeIdle(address string, except []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
 	for i := len(conns) - 1; i >= 0; i-- {
-		if c := conns[i]; !slices.Contains(other, c) {
+		if c := conns[i]; !slices.Contains(except, c) {
 			p.idle[address] = slices.Delete(conns, i, i+1)
 			return c
 		}
