Calls with a key wait for the claims of a box that joins, and each replica says what it knows

Callers saw a call with an idempotency key refused (503, not_run) while a box joined the roster: one replica of the key was still importing the claims of the others, and the box gave up at the first reply. By reading, a second submission met the same: it was refused as not run though the other replica knew of the first, and a replica that goes by another roster didn't tell what it knew.

A box asks again while a replica adopts the roster or imports claims, for 3 s at most; it asks both replicas unless the first refuses the key; a replica that knows of another request's claim says so under each roster.

--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -211,47 +211,77 @@
 // ClaimStatus is the outcome of a claim.
 type ClaimStatus int
 
-// Outcomes of a claim.
+// Outcomes of a claim, in the order in which a replica's outcome outweighs that of the other.
 const (
 	// ClaimGranted: this request may run, and no other request with its key will.
 	ClaimGranted ClaimStatus = iota
-	// ClaimHeld: a request with this key was accepted before.
-	ClaimHeld
-	// ClaimUnknown: it is no longer known whether a request with this key was accepted.
-	ClaimUnknown
 	// ClaimUnavailable: claims can't be granted at the moment.
 	ClaimUnavailable
+	// ClaimUnknown: it is no longer known whether a request with this key was accepted.
+	ClaimUnknown
+	// ClaimHeld: a request with this key was accepted before.
+	ClaimHeld
+)
+
+const (
+	// claimWait is longer than a box of a large fleet takes to import claims.
+	claimWait          = 3 * time.Second
+	claimRetryInterval = 50 * time.Millisecond
 )
 
-// Claim asks both replicas of a key to reserve it for a request.
+// Claim asks both replicas of a key to reserve it for a request. While the roster changes it asks again, for at most
+// claimWait.
 func (n *Node) Claim(ctx context.Context, key string, request willowwick.RequestID) ClaimStatus {
+	until := clock.Now().Add(claimWait)
+	for {
+		status, isSettling := n.tryClaim(ctx, key, request)
+		if !isSettling || !clock.Now().Before(until) || ctx.Err() != nil {
+			return status
+		}
+		sleep(ctx, claimRetryInterval)
+	}
+}
+
+// tryClaim is one attempt of Claim; isSettling says that a replica has yet to adopt the roster or to import claims.
+func (n *Node) tryClaim(ctx context.Context, key string, request willowwick.RequestID) (status ClaimStatus, isSettling bool) {
 	roster := n.Registry.Roster()
 	pair := ReplicaPair(roster, key)
 	if len(pair) == 0 || !n.canGrantClaims(clock.Now()) {
-		return ClaimUnavailable
+		return ClaimUnavailable, false
 	}
 	args := PutArgs{
 		Epoch: roster.Epoch, Strict: true,
 		Entry: RegistryEntry{Key: key, Value: string(request), Deadline: clock.TimeOfDay().Add(ClaimWindow)},
 	}
-	for i, replica := range pair {
-		reply, err := n.putAt(ctx, replica, args)
-		if err == nil && reply.Status == PutGranted {
-			continue
-		}
-		n.dropAt(ctx, pair[:i+1], DropArgs{Key: key, Value: string(request)})
-		switch {
-		case err != nil:
-			return ClaimUnavailable
-		case reply.Status == PutHeld:
-			return ClaimHeld
-		case reply.Status == PutUnknown:
-			return ClaimUnknown
-		default:
-			return ClaimUnavailable
+	// The second is asked also if the first can't say: it may know of an earlier claim. If the first refuses the key it is
+	// not, so that of two requests at the same time one gets the key.
+	for _, replica := range pair {
+		if status > ClaimUnavailable {
+			break
 		}
+		reply, err := n.putAt(ctx, replica, args)
+		status = max(status, claimStatusOf(reply.Status, err))
+		isSettling = isSettling || err == nil && (reply.Status == PutSyncing || reply.Status == PutWrongEpoch)
+	}
+	if status != ClaimGranted {
+		n.dropAt(ctx, pair, DropArgs{Key: key, Value: string(request)})
+	}
+	return status, isSettling && status == ClaimUnavailable
+}
+
+func claimStatusOf(put PutStatus, err error) ClaimStatus {
+	switch {
+	case err != nil:
+		return ClaimUnavailable
+	case put == PutGranted:
+		return ClaimGranted
+	case put == PutHeld:
+		return ClaimHeld
+	case put == PutUnknown:
+		return ClaimUnknown
+	default:
+		return ClaimUnavailable
 	}
-	return ClaimGranted
 }
 
 // ReleaseClaim releases a key once it is certain that nothing was sent.
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -290,16 +290,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := PutReply{Epoch: r.roster.Epoch}
+	entry, known := r.entries[args.Entry.Key]
+	known = known && clock.SystemTime(now).Before(entry.Deadline) && !args.Replace
+	if known && entry.Value != args.Entry.Value {
+		reply.Status, reply.Value = PutHeld, entry.Value
+		return reply
+	}
 	if args.Strict && args.Epoch != r.roster.Epoch {
 		reply.Status = PutWrongEpoch
 		return reply
 	}
-	entry, known := r.entries[args.Entry.Key]
-	if known && clock.SystemTime(now).Before(entry.Deadline) && !args.Replace {
+	if known {
 		reply.Value = entry.Value
-		if entry.Value != args.Entry.Value {
-			reply.Status = PutHeld
-		}
 		return reply
 	}
 	if args.Strict {
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -40,3 +40,17 @@
 	assert.Equal(t, PutHeld, again.Status)
 	assert.Equal(t, "first", again.Value)
 }
+
+// Guards against a promise that an earlier call disproves: a replica that knows of another request's claim says so
+// whatever roster the asking box goes by.
+func TestClaimOfAnotherRequestIsHeldUnderEachRoster(t *testing.T) {
+	now := time.Now()
+	replica := NewRegistry("a")
+	replica.Adopt(now, rosterOf(1, "a", "b"), config.Roster{})
+	claim := PutArgs{Epoch: 1, Strict: true, Entry: RegistryEntry{Key: "key", Value: "first", Deadline: clock.SystemTime(now).Add(time.Hour)}}
+	require.Equal(t, PutGranted, replica.Put(now, claim).Status)
+	claim.Epoch = 2
+	assert.Equal(t, PutWrongEpoch, replica.Put(now, claim).Status, "the request itself must ask by the current roster")
+	claim.Entry.Value = "second"
+	assert.Equal(t, PutHeld, replica.Put(now, claim).Status)
+}
