A box that starts after a restore of the store is certain of nothing until the restore is over

Callers got a permanent refusal (404) from a box that had started while the operator was still writing again what a restored store lacks.

A box that starts in a later era than the first assumes that the store was restored just now, and lets other boxes of that era shorten the time. A box that hears from them that nothing is lacking is certain at once; one alone after restoreTime.

--- a/exchange/era.go
+++ b/exchange/era.go
@@ -36,11 +36,13 @@
 	}
 	former, s.era = s.era, era
 	if !s.hasList {
-		return former, false // the box has just started
+		// The box has just started and doesn't know when the era began, unless another box has told it or will.
+		s.restoringUntil, s.restoreIsAssumed = now.Add(restoreTime), true
+		return former, false
 	}
 	// Endpoints whose entries the copy lacks are listed again as soon as after an outage.
 	s.lastOutageAt = now
-	s.restoringUntil = now.Add(restoreTime)
+	s.restoringUntil, s.restoreIsAssumed = now.Add(restoreTime), false
 	return former, true
 }
 
@@ -67,13 +69,13 @@
 	return max(s.restoringUntil.Sub(now), 0)
 }
 
-// noteRestoringFromPeer takes from another box for how long the store may still lack declarations. A box that has
+// noteRestoringFromPeer takes from another box for how long the store may still lack declarations in an era. A box that has
 // started since the restore has read a configuration that need not be the newest.
-func (s *syncer) noteRestoringFromPeer(restoring time.Duration, now time.Time) {
+func (s *syncer) noteRestoringFromPeer(era willowwick.Era, restoring time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if restoring > 0 && s.restoringUntil.IsZero() {
-		s.restoringUntil, s.configAsOf = now.Add(restoring), time.Time{}
+	if era == s.era && s.restoreIsAssumed {
+		s.restoringUntil = earliest(s.restoringUntil, now.Add(restoring))
 	}
 }
 
--- a/exchange/era_test.go
+++ b/exchange/era_test.go
@@ -310,3 +310,28 @@
 	require.Eventually(t, func() bool { return fresh.daemon.router.sync.isConfigStale(time.Now()) }, inForceWithin/2, time.Millisecond)
 	assert.Equal(t, 503, fresh.do(t, "GET", "/nowhere/", "id", "").status)
 }
+
+// Guards against a permanent refusal by a box that starts after a restore and reads the store before it hears another box: it doesn't
+// know how long ago the restore was, and the operator may have yet to replace what it has read.
+func TestBoxStartedAfterARestoreRefusesNothingPermanentlyByItself(t *testing.T) {
+	control := newTestControl(testTable(1, onceRoute()), newRunner(t, "r1", answerText("ok")).endpoint("v1"))
+	control.restoreFromBackup(func() {})
+	s := startSite(t, control, testSettings())
+	for range 50 {
+		require.Equal(t, 503, s.do(t, "GET", "/nowhere/", "id", "").status)
+	}
+	require.Eventually(t, func() bool { return s.do(t, "GET", "/nowhere/", "id", "").status == 404 }, 2*restoreTime, 50*time.Millisecond)
+}
+
+// Guards against boxes that take each start for a restore: one that hears from the others that the store lacks nothing has a
+// certain configuration as soon as they have.
+func TestBoxStartedLongAfterARestoreIsSoonCertain(t *testing.T) {
+	control := newTestControl(testTable(1, onceRoute()), newRunner(t, "r1", answerText("ok")).endpoint("v1"))
+	control.restoreFromBackup(func() {})
+	s := startSite(t, control, testSettings())
+	require.Eventually(t, func() bool { return !s.daemon.router.sync.isRestoring(time.Now()) }, 2*restoreTime, 50*time.Millisecond)
+	settings := testSettings()
+	settings.Box, settings.Seeds = "box-new", []string{s.daemon.router.settings.Peers}
+	fresh := startSite(t, control, settings)
+	require.Eventually(t, func() bool { return fresh.do(t, "GET", "/nowhere/", "id", "").status == 404 }, restoreTime/2, 10*time.Millisecond)
+}
--- a/exchange/known.go
+++ b/exchange/known.go
@@ -138,8 +138,9 @@
 	known.box.IsStopping = digest.IsStopping
 	p.mergeHallReports(digest.Halls, now)
 	p.mu.Unlock()
-	p.router.sync.noteEra(max(digest.EndpointsRead, digest.Evacuated.AsOf), now, "peer "+string(digest.Box))
-	p.router.sync.noteRestoringFromPeer(time.Duration(digest.RestoringMs)*time.Millisecond, now)
+	readTo := max(digest.EndpointsRead, digest.Evacuated.AsOf)
+	p.router.sync.noteEra(readTo, now, "peer "+string(digest.Box))
+	p.router.sync.noteRestoringFromPeer(readTo.Era(), time.Duration(digest.RestoringMs)*time.Millisecond, now)
 	p.router.evacuations.receive(digest.Evacuated, "peer "+string(digest.Box))
 	p.router.admissions.receive(digest.Admitted, "peer "+string(digest.Box))
 	p.router.receiveLeaving(digest.Leaving, "peer "+string(digest.Box))
--- a/exchange/sync.go
+++ b/exchange/sync.go
@@ -87,8 +87,9 @@
 		readerAddress  string                   // address of the box that reads the store for this one; empty if it reads for itself
 
 		// The era of the store.
-		era            willowwick.Era // the newest that is known
-		restoringUntil time.Time      // until then the store may lack some of the operator's declarations
+		era              willowwick.Era // the newest that is known
+		restoringUntil   time.Time      // until then the store may lack some of the operator's declarations
+		restoreIsAssumed bool           // the era began before this box had read the store
 
 		// The group of boxes.
 		generation uint64 // of the last answer to Join
