A box takes no new connections for held up only because no request has come on them

Clients open such connections by themselves: Go's opens one for a request and then uses another that became free. TestBoxesHonorBackoff once saw 28 calls end with EOF, a reset or a closed idle connection at one of six boxes, which is what a connection closed unread looks like; that this was the cause there is inferred.

A cohort of connections without requests now counts as held up only if requests arrive late meanwhile, as those before it do if a link or a processor holds all of them up. Of one that says nothing the pace neither falls nor grows.

acceptLate replaces acceptSilent in a test of wire, whose control took silent connections for overload: it now needs requests that come late, and silent connections have a check of their own, which failed before.

--- a/wire/admission_test.go
+++ b/wire/admission_test.go
@@ -10,8 +10,9 @@
 	"github.com/willowwick/willowwick/clock"
 )
 
-// acceptSilent opens connections on which no request arrives, and returns how many of them are accepted.
-func acceptSilent(t *testing.T, admission *Admission) int {
+// acceptLate opens connections on each of which a request arrives after a time, none if it is 0, and returns how many of them are
+// accepted.
+func acceptLate(t *testing.T, admission *Admission, after time.Duration) int {
 	listener, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	callers := NewCallerListener(listener, admission)
@@ -23,6 +24,9 @@
 				return
 			}
 			accepted <- conn
+			if c, ok := conn.(*callerConn); ok && after > 0 {
+				time.AfterFunc(after, func() { callers.noteArrival(c) })
+			}
 		}
 	}()
 	for range 60 {
@@ -44,8 +48,14 @@
 // Guards against connections whose requests come after a handshake of round trips, as on the own interface, being refused as if the
 // box held them up.
 func TestConnectionsAreNotJudgedWithoutAdmission(t *testing.T) {
-	assert.Equal(t, 60, acceptSilent(t, nil))
-	assert.Less(t, acceptSilent(t, NewAdmission(0)), 60)
+	assert.Equal(t, 60, acceptLate(t, nil, 2*arrivalLimit))
+	assert.Less(t, acceptLate(t, NewAdmission(0), 2*arrivalLimit), 60)
+}
+
+// Guards against callers that are turned away since others have opened connections in advance: no request that is late tells that the
+// box holds them up.
+func TestConnectionsWithoutARequestTurnNoneAway(t *testing.T) {
+	assert.Equal(t, 60, acceptLate(t, NewAdmission(0), 0))
 }
 
 // Guards against connections that aren't read going uncounted, or others being counted.
--- a/wire/pace.go
+++ b/wire/pace.go
@@ -19,6 +19,9 @@
 	// minInTimeShare is the share of a cohort's requests below which all of them count as held up by the box: the link and the
 	// processor hold up all, a slow caller only its own.
 	minInTimeShare = 0.2
+	// minLate is the least number of requests that arrive late meanwhile, and half of all that arrive: connections without a request
+	// alone may be such that their callers have opened in advance.
+	minLate = minCohort / 2
 	// paceCut is the share of the connections that were admitted, and arrivedCut that of the requests that arrived, to which the pace
 	// falls after a cohort that was held up; paceGrowth is the factor by which it grows in cohortTime otherwise, and
 	// maxGrowth the most by which it grows at once.
@@ -56,6 +59,7 @@
 		drainedAt time.Time // when what waited at the last cut is carried
 		refusedAt time.Time
 		arrivals  int       // requests that have arrived
+		late      int       // of these, later than arrivalLimit
 		pending   int       // connections whose request hasn't arrived yet
 		cohorts   []*cohort // not judged yet, the oldest first; the last one is open
 		trips     trips
@@ -71,6 +75,7 @@
 		beganAt, endedAt time.Time
 		admitted, inTime int
 		arrivedBefore    int // requests that had arrived when it began
+		lateBefore       int // of these, later than arrivalLimit
 	}
 )
 
@@ -193,6 +198,8 @@
 	p.arrivals++
 	if took <= arrivalLimit {
 		c.inTime++
+	} else {
+		p.late++
 	}
 }
 
@@ -207,7 +214,7 @@
 // join adds a connection to the open cohort, or to a new one.
 func (p *pace) join(now time.Time) *cohort {
 	if len(p.cohorts) == 0 || !p.cohorts[len(p.cohorts)-1].endedAt.IsZero() {
-		p.cohorts = append(p.cohorts, &cohort{beganAt: now, arrivedBefore: p.arrivals})
+		p.cohorts = append(p.cohorts, &cohort{beganAt: now, arrivedBefore: p.arrivals, lateBefore: p.late})
 	}
 	open := p.cohorts[len(p.cohorts)-1]
 	open.admitted++
@@ -239,6 +246,9 @@
 		return
 	}
 	isHeldUp := float64(c.inTime) < minInTimeShare*float64(c.admitted)
+	if isHeldUp && !p.areLate(c) {
+		return
+	}
 	switch {
 	case isHeldUp && c.beganAt.Sub(p.drainedAt) > paceSettle:
 		p.cut(c, now)
@@ -251,6 +261,12 @@
 	}
 }
 
+// areLate reports whether enough of the requests that have arrived since a cohort began were late, whichever cohort they are of.
+func (p *pace) areLate(c *cohort) bool {
+	late := p.late - c.lateBefore
+	return late >= minLate && 2*late >= p.arrivals-c.arrivedBefore
+}
+
 // cut lowers the pace after a cohort that was held up, and lets what waits be carried first.
 func (p *pace) cut(c *cohort, now time.Time) {
 	admitted := float64(c.admitted) / c.endedAt.Sub(c.beganAt).Seconds()
