A box that is short of processor time doesn't turn away the few callers that it has

TestBoxesHonorBackoff saw calls end with EOF, a reset or a closed idle connection at one of six boxes.

The first cut needs as many new connections a second as that for slow round trips does (minCutRate): fewer aren't what the box is busy with. The new test failed before.

--- a/wire/pace.go
+++ b/wire/pace.go
@@ -246,7 +246,7 @@
 		return
 	}
 	isHeldUp := float64(c.inTime) < minInTimeShare*float64(c.admitted)
-	if isHeldUp && !p.areLate(c) {
+	if isHeldUp && (!p.areLate(c) || p.perSecond == 0 && c.rate() < minCutRate) {
 		return
 	}
 	switch {
@@ -267,11 +267,15 @@
 	return late >= minLate && 2*late >= p.arrivals-c.arrivedBefore
 }
 
+// rate returns how many connections a second were admitted with a cohort that has ended.
+func (c *cohort) rate() float64 {
+	return float64(c.admitted) / c.endedAt.Sub(c.beganAt).Seconds()
+}
+
 // cut lowers the pace after a cohort that was held up, and lets what waits be carried first.
 func (p *pace) cut(c *cohort, now time.Time) {
-	admitted := float64(c.admitted) / c.endedAt.Sub(c.beganAt).Seconds()
 	arrived := float64(p.arrivals-c.arrivedBefore) / now.Sub(c.beganAt).Seconds()
-	drain := p.lower(min(paceCut*admitted, arrivedCut*arrived), time.Duration(float64(p.pending)/max(arrived, 1)*float64(time.Second)), now)
+	drain := p.lower(min(paceCut*c.rate(), arrivedCut*arrived), time.Duration(float64(p.pending)/max(arrived, 1)*float64(time.Second)), now)
 	slog.Info("requests on new connections are held up on their way in: fewer are read", "per_s", int(p.perSecond), "admitted", c.admitted,
 		"in_time", c.inTime, "arrived_per_s", int(arrived), "pending", p.pending, "drain_ms", drain.Milliseconds())
 }
--- a/wire/pace_test.go
+++ b/wire/pace_test.go
@@ -91,3 +91,15 @@
 	}
 	assert.Zero(t, p.bound())
 }
+
+// Guards against a box that is short of processor time, and turns away the few callers that it has: they aren't what it is busy with.
+func TestPaceAllowsForFewConnections(t *testing.T) {
+	p, now := &pace{}, clock.Now()
+	for range 200 {
+		now = now.Add(time.Second / 10)
+		c, isAdmitted := p.admit(now, 0)
+		assert.True(t, isAdmitted)
+		p.arrived(c, 2*arrivalLimit)
+	}
+	assert.Zero(t, p.bound())
+}
