A stopping box waits until another one has confirmed its last counts of usage

It asks for rounds until another box has confirmed all that it counted, for two calls' time and within its grace at most, and says in its log if none has. A box alone doesn't wait longer than before.

--- a/exchange/daemon.go
+++ b/exchange/daemon.go
@@ -210,7 +210,7 @@
 	if left := d.callers.Retire(ctx, 0); left > 0 {
 		slog.Info("requests were still in progress at the end of the grace period", "requests", left)
 	}
-	x.usage.tellLast()
+	x.usage.tellLast(limit)
 	slog.Info("planned stop ended", "ms", clock.Since(began).Milliseconds())
 }
 
--- a/exchange/usage.go
+++ b/exchange/usage.go
@@ -19,8 +19,10 @@
 	usageCallTimeout = time.Second
 	// usageSubject is the subject of all usage reports.
 	usageSubject willowwick.DutySubject = "usage"
-	// lastTellTime is how long a stopping box takes to tell its last counts: a gossip round that starts at once.
+	// lastTellTime is how long a stopping box usually takes to tell its last counts: a gossip round that starts at once.
 	lastTellTime = 3 * minGossipInterval
+	// maxLastTellTime bounds how long it waits until another box has confirmed them: two calls.
+	maxLastTellTime = 2 * gossipTimeout
 	// maxMissingLogged bounds how many missing boxes a log line names.
 	maxMissingLogged = 10
 	// rejoinTime is how long after an outage of the store boxes that are cut off may take to be in the group again.
@@ -143,14 +145,25 @@
 	}
 }
 
-// tellLast tells the other boxes the last counts of this one, which counts no more.
-func (u *usageReports) tellLast() {
+// tellLast tells the other boxes the last counts of this one, which counts no more, and waits until one of them has confirmed them, or
+// until the limit.
+func (u *usageReports) tellLast(limit time.Time) {
 	if u == nil {
 		return
 	}
 	u.ledger.EndOwn()
-	u.router.peers.requestRound()
-	time.Sleep(lastTellTime)
+	limit = earliest(limit, clock.Now().Add(maxLastTellTime))
+	for {
+		u.router.peers.requestRound()
+		time.Sleep(lastTellTime)
+		switch {
+		case u.ledger.IsEndTold() || u.router.peers.fleetSize() == 1:
+			return
+		case !clock.Now().Before(limit):
+			slog.Warn("no other box has confirmed this one's last counts of usage")
+			return
+		}
+	}
 }
 
 // work returns the worker of the duty: it stores and sends what is due while this box holds the lease. It is nil if the
--- a/exchange/usage_test.go
+++ b/exchange/usage_test.go
@@ -106,6 +106,27 @@
 	return total
 }
 
+// Guards against reports that lack the last requests of a box that stopped as planned: it ended after a fixed time, whether another box
+// had heard of them or not.
+func TestAStoppingBoxWaitsUntilItsLastCountsAreHeard(t *testing.T) {
+	settings := testSettings()
+	settings.Duties = usageDuty
+	control := newTestControl(testTable(1, onceRoute()), newRunner(t, "r1", answerText("ok")).endpoint("v1"))
+	other := startSite(t, control, settings)
+	settings.Box, settings.Boot, settings.Seeds = "box-b", "box-b.1", []string{other.daemon.router.settings.Peers}
+	stopping := startSite(t, control, settings)
+	awaitReaders(t, []*site{other, stopping}, 1)
+	ledger := stopping.daemon.router.usage.ledger
+	// The other box takes longer to answer than a round usually does.
+	other.daemon.router.peers.mu.Lock()
+	time.AfterFunc(2*lastTellTime, other.daemon.router.peers.mu.Unlock)
+	for range 35 {
+		ledger.Count("ada", clock.TimeOfDay())
+	}
+	stopping.daemon.router.usage.tellLast(clock.Now().Add(waitTimeout))
+	assert.Equal(t, 35, other.usage())
+}
+
 // testHolder holds the lease, stores reports and notes those that are sent.
 type testHolder struct {
 	willowwick.DutyAPI
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -212,6 +212,18 @@
 	l.end(l.own)
 }
 
+// IsEndTold reports whether another box has confirmed all that this box counted until EndOwn.
+func (l *Ledger) IsEndTold() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, peer := range l.peers {
+		if l.own.ended && peer.told >= max(l.own.stateAt, l.own.countAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetHub records whether this box is the hub of its hall, to which the others of the hall tell their counts. A new hub
 // gets everything from the other boxes again.
 func (l *Ledger) SetHub(isHub bool, now time.Time) {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -239,6 +239,20 @@
 	assert.Zero(t, f.coverage(f.boxes[0]).Lost)
 }
 
+// Guards against a box that ends before another one knows what it counted last.
+func TestABoxKnowsWhetherItsLastCountsAreConfirmed(t *testing.T) {
+	f := newTestFleet(9, 3)
+	f.count(f.boxes[5], 7)
+	assert.False(t, f.boxes[5].IsEndTold(), "it still counts")
+	f.boxes[5].EndOwn()
+	f.boxes[5].cut = true
+	f.runFor(round)
+	assert.False(t, f.boxes[5].IsEndTold(), "nobody heard it")
+	f.boxes[5].cut = false
+	f.runFor(round)
+	assert.True(t, f.boxes[5].IsEndTold())
+}
+
 // A box that is cut off or suspended tells when it is back.
 func TestABoxThatWasCutOffIsWaitedFor(t *testing.T) {
 	f := newTestFleet(9, 3)
