--- a/wire/pace_test.go
+++ b/wire/pace_test.go
@@ -103,3 +103,22 @@
 	}
 	assert.Zero(t, p.bound())
 }
+
+// Guards against a box that looks dead since it refuses all connections: during a flood it reads some again once what waited is carried
+// and half of the least burst may be read.
+func TestPaceReadsSomeConnectionsAllTheTime(t *testing.T) {
+	const maxClosed = maxDrain + time.Duration(minBurst/2/minPace*float64(time.Second))
+	for _, perSecond := range []float64{20, 100, 500} {
+		w, p, begin := &inbound{perSecond: perSecond}, &pace{}, clock.Now()
+		last, longest := begin, time.Duration(0)
+		for i := range 11_000 {
+			now := begin.Add(time.Duration(i) * time.Second / 1100)
+			if read, _ := w.flood(p, now, 1, time.Second, 0); read > 0 {
+				longest = max(longest, now.Sub(last))
+				last = now
+			}
+		}
+		t.Logf("%v a second: refused for %s at a stretch", perSecond, longest)
+		assert.Less(t, longest, maxClosed)
+	}
+}
