Usage: a box that has started again after a planned stop is waited for

Traced, with log lines in a scratch copy: the box's last counts had been told and confirmed; what the report lacked were the 23 requests of its next start, 0.2 s before. Its hub had heard from the new start, but not yet of its counts, and took the box for one that has ended.

An ended start covers its box no longer once another start calls from its address. The test failed before.

--- a/usage/coverage.go
+++ b/usage/coverage.go
@@ -120,8 +120,9 @@
 			break
 		}
 		known.hasTold = known.hasTold || o.until.After(begin)
-		switch isLast := i == len(starts)-1; {
-		case o.ended || !o.until.Before(end): // all its counts are known
+		isLast := i == len(starts)-1
+		switch {
+		case !o.until.Before(end), o.ended && !(isLast && l.hasUntoldStart(o.address)): // all its counts are known
 		case !isLast:
 			known.lost += overlap(o.until, earlier(o.mayCountUntil(), starts[i+1].since), begin, end)
 		case o.isGone() && begin.Sub(o.until) >= silentTime:
@@ -134,6 +135,12 @@
 	return known
 }
 
+// hasUntoldStart reports whether the box at an address has started again and told only that so far; the caller holds the lock.
+func (l *Ledger) hasUntoldStart(address string) bool {
+	peer := l.peers[address]
+	return peer != nil && l.origins[peer.key] == nil
+}
+
 // overlap returns how long the time from one point to another lies within a window.
 func overlap(from, until, begin, end time.Time) time.Duration {
 	if from.Before(begin) {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -253,6 +253,22 @@
 	assert.True(t, f.boxes[5].IsEndTold())
 }
 
+// Guards against reports that lack the first requests of a box that was started again after a planned stop: its hub took it for one
+// that has ended until it told of its counts.
+func TestABoxStartedAgainAfterAPlannedStopIsWaitedFor(t *testing.T) {
+	f := newTestFleet(9, 3)
+	hub, restarted := f.boxes[2], f.boxes[5]
+	restarted.EndOwn()
+	f.runFor(round)
+	f.start(restarted)
+	require.NoError(t, hub.Receive(restarted.address, restarted.hall, restarted.Message(hub.address, f.now)))
+	f.count(restarted, 7)
+	f.now = testSettings.End(f.window).Add(round)
+	assert.Contains(t, f.coverage(hub).Missing, willowwick.BoxID("box-5"))
+	f.runFor(2 * round)
+	f.requireCounts(t, hub, 7)
+}
+
 // A box that is cut off or suspended tells when it is back.
 func TestABoxThatWasCutOffIsWaitedFor(t *testing.T) {
 	f := newTestFleet(9, 3)
--- a/wire/pace.go
+++ b/wire/pace.go
@@ -19,8 +19,8 @@
 	// minInTimeShare is the share of a cohort's requests below which all of them count as held up by the box: the link and the
 	// processor hold up all, a slow caller only its own.
 	minInTimeShare = 0.2
-	// minLate is the least number of requests that arrive late meanwhile, and half of all that arrive: connections without a request
-	// alone may be such that their callers have opened in advance.
+	// minLate is the least number of requests that must arrive late meanwhile: connections on which no request has come may be such
+	// that their callers have opened in advance.
 	minLate = minCohort / 2
 	// paceCut is the share of the connections that were admitted, and arrivedCut that of the requests that arrived, to which the pace
 	// falls after a cohort that was held up; paceGrowth is the factor by which it grows in cohortTime otherwise, and
@@ -246,7 +246,7 @@
 		return
 	}
 	isHeldUp := float64(c.inTime) < minInTimeShare*float64(c.admitted)
-	if isHeldUp && (!p.areLate(c) || p.perSecond == 0 && c.rate() < minCutRate) {
+	if isHeldUp && !p.tellsOfOverload(c) {
 		return
 	}
 	switch {
@@ -261,10 +261,12 @@
 	}
 }
 
-// areLate reports whether enough of the requests that have arrived since a cohort began were late, whichever cohort they are of.
-func (p *pace) areLate(c *cohort) bool {
+// tellsOfOverload reports whether a cohort that was held up tells of the box: of the requests that have arrived since it began, of
+// whichever cohort, enough and at least half were late, and enough connections come to be what the box is busy with.
+func (p *pace) tellsOfOverload(c *cohort) bool {
 	late := p.late - c.lateBefore
-	return late >= minLate && 2*late >= p.arrivals-c.arrivedBefore
+	areLate := late >= minLate && 2*late >= p.arrivals-c.arrivedBefore
+	return areLate && (p.perSecond > 0 || c.rate() >= minCutRate)
 }
 
 // rate returns how many connections a second were admitted with a cohort that has ended.
