--- a/lab/fleet_promises_test.go
+++ b/lab/fleet_promises_test.go
@@ -107,6 +107,21 @@
 	})
 }
 
+// Guards against calls that are refused though all is well: a box that joins the roster imports the claims that it must
+// know of, and a call whose key it replicates is served once it has them.
+func TestCallsWithAKeyAreServedWhileABoxJoins(t *testing.T) {
+	withTestFleet(t, 5, func(s *testFleet) {
+		s.Boxes[4].Kill()
+		time.Sleep(40 * time.Second)
+		require.NoError(t, s.Boxes[4].Start())
+		for n := range 4000 {
+			reply := s.postEntry(n%4, fmt.Sprintf("joining-key-%d", n), fmt.Sprintf("joining-%d", n))
+			require.Equal(t, OutcomeComplete, reply.Outcome, "call %d: %+v", n, reply)
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+}
+
 // TestOutcomeIsUnknownWhenBothReplicasAreLost: a key that only the lost replicas could vouch for is refused, and new
 // keys run.
 func TestOutcomeIsUnknownWhenBothReplicasAreLost(t *testing.T) {
