--- /dev/null
+++ b/review/testdata/lab/endpoint.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+type (
+	// endpointSettings configure an endpoint process.
+	endpointSettings struct {
+		ID        string
+		Address   string
+		Events    int // events of a stream
+		EventMs   int // time between two events
+		WorkMs    int // time of a request that is no stream
+		IsUnended bool // answers carry neither a length nor chunks, and end with their connection
+	}
+
+	// endpoint serves requests as the users' pages say, on connections of its own so that it decides how answers end.
+	endpoint struct {
+		settings endpointSettings
+		mu       sync.Mutex
+	}
+)
+
+// serveEndpoint runs an endpoint with settings in JSON until the process is killed. It writes what it runs to standard output.
+func serveEndpoint(text string) error {
+	e := &endpoint{}
+	if err := json.Unmarshal([]byte(text), &e.settings); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", e.settings.Address)
+	if err != nil {
+		return err
+	}
+	e.say("listens at %s", e.settings.Address)
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go e.serveConn(conn)
+	}
+}
+
+// say writes a line to standard output.
+func (e *endpoint) say(format string, args ...any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fmt.Printf("%s endpoint %s %s\n", time.Now().Format("15:04:05.000"), e.settings.ID, fmt.Sprintf(format, args...))
+}
+
+func (e *endpoint) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if !e.answer(conn, request, body) {
+			return
+		}
+	}
+}
+
+// answer answers one request, and reports whether the connection may serve another one.
+func (e *endpoint) answer(conn net.Conn, request *http.Request, body []byte) bool {
+	id := request.Header.Get("Attempt-Id")
+	expected := request.Header.Get("Expect-Instance")
+	switch {
+	case request.URL.Path == "/health":
+		return writeWhole(conn, "200 OK", "Instance-Id: "+e.settings.ID+"\r\n", "ok")
+	case request.URL.Path == "/report":
+		return writeWhole(conn, "200 OK", "Content-Type: application/json\r\n", `{"stage":"both","running":0,"waiting":0}`)
+	case id == "":
+		return writeWhole(conn, "400 Bad Request", "Not-Executed: 1\r\n", "no id")
+	case expected != "" && expected != e.settings.ID:
+		return writeWhole(conn, "421 Misdirected Request", "Not-Executed: 1\r\nAttempt-Id: "+id+"\r\nInstance-Id: "+e.settings.ID+"\r\n", "")
+	}
+	head := "Attempt-Id: " + id + "\r\nResponse-Seal: " + e.settings.ID + "." + id + "\r\n"
+	if !strings.Contains(request.URL.Path, "/stream/") {
+		e.say("runs %s %s %s, %d bytes", id, request.Method, request.URL.RequestURI(), len(body))
+		time.Sleep(time.Duration(e.settings.WorkMs) * time.Millisecond)
+		return writeWhole(conn, "200 OK", head, "answer of "+id+"\n")
+	}
+	return e.stream(conn, request, id, head)
+}
+
+// writeWhole writes an answer with its length.
+func writeWhole(conn net.Conn, status, head, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%sKeep-Alive: timeout=30\r\nContent-Length: %d\r\n\r\n%s", status, head, len(body), body)
+	return err == nil
+}
+
+// eventText is the event of a request with a number, counted from 1.
+func eventText(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: event %d of %s\n\n", number, number, id)
+}
+
+// stream answers with events, from the one after Last-Event-Id on.
+func (e *endpoint) stream(conn net.Conn, request *http.Request, id, head string) bool {
+	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	e.say("runs %s from event %d on", id, after+1)
+	framing := "Transfer-Encoding: chunked\r\n"
+	if e.settings.IsUnended {
+		framing = "Connection: close\r\n"
+	}
+	head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConfidence: 100\r\n" + head + framing + "\r\n"
+	for number := after + 1; number <= e.settings.Events; number++ {
+		time.Sleep(time.Duration(e.settings.EventMs) * time.Millisecond)
+		text := eventText(id, number)
+		if !e.settings.IsUnended {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(conn, head+text); err != nil {
+			e.say("drops %s after event %d: %v", id, number-1, err)
+			return false
+		}
+		head = ""
+	}
+	e.say("ends %s after event %d", id, e.settings.Events)
+	if e.settings.IsUnended {
+		return false
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
--- /dev/null
+++ b/review/testdata/lab/main.go
@@ -0,0 +1,61 @@
+// Command lab plays the scripted cases of the review: it starts the project's daemons as processes, with stand-ins of the platform,
+// its endpoints and its callers, all at loopback addresses.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// cases are the scripted cases by name. Each returns what it saw that breaks the rule.
+var cases = map[string]func(*site) []string{
+	"taken-away": playTakenAway,
+}
+
+func main() {
+	if len(os.Args) == 3 && os.Args[1] == "endpoint" {
+		if err := serveEndpoint(os.Args[2]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab CASE WILLOWWICKD RECORD")
+		os.Exit(exitFailed)
+	}
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3]))
+}
+
+// play plays a case and returns the exit code.
+func play(name, daemon, recordPath string) (code int) {
+	s, err := newSite(daemon, recordPath)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer func() {
+		if failure := recover(); failure != nil {
+			s.note("the case could not run: %v", failure)
+			code = exitFailed
+		}
+		s.close()
+	}()
+	s.note("case %s, trouble %t", name, s.hasTrouble)
+	broken := cases[name](s)
+	for _, line := range broken {
+		s.note("BROKEN %s", line)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	s.note("the rule held")
+	return exitHeld
+}
