--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripted cases.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review/lab ./review/testdata/lab
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -48,6 +50,14 @@
 		}
 		s.close()
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		s.note("the case was stopped")
+		s.close()
+		os.Exit(exitFailed)
+	}()
 	s.note("case %s, trouble %t", name, s.hasTrouble)
 	broken := cases[name](s)
 	for _, line := range broken {
