--- a/review/testdata/lab/caller.go
+++ b/review/testdata/lab/caller.go
@@ -31,6 +31,10 @@
 	request.Header.Set("Attempt-Id", id)
 	request.Header.Set("Credential", accountKey)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if strings.HasPrefix(path, "/draft/") {
+		request.Header.Set("Model", "*")
+		request.Header.Set("Token-Counts", "800,60")
+	}
 	s.note("caller sends %s %s %s to %s", id, method, path, box.name)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
--- a/review/testdata/lab/endpoint.go
+++ b/review/testdata/lab/endpoint.go
@@ -16,18 +16,22 @@
 type (
 	// endpointSettings configure an endpoint process.
 	endpointSettings struct {
-		ID        string
-		Address   string
-		Events    int // events of a stream
-		EventMs   int // time between two events
-		WorkMs    int // time of a request that is no stream
-		IsUnended bool // answers carry neither a length nor chunks, and end with their connection
+		ID      string
+		Address string
+		Events  int // events of a stream
+		EventMs int // time between two events
+		WorkMs  int // time of a request that is no stream
+		// Confidence is what answers to requests that name a model tell; no answers do if it is 0.
+		Confidence int
+		SpoilEach  int  // every one of so many answers lacks its signature; none if 0
+		IsUnended  bool // answers carry neither a length nor chunks, and end with their connection
 	}
 
 	// endpoint serves requests as the users' pages say, on connections of its own so that it decides how answers end.
 	endpoint struct {
 		settings endpointSettings
 		mu       sync.Mutex
+		answers  int
 	}
 )
 
@@ -51,6 +55,14 @@
 	}
 }
 
+// mustSpoil counts an answer, and reports whether it is to lack its signature.
+func (e *endpoint) mustSpoil() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answers++
+	return e.settings.SpoilEach > 0 && e.answers%e.settings.SpoilEach == 0
+}
+
 // say writes a line to standard output.
 func (e *endpoint) say(format string, args ...any) {
 	e.mu.Lock()
@@ -90,9 +102,17 @@
 	case expected != "" && expected != e.settings.ID:
 		return writeWhole(conn, "421 Misdirected Request", "Not-Executed: 1\r\nAttempt-Id: "+id+"\r\nInstance-Id: "+e.settings.ID+"\r\n", "")
 	}
-	head := "Attempt-Id: " + id + "\r\nResponse-Seal: " + e.settings.ID + "." + id + "\r\n"
+	head := "Attempt-Id: " + id + "\r\n"
+	if e.mustSpoil() {
+		e.say("spoils the answer to %s: its signature is lost", id)
+	} else {
+		head += "Response-Seal: " + e.settings.ID + "." + id + "\r\n"
+	}
+	if e.settings.Confidence > 0 && request.Header.Get("Model") != "" {
+		head += fmt.Sprintf("Confidence: %d\r\n", e.settings.Confidence)
+	}
 	if !strings.Contains(request.URL.Path, "/stream/") {
-		e.say("runs %s %s %s, %d bytes", id, request.Method, request.URL.RequestURI(), len(body))
+		e.say("runs %s %s %s, %d bytes, model %q", id, request.Method, request.URL.RequestURI(), len(body), request.Header.Get("Model"))
 		time.Sleep(time.Duration(e.settings.WorkMs) * time.Millisecond)
 		return writeWhole(conn, "200 OK", head, "answer of "+id+"\n")
 	}
@@ -118,7 +138,7 @@
 	if e.settings.IsUnended {
 		framing = "Connection: close\r\n"
 	}
-	head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConfidence: 100\r\n" + head + framing + "\r\n"
+	head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + head + framing + "\r\n"
 	for number := after + 1; number <= e.settings.Events; number++ {
 		time.Sleep(time.Duration(e.settings.EventMs) * time.Millisecond)
 		text := eventText(id, number)
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -19,6 +19,9 @@
 // cases are the scripted cases by name. Each returns what it saw that breaks the rule.
 var cases = map[string]func(*site) []string{
 	"taken-away": playTakenAway,
+	"leaving":    playLeaving,
+	"unsure":     playUnsure,
+	"spoilt":     playSpoilt,
 }
 
 func main() {
--- a/review/testdata/lab/site.go
+++ b/review/testdata/lab/site.go
@@ -34,7 +34,9 @@
  {"name":"r-once","host":"ficu95.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":4000,"goal-ms":300,"priority":2,
   "service":"app","max-attempts":1},
  {"name":"r-fetch","host":"ficu95.example","path-prefix":"/fetch/","kind":"idempotent","timeout-ms":4000,"goal-ms":300,"priority":2,
-  "service":"app","max-attempts":2}],
+  "service":"app","max-attempts":2},
+ {"name":"r-draft","host":"ficu95.example","path-prefix":"/draft/","kind":"non_idempotent","timeout-ms":10000,"goal-ms":2000,"priority":2,
+  "service":"llm","max-attempts":2,"sizes":["daka510000","rada7437b5"]}],
  "services":[{"name":"llm","health-path":"/health","max-connections":230},{"name":"app","health-path":"/health","max-connections":96}],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
  "tenants":[{"name":"hule930","api-keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}`
@@ -53,6 +55,7 @@
 
 		mu     sync.Mutex
 		record *os.File
+		runs   map[string][]string // endpoints that have run a try, by its id
 	}
 
 	// process is a daemon or an endpoint that the case has started.
@@ -86,7 +89,7 @@
 	}
 	s := &site{
 		daemon: daemon, folder: folder, hasTrouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), record: record,
-		endpoints: map[string]*listedEndpoint{},
+		endpoints: map[string]*listedEndpoint{}, runs: map[string][]string{},
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -238,7 +241,13 @@
 	}
 	go func() {
 		for lines.Scan() {
-			s.note("%s", lines.Text()[len("15:04:05.000 "):])
+			text := lines.Text()[len("15:04:05.000 "):]
+			s.note("%s", text)
+			if words := strings.Fields(text); len(words) > 3 && words[2] == "runs" {
+				s.mu.Lock()
+				s.runs[words[3]] = append(s.runs[words[3]], words[1])
+				s.mu.Unlock()
+			}
 		}
 	}()
 	s.endpoints[settings.ID] = e
