--- a/review/testdata/lab/endpoint.go
+++ b/review/testdata/lab/endpoint.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +26,8 @@
 		// Confidence is what answers to requests that name a model tell; no answers do if it is 0.
 		Confidence int
 		SpoilEach  int  // every one of so many answers lacks its signature; none if 0
+		Slots      int  // requests that run at once; no limit if 0
+		Queue      int  // requests that wait for a slot
 		IsUnended  bool // answers carry neither a length nor chunks, and end with their connection
 	}
 
@@ -32,6 +36,8 @@
 		settings endpointSettings
 		mu       sync.Mutex
 		answers  int
+		running  int
+		waiting  int
 	}
 )
 
@@ -55,6 +61,54 @@
 	}
 }
 
+// slotPoll is how often a waiting request looks for a free slot.
+const slotPoll = 20 * time.Millisecond
+
+// enter waits for a slot; false if the request was turned away, or its connection was closed before it began to run.
+func (e *endpoint) enter(conn net.Conn, id string) bool {
+	e.mu.Lock()
+	if e.settings.Slots > 0 && e.running+e.waiting >= e.settings.Slots+e.settings.Queue {
+		load := fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.settings.Slots)
+		e.mu.Unlock()
+		e.say("turns %s away", id)
+		writeWhole(conn, "503 Service Unavailable", "Not-Executed: 1\r\nAttempt-Id: "+id+"\r\nServer-Load: "+load+"\r\n", "full")
+		return false
+	}
+	isQueued := e.settings.Slots > 0 && e.running >= e.settings.Slots
+	e.waiting++
+	e.mu.Unlock()
+	if isQueued {
+		e.say("lets %s wait for a slot", id)
+	}
+	for {
+		e.mu.Lock()
+		if e.settings.Slots == 0 || e.running < e.settings.Slots {
+			e.waiting--
+			e.running++
+			e.mu.Unlock()
+			return true
+		}
+		e.mu.Unlock()
+		var one [1]byte
+		_ = conn.SetReadDeadline(time.Now().Add(slotPoll))
+		if _, err := conn.Read(one[:]); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			e.mu.Lock()
+			e.waiting--
+			e.mu.Unlock()
+			e.say("drops %s, which has not run: its connection is closed", id)
+			return false
+		}
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// leave frees the slot.
+func (e *endpoint) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
 // mustSpoil counts an answer, and reports whether it is to lack its signature.
 func (e *endpoint) mustSpoil() bool {
 	e.mu.Lock()
@@ -102,6 +156,10 @@
 	case expected != "" && expected != e.settings.ID:
 		return writeWhole(conn, "421 Misdirected Request", "Not-Executed: 1\r\nAttempt-Id: "+id+"\r\nInstance-Id: "+e.settings.ID+"\r\n", "")
 	}
+	if !e.enter(conn, id) {
+		return false
+	}
+	defer e.leave()
 	head := "Attempt-Id: " + id + "\r\n"
 	if e.mustSpoil() {
 		e.say("spoils the answer to %s: its signature is lost", id)
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -22,6 +22,7 @@
 	"leaving":    playLeaving,
 	"unsure":     playUnsure,
 	"spoilt":     playSpoilt,
+	"stopped":    playStopped,
 }
 
 func main() {
--- a/review/testdata/lab/site.go
+++ b/review/testdata/lab/site.go
@@ -35,6 +35,8 @@
   "service":"app","max-attempts":1},
  {"name":"r-fetch","host":"ficu95.example","path-prefix":"/fetch/","kind":"idempotent","timeout-ms":4000,"goal-ms":300,"priority":2,
   "service":"app","max-attempts":2},
+ {"name":"r-job","host":"ficu95.example","path-prefix":"/job/","kind":"non_idempotent","timeout-ms":30000,"goal-ms":4000,"priority":2,
+  "service":"llm","max-attempts":1},
  {"name":"r-draft","host":"ficu95.example","path-prefix":"/draft/","kind":"non_idempotent","timeout-ms":10000,"goal-ms":2000,"priority":2,
   "service":"llm","max-attempts":2,"sizes":["daka510000","rada7437b5"]}],
  "services":[{"name":"llm","health-path":"/health","max-connections":230},{"name":"app","health-path":"/health","max-connections":96}],
