--- a/review/testdata/lab/site.go
+++ b/review/testdata/lab/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -93,7 +94,7 @@
 		daemon: daemon, folder: folder, hasTrouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), record: record,
 		endpoints: map[string]*listedEndpoint{}, runs: map[string][]string{},
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePorts(1)))
 	if err != nil {
 		return nil, err
 	}
@@ -116,17 +117,18 @@
 	}
 }
 
-// freePorts returns a number of consecutive free ports.
+// freePorts returns a number of consecutive free ports, below those that the system gives to outgoing connections.
 func freePorts(count int) int {
-	for range 100 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		must(err)
-		base := first.Addr().(*net.TCPAddr).Port
-		held := []net.Listener{first}
-		for port := base + 1; port < base+count; port++ {
-			if next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
-				held = append(held, next)
+	const lowest, highest = 15000, 30000
+	for range 1000 {
+		base := lowest + rand.IntN(highest-lowest-count)
+		var held []net.Listener
+		for port := base; port < base+count; port++ {
+			next, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				break
 			}
+			held = append(held, next)
 		}
 		isFree := len(held) == count
 		for _, listener := range held {
