--- a/review/testdata/lab/site.go
+++ b/review/testdata/lab/site.go
@@ -76,7 +76,6 @@
 		entry      map[string]any
 		mu         sync.Mutex
 		beat       int
-		isSilent   bool // writes no more entries
 		lastBeatAt time.Time
 	}
 )
@@ -182,13 +181,12 @@
 func (s *site) startBox(p *process) {
 	p.command = exec.Command(s.daemon, "-log-format", "json", "-key", "willowwick-peers-of-one-site")
 	p.command.Env = []string{"WILLOWWICK_NODE_FILE=" + p.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + s.folder}
-	var out io.Writer = io.Discard
+	p.command.Stdout, p.command.Stderr = io.Discard, io.Discard
 	if path := os.Getenv("DAEMON_LOGS"); path != "" {
 		file, err := os.OpenFile(filepath.Join(path, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		must(err)
-		out = file
+		p.command.Stdout, p.command.Stderr = file, file
 	}
-	p.command.Stdout, p.command.Stderr = out, out
 	must(p.start())
 	s.note("daemon %s started", p.name)
 }
