--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripted cases.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review/lab ./review/testdata/lab
+go build -buildvcs=false -o target/review/lab ./review/testdata/lab
--- a/review/testdata/lab/caller.go
+++ b/review/testdata/lab/caller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/crc32"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,6 +20,7 @@
 	isComplete bool // the answer ended as its framing says
 	err        error
 	took       time.Duration
+	endedAt    time.Time // when the answer or the connection had ended
 }
 
 // send sends one try over a connection of its own, and records the answer.
@@ -34,6 +37,7 @@
 	if strings.HasPrefix(path, "/draft/") {
 		request.Header.Set("Model", "*")
 		request.Header.Set("Token-Counts", "800,60")
+		request.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e07a2:500,%08x:300", crc32.ChecksumIEEE([]byte(id))))
 	}
 	s.note("caller sends %s %s %s to %s", id, method, path, box.name)
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
@@ -41,13 +45,14 @@
 	r := result{id: id}
 	response, err := (&http.Client{Transport: transport}).Do(request)
 	if err != nil {
-		r.err, r.took = err, time.Since(began)
+		r.err, r.took, r.endedAt = err, time.Since(began), time.Now()
 		s.note("caller gets no answer to %s: %v", id, err)
 		return r
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	r.status, r.header, r.body, r.isComplete, r.err, r.took = response.StatusCode, response.Header, string(data), err == nil, err, time.Since(began)
+	r.endedAt = time.Now()
 	s.note("caller gets %d for %s after %d ms, seal %q, %d bytes, %d events, complete %t", r.status, id, r.took.Milliseconds(),
 		r.header.Get("Response-Seal"), len(data), strings.Count(r.body, "\n\n"), r.isComplete)
 	return r
--- a/review/testdata/lab/endpoint.go
+++ b/review/testdata/lab/endpoint.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,10 +26,11 @@
 		WorkMs  int // time of a request that is no stream
 		// Confidence is what answers to requests that name a model tell; no answers do if it is 0.
 		Confidence int
-		SpoilEach  int  // every one of so many answers lacks its signature; none if 0
-		Slots      int  // requests that run at once; no limit if 0
-		Queue      int  // requests that wait for a slot
-		IsUnended  bool // answers carry neither a length nor chunks, and end with their connection
+		Models     []string // that it has; a request that names another one gets 421; any if empty
+		SpoilEach  int      // every one of so many answers lacks its signature; none if 0
+		Slots      int      // requests that run at once; no limit if 0
+		Queue      int      // requests that wait for a slot
+		IsUnended  bool     // answers carry neither a length nor chunks, and end with their connection
 	}
 
 	// endpoint serves requests as the users' pages say, on connections of its own so that it decides how answers end.
@@ -156,6 +158,10 @@
 	case expected != "" && expected != e.settings.ID:
 		return writeWhole(conn, "421 Misdirected Request", "Not-Executed: 1\r\nAttempt-Id: "+id+"\r\nInstance-Id: "+e.settings.ID+"\r\n", "")
 	}
+	if model := request.Header.Get("Model"); len(e.settings.Models) > 0 && !slices.Contains(e.settings.Models, model) {
+		e.say("turns %s away: no model %q", id, model)
+		return writeWhole(conn, "421 Misdirected Request", "Not-Executed: 1\r\nAttempt-Id: "+id+"\r\nInstance-Id: "+e.settings.ID+"\r\n", "")
+	}
 	if !e.enter(conn, id) {
 		return false
 	}
--- a/review/testdata/lab/leaving.go
+++ b/review/testdata/lab/leaving.go
@@ -58,10 +58,9 @@
 		tries          = 10
 		leavingOfTries = 3
 	)
-	s.addEndpoint("llm", 32, endpointSettings{ID: "i-llm1", Events: 8, EventMs: 200})
+	s.addEndpoint("events", 32, endpointSettings{ID: "i-ev1", Events: 8, EventMs: 200})
 	s.addEndpoint("app", 16, endpointSettings{ID: "i-app1", WorkMs: 600})
 	s.addBoxes(2)
-	time.Sleep(time.Second)
 	results := make([]result, 2*tries)
 	var callers sync.WaitGroup
 	for i := range tries {
@@ -69,10 +68,10 @@
 		if s.hasTrouble && i < leavingOfTries {
 			onceLeaves, streamLeaves = 300*time.Millisecond, 700*time.Millisecond
 		}
-		callers.Go(func() {
+		s.goCall(&callers, func() {
 			results[2*i] = s.leave(s.boxes[i%2], "POST", "/once/x", fmt.Sprintf("once-%d", i+1), onceLeaves)
 		})
-		callers.Go(func() {
+		s.goCall(&callers, func() {
 			results[2*i+1] = s.leave(s.boxes[i%2], "POST", "/stream/x", fmt.Sprintf("stream-%d", i+1), streamLeaves)
 		})
 		time.Sleep(30 * time.Millisecond)
@@ -81,6 +80,8 @@
 	var broken []string
 	for _, r := range results {
 		isStream := strings.HasPrefix(r.id, "stream")
+		require(len(s.ran(r.id)) > 0, "%s was not sent on", r.id)
+		require(s.hasTrouble || r.status == 200 && r.isComplete, "%s was not answered, without trouble", r.id)
 		switch {
 		case r.status/100 != 2 || !r.isComplete:
 		case r.header.Get("Response-Seal") == "":
--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 )
 
@@ -25,6 +26,11 @@
 	"stopped":    playStopped,
 }
 
+func init() {
+	// The processes end with the thread that has started them; the main one lives as long as this process.
+	runtime.LockOSThread()
+}
+
 func main() {
 	if len(os.Args) == 3 && os.Args[1] == "endpoint" {
 		if err := serveEndpoint(os.Args[2]); err != nil {
@@ -64,6 +70,7 @@
 	}()
 	s.note("case %s, trouble %t", name, s.hasTrouble)
 	broken := cases[name](s)
+	require(s.failed == "", "%s", s.failed)
 	for _, line := range broken {
 		s.note("BROKEN %s", line)
 	}
--- a/review/testdata/lab/site.go
+++ b/review/testdata/lab/site.go
@@ -26,21 +26,27 @@
 	heartbeat        = 400 * time.Millisecond
 	missedHeartbeats = 3
 	startTimeout     = 20 * time.Second
+	// trafficAfter is how long after the daemons were started the callers begin.
+	trafficAfter = 10 * time.Second
 )
 
 // config is the operator's configuration.
 const config = `{"version":7,"routes":[
  {"name":"r-stream","host":"ficu95.example","path-prefix":"/stream/","kind":"stream","timeout-ms":20000,"goal-ms":2000,"priority":1,
-  "service":"llm","max-attempts":3,"resumable":true,"gap-target-ms":1200},
+  "service":"events","max-attempts":3,"anonymous":false,"resumable":true,"gap-target-ms":1200},
+ {"name":"r-job","host":"ficu95.example","path-prefix":"/job/","kind":"non_idempotent","timeout-ms":30000,"goal-ms":4000,"priority":2,
+  "service":"events","max-attempts":1,"anonymous":false},
  {"name":"r-once","host":"ficu95.example","path-prefix":"/once/","kind":"non_idempotent","timeout-ms":4000,"goal-ms":300,"priority":2,
-  "service":"app","max-attempts":1},
+  "service":"app","max-attempts":1,"anonymous":false},
  {"name":"r-fetch","host":"ficu95.example","path-prefix":"/fetch/","kind":"idempotent","timeout-ms":4000,"goal-ms":300,"priority":2,
-  "service":"app","max-attempts":2},
- {"name":"r-job","host":"ficu95.example","path-prefix":"/job/","kind":"non_idempotent","timeout-ms":30000,"goal-ms":4000,"priority":2,
-  "service":"llm","max-attempts":1},
+  "service":"app","max-attempts":2,"anonymous":false},
  {"name":"r-draft","host":"ficu95.example","path-prefix":"/draft/","kind":"non_idempotent","timeout-ms":10000,"goal-ms":2000,"priority":2,
-  "service":"llm","max-attempts":2,"sizes":["daka510000","rada7437b5"]}],
- "services":[{"name":"llm","health-path":"/health","max-connections":230},{"name":"app","health-path":"/health","max-connections":96}],
+  "service":"llm","max-attempts":2,"sizes":["daka510000","rada7437b5"],"anonymous":false,"session-affinity":true}],
+ "services":[{"name":"events","health-path":"/health","max-connections":230,"protocol":"h1","tls":false},
+ {"name":"app","health-path":"/health","max-connections":96,"protocol":"h1","tls":false},
+ {"name":"llm","health-path":"/health","max-connections":230,"protocol":"h1","tls":false,"engine":{"slots":32,"kv-capacity-tokens":761808,
+  "kv-token-bytes":35136,"link-mbps":260000.0,"moves":true,"backups":true,"stride":7,"most":12,"pin-ms":4000.0,"hold-ms":2000.0,
+  "handle-s":5.0,"models":[{"name":"daka510000","cost":0.013},{"name":"rada7437b5","cost":0.097}]}}],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
  "tenants":[{"name":"hule930","api-keys":["n2ctnfzs989anu6wsjnb"],"priority":1}]}`
 
@@ -59,6 +65,9 @@
 		mu     sync.Mutex
 		record *os.File
 		runs   map[string][]string // endpoints that have run a try, by its id
+		waits  map[string]bool     // tries that had to wait at an endpoint
+		spoilt int                 // answers that endpoints have spoilt
+		failed string              // why the case couldn't run; empty if it could
 	}
 
 	// process is a daemon or an endpoint that the case has started.
@@ -91,7 +100,7 @@
 	}
 	s := &site{
 		daemon: daemon, folder: folder, hasTrouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), record: record,
-		endpoints: map[string]*listedEndpoint{}, runs: map[string][]string{},
+		endpoints: map[string]*listedEndpoint{}, runs: map[string][]string{}, waits: map[string]bool{},
 	}
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", freePorts(1)))
 	if err != nil {
@@ -110,6 +119,52 @@
 	_, _ = fmt.Fprintf(s.record, "%s %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 }
 
+// noteEndpointLine keeps what a line of an endpoint says: the word "endpoint", its id, what it does, and the id of the try.
+func (s *site) noteEndpointLine(words []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case len(words) < 4:
+	case words[2] == "runs":
+		s.runs[words[3]] = append(s.runs[words[3]], words[1])
+	case words[2] == "lets":
+		s.waits[words[3]] = true
+	case words[2] == "spoils":
+		s.spoilt++
+	}
+}
+
+// ran returns the endpoints that have run a try.
+func (s *site) ran(id string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// goCall calls a function in a goroutine of the group; if it panics, the case couldn't run.
+func (s *site) goCall(group *sync.WaitGroup, call func()) {
+	group.Go(func() {
+		defer s.guard()
+		call()
+	})
+}
+
+// guard records a panic of a goroutine.
+func (s *site) guard() {
+	if failure := recover(); failure != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.failed = fmt.Sprint(failure)
+	}
+}
+
+// require ends a case that doesn't show anything: what it needs did not come about.
+func require(isMet bool, format string, args ...any) {
+	if !isMet {
+		panic(fmt.Sprintf(format, args...))
+	}
+}
+
 func must(err error) {
 	if err != nil {
 		panic(err)
@@ -142,6 +197,7 @@
 
 // addBoxes starts daemons with settings like those of the deploy file's page; fields override the defaults.
 func (s *site) addBoxes(count int, fields ...string) {
+	began := time.Now()
 	base := freePorts(8 * count)
 	address := func(box, port int) string { return fmt.Sprintf("127.0.0.1:%d", base+8*box+port) }
 	var seeds []string
@@ -175,6 +231,7 @@
 	for _, p := range s.boxes {
 		s.awaitReady(p)
 	}
+	time.Sleep(time.Until(began.Add(trafficAfter)))
 }
 
 // startBox starts a daemon with the deploy file's command.
@@ -192,6 +249,7 @@
 }
 
 func (p *process) start() error {
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // nothing outlives the case
 	if err := p.command.Start(); err != nil {
 		return err
 	}
@@ -233,6 +291,13 @@
 	e := &listedEndpoint{process: &process{name: settings.ID}, site: s, entry: map[string]any{
 		"service": service, "address": settings.Address, "zone": "regina-a", "version": "v1", "slots": slots, "state": "ready", "cold-remaining-ms": 0,
 	}}
+	if len(settings.Models) > 0 {
+		var models []map[string]any
+		for _, name := range settings.Models {
+			models = append(models, map[string]any{"name": name, "version": 1, "adapters": []string{}})
+		}
+		e.entry["stage"], e.entry["models"] = "both", models
+	}
 	e.command = exec.Command(self, "endpoint", string(data))
 	out, err := e.command.StdoutPipe()
 	must(err)
@@ -245,11 +310,7 @@
 		for lines.Scan() {
 			text := lines.Text()[len("15:04:05.000 "):]
 			s.note("%s", text)
-			if words := strings.Fields(text); len(words) > 3 && words[2] == "runs" {
-				s.mu.Lock()
-				s.runs[words[3]] = append(s.runs[words[3]], words[1])
-				s.mu.Unlock()
-			}
+			s.noteEndpointLine(strings.Fields(text))
 		}
 	}()
 	s.endpoints[settings.ID] = e
@@ -270,6 +331,7 @@
 
 // keepEntry writes the entry again and again; it goes three heartbeats after the last one.
 func (e *listedEndpoint) keepEntry() {
+	defer e.site.guard()
 	for {
 		select {
 		case <-e.ended:
--- a/review/testdata/lab/spoilt.go
+++ b/review/testdata/lab/spoilt.go
@@ -14,15 +14,17 @@
 	}
 	s.addEndpoint("app", 16, endpointSettings{ID: "i-app1", WorkMs: 10, SpoilEach: spoilEach})
 	s.addEndpoint("app", 16, endpointSettings{ID: "i-app2", WorkMs: 10})
-	s.addEndpoint("llm", 32, endpointSettings{ID: "i-llm1", Events: 3, EventMs: 20})
 	s.addBoxes(2)
-	time.Sleep(time.Second)
 	var broken []string
 	for i := range tries {
 		r := s.send(s.boxes[i%2], "GET", "/fetch/x", fmt.Sprintf("fetch-%d", i+1), "", 4*time.Second)
+		require(s.hasTrouble || r.status == 200 && r.isComplete, "%s was not answered, without trouble", r.id)
 		if r.status/100 == 2 && r.header.Get("Response-Seal") == "" {
 			broken = append(broken, fmt.Sprintf("%s gets a %d without the signature of its endpoint", r.id, r.status))
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require(!s.hasTrouble || s.spoilt > 0, "no answer was spoilt")
 	return broken
 }
--- a/review/testdata/lab/taken_away.go
+++ b/review/testdata/lab/taken_away.go
@@ -16,35 +16,42 @@
 		eventMs = 240
 		streams = 12
 	)
-	for i := range 3 {
-		s.addEndpoint("llm", 32, endpointSettings{ID: fmt.Sprintf("i-llm%d", i+1), Events: events, EventMs: eventMs, IsUnended: true})
+	for i := range 4 {
+		s.addEndpoint("events", 32, endpointSettings{ID: fmt.Sprintf("i-ev%d", i+1), Events: events, EventMs: eventMs, IsUnended: true})
 	}
 	s.addEndpoint("app", 6, endpointSettings{ID: "i-app1", WorkMs: 60})
 	s.addBoxes(2)
-	time.Sleep(time.Second)
 	results := make([]result, streams)
 	var callers sync.WaitGroup
 	for i := range results {
-		callers.Go(func() {
+		s.goCall(&callers, func() {
 			results[i] = s.send(s.boxes[i%2], "POST", "/stream/x", fmt.Sprintf("stream-%d", i+1), "prompt", 20*time.Second)
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
 	if s.hasTrouble {
-		e := s.endpoints["i-llm1"]
+		e := s.endpoints["i-ev1"]
 		e.drain()
 		time.Sleep(2 * time.Second)
 		s.note("endpoint %s is gone", e.name)
 		e.signal(syscall.SIGKILL)
 	}
 	callers.Wait()
+	atTaken := 0
+	for _, r := range results {
+		if ran := s.ran(r.id); len(ran) > 0 && ran[0] == "i-ev1" {
+			atTaken++
+		}
+	}
+	require(atTaken > 0, "no stream ran at the endpoint that is taken away")
 	var broken []string
 	for _, r := range results {
 		var whole strings.Builder
 		for number := 1; number <= events; number++ {
 			whole.WriteString(eventText(r.id, number))
 		}
+		require(s.hasTrouble || r.body == whole.String() && r.isComplete, "%s was not answered, without trouble", r.id)
 		if r.status == 200 && r.isComplete && r.body != whole.String() {
 			broken = append(broken, fmt.Sprintf("the stream of %s ends as complete after %d of %d events", r.id, strings.Count(r.body, "\n\n"), events))
 		}
--- a/review/testdata/lab/unsure.go
+++ b/review/testdata/lab/unsure.go
@@ -6,27 +6,25 @@
 )
 
 const (
-	// startTime is how long a daemon takes to know its fleet, and by that its share of the budget for repeats.
-	startTime  = 6 * time.Second
-	unsureOf   = 5
-	confidence = 95
+	sureOf   = 95
+	unsureOf = 5
 )
 
 // playUnsure sends requests that can't be repeated on a route with models of several sizes. The answers are of low confidence.
 func playUnsure(s *site) []string {
 	const tries = 20
-	sure := confidence
+	sure := sureOf
 	if s.hasTrouble {
 		sure = unsureOf
 	}
 	for i := range 2 {
-		s.addEndpoint("llm", 32, endpointSettings{ID: fmt.Sprintf("i-llm%d", i+1), WorkMs: 60, Confidence: sure})
+		s.addEndpoint("llm", 32, endpointSettings{ID: fmt.Sprintf("i-llm%d", i+1), WorkMs: 60, Confidence: sure, Models: []string{"daka510000", "rada7437b5"}})
 	}
 	s.addEndpoint("app", 6, endpointSettings{ID: "i-app1", WorkMs: 60})
 	s.addBoxes(2)
-	time.Sleep(startTime)
 	for i := range tries {
-		s.send(s.boxes[i%2], "POST", "/draft/x", fmt.Sprintf("draft-%d", i+1), "prompt", 8*time.Second)
+		r := s.send(s.boxes[i%2], "POST", "/draft/x", fmt.Sprintf("draft-%d", i+1), "prompt", 8*time.Second)
+		require(r.status == 200 && r.isComplete, "%s was not answered", r.id)
 		time.Sleep(50 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
