--- a/review/testdata/lab/main.go
+++ b/review/testdata/lab/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -53,8 +54,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	var isStopped atomic.Bool
 	defer func() {
-		if failure := recover(); failure != nil {
+		failure := recover()
+		if isStopped.Load() {
+			select {}
+		}
+		if failure != nil {
 			s.note("the case could not run: %v", failure)
 			code = exitFailed
 		}
@@ -64,12 +70,16 @@
 	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-stopped
+		isStopped.Store(true) // what comes of the end of the processes is not the case's
 		s.note("the case was stopped")
 		s.close()
 		os.Exit(exitFailed)
 	}()
 	s.note("case %s, trouble %t", name, s.hasTrouble)
 	broken := cases[name](s)
+	if isStopped.Load() {
+		select {} // until the goroutine above has ended all processes
+	}
 	require(s.failed == "", "%s", s.failed)
 	for _, line := range broken {
 		s.note("BROKEN %s", line)
