Calls that a planned stop ends aren't told that their deadlines have passed

What callers of the own interface saw, at the end of a planned stop: a call that had waited for a slot all the time got a 504 "the caller disconnected or the deadline passed", without Retry-After, long before its deadline; a call of a service that may be retried got a 504 "the deadline passed before the service answered". A caller takes the first for the end of its time, where another box may serve it at once.

Cause: the stop ends a call by its context. The queue, the services and the chat each know of two ends of a context, the deadline and the caller; only the middle of a chat's answer asked whether the box stops. The same was asked in exchange, in one place, since the stop there answers what still waits.

Fix: one place asks, on the way out: not run becomes 503 with Retry-After, and what may have run a 502, if the box has ended its calls and the deadline is still to come.

Evidence: before, TestPlannedStopRefusesCallsThatStillWaitForASlot failed for services and chats (119 of 128 calls: 504 for 503, no Retry-After), and TestPlannedStopAnswersCallsOfEachKind for a service's call that may be retried (504 for 502). Both pass now. TestPlannedStopAnswersCallsOverHTTP2 passes before and after.

--- a/serve/api.go
+++ b/serve/api.go
@@ -169,7 +169,7 @@
 	}
 	answer, refusal := s.daemon.Complete(ctx, request, deref(p.SessionToken))
 	if refusal != nil {
-		return nil, nil, s.chatError(refusal, request.ID)
+		return nil, nil, s.chatError(s.daemon.correctIfStopped(refusal, request.Deadline), request.ID)
 	}
 	result := &chat.CompletionsResult{ContentType: contentTypeJSON, RequestID: string(request.ID)}
 	version := string(answer.Version)
@@ -183,7 +183,7 @@
 	}
 	body, refusal := collectBody(answer, p.Model)
 	if refusal != nil {
-		return nil, nil, s.chatError(refusal, request.ID)
+		return nil, nil, s.chatError(s.daemon.correctIfStopped(refusal, request.Deadline), request.ID)
 	}
 	return result, body, nil
 }
--- a/serve/call.go
+++ b/serve/call.go
@@ -216,15 +216,12 @@
 	return willowwick.NotRun(willowwick.CodeNoVersion, clock.Now().Add(gate.OverloadRetryDelay), "no endpoint has version %q", c.version)
 }
 
-// interruptedRefusal returns the refusal for a call whose context has ended: its deadline has passed, its caller has
-// disconnected, or this box stops.
+// interruptedRefusal returns the refusal for a call whose context has ended: its deadline has passed, or its caller has disconnected.
+// See Daemon.correctIfStopped.
 func (c *resumableCall) interruptedRefusal() *willowwick.Refusal {
 	if c.ctx.Err() == context.DeadlineExceeded {
 		return willowwick.Failed(willowwick.CodeDeadline, "the deadline passed before the answer was complete")
 	}
-	if c.run.daemon.ending.Err() != nil {
-		return willowwick.Failed(willowwick.CodeCutOff, "this box stopped before the answer was complete")
-	}
 	return willowwick.Failed(willowwick.CodeDeadline, "%s", errCallerDisconnected.Error())
 }
 
--- a/serve/caller_test.go
+++ b/serve/caller_test.go
@@ -36,13 +36,18 @@
 
 // withFleet is withBox for tests that change the endpoints.
 func withFleet(t *testing.T, test func(t *testing.T, fleet *lab.Fleet, network *lab.MemoryNetwork)) {
+	withFleetOf(t, serve.Settings{DrainDelay: drainDelay}, test)
+}
+
+// withFleetOf is withFleet with settings of the box.
+func withFleetOf(t *testing.T, settings serve.Settings, test func(t *testing.T, fleet *lab.Fleet, network *lab.MemoryNetwork)) {
 	synctest.Test(t, func(t *testing.T) {
 		network := lab.NewMemoryNetwork()
 		versions := map[willowwick.VersionID]standin.VersionBehaviour{"run-large-1": {Quality: 1}}
 		fleet, closeFleet, err := lab.NewFleet(lab.Options{
 			Network: network, Boxes: 1, Halls: 1, Runners: 1, Slots: 4, Versions: versions,
 			Services: map[willowwick.ServiceID]int{"registry": 1, "bookkeeping": 1},
-			Settings: serve.Settings{DrainDelay: time.Second},
+			Settings: settings,
 		})
 		require.NoError(t, err)
 		defer closeFleet()
--- a/serve/run.go
+++ b/serve/run.go
@@ -153,13 +153,32 @@
 	case d.isIsolated(now):
 		return willowwick.NotRun(willowwick.CodeStaleConfiguration, now.Add(isolatedRetryDelay), "this box reaches neither the log nor half of the fleet")
 	case d.isRefusing():
-		return willowwick.NotRun(willowwick.CodeStopping, now.Add(stoppingRetryDelay), "this box is stopping")
+		return stoppingRefusal(now)
 	case d.node.Usage.IsFull():
 		return willowwick.NotRun(willowwick.CodeUsageBacklog, now.Add(backlogRetryDelay), "the log is unavailable and the backlog of usage records is full")
 	}
 	return nil
 }
 
+// stoppingRefusal returns the refusal of a request that a stopping box doesn't send.
+func stoppingRefusal(now time.Time) *willowwick.Refusal {
+	return willowwick.NotRun(willowwick.CodeStopping, now.Add(stoppingRetryDelay), "this box is stopping")
+}
+
+// correctIfStopped returns the refusal of a call that was ended because this box stops: what ends a call only knows that its context is
+// done, and blames the deadline. A caller that is told so gives up, where another box may serve it at once.
+func (d *Daemon) correctIfStopped(refusal *willowwick.Refusal, deadline time.Time) *willowwick.Refusal {
+	now := clock.Now()
+	switch {
+	case refusal.Code != willowwick.CodeDeadline || d.ending.Err() == nil || !now.Before(deadline):
+		return refusal
+	case refusal.Kind == willowwick.KindNotRun:
+		return stoppingRefusal(now)
+	default:
+		return willowwick.Failed(willowwick.CodeCutOff, "this box stopped before the answer was complete")
+	}
+}
+
 // temporaryIfStale turns a permanent refusal into a temporary one if a newer configuration may already be in force. Contact
 // with other boxes doesn't count: they may know no more, or be cut off together with this one. The age is read
 // before the current revision, so that a revision that comes into force in between can't make an older one seem up to date.
--- a/serve/services.go
+++ b/serve/services.go
@@ -70,6 +70,7 @@
 	defer cancel()
 	reply, refusal := run.answer(ctx)
 	if refusal != nil {
+		refusal = d.correctIfStopped(refusal, run.request.Deadline)
 		run.trace.add("refused", "%s", refusal.Error())
 		writeRefusal(w, d.countRefusal(refusal), run.request.ID)
 		return
