A second signal answers what is in progress before the box exits

What callers of the own interface saw: an operator sends a second signal since a planned stop takes long, and the connections of all calls in progress close without an answer; of one that may run once nobody knows whether it has run.

Cause: the second signal ended the context by which the stop waits. So the stop returned an error, and the process closed its connections, before the timer that ends calls with an answer had fired. It is the cause of the requests that a planned stop cut in exchange: what ends the process ended before what ends its calls.

Fix: a second signal ends the calls, which takes milliseconds, and then gives the stop a second, in which answers are written, usage is handed over and connections are closed as at the end of any other stop.

Evidence: before, TestSecondSignalAnswersCallsInProgress failed at each of three moments of the stop for each kind of call (EOF), and so did TestSecondSignalAnswersWhatRuns with the real binary (EOF, 1 of 1). Both pass now (2 of 2; the first 3 of 3 with the race detector). A box whose calls have ended exits as soon as before.

--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -137,6 +137,32 @@
 	require.Equal(t, answered, l.ledger(answered).TotalCount)
 }
 
+// Guards against a call that the second signal of an impatient operator cuts without an answer, though its service is running it.
+func TestSecondSignalAnswersWhatRuns(t *testing.T) {
+	l := newLab(t, 1)
+	d := l.daemons[0]
+	l.setFaults("http://"+l.endpointAddresses["books1"], standin.ServiceFaults{SlowMs: int(startTimeout.Milliseconds())})
+	statuses := make(chan int, 1)
+	go func() {
+		request, _ := http.NewRequest(http.MethodPost, "http://"+d.callerAddress+"/services/bookkeeping/calibrations/1", strings.NewReader("entry"))
+		request.Header.Set("Authorization", "Bearer "+labKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Log(err)
+			statuses <- 0
+			return
+		}
+		_ = response.Body.Close()
+		statuses <- response.StatusCode
+	}()
+	time.Sleep(time.Second)
+	require.NoError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+	time.Sleep(time.Second) // longer than the box serves on
+	require.NoError(t, d.cmd.Process.Signal(syscall.SIGTERM))
+	_ = d.cmd.Wait()
+	require.Equal(t, http.StatusBadGateway, <-statuses)
+}
+
 // TestKilledDaemonLosesNoBill kills a daemon under load and checks that each answered request is billed exactly once.
 func TestKilledDaemonLosesNoBill(t *testing.T) {
 	l := newLab(t, 3)
--- a/cmd/willowwickd/main.go
+++ b/cmd/willowwickd/main.go
@@ -64,7 +64,7 @@
 	return o, errors.Wrap(err, "settings")
 }
 
-// run serves until a signal starts a planned stop; a second signal stops the daemon at once.
+// run serves until a signal starts a planned stop; at a second signal the daemon ends its calls with an answer and stops at once.
 func run(o *options) error {
 	signals, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stopSignals()
--- a/serve/drain.go
+++ b/serve/drain.go
@@ -22,6 +22,8 @@
 	// their usage to be handed over; it is at most lastAnswersShare of the whole.
 	lastAnswersTime  = 2 * time.Second
 	lastAnswersShare = 0.25
+	// hurriedStopTime bounds a planned stop from a second signal on, for answers to be written and usage to be handed over.
+	hurriedStopTime = time.Second
 	// leaveTimeout bounds the hand-over of claims and lease.
 	leaveTimeout = 4 * time.Second
 )
@@ -77,18 +79,30 @@
 
 // Drain prepares a planned stop: it reports not ready, then refuses new requests,
 // then finishes answers and hands over usage records. It returns when the daemon
-// may be stopped. Calls that take too long are ended shortly before.
-func (d *Daemon) Drain(ctx context.Context) error {
+// may be stopped. Calls that take too long are ended shortly before, and so are all calls once hurry is done, as at a second signal:
+// their callers get an answer, and Drain returns within hurriedStopTime.
+func (d *Daemon) Drain(hurry context.Context) error {
 	timeout := d.settings.DrainTimeout
-	ctx, cancel := clock.WithDeadline(ctx, clock.Now().Add(timeout))
+	ctx, cancel := clock.WithDeadline(context.WithoutCancel(hurry), clock.Now().Add(timeout))
 	defer cancel()
+	unhurried, stopPreparing := context.WithCancel(ctx)
+	defer context.AfterFunc(hurry, func() {
+		stopPreparing()
+		d.endCalls()
+		time.AfterFunc(hurriedStopTime, cancel)
+	})()
 	margin := min(lastAnswersTime, time.Duration(lastAnswersShare*float64(timeout)))
 	defer time.AfterFunc(timeout-margin, d.endCalls).Stop()
 	slog.Info("planned stop began", "box", d.settings.Box)
 	d.notReady.Store(true)
-	d.leaveFleet(ctx)
-	pause(ctx, d.settings.DrainDelay)
+	d.leaveFleet(unhurried)
+	pause(unhurried, d.settings.DrainDelay)
 	d.refusing.Store(true)
+	return d.finish(ctx)
+}
+
+// finish waits for the answers in progress, hands over the usage records and closes the callers' connections.
+func (d *Daemon) finish(ctx context.Context) error {
 	if err := awaitAnswers(ctx, d.inFlight.Load); err != nil {
 		return err
 	}
--- a/serve/stop_end_test.go
+++ b/serve/stop_end_test.go
@@ -135,6 +135,24 @@
 	})
 }
 
+// Guards against calls that are cut without an answer by the second signal of an operator that can't wait for the end of a planned stop,
+// whatever the stop is busy with then.
+func TestSecondSignalAnswersCallsInProgress(t *testing.T) {
+	for name, after := range map[string]time.Duration{"at once": 0, "not ready": drainDelay / 2, "refusing": 2 * drainDelay} {
+		t.Run(name, func(t *testing.T) {
+			runStopScenario(t, func(s *stopScenario) {
+				answers := s.calls()
+				secondSignal, cancel := context.WithCancel(context.Background())
+				defer time.AfterFunc(after, cancel).Stop()
+				began := time.Now()
+				s.stop(secondSignal)
+				assert.Less(t, time.Since(began)-after, answersWithin)
+				s.requireAnswered(answers, answersWithin)
+			})
+		})
+	}
+}
+
 // Guards against a call that waited for a slot until the end of a planned stop, and was told that its deadline had passed, and not when to
 // come back.
 func TestPlannedStopRefusesCallsThatStillWaitForASlot(t *testing.T) {
