A request whose handler panics is answered

What a caller would see: its connection closes without a word, as net/http does it, and the box's log says nothing, since the server's own lines are at debug level. Found when looking for other ways in which a request ends without an answer; no such panic is known.

Fix: a 502, which promises nothing, and a line with the stack; what has begun is broken off.

Evidence: TestRequestWhoseHandlerPanicsIsAnswered got EOF before, and a 502 now.

--- a/exchange/router.go
+++ b/exchange/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -199,6 +200,7 @@
 		w.Header().Set("Connection", "close") // its caller's next request may reach a box with more room
 	}
 	out := &reply{writer: w, controller: http.NewResponseController(w), codec: x.codec}
+	defer x.answerPanic(out)
 	x.awaitWarm(r)
 	c, refusal := x.acceptCall(out, r, arrived)
 	if refusal != nil {
@@ -217,6 +219,23 @@
 	out.end()
 }
 
+// answerPanic answers a request whose handler panics, which is a fault of this box; it is deferred. The server would close the connection,
+// of which the caller learns nothing.
+func (x *Router) answerPanic(out *reply) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if fault == http.ErrAbortHandler {
+		panic(fault)
+	}
+	slog.Error("handling a request panicked", "request", out.id, "fault", fault, "stack", string(debug.Stack()))
+	if out.headSent {
+		out.abort()
+	}
+	x.refuse(out, willowwick.OutcomeUnknown(willowwick.CodeEndpointError, "this box failed while it handled the request"))
+}
+
 // stoppingRefusal returns the refusal of a request that a stopping box doesn't send.
 func stoppingRefusal(now time.Time) *willowwick.Refusal {
 	return willowwick.NotRun(willowwick.CodeStopping, now.Add(stoppingRetryAfter), "this box is stopping")
