Runs of a request that is passed on count at the box that takes it

What could be seen: a request that may run at two endpoints ran at three. It ran at an endpoint of a box that was then cut off from all of them; the box passed it on; the other box counted its runs from nothing, and ran it twice more, since the first of them failed.

Cause: the number of runs stayed at the box that has made them. It is the cause of the requests that ran at the large model too: another run was decided on without asking all that bears on it.

Fix: it goes along in a header, as the counts for the retry budget and the usage do, and all that decides on another run asks for the sum. What a box promises its caller still depends on its own sends alone, so that the first box knows whether anything ran at the other one.

--- a/exchange/call.go
+++ b/exchange/call.go
@@ -387,7 +387,12 @@
 	if c.out.headSent && !c.mayResume() {
 		return false
 	}
-	return c.route.Repeatable && c.out.runs < c.route.MaxRuns
+	return c.route.Repeatable && c.allRuns() < c.route.MaxRuns
+}
+
+// allRuns returns the number of endpoints that may have run the request, also at the box that has passed it on here.
+func (c *call) allRuns() int {
+	return c.origin.runs + c.out.runs
 }
 
 // mayResume reports whether another endpoint may go on with the answer that was begun.
--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
@@ -23,6 +24,8 @@
 	// countedForRetry and countedAsUse are its values.
 	countedForRetry = "1"
 	countedAsUse    = "usage"
+	// headerRuns holds how many endpoints may have run the request at that box.
+	headerRuns = "X-Willowwick-Runs"
 	// headerNotTaken is set in the answer of a box that didn't take the request.
 	headerNotTaken = "X-Willowwick-Not-Taken"
 	// maxPassOns bounds the boxes that one request is passed on to.
@@ -38,6 +41,7 @@
 		isPassedOn bool // from another box
 		isCounted  bool // for the retry budget, by that box
 		isUse      bool // in its account's usage, by that box
+		runs       int  // endpoints that may have run it there
 	}
 
 	// passage is the passing on of a request to one box.
@@ -55,9 +59,14 @@
 		return
 	}
 	counted := r.Header.Get(headerCounted)
-	origin := passedOn{isPassedOn: true, isCounted: counted != "", isUse: counted == countedAsUse}
-	r.Header.Del(headerPassedOn)
-	r.Header.Del(headerCounted)
+	runs, err := strconv.Atoi(r.Header.Get(headerRuns))
+	if err != nil {
+		slog.Debug("a request was passed on here without its runs", "error", err) // by a box of an earlier version
+	}
+	origin := passedOn{isPassedOn: true, isCounted: counted != "", isUse: counted == countedAsUse, runs: runs}
+	for _, name := range []string{headerPassedOn, headerCounted, headerRuns} {
+		r.Header.Del(name)
+	}
 	o.router.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), passedOnKey{}, origin)))
 }
 
@@ -168,6 +177,7 @@
 	}
 	p.router.codec.EncodePassedOn(header, resumeAfter, p.deadline, clock.Now())
 	header.Set(headerPassedOn, p.target.reply.Token)
+	header.Set(headerRuns, strconv.Itoa(p.out.runs))
 	switch {
 	case p.isCounted:
 		header.Set(headerCounted, countedAsUse)
