--- a/lab/fleet_promises_test.go
+++ b/lab/fleet_promises_test.go
@@ -404,3 +404,24 @@
 		})
 	}
 }
+
+// Guards against two readings of an idempotency key: a chat with a key is taken once and billed once, though its cascade may ask several
+// models for the one answer; the call of a plain service that may not be repeated runs once.
+func TestChatWithAKeyIsTakenAndBilledOnce(t *testing.T) {
+	const chats = 20
+	withTestFleet(t, 3, func(s *testFleet) {
+		for _, runner := range s.Runners {
+			runner.SetBehaviour("run-small-1", standin.VersionBehaviour{}) // no answer of which is good enough
+		}
+		for n := range chats {
+			chat := Chat{Key: coimbraKey, Model: "summarise", Idempotency: fmt.Sprint("chat-key-", n)}
+			s.requireAnswer(n%3, chat)
+			again := s.ask((n+1)%3, chat)
+			require.Equal(t, OutcomeRefused, again.Outcome, "%+v", again)
+			require.Equal(t, string(willowwick.KindOutcomeUnknown), again.Text)
+		}
+		small, large := s.ServedSince("run-small-1", time.Time{}), s.ServedSince("run-large-1", time.Time{})
+		require.Greater(t, small+large, chats, "no chat has asked two models")
+		s.requireBills()
+	})
+}
