A soak of requests that may run once, and of stops while requests wait

None of the soaks had requests that may run once on a route with models of several sizes, and none had requests that outlast a planned stop, at endpoints or in their box's queue; so both faults of the review went by them.

The stand-in's plain answers tell their confidence as its streams do, where a model is named.

--- a/cmd/e2e/soak_callers_test.go
+++ b/cmd/e2e/soak_callers_test.go
@@ -19,6 +19,9 @@
 	kindIdempotent   requestKind = "idempotent"    // may be retried
 	kindForged       requestKind = "forged"        // carries headers that only the router may set
 	kindUnknownRoute requestKind = "unknown route" // addresses a route that no configuration ever had
+	kindDraft        requestKind = "draft"         // runs at most once, on a route with models of several sizes
+	kindFeed         requestKind = "feed"          // a stream on such a route that may not be resumed
+	kindJob          requestKind = "job"           // runs at most once, and longer than a planned stop may take
 	kindPoison       requestKind = "poison"        // crashes the endpoint that runs it; always the same request
 	kindPoisonPart   requestKind = "poison part"   // crashes the endpoint that runs it by a part of its prompt; never the same body
 
@@ -153,7 +156,7 @@
 	r.status, r.err, r.isInterrupted = response.StatusCode, err, err != nil
 	r.hasRetryAfter = response.Header.Get("Retry-After") != ""
 	want := "answer of " + r.id
-	if r.kind == kindStream {
+	if r.kind == kindStream || r.kind == kindFeed {
 		want = wholeStream(r.id)
 	}
 	r.isComplete = err == nil && string(body) == want
@@ -177,6 +180,8 @@
 		path = "/explain/x"
 	case r.kind == kindUnknownRoute:
 		path = "/never/x"
+	case r.kind == kindDraft, r.kind == kindFeed, r.kind == kindJob:
+		path = fmt.Sprintf("/%s/x", r.kind)
 	case r.version > 0:
 		path = fmt.Sprintf("/at-%d/x", r.version)
 	}
@@ -193,7 +198,9 @@
 		request.Header.Set("Prompt-Prefix", fmt.Sprintf("%s,%s:50", r.parts, r.id))
 	}
 	switch r.kind {
-	case kindStream, kindPoison, kindPoisonPart:
+	case kindDraft:
+		request.Header.Set("Model", "*")
+	case kindStream, kindFeed, kindPoison, kindPoisonPart:
 		request.Header.Set("Accept", "text/event-stream")
 		request.Header.Set("Model", "*")
 	case kindForged:
--- a/cmd/e2e/soak_checker_test.go
+++ b/cmd/e2e/soak_checker_test.go
@@ -50,6 +50,9 @@
 	http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
 }
 
+// runOnceKinds are the kinds of requests that may run once.
+var runOnceKinds = []requestKind{kindOnce, kindForged, kindDraft, kindFeed, kindJob}
+
 // requestInLog matches the request id in a log line.
 var requestInLog = regexp.MustCompile(`"request":"([^"]*)"`)
 
@@ -139,7 +142,7 @@
 // endpoints receive the caller's body with the right account and without forged headers.
 func (c *checker) checkRuns(r *soakRequest) {
 	runs := c.runs[r.id]
-	isRunOnce := r.kind == kindOnce || r.kind == kindForged
+	isRunOnce := slices.Contains(runOnceKinds, r.kind)
 	if isRunOnce && len(runs) > 1 {
 		c.reportRequest(r, "ran more than once")
 	}
--- a/cmd/e2e/soak_site_test.go
+++ b/cmd/e2e/soak_site_test.go
@@ -47,10 +47,12 @@
 		onPoison   func(*soakRunner)                         // crashes a runner that runs the poison request; nil in soaks without one
 		adjust     func(*soakRunner, *standin.BatchSettings) // changes the settings of each runner; nil to leave them
 		dutyAPI    *standin.DutyAPI                          // takes the calls of the duties; nil in soaks without them
+		moreConfig func(config map[string]any)               // adds to each configuration; nil in soaks that need no more
 
 		mu       sync.Mutex
 		runners  []*soakRunner
-		versions []time.Time // when each configuration was written; the first is version 1
+		versions []time.Time    // when each configuration was written; the first is version 1
+		planned  []*soakRequest // that events of the plan have sent
 	}
 
 	// soakBox is a daemon that is restarted whenever it exits.
@@ -270,6 +272,9 @@
 		app["autoscale"] = map[string]any{"min": minRunners, "max": maxRunners, "boot-s": 1}
 	}
 	config["tenants"] = []any{map[string]any{"name": "lab", "api-keys": keys}}
+	if s.moreConfig != nil {
+		s.moreConfig(config)
+	}
 	require.NoError(s.t, s.store.Put("keyed.op", "config", config))
 	s.versions = append(s.versions, time.Now())
 }
--- a/cmd/e2e/soak_test.go
+++ b/cmd/e2e/soak_test.go
@@ -153,7 +153,7 @@
 	site.awaitRecovery()
 	recovery, findings := site.checkRecovery(seed)
 	unknownRoute, unknownRouteFindings := site.checkUnknownRoute()
-	requests := slices.Concat(callers.stopAndCollect(), recovery, unknownRoute)
+	requests := slices.Concat(callers.stopAndCollect(), recovery, unknownRoute, site.planned)
 	result := soakResult{seed: seed, events: plan.events, requests: len(requests), complete: countComplete(requests)}
 	result.findings = slices.Concat(findings, unknownRouteFindings, checkAll(site, plan, requests, checks...))
 	// A soak that sent almost no requests would not find violations either.
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -317,6 +317,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	model := r.Header.Get("Model")
+	if model != "" {
+		w.Header().Set("Confidence", confidenceOf(model))
+	}
 	if r.Header.Get("Accept") == "text/event-stream" {
 		b.stream(w, r, faults)
 		return
@@ -374,7 +378,6 @@
 
 func (b *BatchRunner) stream(w http.ResponseWriter, r *http.Request, faults BatchFaults) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Confidence", confidenceOf(r.Header.Get("Model")))
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for number := from + 1; number <= b.settings.Events; number++ {
 		if faults.BreakAfter > 0 && from == 0 && number > faults.BreakAfter {
