Test of crowded endpoints: all that is to be sent below the capacity is sent

Plays below the capacity now send by the clock, also what they are late for; those beyond it go on as before, where such bursts are no part of the load.

--- a/exchange/rejection_test.go
+++ b/exchange/rejection_test.go
@@ -236,11 +236,10 @@
 func (h *crowdedService) send(t *testing.T) {
 	var callers sync.WaitGroup
 	defer callers.Wait()
-	pause := time.Duration(float64(time.Second) / (h.options.load * h.capacity()))
-	ticker := time.NewTicker(pause)
-	defer ticker.Stop()
+	awaitTurn, stop := h.turns()
+	defer stop()
 	for n := 0; time.Since(h.begin) < crowdedEnd; n++ {
-		<-ticker.C
+		awaitTurn(n)
 		callers.Go(func() {
 			sentAt := time.Now()
 			reply := h.sites[n%len(h.sites)].do(t, http.MethodPost, h.options.path, fmt.Sprint("crowded-", n), fmt.Sprint("body ", n))
@@ -251,6 +250,18 @@
 	}
 }
 
+// turns returns a function that waits until a request is to be sent. Below the capacity all are sent, also those that the sender is late
+// for; beyond it these would come in bursts, which are no part of the load.
+func (h *crowdedService) turns() (awaitTurn func(n int), stop func()) {
+	pause := time.Duration(float64(time.Second) / (h.options.load * h.capacity()))
+	if h.options.load <= 1 {
+		began := time.Now()
+		return func(n int) { time.Sleep(time.Until(began.Add(time.Duration(n+1) * pause))) }, func() {}
+	}
+	ticker := time.NewTicker(pause)
+	return func(int) { <-ticker.C }, ticker.Stop
+}
+
 // served returns how many of the requests that were sent in a time of the play were served, for each second of it.
 func (h *crowdedService) served(from, to time.Duration) float64 {
 	count := 0
