--- a/exchange/pass_on.go
+++ b/exchange/pass_on.go
@@ -61,7 +61,7 @@
 	counted := r.Header.Get(headerCounted)
 	runs, err := strconv.Atoi(r.Header.Get(headerRuns))
 	if err != nil {
-		slog.Debug("a request was passed on here without its runs", "error", err) // by a box of an earlier version
+		slog.Debug("a request was passed on here without its runs", "error", err) // boxes of earlier versions don't tell them
 	}
 	origin := passedOn{isPassedOn: true, isCounted: counted != "", isUse: counted == countedAsUse, runs: runs}
 	for _, name := range []string{headerPassedOn, headerCounted, headerRuns} {
--- a/exchange/pass_on_ends_test.go
+++ b/exchange/pass_on_ends_test.go
@@ -122,24 +122,31 @@
 	require.Fail(t, "no box has the request")
 }
 
-// The promise of the other box that nothing ran must not cover a send that came before.
-func TestRefusalOfAPassedOnRequestThatMayHaveRunPromisesNothing(t *testing.T) {
-	c := newCutSite(t, 1)
+// doCutOff sends a request that an endpoint begins to run, cuts its box off from all endpoints, which then answer by the handler, and
+// returns the answer.
+func (c *cutSite) doCutOff(t *testing.T, path string, then http.HandlerFunc) siteReply {
 	started := make(chan struct{}, 1)
 	c.handleAll(func(_ http.ResponseWriter, r *http.Request) {
 		started <- struct{}{}
 		<-r.Context().Done()
 	})
 	replies := make(chan siteReply, 1)
-	go func() { replies <- c.do(t, http.MethodPost, "/again/", "id", "x") }()
+	go func() { replies <- c.do(t, http.MethodPost, path, "id", "x") }()
 	<-started
-	c.handleAll(func(w http.ResponseWriter, _ *http.Request) {
+	c.handleAll(then)
+	c.daemon.router.reach.update(false)
+	c.network.cut(cutReset)
+	return <-replies
+}
+
+// The promise of the other box that nothing ran must not cover a send that came before.
+func TestRefusalOfAPassedOnRequestThatMayHaveRunPromisesNothing(t *testing.T) {
+	c := newCutSite(t, 1)
+	reply := c.doCutOff(t, "/again/", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("T-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	c.daemon.router.reach.update(false)
-	c.network.cut(cutReset)
-	assert.Equal(t, http.StatusBadGateway, (<-replies).status)
+	assert.Equal(t, http.StatusBadGateway, reply.status)
 }
 
 // A planned stop of a box waits for the requests that others have passed on to it.
--- a/exchange/run_count_test.go
+++ b/exchange/run_count_test.go
@@ -14,18 +14,8 @@
 // anew.
 func TestRunsOfARequestCountAcrossBoxes(t *testing.T) {
 	c := newCutSite(t, 1)
-	started := make(chan struct{}, 1)
-	c.handleAll(func(_ http.ResponseWriter, r *http.Request) {
-		started <- struct{}{}
-		<-r.Context().Done()
-	})
-	replies := make(chan siteReply, 1)
-	go func() { replies <- c.do(t, http.MethodPost, "/again/", "id", "x") }()
-	<-started
-	c.handleAll(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
-	c.daemon.router.reach.update(false)
-	c.network.cut(cutReset)
-	assert.Equal(t, http.StatusInternalServerError, (<-replies).status)
+	reply := c.doCutOff(t, "/again/", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	assert.Equal(t, http.StatusInternalServerError, reply.status)
 	assert.Equal(t, retryRoute().MaxRuns, c.runsOf("id"))
 }
 
