A passed-on stream leaves a silent endpoint as before

Since runs of a request count at the box that takes it, a stream that had stalled at that box waited for its endpoint until the deadline: the rule that keeps one run in reserve while the endpoint makes progress with others also counted the runs of the first box.

The reserve is of this box's own runs again; how often the request may run at all is asked with all of them, as before this commit.

TestRunsOfARequestCountAcrossBoxes passes.

--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -140,7 +140,7 @@
 	if !s.mayRunElsewhere(now) {
 		return false
 	}
-	return s.allRuns()+1 < s.route.MaxRuns || s.ticket.IsSilent(now)
+	return s.out.runs+1 < s.route.MaxRuns || s.ticket.IsSilent(now)
 }
 
 // relayEvents sends complete events to the caller, and the head before the first of them.
