Tests of stops: a box that isn't waited for, and a request that was passed on and is held, are set up in one place

startUnready wrote newStopSite again; two tests set up the same request that was passed on; newStopEndSite built by hand what patientTable is. No test is added or taken out, and all assertions stay. Requests of the tests in stop_end_test.go now have a minute as their goal on streams too, and a third route, which none of them uses.

--- a/exchange/stop_cut_test.go
+++ b/exchange/stop_cut_test.go
@@ -77,7 +77,17 @@
 // newStopSite starts a daemon that accepts callers from the listener.
 func newStopSite(t *testing.T, settings Settings, callers net.Listener, endpoints ...willowwick.Endpoint) *site {
 	t.Helper()
-	control := newTestControl(testTable(1, onceRoute(), retryRoute(), streamRoute()), endpoints...)
+	s := startUnready(t, newTestControl(testTable(1, onceRoute(), retryRoute(), streamRoute()), endpoints...), settings, callers)
+	require.Eventually(t, func() bool {
+		ok, _ := s.daemon.router.ready()
+		return ok
+	}, waitTimeout, 5*time.Millisecond)
+	return s
+}
+
+// startUnready does the same with a store of its own, and doesn't wait until the daemon is ready.
+func startUnready(t *testing.T, control *testControl, settings Settings, callers net.Listener) *site {
+	t.Helper()
 	peers := listen(t)
 	settings.Peers = peers.Addr().String()
 	daemon, closeDaemon := New(settings, Dependencies{
@@ -96,10 +106,6 @@
 		s.client.CloseIdleConnections()
 		s.stop()
 	})
-	require.Eventually(t, func() bool {
-		ok, _ := daemon.router.ready()
-		return ok
-	}, waitTimeout, 5*time.Millisecond)
 	return s
 }
 
--- a/exchange/stop_end_test.go
+++ b/exchange/stop_end_test.go
@@ -18,9 +18,7 @@
 // newStopEndSite starts a box with one endpoint, whose requests have more time than a planned stop takes.
 func newStopEndSite(t *testing.T, work http.HandlerFunc) (*site, *runner) {
 	r := newRunner(t, "r1", work)
-	once, stream := onceRoute(), streamRoute()
-	once.Timeout, once.Goal, stream.Timeout = time.Minute, time.Minute, time.Minute
-	return startSite(t, newTestControl(testTable(1, once, stream), r.endpoint("v1")), testSettings()), r
+	return startSite(t, newTestControl(patientTable(1), r.endpoint("v1")), testSettings()), r
 }
 
 // goSend sends a request that has a minute, and returns a channel that receives its status, or 0 if it got no whole answer.
@@ -108,18 +106,22 @@
 	})
 }
 
-// Guards against the same cut of a request that the stopping box has passed on to another one.
-func TestPlannedStopAnswersWhatItHasPassedOn(t *testing.T) {
+// passOnHeld lets a box that is cut off pass on a request, which an endpoint holds, and returns the channel of its status.
+func passOnHeld(t *testing.T) (*cutSite, <-chan int) {
 	c := newCutSite(t, 1)
 	c.cutOffNow(t)
 	c.handleAll(hold)
-	table := testTable(2, onceRoute())
-	table.Routes[0].Timeout = time.Minute
 	for _, each := range []*site{c.site, c.others[0]} {
-		each.daemon.router.setTable(table, "test")
+		each.daemon.router.setTable(patientTable(2), "test")
 	}
 	statuses := c.goSend(t, "/once/", "id")
 	require.Eventually(t, func() bool { return c.runsOf("id") == 1 }, waitTimeout, time.Millisecond)
+	return c, statuses
+}
+
+// Guards against the same cut of a request that the stopping box has passed on to another one.
+func TestPlannedStopAnswersWhatItHasPassedOn(t *testing.T) {
+	c, statuses := passOnHeld(t)
 	c.drainAndStop()
 	assert.Equal(t, http.StatusBadGateway, <-statuses)
 }
--- a/exchange/stop_paths_test.go
+++ b/exchange/stop_paths_test.go
@@ -78,44 +78,18 @@
 func TestPlannedStopAnswersRequestsOfABoxWithoutConfiguration(t *testing.T) {
 	control := newTestControl(nil)
 	control.down = true
-	s := startUnready(t, control)
+	s := startUnready(t, control, testSettings(), listen(t))
 	statuses := s.goSend(t, "/once/", "id")
 	require.Eventually(t, func() bool { return s.daemon.router.inFlight.Load() == 1 }, waitTimeout, time.Millisecond)
 	s.drainAndStop()
 	assert.Equal(t, http.StatusServiceUnavailable, <-statuses)
 }
 
-// startUnready starts a box that isn't waited for.
-func startUnready(t *testing.T, control siteControl) *site {
-	callers, peers, settings := listen(t), listen(t), testSettings()
-	settings.Peers = peers.Addr().String()
-	daemon, closeDaemon := New(settings, Dependencies{
-		Control: control, Codec: testCodec{}, Callers: callers, Ready: listen(t), Peers: peers, Metrics: listen(t),
-	})
-	s := &site{
-		control: control.base(), daemon: daemon, url: "http://" + callers.Addr().String(), client: &http.Client{Transport: &http.Transport{}},
-		stop: daemon.Start(), closeDaemon: closeDaemon,
-	}
-	t.Cleanup(func() {
-		s.client.CloseIdleConnections()
-		s.stop()
-		closeDaemon()
-	})
-	return s
-}
-
 // Guards against a request that is cut, or runs twice, when the box that has taken it from another one stops, or both do.
 func TestPlannedStopOfABoxThatTookARequestAnswersIt(t *testing.T) {
 	for name, stopsBoth := range map[string]bool{"the taker stops": false, "both stop": true} {
 		t.Run(name, func(t *testing.T) {
-			c := newCutSite(t, 1)
-			c.cutOffNow(t)
-			c.handleAll(hold)
-			for _, each := range []*site{c.site, c.others[0]} {
-				each.daemon.router.setTable(patientTable(2), "test")
-			}
-			statuses := c.goSend(t, "/once/", "id")
-			require.Eventually(t, func() bool { return c.runsOf("id") == 1 }, waitTimeout, time.Millisecond)
+			c, statuses := passOnHeld(t)
 			if stopsBoth {
 				go c.daemon.Drain()
 			}
