--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go test -c -o target/review-2/kit ./review/_kit2
+go test -c -o target/review-2/kit ./review/testdata/kit2
