An answer whose status is none isn't taken for an answer

What callers saw: an endpoint in trouble sent the status 000 or 001 and a body that reads like an answer, and its caller got 200 with what stood in that body. 600, 777 and 999 were passed on as they are. For 099 and +20 the refusal quoted the endpoint's body to the caller.

Cause: http.ReadResponse takes any three digits, signs included, for a status, any major version, and control bytes in the reason. A status below 200 counted as informational, so what followed was read as the next head; so did a 101, though nobody asks for another protocol.

Fix: the bytes of a head, which the bound on its size sees already, are checked as they arrive: HTTP/1, a status of 100 to 599 other than 101, no control bytes. From the first byte on that HTTP doesn't allow nothing is read, so no parser sees such a head. The error says which rule was broken and wraps willowwick.ErrBroken; what the head holds goes to the log, quoted and cut, and not to the caller. The texts of other errors of heads are bounded.

What it means for the request is what a broken answer means already: it may have run. HTTP/2.0 and 9.9, and control bytes in the reason, are broken too: the grammar of HTTP/1.1 has neither; a later minor version is served.

--- a/wire/head.go
+++ b/wire/head.go
@@ -19,7 +19,8 @@
 // errLongHead is returned when the head of an answer doesn't end within MaxHeadBytes.
 var errLongHead = errors.New("the head of the answer exceeds the maximum size")
 
-// headLimiter bounds what is read of a connection while a head is expected: its sender decides when it ends.
+// headLimiter bounds what is read of a connection while a head is expected, whose sender decides when it ends, and checks it: nothing is
+// read from the first byte on that HTTP doesn't allow.
 type headLimiter struct {
 	io.Reader
 	hold   func(bytes int) error // records what the head holds
@@ -28,17 +29,12 @@
 	lines  headLines
 }
 
-// headLines counts the lines of a head, up to the empty one that ends it.
-type headLines struct {
-	count   int
-	length  int // of the line that isn't complete, without its end
-	isEnded bool
-}
-
-// begin makes the bound hold from the next read on; its lines are counted from the given bytes on, which were read before.
+// begin makes the bound hold from the next read on; its lines are checked and counted from the given bytes on, which were read before.
 func (l *headLimiter) begin(buffered []byte) error {
-	l.isHead, l.left, l.lines = true, MaxHeadBytes, headLines{}
-	l.lines.add(buffered)
+	l.isHead, l.left, l.lines = true, MaxHeadBytes, headLines{begin: l.lines.begin[:0]}
+	if l.lines.add(buffered); l.lines.broken != nil {
+		return l.lines.broken
+	}
 	if size := l.size(); size > UncountedBytes {
 		return l.hold(size)
 	}
@@ -50,21 +46,6 @@
 	return headCopies*(MaxHeadBytes-l.left) + headLineBytes*l.lines.count
 }
 
-// add counts the lines that end in further bytes of the head.
-func (h *headLines) add(data []byte) {
-	for _, b := range data {
-		switch {
-		case h.isEnded:
-			return
-		case b == '\n':
-			h.isEnded = h.length == 0 && h.count > 0
-			h.count, h.length = h.count+1, 0
-		case b != '\r':
-			h.length++
-		}
-	}
-}
-
 // end ends the bound.
 func (l *headLimiter) end() {
 	l.isHead = false
@@ -75,14 +56,24 @@
 	if !l.isHead {
 		return l.Reader.Read(p)
 	}
-	if l.left <= 0 {
+	switch {
+	case l.lines.broken != nil:
+		return 0, l.lines.broken
+	case l.left <= 0:
 		return 0, errLongHead
 	}
 	n, err := l.Reader.Read(p[:min(len(p), l.left)])
 	l.left -= n
-	l.lines.add(p[:n])
+	good := l.lines.add(p[:n])
 	if holdErr := l.hold(l.size()); holdErr != nil {
 		return 0, holdErr
 	}
-	return n, err
+	switch {
+	case l.lines.broken == nil:
+		return n, err
+	case good == 0:
+		return 0, l.lines.broken
+	default:
+		return good, nil
+	}
 }
--- /dev/null
+++ b/wire/head_lines.go
@@ -0,0 +1,155 @@
+package wire
+
+import (
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	"github.com/willowwick/willowwick"
+)
+
+// Rules of HTTP for the head of an answer. A head that breaks one isn't believed in anything.
+const (
+	// RuleStatusLine: the line is HTTP/1, a minor version, a blank, three digits and, if there is more, a blank and the reason.
+	RuleStatusLine HeadRule = "the status line has another form"
+	// RuleStatus: a status is one of 100 to 599.
+	RuleStatus HeadRule = "the status is none of 100 to 599"
+	// RuleSwitch: only who asked for another protocol gets it.
+	RuleSwitch HeadRule = "the status switches to a protocol that nobody asked for"
+	// RuleControl: of the control bytes only a tab may be in the line.
+	RuleControl HeadRule = "the status line holds a control byte"
+)
+
+const (
+	// maxLineBegin is how many bytes of a line are kept to be checked and logged.
+	maxLineBegin = 48
+	// statusAt and statusEnd are where the status begins and ends in a status line.
+	statusAt  = len("HTTP/1.1 ")
+	statusEnd = statusAt + len("200")
+	// minStatus and maxStatus are the lowest and the highest status.
+	minStatus, maxStatus = 100, 599
+)
+
+type (
+	// HeadRule is a rule for the head of an answer, as errors and log lines name its breach.
+	HeadRule string
+
+	// BrokenHeadError is returned for an answer whose head HTTP doesn't allow; it wraps willowwick.ErrBroken.
+	BrokenHeadError struct {
+		Rule HeadRule
+		Line int // number of the line, from 1
+	}
+
+	// headLines checks and counts the lines of one head as they arrive, up to the empty one that ends it.
+	headLines struct {
+		count   int
+		isEnded bool
+		broken  *BrokenHeadError // nil while no rule is broken
+
+		// Of the line that isn't complete:
+		length int    // without its end
+		begin  []byte // maxLineBegin bytes at most
+		endsCR bool   // its newest byte is a CR
+
+		status int // 0 before the status line is complete
+	}
+)
+
+// Error implements error. What the head holds is for the log: the text may reach a caller.
+func (e *BrokenHeadError) Error() string {
+	return "line " + strconv.Itoa(e.Line) + " of the head of an answer: " + string(e.Rule)
+}
+
+// Unwrap returns willowwick.ErrBroken.
+func (*BrokenHeadError) Unwrap() error { return willowwick.ErrBroken }
+
+// add checks further bytes of the head and returns how many of them belong to it and break no rule.
+func (h *headLines) add(data []byte) int {
+	for i, b := range data {
+		if h.isEnded || h.broken != nil {
+			return i
+		}
+		if rule := h.addByte(b); rule != "" {
+			h.broken = &BrokenHeadError{Rule: rule, Line: h.count + 1}
+			return i
+		}
+	}
+	return len(data)
+}
+
+// addByte returns the rule that the byte breaks; it is empty if there is none.
+func (h *headLines) addByte(b byte) HeadRule {
+	if b == '\n' {
+		return h.endLine()
+	}
+	if h.endsCR && h.count == 0 {
+		return RuleControl
+	}
+	if b == '\r' {
+		h.endsCR = true
+		return ""
+	}
+	h.length++
+	if len(h.begin) < maxLineBegin {
+		h.begin = append(h.begin, b)
+	}
+	if h.count == 0 {
+		return checkText(b)
+	}
+	return ""
+}
+
+// checkText checks a byte of a reason: bytes over 0x7f are allowed.
+func checkText(b byte) HeadRule {
+	const del = 0x7f
+	if b < ' ' && b != '\t' || b == del {
+		return RuleControl
+	}
+	return ""
+}
+
+func (h *headLines) endLine() HeadRule {
+	rule := HeadRule("")
+	switch {
+	case h.count == 0:
+		rule = h.checkStatusLine()
+	case h.length == 0:
+		h.isEnded = true
+	}
+	if rule != "" {
+		return rule
+	}
+	h.count++
+	h.length, h.begin, h.endsCR = 0, h.begin[:0], false
+	return ""
+}
+
+func (h *headLines) checkStatusLine() HeadRule {
+	line := string(h.begin)
+	major, _, isKnown := http.ParseHTTPVersion(line[:min(len(line), statusAt-1)])
+	if !isKnown || major != 1 || len(line) < statusEnd || line[statusAt-1] != ' ' || len(line) > statusEnd && line[statusEnd] != ' ' {
+		return RuleStatusLine
+	}
+	status, err := strconv.ParseUint(line[statusAt:statusEnd], 10, 16)
+	switch {
+	case err != nil:
+		return RuleStatusLine
+	case status < minStatus || status > maxStatus:
+		return RuleStatus
+	case status == http.StatusSwitchingProtocols:
+		return RuleSwitch
+	}
+	h.status = int(status)
+	return ""
+}
+
+// isInformational reports whether another head follows this one.
+func (h *headLines) isInformational() bool {
+	return h.status < http.StatusOK
+}
+
+// log logs the breach of a rule by the head of an answer from an address.
+func (h *headLines) log(address string) {
+	slog.Warn("an answer whose head HTTP doesn't allow is dropped", "address", address, "rule", h.broken.Rule, "line", h.broken.Line,
+		"begin", strconv.QuoteToASCII(string(h.begin)))
+}
--- a/wire/head_test.go
+++ b/wire/head_test.go
@@ -102,7 +102,8 @@
 	for _, part := range []string{"HTTP/1.1 200 OK\r\nA: b\r", "\nC: d\r\n", "\r\n", "body\n\nbody\n"} {
 		lines.add([]byte(part))
 	}
-	assert.Equal(t, headLines{count: 4, isEnded: true}, lines)
+	assert.Equal(t, 4, lines.count)
+	assert.True(t, lines.isEnded)
 }
 
 // Guards against the limit of a head holding for the body that follows it.
--- a/wire/message.go
+++ b/wire/message.go
@@ -30,6 +30,8 @@
 	maxSkippedBytes   = 1 << 20
 	// maxInformational bounds the number of informational answers (1xx) before one answer.
 	maxInformational = 32
+	// maxErrorText bounds the text of an error in bytes: it may quote what an endpoint sent.
+	maxErrorText = 256
 )
 
 type (
@@ -173,12 +175,12 @@
 	c.headSize = 0
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // that many are there
 	if err := c.head.begin(buffered); err != nil {
-		return nil, errors.Wrap(willowwick.ErrBroken, "read answer head: "+err.Error())
+		return nil, c.headError(err)
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.head.end()
 	if err != nil {
-		return nil, errors.Wrap(willowwick.ErrBroken, "read answer head: "+err.Error())
+		return nil, c.headError(err)
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framingOf(response),
@@ -188,6 +190,16 @@
 	}, nil
 }
 
+// headError returns the error of a head that couldn't be read: if it breaks a rule, that is the cause of whatever the parser says.
+func (c *Conn) headError(err error) error {
+	if lines := &c.head.lines; lines.broken != nil {
+		lines.log(c.address)
+		return errors.Wrap(lines.broken, "read answer head")
+	}
+	text := err.Error()
+	return errors.Wrap(willowwick.ErrBroken, "read answer head: "+text[:min(len(text), maxErrorText)])
+}
+
 func framingOf(response *http.Response) Framing {
 	switch {
 	case response.ContentLength >= 0 || response.Body == http.NoBody:
