An answer with a field that HTTP doesn't allow isn't taken for an answer

What callers saw: an endpoint in trouble sent a head in which the name of a field held a blank, and its caller got 200 without that line. Where the field was `Transfer-Encoding : chunked` or `Content Length: 5`, the caller got the sizes of the chunks, or what followed the answer, as part of a whole body. A line that begins with a blank changed the seal before it, or hid the length. A rejection beside such a field was believed: its request, which may have run, was sent again.

Cause: http.ReadResponse takes names with blanks, joins lines that begin with one to the line before, and ignores the transfer coding of an answer of HTTP/1.0, whose framing RFC 9112 calls faulty (6.1).

Fix: the check of the bytes of heads goes on through their fields: a name is a token with a colon right behind it, no line begins with a blank, no line holds a control byte but a tab, HTTP/1.0 has no transfer coding. The bytes are seen, not the parsed header, since a joined line can't be told from a blank in a value there. HTTP lets a proxy refuse a joined line with 502 (RFC 9112, 5.2). Tokens are those of golang.org/x/net/http/httpguts.

Broken trailers are dropped as before: a recipient may drop all of them, and the body is whole.

--- a/standin/broken_answer.go
+++ b/standin/broken_answer.go
@@ -12,7 +12,7 @@
 	}
 )
 
-// brokenStatusLines are broken answers; FIELDS stands for good fields, and INNER for a body that reads like an answer.
+// brokenStatusLines and brokenFields are broken answers; FIELDS stands for good fields, and INNER for a body that reads like an answer.
 var (
 	brokenStatusLines = []BrokenAnswer{
 		{"status 000", "HTTP/1.1 000 \r\nFIELDSContent-Length: 6\r\n\r\ntheirs"},
@@ -31,11 +31,46 @@
 		{"a control byte in the reason", "HTTP/1.1 200 O\x01K\r\nFIELDSContent-Length: 6\r\n\r\ntheirs"},
 		{"a bare CR in the reason", "HTTP/1.1 200 O\rK\r\nFIELDSContent-Length: 6\r\n\r\ntheirs"},
 	}
+	brokenFields = []BrokenAnswer{
+		{"a blank in a name", "HTTP/1.1 200 OK\r\nFIELDSX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a blank after a name", "HTTP/1.1 200 OK\r\nFIELDSX-Foo : b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a tab after a name", "HTTP/1.1 200 OK\r\nFIELDSX-Foo\t: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a control byte in a name", "HTTP/1.1 200 OK\r\nFIELDSX-\x01Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a NUL in a name", "HTTP/1.1 200 OK\r\nFIELDSX-Foo\x00: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a DEL in a name", "HTTP/1.1 200 OK\r\nFIELDSX\x7fFoo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a bare CR in a name", "HTTP/1.1 200 OK\r\nFIELDSX\rFoo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a byte over 0x7f in a name", "HTTP/1.1 200 OK\r\nFIELDSX-F\xe9: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"no name", "HTTP/1.1 200 OK\r\nFIELDS: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"no colon", "HTTP/1.1 200 OK\r\nFIELDSX-Foo\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a control byte in a value", "HTTP/1.1 200 OK\r\nFIELDSX-Foo: \x01\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a bare CR in a value", "HTTP/1.1 200 OK\r\nFIELDSX-Foo: a\rb\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a blank in Transfer-Encoding", "HTTP/1.1 200 OK\r\nFIELDSTransfer Encoding: chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+		{"a blank after Transfer-Encoding", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding : chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+		{"a blank in Content-Length", "HTTP/1.1 200 OK\r\nFIELDSContent Length: 6\r\n\r\ntheirsEXTRA"},
+		{"a blank after Content-Length", "HTTP/1.1 200 OK\r\nFIELDSContent-Length : 6\r\n\r\ntheirsEXTRA"},
+		{"a blank before Content-Length", "HTTP/1.1 200 OK\r\nFIELDS Content-Length: 6\r\n\r\ntheirsEXTRA"},
+		{"a line joined to the one before", "HTTP/1.1 200 OK\r\nFIELDS forged\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a line joined to the one before by a tab", "HTTP/1.1 200 OK\r\nFIELDS\tforged\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"a joined line of blanks", "HTTP/1.1 200 OK\r\nFIELDS  \r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"chunks by HTTP/1.0", "HTTP/1.0 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+		{"a blank in a name, informational", "HTTP/1.1 103 Early Hints\r\nX Foo: b\r\n\r\nHTTP/1.1 200 OK\r\nFIELDSContent-Length: 6\r\n\r\ntheirs"},
+		{"status 503 beside a blank in a name", "HTTP/1.1 503 No\r\nFIELDSX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"status 421 beside a blank in a name", "HTTP/1.1 421 No\r\nFIELDSX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"status 500 beside a blank in a name", "HTTP/1.1 500 No\r\nFIELDSX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
+	}
 )
 
 // BrokenStatusLines returns answers whose status lines HTTP doesn't allow; fields are lines that are added to their heads.
 func BrokenStatusLines(fields string) []BrokenAnswer { return withFields(brokenStatusLines, fields) }
 
+// BrokenFields returns answers with a field that HTTP doesn't allow; fields are lines that are added to their heads.
+func BrokenFields(fields string) []BrokenAnswer { return withFields(brokenFields, fields) }
+
+// BrokenAnswers returns all answers of BrokenStatusLines and BrokenFields.
+func BrokenAnswers(fields string) []BrokenAnswer {
+	return append(BrokenStatusLines(fields), BrokenFields(fields)...)
+}
+
 func withFields(answers []BrokenAnswer, fields string) []BrokenAnswer {
 	inner := "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\ninner"
 	filled := make([]BrokenAnswer, len(answers))
--- a/wire/head_lines.go
+++ b/wire/head_lines.go
@@ -4,11 +4,14 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/willowwick/willowwick"
+	"golang.org/x/net/http/httpguts"
 )
 
-// Rules of HTTP for the head of an answer. A head that breaks one isn't believed in anything.
+// Rules of HTTP for the head of an answer. The names of fields and what ends a line say where the body ends, so a head that breaks one
+// may belong to another body than it seems to.
 const (
 	// RuleStatusLine: the line is HTTP/1, a minor version, a blank, three digits and, if there is more, a blank and the reason.
 	RuleStatusLine HeadRule = "the status line has another form"
@@ -16,8 +19,14 @@
 	RuleStatus HeadRule = "the status is none of 100 to 599"
 	// RuleSwitch: only who asked for another protocol gets it.
 	RuleSwitch HeadRule = "the status switches to a protocol that nobody asked for"
-	// RuleControl: of the control bytes only a tab may be in the line.
-	RuleControl HeadRule = "the status line holds a control byte"
+	// RuleName: a field begins with its name, a token, and a colon right behind it.
+	RuleName HeadRule = "the name of a field isn't a token"
+	// RuleFold: a line that begins with a blank was once joined to the one before it.
+	RuleFold HeadRule = "a field begins with a blank"
+	// RuleControl: of the control bytes only a tab may be in a line.
+	RuleControl HeadRule = "a line holds a control byte"
+	// RuleCoding: HTTP/1.0 has no transfer codings.
+	RuleCoding HeadRule = "an answer of HTTP/1.0 has a transfer coding"
 )
 
 const (
@@ -47,11 +56,13 @@
 		broken  *BrokenHeadError // nil while no rule is broken
 
 		// Of the line that isn't complete:
-		length int    // without its end
-		begin  []byte // maxLineBegin bytes at most
-		endsCR bool   // its newest byte is a CR
+		length  int    // without its end
+		begin   []byte // maxLineBegin bytes at most
+		endsCR  bool   // its newest byte is a CR
+		isValue bool   // it is a field whose name is complete
 
-		status int // 0 before the status line is complete
+		status int  // 0 before the status line is complete
+		isOld  bool // HTTP/1.0
 	}
 )
 
@@ -82,7 +93,7 @@
 	if b == '\n' {
 		return h.endLine()
 	}
-	if h.endsCR && h.count == 0 {
+	if h.endsCR {
 		return RuleControl
 	}
 	if b == '\r' {
@@ -93,13 +104,22 @@
 	if len(h.begin) < maxLineBegin {
 		h.begin = append(h.begin, b)
 	}
-	if h.count == 0 {
+	switch {
+	case h.count == 0 || h.isValue:
 		return checkText(b)
+	case b == ':' && h.length > 1:
+		h.isValue = true
+		return ""
+	case h.length == 1 && (b == ' ' || b == '\t'):
+		return RuleFold
+	case !httpguts.IsTokenRune(rune(b)):
+		return RuleName
+	default:
+		return ""
 	}
-	return ""
 }
 
-// checkText checks a byte of a reason: bytes over 0x7f are allowed.
+// checkText checks a byte of a reason or a value: bytes over 0x7f are allowed.
 func checkText(b byte) HeadRule {
 	const del = 0x7f
 	if b < ' ' && b != '\t' || b == del {
@@ -115,18 +135,28 @@
 		rule = h.checkStatusLine()
 	case h.length == 0:
 		h.isEnded = true
+	case !h.isValue:
+		rule = RuleName
+	case h.isOld && strings.EqualFold(h.name(), "Transfer-Encoding"):
+		rule = RuleCoding
 	}
 	if rule != "" {
 		return rule
 	}
 	h.count++
-	h.length, h.begin, h.endsCR = 0, h.begin[:0], false
+	h.length, h.begin, h.endsCR, h.isValue = 0, h.begin[:0], false, false
 	return ""
 }
 
+// name returns the name of the field in the line, or its begin.
+func (h *headLines) name() string {
+	name, _, _ := strings.Cut(string(h.begin), ":")
+	return name
+}
+
 func (h *headLines) checkStatusLine() HeadRule {
 	line := string(h.begin)
-	major, _, isKnown := http.ParseHTTPVersion(line[:min(len(line), statusAt-1)])
+	major, minor, isKnown := http.ParseHTTPVersion(line[:min(len(line), statusAt-1)])
 	if !isKnown || major != 1 || len(line) < statusEnd || line[statusAt-1] != ' ' || len(line) > statusEnd && line[statusEnd] != ' ' {
 		return RuleStatusLine
 	}
@@ -139,7 +169,7 @@
 	case status == http.StatusSwitchingProtocols:
 		return RuleSwitch
 	}
-	h.status = int(status)
+	h.status, h.isOld = int(status), minor == 0
 	return ""
 }
 
@@ -148,8 +178,12 @@
 	return h.status < http.StatusOK
 }
 
-// log logs the breach of a rule by the head of an answer from an address.
+// log logs the breach of a rule by the head of an answer from an address; values aren't logged.
 func (h *headLines) log(address string) {
+	begin := string(h.begin)
+	if h.count > 0 {
+		begin = h.name()
+	}
 	slog.Warn("an answer whose head HTTP doesn't allow is dropped", "address", address, "rule", h.broken.Rule, "line", h.broken.Line,
-		"begin", strconv.QuoteToASCII(string(h.begin)))
+		"begin", strconv.QuoteToASCII(begin))
 }
