Clients that use net/http take no answer with a broken head either

What callers saw: a plain service of the own interface in trouble sent a status 000, 001 or 777, or a name with a blank, and its caller got the status as it is, or 200 with the sizes of chunks or another answer's bytes in the body. The same cause acted at engines, the store, the platform's API, endpoints' reports and willowctl: an append or a usage report was taken for done by a 200, and a call for refused by a 412, 409 or 503, with such a head.

Cause: http.Transport reads heads as http.ReadResponse does.

Fix: wire.CheckHeads makes a transport whose connections check the bytes of each answer with the same rules as the connections to endpoints of the platform. Which bytes are a head is known from the request that gets the connection on; an answer that came before its request is none. The first byte is passed on in any case, since net/http sends a request again after an error in its place. Over TLS the check is inside it. All http.Transports of the product are made by it, also that of the lab's callers; http.DefaultClient is no longer used.

What it means for the call is what a lost answer means already: it was sent, and nothing is known of it. No notice is reported from it.

--- a/cmd/willowctl/lab.go
+++ b/cmd/willowctl/lab.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return errors.Wrap(err, "register")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "register")
 	}
--- a/cmd/willowctl/show.go
+++ b/cmd/willowctl/show.go
@@ -18,6 +18,7 @@
 	"github.com/willowwick/willowwick/fleet"
 	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -27,6 +28,9 @@
 	unreachable   = "unreachable"
 )
 
+// httpClient makes the calls of this command.
+var httpClient = &http.Client{Transport: wire.CheckHeads(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 // boxStatus is the status that a box reported, or the error of a box that did not report it.
 type boxStatus struct {
 	serve.Status
@@ -64,7 +68,7 @@
 	if err != nil {
 		return errors.Wrap(err, "request")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpClient.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "request")
 	}
--- a/exchange/broken_head_test.go
+++ b/exchange/broken_head_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -224,7 +223,7 @@
 
 // A log line names the rule, is short, and holds no byte that a terminal would obey.
 func TestLogLineOfABrokenHead(t *testing.T) {
-	var log bytes.Buffer
+	var log logBuffer
 	old := slog.Default()
 	defer slog.SetDefault(old)
 	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
@@ -233,7 +232,7 @@
 	assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "id", "x").status)
 	s.stop()
 	lines := 0
-	for line := range strings.Lines(log.String()) {
+	for line := range strings.Lines(log.text()) {
 		if !strings.Contains(line, "the name of a field isn't a token") {
 			continue
 		}
--- a/exchange/crash_test.go
+++ b/exchange/crash_test.go
@@ -29,6 +29,13 @@
 	return b.data.Write(line)
 }
 
+// text returns what was logged.
+func (b *logBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.String()
+}
+
 // findLine returns the line with the given message and request ID.
 func (b *logBuffer) findLine(t *testing.T, message, request string) map[string]any {
 	b.mu.Lock()
--- a/lab/fleet.go
+++ b/lab/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/willowwick/willowwick/remote"
 	"github.com/willowwick/willowwick/serve"
 	"github.com/willowwick/willowwick/standin"
+	"github.com/willowwick/willowwick/wire"
 )
 
 const (
@@ -319,7 +320,7 @@
 
 // Client returns an HTTP client that dials from the named host.
 func (f *Fleet) Client(host string) *http.Client {
-	transport := &http.Transport{DialContext: f.options.Network.Dial(host), MaxIdleConnsPerHost: 64, DisableCompression: true}
+	transport := wire.CheckHeads(&http.Transport{DialContext: f.options.Network.Dial(host), MaxIdleConnsPerHost: 64, DisableCompression: true})
 	f.closers = append(f.closers, transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
--- a/remote/client.go
+++ b/remote/client.go
@@ -56,14 +56,14 @@
 	return &Client{base: base, http: &http.Client{Transport: transports}}, transports.CloseIdleConnections
 }
 
-func newTransport(dial DialFunc) *http.Transport {
-	return &http.Transport{
+func newTransport(dial DialFunc) *wire.Transport {
+	return wire.CheckHeads(&http.Transport{
 		MaxResponseHeaderBytes: wire.MaxHeadBytes,
 		DialContext:            keepFaults(dial),
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // keepFaults returns a function that dials connections that keep their faults; without it, an answer that ends with its
--- a/remote/pools.go
+++ b/remote/pools.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick/wire"
 )
 
 // earlyCancelWindow is the time after the start of a call within which its cancellation says nothing about the
@@ -29,7 +30,7 @@
 	}
 
 	pooledTransport struct {
-		transport *http.Transport
+		transport *wire.Transport
 		expiresAt time.Time // when it may be removed; connections in use by then are closed by the transport after idleTimeout
 	}
 
@@ -68,7 +69,7 @@
 }
 
 // transportFor returns the transport for an address; when it adds one, it removes the expired ones.
-func (p *transportPool) transportFor(address string, now time.Time) *http.Transport {
+func (p *transportPool) transportFor(address string, now time.Time) *wire.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.byAddress[address]
--- /dev/null
+++ b/wire/transport.go
@@ -0,0 +1,187 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/willowwick/willowwick"
+)
+
+type (
+	// Transport is an http.Transport that returns a BrokenHeadError for answers whose heads HTTP doesn't allow: http.Transport itself takes
+	// statuses and fields that there are none of.
+	Transport struct {
+		*http.Transport
+	}
+
+	// checkedConn is a connection of a Transport that checks the heads that it reads.
+	checkedConn struct {
+		net.Conn
+		mu   sync.Mutex
+		head *answerHeads // of the newest request; nil before the first
+	}
+
+	// answerHeads are the heads of the answer to one request, of which the last one isn't informational; its connection's lock guards them.
+	answerHeads struct {
+		lines     headLines
+		isChecked bool // all of them have arrived
+	}
+)
+
+// errUnexpectedAnswer is returned for an answer that arrived before its request was sent.
+var errUnexpectedAnswer = errors.Wrap(willowwick.ErrBroken, "an answer arrived before its request was sent")
+
+// CheckHeads returns a transport that checks heads and is otherwise like the given one, which must not be used any more.
+func CheckHeads(transport *http.Transport) *Transport {
+	dial := transport.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: conn}, nil
+	}
+	settings := transport.TLSClientConfig
+	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialTLS(ctx, dial, network, address, settings)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: conn}, nil
+	}
+	return &Transport{transport}
+}
+
+// dialTLS opens a TLS connection by HTTP/1.1, whose heads can be checked.
+func dialTLS(ctx context.Context, dial DialFunc, network, address string, settings *tls.Config) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	settings = settings.Clone()
+	if settings == nil {
+		settings = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if settings.ServerName == "" {
+		settings.ServerName = host
+	}
+	secure := tls.Client(conn, settings)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *checkedConn
+	var heads *answerHeads
+	// Another connection follows if the first one turns out to be closed.
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, _ = info.Conn.(*checkedConn); conn != nil {
+			heads = conn.expectHead()
+		}
+	}}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if conn == nil {
+		return response, err
+	}
+	broken := conn.check(heads, request.URL.Host, err == nil)
+	if broken == nil {
+		return response, err
+	}
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	return nil, broken
+}
+
+// expectHead makes what is read from now on the answer to the next request.
+func (c *checkedConn) expectHead() *answerHeads {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = &answerHeads{}
+	return c.head
+}
+
+// check returns an error if the heads of an answer, which has arrived or not, break a rule.
+func (c *checkedConn) check(heads *answerHeads, address string, hasArrived bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case heads.lines.broken != nil:
+		heads.lines.log(address)
+		return heads.lines.broken
+	case hasArrived && !heads.isChecked:
+		return errUnexpectedAnswer
+	default:
+		return nil
+	}
+}
+
+// Read implements net.Conn. Nothing is read from the first byte on that HTTP doesn't allow. The first byte of an answer is passed on in any
+// case: an error in its place looks like a connection that was closed before the request arrived, and a request may then be sent again.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	broken := c.broken()
+	c.mu.Unlock()
+	if broken != nil {
+		return 0, broken
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head == nil || c.head.isChecked {
+		return n, err
+	}
+	isFirst := c.head.lines.count == 0 && c.head.lines.length == 0
+	good := c.head.add(p[:n])
+	switch {
+	case c.broken() == nil:
+		return n, err
+	case good > 0:
+		return good, nil
+	case isFirst:
+		return 1, nil
+	default:
+		return 0, c.broken()
+	}
+}
+
+// broken returns the rule that the newest answer breaks, nil if it breaks none; the caller holds the lock.
+func (c *checkedConn) broken() error {
+	if c.head == nil || c.head.lines.broken == nil {
+		return nil
+	}
+	return c.head.lines.broken
+}
+
+// add checks further bytes of the answer and returns how many of them, from the first on, break no rule.
+func (a *answerHeads) add(data []byte) int {
+	good := 0
+	for good < len(data) && !a.isChecked {
+		good += a.lines.add(data[good:])
+		switch {
+		case a.lines.broken != nil:
+			return good
+		case a.lines.isEnded && a.lines.isInformational():
+			a.lines = headLines{}
+		case a.lines.isEnded:
+			a.isChecked = true
+		}
+	}
+	return len(data)
+}
