A release whose answers have broken heads is a bad one

What callers saw: a release in a roll-out whose answers HTTP doesn't allow was brought to ever more sessions, and each of their requests ended with 502.

Cause: only answers and error answers were evidence on a release. A head that can't be believed was a lost connection, which tells nothing of the release.

Fix: the endpoint did answer, so such a head counts as an error answer does. The rest of a stream isn't observed, as before.

--- a/exchange/broken_head_test.go
+++ b/exchange/broken_head_test.go
@@ -244,3 +244,24 @@
 	}
 	assert.Positive(t, lines)
 }
+
+// Guards against a release whose answers are broken passing for a good one: they were no evidence against it.
+func TestReleaseWhoseAnswersAreBrokenIsRolledBack(t *testing.T) {
+	good := newRunner(t, "r1", answerText("ok"))
+	bad := newRawEndpoint(t, runsWith(brokenAnswer)).endpoint()
+	bad.Release = "v2"
+	control := newTestControl(testTable(1, onceRoute()), good.endpoint("v1"), bad)
+	s := startSite(t, control, testSettings())
+	require.Eventually(t, s.daemon.router.sync.isRolloutLeader, waitTimeout, time.Millisecond)
+	control.change(func() { control.orders = []willowwick.ReleaseOrder{orderOf("v2", 1)} })
+	written := func() bool {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		return len(control.written) > 0 && control.written[len(control.written)-1].State == willowwick.ReleaseRolledBack
+	}
+	deadline := time.Now().Add(waitTimeout)
+	for n := 0; time.Now().Before(deadline) && !written(); n++ {
+		s.do(t, http.MethodPost, "/once/", fmt.Sprint("id-", n), "x")
+	}
+	require.True(t, written())
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -315,6 +315,9 @@
 
 func (s *send) unanswered(err error) sendResult {
 	s.outcome = route.OutcomeFailed
+	if isBrokenHead(err) && !s.out.headSent {
+		s.observe(true)
+	}
 	if errors.Is(err, wire.ErrSilent) {
 		return sendResult{silent, err}
 	}
@@ -325,6 +328,12 @@
 	return sendResult{broken, err}
 }
 
+// isBrokenHead reports whether the endpoint did answer, with a head that HTTP doesn't allow.
+func isBrokenHead(err error) bool {
+	var broken *wire.BrokenHeadError
+	return errors.As(err, &broken)
+}
+
 // handleAnswer decides by the answer's head whether it is relayed, dropped or retried.
 func (s *send) handleAnswer() sendResult {
 	status := s.answer.Status
