An endpoint whose answer has a broken head counts as reached

What callers saw: nothing yet; two endpoints with such answers within 2 s made the box check whether it reaches any endpoint, and each such answer closed the idle connections to its endpoint as after a silence.

Cause: a send without an answer that can be read counted as one that got nothing back.

Fix: a broken head is something that came back.

Evidence: TestEndpointWithABrokenAnswerIsReached fails in 3 of 3 runs on the commit before, and passes in 5 of 5 with this.

--- a/exchange/broken_head_test.go
+++ b/exchange/broken_head_test.go
@@ -265,3 +265,14 @@
 	}
 	require.True(t, written())
 }
+
+// Guards against an endpoint whose answers are broken passing for one that is not reached, from which a box may conclude that it is cut off.
+func TestEndpointWithABrokenAnswerIsReached(t *testing.T) {
+	r := newRawEndpoint(t, runsWith(brokenAnswer))
+	s := newSite(t, r.endpoint())
+	assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "id", "x").status)
+	reach := s.daemon.router.reach
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	assert.Empty(t, reach.misses)
+}
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -163,7 +163,7 @@
 // receivedNothing reports whether the endpoint's connection returned no answer, for a reason other than a caller
 // that disconnected.
 func (s *send) receivedNothing(result sendResult) bool {
-	if s.conn == nil || s.answer != nil {
+	if s.conn == nil || s.answer != nil || isBrokenHead(result.err) {
 		return false
 	}
 	return result.kind == silent || result.kind == broken || s.isPastDeadline()
