--- a/standin/raw_server.go
+++ b/standin/raw_server.go
@@ -23,6 +23,12 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "raw server")
 	}
+	server, stop := ServeRaw(listener, answer)
+	return server, stop, nil
+}
+
+// ServeRaw is NewRawServer for a listener, which the returned function closes.
+func ServeRaw(listener net.Listener, answer func(*http.Request) string) (*RawServer, func()) {
 	s := &RawServer{Address: listener.Addr().String(), answer: answer}
 	go func() {
 		for {
@@ -33,7 +39,7 @@
 			go s.serve(conn)
 		}
 	}()
-	return s, func() { _ = listener.Close() }, nil
+	return s, func() { _ = listener.Close() }
 }
 
 // Requests returns how many requests were received.
