An answer whose framing HTTP doesn't allow has a broken head, too

What callers saw: the 502 for an answer with an unknown transfer coding or a length that is none quoted the endpoint's head to them. A release with such answers in a roll-out was no bad one and came to ever more sessions, and its endpoints counted as not reached.

Cause: lengths and codings are checked by the parser, whose errors were taken for a connection that was lost in the middle of a head.

Fix: a head that has arrived whole and that the parser refuses breaks a rule, as any other broken head does. What the parser says goes to the log. A head that is cut off is a lost connection, as before.

Evidence: before, TestAnswerWithBrokenFramingIsNoAnswer failed in 3 of 10 cases (the other 7 held), TestReleaseWhoseAnswersAreBrokenIsRolledBack in its new case, TestEndpointWithABrokenAnswerIsReached for all 10 answers; all pass now. Held already: nothing in such a head is believed, and clients that use net/http take none and send nothing again (TestTransportReturnsNoAnswerWithBrokenFraming).

--- a/exchange/broken_head_test.go
+++ b/exchange/broken_head_test.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// Guards against answers whose heads don't tell where their bodies end, and against the text of a refusal that quotes such a head.
+func TestAnswerWithBrokenFramingIsNoAnswer(t *testing.T) {
+	for _, answer := range standin.BrokenFramings(goodFields) {
+		t.Run(answer.Name, func(t *testing.T) {
+			t.Parallel()
+			requireNoneBelieved(t, answer.Text)
+		})
+	}
+}
+
 // The connection of a broken answer is closed at once, and carries no other request.
 func TestConnectionOfABrokenAnswerIsClosed(t *testing.T) {
 	ended := make(chan error, 1)
@@ -181,7 +191,8 @@
 // Guards against a broken answer of a box that a request was passed on to, also one that says that nothing has run.
 func TestBrokenAnswerOfAnotherBoxIsNoAnswer(t *testing.T) {
 	s := newSite(t, newRunner(t, "r1", answerText("ok")).endpoint("v1"))
-	for _, answer := range standin.BrokenAnswers(goodFields + headerNotTaken + ": 1\r\n") {
+	fields := goodFields + headerNotTaken + ": 1\r\n"
+	for _, answer := range append(standin.BrokenAnswers(fields), standin.BrokenFramings(fields)...) {
 		box := newRawEndpoint(t, runsWith(answer.Text))
 		for path, isLast := range map[string]bool{"/once/": true, "/again/": false, "/stream/": false} {
 			c, recorder := s.newCall(t, path, "id")
@@ -198,7 +209,7 @@
 // Nothing that stands in a broken head is believed: no promise, no notice, no load, no limit.
 func TestNothingInABrokenHeadIsBelieved(t *testing.T) {
 	const said = goodFields + "T-Not-Run: 1\r\nT-Leaving: 1\r\nT-Limit: 1;w=1000\r\nT-Rejections: 1;w=1000\r\nT-Rest: 60\r\nT-Load: 900,900,1\r\n"
-	for _, answer := range standin.BrokenAnswers(said) {
+	for _, answer := range append(standin.BrokenAnswers(said), standin.BrokenFramings(said)...) {
 		t.Run(answer.Name, func(t *testing.T) {
 			t.Parallel()
 			r := newRawEndpoint(t, func(r *rawEndpoint, try rawTry) {
@@ -247,8 +258,18 @@
 
 // Guards against a release whose answers are broken passing for a good one: they were no evidence against it.
 func TestReleaseWhoseAnswersAreBrokenIsRolledBack(t *testing.T) {
+	for name, answer := range map[string]string{"name": brokenAnswer, "length": standin.BrokenFramings(goodFields)[0].Text} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireRolledBack(t, answer)
+		})
+	}
+}
+
+// requireRolledBack requires that a release with one answer is rolled back.
+func requireRolledBack(t *testing.T, answer string) {
 	good := newRunner(t, "r1", answerText("ok"))
-	bad := newRawEndpoint(t, runsWith(brokenAnswer)).endpoint()
+	bad := newRawEndpoint(t, runsWith(answer)).endpoint()
 	bad.Release = "v2"
 	control := newTestControl(testTable(1, onceRoute()), good.endpoint("v1"), bad)
 	s := startSite(t, control, testSettings())
@@ -268,11 +289,12 @@
 
 // Guards against an endpoint whose answers are broken passing for one that is not reached, from which a box may conclude that it is cut off.
 func TestEndpointWithABrokenAnswerIsReached(t *testing.T) {
-	r := newRawEndpoint(t, runsWith(brokenAnswer))
-	s := newSite(t, r.endpoint())
-	assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "id", "x").status)
-	reach := s.daemon.router.reach
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	assert.Empty(t, reach.misses)
+	for _, answer := range append(standin.BrokenFramings(goodFields), standin.BrokenAnswer{Name: "a blank in a name", Text: brokenAnswer}) {
+		s := newSite(t, newRawEndpoint(t, runsWith(answer.Text)).endpoint())
+		assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "id", "x").status)
+		reach := s.daemon.router.reach
+		reach.mu.Lock()
+		assert.Empty(t, reach.misses, answer.Name)
+		reach.mu.Unlock()
+	}
 }
--- a/standin/broken_answer.go
+++ b/standin/broken_answer.go
@@ -12,7 +12,7 @@
 	}
 )
 
-// brokenStatusLines and brokenFields are broken answers; FIELDS stands for good fields, and INNER for a body that reads like an answer.
+// brokenStatusLines, brokenFields and brokenFramings are broken answers; FIELDS stands for good fields, and INNER for a body that reads like an answer.
 var (
 	brokenStatusLines = []BrokenAnswer{
 		{"status 000", "HTTP/1.1 000 \r\nFIELDSContent-Length: 6\r\n\r\ntheirs"},
@@ -58,6 +58,18 @@
 		{"status 421 beside a blank in a name", "HTTP/1.1 421 No\r\nFIELDSX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
 		{"status 500 beside a blank in a name", "HTTP/1.1 500 No\r\nFIELDSX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"},
 	}
+	brokenFramings = []BrokenAnswer{
+		{"a length with a sign", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: +6\r\n\r\ntheirs"},
+		{"a length below zero", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: -6\r\n\r\ntheirs"},
+		{"a length that is a word", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: theirs\r\n\r\ntheirs"},
+		{"no digits in the length", "HTTP/1.1 200 OK\r\nFIELDSContent-Length:\r\n\r\ntheirs"},
+		{"two lengths in a line", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 5, 6\r\n\r\ntheirs"},
+		{"two lengths that differ", "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 5\r\nContent-Length: 6\r\n\r\ntheirs"},
+		{"an unknown coding", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: theirs\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+		{"two codings", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: gzip, chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+		{"chunks twice", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+		{"an unknown coding beside status 503", "HTTP/1.1 503 No\r\nFIELDSTransfer-Encoding: theirs\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n"},
+	}
 )
 
 // BrokenStatusLines returns answers whose status lines HTTP doesn't allow; fields are lines that are added to their heads.
@@ -66,6 +78,10 @@
 // BrokenFields returns answers with a field that HTTP doesn't allow; fields are lines that are added to their heads.
 func BrokenFields(fields string) []BrokenAnswer { return withFields(brokenFields, fields) }
 
+// BrokenFramings returns answers whose heads tell no length or coding of the body that HTTP allows; fields are lines that are added to
+// their heads.
+func BrokenFramings(fields string) []BrokenAnswer { return withFields(brokenFramings, fields) }
+
 // BrokenAnswers returns all answers of BrokenStatusLines and BrokenFields.
 func BrokenAnswers(fields string) []BrokenAnswer {
 	return append(BrokenStatusLines(fields), BrokenFields(fields)...)
--- a/wire/head_lines.go
+++ b/wire/head_lines.go
@@ -27,8 +27,13 @@
 	RuleControl HeadRule = "a line holds a control byte"
 	// RuleCoding: HTTP/1.0 has no transfer codings.
 	RuleCoding HeadRule = "an answer of HTTP/1.0 has a transfer coding"
+	// RuleFraming: a length is one number, and the only transfer coding is chunked.
+	RuleFraming HeadRule = "the end of the body isn't told by a valid length or coding"
 )
 
+// brokenHeadMessage is the message of the log line of each broken head.
+const brokenHeadMessage = "an answer whose head HTTP doesn't allow is dropped"
+
 const (
 	// maxLineBegin is how many bytes of a line are kept to be checked and logged.
 	maxLineBegin = 48
@@ -46,7 +51,7 @@
 	// BrokenHeadError is returned for an answer whose head HTTP doesn't allow; it wraps willowwick.ErrBroken.
 	BrokenHeadError struct {
 		Rule HeadRule
-		Line int // number of the line, from 1
+		Line int // number of the line, from 1; 0 if no single line breaks it
 	}
 
 	// headLines checks and counts the lines of one head as they arrive, up to the empty one that ends it.
@@ -68,7 +73,11 @@
 
 // Error implements error. What the head holds is for the log: the text may reach a caller.
 func (e *BrokenHeadError) Error() string {
-	return "line " + strconv.Itoa(e.Line) + " of the head of an answer: " + string(e.Rule)
+	text := "the head of an answer: " + string(e.Rule)
+	if e.Line > 0 {
+		text = "line " + strconv.Itoa(e.Line) + " of " + text
+	}
+	return text
 }
 
 // Unwrap returns willowwick.ErrBroken.
@@ -184,6 +193,6 @@
 	if h.count > 0 {
 		begin = h.name()
 	}
-	slog.Warn("an answer whose head HTTP doesn't allow is dropped", "address", address, "rule", h.broken.Rule, "line", h.broken.Line,
+	slog.Warn(brokenHeadMessage, "address", address, "rule", h.broken.Rule, "line", h.broken.Line,
 		"begin", strconv.QuoteToASCII(begin))
 }
--- a/wire/message.go
+++ b/wire/message.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -190,14 +191,21 @@
 	}, nil
 }
 
-// headError returns the error of a head that couldn't be read: if it breaks a rule, that is the cause of whatever the parser says.
+// headError returns the error of a head that couldn't be read. If a line breaks a rule, that is the cause of whatever the parser says.
+// Of a head that has arrived whole, the parser refuses only what it says of the body.
 func (c *Conn) headError(err error) error {
-	if lines := &c.head.lines; lines.broken != nil {
+	lines, text := &c.head.lines, err.Error()
+	text = text[:min(len(text), maxErrorText)]
+	switch {
+	case lines.broken != nil:
 		lines.log(c.address)
 		return errors.Wrap(lines.broken, "read answer head")
+	case lines.isEnded && !errors.Is(err, ErrNoRoom):
+		slog.Warn(brokenHeadMessage, "address", c.address, "rule", RuleFraming, "error", text)
+		return errors.Wrap(&BrokenHeadError{Rule: RuleFraming}, "read answer head")
+	default:
+		return errors.Wrap(willowwick.ErrBroken, "read answer head: "+text)
 	}
-	text := err.Error()
-	return errors.Wrap(willowwick.ErrBroken, "read answer head: "+text[:min(len(text), maxErrorText)])
 }
 
 func framingOf(response *http.Response) Framing {
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// Answers whose heads don't tell where their bodies end are refused by net/http itself, and not sent again either.
+func TestTransportReturnsNoAnswerWithBrokenFraming(t *testing.T) {
+	for _, answer := range standin.BrokenFramings("X-Good: a\r\n") {
+		server, client := newScriptedServer(t, goodAnswer, answer.Text), newCheckedClient(t)
+		for n := range 2 {
+			_, _, err := get(client, server.address)
+			assert.Equal(t, n == 0, err == nil, answer.Name)
+		}
+		assert.EqualValues(t, 2, server.requests.Load(), "%s: it is not sent again", answer.Name)
+	}
+}
+
 // An answer whose first byte is wrong already isn't taken for a connection that was closed while idle: the request may have run.
 func TestTransportDoesNotSendAgainAfterABrokenFirstByte(t *testing.T) {
 	for _, first := range []string{"\n", "\r\n", "\x00", "\x01HTTP", " HTTP/1.1 200 OK\r\n\r\n"} {
