Tests: a broken answer clears no suspect, also before its request is read

A request that is suspected of crashing endpoints stays suspected after a broken answer, and a good one clears it. An answer that comes before its request's body was read is a broken one at once, and its connection closes.

--- a/exchange/broken_head_test.go
+++ b/exchange/broken_head_test.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/willowwick/willowwick"
+	"github.com/willowwick/willowwick/quarantine"
 	"github.com/willowwick/willowwick/standin"
 )
 
@@ -232,6 +235,60 @@
 	}
 }
 
+// A broken answer doesn't clear a request that is suspected of crashing endpoints; a good one does.
+func TestBrokenAnswerClearsNoSuspect(t *testing.T) {
+	good := standin.BrokenAnswer{Name: "a good answer", Text: "HTTP/1.1 200 OK\r\n" + goodFields + "Connection: close\r\nContent-Length: 2\r\n\r\nok"}
+	for _, answer := range append(append(standin.BrokenAnswers(goodFields), standin.BrokenFramings(goodFields)...), good) {
+		s := newSite(t, newRawEndpoint(t, runsWith(answer.Text)).endpoint())
+		suspect, _ := s.newCall(t, "/once/", "id")
+		poison := s.daemon.router.poison
+		for n := range quarantine.RefuseAfterCrashes {
+			if n == quarantine.RefuseAfterCrashes-1 {
+				status := s.do(t, http.MethodPost, "/once/", "id", "x").status
+				assert.Equal(t, answer == good, status == http.StatusOK, answer.Name)
+			}
+			crash := willowwick.EndpointCrash{Endpoint: willowwick.EndpointID(fmt.Sprint("other-", n)), Release: "v1", At: time.Now()}
+			poison.RecordCrash(suspect.describePoison(), crash)
+		}
+		assert.Equal(t, answer != good, poison.Refuses(suspect.fingerprint()), answer.Name)
+	}
+}
+
+// A broken answer to a request whose body its endpoint hasn't read is one at once, and its connection is closed.
+func TestBrokenAnswerBeforeALargeBodyIsRead(t *testing.T) {
+	const size = 4 << 20 // in bytes; the largest body that the site takes
+	for _, broken := range append(standin.BrokenAnswers(goodFields), standin.BrokenFramings(goodFields)...) {
+		t.Run(broken.Name, func(t *testing.T) {
+			t.Parallel()
+			listener, replied, ended := listen(t), make(chan struct{}), make(chan struct{})
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				defer close(ended)
+				conn, err := listener.Accept()
+				if !assert.NoError(t, err) {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, err = http.ReadRequest(bufio.NewReader(conn))
+				assert.NoError(t, err)
+				_, _ = conn.Write([]byte(strings.ReplaceAll(broken.Text, "%s", "id")))
+				<-replied
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+			s := newSite(t, willowwick.Endpoint{ID: "raw", Hall: "hall-a", Address: listener.Addr().String(), Service: "work", Release: "v1", Slots: 8})
+			reply := s.do(t, http.MethodPost, "/once/", "id", strings.Repeat("x", size))
+			close(replied)
+			require.NoError(t, reply.err)
+			assert.Equal(t, http.StatusBadGateway, reply.status)
+			select {
+			case <-ended:
+			case <-time.After(waitTimeout):
+				require.Fail(t, "the connection is open")
+			}
+		})
+	}
+}
+
 // A log line names the rule, is short, and holds no byte that a terminal would obey.
 func TestLogLineOfABrokenHead(t *testing.T) {
 	var log logBuffer
