Clients that use net/http take no surplus answer for that of the next request

What it did: a service, engine, store or API that sends two answers to one request had the second taken now and then for the answer to the next call on that connection, and those after it for the answers of others. Calls of services that may run once were never among them: each has its own connection.

Cause: an answer that came before its request was known by its heads not having been read yet when it was returned; by then those of the true answer may have been. Its connection stayed in use if the answer had no body.

Fix: what tells is the moment of the first byte. Read together with the answer before it, no byte of it is read from the connection for this request when net/http has its first byte; read before a byte of the request was written, it is no answer to it. Such a connection is closed.

--- a/wire/transport.go
+++ b/wire/transport.go
@@ -29,6 +29,9 @@
 	// answerHeads are the heads of the answer to one request, of which the last one isn't informational; its connection's lock guards them.
 	answerHeads struct {
 		lines     headLines
+		isSent    bool // a part of the request was written
+		hasBegun  bool // a byte of them was read
+		isEarly   bool // their first byte was read before the request was sent
 		isChecked bool // all of them have arrived
 	}
 )
@@ -90,22 +93,30 @@
 	var conn *checkedConn
 	var heads *answerHeads
 	// Another connection follows if the first one turns out to be closed.
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, _ = info.Conn.(*checkedConn); conn != nil {
-			heads = conn.expectHead()
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, _ = info.Conn.(*checkedConn); conn != nil {
+				heads = conn.expectHead()
+			}
+		},
+		GotFirstResponseByte: func() {
+			if conn != nil {
+				conn.noteFirstByte(heads)
+			}
+		},
+	}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if conn == nil {
 		return response, err
 	}
-	broken := conn.check(heads, request.URL.Host, err == nil)
+	broken := conn.check(heads, request.URL.Host)
 	if broken == nil {
 		return response, err
 	}
 	if err == nil {
 		_ = response.Body.Close()
 	}
+	_ = conn.Close() // it may be idle already, and what follows on it belongs to no request
 	return nil, broken
 }
 
@@ -117,21 +128,40 @@
 	return c.head
 }
 
-// check returns an error if the heads of an answer, which has arrived or not, break a rule.
-func (c *checkedConn) check(heads *answerHeads, address string, hasArrived bool) error {
+// noteFirstByte is called once the first byte of an answer was read, and no later one has been asked for.
+func (c *checkedConn) noteFirstByte(heads *answerHeads) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !heads.hasBegun {
+		heads.isEarly = true // it was read together with the answer before it
+	}
+}
+
+// check returns an error if the heads of an answer break a rule, or if they aren't those of an answer to the request.
+func (c *checkedConn) check(heads *answerHeads, address string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case heads.isEarly:
+		return errUnexpectedAnswer
 	case heads.lines.broken != nil:
 		heads.lines.log(address)
 		return heads.lines.broken
-	case hasArrived && !heads.isChecked:
-		return errUnexpectedAnswer
 	default:
 		return nil
 	}
 }
 
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.head != nil {
+		c.head.isSent = true
+	}
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
 // Read implements net.Conn. Nothing is read from the first byte on that HTTP doesn't allow. The first byte of an answer is passed on in any
 // case: an error in its place looks like a connection that was closed before the request arrived, and a request may then be sent again.
 func (c *checkedConn) Read(p []byte) (int, error) {
@@ -147,7 +177,7 @@
 	if c.head == nil || c.head.isChecked {
 		return n, err
 	}
-	isFirst := c.head.lines.count == 0 && c.head.lines.length == 0
+	isFirst := !c.head.hasBegun
 	good := c.head.add(p[:n])
 	switch {
 	case c.broken() == nil:
@@ -171,6 +201,9 @@
 
 // add checks further bytes of the answer and returns how many of them, from the first on, break no rule.
 func (a *answerHeads) add(data []byte) int {
+	if len(data) > 0 && !a.hasBegun {
+		a.hasBegun, a.isEarly = true, a.isEarly || !a.isSent
+	}
 	good := 0
 	for good < len(data) && !a.isChecked {
 		good += a.lines.add(data[good:])
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,7 +23,8 @@
 
 const goodAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// scriptedServer answers the requests of each connection with one text after the other, and counts requests and connections.
+// scriptedServer answers the requests of each connection with one text after the other, in which PATH stands for the request's, and counts
+// requests and connections.
 type scriptedServer struct {
 	address  string
 	requests atomic.Int64
@@ -57,7 +59,7 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		s.requests.Add(1)
-		_, _ = io.WriteString(conn, answer)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "PATH", request.URL.Path))
 	}
 }
 
@@ -171,6 +173,34 @@
 	}
 }
 
+// Guards against a surplus answer being taken for that of the next request on its connection, or the answers after it for those of others.
+func TestTransportTakesNoSurplusAnswerForTheNextOne(t *testing.T) {
+	const callers, requests, answersOfAConn = 8, 3000, 50
+	answer := "HTTP/1.1 204 No Content\r\nX-Path: PATH\r\n\r\nHTTP/1.1 204 No Content\r\nX-Path: surplus\r\n\r\n"
+	server := newScriptedServer(t, slices.Repeat([]string{answer}, answersOfAConn)...)
+	var wrong atomic.Int64
+	var running sync.WaitGroup
+	for range callers {
+		client := newCheckedClient(t)
+		running.Go(func() {
+			for n := range requests {
+				path := fmt.Sprint("/", n)
+				response, err := client.Get("http://" + server.address + path)
+				if err != nil {
+					assert.ErrorIs(t, err, willowwick.ErrBroken)
+					continue
+				}
+				if response.Header.Get("X-Path") != path {
+					wrong.Add(1)
+				}
+				assert.NoError(t, response.Body.Close())
+			}
+		})
+	}
+	running.Wait()
+	assert.Zero(t, wrong.Load(), "of %d", callers*requests)
+}
+
 // Answers without a body free their connection before they are returned: the next request on it may begin at once.
 func TestTransportServesManyRequestsAtOnce(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
