--- a/wire/doc.go
+++ b/wire/doc.go
@@ -6,4 +6,6 @@
 // a request that arrives at that moment. It refuses connections that it
 // can't serve: a LinkLimit counts what callers use of the link, and a pace goes by how long first requests, openings and the box's own
 // round trips take.
+//
+// Whatever reads answers, a Conn or an http.Transport through CheckHeads, takes none whose head HTTP doesn't allow.
 package wire
