The heads that a call expects are shared with its connection's goroutine safely

What it could do: if an idle connection turned out to be closed and an answer was there on it at that moment, the goroutine of that connection could read which heads the call expects while the call was given another connection.

Fix: the heads name their connection, and the call keeps them in one atomic pointer. The methods of heads are those of heads now.

--- a/wire/transport.go
+++ b/wire/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/willowwick/willowwick"
@@ -28,6 +29,7 @@
 
 	// answerHeads are the heads of the answer to one request, of which the last one isn't informational; its connection's lock guards them.
 	answerHeads struct {
+		conn      *checkedConn
 		lines     headLines
 		isSent    bool // a part of the request was written
 		hasBegun  bool // a byte of them was read
@@ -90,33 +92,34 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn *checkedConn
-	var heads *answerHeads
-	// Another connection follows if the first one turns out to be closed.
+	// Another connection, and so other heads, follow if the first one turns out to be closed; the first byte is reported by a goroutine of
+	// the connection.
+	var expected atomic.Pointer[answerHeads]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, _ = info.Conn.(*checkedConn); conn != nil {
-				heads = conn.expectHead()
+			if conn, ok := info.Conn.(*checkedConn); ok {
+				expected.Store(conn.expectHead())
 			}
 		},
 		GotFirstResponseByte: func() {
-			if conn != nil {
-				conn.noteFirstByte(heads)
+			if heads := expected.Load(); heads != nil {
+				heads.noteFirstByte()
 			}
 		},
 	}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	if conn == nil {
+	heads := expected.Load()
+	if heads == nil {
 		return response, err
 	}
-	broken := conn.check(heads, request.URL.Host)
+	broken := heads.check(request.URL.Host)
 	if broken == nil {
 		return response, err
 	}
 	if err == nil {
 		_ = response.Body.Close()
 	}
-	_ = conn.Close() // it may be idle already, and what follows on it belongs to no request
+	_ = heads.conn.Close() // it may be idle already, and what follows on it belongs to no request
 	return nil, broken
 }
 
@@ -124,29 +127,29 @@
 func (c *checkedConn) expectHead() *answerHeads {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = &answerHeads{}
+	c.head = &answerHeads{conn: c}
 	return c.head
 }
 
-// noteFirstByte is called once the first byte of an answer was read, and no later one has been asked for.
-func (c *checkedConn) noteFirstByte(heads *answerHeads) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !heads.hasBegun {
-		heads.isEarly = true // it was read together with the answer before it
+// noteFirstByte is called once the first byte of the answer was read, and no later one has been asked for.
+func (a *answerHeads) noteFirstByte() {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	if !a.hasBegun {
+		a.isEarly = true // it was read together with the answer before it
 	}
 }
 
-// check returns an error if the heads of an answer break a rule, or if they aren't those of an answer to the request.
-func (c *checkedConn) check(heads *answerHeads, address string) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// check returns an error if the heads break a rule, or if they aren't those of an answer to the request.
+func (a *answerHeads) check(address string) error {
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
 	switch {
-	case heads.isEarly:
+	case a.isEarly:
 		return errUnexpectedAnswer
-	case heads.lines.broken != nil:
-		heads.lines.log(address)
-		return heads.lines.broken
+	case a.lines.broken != nil:
+		a.lines.log(address)
+		return a.lines.broken
 	default:
 		return nil
 	}
