Whether the heads of an answer have all arrived is told by the newest one

isChecked of answerHeads stood for what the lines of the newest head say themselves. The comment of ErrBroken names broken heads and odd statuses, too. No change of behaviour; the tests of wire, remote and platform pass with the race detector, as they are.

--- a/errors.go
+++ b/errors.go
@@ -13,7 +13,7 @@
 	ErrVersionNotLoaded = errors.New("endpoint does not have the version")
 	// ErrBusy means that the endpoint refused the call because all its slots are taken.
 	ErrBusy = errors.New("endpoint is full")
-	// ErrBroken means that an answer has a gap, a wrong request id or no end.
+	// ErrBroken means that an answer has a gap, a wrong request id, no end, a head that HTTP doesn't allow, or a status that its call doesn't expect.
 	ErrBroken = errors.New("answer is broken")
 	// ErrConflict means that the topic no longer ends at the position that the writer expects.
 	ErrConflict = errors.New("conflicting write: the topic has grown since it was read")
--- a/wire/transport.go
+++ b/wire/transport.go
@@ -29,12 +29,11 @@
 
 	// answerHeads are the heads of the answer to one request, of which the last one isn't informational; its connection's lock guards them.
 	answerHeads struct {
-		conn      *checkedConn
-		lines     headLines
-		isSent    bool // a part of the request was written
-		hasBegun  bool // a byte of them was read
-		isEarly   bool // their first byte was read before the request was sent
-		isChecked bool // all of them have arrived
+		conn     *checkedConn
+		lines    headLines // of the newest head; ended once all of them have arrived
+		isSent   bool      // a part of the request was written
+		hasBegun bool      // a byte of them was read
+		isEarly  bool      // their first byte was read before the request was sent
 	}
 )
 
@@ -177,7 +176,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head == nil || c.head.isChecked {
+	if c.head == nil || c.head.lines.isEnded {
 		return n, err
 	}
 	isFirst := !c.head.hasBegun
@@ -208,15 +207,13 @@
 		a.hasBegun, a.isEarly = true, a.isEarly || !a.isSent
 	}
 	good := 0
-	for good < len(data) && !a.isChecked {
+	for good < len(data) && !a.lines.isEnded {
 		good += a.lines.add(data[good:])
-		switch {
-		case a.lines.broken != nil:
+		if a.lines.broken != nil {
 			return good
-		case a.lines.isEnded && a.lines.isInformational():
+		}
+		if a.lines.isEnded && a.lines.isInformational() {
 			a.lines = headLines{}
-		case a.lines.isEnded:
-			a.isChecked = true
 		}
 	}
 	return len(data)
