--- a/cmd/willowctl/broken_head_test.go
+++ b/cmd/willowctl/broken_head_test.go
@@ -13,7 +13,7 @@
 
 // Guards against answers of boxes that HTTP doesn't allow being shown as their status.
 func TestBrokenAnswerOfABoxIsNoStatus(t *testing.T) {
-	for _, answer := range standin.BrokenAnswers("Content-Type: application/json\r\n") {
+	for _, answer := range standin.BrokenLines("Content-Type: application/json\r\n") {
 		server, stop, err := standin.NewRawServer(func(*http.Request) string { return answer.Text })
 		require.NoError(t, err)
 		var value any
--- a/exchange/broken_head_test.go
+++ b/exchange/broken_head_test.go
@@ -21,8 +21,10 @@
 const (
 	// goodFields are the fields of a good answer of a rawEndpoint, for which %s is the request's ID.
 	goodFields = "T-Id: %s\r\nT-Seal: raw\r\n"
+	// goodAnswer is an answer after which the connection ends.
+	goodAnswer = "HTTP/1.1 200 OK\r\n" + goodFields + "Connection: close\r\nContent-Length: 2\r\n\r\nok"
 	// brokenAnswer is an answer that HTTP doesn't allow.
-	brokenAnswer = "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: raw\r\nX Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"
+	brokenAnswer = "HTTP/1.1 200 OK\r\n" + goodFields + "X Foo: b\r\nContent-Length: 6\r\n\r\ntheirs"
 )
 
 // runsWith returns the answer of a rawEndpoint that runs the request and writes a text, for whose %s it writes the request's ID.
@@ -34,52 +36,43 @@
 	}
 }
 
-// requireNoneBelieved sends a request of each kind of route to an endpoint with a broken answer, and requires that no caller gets any of it.
-func requireNoneBelieved(t *testing.T, answer string) {
-	r := newRawEndpoint(t, runsWith(answer))
-	s := newSite(t, r.endpoint())
-	for path, runs := range map[string]int{"/once/": 1, "/again/": 2, "/stream/": 3} {
-		id := "id-" + strings.Trim(path, "/")
-		reply := s.do(t, http.MethodPost, path, id, "x", "T-Model", anyModel)
-		require.NoError(t, reply.err, path)
-		assert.Equal(t, http.StatusBadGateway, reply.status, path)
-		assert.NotContains(t, reply.body, "theirs", path)
-		assert.NotContains(t, reply.body, "inner", path)
-		assert.NotContains(t, fmt.Sprint(reply.header), "raw", path)
-		assert.LessOrEqual(t, r.runsOf(id), runs, path)
+// requireNoneBelieved sends a request of each kind of route to endpoints with one broken answer each, and requires that no caller gets any of
+// it.
+func requireNoneBelieved(t *testing.T, answers []standin.BrokenAnswer) {
+	for _, answer := range answers {
+		t.Run(answer.Name, func(t *testing.T) {
+			t.Parallel()
+			r := newRawEndpoint(t, runsWith(answer.Text))
+			s := newSite(t, r.endpoint())
+			for path, runs := range map[string]int{"/once/": 1, "/again/": 2, "/stream/": 3} {
+				id := "id-" + strings.Trim(path, "/")
+				reply := s.do(t, http.MethodPost, path, id, "x", "T-Model", anyModel)
+				require.NoError(t, reply.err, path)
+				assert.Equal(t, http.StatusBadGateway, reply.status, path)
+				assert.NotContains(t, reply.body, "theirs", path)
+				assert.NotContains(t, reply.body, "inner", path)
+				assert.NotContains(t, fmt.Sprint(reply.header), "raw", path)
+				assert.LessOrEqual(t, r.runsOf(id), runs, path)
+			}
+			assert.Equal(t, 1, r.runsOf("id-once"))
+		})
 	}
-	assert.Equal(t, 1, r.runsOf("id-once"))
 }
 
 // Guards against answers whose status is none: the caller got them, or what stood in their bodies, as its answer.
 func TestAnswerWithABrokenStatusLineIsNoAnswer(t *testing.T) {
-	for _, answer := range standin.BrokenStatusLines(goodFields) {
-		t.Run(answer.Name, func(t *testing.T) {
-			t.Parallel()
-			requireNoneBelieved(t, answer.Text)
-		})
-	}
+	requireNoneBelieved(t, standin.BrokenStatusLines(goodFields))
 }
 
 // Guards against answers with a field that HTTP doesn't allow: the caller got them without the field, or with a body that is not the
 // endpoint's since the field would have said where it ends.
 func TestAnswerWithABrokenFieldIsNoAnswer(t *testing.T) {
-	for _, answer := range standin.BrokenFields(goodFields) {
-		t.Run(answer.Name, func(t *testing.T) {
-			t.Parallel()
-			requireNoneBelieved(t, answer.Text)
-		})
-	}
+	requireNoneBelieved(t, standin.BrokenFields(goodFields))
 }
 
 // Guards against answers whose heads don't tell where their bodies end, and against the text of a refusal that quotes such a head.
 func TestAnswerWithBrokenFramingIsNoAnswer(t *testing.T) {
-	for _, answer := range standin.BrokenFramings(goodFields) {
-		t.Run(answer.Name, func(t *testing.T) {
-			t.Parallel()
-			requireNoneBelieved(t, answer.Text)
-		})
-	}
+	requireNoneBelieved(t, standin.BrokenFramings(goodFields))
 }
 
 // The connection of a broken answer is closed at once, and carries no other request.
@@ -196,7 +189,7 @@
 func TestBrokenAnswerOfAnotherBoxIsNoAnswer(t *testing.T) {
 	s := newSite(t, newRunner(t, "r1", answerText("ok")).endpoint("v1"))
 	fields := goodFields + headerNotTaken + ": 1\r\n"
-	for _, answer := range append(standin.BrokenAnswers(fields), standin.BrokenFramings(fields)...) {
+	for _, answer := range standin.BrokenAnswers(fields) {
 		box := newRawEndpoint(t, runsWith(answer.Text))
 		for path, isLast := range map[string]bool{"/once/": true, "/again/": false, "/stream/": false} {
 			c, recorder := s.newCall(t, path, "id")
@@ -213,7 +206,7 @@
 // Nothing that stands in a broken head is believed: no promise, no notice, no load, no limit.
 func TestNothingInABrokenHeadIsBelieved(t *testing.T) {
 	const said = goodFields + "T-Not-Run: 1\r\nT-Leaving: 1\r\nT-Limit: 1;w=1000\r\nT-Rejections: 1;w=1000\r\nT-Rest: 60\r\nT-Load: 900,900,1\r\n"
-	for _, answer := range append(standin.BrokenAnswers(said), standin.BrokenFramings(said)...) {
+	for _, answer := range standin.BrokenAnswers(said) {
 		t.Run(answer.Name, func(t *testing.T) {
 			t.Parallel()
 			r := newRawEndpoint(t, func(r *rawEndpoint, try rawTry) {
@@ -221,7 +214,7 @@
 					runsWith(answer.Text)(r, try)
 					return
 				}
-				runsWith("HTTP/1.1 200 OK\r\n"+goodFields+"Connection: close\r\nContent-Length: 2\r\n\r\nok")(r, try)
+				runsWith(goodAnswer)(r, try)
 			})
 			s := newSite(t, r.endpoint())
 			assert.Equal(t, http.StatusBadGateway, s.do(t, http.MethodPost, "/once/", "broken", "x").status)
@@ -238,8 +231,8 @@
 
 // A broken answer doesn't clear a request that is suspected of crashing endpoints; a good one does.
 func TestBrokenAnswerClearsNoSuspect(t *testing.T) {
-	good := standin.BrokenAnswer{Name: "a good answer", Text: "HTTP/1.1 200 OK\r\n" + goodFields + "Connection: close\r\nContent-Length: 2\r\n\r\nok"}
-	for _, answer := range append(append(standin.BrokenAnswers(goodFields), standin.BrokenFramings(goodFields)...), good) {
+	good := standin.BrokenAnswer{Name: "a good answer", Text: goodAnswer}
+	for _, answer := range append(standin.BrokenAnswers(goodFields), good) {
 		s := newSite(t, newRawEndpoint(t, runsWith(answer.Text)).endpoint())
 		suspect, _ := s.newCall(t, "/once/", "id")
 		poison := s.daemon.router.poison
@@ -258,7 +251,7 @@
 // A broken answer to a request whose body its endpoint hasn't read is one at once, and its connection is closed.
 func TestBrokenAnswerBeforeALargeBodyIsRead(t *testing.T) {
 	const size = 256 << 10 // in bytes; a body of that size is written while the answer is read
-	for _, broken := range append(standin.BrokenAnswers(goodFields), standin.BrokenFramings(goodFields)...) {
+	for _, broken := range standin.BrokenAnswers(goodFields) {
 		t.Run(broken.Name, func(t *testing.T) {
 			listener, replied, ended := listen(t), make(chan struct{}), make(chan struct{})
 			t.Cleanup(func() { _ = listener.Close() })
@@ -273,7 +266,7 @@
 				<-replied
 				_, _ = io.Copy(io.Discard, conn)
 			}()
-			s := newSite(t, willowwick.Endpoint{ID: "raw", Hall: "hall-a", Address: listener.Addr().String(), Service: "work", Release: "v1", Slots: 8})
+			s := newSite(t, (&rawEndpoint{address: listener.Addr().String()}).endpoint())
 			reply := s.do(t, http.MethodPost, "/once/", "id", strings.Repeat("x", size))
 			close(replied)
 			require.NoError(t, reply.err)
--- a/remote/broken_head_test.go
+++ b/remote/broken_head_test.go
@@ -34,7 +34,7 @@
 func TestBrokenAnswerOfAServiceIsNoAnswer(t *testing.T) {
 	client, closeClient := remote.NewServiceClient(nil)
 	defer closeClient()
-	for _, answer := range standin.BrokenAnswers(remote.HeaderLeaving + ": 1\r\n") {
+	for _, answer := range standin.BrokenLines(remote.HeaderLeaving + ": 1\r\n") {
 		server, endpoint := newBrokenServer(t, answer)
 		for n, repeatable := range []bool{false, true} {
 			notices := 0
@@ -54,7 +54,7 @@
 func TestBrokenAnswerOfAnEngineOrThePlatformIsNoAnswer(t *testing.T) {
 	engines, closeEngines := remote.NewEngineClient(nil)
 	defer closeEngines()
-	for _, answer := range standin.BrokenAnswers(remote.HeaderLeaving + ": 1\r\n") {
+	for _, answer := range standin.BrokenLines(remote.HeaderLeaving + ": 1\r\n") {
 		server, endpoint := newBrokenServer(t, answer)
 		platform, closePlatform := remote.NewClient("http://"+server.Address, nil)
 		for name, call := range map[string]func() error{
--- a/standin/broken_answer.go
+++ b/standin/broken_answer.go
@@ -82,11 +82,16 @@
 // their heads.
 func BrokenFramings(fields string) []BrokenAnswer { return withFields(brokenFramings, fields) }
 
-// BrokenAnswers returns all answers of BrokenStatusLines and BrokenFields.
-func BrokenAnswers(fields string) []BrokenAnswer {
+// BrokenLines returns all answers of BrokenStatusLines and BrokenFields, in whose heads a line by itself is wrong.
+func BrokenLines(fields string) []BrokenAnswer {
 	return append(BrokenStatusLines(fields), BrokenFields(fields)...)
 }
 
+// BrokenAnswers returns all answers of BrokenLines and BrokenFramings.
+func BrokenAnswers(fields string) []BrokenAnswer {
+	return append(BrokenLines(fields), BrokenFramings(fields)...)
+}
+
 func withFields(answers []BrokenAnswer, fields string) []BrokenAnswer {
 	inner := "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\ninner"
 	filled := make([]BrokenAnswer, len(answers))
--- a/wire/head_fuzz_test.go
+++ b/wire/head_fuzz_test.go
@@ -166,7 +166,7 @@
 // FuzzAnswerIsAsTheEndpointSentIt checks on any bytes that both readers of answers return what a plain reading of HTTP finds in them: an
 // answer with a status of 100 to 599 other than 101, the fields and the body of the endpoint, and no answer where HTTP allows none.
 func FuzzAnswerIsAsTheEndpointSentIt(f *testing.F) {
-	for _, answer := range append(standin.BrokenAnswers("X-Good: a\r\n"), standin.BrokenFramings("X-Good: a\r\n")...) {
+	for _, answer := range standin.BrokenAnswers("X-Good: a\r\n") {
 		f.Add(answer.Text)
 	}
 	for _, seed := range []string{
--- a/wire/transport_test.go
+++ b/wire/transport_test.go
@@ -82,7 +82,7 @@
 // Guards against answers that HTTP doesn't allow at the clients that use net/http, on new connections and on those that were used before;
 // none of their requests is sent again.
 func TestTransportReturnsNoAnswerWithABrokenHead(t *testing.T) {
-	for _, answer := range standin.BrokenAnswers("X-Good: a\r\n") {
+	for _, answer := range standin.BrokenLines("X-Good: a\r\n") {
 		for _, before := range []int{0, 2} {
 			t.Run(fmt.Sprintf("%s, after %d", answer.Name, before), func(t *testing.T) {
 				t.Parallel()
